Workspace, schemas and design of the whole path

Cause: the project starts empty. The schemas of the table rows, the worker interface and the link messages come first, because every part meets the others there. Conclusion: the parts can be built side by side against these schemas.

--- /dev/null
+++ b/packages/core/src/index.ts
@@ -0,0 +1,13 @@
+/** Decisions and contracts of fuchsiatally, without I/O, clock or randomness of their own. */
+export * from './schema/decode.js'
+export * from './schema/resources.js'
+export * from './schema/vm.js'
+export * from './schema/job.js'
+export * from './schema/manifest.js'
+export * from './schema/request.js'
+export * from './schema/linkMessage.js'
+export * from './schema/worker.js'
+export * from './schema/table.js'
+export * from './clock.js'
+export * from './disposableStore.js'
+export * from './event.js'
--- /dev/null
+++ b/packages/core/src/schema/decode.ts
@@ -0,0 +1,26 @@
+/** Decodes untrusted input against a schema and reports every fault at once. */
+import * as Result from 'effect/Result'
+import * as Schema from 'effect/Schema'
+import { err, ok, type Result as Outcome } from 'neverthrow'
+
+/** Input that does not match its schema; `message` lists each fault with its path. */
+export interface DecodeError {
+  readonly kind: 'decodeError'
+  readonly message: string
+}
+
+/**
+ * Builds a decoder that rejects unknown fields and collects all faults.
+ *
+ * @param schema shape that the input must have
+ */
+export function createDecoder<S extends Schema.ConstraintDecoder<unknown, never>> (
+  schema: S
+): (input: unknown) => Outcome<S['Type'], DecodeError> {
+  const decode = Schema.decodeUnknownResult(schema, { errors: 'all', onExcessProperty: 'error' })
+  return (input) => {
+    const result = decode(input)
+    if (Result.isSuccess(result)) return ok(result.success)
+    return err({ kind: 'decodeError', message: String(result.failure.message) })
+  }
+}
--- /dev/null
+++ b/packages/core/src/schema/linkMessage.ts
@@ -0,0 +1,138 @@
+/** Messages between entries, carried as CBOR frames over links. */
+import * as Schema from 'effect/Schema'
+import { AttemptId } from './job.js'
+import { ConfigDocument } from './manifest.js'
+import { RequestOutcome, ServiceRequest } from './request.js'
+import { Resources } from './resources.js'
+
+/** First message on a link, in both directions. */
+export const Hello = Schema.Struct({
+  type: Schema.Literal('hello'),
+  entry: Schema.String,
+  incarnation: Schema.String,
+  failureDomain: Schema.String
+})
+
+/** Free slots of one service at the sender's own workers. */
+export const FreeSlots = Schema.Struct({
+  service: Schema.String,
+  free: Schema.Int,
+  total: Schema.Int,
+  /** Requests queued for the service at the sender. */
+  queued: Schema.Int
+})
+export type FreeSlots = typeof FreeSlots.Type
+
+/** Sent to each peer at a fixed interval; its absence for long enough replaces the link. */
+export const Heartbeat = Schema.Struct({
+  type: Schema.Literal('heartbeat'),
+  sequence: Schema.Int,
+  leaving: Schema.Boolean,
+  slots: Schema.Array(FreeSlots),
+  /** Version of the configuration in force at the sender. */
+  configVersion: Schema.Int,
+  /** Revoked key ids that are not in the sender's configuration document yet. */
+  deniedKeyIds: Schema.Array(Schema.String),
+  /** Requests waiting at the sender for a ceiling allotment, by team. */
+  allotmentDemand: Schema.Array(Schema.Struct({ team: Schema.String, waiting: Schema.Int }))
+})
+export type Heartbeat = typeof Heartbeat.Type
+
+/** Asks for the peer's configuration document if it is newer. */
+export const ConfigPull = Schema.Struct({ type: Schema.Literal('configPull'), newerThan: Schema.Int })
+
+/** Hands over a configuration document. */
+export const ConfigPush = Schema.Struct({ type: Schema.Literal('configPush'), document: ConfigDocument })
+
+/** Asks the receiver, owner of endpoints of the service, to run a request. */
+export const ForwardRequest = Schema.Struct({
+  type: Schema.Literal('forwardRequest'),
+  exchange: Schema.String,
+  request: ServiceRequest
+})
+
+/** Asks the receiver, the incarnation that a ticket names, to run a request under it. */
+export const TicketRequest = Schema.Struct({
+  type: Schema.Literal('ticketRequest'),
+  exchange: Schema.String,
+  ticket: Schema.String,
+  request: ServiceRequest
+})
+
+/** Final outcome of a forwarded request. */
+export const ForwardReply = Schema.Struct({
+  type: Schema.Literal('forwardReply'),
+  exchange: Schema.String,
+  outcome: RequestOutcome
+})
+
+/** Tells the receiver that nobody waits for the exchange any longer. */
+export const ForwardCancel = Schema.Struct({ type: Schema.Literal('forwardCancel'), exchange: Schema.String })
+
+/** One attempt that a worker shall run. */
+export const DesiredTask = Schema.Struct({
+  id: AttemptId,
+  resources: Resources,
+  payload: Schema.String
+})
+export type DesiredTask = typeof DesiredTask.Type
+
+/** An attempt that the worker shall end; it can never start again afterwards. */
+export const UndesiredTask = Schema.Struct({ id: AttemptId, checkpoint: Schema.Boolean })
+export type UndesiredTask = typeof UndesiredTask.Type
+
+/** Scheduler to owner: the whole set of attempts that a worker shall run; replaces the set sent before. */
+export const WorkerDesired = Schema.Struct({
+  type: Schema.Literal('workerDesired'),
+  cellEpoch: Schema.Int,
+  sequence: Schema.Int,
+  worker: Schema.String,
+  /** Epoch of the worker's ownership that the set was computed for. */
+  workerEpoch: Schema.Int,
+  run: Schema.Array(DesiredTask),
+  end: Schema.Array(UndesiredTask),
+  /** Ended attempts that the table records; the worker may forget them. */
+  acknowledged: Schema.Array(AttemptId)
+})
+export type WorkerDesired = typeof WorkerDesired.Type
+
+/** An attempt that ended at its worker. */
+export const EndedTask = Schema.Struct({
+  id: AttemptId,
+  /** `stopped`: ended on command; `refused`: never started and never will; `lapsed`: its lease ran out. */
+  result: Schema.Literals(['completed', 'failed', 'stopped', 'refused', 'lapsed']),
+  /** How long it ran, in milliseconds. */
+  ranMs: Schema.Finite
+})
+export type EndedTask = typeof EndedTask.Type
+
+/** Usage of one running task, as the worker reports it with a lag. */
+export const TaskUsage = Schema.Struct({ id: AttemptId, used: Resources })
+export type TaskUsage = typeof TaskUsage.Type
+
+/** Owner to scheduler: what a worker runs and has ended. */
+export const WorkerObserved = Schema.Struct({
+  type: Schema.Literal('workerObserved'),
+  worker: Schema.String,
+  workerEpoch: Schema.Int,
+  /** Highest cell epoch whose desired set the owner has accepted. */
+  cellEpoch: Schema.Int,
+  /** Sequence of the desired set in force, 0 if none. */
+  desiredSequence: Schema.Int,
+  /** `lost`: the worker's task lease has lapsed for certain, nothing started before runs any longer. */
+  state: Schema.Literals(['reachable', 'unreachable', 'lost']),
+  running: Schema.Array(AttemptId),
+  ended: Schema.Array(EndedTask),
+  usage: Schema.Array(TaskUsage)
+})
+export type WorkerObserved = typeof WorkerObserved.Type
+
+/** Tells the cell's scheduler that rows of jobs or cancellations changed. */
+export const JobsChanged = Schema.Struct({ type: Schema.Literal('jobsChanged') })
+
+/** Every message that a link carries. */
+export const LinkMessage = Schema.Union([
+  Hello, Heartbeat, ConfigPull, ConfigPush, ForwardRequest, TicketRequest, ForwardReply, ForwardCancel,
+  WorkerDesired, WorkerObserved, JobsChanged
+])
+export type LinkMessage = typeof LinkMessage.Type
--- /dev/null
+++ b/packages/core/src/schema/resources.ts
@@ -0,0 +1,41 @@
+/** Amounts of processors, memory and accelerators, as a VM offers and a task needs them. */
+import * as Schema from 'effect/Schema'
+
+const Amount = Schema.Finite.check(Schema.isGreaterThanOrEqualTo(0))
+const WholeAmount = Schema.Int.check(Schema.isGreaterThanOrEqualTo(0))
+
+/** Resources in cores, mebibytes and whole accelerators. */
+export const Resources = Schema.Struct({
+  processors: Amount,
+  memoryMb: WholeAmount,
+  accelerators: WholeAmount
+})
+export type Resources = typeof Resources.Type
+
+/** No resources at all. */
+export const NO_RESOURCES: Resources = { processors: 0, memoryMb: 0, accelerators: 0 }
+
+/** Adds two amounts. */
+export function addResources (a: Resources, b: Resources): Resources {
+  return {
+    processors: a.processors + b.processors,
+    memoryMb: a.memoryMb + b.memoryMb,
+    accelerators: a.accelerators + b.accelerators
+  }
+}
+
+/** Subtracts `b` from `a`; components may become negative. */
+export function subtractResources (a: Resources, b: Resources): Resources {
+  return {
+    processors: a.processors - b.processors,
+    memoryMb: a.memoryMb - b.memoryMb,
+    accelerators: a.accelerators - b.accelerators
+  }
+}
+
+/** Tells whether `need` fits into `free` in every component. */
+export function hasRoomFor (free: Resources, need: Resources): boolean {
+  return need.processors <= free.processors &&
+    need.memoryMb <= free.memoryMb &&
+    need.accelerators <= free.accelerators
+}
--- /dev/null
+++ b/packages/core/src/schema/worker.ts
@@ -0,0 +1,60 @@
+/** The lease and task interface that the platform's workers offer over HTTP with JSON bodies. */
+import * as Schema from 'effect/Schema'
+import { AttemptId } from './job.js'
+import { EndedTask, TaskUsage } from './linkMessage.js'
+import { Resources } from './resources.js'
+
+/** `POST /lease`: contact with a worker; refused with 409 if the worker has seen a higher epoch. */
+export const LeaseCommand = Schema.Struct({
+  owner: Schema.String,
+  epoch: Schema.Int,
+  /** Time on the worker's clock until which its tasks may run; never shortens; 0 extends nothing. */
+  notAfterMs: Schema.Finite,
+  /** Ended attempts that the worker may forget. */
+  acknowledged: Schema.Array(AttemptId)
+})
+export type LeaseCommand = typeof LeaseCommand.Type
+
+/** Busy slots of one runner. */
+export const RunnerReport = Schema.Struct({ service: Schema.String, busy: Schema.Int })
+
+/** Answer to `POST /lease`. */
+export const LeaseReport = Schema.Struct({
+  /** Changes when the worker restarts; nothing started before runs any longer then. */
+  workerIncarnation: Schema.String,
+  /** Highest epoch that the worker has seen. */
+  epoch: Schema.Int,
+  /** The worker's monotonic clock, in milliseconds. */
+  clockMs: Schema.Finite,
+  /** Time on that clock at which the tasks' lease ends; past means lapsed: no start under this epoch. */
+  leaseNotAfterMs: Schema.Finite,
+  running: Schema.Array(AttemptId),
+  ended: Schema.Array(EndedTask),
+  usage: Schema.Array(TaskUsage),
+  runners: Schema.Array(RunnerReport)
+})
+export type LeaseReport = typeof LeaseReport.Type
+
+/** `POST /start`: idempotent for one attempt; an attempt that has ended or been stopped never starts. */
+export const StartCommand = Schema.Struct({
+  epoch: Schema.Int,
+  id: AttemptId,
+  resources: Resources,
+  payload: Schema.String
+})
+export type StartCommand = typeof StartCommand.Type
+
+/** `POST /stop`: ends an attempt, or forbids its start if it has not begun. */
+export const StopCommand = Schema.Struct({
+  epoch: Schema.Int,
+  id: AttemptId,
+  /** `checkpoint` saves the task's work first; `throttle` slows it down without ending it. */
+  mode: Schema.Literals(['stop', 'checkpoint', 'throttle'])
+})
+export type StopCommand = typeof StopCommand.Type
+
+/** Answer to `POST /start` and `POST /stop`. */
+export const CommandReport = Schema.Struct({
+  result: Schema.Literals(['accepted', 'staleEpoch', 'leaseLapsed', 'ended', 'noRoom'])
+})
+export type CommandReport = typeof CommandReport.Type
--- /dev/null
+++ b/packages/entry/src/main.ts
@@ -0,0 +1,3 @@
+#!/usr/bin/env node
+/** Placeholder of the binary. */
+export {}
--- /dev/null
+++ b/packages/platform/src/index.ts
@@ -0,0 +1,2 @@
+/** Clients of the platform's services. */
+export * from './platformClient.js'
--- /dev/null
+++ b/packages/platform/src/platformClient.ts
@@ -0,0 +1,28 @@
+/** Interface to the platform's table service, object store and VM list. */
+import type { Row, TableQuery, TableRead, Transaction, VmList } from '@fuchsiatally/core'
+import type { Result } from 'neverthrow'
+
+/** The platform gave no usable answer within the bounds. */
+export interface PlatformFailure {
+  readonly kind: 'unavailable' | 'rateLimited' | 'timeout' | 'malformed'
+  readonly message: string
+}
+
+/** A transaction whose fate is settled. */
+export type TransactionOutcome =
+  | { readonly kind: 'applied', readonly revision: number, readonly rows: readonly Row[] }
+  /** Nothing was written; `rows` are the checked rows as they stand. */
+  | { readonly kind: 'conflict', readonly revision: number, readonly rows: readonly Row[] }
+
+/** Typed access to the platform; every method answers within its timeout. */
+export interface PlatformClient {
+  /**
+   * Applies a transaction at most once. A failure means that its fate is not known yet: calling again
+   * with the same transaction settles it.
+   */
+  transact: (transaction: Transaction) => Promise<Result<TransactionOutcome, PlatformFailure>>
+  read: (query: TableQuery) => Promise<Result<TableRead, PlatformFailure>>
+  listVms: () => Promise<Result<VmList, PlatformFailure>>
+  putObject: (key: string, body: Uint8Array) => Promise<Result<null, PlatformFailure>>
+  getObject: (key: string) => Promise<Result<Uint8Array | null, PlatformFailure>>
+}
--- /dev/null
+++ b/scripts/runTests.mjs
@@ -0,0 +1,86 @@
+// Sets up, runs every compiled spec file in a process of its own and prints one closing line.
+// Arguments name parts of paths; only the spec files that contain one of them are run then.
+import { spawn } from 'node:child_process'
+import { existsSync, readdirSync, readFileSync } from 'node:fs'
+import { join, relative } from 'node:path'
+import { setUp } from './setup.mjs'
+
+const root = join(import.meta.dirname, '..')
+const PARALLEL_FILES = 4
+const FILE_TIMEOUT_MS = 240_000
+const KNOWN_RED = join(root, 'KNOWN-RED.txt')
+
+function findSpecs () {
+  const found = []
+  for (const name of readdirSync(join(root, 'packages'))) {
+    const dist = join(root, 'packages', name, 'dist')
+    if (!existsSync(dist)) continue
+    for (const file of readdirSync(dist, { recursive: true })) {
+      if (file.endsWith('.spec.js')) found.push(relative(root, join(dist, file)))
+    }
+  }
+  return found
+}
+
+/** Leaves out compiled files whose source is gone. */
+function hasSource (spec) {
+  return existsSync(join(root, spec.replace('/dist/', '/src/').replace(/\.js$/, '.ts')))
+}
+
+function runSpec (spec) {
+  return new Promise((resolve) => {
+    const child = spawn(process.execPath, [join(root, spec)], { cwd: root, env: { ...process.env, FORCE_COLOR: '0', NO_COLOR: '1' } })
+    let output = ''
+    const timer = setTimeout(() => {
+      output += `\nno end within ${FILE_TIMEOUT_MS} ms\n`
+      child.kill('SIGKILL')
+    }, FILE_TIMEOUT_MS)
+    child.stdout.on('data', (chunk) => { output += chunk })
+    child.stderr.on('data', (chunk) => { output += chunk })
+    child.on('exit', (code) => {
+      clearTimeout(timer)
+      resolve({ spec, code, output })
+    })
+  })
+}
+
+/** Counts the tests of a file; a file that ends without its summary counts as one failure. */
+function countTests ({ spec, code, output }) {
+  const total = /Total:\s+(\d+)/.exec(output)
+  const passed = /Passed:\s+(\d+)/.exec(output)
+  if (!total || !passed) return { passed: 0, failures: [`${spec}: ended with code ${code} before its summary`] }
+  const names = [...output.matchAll(/FAIL {2}(.+)/g)].map((match) => `${spec}: ${match[1].trim()}`)
+  const failed = Number(total[1]) - Number(passed[1])
+  while (names.length < failed) names.push(`${spec}: unnamed failure`)
+  if (failed === 0 && code !== 0) names.push(`${spec}: exit code ${code}`)
+  return { passed: Number(passed[1]), failures: names }
+}
+
+/** Lines `test: <part of the failure's line>` of KNOWN-RED.txt. */
+function readKnownRed () {
+  if (!existsSync(KNOWN_RED)) return []
+  return [...readFileSync(KNOWN_RED, 'utf8').matchAll(/^test: (.+)$/gm)].map((match) => match[1].trim())
+}
+
+setUp()
+const wanted = process.argv.slice(2)
+const specs = findSpecs().filter(hasSource).filter((spec) => wanted.length === 0 || wanted.some((part) => spec.includes(part))).sort()
+const queue = [...specs]
+let passed = 0
+const failures = []
+await Promise.all(Array.from({ length: PARALLEL_FILES }, async () => {
+  for (let spec = queue.shift(); spec; spec = queue.shift()) {
+    const result = await runSpec(spec)
+    const counted = countTests(result)
+    passed += counted.passed
+    failures.push(...counted.failures)
+    console.log(`${counted.failures.length === 0 ? 'ok  ' : 'FAIL'} ${spec} (${counted.passed} passed)`)
+    if (counted.failures.length > 0) console.log(result.output)
+  }
+}))
+const knownRed = readKnownRed()
+const isKnown = (failure) => knownRed.some((name) => failure.includes(name))
+for (const failure of failures) console.log(`${isKnown(failure) ? 'known red' : 'failed'}: ${failure}`)
+const unexpected = failures.filter((failure) => !isKnown(failure))
+console.log(`${passed} passed, ${unexpected.length} failed`)
+process.exit(unexpected.length > 0 || passed === 0 ? 1 : 0)
