--- a/packages/entry/src/ports.ts
+++ b/packages/entry/src/ports.ts
@@ -1,7 +1,7 @@
 /** Interfaces at which the entry meets the outside; tests replace them by fakes. */
 import type {
-  CommandReport, Disposable, LeaseCommand, LeaseReport, LinkMessage, RequestOutcome,
-  ServiceRequest, StartCommand, StopCommand
+  CommandReport, ConfigDocument, Disposable, LeaseCommand, LeaseReport, LinkMessage, RequestOutcome,
+  ServiceRequest, StartCommand, StopCommand, Team
 } from '@fuchsiatally/core'
 import type { Result } from 'neverthrow'
 
@@ -82,3 +82,57 @@
 export interface OwnedWorkers {
   listOwnedWorkers: () => readonly OwnedWorker[]
 }
+
+/** What the table says of one entry's session, as this entry sees it. */
+export interface SessionView {
+  readonly entry: string
+  readonly incarnation: string
+  readonly failureDomain: string
+  /** `host:port` of the entry's link listener. */
+  readonly linkAddress: string
+  /** `host:port` of the entry's HTTP listener. */
+  readonly httpAddress: string
+  readonly leaving: boolean
+  readonly configVersion: number
+  /** The row has not changed for the session's time and the allowance, on this process's clock. */
+  readonly expired: boolean
+}
+
+/** This entry's own session and its view of the others. */
+export interface Sessions {
+  readonly entry: string
+  readonly incarnation: string
+  readonly failureDomain: string
+  /** Whether this entry's own deadline lies ahead. */
+  isValid: () => boolean
+  /** Monotonic time before the last good renewal was sent, in milliseconds; `-Infinity` before the first. */
+  readLastRenewalMs: () => number
+  /** All session rows seen, this entry's own included. */
+  listSessions: () => readonly SessionView[]
+  /** Whether an incarnation has no valid session any more: its row expired, was replaced or deleted. */
+  isGone: (incarnation: string) => boolean
+}
+
+/** Configuration in force at this entry. */
+export interface ConfigStore {
+  /** The document in force, or `null` before the first. */
+  readDocument: () => ConfigDocument | null
+  /** Runs after each installation of a newer document. */
+  onChange: (receive: (document: ConfigDocument) => void) => Disposable
+}
+
+/** Why work is not accepted. Unknown, malformed, revoked and foreign keys are one case on purpose. */
+export type KeyRefusal = 'unauthorized' | 'configurationStale' | 'noConfiguration'
+
+/** Decides for whom work is accepted. */
+export interface KeyRing {
+  /**
+   * @param authorization the `Authorization` header
+   * @param team the team that the caller names; an open queue is named without a key
+   */
+  checkTeam: (
+    authorization: string | undefined, team: string | undefined
+  ) => Promise<Result<Team, KeyRefusal>>
+  /** Whether the header carries the operators' key of the process settings. */
+  isOperator: (authorization: string | undefined) => boolean
+}
