--- a/packages/core/src/schema/linkMessage.ts
+++ b/packages/core/src/schema/linkMessage.ts
@@ -130,9 +130,27 @@
 /** Tells the cell's scheduler that rows of jobs or cancellations changed. */
 export const JobsChanged = Schema.Struct({ type: Schema.Literal('jobsChanged') })
 
+/** Asks the scheduler for what only its memory holds. */
+export const SchedulerQuery = Schema.Struct({
+  type: Schema.Literal('schedulerQuery'),
+  exchange: Schema.String,
+  query: Schema.Literals(['explainJob', 'listTeamShares']),
+  /** Id of the job for `explainJob`, else empty. */
+  job: Schema.String
+})
+export type SchedulerQuery = typeof SchedulerQuery.Type
+
+/** Answer to a `schedulerQuery`. */
+export const SchedulerAnswer = Schema.Struct({
+  type: Schema.Literal('schedulerAnswer'),
+  exchange: Schema.String,
+  /** JSON text of the answer, or `null` if the receiver does not know. */
+  json: Schema.NullOr(Schema.String)
+})
+
 /** Every message that a link carries. */
 export const LinkMessage = Schema.Union([
   Hello, Heartbeat, ConfigPull, ConfigPush, ForwardRequest, TicketRequest, ForwardReply, ForwardCancel,
-  WorkerDesired, WorkerObserved, JobsChanged
+  WorkerDesired, WorkerObserved, JobsChanged, SchedulerQuery, SchedulerAnswer
 ])
 export type LinkMessage = typeof LinkMessage.Type
--- /dev/null
+++ b/packages/entry/src/http/httpServer.ts
@@ -0,0 +1,152 @@
+/** HTTP interface of the entry: bounded bodies, bounded connections, graceful end. */
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import type { AddressInfo } from 'node:net'
+import { Readable } from 'node:stream'
+import { pipeline } from 'node:stream/promises'
+import type { EventLog } from '@fuchsiatally/core'
+import { readBody, type BodyFault } from './body.js'
+import { listening, routeFailed } from './events.js'
+import { createProblemResponse, type HttpRequest, type HttpResponse, type Route } from './route.js'
+import { createRouter, type RouteMatch } from './router.js'
+
+const HEADERS_TIMEOUT_MS = 10_000
+const REQUEST_TIMEOUT_MS = 120_000
+const KEEP_ALIVE_TIMEOUT_MS = 30_000
+
+/** Options of the HTTP interface. */
+export interface HttpServerOptions {
+  readonly host: string
+  /** 0 picks a free port. */
+  readonly port: number
+  readonly routes: readonly Route[]
+  readonly events: EventLog
+  /** Connections open at once; further ones are refused. */
+  readonly maxConnections: number
+}
+
+/** The running interface. */
+export interface HttpServer {
+  readonly address: string
+  /** Requests whose answer is not sent in full yet. */
+  countInFlight: () => number
+  /** Takes no new connection, answers what is in flight, then closes. */
+  stop: () => Promise<void>
+}
+
+function createBodyFaultResponse (fault: BodyFault, maxBytes: number): HttpResponse {
+  if (fault === 'tooLarge') {
+    const detail = `the body is larger than ${maxBytes} bytes; send a smaller one`
+    return createProblemResponse({ status: 413, code: 'too_large', title: 'Body too large', detail })
+  }
+  return createProblemResponse({ status: 400, code: 'bad_request', title: 'Body incomplete', detail: 'the body ended early; send it again' })
+}
+
+function collectHeaders (message: IncomingMessage): Record<string, string> {
+  const headers: Record<string, string> = {}
+  for (const [name, value] of Object.entries(message.headers)) {
+    if (value !== undefined) headers[name] = Array.isArray(value) ? value.join(', ') : value
+  }
+  return headers
+}
+
+async function sendResponse (response: HttpResponse, target: ServerResponse, closing: boolean): Promise<void> {
+  const headers = closing ? { ...response.headers, connection: 'close' } : response.headers
+  if (response.body instanceof Uint8Array) {
+    target.writeHead(response.status, { ...headers, 'content-length': response.body.length })
+    target.end(response.body)
+    return
+  }
+  target.writeHead(response.status, headers)
+  target.flushHeaders()
+  // The caller may leave while the answer is written; that ends the pipeline and nothing else.
+  await pipeline(Readable.from(response.body), target).catch(() => {})
+}
+
+/** Starts the interface. Rejects if the address cannot be bound. */
+export async function createHttpServer (options: HttpServerOptions): Promise<HttpServer> {
+  const findRoute = createRouter(options.routes)
+  let inFlight = 0
+  let closing = false
+
+  const runRoute = async (match: RouteMatch, request: HttpRequest): Promise<HttpResponse> => {
+    try {
+      return await match.route.handle(request, match.parameters)
+    } catch (error) {
+      options.events.record(routeFailed, { pattern: match.route.pattern, error: String(error) })
+      const detail = 'the entry met an unexpected state; whether the request took effect is not known'
+      return createProblemResponse({ status: 500, code: 'internal', title: 'Internal error', detail })
+    }
+  }
+
+  const createRequest = (message: IncomingMessage, url: URL, body: Uint8Array, signal: AbortSignal): HttpRequest => ({
+    method: message.method ?? 'GET',
+    path: url.pathname,
+    query: url.searchParams,
+    headers: collectHeaders(message),
+    body,
+    signal
+  })
+
+  const buildResponse = async (message: IncomingMessage, signal: AbortSignal): Promise<HttpResponse> => {
+    const base = 'http://entry'
+    const target = message.url ?? '/'
+    if (!URL.canParse(target, base)) {
+      return createProblemResponse({ status: 400, code: 'bad_request', title: 'Malformed target', detail: 'the request target is not a URL path' })
+    }
+    const url = new URL(target, base)
+    const search = findRoute(message.method ?? 'GET', url.pathname)
+    if (search.kind === 'notFound') {
+      return createProblemResponse({ status: 404, code: 'not_found', title: 'No such route', detail: `${url.pathname} is not a route; see the README for the list` })
+    }
+    if (search.kind === 'wrongMethod') {
+      const detail = `${url.pathname} takes ${search.allowed.join(', ')}`
+      return createProblemResponse({ status: 405, code: 'bad_request', title: 'Method not allowed', detail })
+    }
+    const body = await readBody(message, search.match.route.maxBodyBytes)
+    if (body.isErr()) return createBodyFaultResponse(body.error, search.match.route.maxBodyBytes)
+    return await runRoute(search.match, createRequest(message, url, body.value, signal))
+  }
+
+  const handleMessage = async (message: IncomingMessage, target: ServerResponse): Promise<void> => {
+    const gone = new AbortController()
+    target.on('close', () => { if (!target.writableFinished) gone.abort() })
+    inFlight += 1
+    try {
+      const response = await buildResponse(message, gone.signal)
+      if (!gone.signal.aborted) await sendResponse(response, target, closing || !message.complete)
+    } finally {
+      inFlight -= 1
+    }
+  }
+
+  const server = createServer({
+    headersTimeout: HEADERS_TIMEOUT_MS,
+    requestTimeout: REQUEST_TIMEOUT_MS,
+    keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS
+  }, (message, target) => { handleMessage(message, target).catch(() => { target.destroy() }) })
+  server.maxConnections = options.maxConnections
+  await bindServer(server, options.host, options.port)
+  const { port } = server.address() as AddressInfo
+  const address = `${options.host}:${port}`
+  options.events.record(listening, { address })
+
+  return {
+    address,
+    countInFlight: () => inFlight,
+    stop: () => {
+      closing = true
+      server.closeIdleConnections()
+      return new Promise((resolve) => { server.close(() => { resolve() }) })
+    }
+  }
+}
+
+function bindServer (server: Server, host: string, port: number): Promise<void> {
+  return new Promise((resolve, reject) => {
+    server.once('error', reject)
+    server.listen(port, host, () => {
+      server.removeListener('error', reject)
+      resolve()
+    })
+  })
+}
--- /dev/null
+++ b/packages/entry/src/http/router.ts
@@ -0,0 +1,58 @@
+/** Finds the route of a request by method and path. */
+import type { Route } from './route.js'
+
+/** A route with the parameters that its pattern took from the path. */
+export interface RouteMatch {
+  readonly route: Route
+  readonly parameters: Readonly<Record<string, string>>
+}
+
+/** What the router says of a method and path. */
+export type RouteSearch =
+  | { readonly kind: 'found', readonly match: RouteMatch }
+  | { readonly kind: 'wrongMethod', readonly allowed: readonly string[] }
+  | { readonly kind: 'notFound' }
+
+function decodeSegment (segment: string): string | null {
+  try {
+    return decodeURIComponent(segment)
+  } catch {
+    return null
+  }
+}
+
+function matchPattern (pattern: readonly string[], path: readonly string[]): Record<string, string> | null {
+  const parameters: Record<string, string> = {}
+  for (const [index, part] of pattern.entries()) {
+    if (part === '*') {
+      parameters['*'] = path.slice(index).join('/')
+      return parameters
+    }
+    const segment = path[index]
+    if (segment === undefined) return null
+    if (!part.startsWith(':')) {
+      if (part !== segment) return null
+      continue
+    }
+    const value = decodeSegment(segment)
+    if (value === null || value === '') return null
+    parameters[part.slice(1)] = value
+  }
+  return pattern.length === path.length ? parameters : null
+}
+
+/** Builds a search over routes; the first route that matches wins. */
+export function createRouter (routes: readonly Route[]): (method: string, path: string) => RouteSearch {
+  const compiled = routes.map((route) => ({ route, pattern: route.pattern.split('/').slice(1) }))
+  return (method, path) => {
+    const segments = path.split('/').slice(1)
+    const allowed: string[] = []
+    for (const { route, pattern } of compiled) {
+      const parameters = matchPattern(pattern, segments)
+      if (parameters === null) continue
+      if (route.method === method) return { kind: 'found', match: { route, parameters } }
+      allowed.push(route.method)
+    }
+    return allowed.length > 0 ? { kind: 'wrongMethod', allowed } : { kind: 'notFound' }
+  }
+}
--- /dev/null
+++ b/packages/entry/src/http/statusRoutes.ts
@@ -0,0 +1,65 @@
+/** Routes for the balancer, for metrics and for followers of events. */
+import type { KeyRing } from '../ports.js'
+import type { EventRecord, FollowableEventLog } from '../telemetry/eventLog.js'
+import type { Metrics } from '../telemetry/metrics.js'
+import { createUnauthorizedResponse } from './refusals.js'
+import { createJsonResponse, type HttpRequest, type HttpResponse, type Route } from './route.js'
+
+const NO_BODY_BYTES = 1024
+const MAX_FOLLOWER_BACKLOG = 1024
+const FOLLOW_TICK_MS = 250
+
+/** Options of the status routes. */
+export interface StatusRoutesOptions {
+  readonly keyRing: KeyRing
+  readonly events: FollowableEventLog
+  readonly metrics: Metrics
+  /** Why this entry takes no callers at this moment, or `null` when it does. */
+  readonly findUnreadyReason: () => string | null
+}
+
+/** Yields recorded events, then new ones until the caller leaves; a slow caller misses the oldest. */
+async function * followEvents (log: FollowableEventLog, signal: AbortSignal): AsyncGenerator<Uint8Array> {
+  const backlog: EventRecord[] = [...log.listRecords()]
+  const follower = log.onRecord((record) => {
+    backlog.push(record)
+    if (backlog.length > MAX_FOLLOWER_BACKLOG) backlog.shift()
+  })
+  try {
+    while (!signal.aborted) {
+      const lines = backlog.splice(0).map((record) => JSON.stringify(record) + '\n')
+      if (lines.length > 0) yield Buffer.from(lines.join(''))
+      await new Promise((resolve) => setTimeout(resolve, FOLLOW_TICK_MS))
+    }
+  } finally {
+    follower.dispose()
+  }
+}
+
+/** Builds the status routes. */
+export function createStatusRoutes (options: StatusRoutesOptions): Route[] {
+  const readReadiness = async (): Promise<HttpResponse> => {
+    const reason = options.findUnreadyReason()
+    return reason === null ? createJsonResponse(200, { ready: true }) : createJsonResponse(503, { ready: false, reason })
+  }
+  const readLiveness = async (): Promise<HttpResponse> => createJsonResponse(200, { live: true })
+  const readMetrics = async (): Promise<HttpResponse> => {
+    const body = Buffer.from(await options.metrics.render())
+    return { status: 200, headers: { 'content-type': 'text/plain; version=0.0.4' }, body }
+  }
+  const readEvents = async (request: HttpRequest): Promise<HttpResponse> => {
+    if (!options.keyRing.isOperator(request.headers['authorization'])) return createUnauthorizedResponse('unauthorized')
+    const headers = { 'content-type': 'application/x-ndjson' }
+    if (request.query.get('follow') === 'true') {
+      return { status: 200, headers, body: followEvents(options.events, request.signal) }
+    }
+    const lines = options.events.listRecords().map((record) => JSON.stringify(record) + '\n')
+    return { status: 200, headers, body: Buffer.from(lines.join('')) }
+  }
+  return [
+    { method: 'GET', pattern: '/readyz', maxBodyBytes: NO_BODY_BYTES, handle: readReadiness },
+    { method: 'GET', pattern: '/livez', maxBodyBytes: NO_BODY_BYTES, handle: readLiveness },
+    { method: 'GET', pattern: '/metrics', maxBodyBytes: NO_BODY_BYTES, handle: readMetrics },
+    { method: 'GET', pattern: '/v1/events', maxBodyBytes: NO_BODY_BYTES, handle: readEvents }
+  ]
+}
--- /dev/null
+++ b/packages/entry/src/job/jobAdmission.ts
@@ -0,0 +1,180 @@
+/** Accepts jobs and cancellations: accepted means durable in the table. */
+import {
+  createDecoder, JobRow, JobStateRow, type Clock, type EventLog, type JobSpec, type Random, type Row, type Team
+} from '@fuchsiatally/core'
+import type { PlatformClient, PlatformFailure } from '@fuchsiatally/platform'
+import { err, ok, type Result } from 'neverthrow'
+import { jobAccepted, jobCancelled, jobRefused } from './events.js'
+import { formatJobKeys } from './jobFeed.js'
+
+/** Why a job or a cancellation was not accepted. */
+export type JobRefusal =
+  /** No VM of the cell could ever hold a task, or the team's ceiling never allows it. */
+  | { readonly kind: 'neverFits', readonly message: string }
+  /** The team has as many active jobs as it may. */
+  | { readonly kind: 'tooManyJobs', readonly message: string }
+  /** Another job has this id. */
+  | { readonly kind: 'idTaken', readonly message: string }
+  | { readonly kind: 'notFound', readonly message: string }
+  /** The table gave no answer; the same call with the same id settles it. */
+  | { readonly kind: 'platform', readonly failure: PlatformFailure, readonly id: string }
+
+/** A job as callers see it. */
+export interface JobView {
+  readonly id: string
+  readonly team: string
+  readonly phase: JobStateRow['phase']
+  readonly acceptedAtMs: number
+  readonly cancelRequested: boolean
+  readonly spec: JobSpec
+  readonly tasks: JobStateRow['tasks']
+}
+
+/** Options of job admission. */
+export interface JobAdmissionOptions {
+  readonly platform: PlatformClient
+  readonly clock: Clock
+  readonly random: Random
+  readonly events: EventLog
+  /** Names the resource that makes a job impossible, or `null`. */
+  readonly findNeverFits: (spec: JobSpec, team: Team) => string | null
+  /** Tells the scheduler that rows of jobs changed. */
+  readonly sendJobsChanged: () => void
+}
+
+/** Admission of jobs. */
+export interface JobAdmission {
+  /** @param localId id chosen by the caller, unique in its team; a repeated submission with it is idempotent */
+  submitJob: (team: Team, localId: string | undefined, spec: JobSpec) => Promise<Result<JobView, JobRefusal>>
+  cancelJob: (team: string, id: string) => Promise<Result<JobView, JobRefusal>>
+  readJob: (team: string, id: string) => Promise<Result<JobView, JobRefusal>>
+  listJobs: (team: string) => Promise<Result<JobView[], JobRefusal>>
+}
+
+const decodeJob = createDecoder(JobRow)
+const decodeState = createDecoder(JobStateRow)
+const ID_SEPARATOR = ':'
+
+/** Formats the id of a job, unique in the cell. */
+export function formatJobId (team: string, localId: string): string {
+  return team + ID_SEPARATOR + localId
+}
+
+function buildView (id: string, row: JobRow, state: JobStateRow | undefined, cancelRequested: boolean): JobView {
+  return {
+    id,
+    team: row.team,
+    phase: state?.phase ?? 'queued',
+    acceptedAtMs: row.acceptedAtMs,
+    cancelRequested,
+    spec: row.spec,
+    tasks: state?.tasks ?? []
+  }
+}
+
+function collectViews (rows: readonly Row[]): JobView[] {
+  const byKey = new Map(rows.filter((row) => row.value !== null).map((row) => [row.key, row]))
+  const views: JobView[] = []
+  for (const row of rows) {
+    if (!row.key.startsWith('job/')) continue
+    const job = decodeJob(row.value)
+    if (job.isErr()) continue
+    const id = row.key.slice('job/'.length)
+    const keys = formatJobKeys(id)
+    const state = decodeState(byKey.get(keys.state)?.value)
+    views.push(buildView(id, job.value, state.isOk() ? state.value : undefined, byKey.has(keys.cancel)))
+  }
+  return views
+}
+
+function isActive (view: JobView): boolean {
+  return view.phase === 'queued' || view.phase === 'running'
+}
+
+function isSameSpec (a: JobSpec, b: JobSpec): boolean {
+  const sort = (spec: JobSpec): string => JSON.stringify(spec, Object.keys({ ...spec, ...spec.resources }).sort())
+  return sort(a) === sort(b)
+}
+
+/** Creates the admission of jobs at one entry. */
+export function createJobAdmission (options: JobAdmissionOptions): JobAdmission {
+  const { platform, events, random } = options
+
+  const readViews = async (prefixes: readonly string[], keys: readonly string[], id: string): Promise<Result<JobView[], JobRefusal>> => {
+    const read = await platform.read({ keys, prefixes: prefixes.map((prefix) => ({ prefix, sinceRevision: 0 })) })
+    if (read.isErr()) return err({ kind: 'platform', failure: read.error, id })
+    return ok(collectViews(read.value.rows))
+  }
+
+  const listJobs = (team: string): Promise<Result<JobView[], JobRefusal>> => {
+    const stem = team + ID_SEPARATOR
+    return readViews([`job/${stem}`, `jobState/${stem}`, `cancel/${stem}`], [], stem)
+  }
+
+  const readJob = async (team: string, id: string): Promise<Result<JobView, JobRefusal>> => {
+    const notFound: JobRefusal = { kind: 'notFound', message: `no job ${id} of team ${team}; 'status' lists the team's jobs` }
+    if (!id.startsWith(team + ID_SEPARATOR)) return err(notFound)
+    const keys = formatJobKeys(id)
+    const views = await readViews([], [keys.job, keys.state, keys.cancel], id)
+    if (views.isErr()) return err(views.error)
+    const view = views.value[0]
+    return view === undefined ? err(notFound) : ok(view)
+  }
+
+  const writeOnce = async (key: string, value: unknown, id: string): Promise<Result<'written' | 'exists', JobRefusal>> => {
+    const outcome = await platform.transact({ writeId: random.nextId(), checks: [{ key, version: 0 }], writes: [{ key, value }] })
+    if (outcome.isErr()) return err({ kind: 'platform', failure: outcome.error, id })
+    return ok(outcome.value.kind === 'applied' ? 'written' : 'exists')
+  }
+
+  const refuse = (team: string, name: string, refusal: JobRefusal): Result<JobView, JobRefusal> => {
+    events.record(jobRefused, { team, name, reason: refusal.kind })
+    return err(refusal)
+  }
+
+  const submitJob = async (team: Team, localId: string | undefined, spec: JobSpec): Promise<Result<JobView, JobRefusal>> => {
+    const reason = options.findNeverFits(spec, team)
+    if (reason !== null) return refuse(team.name, spec.name, { kind: 'neverFits', message: reason })
+    const id = formatJobId(team.name, localId ?? random.nextId())
+    const existing = await listJobs(team.name)
+    if (existing.isErr()) return refuse(team.name, spec.name, existing.error)
+    const same = existing.value.find((view) => view.id === id)
+    if (same !== undefined) return acceptAgain(same, spec)
+    const active = existing.value.filter(isActive).length
+    if (active >= team.limits.activeJobs) {
+      const message = `team ${team.name} has ${active} active jobs and may have ${team.limits.activeJobs}; wait until one ends or cancel one`
+      return refuse(team.name, spec.name, { kind: 'tooManyJobs', message })
+    }
+    return await storeJob(team.name, id, spec)
+  }
+
+  const acceptAgain = (view: JobView, spec: JobSpec): Result<JobView, JobRefusal> => {
+    if (isSameSpec(view.spec, spec)) return ok(view)
+    return refuse(view.team, spec.name, { kind: 'idTaken', message: `job ${view.id} exists with another specification; choose another id` })
+  }
+
+  const storeJob = async (team: string, id: string, spec: JobSpec): Promise<Result<JobView, JobRefusal>> => {
+    const row: JobRow = { team, spec, acceptedAtMs: options.clock.wallMs() }
+    const written = await writeOnce(formatJobKeys(id).job, row, id)
+    if (written.isErr()) return refuse(team, spec.name, written.error)
+    if (written.value === 'exists') {
+      const existing = await readJob(team, id)
+      return existing.isErr() ? err(existing.error) : acceptAgain(existing.value, spec)
+    }
+    events.record(jobAccepted, { job: id, team, kind: spec.kind, tasks: spec.taskCount, priority: spec.priority })
+    options.sendJobsChanged()
+    return ok(buildView(id, row, undefined, false))
+  }
+
+  const cancelJob = async (team: string, id: string): Promise<Result<JobView, JobRefusal>> => {
+    const view = await readJob(team, id)
+    if (view.isErr() || view.value.cancelRequested || !isActive(view.value)) return view
+    const written = await writeOnce(formatJobKeys(id).cancel, { team, atMs: options.clock.wallMs() }, id)
+    if (written.isErr()) return err(written.error)
+    events.record(jobCancelled, { job: id, team })
+    options.sendJobsChanged()
+    return ok({ ...view.value, cancelRequested: true })
+  }
+
+  return { submitJob, cancelJob, readJob, listJobs }
+}
--- /dev/null
+++ b/packages/entry/src/job/stateCommitter.ts
@@ -0,0 +1,86 @@
+/** Commits states of jobs in groups, each under the condition that this entry still holds the role. */
+import type { Clock, EventLog, JobStateRow, Random, RowCheck, RowWrite } from '@fuchsiatally/core'
+import type { PlatformClient } from '@fuchsiatally/platform'
+import type { HeldRole } from './cellRole.js'
+import { COMMIT_RETRY_MS, MAX_ROWS_PER_COMMIT } from './constants.js'
+import { commitDelayed } from './events.js'
+import { formatJobKeys } from './jobFeed.js'
+
+/** State of a job to be committed; `null` deletes the job's rows. */
+export interface StateChange {
+  readonly job: string
+  readonly state: JobStateRow | null
+}
+
+/** How a group of changes ended. */
+export type CommitOutcome = 'committed' | 'deposed' | 'disposed'
+
+/** Options of the committer. */
+export interface StateCommitterOptions {
+  readonly platform: PlatformClient
+  readonly clock: Clock
+  readonly random: Random
+  readonly events: EventLog
+  readonly role: HeldRole
+  readonly isDisposed: () => boolean
+}
+
+/** Commits task states. */
+export interface StateCommitter {
+  /** Sets the version of a state row that was read from the table. */
+  setVersion: (job: string, version: number) => void
+  /** Returns when every change is durable, or when the role is lost for certain. */
+  commitChanges: (changes: readonly StateChange[]) => Promise<CommitOutcome>
+}
+
+/** Creates the committer of one term of the role. */
+export function createStateCommitter (options: StateCommitterOptions): StateCommitter {
+  const { platform, role } = options
+  const versions = new Map<string, number>()
+  const roleCheck: RowCheck = { key: role.rowKey, version: role.rowVersion }
+
+  const waitForRetry = (): Promise<void> => new Promise((resolve) => {
+    options.clock.setTimer(COMMIT_RETRY_MS, resolve)
+  })
+
+  const buildWrites = (changes: readonly StateChange[]): RowWrite[] => {
+    const writes: RowWrite[] = []
+    for (const change of changes) {
+      const keys = formatJobKeys(change.job)
+      writes.push({ key: keys.state, value: change.state })
+      if (change.state !== null) continue
+      writes.push({ key: keys.job, value: null }, { key: keys.cancel, value: null })
+    }
+    return writes
+  }
+
+  const commitGroup = async (changes: readonly StateChange[]): Promise<CommitOutcome> => {
+    const checks = changes.map((change) => ({ key: formatJobKeys(change.job).state, version: versions.get(change.job) ?? 0 }))
+    const transaction = { writeId: options.random.nextId(), checks: [roleCheck, ...checks], writes: buildWrites(changes) }
+    for (;;) {
+      const outcome = await platform.transact(transaction)
+      if (options.isDisposed()) return 'disposed'
+      if (outcome.isOk()) {
+        // Only the holder of the role writes these rows, so any conflict means that the role is lost.
+        if (outcome.value.kind === 'conflict') return 'deposed'
+        for (const row of outcome.value.rows) versions.set(row.key.slice(row.key.indexOf('/') + 1), row.version)
+        for (const change of changes) if (change.state === null) versions.delete(change.job)
+        return 'committed'
+      }
+      options.events.record(commitDelayed, { rows: changes.length, cause: outcome.error.kind })
+      await waitForRetry()
+      if (options.isDisposed()) return 'disposed'
+    }
+  }
+
+  return {
+    setVersion: (job, version) => { versions.set(job, version) },
+    commitChanges: async (changes) => {
+      for (let start = 0; start < changes.length; start += MAX_ROWS_PER_COMMIT) {
+        const outcome = await commitGroup(changes.slice(start, start + MAX_ROWS_PER_COMMIT))
+        if (outcome !== 'committed') return outcome
+      }
+      return 'committed'
+    }
+  }
+}
--- /dev/null
+++ b/packages/entry/src/telemetry/metrics.ts
@@ -0,0 +1,68 @@
+/** Metrics of the process in Prometheus text format; latencies by HDR histograms. */
+import { build, type Histogram } from 'hdr-histogram-js'
+import { collectDefaultMetrics, Counter, Gauge, Registry } from 'prom-client'
+import type { Disposable, EventDefinition, EventFields } from '@fuchsiatally/core'
+
+const HIGHEST_LATENCY_US = 120_000_000
+const SIGNIFICANT_DIGITS = 2
+const QUANTILES = [50, 99, 99.9] as const
+const MICROSECONDS_PER_MS = 1000
+
+/** Metrics of one process. */
+export interface Metrics extends Disposable {
+  /** Counts an event by its id. */
+  countEvent: (event: EventDefinition, fields: EventFields) => void
+  /** Records how long a request took from arrival to its final outcome, in milliseconds. */
+  recordRequest: (outcome: string, elapsedMs: number) => void
+  /** Registers a value that is read at each scrape. */
+  addGauge: (name: string, help: string, readValue: () => number) => void
+  render: () => Promise<string>
+}
+
+/** Creates an empty set of metrics with the process's own CPU and memory figures. */
+export function createMetrics (): Metrics {
+  const registry = new Registry()
+  collectDefaultMetrics({ register: registry, eventLoopMonitoringPrecision: 100 })
+  const histograms = new Map<string, Histogram>()
+  const eventCounter = new Counter({
+    name: 'fuchsiatally_events_total', help: 'Log events by number', labelNames: ['event'], registers: [registry]
+  })
+  const requestCounter = new Counter({
+    name: 'fuchsiatally_requests_total', help: 'Requests by final outcome', labelNames: ['outcome'], registers: [registry]
+  })
+  const latency = new Gauge({
+    name: 'fuchsiatally_request_seconds',
+    help: 'Time from arrival to the final outcome',
+    labelNames: ['outcome', 'quantile'],
+    registers: [registry],
+    collect () {
+      for (const [outcome, histogram] of histograms) {
+        for (const quantile of QUANTILES) {
+          latency.set({ outcome, quantile: String(quantile / 100) }, histogram.getValueAtPercentile(quantile) / 1_000_000)
+        }
+      }
+    }
+  })
+
+  const resolveHistogram = (outcome: string): Histogram => {
+    const known = histograms.get(outcome)
+    if (known !== undefined) return known
+    const histogram = build({ lowestDiscernibleValue: 1, highestTrackableValue: HIGHEST_LATENCY_US, numberOfSignificantValueDigits: SIGNIFICANT_DIGITS })
+    histograms.set(outcome, histogram)
+    return histogram
+  }
+
+  return {
+    countEvent: (event) => { eventCounter.inc({ event: event.id }) },
+    recordRequest: (outcome, elapsedMs) => {
+      requestCounter.inc({ outcome })
+      const elapsedUs = Math.min(HIGHEST_LATENCY_US, Math.max(1, Math.round(elapsedMs * MICROSECONDS_PER_MS)))
+      resolveHistogram(outcome).recordValue(elapsedUs)
+    },
+    addGauge: (name, help, readValue) => {
+      const gauge: Gauge = new Gauge({ name, help, registers: [registry], collect () { gauge.set(readValue()) } })
+    },
+    render: () => registry.metrics(),
+    dispose: () => { registry.clear() }
+  }
+}
