Fakes at the interfaces: clock, random, platform, workers and links

Tests of all parts need the same time, platform and workers, with faults that they switch while they run. The platform and the worker are pure models; clients over them delay, lose, double and stale what passes, and the mesh of links cuts and resets.

A conflict after an uncertain try was at first held for 'not applied' whenever no row carried the write id. A row that was written again in the meantime hides it, so the outcome 'conflict' now says mayHaveApplied where versions leave that open.

--- /dev/null
+++ b/packages/core/src/testing/seededRandom.ts
@@ -0,0 +1,19 @@
+/** Reproducible randomness for tests. */
+import { createHash } from 'node:crypto'
+import type { Random } from '../clock.js'
+
+const ID_CHARACTERS = 24
+const TWO_TO_32 = 2 ** 32
+
+/** Creates a source whose numbers and ids depend on the seed alone. */
+export function createSeededRandom (seed: number): Random {
+  let counter = 0
+  const computeNext = (): Buffer => {
+    counter += 1
+    return createHash('sha256').update(`${seed}/${counter}`).digest()
+  }
+  return {
+    nextFloat: () => computeNext().readUInt32BE(0) / TWO_TO_32,
+    nextId: () => computeNext().toString('hex').slice(0, ID_CHARACTERS)
+  }
+}
--- /dev/null
+++ b/packages/entry/src/testing/__tests__/workerModel.spec.ts
@@ -0,0 +1,79 @@
+import { type AttemptId, type StartCommand } from '@fuchsiatally/core'
+import { createFakeClock } from '@fuchsiatally/core/testing/fakeClock'
+import { createSeededRandom } from '@fuchsiatally/core/testing/seededRandom'
+import { test } from 'uvu'
+import * as assert from 'uvu/assert'
+import { createFakeMesh } from '../fakeMesh.js'
+import { createWorkerModel, type WorkerModel } from '../workerModel.js'
+
+const NEED = { processors: 10, memoryMb: 1024, accelerators: 0 }
+const createId = (attempt: number): AttemptId => ({ job: 'j', task: 0, attempt })
+const createStart = (epoch: number, attempt: number, runMs = 60_000): StartCommand => {
+  return { epoch, id: createId(attempt), resources: NEED, payload: JSON.stringify({ runMs }) }
+}
+
+function createWorker (): { worker: WorkerModel, clock: ReturnType<typeof createFakeClock>, renew: (epoch: number, forMs: number) => ReturnType<WorkerModel['renewLease']> } {
+  const clock = createFakeClock()
+  const worker = createWorkerModel({ id: 'w', clock, random: createSeededRandom(1) })
+  const renew = (epoch: number, forMs: number): ReturnType<WorkerModel['renewLease']> => {
+    const notAfterMs = forMs === 0 ? 0 : worker.readClockMs() + forMs
+    return worker.renewLease({ owner: 'e', epoch, notAfterMs, acknowledged: [] })
+  }
+  return { worker, clock, renew }
+}
+
+test('a lapsed lease stops the tasks and forbids starts until a higher epoch', () => {
+  const { worker, clock, renew } = createWorker()
+  assert.is(worker.startTask(createStart(0, 1)).result, 'leaseLapsed')
+  renew(1, 1000)
+  assert.is(worker.startTask(createStart(1, 1)).result, 'accepted')
+  assert.is(worker.startTask(createStart(1, 2)).result, 'noRoom')
+  clock.advance(1001)
+  assert.is(worker.listRuns()[0]?.result, 'lapsed')
+  renew(1, 5000)
+  assert.is(worker.startTask(createStart(1, 2)).result, 'leaseLapsed')
+  renew(2, 0)
+  assert.is(worker.startTask(createStart(2, 2)).result, 'leaseLapsed')
+  renew(2, 5000)
+  assert.is(worker.startTask(createStart(2, 1)).result, 'ended')
+  assert.is(worker.startTask(createStart(2, 2)).result, 'accepted')
+  assert.is(worker.startTask(createStart(1, 3)).result, 'staleEpoch')
+  assert.equal(renew(1, 9000), { refused: true, epoch: 2 })
+})
+
+test('a stop forbids a later start, and ended attempts are reported until acknowledged', () => {
+  const { worker, clock, renew } = createWorker()
+  renew(1, 60_000)
+  worker.stopTask({ epoch: 1, id: createId(1), mode: 'stop' })
+  assert.is(worker.startTask(createStart(1, 1)).result, 'ended')
+  worker.startTask(createStart(1, 2, 100))
+  clock.advance(100)
+  const answer = worker.renewLease({ owner: 'e', epoch: 1, notAfterMs: 0, acknowledged: [createId(1)] })
+  assert.equal(answer.refused ? [] : answer.report.ended.map((item) => item.result), ['completed'])
+  assert.is(worker.startTask(createStart(1, 1)).result, 'ended')
+})
+
+test('a mesh delivers in order, loses what a reset link carried, and reports a cut late', async () => {
+  const clock = createFakeClock()
+  const mesh = createFakeMesh({ clock })
+  const [a, b] = ['a', 'b'].map((entry) => mesh.addEntry({ entry, incarnation: entry, failureDomain: 'd' }))
+  const received: number[] = []
+  const changes: string[] = []
+  b!.onMessage('configPull', (message) => received.push(message.newerThan))
+  a!.onPeerChange((peer, change) => changes.push(`${peer.entry} ${change}`))
+  clock.advance(1)
+  a!.sendMessage('b', { type: 'configPull', newerThan: 1 })
+  a!.sendMessage('b', { type: 'configPull', newerThan: 2 })
+  clock.advance(5)
+  a!.sendMessage('b', { type: 'configPull', newerThan: 3 })
+  mesh.resetLink('a', 'b')
+  clock.advance(5)
+  mesh.setCut('a', 'b')
+  assert.is(a!.sendMessage('b', { type: 'configPull', newerThan: 4 }), true)
+  clock.advance(3000)
+  assert.is(a!.sendMessage('b', { type: 'configPull', newerThan: 5 }), false)
+  assert.equal(received, [1, 2])
+  assert.equal(changes, ['b up', 'b down', 'b up', 'b down'])
+})
+
+test.run()
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -1,2 +1,3 @@
 /** Clients of the platform's services. */
 export * from './platformClient.js'
+export * from './settleTransaction.js'
--- a/packages/platform/src/platformClient.ts
+++ b/packages/platform/src/platformClient.ts
@@ -11,14 +11,22 @@
 /** A transaction whose fate is settled. */
 export type TransactionOutcome =
   | { readonly kind: 'applied', readonly revision: number, readonly rows: readonly Row[] }
-  /** Nothing was written; `rows` are the checked rows as they stand. */
-  | { readonly kind: 'conflict', readonly revision: number, readonly rows: readonly Row[] }
+  /** Nothing was written by this try; `rows` are the checked rows as they stand. */
+  | {
+    readonly kind: 'conflict'
+    readonly revision: number
+    readonly rows: readonly Row[]
+    /** An earlier try of the same transaction may have taken effect: every row that it writes was written again since. */
+    readonly mayHaveApplied?: true
+  }
 
 /** Typed access to the platform; every method answers within its timeout. */
 export interface PlatformClient {
   /**
    * Applies a transaction at most once. A failure means that its fate is not known yet: calling again
-   * with the same transaction settles it.
+   * with the same transaction settles it. A transaction has to check every row that it writes; without
+   * that a try which lands late would overwrite newer rows. `rows` leave out deleted rows; after an
+   * earlier try was settled by a conflict, `rows` of `applied` are the rows as they stand now.
    */
   transact: (transaction: Transaction) => Promise<Result<TransactionOutcome, PlatformFailure>>
   read: (query: TableQuery) => Promise<Result<TableRead, PlatformFailure>>
