Commands to a worker name the incarnation they are meant for

Cause: notAfterMs is a time of one incarnation's clock. Ruled out: relying on the connection dying with the worker, since the owner may send after it reconnected. Change: workerIncarnation in lease, start and stop commands; a new incarnation counts as a lapse.

--- a/packages/core/src/schema/worker.ts
+++ b/packages/core/src/schema/worker.ts
@@ -8,6 +8,8 @@
 export const LeaseCommand = Schema.Struct({
   owner: Schema.String,
   epoch: Schema.Int,
+  /** Incarnation of the worker whose clock `notAfterMs` is a time of; another one extends nothing. */
+  workerIncarnation: Schema.String,
   /** Time on the worker's clock until which its tasks may run; never shortens; 0 extends nothing. */
   notAfterMs: Schema.Finite,
   /** Ended attempts that the worker may forget. */
@@ -38,6 +40,8 @@
 /** `POST /start`: idempotent for one attempt; an attempt that has ended or been stopped never starts. */
 export const StartCommand = Schema.Struct({
   epoch: Schema.Int,
+  /** Incarnation that the command is meant for; another one answers `otherIncarnation`. */
+  workerIncarnation: Schema.String,
   id: AttemptId,
   resources: Resources,
   payload: Schema.String
@@ -47,6 +51,7 @@
 /** `POST /stop`: ends an attempt, or forbids its start if it has not begun. */
 export const StopCommand = Schema.Struct({
   epoch: Schema.Int,
+  workerIncarnation: Schema.String,
   id: AttemptId,
   /** `checkpoint` saves the task's work first; `throttle` slows it down without ending it. */
   mode: Schema.Literals(['stop', 'checkpoint', 'throttle'])
@@ -55,6 +60,6 @@
 
 /** Answer to `POST /start` and `POST /stop`. */
 export const CommandReport = Schema.Struct({
-  result: Schema.Literals(['accepted', 'staleEpoch', 'leaseLapsed', 'ended', 'noRoom'])
+  result: Schema.Literals(['accepted', 'staleEpoch', 'otherIncarnation', 'leaseLapsed', 'ended', 'noRoom'])
 })
 export type CommandReport = typeof CommandReport.Type
--- a/packages/entry/src/testing/__tests__/workerModel.spec.ts
+++ b/packages/entry/src/testing/__tests__/workerModel.spec.ts
@@ -8,8 +8,8 @@
 
 const NEED = { processors: 10, memoryMb: 1024, accelerators: 0 }
 const createId = (attempt: number): AttemptId => ({ job: 'j', task: 0, attempt })
-const createStart = (epoch: number, attempt: number, runMs = 60_000): StartCommand => {
-  return { epoch, id: createId(attempt), resources: NEED, payload: JSON.stringify({ runMs }) }
+const createStart = (worker: WorkerModel, epoch: number, attempt: number, runMs = 60_000): StartCommand => {
+  return { epoch, workerIncarnation: worker.readIncarnation(), id: createId(attempt), resources: NEED, payload: JSON.stringify({ runMs }) }
 }
 
 function createWorker (): { worker: WorkerModel, clock: ReturnType<typeof createFakeClock>, renew: (epoch: number, forMs: number) => ReturnType<WorkerModel['renewLease']> } {
@@ -17,40 +17,53 @@
   const worker = createWorkerModel({ id: 'w', clock, random: createSeededRandom(1) })
   const renew = (epoch: number, forMs: number): ReturnType<WorkerModel['renewLease']> => {
     const notAfterMs = forMs === 0 ? 0 : worker.readClockMs() + forMs
-    return worker.renewLease({ owner: 'e', epoch, notAfterMs, acknowledged: [] })
+    return worker.renewLease({ owner: 'e', epoch, workerIncarnation: worker.readIncarnation(), notAfterMs, acknowledged: [] })
   }
   return { worker, clock, renew }
 }
 
 test('a lapsed lease stops the tasks and forbids starts until a higher epoch', () => {
   const { worker, clock, renew } = createWorker()
-  assert.is(worker.startTask(createStart(0, 1)).result, 'leaseLapsed')
+  assert.is(worker.startTask(createStart(worker, 0, 1)).result, 'leaseLapsed')
   renew(1, 1000)
-  assert.is(worker.startTask(createStart(1, 1)).result, 'accepted')
-  assert.is(worker.startTask(createStart(1, 2)).result, 'noRoom')
+  assert.is(worker.startTask(createStart(worker, 1, 1)).result, 'accepted')
+  assert.is(worker.startTask(createStart(worker, 1, 2)).result, 'noRoom')
   clock.advance(1001)
   assert.is(worker.listRuns()[0]?.result, 'lapsed')
   renew(1, 5000)
-  assert.is(worker.startTask(createStart(1, 2)).result, 'leaseLapsed')
+  assert.is(worker.startTask(createStart(worker, 1, 2)).result, 'leaseLapsed')
   renew(2, 0)
-  assert.is(worker.startTask(createStart(2, 2)).result, 'leaseLapsed')
+  assert.is(worker.startTask(createStart(worker, 2, 2)).result, 'leaseLapsed')
   renew(2, 5000)
-  assert.is(worker.startTask(createStart(2, 1)).result, 'ended')
-  assert.is(worker.startTask(createStart(2, 2)).result, 'accepted')
-  assert.is(worker.startTask(createStart(1, 3)).result, 'staleEpoch')
+  assert.is(worker.startTask(createStart(worker, 2, 1)).result, 'ended')
+  assert.is(worker.startTask(createStart(worker, 2, 2)).result, 'accepted')
+  assert.is(worker.startTask(createStart(worker, 1, 3)).result, 'staleEpoch')
   assert.equal(renew(1, 9000), { refused: true, epoch: 2 })
 })
 
 test('a stop forbids a later start, and ended attempts are reported until acknowledged', () => {
   const { worker, clock, renew } = createWorker()
   renew(1, 60_000)
-  worker.stopTask({ epoch: 1, id: createId(1), mode: 'stop' })
-  assert.is(worker.startTask(createStart(1, 1)).result, 'ended')
-  worker.startTask(createStart(1, 2, 100))
+  worker.stopTask({ epoch: 1, workerIncarnation: worker.readIncarnation(), id: createId(1), mode: 'stop' })
+  assert.is(worker.startTask(createStart(worker, 1, 1)).result, 'ended')
+  worker.startTask(createStart(worker, 1, 2, 100))
   clock.advance(100)
-  const answer = worker.renewLease({ owner: 'e', epoch: 1, notAfterMs: 0, acknowledged: [createId(1)] })
+  const answer = worker.renewLease({ owner: 'e', epoch: 1, workerIncarnation: '', notAfterMs: 0, acknowledged: [createId(1)] })
   assert.equal(answer.refused ? [] : answer.report.ended.map((item) => item.result), ['completed'])
-  assert.is(worker.startTask(createStart(1, 1)).result, 'ended')
+  assert.is(worker.startTask(createStart(worker, 1, 1)).result, 'ended')
+})
+
+test('a restarted worker takes no command and no lease that was meant for the one before', () => {
+  const { worker, clock, renew } = createWorker()
+  renew(1, 60_000)
+  const start = createStart(worker, 1, 1)
+  const before = worker.readIncarnation()
+  worker.restart()
+  worker.renewLease({ owner: 'e', epoch: 1, workerIncarnation: before, notAfterMs: worker.readClockMs() + 60_000, acknowledged: [] })
+  assert.is(worker.startTask(start).result, 'otherIncarnation')
+  assert.is(worker.startTask(createStart(worker, 1, 1)).result, 'leaseLapsed')
+  clock.advance(1)
+  assert.is(worker.listRunning().length, 0)
 })
 
 test('a mesh delivers in order, loses what a reset link carried, and reports a cut late', async () => {
--- a/packages/entry/src/testing/workerModel.ts
+++ b/packages/entry/src/testing/workerModel.ts
@@ -50,6 +50,8 @@
   /** Sets the busy slots that the runner of a service reports. */
   setBusy: (service: string, busy: number) => void
   readClockMs: () => number
+  /** Changes with each restart. */
+  readIncarnation: () => string
 }
 
 interface RunningTask {
@@ -121,7 +123,8 @@
     if (command.epoch < epoch) return { refused: true, epoch }
     epoch = command.epoch
     for (const acknowledged of command.acknowledged) ended.delete(formatAttempt(acknowledged))
-    if (lapsedEpoch < epoch && command.notAfterMs > notAfterMs && command.notAfterMs > readClockMs()) {
+    const isForThis = command.workerIncarnation === incarnation
+    if (isForThis && lapsedEpoch < epoch && command.notAfterMs > notAfterMs && command.notAfterMs > readClockMs()) {
       notAfterMs = command.notAfterMs
       hasLease = true
       setLeaseTimer()
@@ -136,6 +139,7 @@
   const startTask = (command: StartCommand): CommandReport => {
     applyLapse()
     const key = formatAttempt(command.id)
+    if (command.workerIncarnation !== incarnation) return { result: 'otherIncarnation' }
     if (command.epoch < epoch) return { result: 'staleEpoch' }
     if (tombstones.has(key)) return { result: 'ended' }
     if (running.has(key)) return { result: 'accepted' }
@@ -151,6 +155,7 @@
   const stopTask = (command: StopCommand): CommandReport => {
     applyLapse()
     const key = formatAttempt(command.id)
+    if (command.workerIncarnation !== incarnation) return { result: 'otherIncarnation' }
     if (command.epoch < epoch) return { result: 'staleEpoch' }
     const task = running.get(key)
     if (task !== undefined && command.mode === 'throttle') {
@@ -198,7 +203,8 @@
     listRuns: () => runs,
     listRunning: () => [...running.values()].map((task) => task.run),
     setBusy: (service, count) => { busy.set(service, count) },
-    readClockMs
+    readClockMs,
+    readIncarnation: () => incarnation
   }
 }
 
