--- /dev/null
+++ b/packages/entry/src/http/__tests__/httpServer.spec.ts
@@ -0,0 +1,88 @@
+/** Real sockets against the HTTP interface: bad input, bounds, callers that leave, graceful end. */
+import { request } from 'node:http'
+import { connect } from 'node:net'
+import { createMemoryEventLog } from '@fuchsiatally/core/testing/memoryEventLog'
+import fc from 'fast-check'
+import { test } from 'uvu'
+import * as assert from 'uvu/assert'
+import { createHttpServer, type HttpServer } from '../httpServer.js'
+import { createJsonResponse, type Route } from '../route.js'
+
+const MAX_BODY = 1000
+let release: () => void = () => {}
+
+const routes: Route[] = [
+  { method: 'POST', pattern: '/echo/:name', maxBodyBytes: MAX_BODY, handle: async (message, { name }) => createJsonResponse(200, { name, size: message.body.length }) },
+  { method: 'GET', pattern: '/wait', maxBodyBytes: 0, handle: () => new Promise((resolve) => { release = () => resolve(createJsonResponse(200, {})) }) },
+  { method: 'GET', pattern: '/broken', maxBodyBytes: 0, handle: async () => { throw new Error('broken invariant') } }
+]
+
+async function startServer (): Promise<HttpServer> {
+  return await createHttpServer({ host: '127.0.0.1', port: 0, routes, events: createMemoryEventLog(), maxConnections: 100 })
+}
+
+interface Answer { readonly status: number, readonly text: string }
+
+function sendRequest (server: HttpServer, method: string, path: string, body = ''): Promise<Answer> {
+  const [host, port] = server.address.split(':')
+  return new Promise((resolve, reject) => {
+    const outgoing = request({ host, port, method, path, agent: false }, (response) => {
+      let text = ''
+      response.on('data', (chunk) => { text += chunk })
+      response.on('end', () => { resolve({ status: response.statusCode ?? 0, text }) })
+      response.on('error', reject)
+    })
+    outgoing.on('error', reject)
+    outgoing.end(body)
+  })
+}
+
+/** Sends raw bytes and resolves with whatever came back when the connection ended. */
+function sendRaw (server: HttpServer, bytes: Uint8Array): Promise<string> {
+  const [host, port] = server.address.split(':')
+  return new Promise((resolve) => {
+    const socket = connect(Number(port), host)
+    let text = ''
+    socket.on('data', (chunk) => { text += chunk })
+    socket.on('error', () => {})
+    socket.on('close', () => { resolve(text) })
+    socket.end(bytes)
+  })
+}
+
+test('answers bad requests with typed problems and goes on', async () => {
+  const server = await startServer()
+  assert.is((await sendRequest(server, 'GET', '/nothing')).status, 404)
+  assert.is((await sendRequest(server, 'GET', '/echo/a')).status, 405)
+  assert.is((await sendRequest(server, 'POST', '/echo/%E0%A4%A', 'x')).status, 404)
+  assert.is((await sendRequest(server, 'POST', '/echo/a', 'x'.repeat(MAX_BODY + 1))).status, 413)
+  const broken = await sendRequest(server, 'GET', '/broken')
+  assert.is(JSON.parse(broken.text).code, 'internal')
+  assert.equal(JSON.parse((await sendRequest(server, 'POST', '/echo/a%2Fb', 'xyz')).text), { name: 'a/b', size: 3 })
+  await server.stop()
+})
+
+test('arbitrary bytes never stop the server', async () => {
+  const server = await startServer()
+  const start = fc.constantFrom('', 'GET ', 'POST /echo/a HTTP/1.1\r\n', 'POST /echo/a HTTP/1.1\r\nhost: e\r\ncontent-length: 10\r\n\r\n')
+  await fc.assert(fc.asyncProperty(start, fc.uint8Array({ maxLength: 200 }), async (text, bytes) => {
+    await sendRaw(server, Buffer.concat([Buffer.from(text), bytes]))
+  }), { seed: 7, numRuns: 100 })
+  assert.is((await sendRequest(server, 'POST', '/echo/a', 'ok')).status, 200)
+  assert.is(server.countInFlight(), 0)
+  await server.stop()
+})
+
+test('a stop answers what is in flight and refuses new connections', async () => {
+  const server = await startServer()
+  const answer = sendRequest(server, 'GET', '/wait')
+  while (server.countInFlight() === 0) await new Promise((resolve) => setTimeout(resolve, 5))
+  const stopped = server.stop()
+  const refused = await sendRequest(server, 'GET', '/nothing').catch((error: NodeJS.ErrnoException) => error.code)
+  assert.is(refused, 'ECONNREFUSED')
+  release()
+  assert.is((await answer).status, 200)
+  await stopped
+})
+
+test.run()
