--- /dev/null
+++ b/packages/core/src/manifest/applyChange.ts
@@ -0,0 +1,162 @@
+/** Changes of the configuration document, as pure transitions. */
+import { err, ok, type Result } from 'neverthrow'
+import type { ConfigDocument, KeyGrant, Manifest } from '../schema/manifest.js'
+import { findSimilarName } from './similarName.js'
+
+/** What an operator asks for. */
+export type ConfigChange =
+  | { readonly kind: 'applyManifest', readonly manifest: Manifest }
+  | { readonly kind: 'grantKey', readonly team: string, readonly grant: KeyGrant }
+  /** `allowUnknown` also revokes ids that the document does not know, so that a later grant of them fails. */
+  | { readonly kind: 'revokeKeys', readonly keyIds: readonly string[], readonly allowUnknown: boolean }
+  /** `goneVms` leave the list of drained VMs: they never run again. */
+  | { readonly kind: 'drainVm', readonly vm: string, readonly goneVms: readonly string[] }
+  | { readonly kind: 'undrainVm', readonly vm: string }
+
+/** Why a change does not fit the document. */
+export interface ChangeFault {
+  readonly kind: 'changeFault'
+  readonly reason: 'noConfiguration' | 'wrongCell' | 'unknownTeam' | 'unknownKey' | 'keyIdTaken' | 'keyRevoked' | 'keyHashTaken'
+  readonly message: string
+  readonly mend: string
+}
+
+/** A grant that is not revoked, and where it stands. */
+export interface GrantView {
+  readonly team: string
+  readonly grant: KeyGrant
+  readonly source: 'manifest' | 'granted'
+}
+
+/** Changes of this number are remembered by their write id, to settle lost answers. */
+const REMEMBERED_CHANGES = 64
+
+/** All grants of a document that are in force. */
+export function listGrants (document: ConfigDocument): GrantView[] {
+  const revoked = new Set(document.revokedKeyIds)
+  const views: GrantView[] = []
+  for (const team of document.manifest.teams) {
+    for (const grant of team.keys) views.push({ team: team.name, grant, source: 'manifest' })
+  }
+  for (const { team, grant } of document.grants) views.push({ team, grant, source: 'granted' })
+  return views.filter((view) => !revoked.has(view.grant.id))
+}
+
+/**
+ * Applies a change.
+ *
+ * @param document `null` before the first manifest
+ * @param writeId identity of this change, kept in the document
+ * @returns the document that follows, or the same object if the change has no effect
+ */
+export function applyChange (
+  document: ConfigDocument | null, change: ConfigChange, writeId: string
+): Result<ConfigDocument, ChangeFault> {
+  if (change.kind === 'applyManifest') return applyManifest(document, change.manifest, writeId)
+  if (document === null) {
+    return err(createChangeFault('noConfiguration', 'no manifest is in force', 'apply a manifest first'))
+  }
+  if (change.kind === 'grantKey') return grantKey(document, change.team, change.grant, writeId)
+  if (change.kind === 'revokeKeys') return revokeKeys(document, change.keyIds, change.allowUnknown, writeId)
+  if (change.kind === 'drainVm') return ok(drainVm(document, change.vm, change.goneVms, writeId))
+  if (!document.drainedVms.includes(change.vm)) return ok(document)
+  return ok(createNext(document, { drainedVms: document.drainedVms.filter((vm) => vm !== change.vm) }, writeId))
+}
+
+function applyManifest (document: ConfigDocument | null, manifest: Manifest, writeId: string): Result<ConfigDocument, ChangeFault> {
+  if (document === null) {
+    const recentChanges = [{ version: 1, writeId }]
+    return ok({ version: 1, manifest, grants: [], revokedKeyIds: [], drainedVms: [], recentChanges })
+  }
+  if (manifest.cell !== document.manifest.cell) {
+    const message = `the manifest is for cell ${manifest.cell}, this is ${document.manifest.cell}`
+    return err(createChangeFault('wrongCell', message, 'apply it at an entry of its own cell'))
+  }
+  const teams = new Set(manifest.teams.map((team) => team.name))
+  const kept: ConfigDocument['grants'][number][] = []
+  for (const held of document.grants) {
+    if (!teams.has(held.team)) continue
+    const clash = findClash(manifest, held.team, held.grant)
+    if (clash === 'same') continue
+    if (clash !== undefined) return err(clash)
+    kept.push(held)
+  }
+  return ok(createNext(document, { manifest, grants: kept }, writeId))
+}
+
+/** `same`: the manifest has taken the grant over; a fault if it uses the id or the hash otherwise. */
+function findClash (manifest: Manifest, team: string, grant: KeyGrant): ChangeFault | 'same' | undefined {
+  for (const other of manifest.teams) {
+    for (const key of other.keys) {
+      const sameId = key.id === grant.id
+      const sameHash = key.sha256 === grant.sha256
+      if (sameId && sameHash && other.name === team) return 'same'
+      if (sameId) return createTakenFault(grant.id)
+      if (sameHash) return createHashFault(key.id, grant.id)
+    }
+  }
+  return undefined
+}
+
+function grantKey (document: ConfigDocument, team: string, grant: KeyGrant, writeId: string): Result<ConfigDocument, ChangeFault> {
+  const teams = document.manifest.teams.map((known) => known.name)
+  if (!teams.includes(team)) {
+    const similar = findSimilarName(team, teams)
+    const mend = similar === undefined ? 'add the team to the manifest first' : `did you mean ${similar}?`
+    return err(createChangeFault('unknownTeam', `no team ${team} in the manifest in force`, mend))
+  }
+  if (document.revokedKeyIds.includes(grant.id)) {
+    return err(createChangeFault('keyRevoked', `key id ${grant.id} was revoked and is never granted again`, 'choose another id'))
+  }
+  for (const held of listGrants(document)) {
+    const sameId = held.grant.id === grant.id
+    const sameHash = held.grant.sha256 === grant.sha256
+    if (sameId && sameHash && held.team === team) return ok(document)
+    if (sameId) return err(createTakenFault(grant.id))
+    if (sameHash) return err(createHashFault(held.grant.id, grant.id))
+  }
+  return ok(createNext(document, { grants: [...document.grants, { team, grant }] }, writeId))
+}
+
+function revokeKeys (
+  document: ConfigDocument, keyIds: readonly string[], allowUnknown: boolean, writeId: string
+): Result<ConfigDocument, ChangeFault> {
+  const known = listGrants(document).map((view) => view.grant.id)
+  const added: string[] = []
+  for (const id of new Set(keyIds)) {
+    if (document.revokedKeyIds.includes(id)) continue
+    if (!allowUnknown && !known.includes(id)) {
+      const similar = findSimilarName(id, known)
+      const mend = similar === undefined ? 'see the ids with `fuchsiatally key list`' : `did you mean ${similar}?`
+      return err(createChangeFault('unknownKey', `no key with id ${id} is granted`, mend))
+    }
+    added.push(id)
+  }
+  if (added.length === 0) return ok(document)
+  const grants = document.grants.filter((held) => !added.includes(held.grant.id))
+  return ok(createNext(document, { grants, revokedKeyIds: [...document.revokedKeyIds, ...added] }, writeId))
+}
+
+function drainVm (document: ConfigDocument, vm: string, goneVms: readonly string[], writeId: string): ConfigDocument {
+  if (document.drainedVms.includes(vm)) return document
+  const kept = document.drainedVms.filter((drained) => !goneVms.includes(drained))
+  return createNext(document, { drainedVms: [...kept, vm] }, writeId)
+}
+
+function createNext (document: ConfigDocument, changed: Partial<ConfigDocument>, writeId: string): ConfigDocument {
+  const version = document.version + 1
+  const recentChanges = [...document.recentChanges ?? [], { version, writeId }].slice(-REMEMBERED_CHANGES)
+  return { ...document, ...changed, version, recentChanges }
+}
+
+function createChangeFault (reason: ChangeFault['reason'], message: string, mend: string): ChangeFault {
+  return { kind: 'changeFault', reason, message, mend }
+}
+
+function createTakenFault (id: string): ChangeFault {
+  return createChangeFault('keyIdTaken', `key id ${id} is granted already`, 'choose another id, or revoke that key first')
+}
+
+function createHashFault (first: string, second: string): ChangeFault {
+  return createChangeFault('keyHashTaken', `keys ${first} and ${second} have one hash`, 'grant each key once only')
+}
--- a/packages/core/src/schema/linkMessage.ts
+++ b/packages/core/src/schema/linkMessage.ts
@@ -44,6 +44,21 @@
 /** Hands over a configuration document. */
 export const ConfigPush = Schema.Struct({ type: Schema.Literal('configPush'), document: ConfigDocument })
 
+/** Asks the peer how current its configuration is. */
+export const ConfigQuery = Schema.Struct({ type: Schema.Literal('configQuery'), exchange: Schema.String })
+
+/** Answer to a query; also sent unasked, with an empty exchange, when a key is denied. */
+export const ConfigState = Schema.Struct({
+  type: Schema.Literal('configState'),
+  exchange: Schema.String,
+  /** Version in force at the sender, 0 before the first. */
+  version: Schema.Int,
+  /** Time since the sender knew for certain that nothing newer was in the table, in milliseconds; -1 if never. */
+  ageMs: Schema.Finite,
+  /** Revoked key ids that are not in the sender's configuration document yet. */
+  deniedKeyIds: Schema.Array(Schema.String)
+})
+
 /** Asks the receiver, owner of endpoints of the service, to run a request. */
 export const ForwardRequest = Schema.Struct({
   type: Schema.Literal('forwardRequest'),
@@ -132,7 +147,7 @@
 
 /** Every message that a link carries. */
 export const LinkMessage = Schema.Union([
-  Hello, Heartbeat, ConfigPull, ConfigPush, ForwardRequest, TicketRequest, ForwardReply, ForwardCancel,
+  Hello, Heartbeat, ConfigPull, ConfigPush, ConfigQuery, ConfigState, ForwardRequest, TicketRequest, ForwardReply, ForwardCancel,
   WorkerDesired, WorkerObserved, JobsChanged
 ])
 export type LinkMessage = typeof LinkMessage.Type
--- a/packages/core/src/schema/manifest.ts
+++ b/packages/core/src/schema/manifest.ts
@@ -95,6 +95,8 @@
   /** Ids of revoked keys; an id never leaves this list. */
   revokedKeyIds: Schema.Array(Name),
   /** Worker VMs that operators drain. */
-  drainedVms: Schema.Array(Schema.String)
+  drainedVms: Schema.Array(Schema.String),
+  /** Write ids of the last changes, so that the writer of a lost answer learns its change's fate. */
+  recentChanges: Schema.optionalKey(Schema.Array(Schema.Struct({ version: Positive, writeId: Schema.String })))
 })
 export type ConfigDocument = typeof ConfigDocument.Type
--- /dev/null
+++ b/packages/entry/src/contract/configGossip.ts
@@ -0,0 +1,134 @@
+/**
+ * What entries tell each other about the configuration: versions in heartbeats, documents on request, and how current
+ * they are by a query and its answer, whose time counts from before the query was sent.
+ */
+import type { Clock, ConfigDocument, ConfigView, Disposable, Random } from '@fuchsiatally/core'
+import type { Peer, PeerMesh } from '../ports.js'
+
+/** What the gossip needs of the store. */
+export interface ConfigGossipOptions {
+  readonly clock: Clock
+  readonly random: Random
+  readonly mesh: PeerMesh
+  readonly view: ConfigView
+  readonly listDeniedKeyIds: () => string[]
+  /** Returns the ids that were not denied before. */
+  readonly addDenied: (keyIds: readonly string[]) => string[]
+  readonly install: (document: ConfigDocument) => void
+  readonly noteEvidence: () => void
+}
+
+/** Gossip of one entry. */
+export interface ConfigGossip extends Disposable {
+  handleHeartbeat: (peer: Peer, configVersion: number, deniedKeyIds: readonly string[]) => void
+  /** Tells every peer the version and the denied keys at once. */
+  announce: () => void
+  askAllPeers: () => void
+  /** Asks the peer that answered last and a few more. */
+  askSomePeers: () => void
+  listPeerVersions: () => ReadonlyMap<string, number>
+}
+
+const ASKED_PEERS = 3
+/** Time during which a document is asked of one peer only once, in milliseconds. */
+const PULL_PAUSE_MS = 250
+const QUERY_TIMEOUT_MS = 4000
+/** Age that says "never" in a message. */
+const NEVER_MS = -1
+
+/** Registers the receivers of the configuration's messages. */
+export function createConfigGossip (options: ConfigGossipOptions): ConfigGossip {
+  const { clock, random, mesh, view } = options
+  const versions = new Map<string, number>()
+  const queries = new Map<string, { sentAtMs: number, incarnation: string }>()
+  const pulledAtMs = new Map<string, number>()
+  let lastAnswering: string | undefined
+
+  const pullFrom = (incarnation: string): void => {
+    const nowMs = clock.nowMs()
+    if (nowMs - (pulledAtMs.get(incarnation) ?? -Infinity) < PULL_PAUSE_MS) return
+    if (mesh.sendMessage(incarnation, { type: 'configPull', newerThan: view.readVersion() })) pulledAtMs.set(incarnation, nowMs)
+  }
+
+  const createState = (exchange: string) => {
+    const ageMs = clock.nowMs() - view.readCurrentAtMs()
+    return {
+      type: 'configState' as const,
+      exchange,
+      version: view.readVersion(),
+      ageMs: Number.isFinite(ageMs) ? ageMs : NEVER_MS,
+      deniedKeyIds: options.listDeniedKeyIds()
+    }
+  }
+
+  const announce = (): void => mesh.broadcastMessage(createState(''))
+
+  const hearPeer = (peer: Peer, version: number, deniedKeyIds: readonly string[]): void => {
+    versions.set(peer.incarnation, version)
+    // News is passed on, since not every pair of entries has a link.
+    if (options.addDenied(deniedKeyIds).length > 0) announce()
+    view.recordVersionHeard(version)
+    if (version > view.readVersion()) pullFrom(peer.incarnation)
+  }
+
+  const ask = (incarnation: string): void => {
+    const exchange = random.nextId()
+    const sentAtMs = clock.nowMs()
+    if (mesh.sendMessage(incarnation, { type: 'configQuery', exchange })) queries.set(exchange, { sentAtMs, incarnation })
+  }
+
+  const dropOldQueries = (): void => {
+    const nowMs = clock.nowMs()
+    for (const [exchange, query] of queries) {
+      if (nowMs - query.sentAtMs < QUERY_TIMEOUT_MS) return
+      queries.delete(exchange)
+    }
+  }
+
+  mesh.onMessage('configPull', (message, from) => {
+    const document = view.readDocument()
+    if (document !== null && document.version > message.newerThan) mesh.sendMessage(from.incarnation, { type: 'configPush', document })
+  })
+  mesh.onMessage('configPush', (message) => {
+    options.install(message.document)
+    options.noteEvidence()
+  })
+  mesh.onMessage('configQuery', (message, from) => {
+    mesh.sendMessage(from.incarnation, createState(message.exchange))
+  })
+  mesh.onMessage('configState', (message, from) => {
+    const query = queries.get(message.exchange)
+    queries.delete(message.exchange)
+    hearPeer(from, message.version, message.deniedKeyIds)
+    if (query === undefined || query.incarnation !== from.incarnation || message.ageMs < 0 || message.version === 0) return
+    lastAnswering = from.incarnation
+    view.recordCurrent(message.version, query.sentAtMs - message.ageMs)
+    options.noteEvidence()
+  })
+  mesh.onPeerChange((peer, change) => {
+    if (change === 'up') return
+    versions.delete(peer.incarnation)
+    pulledAtMs.delete(peer.incarnation)
+  })
+
+  return {
+    handleHeartbeat: hearPeer,
+    announce,
+    askAllPeers: () => {
+      dropOldQueries()
+      for (const peer of mesh.listPeers()) ask(peer.incarnation)
+    },
+    askSomePeers: () => {
+      dropOldQueries()
+      const peers = mesh.listPeers().map((peer) => peer.incarnation)
+      const chosen = new Set(peers.filter((incarnation) => incarnation === lastAnswering))
+      while (chosen.size < Math.min(ASKED_PEERS, peers.length)) {
+        const peer = peers[Math.floor(random.nextFloat() * peers.length)]
+        if (peer !== undefined) chosen.add(peer)
+      }
+      for (const incarnation of chosen) ask(incarnation)
+    },
+    listPeerVersions: () => versions,
+    dispose: () => { queries.clear() }
+  }
+}
--- /dev/null
+++ b/packages/entry/src/settings/resolveSettings.ts
@@ -0,0 +1,53 @@
+/** Turns the text of a settings file into settings, or into all of its faults at once. */
+import { createFault, decodeWithFaults, parseToml, type ConfigFault } from '@fuchsiatally/core'
+import { err, ok, type Result } from 'neverthrow'
+import { ProcessSettings, SETTINGS_DEFAULTS, type ResolvedSettings } from './settings.js'
+
+/** Exit code of a process whose settings are wrong (`EX_CONFIG`). */
+export const EXIT_BAD_SETTINGS = 78
+
+const MAX_PORT = 65_535
+
+/** Resolves the TOML text of a settings file; on failure all faults at once. */
+export function resolveSettings (text: string): Result<ResolvedSettings, ConfigFault[]> {
+  return parseToml(text)
+    .andThen((input) => decodeWithFaults(ProcessSettings, input, text))
+    .andThen((settings) => {
+      const faults = checkAddresses(settings, text)
+      return faults.length === 0 ? ok(applyDefaults(settings)) : err(faults)
+    })
+}
+
+function applyDefaults (settings: ProcessSettings): ResolvedSettings {
+  return {
+    ...settings,
+    outageToleranceMs: settings.outageToleranceMs ?? SETTINGS_DEFAULTS.outageToleranceMs,
+    log: { ...SETTINGS_DEFAULTS.log, ...settings.log },
+    limits: { ...SETTINGS_DEFAULTS.limits, ...settings.limits }
+  }
+}
+
+/** Checks what the pattern of an address cannot: its numbers, and that others can reach it. */
+function checkAddresses (settings: ProcessSettings, text: string): ConfigFault[] {
+  const faults: ConfigFault[] = []
+  for (const option of ['httpAddress', 'linkAddress', 'platformAddress'] as const) {
+    const { host, port } = splitAddress(settings[option])
+    if (port > MAX_PORT) faults.push(createFault([option], `port ${port} does not exist`, `give a port up to ${MAX_PORT}`, text))
+    if (host.split('.').some((part) => Number(part) > 255)) {
+      faults.push(createFault([option], `${host} is no IP address`, 'give four numbers up to 255', text))
+    }
+    if (host === '0.0.0.0' || host === '[::]') {
+      faults.push(createFault([option], `${host} cannot be reached by others`, 'give the address of this VM itself', text))
+    }
+  }
+  if (splitAddress(settings.platformAddress).port === 0) {
+    faults.push(createFault(['platformAddress'], 'port 0 cannot be reached', "give the platform's port", text))
+  }
+  return faults
+}
+
+/** Splits a checked `host:port`; IPv6 hosts keep their brackets. */
+export function splitAddress (address: string): { host: string, port: number } {
+  const colon = address.lastIndexOf(':')
+  return { host: address.slice(0, colon), port: Number(address.slice(colon + 1)) }
+}
