Sessions and ownership of workers, thin

Cause: the path needs a session per entry and one owner per worker. Rows list earlier owners until a contact of a later epoch shuts them out. Not tested yet.

--- /dev/null
+++ b/packages/entry/src/vm/ownerRows.ts
@@ -0,0 +1,56 @@
+/** What the table says of the owners of all workers, kept up to date by the shared poll. */
+import { createDecoder, hasUnfenced, OWNER_PREFIX, OwnerRow } from '@fuchsiatally/core'
+import type { EventLog, Row } from '@fuchsiatally/core'
+import { ownerRowMalformed } from './events.js'
+
+/** One worker's row; `row` is `null` where none exists or it is malformed. */
+export interface KnownOwner {
+  /** Version seen last, also that of a deletion. */
+  readonly version: number
+  /** Version that a transaction has to check; 0 if no row exists. */
+  readonly checkVersion: number
+  readonly row: OwnerRow | null
+}
+
+/** Rows by worker. */
+export interface OwnerRows {
+  applyRows: (rows: readonly Row[]) => void
+  getOwner: (worker: string) => KnownOwner | undefined
+  listOwners: () => ReadonlyMap<string, KnownOwner>
+  /** Workers that the incarnation can still command as far as the rows tell. */
+  listUnfenced: (incarnation: string) => string[]
+}
+
+const decodeRow = createDecoder(OwnerRow)
+
+/** Creates the empty set. */
+export function createOwnerRows (log: EventLog): OwnerRows {
+  const owners = new Map<string, KnownOwner>()
+  const applyRow = (row: Row): void => {
+    if (!row.key.startsWith(OWNER_PREFIX)) return
+    const worker = row.key.slice(OWNER_PREFIX.length)
+    const known = owners.get(worker)
+    if (known !== undefined && known.version >= row.version) return
+    if (row.value === null) {
+      owners.set(worker, { version: row.version, checkVersion: 0, row: null })
+      return
+    }
+    const decoded = decodeRow(row.value)
+    if (decoded.isErr()) log.record(ownerRowMalformed, { key: row.key, message: decoded.error.message })
+    owners.set(worker, { version: row.version, checkVersion: row.version, row: decoded.unwrapOr(null) })
+  }
+  return {
+    applyRows: (rows) => {
+      for (const row of rows) applyRow(row)
+    },
+    getOwner: (worker) => owners.get(worker),
+    listOwners: () => owners,
+    listUnfenced: (incarnation) => {
+      const found = []
+      for (const [worker, { row }] of owners) {
+        if (row !== null && hasUnfenced(row, incarnation)) found.push(worker)
+      }
+      return found
+    }
+  }
+}
--- /dev/null
+++ b/packages/entry/src/vm/ownership.ts
@@ -0,0 +1,254 @@
+/** Which workers this entry owns: rows `owner/<worker>`, changed by compare-and-set in batches. */
+import { createDisposableStore, OWNER_PREFIX } from '@fuchsiatally/core'
+import type { Clock, EventLog, Random, RowCheck, Transaction, Vm } from '@fuchsiatally/core'
+import type { PlatformClient, TransactionOutcome } from '@fuchsiatally/platform'
+import type { PollInfo } from '../failureDomain/tablePoll.js'
+import type { SessionService } from '../failureDomain/sessions.js'
+import { ownershipConflict, ownershipUnsettled, workerDisowned, workersGiven, workersTaken } from './events.js'
+import { createOwnerRows } from './ownerRows.js'
+import { collectChanges, collectGifts, createOwnerChooser, formatOwnerKey } from './ownershipPlan.js'
+import type { OwnershipChange, OwnershipPlanOptions } from './ownershipPlan.js'
+import { createVmDirectory } from './vmDirectory.js'
+
+/** Most rows changed in one transaction. */
+const MAX_BATCH = 64
+/** Wait before a transaction of unknown fate is sent again, in milliseconds. */
+const SETTLE_RETRY_MS = 500
+/** Transactions that a planned stop tries before it leaves the rest to its session's end. */
+const MAX_RELEASE_ROUNDS = 40
+
+/** A worker that this entry may command under an epoch. */
+export interface OwnedEpoch {
+  readonly vm: Vm
+  readonly epoch: number
+  /** This entry owned the worker all the time since the epoch that it was told before. */
+  readonly continuous: boolean
+}
+
+/** Receives the news; each call follows a read of the table that shows them. */
+export interface OwnershipListener {
+  handleOwned: (owned: OwnedEpoch) => void
+  handleDisowned: (worker: string) => void
+  /** The VM of an owned worker was listed with other contents. */
+  handleVm: (vm: Vm) => void
+}
+
+/** Options of the ownership. */
+export interface OwnershipOptions {
+  readonly sessions: SessionService
+  readonly platform: PlatformClient
+  readonly clock: Clock
+  readonly random: Random
+  readonly log: EventLog
+}
+
+/** Ownership of workers by this entry. */
+export interface Ownership {
+  start: (listener: OwnershipListener) => void
+  /** Ends; `release` hands every worker over first. Call `sessions.setLeaving()` before and `sessions.stop` after. */
+  stop: (release: boolean) => Promise<void>
+  /** Asks for an epoch of at least `minEpoch` of an owned worker. */
+  updateEpoch: (worker: string, minEpoch: number) => void
+  /** The worker accepted a contact of the epoch: all earlier owners are shut out. */
+  recordContact: (worker: string, epoch: number) => void
+  /** Time before the last read that showed the rows of all owned workers as this entry's own. */
+  readConfirmedMs: () => number
+  /** The last VM list. */
+  listVms: () => readonly Vm[]
+  isVmListRead: () => boolean
+  /**
+   * Whether an incarnation can never command a worker again: its session is removed for good, and each worker that
+   * it owned has accepted a later owner or is gone. The incarnation must have been read from the table.
+   */
+  isFenced: (incarnation: string) => boolean
+}
+
+interface HandedOut {
+  epoch: number
+  /** Version of the row up to which the ownership is known to be unbroken. */
+  version: number
+  vm: Vm
+}
+
+/** Creates the ownership; nothing is sent before `start`. */
+export function createOwnership (options: OwnershipOptions): Ownership {
+  const { sessions, platform, clock, random, log } = options
+  const store = createDisposableStore()
+  const rows = createOwnerRows(log)
+  const chooser = createOwnerChooser()
+  const handedOut = new Map<string, HandedOut>()
+  const wantedEpochs = new Map<string, number>()
+  const contactedEpochs = new Map<string, number>()
+  /** When a change by this entry was settled: only reads sent later show everything that came before it. */
+  const settledMs = new Map<string, number>()
+  let listener: OwnershipListener | null = null
+  let confirmedMs = -Infinity
+  let state: 'idle' | 'running' | 'releasing' | 'stopped' = 'idle'
+  let committing: Promise<void> | null = null
+  let removing = false
+
+  const directory = createVmDirectory({ platform, clock, random, log, onRead: () => handleVms() })
+  store.add(directory)
+  const plan: OwnershipPlanOptions = { sessions, directory, rows, wantedEpochs, contactedEpochs }
+
+  const isStopped = (): boolean => state === 'stopped'
+  const disown = (worker: string): void => {
+    handedOut.delete(worker)
+    wantedEpochs.delete(worker)
+    contactedEpochs.delete(worker)
+    log.record(workerDisowned, { worker, owner: rows.getOwner(worker)?.row?.incarnation ?? null })
+    listener?.handleDisowned(worker)
+  }
+  const dropForeign = (): void => {
+    for (const worker of [...handedOut.keys()]) {
+      if (rows.getOwner(worker)?.row?.incarnation !== sessions.incarnation) disown(worker)
+    }
+  }
+  const handOut = (info: PollInfo): void => {
+    for (const [worker, { row, version }] of rows.listOwners()) {
+      if (row?.incarnation !== sessions.incarnation) continue
+      const known = handedOut.get(worker)
+      if (known?.epoch === row.epoch || info.sentMs < (settledMs.get(worker) ?? -Infinity)) continue
+      const vm = directory.getVm(worker)
+      if (vm === undefined) continue
+      const continuous = known !== undefined && known.version === version
+      handedOut.set(worker, { epoch: row.epoch, version, vm })
+      wantedEpochs.delete(worker)
+      listener?.handleOwned({ vm, epoch: row.epoch, continuous })
+    }
+  }
+  const handleVms = (): void => {
+    for (const [worker, known] of handedOut) {
+      const vm = directory.getVm(worker)!
+      if (JSON.stringify(vm) === JSON.stringify(known.vm)) continue
+      known.vm = vm
+      listener?.handleVm(vm)
+    }
+    decide()
+  }
+  const handlePolled = (info: PollInfo): void => {
+    confirmedMs = info.sentMs
+    dropForeign()
+    handOut(info)
+    decide()
+    removeExpiredSessions()
+  }
+  /** Sends until the fate is known; the same transaction each time, so that it is applied at most once. */
+  const sendUntilSettled = async (transaction: Transaction): Promise<TransactionOutcome | null> => {
+    while (!isStopped()) {
+      const answer = await platform.transact(transaction)
+      if (answer.isOk()) return answer.value
+      log.record(ownershipUnsettled, { kind: answer.error.kind, message: answer.error.message })
+      await new Promise<void>((resolve) => { clock.setTimer(SETTLE_RETRY_MS, resolve) })
+    }
+    return null
+  }
+  const applySettled = (changes: readonly OwnershipChange[]): void => {
+    const nowMs = clock.nowMs()
+    for (const { worker, previous } of changes) {
+      settledMs.set(worker, nowMs)
+      const known = handedOut.get(worker)
+      // Nobody else wrote the row in between, so the unbroken ownership reaches to the new version.
+      if (known !== undefined && known.version === previous?.version) known.version = rows.getOwner(worker)!.version
+    }
+    dropForeign()
+  }
+  const commit = async (changes: readonly OwnershipChange[]): Promise<void> => {
+    const own = sessions.readOwnCheck()
+    if (own === null) return
+    const outcome = await sendUntilSettled(buildTransaction(random.nextId(), own, changes))
+    if (outcome === null) return
+    rows.applyRows(outcome.rows.filter((row) => row.key.startsWith(OWNER_PREFIX)))
+    if (outcome.kind === 'applied') {
+      recordChanges(log, changes)
+      applySettled(changes)
+    } else {
+      log.record(ownershipConflict, { workers: changes.length })
+    }
+    sessions.sendPoll()
+  }
+  const startCommit = (changes: readonly OwnershipChange[]): void => {
+    committing = commit(changes.slice(0, MAX_BATCH)).finally(() => {
+      committing = null
+    })
+  }
+  const decide = (): void => {
+    if (state !== 'running' || committing !== null) return
+    if (confirmedMs === -Infinity || !directory.isRead() || !sessions.isValid()) return
+    const changes = collectChanges(plan, chooser)
+    if (changes.length > 0) startCommit(changes)
+  }
+  /** Rows of dead incarnations that own nothing any more go away, which makes their end final. */
+  const removeExpiredSessions = (): void => {
+    if (state !== 'running' || removing || !sessions.isValid()) return
+    const dead = sessions.listSessions().find((session) =>
+      session.expired && session.incarnation !== sessions.incarnation && !hasWorkers(session.incarnation))
+    if (dead === undefined) return
+    removing = true
+    sessions.removeExpired(dead.incarnation).finally(() => {
+      removing = false
+    })
+  }
+  const hasWorkers = (incarnation: string): boolean =>
+    rows.listUnfenced(incarnation).some((worker) => directory.getVm(worker)?.state !== 'gone')
+  const release = async (): Promise<void> => {
+    for (let round = 0; round < MAX_RELEASE_ROUNDS; round += 1) {
+      await committing
+      const gifts = collectGifts(plan)
+      if (gifts.length === 0 || sessions.readOwnCheck() === null) return
+      startCommit(gifts)
+    }
+  }
+  return {
+    start: (newListener) => {
+      if (state !== 'idle') return
+      state = 'running'
+      listener = newListener
+      store.add(sessions.addPoll({ prefix: OWNER_PREFIX }, (changed) => rows.applyRows(changed)))
+      store.add(sessions.onPolled(handlePolled))
+      directory.sendRead()
+    },
+    stop: async (isRelease) => {
+      if (state === 'running' && isRelease) {
+        state = 'releasing'
+        await release()
+      }
+      state = 'stopped'
+      store.dispose()
+      await committing
+      for (const worker of [...handedOut.keys()]) disown(worker)
+    },
+    updateEpoch: (worker, minEpoch) => {
+      wantedEpochs.set(worker, Math.max(minEpoch, wantedEpochs.get(worker) ?? 0))
+      decide()
+    },
+    recordContact: (worker, epoch) => {
+      contactedEpochs.set(worker, epoch)
+    },
+    readConfirmedMs: () => confirmedMs,
+    listVms: () => [...directory.listVms()],
+    isVmListRead: directory.isRead,
+    isFenced: (incarnation) => sessions.isRemoved(incarnation) && !hasWorkers(incarnation)
+  }
+}
+
+function buildTransaction (writeId: string, own: RowCheck, changes: readonly OwnershipChange[]): Transaction {
+  const checks = new Map<string, RowCheck>([[own.key, own]])
+  const writes = []
+  for (const { worker, previous, row, sessionCheck } of changes) {
+    const key = formatOwnerKey(worker)
+    checks.set(key, { key, version: previous?.checkVersion ?? 0 })
+    if (sessionCheck !== null) checks.set(sessionCheck.key, sessionCheck)
+    writes.push({ key, value: row })
+  }
+  return { writeId, checks: [...checks.values()], writes }
+}
+
+function recordChanges (log: EventLog, changes: readonly OwnershipChange[]): void {
+  for (const kind of ['claim', 'take', 'raise', 'give', 'remove'] as const) {
+    const workers = changes.filter((change) => change.kind === kind).map((change) => change.worker)
+    if (workers.length === 0) continue
+    if (kind === 'give' || kind === 'remove') log.record(workersGiven, { workers, reason: kind })
+    else log.record(workersTaken, { workers, reason: kind })
+  }
+}
