Scheduler of the cell: placement, gangs, urgent work, shares, ceilings

The cell's scheduler keeps charges on workers and teams until an attempt is known to be over, places single tasks by best fit through an index of cells of similar free room, gangs all or none with reservations and backfill, and urgent work by preempting the least lost work. The interface gains readShareLedger, so that shares outlive a takeover of the role.

--- a/packages/core/src/job/cellScheduler.ts
+++ b/packages/core/src/job/cellScheduler.ts
@@ -3,6 +3,7 @@
 import type { EndedTask, TaskUsage } from '../schema/linkMessage.js'
 import type { Manifest } from '../schema/manifest.js'
 import type { Resources } from '../schema/resources.js'
+import type { ShareLedger } from '../team/teamRegistry.js'
 
 /** A worker as the scheduler sees it. */
 export interface SchedulerWorker {
@@ -104,6 +105,8 @@
   listDesired: (worker: string) => DesiredAttempts
   explainJob: (id: string, nowMs: number) => JobExplanation | undefined
   listTeamShares: (wallMs: number) => TeamShare[]
+  /** Parts received in the share window, for `createCellScheduler` after a takeover of the role. */
+  readShareLedger: () => ShareLedger
   /** Ended jobs leave the memory. */
   forgetJob: (id: string) => void
 }
--- /dev/null
+++ b/packages/core/src/job/createCellScheduler.ts
@@ -0,0 +1,208 @@
+/** The cell's scheduler: takes in what happened, decides, and hands out state to be committed. */
+import type { AttemptId, JobRow, JobStateRow, TaskState } from '../schema/job.js'
+import { listShares } from '../team/teamShares.js'
+import type { ShareLedger } from '../team/teamRegistry.js'
+import { addAmounts, createAmounts, createCapacity, type Amounts } from '../vm/amounts.js'
+import { updateKnown, type WorkerEntry } from '../vm/workerEntry.js'
+import { addAttempt, endAttempt, endJob, queueTask, stopGang, updateJobPhase, updateSpread } from './attempts.js'
+import type { CellScheduler, DesiredAttempts, SchedulerWorker } from './cellScheduler.js'
+import { createCellState, getShape, type CellState } from './cellState.js'
+import { decideTasks } from './decideTasks.js'
+import { explain } from './explanation.js'
+import { createJobEntry, isFinal, readState, type JobEntry, type TaskEntry } from './jobEntry.js'
+
+/** Options of a scheduler. */
+export interface CellSchedulerOptions {
+  /** Parts received in the window so far, as the last holder of the role left them; none by default. */
+  readonly ledger?: ShareLedger
+}
+
+/** Creates the scheduler of a cell without workers, teams and jobs. */
+export function createCellScheduler (options: CellSchedulerOptions = {}): CellScheduler {
+  const state = createCellState()
+  let ledger = options.ledger
+
+  const findAttempt = (id: AttemptId, worker: string): TaskEntry | undefined => {
+    const task = state.jobs.get(id.job)?.tasks[id.task]
+    if (!task || task.attempt !== id.attempt || task.worker?.id !== worker) return undefined
+    return task
+  }
+
+  return {
+    setManifest: (manifest) => {
+      state.teams.updateAll()
+      state.teams.setManifest(manifest)
+      state.changes += 1
+    },
+    setWorker: (worker) => setWorker(state, worker),
+    recordWorkerLost: (worker, nowMs) => {
+      setNow(state, nowMs)
+      const entry = state.workers.findWorker(worker)
+      if (!entry) return
+      for (const task of [...entry.attempts]) endAttempt(state, task, 'lost', 0)
+    },
+    removeWorker: (worker) => removeWorker(state, worker),
+    addJob: (id, row, jobState, nowMs) => {
+      setNow(state, nowMs)
+      addJob(state, id, row, jobState)
+    },
+    cancelJob: (id, nowMs) => {
+      setNow(state, nowMs)
+      const job = state.jobs.get(id)
+      if (job) endJob(state, job, { phase: 'cancelled', reason: 'cancelled' }, 'cancelled')
+    },
+    recordStarted: (id, worker, nowMs) => {
+      setNow(state, nowMs)
+      const task = findAttempt(id, worker)
+      if (task?.phase === 'assigned') task.startedMs = nowMs
+    },
+    recordEnded: (ended, worker, nowMs) => {
+      setNow(state, nowMs)
+      const task = findAttempt(ended.id, worker)
+      if (task) endAttempt(state, task, ended.result, ended.ranMs)
+    },
+    recordUsage: (usage, worker, nowMs) => {
+      setNow(state, nowMs)
+      const task = findAttempt(usage.id, worker)
+      if (task) state.estimates.recordUsage(task.job, usage.used)
+    },
+    decide: (nowMs, wallMs, maxDecisions) => {
+      setNow(state, nowMs)
+      state.teams.updatePeriod(nowMs, wallMs)
+      if (ledger) state.teams.setLedger(ledger)
+      ledger = undefined
+      if (state.outbox.length < maxDecisions) decideTasks(state, maxDecisions)
+      return state.outbox.splice(0, maxDecisions)
+    },
+    takeChangedJobs: () => {
+      const changed = [...state.changedJobs]
+      state.changedJobs.clear()
+      return changed
+    },
+    readJobState: (id) => {
+      const job = state.jobs.get(id)
+      return job && readState(job)
+    },
+    readJobRow: (id) => state.jobs.get(id)?.row,
+    listDesired: (worker) => listDesired(state, worker),
+    explainJob: (id, nowMs) => {
+      setNow(state, nowMs)
+      const job = state.jobs.get(id)
+      return job && explain(state, job)
+    },
+    listTeamShares: () => listShares(state),
+    readShareLedger: () => state.teams.readLedger(),
+    forgetJob: (id) => forgetJob(state, id)
+  }
+}
+
+function setNow (state: CellState, nowMs: number): void {
+  state.nowMs = Math.max(state.nowMs, nowMs)
+  state.teams.setNowMs(state.nowMs)
+}
+
+function setWorker (state: CellState, known: SchedulerWorker): void {
+  const worker = state.workers.getWorker(known.id)
+  if (worker.known && isUnchanged(worker.known, known)) return
+  updateWorkerKnown(state, worker, known)
+}
+
+function isUnchanged (a: SchedulerWorker, b: SchedulerWorker): boolean {
+  return a.schedulable === b.schedulable && a.pool === b.pool && a.failureDomain === b.failureDomain && a.rack === b.rack &&
+    isEqual(createCapacity(a.capacity), createCapacity(b.capacity))
+}
+
+function removeWorker (state: CellState, id: string): void {
+  const worker = state.workers.findWorker(id)
+  if (!worker) return
+  updateWorkerKnown(state, worker, undefined)
+  state.quarantined.delete(worker)
+  if (worker.attempts.size === 0 && worker.reservations.size === 0) state.workers.dropWorker(worker)
+}
+
+/** Replaces what is known of a worker; the cell's capacity follows. */
+function updateWorkerKnown (state: CellState, worker: WorkerEntry, known: SchedulerWorker | undefined): void {
+  const before = worker.capacity
+  const placeBefore = formatPlace(worker)
+  if (placeBefore !== undefined) updateSpreadOf(worker, -1)
+  updateKnown(worker, known)
+  if (known) updateSpreadOf(worker, 1)
+  if (!isEqual(before, worker.capacity) || placeBefore !== formatPlace(worker)) {
+    state.teams.updateAll()
+    addAmounts(state.teams.capacity, before, -1)
+    addAmounts(state.teams.capacity, worker.capacity, 1)
+    state.teams.updateAll()
+    state.workersVersion += 1
+  }
+  state.workers.updateWorker(worker, true)
+}
+
+function formatPlace (worker: WorkerEntry): string | undefined {
+  return worker.known && `${worker.known.pool}\n${worker.known.failureDomain}\n${worker.known.rack}`
+}
+
+function updateSpreadOf (worker: WorkerEntry, count: 1 | -1): void {
+  for (const task of worker.attempts) updateSpread(task.job, worker, count)
+}
+
+function isEqual (a: Amounts, b: Amounts): boolean {
+  return a.processors === b.processors && a.memoryMb === b.memoryMb && a.accelerators === b.accelerators
+}
+
+function addJob (state: CellState, id: string, row: JobRow, jobState: JobStateRow | undefined): void {
+  if (state.jobs.has(id)) return
+  const shape = getShape(state, row.spec.resources, row.spec.pool)
+  const team = state.teams.getTeam(row.team)
+  const job = createJobEntry(id, row, team, shape)
+  shape.users += 1
+  state.jobs.set(id, job)
+  if (team.waitingTasks === 0 && isIdle(team.running)) state.teams.updateForfeit(team)
+  if (jobState) job.phase = jobState.phase
+  for (const task of job.tasks) restoreTask(state, task, jobState?.tasks[task.index])
+  if (row.spec.kind === 'gang' && job.live > 0 && job.queued.length > 0) stopGang(state, job, 'preempted')
+  updateJobPhase(state, job)
+}
+
+function restoreTask (state: CellState, task: TaskEntry, restored: TaskState | undefined): void {
+  if (restored) {
+    task.phase = restored.phase
+    task.attempt = restored.attempt
+    task.failures = restored.failures
+    task.lastWorker = restored.worker
+    task.reason = restored.reason
+  }
+  const { job } = task
+  if (task.phase === 'queued') queueTask(state, task, task.reason)
+  else if (task.phase === 'completed') job.completed += 1
+  else if (task.phase === 'failed') job.failed += 1
+  else if (task.phase !== 'cancelled') restoreAttempt(state, task)
+}
+
+function restoreAttempt (state: CellState, task: TaskEntry): void {
+  task.checkpoint = task.phase === 'stopping' && task.reason !== 'cancelled' && task.job.row.spec.checkpointable
+  addAttempt(state, task, state.workers.getWorker(task.lastWorker ?? ''))
+}
+
+function isIdle (running: Amounts): boolean {
+  return isEqual(running, createAmounts())
+}
+
+function listDesired (state: CellState, id: string): DesiredAttempts {
+  const run: { id: AttemptId, job: JobRow }[] = []
+  const end: { id: AttemptId, checkpoint: boolean }[] = []
+  for (const task of state.workers.findWorker(id)?.attempts ?? []) {
+    const attempt = { job: task.job.id, task: task.index, attempt: task.attempt }
+    if (task.phase === 'assigned') run.push({ id: attempt, job: task.job.row })
+    else end.push({ id: attempt, checkpoint: task.checkpoint })
+  }
+  return { run, end }
+}
+
+function forgetJob (state: CellState, id: string): void {
+  const job: JobEntry | undefined = state.jobs.get(id)
+  if (!job || !isFinal(job.phase)) return
+  state.jobs.delete(id)
+  state.changedJobs.delete(id)
+  job.shape.users -= 1
+  if (job.shape.users === 0) state.shapes.delete(job.shape.key)
+}
--- /dev/null
+++ b/packages/core/src/job/decideTasks.ts
@@ -0,0 +1,65 @@
+/** One round of decisions: takes in what changed and starts what can start. */
+import { addAmounts, hasRoom } from '../vm/amounts.js'
+import type { WorkerEntry } from '../vm/workerEntry.js'
+import { stopQuarantine } from '../vm/workerHealth.js'
+import type { CellState } from './cellState.js'
+import { grantReservation } from './grants.js'
+import { releaseReservation } from './reservation.js'
+import { startLane, startReserved, updateUrgentReservations } from './starts.js'
+import { chooseLane } from './turns.js'
+
+/** Takes decisions until nothing more can start or the outbox holds `maxDecisions`. */
+export function decideTasks (state: CellState, maxDecisions: number): void {
+  releaseQuarantined(state)
+  releaseUnfit(state)
+  updateUrgentReservations(state)
+  applyGrown(state)
+  startReserved(state)
+  startAll(state, true, maxDecisions)
+  startAll(state, false, maxDecisions)
+  grantReservation(state)
+}
+
+function startAll (state: CellState, urgent: boolean, maxDecisions: number): void {
+  while (state.outbox.length < maxDecisions) {
+    const lane = chooseLane(state, urgent)
+    if (!lane) return
+    startLane(state, lane)
+  }
+}
+
+function releaseQuarantined (state: CellState): void {
+  for (const worker of state.quarantined) {
+    if (!stopQuarantine(worker.health, state.nowMs)) continue
+    state.quarantined.delete(worker)
+    state.workers.updateWorker(worker, true)
+  }
+}
+
+/** Gives up reservations on workers that take no tasks any longer; their lanes plan again. */
+function releaseUnfit (state: CellState): void {
+  for (const worker of state.workers.takeUnfit()) {
+    for (const reservation of [...worker.reservations.keys()]) releaseReservation(state, reservation)
+    if (!worker.known && worker.attempts.size === 0) state.workers.dropWorker(worker)
+  }
+}
+
+/** Lets shapes be tried again that may find room on workers that freed some. */
+function applyGrown (state: CellState): void {
+  state.changes += 1
+  const grown = state.workers.takeGrown()
+  for (const worker of grown) {
+    if (worker.reservations.size > 0) state.reservationsVersion += 1
+    else unblockShapes(state, worker)
+  }
+}
+
+function unblockShapes (state: CellState, worker: WorkerEntry): void {
+  const room = { ...worker.free }
+  addAmounts(room, worker.held, -1)
+  for (const shape of state.shapes.values()) {
+    if (!shape.blocked) continue
+    if (shape.pool !== undefined && shape.pool !== worker.known?.pool) continue
+    if (hasRoom(room, shape.need)) shape.blocked = false
+  }
+}
--- /dev/null
+++ b/packages/core/src/job/explanation.ts
@@ -0,0 +1,75 @@
+/** Says why a job waits or where it runs. */
+import { findLackingComponent } from '../vm/amounts.js'
+import { hasCapacityFor } from '../vm/workerPool.js'
+import type { JobExplanation } from './cellScheduler.js'
+import type { CellState } from './cellState.js'
+import { isFinal, type JobEntry } from './jobEntry.js'
+import { isBefore } from './lane.js'
+
+/** Explains one job. */
+export function explain (state: CellState, job: JobEntry): JobExplanation {
+  const waiting = isFinal(job.phase) ? undefined : findWaitingReason(state, job)
+  const position = job.lane ? countEarlier(job) + 1 : undefined
+  return {
+    summary: summarize(job, waiting),
+    ...(position === undefined ? {} : { queuePosition: position }),
+    tasks: job.tasks.map((task) => ({
+      task: task.index,
+      phase: task.phase,
+      ...(task.worker ? { worker: task.worker.id } : {}),
+      reason: task.reason ?? describePhase(task.phase, waiting)
+    }))
+  }
+}
+
+function summarize (job: JobEntry, waiting: string | undefined): string {
+  const counts = `${job.completed} completed, ${job.live} on workers, ${job.queued.length} queued of ${job.tasks.length} tasks`
+  if (job.ending) return `${job.phase}: ${job.ending.reason}; ${counts}`
+  return waiting ? `${job.phase}: ${counts}; ${waiting}` : `${job.phase}: ${counts}`
+}
+
+function describePhase (phase: string, waiting: string | undefined): string {
+  if (phase === 'queued') return waiting ?? 'waits for its turn'
+  return phase === 'assigned' ? 'assigned' : phase
+}
+
+/** Why the job's queued tasks wait; `undefined` when none do. */
+function findWaitingReason (state: CellState, job: JobEntry): string | undefined {
+  if (job.queued.length === 0) return undefined
+  const { team, shape, lane } = job
+  if (team.weight === 0) return `team ${team.name} is not in the manifest`
+  const lacking = findLackingComponent({
+    processors: team.ceiling.processors - team.running.processors,
+    memoryMb: team.ceiling.memoryMb - team.running.memoryMb,
+    accelerators: team.ceiling.accelerators - team.running.accelerators
+  }, shape.need)
+  if (lacking) return `team ${team.name} is at its ceiling of ${lacking}`
+  const holders = countHolders(state, job)
+  if (holders === 0) return 'no present worker could hold a task even if it were empty; waits for such a worker'
+  if (job.reservations.size > 0) return `room is reserved on ${countReserved(job)} workers and coming free`
+  if (lane?.gang && job.live > 0) return 'members stop before the gang starts again as a whole'
+  if (lane?.gang) return `no room for all ${job.queued.length} members at once`
+  if (shape.blocked) return `no worker has room now; ${holders} workers could hold a task`
+  return 'waits for its turn by the shares of the teams'
+}
+
+function countHolders (state: CellState, job: JobEntry): number {
+  let holders = 0
+  for (const worker of state.workers.listWorkers()) holders += hasCapacityFor(worker, job.shape) ? 1 : 0
+  return holders
+}
+
+function countReserved (job: JobEntry): number {
+  let workers = 0
+  for (const reservation of job.reservations) workers += reservation.workers.size
+  return workers
+}
+
+/** Jobs of the team that were accepted earlier and still have queued tasks. */
+function countEarlier (job: JobEntry): number {
+  let earlier = 0
+  for (const lane of job.team.lanes.values()) {
+    for (const other of lane.jobs) earlier += other !== job && isBefore(other, job) ? 1 : 0
+  }
+  return earlier
+}
--- /dev/null
+++ b/packages/core/src/job/grants.ts
@@ -0,0 +1,58 @@
+/** Grants reservations to lanes that have waited long for room, so that nothing feasible waits for ever. */
+import { computeTeamOrder, hasCeilingRoom } from '../team/teamEntry.js'
+import type { CellState } from './cellState.js'
+import type { Lane } from './lane.js'
+import { addReservation, buildReservationPlan } from './reservation.js'
+
+const GRANT_INTERVAL_MS = 1000
+/** Reservations of normal work held at once. */
+const MAX_RESERVATIONS = 8
+/** Wait for room after which a gang gets a reservation. */
+const GANG_WAIT_MS = 5000
+/** Wait for room after which a single task gets a reservation. */
+const SINGLE_WAIT_MS = 60_000
+/** Wait after which lanes go by age alone. */
+const OVERDUE_WAIT_MS = 30 * 60_000
+
+/** Grants at most one reservation, at a fixed interval. */
+export function grantReservation (state: CellState): void {
+  if (state.nowMs < state.nextGrantMs) return
+  state.nextGrantMs = state.nowMs + GRANT_INTERVAL_MS
+  let granted = 0
+  for (const reservation of state.reservations) granted += reservation.urgent ? 0 : 1
+  if (granted >= MAX_RESERVATIONS) return
+  const lane = chooseWaitingLane(state)
+  if (!lane) return
+  const job = lane.jobs[0]!
+  const plan = buildReservationPlan(state, job, lane.gang ? job.queued.length : 1)
+  if (plan) addReservation(state, job, plan, false)
+  else lane.blockedSinceMs = state.nowMs
+}
+
+/** Lanes that waited longest go first once overdue, else those of the team furthest behind. */
+function chooseWaitingLane (state: CellState): Lane | undefined {
+  let best: Lane | undefined
+  let bestRank = Infinity
+  for (const team of state.teams.listTeams()) {
+    if (team.waitingTasks === 0 || team.weight === 0) continue
+    const order = computeTeamOrder(team, state.nowMs)
+    for (const lane of team.lanes.values()) {
+      if (!isWaitingForRoom(state, lane)) continue
+      const waitedMs = state.nowMs - lane.blockedSinceMs
+      const rank = waitedMs > OVERDUE_WAIT_MS ? -waitedMs : order
+      if (rank >= bestRank) continue
+      best = lane
+      bestRank = rank
+    }
+  }
+  return best
+}
+
+function isWaitingForRoom (state: CellState, lane: Lane): boolean {
+  if (lane.urgent || lane.jobs[0]!.reservations.size > 0) return false
+  const waitMs = lane.gang ? GANG_WAIT_MS : SINGLE_WAIT_MS
+  if (state.nowMs - lane.blockedSinceMs < waitMs) return false
+  const job = lane.jobs[0]!
+  if (lane.gang && job.live > 0) return false
+  return hasCeilingRoom(lane.team, lane.shape.need, lane.gang ? job.queued.length : 1)
+}
--- /dev/null
+++ b/packages/core/src/job/neverFits.ts
@@ -0,0 +1,72 @@
+/** Tells jobs that no worker could ever hold, at submission. */
+import type { JobSpec } from '../schema/job.js'
+import { countFits, createAmounts, createCapacity, createNeed, findLackingComponent, type Amounts } from '../vm/amounts.js'
+import type { SchedulerWorker } from './cellScheduler.js'
+
+/** Why a job can never run on the present workers. */
+export interface NeverFits {
+  /** What lacks: a resource of one task, the pool, or room for all members of a gang at once. */
+  readonly resource: 'processors' | 'memoryMb' | 'accelerators' | 'pool' | 'gang'
+  readonly message: string
+}
+
+/** Finds what makes a job impossible even if the whole cell were empty; `undefined` if it could run. */
+export function findNeverFits (spec: JobSpec, workers: readonly SchedulerWorker[]): NeverFits | undefined {
+  if (workers.length === 0) return undefined
+  const pool = workers.filter((worker) => spec.pool === undefined || worker.pool === spec.pool)
+  if (pool.length === 0) {
+    return { resource: 'pool', message: `no worker is in pool ${spec.pool}; name one of ${listPools(workers)}` }
+  }
+  const need = createNeed(spec.resources)
+  let members = 0
+  const largest = createAmounts()
+  for (const worker of pool) {
+    const capacity = createCapacity(worker.capacity)
+    members += countFits(capacity, need, spec.taskCount)
+    updateLargest(largest, capacity)
+  }
+  if (members === 0) return describeTask(largest, need, pool)
+  if (spec.kind === 'gang' && members < spec.taskCount) {
+    const message = `the gang has ${spec.taskCount} tasks, but empty workers hold at most ${members} of them at once; lower taskCount`
+    return { resource: 'gang', message }
+  }
+  return undefined
+}
+
+function describeTask (largest: Amounts, need: Amounts, pool: readonly SchedulerWorker[]): NeverFits {
+  const resource = findLackingComponent(largest, need)
+  if (resource) {
+    const message = `a task needs ${describe(resource, need)}, the largest worker offers ${describe(resource, largest)}`
+    return { resource, message: `${message}; lower resources.${resource}` }
+  }
+  const closest = findClosest(need, pool)
+  const message = `no single worker offers all that a task needs; the closest lacks ${closest}, lower resources.${closest}`
+  return { resource: closest, message }
+}
+
+/** The component that is missing at the worker with the most of what the others miss. */
+function findClosest (need: Amounts, pool: readonly SchedulerWorker[]): keyof Amounts {
+  const lacking = { processors: 0, memoryMb: 0, accelerators: 0 }
+  for (const worker of pool) lacking[findLackingComponent(createCapacity(worker.capacity), need)!] += 1
+  let closest: keyof Amounts = 'processors'
+  for (const component of ['memoryMb', 'accelerators'] as const) {
+    if (lacking[component] > 0 && (lacking[closest] === 0 || lacking[component] < lacking[closest])) closest = component
+  }
+  return closest
+}
+
+function updateLargest (largest: Amounts, capacity: Amounts): void {
+  largest.processors = Math.max(largest.processors, capacity.processors)
+  largest.memoryMb = Math.max(largest.memoryMb, capacity.memoryMb)
+  largest.accelerators = Math.max(largest.accelerators, capacity.accelerators)
+}
+
+function describe (resource: keyof Amounts, amounts: Amounts): string {
+  if (resource === 'processors') return `${amounts.processors / 1000} processors`
+  if (resource === 'memoryMb') return `${amounts.memoryMb} MiB of memory`
+  return `${amounts.accelerators} accelerators`
+}
+
+function listPools (workers: readonly SchedulerWorker[]): string {
+  return [...new Set(workers.map((worker) => worker.pool))].sort().join(', ')
+}
--- /dev/null
+++ b/packages/core/src/job/reservation.ts
@@ -0,0 +1,122 @@
+/** Room held on workers for tasks that could not be placed: gangs, large tasks and urgent work. */
+import { addAmounts, countFits, hasRoom, type Amounts } from '../vm/amounts.js'
+import type { WorkerEntry } from '../vm/workerEntry.js'
+import { hasCapacityFor, isEligible } from '../vm/workerPool.js'
+import type { CellState } from './cellState.js'
+import type { JobEntry, TaskEntry } from './jobEntry.js'
+
+/** A claim of one job on room that others still use. */
+export interface Reservation {
+  readonly job: JobEntry
+  readonly urgent: boolean
+  /** Tasks planned for each worker. */
+  readonly workers: ReadonlyMap<WorkerEntry, number>
+  /** Monotonic time at which the room should be free; no backfill may be expected to run beyond it. */
+  readonly freeAtMs: number
+  readonly grantedMs: number
+  /** Monotonic time before which placement elsewhere is not tried again. */
+  retryAtMs: number
+}
+
+/** A planned set of workers. */
+export interface ReservationPlan {
+  readonly workers: Map<WorkerEntry, number>
+  readonly freeAtMs: number
+}
+
+/** Time that a stopping attempt is expected to take, in milliseconds. */
+const STOPPING_MS = 1000
+/** Part of its run so far that an attempt beyond its estimate is expected to go on for. */
+const OVERDUE_PART = 0.25
+
+/** Holds the planned room. */
+export function addReservation (
+  state: CellState, job: JobEntry, plan: ReservationPlan, urgent: boolean
+): Reservation {
+  const reservation: Reservation = {
+    job,
+    urgent,
+    workers: plan.workers,
+    freeAtMs: plan.freeAtMs,
+    grantedMs: state.nowMs,
+    retryAtMs: state.nowMs
+  }
+  state.reservations.add(reservation)
+  job.reservations.add(reservation)
+  for (const [worker, count] of plan.workers) {
+    worker.reservations.set(reservation, count)
+    addAmounts(worker.held, job.shape.need, count)
+    state.workers.updateWorker(worker, false)
+  }
+  state.reservationsVersion += 1
+  return reservation
+}
+
+/** Gives the held room back. */
+export function releaseReservation (state: CellState, reservation: Reservation): void {
+  if (!state.reservations.delete(reservation)) return
+  reservation.job.reservations.delete(reservation)
+  for (const [worker, count] of reservation.workers) {
+    worker.reservations.delete(reservation)
+    addAmounts(worker.held, reservation.job.shape.need, -count)
+    state.workers.updateWorker(worker, true)
+  }
+  state.reservationsVersion += 1
+}
+
+/** Gives back all that is held for a job. */
+export function releaseReservations (state: CellState, job: JobEntry): void {
+  for (const reservation of [...job.reservations]) releaseReservation(state, reservation)
+}
+
+/** Tells whether all held room is free. */
+export function isReady (reservation: Reservation): boolean {
+  const { need } = reservation.job.shape
+  for (const [worker, count] of reservation.workers) {
+    if (!isEligible(worker) || !hasRoom(worker.free, need, count)) return false
+  }
+  return true
+}
+
+/**
+ * Plans where `count` tasks of a job will find room first if nothing else starts there.
+ *
+ * @returns `undefined` if long-running work would have to end first
+ */
+export function buildReservationPlan (state: CellState, job: JobEntry, count: number): ReservationPlan | undefined {
+  const openings: { atMs: number, worker: WorkerEntry }[] = []
+  for (const worker of state.workers.listWorkers()) {
+    if (worker.reservations.size > 0 || !isEligible(worker) || !hasCapacityFor(worker, job.shape)) continue
+    for (const atMs of listOpenings(state, worker, job.shape.need, count)) openings.push({ atMs, worker })
+  }
+  if (openings.length < count) return undefined
+  openings.sort((a, b) => a.atMs - b.atMs)
+  const workers = new Map<WorkerEntry, number>()
+  for (const { worker } of openings.slice(0, count)) workers.set(worker, (workers.get(worker) ?? 0) + 1)
+  return { workers, freeAtMs: openings[count - 1]!.atMs }
+}
+
+/** Times at which one more task of `need` fits onto the worker, at most `limit`. */
+function listOpenings (state: CellState, worker: WorkerEntry, need: Amounts, limit: number): number[] {
+  const room = { ...worker.free }
+  const openings: number[] = new Array(countFits(room, need, limit)).fill(state.nowMs)
+  if (openings.length === limit) return openings
+  const ends = [...worker.attempts].map((task) => ({ task, endMs: estimateEnd(state, task) }))
+  ends.sort((a, b) => a.endMs - b.endMs)
+  for (const { task, endMs } of ends) {
+    if (endMs === Infinity) break
+    addAmounts(room, task.job.shape.need, 1)
+    const fits = countFits(room, need, limit)
+    while (openings.length < fits) openings.push(endMs)
+    if (openings.length === limit) break
+  }
+  return openings
+}
+
+/** Estimates when an attempt ends, as monotonic time. */
+export function estimateEnd (state: CellState, task: TaskEntry): number {
+  if (task.phase === 'stopping') return state.nowMs + STOPPING_MS
+  const ranMs = state.nowMs - task.startedMs
+  const leftMs = state.estimates.estimateRunTime(task.job) - ranMs
+  return state.nowMs + Math.max(leftMs, ranMs * OVERDUE_PART)
+}
--- /dev/null
+++ b/packages/core/src/job/starts.ts
@@ -0,0 +1,158 @@
+/** Starts what a lane has waiting: single tasks, urgent tasks and gangs. */
+import { hasCeilingRoom } from '../team/teamEntry.js'
+import { addAmounts, countFits } from '../vm/amounts.js'
+import type { WorkerEntry } from '../vm/workerEntry.js'
+import { startAttempt } from './attempts.js'
+import type { CellState } from './cellState.js'
+import type { JobEntry, TaskEntry } from './jobEntry.js'
+import type { Lane } from './lane.js'
+import { chooseBackfill, chooseOpenWorker, type Placement } from './placement.js'
+import { reserveByPreemption, reserveGangByPreemption } from './preemption.js'
+import { isReady, releaseReservation, releaseReservations, type Reservation } from './reservation.js'
+import { checkCeiling, findUnreserved } from './turns.js'
+
+const GANG_RETRY_MS = 500
+const URGENT_RETRY_MS = 250
+/** An urgent task's room that is not free by then is sought elsewhere. */
+const URGENT_REPLAN_MS = 1500
+
+/** Starts the lane's next task or gang, or notes why it has to wait. */
+export function startLane (state: CellState, lane: Lane): void {
+  if (lane.gang) startGang(state, lane)
+  else if (lane.urgent) startUrgent(state, lane)
+  else startSingle(state, lane)
+}
+
+function startSingle (state: CellState, lane: Lane): void {
+  const job = lane.jobs[0]!
+  if (!checkCeiling(lane, 1)) return
+  const placement = choosePlacement(state, lane, job)
+  if (!placement) {
+    lane.blockedSinceMs = Math.min(lane.blockedSinceMs, state.nowMs)
+    return
+  }
+  lane.blockedSinceMs = Infinity
+  startPlaced(state, getNextTask(job), placement)
+}
+
+function choosePlacement (state: CellState, lane: Lane, job: JobEntry): Placement | undefined {
+  const { shape } = lane
+  const placement = shape.blocked ? undefined : chooseOpenWorker(state, job)
+  if (placement) return placement
+  shape.blocked = true
+  const backfill = state.reservations.size > 0 ? chooseBackfill(state, job) : undefined
+  if (!backfill) lane.backfillTriedAt = state.reservationsVersion
+  return backfill
+}
+
+function startUrgent (state: CellState, lane: Lane): void {
+  const job = findUnreserved(lane)!
+  if (!checkCeiling(lane, 1 + job.reservations.size)) return
+  const placement = chooseOpenWorker(state, job) ?? chooseBackfill(state, job)
+  if (placement) startPlaced(state, getNextTask(job), placement)
+  else if (!reserveByPreemption(state, job, undefined)) lane.retryAtMs = state.nowMs + URGENT_RETRY_MS
+}
+
+function startGang (state: CellState, lane: Lane): void {
+  const job = lane.jobs[0]!
+  if (!checkCeiling(lane, job.queued.length)) return
+  const workers = chooseGangWorkers(state, job)
+  if (workers) {
+    lane.blockedSinceMs = Infinity
+    releaseReservations(state, job)
+    startMembers(state, job, workers, 'room for all members at once')
+    return
+  }
+  lane.blockedSinceMs = Math.min(lane.blockedSinceMs, state.nowMs)
+  lane.retryAtMs = state.nowMs + GANG_RETRY_MS
+  if (lane.urgent && job.reservations.size === 0) reserveGangByPreemption(state, job)
+}
+
+/** One worker for each queued member, or `undefined`; nothing stays charged. */
+function chooseGangWorkers (state: CellState, job: JobEntry): WorkerEntry[] | undefined {
+  if (countRoom(state, job) < job.queued.length) return undefined
+  const chosen: WorkerEntry[] = []
+  while (chosen.length < job.queued.length) {
+    const placement = chooseOpenWorker(state, job) ?? chooseBackfill(state, job)
+    if (!placement) break
+    addAmounts(placement.worker.free, job.shape.need, -1)
+    state.workers.updateWorker(placement.worker, false)
+    chosen.push(placement.worker)
+  }
+  for (const worker of chosen) {
+    addAmounts(worker.free, job.shape.need, 1)
+    state.workers.updateWorker(worker, false)
+  }
+  return chosen.length === job.queued.length ? chosen : undefined
+}
+
+/** Upper bound of the members that fit now, counted no further than needed. */
+function countRoom (state: CellState, job: JobEntry): number {
+  const { need, pool } = job.shape
+  const wanted = job.queued.length
+  let room = 0
+  for (const index of [state.workers.open, state.workers.reserved]) {
+    for (const partition of index.listPartitions()) {
+      if (room >= wanted) return room
+      if (pool !== undefined && partition.pool !== pool) continue
+      index.findCandidates(partition, need, (worker) => {
+        room += countFits(worker.free, need, wanted)
+        return room >= wanted
+      })
+    }
+  }
+  return room
+}
+
+function startPlaced (state: CellState, task: TaskEntry, placement: Placement): void {
+  startAttempt(state, task, placement.worker, placement.reason, placement.losers)
+}
+
+function startMembers (state: CellState, job: JobEntry, workers: readonly WorkerEntry[], reason: string): void {
+  for (const worker of workers) startAttempt(state, getNextTask(job), worker, reason, [])
+}
+
+function getNextTask (job: JobEntry): TaskEntry {
+  return job.tasks[job.queued.at(-1)!]!
+}
+
+/** Starts what reserved room has come free for. */
+export function startReserved (state: CellState): void {
+  for (const reservation of [...state.reservations]) {
+    const { job } = reservation
+    const count = countPlanned(reservation)
+    if (job.row.spec.kind === 'gang' && (count !== job.queued.length || job.live > 0)) {
+      releaseReservation(state, reservation)
+      continue
+    }
+    if (!isReady(reservation) || !hasCeilingRoom(job.team, job.shape.need, count)) continue
+    releaseReservation(state, reservation)
+    startMembers(state, job, listPlanned(reservation), 'reserved room is free')
+    if (job.lane) job.lane.blockedSinceMs = Infinity
+  }
+}
+
+function countPlanned (reservation: Reservation): number {
+  let count = 0
+  for (const planned of reservation.workers.values()) count += planned
+  return count
+}
+
+function listPlanned (reservation: Reservation): WorkerEntry[] {
+  const planned: WorkerEntry[] = []
+  for (const [worker, count] of reservation.workers) {
+    for (let member = 0; member < count; member++) planned.push(worker)
+  }
+  return planned
+}
+
+/** Seeks other room for urgent tasks whose victims do not stop in time. */
+export function updateUrgentReservations (state: CellState): void {
+  for (const reservation of [...state.reservations]) {
+    if (!reservation.urgent || state.nowMs - reservation.grantedMs < URGENT_REPLAN_MS) continue
+    if (reservation.job.row.spec.kind === 'gang') continue
+    const [worker] = reservation.workers.keys()
+    releaseReservation(state, reservation)
+    reserveByPreemption(state, reservation.job, worker)
+  }
+}
