Requests from ingress to endpoint and back, thin

Tickets make duplicates meet in one incarnation's memory; a replaced link is followed by a question for the outcome (ForwardQuery, new in the link's messages) and never by the request itself. ExchangeResult 'broken' may be final, and sendExchange takes the endpoint's connection limit. No tests yet.

--- a/packages/core/src/schema/linkMessage.ts
+++ b/packages/core/src/schema/linkMessage.ts
@@ -66,6 +66,12 @@
   outcome: RequestOutcome
 })
 
+/**
+ * Asks the receiver for the outcome of an exchange after the link was replaced; a request that never
+ * arrived is barred from running and answered as `notRun`.
+ */
+export const ForwardQuery = Schema.Struct({ type: Schema.Literal('forwardQuery'), exchange: Schema.String })
+
 /** Tells the receiver that nobody waits for the exchange any longer. */
 export const ForwardCancel = Schema.Struct({ type: Schema.Literal('forwardCancel'), exchange: Schema.String })
 
@@ -132,7 +138,7 @@
 
 /** Every message that a link carries. */
 export const LinkMessage = Schema.Union([
-  Hello, Heartbeat, ConfigPull, ConfigPush, ForwardRequest, TicketRequest, ForwardReply, ForwardCancel,
+  Hello, Heartbeat, ConfigPull, ConfigPush, ForwardRequest, TicketRequest, ForwardReply, ForwardQuery, ForwardCancel,
   WorkerDesired, WorkerObserved, JobsChanged
 ])
 export type LinkMessage = typeof LinkMessage.Type
--- /dev/null
+++ b/packages/entry/src/contract/allotmentTask.ts
@@ -0,0 +1,250 @@
+/** Keeps this entry's parts of the teams' ceilings in step with the table. */
+import {
+  AllotmentRow, createAllotment, createDecoder, createDisposableStore, startInterval,
+  type Allotment, type AllotmentPlan, type Clock, type ConfigDocument, type Disposable, type EventLog,
+  type Heartbeat, type Random, type Row, type Transaction
+} from '@fuchsiatally/core'
+import type { PlatformClient } from '@fuchsiatally/platform'
+import type { ConfigStore, Sessions } from '../ports.js'
+import { allotmentChanged, allotmentMalformed, allotmentStuck } from '../request/events.js'
+
+/** How often allotments are checked, and how often the rows are read while nobody is starved. */
+const STEP_INTERVAL_MS = 100
+const READ_INTERVAL_MS = 1000
+const STARVED_READ_INTERVAL_MS = 200
+/** How long a peer's demand stands without being renewed. */
+const DEMAND_LIFETIME_MS = 2500
+/** Least time between two gifts to the same peer for one team. */
+const GIVE_INTERVAL_MS = 300
+/** An owner that lost contact sends nothing for longer than this; beside the longest exchange. */
+const CONTACT_ALLOWANCE_MS = 3000
+/** Transactions in flight at once. */
+const MAX_TRANSACTIONS = 8
+
+const ROW_PREFIX = 'allotment/'
+const decodeRow = createDecoder(AllotmentRow)
+
+/** What the task needs. */
+export interface AllotmentTaskOptions {
+  readonly clock: Clock
+  readonly random: Random
+  readonly platform: PlatformClient
+  readonly sessions: Sessions
+  readonly config: ConfigStore
+  readonly log: EventLog
+  /** Whether every worker that the incarnation owned was taken over and fenced, or is gone. */
+  readonly isFenced: (incarnation: string) => boolean
+  /** Requests of the team that only lack allotment. */
+  readonly countStarved: (team: string) => number
+  /** Whether this entry owns any endpoints. */
+  readonly hasEndpoints: () => boolean
+  /** Called when some team may start more than before. */
+  readonly onGrowth: () => void
+}
+
+/** Parts of the ceilings held by this entry. */
+export interface AllotmentTask extends Disposable {
+  charge: (team: string) => boolean
+  release: (team: string) => void
+  countFree: (team: string) => number
+  countPart: (team: string) => number
+  listDemand: () => Heartbeat['allotmentDemand']
+  /** Notes a peer's demand, to be met from what is free here. */
+  recordDemand: (incarnation: string, demand: Heartbeat['allotmentDemand']) => void
+  /** Gives up all parts; for a planned stop, once nothing is in flight. */
+  releaseAll: () => Promise<void>
+}
+
+interface Demand {
+  readonly waiting: number
+  readonly receivedMs: number
+}
+
+interface TeamState {
+  readonly allotment: Allotment
+  readonly demands: Map<string, Demand>
+  readonly gaveMs: Map<string, number>
+  transaction: Transaction | null
+  running: boolean
+}
+
+/** Starts the task. */
+export function createAllotmentTask (options: AllotmentTaskOptions): AllotmentTask {
+  const { clock, sessions, platform, log } = options
+  const incarnation = sessions.incarnation
+  const store = createDisposableStore()
+  const teams = new Map<string, TeamState>()
+  const fencedSince = new Map<string, number>()
+  let readRevision = 0
+  let hasRead = false
+  let readMs = -Infinity
+  let reading = false
+  let inFlight = 0
+  let longestExchangeMs = 0
+  let leaving = false
+
+  const getTeam = (team: string): TeamState => {
+    const known = teams.get(team)
+    if (known !== undefined) return known
+    const state: TeamState = {
+      allotment: createAllotment(incarnation), demands: new Map(), gaveMs: new Map(), transaction: null, running: false
+    }
+    teams.set(team, state)
+    return state
+  }
+
+  const updateDocument = (document: ConfigDocument): void => {
+    for (const team of document.manifest.teams) {
+      getTeam(team.name).allotment.updateCeiling(team.ceiling.requests, document.version)
+    }
+    for (const service of document.manifest.services) longestExchangeMs = Math.max(longestExchangeMs, service.timeoutMs)
+  }
+
+  const updateRow = (row: Row): void => {
+    const team = row.key.slice(ROW_PREFIX.length)
+    const state = getTeam(team)
+    const decoded = row.value === null ? null : decodeRow(row.value)
+    if (decoded?.isErr() === true) return log.record(allotmentMalformed, { team, fault: decoded.error.message })
+    const before = state.allotment.countFree()
+    state.allotment.updateRow(row.version, decoded === null ? null : decoded._unsafeUnwrap())
+    if (state.allotment.countFree() > before) options.onGrowth()
+  }
+
+  const readRows = async (): Promise<void> => {
+    reading = true
+    readMs = clock.nowMs()
+    const read = await platform.read({ keys: [], prefixes: [{ prefix: ROW_PREFIX, sinceRevision: readRevision }] })
+    reading = false
+    if (read.isErr()) return
+    hasRead = true
+    for (const row of read.value.rows) updateRow(row)
+    readRevision = Math.max(readRevision, read.value.revision)
+  }
+
+  /** Incarnations whose last possible exchange has ended. */
+  const listEnded = (allotment: Allotment): string[] => {
+    const nowMs = clock.nowMs()
+    const ended: string[] = []
+    for (const holder of allotment.listHolders()) {
+      if (holder === incarnation || !sessions.isGone(holder) || !options.isFenced(holder)) {
+        fencedSince.delete(holder)
+        continue
+      }
+      const since = fencedSince.get(holder) ?? nowMs
+      fencedSince.set(holder, since)
+      if (nowMs - since >= longestExchangeMs + CONTACT_ALLOWANCE_MS) ended.push(holder)
+    }
+    return ended
+  }
+
+  const countFirstShare = (ceiling: number): number => {
+    const live = sessions.listSessions().filter((session) => !session.expired && !session.leaving).length
+    return Math.ceil(ceiling / Math.max(1, live))
+  }
+
+  const countWanted = (team: string, allotment: Allotment): number => {
+    if (leaving || !options.hasEndpoints()) return 0
+    if (allotment.countPart() > 0) return allotment.countFree() > 0 ? 0 : options.countStarved(team)
+    const ceiling = options.config.readDocument()?.manifest.teams.find((other) => other.name === team)?.ceiling.requests
+    return countFirstShare(ceiling ?? 0)
+  }
+
+  const collectGives = (state: TeamState): { incarnation: string, amount: number }[] => {
+    const gives = []
+    const nowMs = clock.nowMs()
+    const most = Math.ceil(state.allotment.countFree() / 2)
+    for (const [peer, demand] of state.demands) {
+      if (nowMs - demand.receivedMs > DEMAND_LIFETIME_MS || sessions.isGone(peer)) {
+        state.demands.delete(peer)
+        continue
+      }
+      if (nowMs - (state.gaveMs.get(peer) ?? -Infinity) < GIVE_INTERVAL_MS) continue
+      gives.push({ incarnation: peer, amount: Math.min(most, demand.waiting) })
+    }
+    return gives
+  }
+
+  const createTransaction = (team: string, plan: AllotmentPlan): Transaction => {
+    const key = ROW_PREFIX + team
+    return {
+      writeId: options.random.nextId(),
+      checks: [{ key, version: plan.checkVersion }],
+      writes: [{ key, value: plan.row }]
+    }
+  }
+
+  /** Sends the team's transaction; an unsettled one is sent again by a later step. */
+  const runTransaction = async (team: string, state: TeamState, transaction: Transaction): Promise<void> => {
+    state.running = true
+    inFlight += 1
+    const result = await platform.transact(transaction)
+    inFlight -= 1
+    state.running = false
+    if (result.isErr()) return log.record(allotmentStuck, { team, reason: result.error.kind })
+    state.transaction = null
+    for (const row of result.value.rows) updateRow(row)
+    if (result.value.kind === 'conflict') return state.allotment.cancelPlan()
+    log.record(allotmentChanged, { team, part: state.allotment.countPart(), inUse: state.allotment.countInUse() })
+  }
+
+  const decideTransaction = (team: string, state: TeamState): Transaction | null => {
+    if (state.transaction !== null) return state.transaction
+    const gives = collectGives(state)
+    const wanted = countWanted(team, state.allotment)
+    const plan = state.allotment.decidePlan({ wanted, gives, ended: listEnded(state.allotment) })
+    if (plan === undefined) return null
+    for (const give of gives) state.gaveMs.set(give.incarnation, clock.nowMs())
+    state.transaction = createTransaction(team, plan)
+    return state.transaction
+  }
+
+  const step = (): void => {
+    let starved = false
+    for (const [team, state] of teams) {
+      if (state.allotment.countFree() === 0 && options.countStarved(team) > 0) starved = true
+      if (state.running || inFlight >= MAX_TRANSACTIONS || !hasRead) continue
+      const transaction = decideTransaction(team, state)
+      if (transaction !== null) runTransaction(team, state, transaction)
+    }
+    const intervalMs = starved ? STARVED_READ_INTERVAL_MS : READ_INTERVAL_MS
+    if (!reading && clock.nowMs() - readMs >= intervalMs) readRows()
+  }
+
+  const releaseTeam = async (team: string, state: TeamState): Promise<void> => {
+    if (state.transaction !== null || state.running) return
+    const plan = state.allotment.decideLeave()
+    if (plan === undefined) return
+    state.transaction = createTransaction(team, plan)
+    await runTransaction(team, state, state.transaction)
+  }
+
+  const document = options.config.readDocument()
+  if (document !== null) updateDocument(document)
+  store.add(options.config.onChange(updateDocument))
+  store.add(startInterval(clock, options.random, STEP_INTERVAL_MS, 0.2, step))
+
+  return {
+    charge: (team) => teams.get(team)?.allotment.charge() ?? false,
+    release: (team) => { getTeam(team).allotment.release() },
+    countFree: (team) => teams.get(team)?.allotment.countFree() ?? 0,
+    countPart: (team) => teams.get(team)?.allotment.countPart() ?? 0,
+    listDemand: () => {
+      const demand = []
+      for (const [team, state] of teams) {
+        const waiting = state.allotment.countFree() > 0 ? 0 : options.countStarved(team)
+        if (waiting > 0) demand.push({ team, waiting })
+      }
+      return demand
+    },
+    recordDemand: (peer, demand) => {
+      for (const { team, waiting } of demand) {
+        teams.get(team)?.demands.set(peer, { waiting, receivedMs: clock.nowMs() })
+      }
+    },
+    releaseAll: async () => {
+      leaving = true
+      for (const [team, state] of teams) await releaseTeam(team, state)
+    },
+    dispose: store.dispose
+  }
+}
--- a/packages/entry/src/ports.ts
+++ b/packages/entry/src/ports.ts
@@ -56,13 +56,14 @@
   | { readonly kind: 'answered', readonly outcome: Extract<RequestOutcome, { kind: 'completed' }> }
   /** For certain nothing ran: no byte left, or the endpoint refused (HTTP 503 with `Fuchsiatally-Refused: 1`). */
   | { readonly kind: 'refused', readonly reason: string }
-  /** The exchange broke after a byte may have left. */
-  | { readonly kind: 'broken', readonly reason: string }
+  /** The exchange broke after a byte may have left; `final` if another try would end the same way. */
+  | { readonly kind: 'broken', readonly reason: string, readonly final?: boolean }
 
 /** Sends exchanges to endpoints over pooled connections. */
 export interface EndpointClient extends Disposable {
+  /** @param maxConnections connections that the endpoint accepts */
   sendExchange: (
-    address: string, request: ServiceRequest, timeoutMs: number, maxBodyBytes: number
+    address: string, request: ServiceRequest, timeoutMs: number, maxBodyBytes: number, maxConnections: number
   ) => Promise<ExchangeResult>
 }
 
--- /dev/null
+++ b/packages/entry/src/request/forwarder.ts
@@ -0,0 +1,115 @@
+/** The ingress's side of forwarded requests: exchanges over links that are answered at most once each. */
+import {
+  createDisposableStore, startInterval,
+  type Clock, type Disposable, type EventLog, type Random, type RequestOutcome, type ServiceRequest
+} from '@fuchsiatally/core'
+import type { Peer, PeerMesh, Sessions } from '../ports.js'
+import { FORWARD_MARGIN_MS, FORWARD_MARGIN_PART, OWNER_CHECK_INTERVAL_MS } from './constants.js'
+import { lateReplyDropped } from './events.js'
+import { createNotRun, createUnknown } from './outcome.js'
+
+/** What the forwarder needs. */
+export interface ForwarderOptions {
+  readonly clock: Clock
+  readonly random: Random
+  readonly mesh: PeerMesh
+  readonly sessions: Sessions
+  readonly log: EventLog
+}
+
+/** Forwards requests to peers. */
+export interface Forwarder extends Disposable {
+  /**
+   * Sends a request to its owner, or to the home of its ticket, and waits for the outcome until the deadline.
+   *
+   * @param signal gives the request up when the caller is gone
+   */
+  sendRequest: (
+    incarnation: string, request: ServiceRequest, ticket: string | undefined, deadlineMs: number, signal?: AbortSignal
+  ) => Promise<RequestOutcome>
+  countOpen: () => number
+}
+
+interface Pending {
+  readonly incarnation: string
+  readonly request: ServiceRequest
+  readonly ticket: string | undefined
+  readonly deadlineMs: number
+  readonly finish: (outcome: RequestOutcome) => void
+}
+
+/** Starts the forwarder; it takes the messages `forwardReply`. */
+export function createForwarder (options: ForwarderOptions): Forwarder {
+  const { clock, mesh, sessions } = options
+  const store = createDisposableStore()
+  const pending = new Map<string, Pending>()
+  let sequence = 0
+
+  const sendPending = (exchange: string, item: Pending): boolean => {
+    const leftMs = item.deadlineMs - clock.nowMs()
+    const marginMs = Math.min(FORWARD_MARGIN_MS, leftMs * FORWARD_MARGIN_PART)
+    const request = { ...item.request, remainingMs: leftMs - marginMs }
+    return mesh.sendMessage(item.incarnation, item.ticket === undefined
+      ? { type: 'forwardRequest', exchange, request }
+      : { type: 'ticketRequest', exchange, ticket: item.ticket, request })
+  }
+
+  /** After a link was replaced: a ticket's request may be sent again, for any other one only the outcome is asked. */
+  const resumePending = (exchange: string, item: Pending): void => {
+    if (item.ticket !== undefined) sendPending(exchange, item)
+    else mesh.sendMessage(item.incarnation, { type: 'forwardQuery', exchange })
+  }
+
+  const resolveGone = (item: Pending): void => {
+    item.finish(createUnknown('the owner of the endpoint went away during the exchange'))
+  }
+
+  const onPeerChange = (peer: Peer, change: 'up' | 'down'): void => {
+    for (const [exchange, item] of [...pending]) {
+      if (item.incarnation !== peer.incarnation) continue
+      if (change === 'up') resumePending(exchange, item)
+      // An idempotent request need not wait for the link: it can run elsewhere.
+      else if (item.request.idempotent && item.ticket === undefined) resolveGone(item)
+    }
+  }
+
+  const checkOwners = (): void => {
+    for (const item of [...pending.values()]) if (sessions.isGone(item.incarnation)) resolveGone(item)
+  }
+
+  const sendRequest: Forwarder['sendRequest'] = async (incarnation, request, ticket, deadlineMs, signal) =>
+    await new Promise((resolve) => {
+      sequence += 1
+      const exchange = String(sequence)
+      const scope = createDisposableStore()
+      const finish = (outcome: RequestOutcome): void => {
+        if (!pending.delete(exchange)) return
+        scope.dispose()
+        resolve(outcome)
+      }
+      const cancel = (outcome: RequestOutcome): void => {
+        mesh.sendMessage(incarnation, { type: 'forwardCancel', exchange })
+        finish(outcome)
+      }
+      const item = { incarnation, request, ticket, deadlineMs, finish }
+      pending.set(exchange, item)
+      if (!sendPending(exchange, item)) return finish(createNotRun('no link to the owner', 0))
+      scope.add(clock.setTimer(Math.max(0, deadlineMs - clock.nowMs()), () => {
+        cancel(createUnknown('no answer from the owner by the deadline'))
+      }))
+      if (signal === undefined) return
+      const onAbort = (): void => cancel(createUnknown('the caller is gone'))
+      signal.addEventListener('abort', onAbort)
+      scope.add({ dispose: () => signal.removeEventListener('abort', onAbort) })
+    })
+
+  mesh.onMessage('forwardReply', (message, from) => {
+    const item = pending.get(message.exchange)
+    if (item?.incarnation === from.incarnation) item.finish(message.outcome)
+    else options.log.record(lateReplyDropped, { from: from.entry, exchange: message.exchange, outcome: message.outcome.kind })
+  })
+  mesh.onPeerChange(onPeerChange)
+  store.add(startInterval(clock, options.random, OWNER_CHECK_INTERVAL_MS, 0.2, checkOwners))
+
+  return { sendRequest, countOpen: () => pending.size, dispose: store.dispose }
+}
--- /dev/null
+++ b/packages/entry/src/request/httpEndpointClient.ts
@@ -0,0 +1,171 @@
+/** Sends exchanges to endpoints over HTTP/1.1; an answer counts only when it arrived whole. */
+import { request as sendHttpRequest, type ClientRequest, type IncomingMessage } from 'node:http'
+import type { Clock, ServiceRequest } from '@fuchsiatally/core'
+import type { EndpointClient, ExchangeResult } from '../ports.js'
+import { CONNECT_TIMEOUT_MS, MAX_IDLE_MS, MAX_IDLE_NON_IDEMPOTENT_MS } from './constants.js'
+import { EndpointAgent } from './endpointAgent.js'
+
+/** What the client needs. */
+export interface HttpEndpointClientOptions {
+  readonly clock: Clock
+  /** Time to open a connection, in milliseconds; default `CONNECT_TIMEOUT_MS`. */
+  readonly connectTimeoutMs?: number
+}
+
+/** Connection-bound headers of an answer that are not relayed. */
+const DROPPED_HEADERS = new Set([
+  'connection', 'content-length', 'keep-alive', 'proxy-authenticate', 'proxy-connection', 'te', 'trailer',
+  'transfer-encoding', 'upgrade'
+])
+const REQUEST_HEADER = 'fuchsiatally-request'
+const REFUSED_HEADER = 'fuchsiatally-refused'
+
+interface Exchange {
+  readonly request: ServiceRequest
+  readonly maxBodyBytes: number
+  readonly resolve: (result: ExchangeResult) => void
+}
+
+function collectHeaders (response: IncomingMessage): Record<string, string> {
+  const headers: Record<string, string> = {}
+  for (const [name, value] of Object.entries(response.headers)) {
+    if (value === undefined || DROPPED_HEADERS.has(name)) continue
+    headers[name] = Array.isArray(value) ? value.join(', ') : value
+  }
+  return headers
+}
+
+/** An answer that ends with its connection cannot be told from a truncated one. */
+function hasEndMark (response: IncomingMessage, method: string): boolean {
+  const status = response.statusCode ?? 0
+  if (method === 'HEAD' || status === 204 || status === 304) return true
+  if (response.headers['content-length'] !== undefined) return true
+  return response.headers['transfer-encoding']?.toLowerCase().endsWith('chunked') === true
+}
+
+/** Why an answer's head cannot be relayed; `undefined` if it can. */
+function explainBadHead (response: IncomingMessage, exchange: Exchange): string | undefined {
+  const echoed = response.headers[REQUEST_HEADER]
+  if (echoed !== undefined && echoed !== exchange.request.id) return 'the answer belongs to another request'
+  if (!hasEndMark(response, exchange.request.method)) return 'the answer has neither length nor chunks'
+  return undefined
+}
+
+function resolveWhole (response: IncomingMessage, body: Buffer, exchange: Exchange): void {
+  if (response.statusCode === 503 && response.headers[REFUSED_HEADER] === '1') {
+    return exchange.resolve({ kind: 'refused', reason: 'the endpoint refused the request' })
+  }
+  exchange.resolve({
+    kind: 'answered',
+    outcome: {
+      kind: 'completed',
+      status: response.statusCode ?? 0,
+      headers: collectHeaders(response),
+      body: Uint8Array.from(body),
+      worker: ''
+    }
+  })
+}
+
+/** Gathers the answer's body up to its bound and checks that it ended. */
+function readResponse (response: IncomingMessage, exchange: Exchange, destroy: () => void): void {
+  const chunks: Buffer[] = []
+  let bytes = 0
+  const fail = (reason: string, final: boolean): void => {
+    exchange.resolve({ kind: 'broken', reason, ...(final ? { final } : {}) })
+    destroy()
+  }
+  const badHead = explainBadHead(response, exchange)
+  if (badHead !== undefined) return fail(badHead, false)
+  response.on('data', (chunk: Buffer) => {
+    bytes += chunk.byteLength
+    if (bytes > exchange.maxBodyBytes) return fail(`the answer is larger than ${exchange.maxBodyBytes} bytes`, true)
+    chunks.push(chunk)
+  })
+  response.on('error', () => fail('the answer was truncated', false))
+  response.on('aborted', () => fail('the answer was truncated', false))
+  response.on('end', () => {
+    if (!response.complete) return fail('the answer was truncated', false)
+    resolveWhole(response, Buffer.concat(chunks), exchange)
+  })
+}
+
+/** Creates a client without connections. */
+export function createHttpEndpointClient (options: HttpEndpointClientOptions): EndpointClient {
+  const { clock } = options
+  const connectTimeoutMs = options.connectTimeoutMs ?? CONNECT_TIMEOUT_MS
+  const agent = new EndpointAgent(clock)
+  const inFlight = new Map<string, number>()
+
+  const openRequest = (host: string, port: string, request: ServiceRequest): ClientRequest => sendHttpRequest({
+    agent,
+    host,
+    port,
+    method: request.method,
+    path: request.path,
+    headers: {
+      ...request.headers,
+      [REQUEST_HEADER]: request.id,
+      'fuchsiatally-team': request.team,
+      'fuchsiatally-remaining-ms': String(Math.max(0, Math.floor(request.remainingMs))),
+      'content-length': String(request.body.byteLength)
+    }
+  })
+
+  /** Follows the connection: before it is open nothing can have left. */
+  const watchConnection = (outgoing: ClientRequest, exchange: Exchange): { hasSent: () => boolean, dispose: () => void } => {
+    let sent = false
+    const timer = clock.setTimer(connectTimeoutMs, () => {
+      if (sent) return
+      exchange.resolve({ kind: 'refused', reason: 'no connection to the endpoint in time' })
+      outgoing.destroy()
+    })
+    outgoing.on('socket', (socket) => {
+      if (!socket.connecting) sent = true
+      else socket.once('connect', () => { sent = true })
+    })
+    return { hasSent: () => sent, dispose: timer.dispose }
+  }
+
+  const runExchange = (host: string, port: string, timeoutMs: number, exchange: Exchange): void => {
+    const outgoing = openRequest(host, port, exchange.request)
+    const destroy = (): void => { outgoing.destroy() }
+    const connection = watchConnection(outgoing, exchange)
+    const fail = (reason: string): void => {
+      exchange.resolve({ kind: connection.hasSent() ? 'broken' : 'refused', reason })
+      destroy()
+    }
+    const timer = clock.setTimer(timeoutMs, () => fail('no whole answer in time'))
+    outgoing.on('response', (response) => readResponse(response, exchange, destroy))
+    outgoing.on('error', (error) => fail(`connection to the endpoint failed: ${error.message}`))
+    outgoing.on('close', () => {
+      timer.dispose()
+      connection.dispose()
+      exchange.resolve({ kind: connection.hasSent() ? 'broken' : 'refused', reason: 'the connection closed' })
+    })
+    outgoing.end(exchange.request.body)
+  }
+
+  const sendExchange: EndpointClient['sendExchange'] = async (address, request, timeoutMs, maxBodyBytes, maxConnections) => {
+    const busy = inFlight.get(address) ?? 0
+    if (busy >= maxConnections) return { kind: 'refused', reason: 'all connections of the endpoint are in use' }
+    const separator = address.lastIndexOf(':')
+    const host = address.slice(0, separator)
+    const port = address.slice(separator + 1)
+    agent.removeIdle(agent.getName({ host, port: Number(port) }), request.idempotent ? MAX_IDLE_MS : MAX_IDLE_NON_IDEMPOTENT_MS)
+    inFlight.set(address, busy + 1)
+    const result = await new Promise<ExchangeResult>((resolve) => {
+      try {
+        runExchange(host, port, timeoutMs, { request, maxBodyBytes, resolve })
+      } catch (error) {
+        resolve({ kind: 'refused', reason: `the request cannot be sent: ${String(error)}` })
+      }
+    })
+    const left = (inFlight.get(address) ?? 1) - 1
+    if (left === 0) inFlight.delete(address)
+    else inFlight.set(address, left)
+    return result
+  }
+
+  return { sendExchange, dispose: () => agent.destroy() }
+}
--- /dev/null
+++ b/packages/entry/src/request/requestRoutes.ts
@@ -0,0 +1,212 @@
+/** The callers' HTTP interface for requests and tickets. */
+import {
+  TICKET_LIFETIME_MS, createTokenBucket,
+  type Clock, type EventLog, type Random, type RequestOutcome, type Service, type ServiceRequest, type Team,
+  type TokenBucket
+} from '@fuchsiatally/core'
+import { createJsonResponse, createProblemResponse, type HttpRequest, type HttpResponse, type Problem, type Route } from '../http/route.js'
+import type { ConfigStore, KeyRefusal, KeyRing } from '../ports.js'
+import { MAX_ROUTE_BODY_BYTES, MAX_TIMEOUT_MS, TICKET_RETRY_MS } from './constants.js'
+import { requestNotRun, requestRejected, requestUnknown, ticketRefused } from './events.js'
+import { addOutcomeHeader, createOutcomeResponse } from './outcome.js'
+import type { TicketDesk } from './ticketDesk.js'
+
+/** What the routes need. */
+export interface RequestRoutesOptions {
+  readonly clock: Clock
+  readonly random: Random
+  readonly config: ConfigStore
+  readonly keys: KeyRing
+  readonly log: EventLog
+  readonly tickets: TicketDesk
+  readonly runRequest: (request: ServiceRequest, deadlineMs: number, signal: AbortSignal) => Promise<RequestOutcome>
+  /** Called when a caller's request begins and ends. */
+  readonly onOpenChange: (change: 1 | -1) => void
+}
+
+const METHODS = ['GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE', 'OPTIONS']
+const IDEMPOTENT_METHODS = new Set(['GET', 'HEAD'])
+/** Headers that belong to the caller's connection or to this interface and do not reach the endpoint. */
+const DROPPED_HEADERS = new Set([
+  'authorization', 'connection', 'content-length', 'expect', 'host', 'keep-alive', 'proxy-authenticate',
+  'proxy-authorization', 'proxy-connection', 'te', 'trailer', 'transfer-encoding', 'upgrade'
+])
+const OWN_HEADER_PREFIX = 'fuchsiatally-'
+
+const REFUSALS: Record<KeyRefusal, Problem> = {
+  unauthorized: {
+    status: 401,
+    code: 'unauthorized',
+    title: 'Not authorized',
+    detail: 'send a valid key as `authorization: Bearer <key>`, or name an open team in `fuchsiatally-team`'
+  },
+  configurationStale: {
+    status: 503,
+    code: 'configuration_stale',
+    title: 'The entry cannot learn of revoked keys',
+    detail: 'the entry is cut off and the team asks to refuse work then; try another entry or later',
+    retryAfterMs: 2000
+  },
+  noConfiguration: {
+    status: 503,
+    code: 'not_ready',
+    title: 'The entry has no configuration yet',
+    detail: 'try another entry or later',
+    retryAfterMs: 1000
+  }
+}
+
+/** A request that passed all checks. */
+interface Accepted {
+  readonly team: Team
+  readonly service: Service
+  readonly timeoutMs: number
+  readonly idempotent: boolean
+}
+
+function collectHeaders (headers: HttpRequest['headers']): Record<string, string> {
+  const kept: Record<string, string> = {}
+  for (const [name, value] of Object.entries(headers)) {
+    if (!DROPPED_HEADERS.has(name) && !name.startsWith(OWN_HEADER_PREFIX)) kept[name] = value
+  }
+  return kept
+}
+
+function createBadRequest (detail: string): Problem {
+  return { status: 400, code: 'bad_request', title: 'Malformed request', detail }
+}
+
+function parseTimeoutMs (header: string | undefined, service: Service): number | undefined {
+  if (header === undefined) return service.timeoutMs
+  if (!/^[0-9]{1,9}$/.test(header)) return undefined
+  const timeoutMs = Number(header)
+  return timeoutMs >= 1 && timeoutMs <= MAX_TIMEOUT_MS ? timeoutMs : undefined
+}
+
+/** Path and query at the endpoint: all that follows the service's name. */
+function computeEndpointPath (request: HttpRequest): string {
+  const path = request.path.replace(/^\/v1\/services\/[^/]*/, '')
+  const query = request.query.toString()
+  return (path.startsWith('/') ? path : `/${path}`) + (query === '' ? '' : `?${query}`)
+}
+
+/** Creates the routes `/v1/services/:service/*` and `/v1/tickets`. */
+export function createRequestRoutes (options: RequestRoutesOptions): Route[] {
+  const { clock, log } = options
+  const buckets = new Map<string, TokenBucket>()
+
+  const takeToken = (team: Team): number => {
+    const nowMs = clock.nowMs()
+    let bucket = buckets.get(team.name)
+    if (bucket === undefined) {
+      bucket = createTokenBucket(team.limits.requestsPerS, nowMs)
+      buckets.set(team.name, bucket)
+    }
+    bucket.setRate(team.limits.requestsPerS, nowMs)
+    return bucket.takeToken(nowMs)
+  }
+
+  const checkTeam = async (request: HttpRequest): Promise<Team | Problem> => {
+    const checked = await options.keys.checkTeam(request.headers.authorization, request.headers['fuchsiatally-team'])
+    if (checked.isErr()) return REFUSALS[checked.error]
+    const waitMs = takeToken(checked.value)
+    if (waitMs === 0) return checked.value
+    return {
+      status: 429,
+      code: 'over_limit',
+      title: 'Too many requests of the team',
+      detail: `the team may send ${checked.value.limits.requestsPerS} requests a second to one entry`,
+      retryAfterMs: waitMs
+    }
+  }
+
+  const checkRequest = (request: HttpRequest, team: Team, name: string): Accepted | Problem => {
+    const service = options.config.readDocument()?.manifest.services.find((other) => other.name === name)
+    if (service === undefined) {
+      return { status: 404, code: 'not_found', title: 'No such service', detail: 'name a service of the manifest' }
+    }
+    if (request.body.byteLength > service.maxBodyBytes) {
+      return { status: 413, code: 'too_large', title: 'Body too large', detail: `at most ${service.maxBodyBytes} bytes` }
+    }
+    const timeoutMs = parseTimeoutMs(request.headers['fuchsiatally-timeout-ms'], service)
+    if (timeoutMs === undefined) {
+      return createBadRequest(`fuchsiatally-timeout-ms must be a whole number from 1 to ${MAX_TIMEOUT_MS}`)
+    }
+    const marked = request.headers['fuchsiatally-idempotent']
+    if (marked !== undefined && marked !== 'true' && marked !== 'false') {
+      return createBadRequest('fuchsiatally-idempotent must be true or false')
+    }
+    const idempotent = marked === undefined ? IDEMPOTENT_METHODS.has(request.method) : marked === 'true'
+    return { team, service, timeoutMs, idempotent }
+  }
+
+  const createServiceRequest = (request: HttpRequest, accepted: Accepted): ServiceRequest => ({
+    id: options.random.nextId(),
+    team: accepted.team.name,
+    service: accepted.service.name,
+    method: request.method,
+    path: computeEndpointPath(request),
+    headers: collectHeaders(request.headers),
+    body: Uint8Array.from(request.body),
+    idempotent: accepted.idempotent,
+    remainingMs: accepted.timeoutMs
+  })
+
+  const rejectRequest = (problem: Problem, service: string | undefined): HttpResponse => {
+    log.record(requestRejected, { service, code: problem.code, detail: problem.detail })
+    return addOutcomeHeader(createProblemResponse(problem), 'not_run')
+  }
+
+  const recordOutcome = (request: ServiceRequest, outcome: RequestOutcome): void => {
+    const fields = { request: request.id, team: request.team, service: request.service }
+    if (outcome.kind === 'notRun') {
+      log.record(requestNotRun, { ...fields, reason: outcome.reason, retryAfterMs: outcome.retryAfterMs })
+    }
+    if (outcome.kind === 'unknown') log.record(requestUnknown, { ...fields, reason: outcome.reason })
+  }
+
+  const runRequest = async (request: HttpRequest, accepted: Accepted): Promise<HttpResponse> => {
+    const serviceRequest = createServiceRequest(request, accepted)
+    const deadlineMs = clock.nowMs() + accepted.timeoutMs
+    const ticket = request.headers['fuchsiatally-ticket']
+    const outcome = ticket === undefined
+      ? await options.runRequest(serviceRequest, deadlineMs, request.signal)
+      : await options.tickets.runTicket(ticket, serviceRequest, deadlineMs)
+    recordOutcome(serviceRequest, outcome)
+    return createOutcomeResponse(outcome, ticket === undefined ? undefined : TICKET_RETRY_MS)
+  }
+
+  const handleService: Route['handle'] = async (request, { service = '' }) => {
+    const team = await checkTeam(request)
+    if ('code' in team) return rejectRequest(team, service)
+    const accepted = checkRequest(request, team, service)
+    if ('code' in accepted) return rejectRequest(accepted, service)
+    options.onOpenChange(1)
+    try {
+      return await runRequest(request, accepted)
+    } finally {
+      options.onOpenChange(-1)
+    }
+  }
+
+  const handleTicket: Route['handle'] = async (request) => {
+    const team = await checkTeam(request)
+    if ('code' in team) return rejectRequest(team, undefined)
+    const ticket = options.tickets.addTicket(team.name)
+    if (ticket !== undefined) return createJsonResponse(201, { ticket, expiresInMs: TICKET_LIFETIME_MS })
+    log.record(ticketRefused, { team: team.name })
+    return createProblemResponse({
+      status: 429,
+      code: 'over_limit',
+      title: 'Too many open tickets',
+      detail: 'use or let expire the tickets taken before',
+      retryAfterMs: TICKET_RETRY_MS
+    })
+  }
+
+  const routes: Route[] = METHODS.map((method) => ({
+    method, pattern: '/v1/services/:service/*', maxBodyBytes: MAX_ROUTE_BODY_BYTES, handle: handleService
+  }))
+  routes.push({ method: 'POST', pattern: '/v1/tickets', maxBodyBytes: 1024, handle: handleTicket })
+  return routes
+}
