--- a/packages/core/src/request/ownerChoice.ts
+++ b/packages/core/src/request/ownerChoice.ts
@@ -12,7 +12,7 @@
 }
 
 /** An owner that could have been chosen. */
-export interface OwnerCandidate {
+export interface RouteCandidate {
   readonly incarnation: string
   readonly sameDomain: boolean
   /** Reported free slots less what was forwarded since. */
@@ -24,8 +24,8 @@
 
 /** The chosen owner with those that lost. */
 export interface OwnerChoice {
-  readonly owner: OwnerCandidate
-  readonly losers: readonly OwnerCandidate[]
+  readonly owner: RouteCandidate
+  readonly losers: readonly RouteCandidate[]
 }
 
 /** Keeps the owners' reports and chooses among them. */
@@ -49,8 +49,8 @@
 
 /** Picks one candidate with a chance in proportion to its weight. */
 function pickWeighted (
-  candidates: readonly OwnerCandidate[], getWeight: (candidate: OwnerCandidate) => number, random: Random
-): OwnerCandidate {
+  candidates: readonly RouteCandidate[], getWeight: (candidate: RouteCandidate) => number, random: Random
+): RouteCandidate {
   let sum = 0
   for (const candidate of candidates) sum += getWeight(candidate)
   let rest = random.nextFloat() * sum
@@ -62,11 +62,11 @@
 }
 
 /** Draws two candidates by weight and keeps the better: spreads what was decided on equal reports. */
-function pickOfTwo (candidates: readonly OwnerCandidate[], random: Random): OwnerCandidate | undefined {
+function pickOfTwo (candidates: readonly RouteCandidate[], random: Random): RouteCandidate | undefined {
   if (candidates.length < 2) return candidates[0]
   const withFree = candidates.filter((candidate) => candidate.free > 0)
   const pool = withFree.length > 0 ? withFree : candidates
-  const getWeight = (candidate: OwnerCandidate): number => withFree.length > 0 ? candidate.free : candidate.total
+  const getWeight = (candidate: RouteCandidate): number => withFree.length > 0 ? candidate.free : candidate.total
   const first = pickWeighted(pool, getWeight, random)
   const second = pickWeighted(pool, getWeight, random)
   if (first.costMs !== second.costMs) return first.costMs < second.costMs ? first : second
@@ -81,7 +81,7 @@
 export function createOwnerChooser (failureDomain: string, random: Random): OwnerChooser {
   const owners = new Map<string, KnownOwner>()
 
-  const computeCandidate = (known: KnownOwner, service: string, exchangeMs: number): OwnerCandidate | undefined => {
+  const computeCandidate = (known: KnownOwner, service: string, exchangeMs: number): RouteCandidate | undefined => {
     const slots = known.slots.get(service)
     if (slots === undefined || slots.total <= 0) return undefined
     const free = slots.free - slots.queued - (known.forwarded.get(service) ?? 0)
@@ -98,8 +98,8 @@
 
   const listCandidates = (
     service: string, exchangeMs: number, nowMs: number, excluded: ReadonlySet<string>
-  ): OwnerCandidate[] => {
-    const candidates: OwnerCandidate[] = []
+  ): RouteCandidate[] => {
+    const candidates: RouteCandidate[] = []
     for (const known of owners.values()) {
       if (known.report.leaving || nowMs - known.reportedMs > SLOTS_MAX_AGE_MS) continue
       if (excluded.has(known.report.incarnation)) continue
--- a/packages/entry/src/request/requestRoutes.ts
+++ b/packages/entry/src/request/requestRoutes.ts
@@ -1,11 +1,13 @@
 /** The callers' HTTP interface for requests and tickets. */
+import { err, ok, type Result } from 'neverthrow'
 import {
   TICKET_LIFETIME_MS, createTokenBucket,
   type Clock, type EventLog, type Random, type RequestOutcome, type Service, type ServiceRequest, type Team,
   type TokenBucket
 } from '@fuchsiatally/core'
 import { createJsonResponse, createProblemResponse, type HttpRequest, type HttpResponse, type Problem, type Route } from '../http/route.js'
-import type { ConfigStore, KeyRefusal, KeyRing } from '../ports.js'
+import { createUnauthorizedResponse } from '../http/refusals.js'
+import type { ConfigStore, KeyRing } from '../ports.js'
 import { MAX_ROUTE_BODY_BYTES, MAX_TIMEOUT_MS, TICKET_RETRY_MS } from './constants.js'
 import { requestNotRun, requestRejected, requestUnknown, ticketRefused } from './events.js'
 import { addOutcomeHeader, createOutcomeResponse } from './outcome.js'
@@ -33,29 +35,6 @@
 ])
 const OWN_HEADER_PREFIX = 'fuchsiatally-'
 
-const REFUSALS: Record<KeyRefusal, Problem> = {
-  unauthorized: {
-    status: 401,
-    code: 'unauthorized',
-    title: 'Not authorized',
-    detail: 'send a valid key as `authorization: Bearer <key>`, or name an open team in `fuchsiatally-team`'
-  },
-  configurationStale: {
-    status: 503,
-    code: 'configuration_stale',
-    title: 'The entry cannot learn of revoked keys',
-    detail: 'the entry is cut off and the team asks to refuse work then; try another entry or later',
-    retryAfterMs: 2000
-  },
-  noConfiguration: {
-    status: 503,
-    code: 'not_ready',
-    title: 'The entry has no configuration yet',
-    detail: 'try another entry or later',
-    retryAfterMs: 1000
-  }
-}
-
 /** A request that passed all checks. */
 interface Accepted {
   readonly team: Team
@@ -106,18 +85,26 @@
     return bucket.takeToken(nowMs)
   }
 
-  const checkTeam = async (request: HttpRequest): Promise<Team | Problem> => {
+  const rejectRequest = (problem: Problem, service: string | undefined): HttpResponse => {
+    log.record(requestRejected, { service, code: problem.code, detail: problem.detail })
+    return addOutcomeHeader(createProblemResponse(problem), 'not_run')
+  }
+
+  const checkTeam = async (request: HttpRequest, service: string | undefined): Promise<Result<Team, HttpResponse>> => {
     const checked = await options.keys.checkTeam(request.headers.authorization, request.headers['fuchsiatally-team'])
-    if (checked.isErr()) return REFUSALS[checked.error]
+    if (checked.isErr()) {
+      log.record(requestRejected, { service, code: checked.error })
+      return err(addOutcomeHeader(createUnauthorizedResponse(checked.error), 'not_run'))
+    }
     const waitMs = takeToken(checked.value)
-    if (waitMs === 0) return checked.value
-    return {
+    if (waitMs === 0) return ok(checked.value)
+    return err(rejectRequest({
       status: 429,
       code: 'over_limit',
       title: 'Too many requests of the team',
       detail: `the team may send ${checked.value.limits.requestsPerS} requests a second to one entry`,
       retryAfterMs: waitMs
-    }
+    }, service))
   }
 
   const checkRequest = (request: HttpRequest, team: Team, name: string): Accepted | Problem => {
@@ -152,11 +139,6 @@
     remainingMs: accepted.timeoutMs
   })
 
-  const rejectRequest = (problem: Problem, service: string | undefined): HttpResponse => {
-    log.record(requestRejected, { service, code: problem.code, detail: problem.detail })
-    return addOutcomeHeader(createProblemResponse(problem), 'not_run')
-  }
-
   const recordOutcome = (request: ServiceRequest, outcome: RequestOutcome): void => {
     const fields = { request: request.id, team: request.team, service: request.service }
     if (outcome.kind === 'notRun') {
@@ -177,9 +159,9 @@
   }
 
   const handleService: Route['handle'] = async (request, { service = '' }) => {
-    const team = await checkTeam(request)
-    if ('code' in team) return rejectRequest(team, service)
-    const accepted = checkRequest(request, team, service)
+    const team = await checkTeam(request, service)
+    if (team.isErr()) return team.error
+    const accepted = checkRequest(request, team.value, service)
     if ('code' in accepted) return rejectRequest(accepted, service)
     options.onOpenChange(1)
     try {
@@ -190,11 +172,11 @@
   }
 
   const handleTicket: Route['handle'] = async (request) => {
-    const team = await checkTeam(request)
-    if ('code' in team) return rejectRequest(team, undefined)
-    const ticket = options.tickets.addTicket(team.name)
+    const team = await checkTeam(request, undefined)
+    if (team.isErr()) return team.error
+    const ticket = options.tickets.addTicket(team.value.name)
     if (ticket !== undefined) return createJsonResponse(201, { ticket, expiresInMs: TICKET_LIFETIME_MS })
-    log.record(ticketRefused, { team: team.name })
+    log.record(ticketRefused, { team: team.value.name })
     return createProblemResponse({
       status: 429,
       code: 'over_limit',
