--- a/packages/core/src/schema/linkMessage.ts
+++ b/packages/core/src/schema/linkMessage.ts
@@ -81,6 +81,12 @@
   outcome: RequestOutcome
 })
 
+/**
+ * Asks the receiver for the outcome of an exchange after the link was replaced; a request that never
+ * arrived is barred from running and answered as `notRun`.
+ */
+export const ForwardQuery = Schema.Struct({ type: Schema.Literal('forwardQuery'), exchange: Schema.String })
+
 /** Tells the receiver that nobody waits for the exchange any longer. */
 export const ForwardCancel = Schema.Struct({ type: Schema.Literal('forwardCancel'), exchange: Schema.String })
 
@@ -165,7 +171,8 @@
 
 /** Every message that a link carries. */
 export const LinkMessage = Schema.Union([
-  Hello, Heartbeat, ConfigPull, ConfigPush, ConfigQuery, ConfigState, ForwardRequest, TicketRequest, ForwardReply, ForwardCancel,
+  Hello, Heartbeat, ConfigPull, ConfigPush, ConfigQuery, ConfigState,
+  ForwardRequest, TicketRequest, ForwardReply, ForwardQuery, ForwardCancel,
   WorkerDesired, WorkerObserved, JobsChanged, SchedulerQuery, SchedulerAnswer
 ])
 export type LinkMessage = typeof LinkMessage.Type
