--- /dev/null
+++ b/packages/entry/src/contract/__tests__/configCluster.spec.ts
@@ -0,0 +1,256 @@
+/**
+ * Configuration and keys of several entries under racing operators, outages, cuts, pauses and restarts.
+ * Each property names the mutations of the code that it was seen to catch.
+ */
+import fc from 'fast-check'
+import { test } from 'uvu'
+import * as assert from 'uvu/assert'
+import type { ConfigDocument } from '@fuchsiatally/core'
+import { createKey } from '../key.js'
+import { createConfigCluster, createManifest, type ConfigCluster } from './configCluster.js'
+
+const ENTRIES = 4
+const IN_FORCE_MS = 6000
+const REVOKED_MS = 5000
+const CHECK_MS = 700
+/** Time after which no read is answered from an old state any more. */
+const OLD_READ_LIMIT_MS = 10_000
+const RUNS = Number(process.env['FUZZ_RUNS'] ?? 200)
+const SEED = Number(process.env['FUZZ_SEED'] ?? 20260105)
+
+const entryIndex = fc.nat(ENTRIES - 1)
+const isOn = fc.oneof({ weight: 2, arbitrary: fc.constant(true) }, { weight: 1, arbitrary: fc.constant(false) })
+const rate = fc.constantFrom(0, 0.5)
+const step = fc.oneof(
+  { weight: 6, arbitrary: fc.record({ kind: fc.constant('advance' as const), ms: fc.constantFrom(1, 50, 400, 1500, 4500, 6500) }) },
+  { weight: 6, arbitrary: fc.record({ kind: fc.constant('revoke' as const), at: entryIndex, key: fc.nat(20) }) },
+  { weight: 2, arbitrary: fc.record({ kind: fc.constant('outage' as const), on: isOn }) },
+  { weight: 2, arbitrary: fc.record({ kind: fc.constant('pause' as const), at: entryIndex, on: isOn }) },
+  { weight: 2, arbitrary: fc.record({ kind: fc.constant('cutPlatform' as const), at: entryIndex, how: fc.constantFrom('outage' as const, 'silent' as const), on: isOn }) },
+  fc.record({ kind: fc.constant('apply' as const), at: entryIndex, rival: entryIndex, share: fc.integer({ min: 1, max: 9 }) }),
+  fc.record({ kind: fc.constant('grant' as const), at: entryIndex, team: fc.constantFrom('covers', 'pages') }),
+  fc.record({ kind: fc.constant('raceKey' as const), at: entryIndex, rival: entryIndex, team: fc.constantFrom('covers', 'pages') }),
+  fc.record({ kind: fc.constant('cutLink' as const), at: entryIndex, rival: entryIndex, on: isOn }),
+  fc.record({ kind: fc.constant('restart' as const), at: entryIndex }),
+  fc.record({ kind: fc.constant('slow' as const), delayMs: fc.constantFrom(0, 100, 400) }),
+  fc.record({ kind: fc.constant('lostAnswers' as const), rate }),
+  fc.record({ kind: fc.constant('oldReads' as const), rate })
+)
+type Step = typeof step extends fc.Arbitrary<infer T> ? T : never
+
+interface GrantedKey {
+  readonly id: string
+  readonly key: string
+  readonly team: string
+  /** Time at which its revocation was answered, and whether it was in the table then. */
+  revokedAtMs?: number
+  durable?: boolean
+}
+
+/** Runs steps and judges what the entries show against what the operators were told. */
+function createTrial (seed: number) {
+  const cluster = createConfigCluster(ENTRIES, seed)
+  const { clock, mesh, shared } = cluster
+  const keys: GrantedKey[] = []
+  const seen = new Map<number, string>()
+  const accepted: Array<{ version: number, atMs: number }> = []
+  /** Time since which an entry has reached the platform, and its answers were true and quick. */
+  const reachableSinceMs: number[] = Array.from({ length: ENTRIES }, () => clock.nowMs())
+  /** Time since which all links were up and no entry was paused or restarted. */
+  let linkedSinceMs = clock.nowMs()
+  let lastOldReadMs = -Infinity
+  const cuts = new Set<string>()
+
+  const isCalm = (index: number): boolean => {
+    const { gate, faults } = cluster.entries[index]!
+    return !gate.isPaused() && !faults.outage && !faults.silent && !shared.outage &&
+      shared.delayMs === 0 && shared.staleReadRate === 0
+  }
+  const noteReach = (): void => {
+    for (const index of reachableSinceMs.keys()) if (!isCalm(index)) reachableSinceMs[index] = Infinity
+    for (const [index, since] of reachableSinceMs.entries()) if (since === Infinity && isCalm(index)) reachableSinceMs[index] = clock.nowMs()
+    const linked = cuts.size === 0 && cluster.entries.every((entry) => !entry.gate.isPaused())
+    if (!linked) linkedSinceMs = Infinity
+    else if (linkedSinceMs === Infinity) linkedSinceMs = clock.nowMs() + 4000
+  }
+
+  const noteAccepted = (document: ConfigDocument): void => {
+    accepted.push({ version: document.version, atMs: clock.nowMs() })
+  }
+
+  const revoke = async (at: number, key: GrantedKey): Promise<void> => {
+    const { store } = cluster.entries[at]!
+    store.denyKeys([key.id])
+    const deniedAtMs = clock.nowMs()
+    const proposed = await store.proposeChange({ kind: 'revokeKeys', keyIds: [key.id], allowUnknown: true })
+    if (proposed.isOk()) noteAccepted(proposed.value)
+    if (key.durable === true) return
+    key.revokedAtMs = proposed.isOk() ? clock.nowMs() : deniedAtMs
+    key.durable = proposed.isOk()
+  }
+
+  const grant = async (at: number, team: string): Promise<GrantedKey | undefined> => {
+    const entry = cluster.entries[at]!
+    const { key, grant } = createKey(entry.random, `${team}-${keys.length}-${at}`)
+    const granted: GrantedKey = { id: grant.id, key, team }
+    keys.push(granted)
+    const proposed = await entry.store.proposeChange({ kind: 'grantKey', team, grant })
+    if (proposed.isOk()) noteAccepted(proposed.value)
+    return granted
+  }
+
+  const apply = async (at: number, share: number): Promise<void> => {
+    const { store } = cluster.entries[at]!
+    const proposed = await store.proposeChange({ kind: 'applyManifest', manifest: createManifest(share) }, store.readVersion())
+    if (proposed.isOk()) noteAccepted(proposed.value)
+  }
+
+  /** Each version has one content for all, and no entry goes back. */
+  const checkVersions = (): void => {
+    for (const { versions } of cluster.entries) {
+      let last = 0
+      for (const document of versions) {
+        assert.ok(document.version > last, `version ${document.version} after ${last}`)
+        last = document.version
+        const content = JSON.stringify(document)
+        assert.is(seen.get(document.version) ?? content, content, `two contents of version ${document.version}`)
+        seen.set(document.version, content)
+      }
+    }
+  }
+
+  const checkInForce = (): void => {
+    const nowMs = clock.nowMs()
+    for (const { version, atMs } of accepted) {
+      for (const [index, entry] of cluster.entries.entries()) {
+        if (entry.gate.isPaused() || nowMs < Math.max(atMs, reachableSinceMs[index]!) + IN_FORCE_MS) continue
+        assert.ok(entry.store.readVersion() >= version, `${entry.entry} has ${entry.store.readVersion()}, accepted ${version}`)
+      }
+    }
+  }
+
+  /** Presents every revoked key at every running entry at once, and judges each by the time of its answer. */
+  const checkRevoked = async (): Promise<void> => {
+    const answers: Array<Promise<{ key: GrantedKey, index: number, atMs: number, isAccepted: boolean }>> = []
+    for (const key of keys) {
+      if (key.revokedAtMs === undefined) continue
+      for (const [index, entry] of cluster.entries.entries()) {
+        if (entry.gate.isPaused()) continue
+        const checking = entry.keys.checkTeam(`Bearer ${key.key}`, key.team)
+        answers.push(checking.then((checked) => ({ key, index, atMs: clock.nowMs(), isAccepted: checked.isOk() })))
+      }
+    }
+    const judged = Promise.all(answers)
+    await clock.runFor(answers.length > 0 ? CHECK_MS : 0)
+    for (const { key, index, atMs, isAccepted } of await judged) if (isAccepted) judgeAccepted(key, index, atMs)
+  }
+
+  /** A revoked key was accepted: only too early to know of it, or where nothing was heard and the team serves on. */
+  const judgeAccepted = (key: GrantedKey, index: number, atMs: number): void => {
+    const sinceRevoked = atMs - key.revokedAtMs!
+    assert.ok(linkedSinceMs > key.revokedAtMs! || sinceRevoked < REVOKED_MS, `e${index} has not heard of a denied key`)
+    if (key.durable !== true) return
+    assert.ok(atMs < Math.max(key.revokedAtMs!, reachableSinceMs[index]!) + REVOKED_MS, `e${index} serves a revoked key`)
+    if (key.team !== 'covers' || atMs - lastOldReadMs < OLD_READ_LIMIT_MS) return
+    assert.ok(sinceRevoked < REVOKED_MS, `e${index} serves a key of a team that refuses when cut`)
+  }
+
+  const runStep = async (next: Step): Promise<void> => {
+    if (next.kind === 'advance') await clock.runFor(next.ms)
+    if (next.kind === 'outage') shared.outage = next.on
+    if (next.kind === 'slow') shared.delayMs = next.delayMs
+    if (next.kind === 'lostAnswers') shared.lostAnswerRate = next.rate
+    if (next.kind === 'oldReads') shared.staleReadRate = next.rate
+    if (next.kind === 'cutPlatform') cluster.entries[next.at]!.faults[next.how] = next.on
+    if (next.kind === 'pause') next.on ? cluster.entries[next.at]!.gate.pause() : cluster.entries[next.at]!.gate.resume()
+    if (next.kind === 'cutLink' && next.at !== next.rival) setCut(next.at, next.rival, next.on)
+    if (next.kind === 'restart') {
+      for (const pair of [...cuts]) if (pair.split('|').includes(String(next.at))) cuts.delete(pair)
+      cluster.restart(next.at)
+      reachableSinceMs[next.at] = Infinity
+      linkedSinceMs = Infinity
+    }
+    noteReach()
+    await runOperators(next)
+    if (shared.staleReadRate > 0) lastOldReadMs = clock.nowMs()
+  }
+
+  const setCut = (a: number, b: number, on: boolean): void => {
+    const [first, second] = [cluster.entries[a]!.incarnation, cluster.entries[b]!.incarnation]
+    const pair = a < b ? `${a}|${b}` : `${b}|${a}`
+    if (on) mesh.setCut(first, second)
+    else mesh.removeCut(first, second)
+    if (on) cuts.add(pair)
+    else cuts.delete(pair)
+  }
+
+  /** Starts what operators do without waiting for its end: races go on through later steps. */
+  const runOperators = async (next: Step): Promise<void> => {
+    if (!('at' in next) || cluster.entries[next.at]!.gate.isPaused()) return
+    if (next.kind === 'grant') grant(next.at, next.team)
+    if (next.kind === 'apply') {
+      apply(next.at, next.share)
+      apply(next.rival, next.share + 1)
+    }
+    if (next.kind === 'revoke' && keys.length > 0) revoke(next.at, keys[next.key % keys.length]!)
+    if (next.kind === 'raceKey') {
+      grant(next.at, next.team)
+      revoke(next.rival, keys.at(-1)!)
+    }
+    await clock.settle()
+  }
+
+  const heal = async (): Promise<void> => {
+    Object.assign(shared, { outage: false, delayMs: 0, lostAnswerRate: 0, staleReadRate: 0 })
+    for (const pair of [...cuts]) setCut(Number(pair[0]), Number(pair[2]), false)
+    for (const { gate, faults } of cluster.entries) {
+      Object.assign(faults, { outage: false, silent: false })
+      gate.resume()
+    }
+    noteReach()
+    await clock.runFor(20_000)
+  }
+
+  return { cluster, keys, accepted, seen, apply, runStep, checkVersions, checkInForce, checkRevoked, heal }
+}
+
+/** What is left when all faults are over: everyone agrees, nothing accepted was lost. */
+function checkEnd (cluster: ConfigCluster, keys: readonly GrantedKey[], accepted: ReadonlyArray<{ version: number }>): void {
+  const final = cluster.model.findRow('config/current')?.value as ConfigDocument
+  for (const { store } of cluster.entries) {
+    assert.equal(store.readVersion(), final.version)
+    assert.equal(store.readDocument(), final)
+    assert.ok(store.isFresh())
+    assert.equal(store.listDeniedKeyIds(), [])
+  }
+  for (const { version } of accepted) assert.ok(version <= final.version)
+  const revoked = keys.filter((key) => key.revokedAtMs !== undefined && key.durable === true)
+  for (const key of revoked) assert.ok(final.revokedKeyIds.includes(key.id), `${key.id} is not revoked for ever`)
+  const log = JSON.stringify(cluster.log.recorded)
+  for (const { key } of keys) assert.not(log.includes(key), 'a key is in the log')
+}
+
+test('configuration never reverts, is in force within 6 s, and a revoked key stops within 5 s', async () => {
+  const property = fc.asyncProperty(fc.integer({ min: 0, max: 1e6 }), fc.array(step, { minLength: 4, maxLength: 24, size: 'max' }), async (seed, steps) => {
+    const trial = createTrial(seed)
+    await trial.cluster.clock.runFor(10)
+    trial.apply(0, 1)
+    await trial.cluster.clock.runFor(100)
+    for (const team of ['covers', 'pages', 'covers', 'pages'] as const) await trial.runStep({ kind: 'grant', at: 0, team })
+    await trial.cluster.clock.runFor(3000)
+    for (const next of steps) {
+      await trial.runStep(next)
+      trial.checkVersions()
+      trial.checkInForce()
+      await trial.checkRevoked()
+    }
+    await trial.heal()
+    trial.checkVersions()
+    trial.checkInForce()
+    await trial.checkRevoked()
+    checkEnd(trial.cluster, trial.keys, trial.accepted)
+  })
+  await fc.assert(property, { seed: SEED, numRuns: RUNS })
+})
+
+test.run()
--- a/packages/entry/src/http/route.ts
+++ b/packages/entry/src/http/route.ts
@@ -42,6 +42,8 @@
   readonly detail: string
   /** When the caller should come back, in milliseconds; sent as `Retry-After` in whole seconds, rounded up. */
   readonly retryAfterMs?: number
+  /** Further members of the answer, as RFC 9457 allows. */
+  readonly members?: Readonly<Record<string, unknown>>
 }
 
 /** Builds an answer with a JSON body. */
@@ -61,6 +63,7 @@
     status: problem.status,
     code: problem.code,
     detail: problem.detail,
+    ...problem.members,
     ...(problem.retryAfterMs === undefined ? {} : { retryAfterMs: problem.retryAfterMs })
   }
   return { status: problem.status, headers, body: Buffer.from(JSON.stringify(body)) }
