--- /dev/null
+++ b/packages/entry/src/vm/httpWorkerClient.ts
@@ -0,0 +1,165 @@
+/** Calls to a worker's lease and task interface over HTTP. */
+import { Agent, request as sendHttp } from 'node:http'
+import type { IncomingMessage } from 'node:http'
+import { CommandReport, createDecoder, LeaseReport } from '@fuchsiatally/core'
+import type { Clock, DecodeError, Disposable, EventLog } from '@fuchsiatally/core'
+import * as Schema from 'effect/Schema'
+import { err, ok } from 'neverthrow'
+import type { Result } from 'neverthrow'
+import type { StaleEpoch, WorkerClient, WorkerFailure } from '../ports.js'
+import { workerClientReplaced } from './events.js'
+
+/** Time that a call may take, in milliseconds. */
+export const WORKER_CALL_TIMEOUT_MS = 1_000
+/** Largest answer of a worker, in bytes. */
+export const MAX_REPORT_BYTES = 4 * 1024 * 1024
+/** Most connections to one worker: the lease call and some commands. */
+const MAX_CONNECTIONS = 10
+const HTTP_CONFLICT = 409
+
+/** Options of the client. */
+export interface HttpWorkerClientOptions {
+  readonly clock: Clock
+  readonly log: EventLog
+  /** Time that a call may take, in milliseconds; default `WORKER_CALL_TIMEOUT_MS`. */
+  readonly timeoutMs?: number
+  /** Largest answer, in bytes; default `MAX_REPORT_BYTES`. */
+  readonly maxBytes?: number
+}
+
+interface Answer {
+  readonly status: number
+  readonly body: unknown
+}
+
+const decodeLease = createDecoder(LeaseReport)
+const decodeCommand = createDecoder(CommandReport)
+const decodeStale = createDecoder(Schema.Struct({ epoch: Schema.Int }))
+
+/**
+ * Creates the client of a worker; its connections are replaced after a call without an answer.
+ *
+ * @param address `host:port`
+ */
+export function createHttpWorkerClient (
+  address: string, options: HttpWorkerClientOptions
+): WorkerClient & Disposable {
+  const timeoutMs = options.timeoutMs ?? WORKER_CALL_TIMEOUT_MS
+  const maxBytes = options.maxBytes ?? MAX_REPORT_BYTES
+  const { host, port } = parseAddress(address)
+  const createAgent = (): Agent => new Agent({ keepAlive: true, maxSockets: MAX_CONNECTIONS, maxFreeSockets: 2 })
+  let agent = createAgent()
+  let disposed = false
+
+  const replaceAgent = (used: Agent): void => {
+    if (used !== agent || disposed) return
+    // Something between the two ends may have lost track of every idle connection.
+    agent = createAgent()
+    used.destroy()
+    options.log.record(workerClientReplaced, { address })
+  }
+  const callWorker = async (path: string, command: unknown): Promise<Result<Answer, WorkerFailure>> => {
+    if (disposed) return err({ kind: 'unreachable', message: 'the client is closed' })
+    const used = agent
+    const answer = await sendCall({ agent: used, host, port, path, body: JSON.stringify(command), timeoutMs, maxBytes, clock: options.clock })
+    if (answer.isErr() && answer.error.kind === 'timeout') replaceAgent(used)
+    return answer
+  }
+  const callCommand = async (path: string, command: unknown): Promise<Result<CommandReport, WorkerFailure>> =>
+    (await callWorker(path, command)).andThen(({ body }) => decodeCommand(body).mapErr(toMalformed))
+  return {
+    renewLease: async (command) => {
+      const answer = await callWorker('/lease', command)
+      if (answer.isErr()) return err(answer.error)
+      if (answer.value.status === HTTP_CONFLICT) return parseRefusal(answer.value.body)
+      return decodeLease(answer.value.body).mapErr(toMalformed)
+    },
+    startTask: (command) => callCommand('/start', command),
+    stopTask: (command) => callCommand('/stop', command),
+    dispose: () => {
+      disposed = true
+      agent.destroy()
+    }
+  }
+}
+
+interface Call {
+  readonly clock: Clock
+  readonly agent: Agent
+  readonly host: string
+  readonly port: number
+  readonly path: string
+  readonly body: string
+  readonly timeoutMs: number
+  readonly maxBytes: number
+}
+
+function sendCall (call: Call): Promise<Result<Answer, WorkerFailure>> {
+  return new Promise((resolve) => {
+    let settled = false
+    const request = sendHttp({
+      agent: call.agent,
+      host: call.host,
+      port: call.port,
+      path: call.path,
+      method: 'POST',
+      headers: { 'content-type': 'application/json', 'content-length': Buffer.byteLength(call.body) }
+    })
+    const settle = (outcome: Result<Answer, WorkerFailure>): void => {
+      if (settled) return
+      settled = true
+      timer.dispose()
+      if (outcome.isErr()) request.destroy()
+      resolve(outcome)
+    }
+    const timer = call.clock.setTimer(call.timeoutMs, () => {
+      settle(fail('timeout', `no answer within ${call.timeoutMs} ms`))
+    })
+    request.on('error', (error) => settle(fail('unreachable', error.message)))
+    request.on('response', (response) => readAnswer(response, call.maxBytes, settle))
+    request.end(call.body)
+  })
+}
+
+function readAnswer (
+  response: IncomingMessage, maxBytes: number, settle: (outcome: Result<Answer, WorkerFailure>) => void
+): void {
+  const chunks: Buffer[] = []
+  let bytes = 0
+  response.on('error', (error) => settle(fail('unreachable', error.message)))
+  response.on('aborted', () => settle(fail('unreachable', 'the answer was cut off')))
+  response.on('data', (chunk: Buffer) => {
+    bytes += chunk.length
+    if (bytes > maxBytes) settle(fail('malformed', `answer above ${maxBytes} bytes`))
+    else chunks.push(chunk)
+  })
+  response.on('end', () => settle(parseAnswer(response.statusCode ?? 0, Buffer.concat(chunks))))
+}
+
+function parseAnswer (status: number, bytes: Buffer): Result<Answer, WorkerFailure> {
+  if (status !== 200 && status !== HTTP_CONFLICT) return fail('malformed', `status ${status}`)
+  try {
+    return ok({ status, body: JSON.parse(bytes.toString('utf8')) })
+  } catch {
+    return fail('malformed', 'the answer is not JSON')
+  }
+}
+
+function parseRefusal (body: unknown): Result<LeaseReport, WorkerFailure | StaleEpoch> {
+  const decoded = decodeStale(body)
+  if (decoded.isErr()) return err(toMalformed(decoded.error))
+  return err({ kind: 'staleEpoch', epoch: decoded.value.epoch })
+}
+
+function fail<T> (kind: WorkerFailure['kind'], message: string): Result<T, WorkerFailure> {
+  return err({ kind, message })
+}
+
+function toMalformed (error: DecodeError): WorkerFailure {
+  return { kind: 'malformed', message: error.message }
+}
+
+function parseAddress (address: string): { readonly host: string, readonly port: number } {
+  const colon = address.lastIndexOf(':')
+  return { host: address.slice(0, colon).replace(/^\[|\]$/g, ''), port: Number(address.slice(colon + 1)) }
+}
