--- a/packages/entry/src/failureDomain/sessions.ts
+++ b/packages/entry/src/failureDomain/sessions.ts
@@ -110,8 +110,12 @@
   }
   const handleApplied = (outcome: Extract<TransactionOutcome, { kind: 'applied' }>): void => {
     const row = outcome.rows.find((candidate) => candidate.key === key)
-    if (row !== undefined) ownVersion = row.version
     holder.recordApplied()
+    if (row === undefined) return
+    // A lost answer may be settled only after the row was replaced by another incarnation.
+    const decoded = decodeRow(row.value)
+    if (decoded.isOk() && decoded.value.incarnation === incarnation) ownVersion = row.version
+    else recordLoss(row)
   }
   /** Sends until the fate is known; the same transaction each time, so that it is applied at most once. */
   const sendUntilSettled = async (transaction: Transaction): Promise<TransactionOutcome | null> => {
--- a/packages/entry/src/vm/ownership.ts
+++ b/packages/entry/src/vm/ownership.ts
@@ -1,6 +1,6 @@
 /** Which workers this entry owns: rows `owner/<worker>`, changed by compare-and-set in batches. */
-import { createDisposableStore, OWNER_PREFIX } from '@fuchsiatally/core'
-import type { Clock, EventLog, Random, RowCheck, Transaction, Vm } from '@fuchsiatally/core'
+import { CellRow, createDecoder, createDisposableStore, OWNER_PREFIX } from '@fuchsiatally/core'
+import type { Clock, EventLog, Random, Row, RowCheck, Transaction, Vm } from '@fuchsiatally/core'
 import type { PlatformClient, TransactionOutcome } from '@fuchsiatally/platform'
 import type { PollInfo } from '../failureDomain/tablePoll.js'
 import type { SessionService } from '../failureDomain/sessions.js'
@@ -40,6 +40,8 @@
   readonly clock: Clock
   readonly random: Random
   readonly log: EventLog
+  /** Key of the row of the cell's scheduler role, read in one snapshot with the owner rows. */
+  readonly cellKey: string
 }
 
 /** Ownership of workers by this entry. */
@@ -53,6 +55,8 @@
   recordContact: (worker: string, epoch: number) => void
   /** Time before the last read that showed the rows of all owned workers as this entry's own. */
   readConfirmedMs: () => number
+  /** Epoch of the scheduler role as of the last read; at least as new as every row handed out. */
+  readCellEpoch: () => number
   /** The last VM list. */
   listVms: () => readonly Vm[]
   isVmListRead: () => boolean
@@ -63,6 +67,9 @@
   isFenced: (incarnation: string) => boolean
 }
 
+const decodeCellRow = createDecoder(CellRow)
+const NO_HOLDER: CellRow = { incarnation: '', epoch: 0 }
+
 interface HandedOut {
   epoch: number
   /** Version of the row up to which the ownership is known to be unbroken. */
@@ -79,10 +86,11 @@
   const handedOut = new Map<string, HandedOut>()
   const wantedEpochs = new Map<string, number>()
   const contactedEpochs = new Map<string, number>()
-  /** When a change by this entry was settled: only reads sent later show everything that came before it. */
-  const settledMs = new Map<string, number>()
+  /** Revision at which a change by this entry was settled: reads from there on show all that came before it. */
+  const settledRevisions = new Map<string, number>()
   let listener: OwnershipListener | null = null
   let confirmedMs = -Infinity
+  let cellEpoch = 0
   let state: 'idle' | 'running' | 'releasing' | 'stopped' = 'idle'
   let committing: Promise<void> | null = null
   let removing = false
@@ -104,11 +112,14 @@
       if (rows.getOwner(worker)?.row?.incarnation !== sessions.incarnation) disown(worker)
     }
   }
+  const applyCellRow = (cellRows: readonly Row[]): void => {
+    for (const row of cellRows) cellEpoch = Math.max(cellEpoch, decodeCellRow(row.value).unwrapOr(NO_HOLDER).epoch)
+  }
   const handOut = (info: PollInfo): void => {
     for (const [worker, { row, version }] of rows.listOwners()) {
       if (row?.incarnation !== sessions.incarnation) continue
       const known = handedOut.get(worker)
-      if (known?.epoch === row.epoch || info.sentMs < (settledMs.get(worker) ?? -Infinity)) continue
+      if (known?.epoch === row.epoch || info.revision < (settledRevisions.get(worker) ?? 0)) continue
       const vm = directory.getVm(worker)
       if (vm === undefined) continue
       const continuous = known !== undefined && known.version === version
@@ -143,13 +154,12 @@
     }
     return null
   }
-  const applySettled = (changes: readonly OwnershipChange[]): void => {
-    const nowMs = clock.nowMs()
+  const applySettled = (changes: readonly OwnershipChange[], revision: number): void => {
     for (const { worker, previous } of changes) {
-      settledMs.set(worker, nowMs)
+      settledRevisions.set(worker, revision)
       const known = handedOut.get(worker)
       // Nobody else wrote the row in between, so the unbroken ownership reaches to the new version.
-      if (known !== undefined && known.version === previous?.version) known.version = rows.getOwner(worker)!.version
+      if (known !== undefined && known.version === previous?.checkVersion) known.version += 1
     }
     dropForeign()
   }
@@ -161,7 +171,7 @@
     rows.applyRows(outcome.rows.filter((row) => row.key.startsWith(OWNER_PREFIX)))
     if (outcome.kind === 'applied') {
       recordChanges(log, changes)
-      applySettled(changes)
+      applySettled(changes, outcome.revision)
     } else {
       log.record(ownershipConflict, { workers: changes.length })
     }
@@ -204,6 +214,7 @@
       if (state !== 'idle') return
       state = 'running'
       listener = newListener
+      store.add(sessions.addPoll({ key: options.cellKey }, applyCellRow))
       store.add(sessions.addPoll({ prefix: OWNER_PREFIX }, (changed) => rows.applyRows(changed)))
       store.add(sessions.onPolled(handlePolled))
       directory.sendRead()
@@ -226,6 +237,7 @@
       contactedEpochs.set(worker, epoch)
     },
     readConfirmedMs: () => confirmedMs,
+    readCellEpoch: () => cellEpoch,
     listVms: () => [...directory.listVms()],
     isVmListRead: directory.isRead,
     isFenced: (incarnation) => sessions.isRemoved(incarnation) && !hasWorkers(incarnation)
