--- a/packages/entry/src/http/httpServer.ts
+++ b/packages/entry/src/http/httpServer.ts
@@ -10,7 +10,7 @@
 import { createRouter, type RouteMatch } from './router.js'
 
 const HEADERS_TIMEOUT_MS = 10_000
-const REQUEST_TIMEOUT_MS = 120_000
+const REQUEST_READ_MS = 60_000
 const KEEP_ALIVE_TIMEOUT_MS = 30_000
 
 /** Options of the HTTP interface. */
@@ -18,15 +18,20 @@
   readonly host: string
   /** 0 picks a free port. */
   readonly port: number
+  /** Routes known at the start; more can be added. */
   readonly routes: readonly Route[]
   readonly events: EventLog
   /** Connections open at once; further ones are refused. */
   readonly maxConnections: number
+  /** Longest time for a caller to send its whole request, in milliseconds. Default 60000. */
+  readonly requestReadMs?: number
 }
 
 /** The running interface. */
 export interface HttpServer {
   readonly address: string
+  /** Serves further routes from now on. */
+  addRoutes: (routes: readonly Route[]) => void
   /** Requests whose answer is not sent in full yet. */
   countInFlight: () => number
   /** Takes no new connection, answers what is in flight, then closes. */
@@ -64,7 +69,7 @@
 
 /** Starts the interface. Rejects if the address cannot be bound. */
 export async function createHttpServer (options: HttpServerOptions): Promise<HttpServer> {
-  const findRoute = createRouter(options.routes)
+  let findRoute = createRouter(options.routes)
   let inFlight = 0
   let closing = false
 
@@ -121,7 +126,7 @@
 
   const server = createServer({
     headersTimeout: HEADERS_TIMEOUT_MS,
-    requestTimeout: REQUEST_TIMEOUT_MS,
+    requestTimeout: options.requestReadMs ?? REQUEST_READ_MS,
     keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS
   }, (message, target) => { handleMessage(message, target).catch(() => { target.destroy() }) })
   server.maxConnections = options.maxConnections
@@ -132,6 +137,7 @@
 
   return {
     address,
+    addRoutes: (routes) => { findRoute = createRouter([...options.routes, ...routes]) },
     countInFlight: () => inFlight,
     stop: () => {
       closing = true
--- a/packages/entry/src/job/constants.ts
+++ b/packages/entry/src/job/constants.ts
@@ -24,3 +24,5 @@
 export const QUERY_TIMEOUT_MS = 2000
 /** How long the rows of an ended job are kept. */
 export const JOB_RETENTION_MS = 3_600_000
+/** How often the parts that teams received are written to the table. */
+export const LEDGER_INTERVAL_MS = 15_000
--- a/packages/entry/src/job/jobService.ts
+++ b/packages/entry/src/job/jobService.ts
@@ -1,7 +1,7 @@
 /** Jobs at one entry: the scheduler role while it is held, and its messages. */
 import {
   createDisposableStore,
-  type CellScheduler, type Clock, type Disposable, type EventLog, type Random, type SchedulerQuery, type TeamShare, type Vm,
+  type CellScheduler, type CellSchedulerOptions, type Clock, type Disposable, type EventLog, type Random, type SchedulerQuery, type TeamShare, type Vm,
   type WorkerDesired, type WorkerObserved
 } from '@fuchsiatally/core'
 import type { PlatformClient } from '@fuchsiatally/platform'
@@ -20,7 +20,7 @@
   readonly clock: Clock
   readonly random: Random
   readonly events: EventLog
-  readonly createScheduler: () => CellScheduler
+  readonly createScheduler: (options: CellSchedulerOptions) => CellScheduler
   readonly listVms: () => readonly Vm[]
   /** Delivers a desired set to the workers that this entry owns. */
   readonly handleDesired: (message: WorkerDesired, from: string) => void
--- a/packages/entry/src/job/schedulerTask.ts
+++ b/packages/entry/src/job/schedulerTask.ts
@@ -1,7 +1,7 @@
 /** One term of the scheduler role: reads jobs, decides, commits, and only then tells the owners. */
 import {
   createDisposableStore, subtractResources,
-  type CellScheduler, type Clock, type ConfigDocument, type Disposable, type EventLog, type Random, type Resources,
+  type CellScheduler, type CellSchedulerOptions, type Clock, type ConfigDocument, type Disposable, type EventLog, type Random, type Resources,
   type SchedulerDecision, type Vm, type WorkerDesired, type WorkerObserved
 } from '@fuchsiatally/core'
 import type { PlatformClient } from '@fuchsiatally/platform'
@@ -13,6 +13,7 @@
 } from './constants.js'
 import { jobEnded, taskPlaced, taskStopping, workerTasksLost } from './events.js'
 import { createJobFeed, type FeedNews } from './jobFeed.js'
+import { createShareLedgerStore } from './shareLedger.js'
 import { createStateCommitter, type CommitOutcome, type StateChange } from './stateCommitter.js'
 import { createWorkerBook } from './workerBook.js'
 
@@ -24,7 +25,8 @@
   readonly random: Random
   readonly events: EventLog
   readonly config: ConfigStore
-  readonly createScheduler: () => CellScheduler
+  /** Creates an empty scheduler with the ledger of the last holder. */
+  readonly createScheduler: (options: CellSchedulerOptions) => CellScheduler
   /** The VMs of the platform's list as last read. */
   readonly listVms: () => readonly Vm[]
   readonly sendDesired: (incarnation: string, message: WorkerDesired) => void
@@ -59,7 +61,9 @@
   const { clock, events } = options
   const disposables = createDisposableStore()
   const feed = createJobFeed(options.platform, events)
-  const scheduler = options.createScheduler()
+  const ledgerStore = createShareLedgerStore(options)
+  let scheduler = options.createScheduler({})
+  let ledgerRead = false
   const book = createWorkerBook({ clock, cellEpoch: options.role.epoch, sendDesired: options.sendDesired })
   const endedAtMs = new Map<string, number>()
   const knownWorkers = new Set<string>()
@@ -82,6 +86,14 @@
     for (const id of news.cancelledJobs) if (!endedAtMs.has(id)) scheduler.cancelJob(id, nowMs)
   }
 
+  /** The ledger comes before any job: a scheduler takes it only when it is created. */
+  const readLedger = async (): Promise<void> => {
+    const ledger = await ledgerStore.readLedger()
+    if (ledger.isErr()) return
+    if (ledger.value !== undefined) scheduler = options.createScheduler({ ledger: ledger.value })
+    ledgerRead = true
+  }
+
   const readJobs = async (): Promise<void> => {
     if (!jobsChanged && clock.nowMs() - lastJobReadMs < JOB_POLL_MS) return
     jobsChanged = false
@@ -164,7 +176,8 @@
   }
 
   const runCycle = async (): Promise<void> => {
-    await readJobs()
+    if (!ledgerRead) await readLedger()
+    if (ledgerRead) await readJobs()
     const document = options.config.readDocument()
     if (disposed || !loaded || document === null) return
     applyWorkers(document)
@@ -177,6 +190,7 @@
       return
     }
     book.sendDirty(scheduler)
+    ledgerStore.writeDue(scheduler.readShareLedger)
     if (decisions.length > 0) loop.wake()
   }
 
--- /dev/null
+++ b/packages/entry/src/job/shareRoutes.ts
@@ -0,0 +1,26 @@
+/** Route of the teams' shares, from the scheduler's memory. */
+import { createUnauthorizedResponse } from '../http/refusals.js'
+import { createJsonResponse, createProblemResponse, type HttpRequest, type HttpResponse, type Route } from '../http/route.js'
+import type { KeyRing } from '../ports.js'
+import type { JobService } from './jobService.js'
+
+const NO_BODY_BYTES = 1024
+const RETRY_AFTER_MS = 3000
+
+/** Options of the route. */
+export interface ShareRoutesOptions {
+  readonly keyRing: KeyRing
+  readonly service: Pick<JobService, 'readFromScheduler'>
+}
+
+/** Builds `GET /v1/teams/shares`, for operators. */
+export function createShareRoutes (options: ShareRoutesOptions): Route[] {
+  const readShares = async (request: HttpRequest): Promise<HttpResponse> => {
+    if (!options.keyRing.isOperator(request.headers['authorization'])) return createUnauthorizedResponse('unauthorized')
+    const json = await options.service.readFromScheduler('listTeamShares', '')
+    if (json !== null) return createJsonResponse(200, { shares: JSON.parse(json) })
+    const detail = 'no entry holds the scheduler role at this moment; one takes it within seconds of reaching the platform'
+    return createProblemResponse({ status: 503, code: 'not_ready', title: 'No scheduler', detail, retryAfterMs: RETRY_AFTER_MS })
+  }
+  return [{ method: 'GET', pattern: '/v1/teams/shares', maxBodyBytes: NO_BODY_BYTES, handle: readShares }]
+}
