Cell of several entries over fakes, with an oracle, and loss that the table confirms

Cause: random failures showed a worker called lost while it ran: an owner paused for 11 s found on waking that its own lease had lapsed, but the next owner had extended it meanwhile. Ruled out: the scheduler's epoch rule alone, since the scheduler may not have heard of the next owner yet. Change: an owner says lost only once a session renewal sent after the lapse, and a read that is younger than it, still show its row. No bound on the age of reads is assumed for that.

--- a/packages/core/src/contract/lease.ts
+++ b/packages/core/src/contract/lease.ts
@@ -6,8 +6,6 @@
 export const LEASE_ALLOWANCE_MS = 1_000
 /** Part by which two monotonic clocks may differ over a long time. */
 export const CLOCK_RATE_ALLOWANCE = 0.001
-/** How far a read of the table may lie behind its last write, in milliseconds; assumed of the platform. */
-export const READ_STALENESS_MS = 5_000
 /** Interval between two contacts with a worker, in milliseconds. */
 export const LEASE_RENEWAL_MS = 1_000
 /** How long an accepted contact, counted from before it was sent, allows exchanges, in milliseconds. */
@@ -82,14 +80,24 @@
  * they extend leases for at most the tolerance after they last saw their own row.
  */
 export function computeTakeoverBoundMs (takenMs: number, outageToleranceMs: number): number {
-  return takenMs + READ_STALENESS_MS + outageToleranceMs * (1 + CLOCK_RATE_ALLOWANCE) + TASK_LEASE_MS + LEASE_ALLOWANCE_MS
+  return takenMs + outageToleranceMs * (1 + CLOCK_RATE_ALLOWANCE) + TASK_LEASE_MS + LEASE_ALLOWANCE_MS
 }
 
 /**
  * Whether an owner may still extend leases.
  *
- * @param confirmedMs time before the last read that showed the owner's row was sent
+ * @param confirmedMs a time at which the row named the owner for certain
  */
 export function hasRightToExtend (nowMs: number, confirmedMs: number, outageToleranceMs: number): boolean {
   return nowMs - confirmedMs < outageToleranceMs
 }
+
+/**
+ * Whether a worker runs nothing of this owner's epochs or lower ones for certain.
+ *
+ * @param lapseBoundMs time from which the leases that this owner knows of have lapsed
+ * @param confirmedMs a time at which the row named the owner for certain: until then no other owner extended a lease
+ */
+export function isLapsedForCertain (nowMs: number, lapseBoundMs: number, confirmedMs: number): boolean {
+  return nowMs >= lapseBoundMs && confirmedMs >= lapseBoundMs
+}
--- a/packages/entry/src/failureDomain/sessions.ts
+++ b/packages/entry/src/failureDomain/sessions.ts
@@ -38,6 +38,14 @@
   readonly onLost?: () => void
 }
 
+/** The last good renewal. */
+export interface RenewalInfo {
+  /** Time before it was first sent. */
+  readonly sentMs: number
+  /** Revision of the table at which it was settled: a read that shows this revision is younger than `sentMs`. */
+  readonly revision: number
+}
+
 /** Sessions with their life cycle and the poll that others share. */
 export interface SessionService extends Sessions {
   /** Begins to register, renew and observe. */
@@ -54,6 +62,7 @@
   sendPoll: () => void
   /** Check for transactions that only a registered incarnation may commit; `null` before registration and after loss. */
   readOwnCheck: () => RowCheck | null
+  readLastRenewal: () => RenewalInfo | null
   /** Whether no row names the incarnation any more: it can never be valid again. */
   isRemoved: (incarnation: string) => boolean
   /** Check that an expired session was not renewed; `null` if no row names the incarnation. */
@@ -74,6 +83,7 @@
   let poll: TablePoll | null = null
   const earlySubscriptions: Array<(target: TablePoll) => Disposable> = []
   let ownVersion: number | null = null
+  let lastRenewal: RenewalInfo | null = null
   let leaving = false
   let state: 'idle' | 'running' | 'stopped' | 'lost' = 'idle'
   let renewTimer: Disposable = { dispose: () => {} }
@@ -111,6 +121,7 @@
   const handleApplied = (outcome: Extract<TransactionOutcome, { kind: 'applied' }>): void => {
     const row = outcome.rows.find((candidate) => candidate.key === key)
     holder.recordApplied()
+    lastRenewal = { sentMs: holder.readLastRenewalMs(), revision: outcome.revision }
     if (row === undefined) return
     // A lost answer may be settled only after the row was replaced by another incarnation.
     const decoded = decodeRow(row.value)
@@ -223,6 +234,7 @@
     readLastRenewalMs: holder.readLastRenewalMs,
     listSessions: () => observer.listObserved().map(toView),
     isGone: (other) => observer.isRemoved(other) || observer.findByIncarnation(other)?.expired === true,
+    readLastRenewal: () => lastRenewal,
     isRemoved: observer.isRemoved,
     start: () => {
       if (state !== 'idle') return
--- /dev/null
+++ b/packages/entry/src/testing/membershipCell.ts
@@ -0,0 +1,262 @@
+/** Several entries with real sessions, ownership and liaison over fakes, judged by an oracle. */
+import { computeHash, type Vm } from '@fuchsiatally/core'
+import { createFakeClock, type FakeClock } from '@fuchsiatally/core/testing/fakeClock'
+import { createMemoryEventLog, type MemoryEventLog } from '@fuchsiatally/core/testing/memoryEventLog'
+import { createSeededRandom } from '@fuchsiatally/core/testing/seededRandom'
+import { err, type Result } from 'neverthrow'
+import { createFakePlatform, type FakePlatform } from '@fuchsiatally/platform/testing/fakePlatform'
+import { createTableModel, type TableModel } from '@fuchsiatally/platform/testing/tableModel'
+import type { WorkerClient, WorkerFailure } from '../ports.js'
+import { createSessions, type SessionService } from '../failureDomain/sessions.js'
+import { createOwnership, type Ownership } from '../vm/ownership.js'
+import { createWorkerLiaison, type WorkerLiaison } from '../vm/workerLiaison.js'
+import { createFakeMesh, type FakeMesh, type FakePeerMesh } from './fakeMesh.js'
+import { createFakeProcess, type FakeProcess } from './fakeProcess.js'
+import { createFakeWorkerClient, createWorkerLinkFaults, type WorkerLinkFaults } from './fakeWorkerClient.js'
+import { createMembershipOracle, type MembershipOracle } from './membershipOracle.js'
+import { createSchedulerModel, type ModelTable, type SchedulerModel } from './schedulerModel.js'
+import { createWorkerModel, type WorkerModel } from './workerModel.js'
+
+/** Sizes of a cell under test. */
+export interface MembershipCellOptions {
+  readonly seed: number
+  /** Entries by failure domain, such as `['a', 'a', 'b']`. */
+  readonly entryDomains: readonly string[]
+  /** Workers by failure domain. */
+  readonly workerDomains: readonly string[]
+  readonly taskCount: number
+  /** Run time of an attempt, in milliseconds. */
+  readonly runMs: number
+  readonly outageToleranceMs: number
+}
+
+/** One entry's process of the moment. */
+export interface CellEntry {
+  readonly name: string
+  readonly incarnation: string
+  readonly process: FakeProcess
+  readonly platform: FakePlatform
+  readonly mesh: FakePeerMesh
+  readonly sessions: SessionService
+  readonly ownership: Ownership
+  readonly liaison: WorkerLiaison
+  readonly log: MemoryEventLog
+  /** Faults of the connections by worker. */
+  readonly links: ReadonlyMap<string, WorkerLinkFaults>
+  /** Whether it has not been stopped. */
+  isServing: () => boolean
+}
+
+/** A running cell. */
+export interface MembershipCell {
+  readonly clock: FakeClock
+  readonly table: TableModel
+  readonly mesh: FakeMesh
+  readonly workers: readonly WorkerModel[]
+  readonly entries: CellEntry[]
+  readonly oracle: MembershipOracle
+  readonly schedulers: SchedulerModel[]
+  /** Advances time; the schedulers run and the oracle judges every 200 ms. */
+  runFor: (ms: number) => Promise<void>
+  /** Starts a new process of an entry; the old one is killed if it still runs. */
+  startEntry: (index: number) => void
+  /** Planned stop of an entry with hand-over. */
+  stopEntry: (index: number) => Promise<void>
+  /** A new scheduler takes the role; the old one does not know. */
+  deposeScheduler: () => void
+  setVmState: (worker: number, state: Vm['state']) => void
+  /** The VM stops for good, and the list says so. */
+  loseVm: (worker: number) => void
+  readonly lostWorkers: ReadonlySet<string>
+}
+
+const CYCLE_MS = 200
+const CELL_KEY = 'cell/test'
+
+/** Creates the cell with all entries started. */
+export function createMembershipCell (options: MembershipCellOptions): MembershipCell {
+  const clock = createFakeClock()
+  const table = createTableModel()
+  const mesh = createFakeMesh({ clock })
+  const modelTable: ModelTable = {
+    cellEpoch: 0,
+    tasks: Array.from({ length: options.taskCount }, (_, task) => ({ task, attempt: 0, worker: null, stopping: false }))
+  }
+  const workers = options.workerDomains.map((domain, index) => createWorkerModel({
+    id: `w${index}-${domain}`, clock, random: createSeededRandom(options.seed + 100 + index)
+  }))
+  const oracle = createMembershipOracle(clock, workers)
+  const entries: CellEntry[] = []
+  const schedulers: SchedulerModel[] = []
+  const schedulerNames: string[] = []
+  const stopped = new Set<string>()
+  const lostWorkers = new Set<string>()
+  let generation = 0
+
+  const setVm = (index: number, state: Vm['state']): void => table.setVm({
+    id: workers[index]!.id,
+    state,
+    failureDomain: options.workerDomains[index]!,
+    rack: 'r',
+    pool: 'p',
+    address: workers[index]!.id,
+    resources: workers[index]!.resources,
+    runners: []
+  })
+  for (const index of workers.keys()) setVm(index, 'live')
+
+  const deposeScheduler = (): void => {
+    modelTable.cellEpoch += 1
+    const incarnation = `scheduler${modelTable.cellEpoch}`
+    table.transact({
+      writeId: incarnation,
+      checks: [{ key: CELL_KEY, version: table.findRow(CELL_KEY)?.version ?? 0 }],
+      writes: [{ key: CELL_KEY, value: { incarnation, epoch: modelTable.cellEpoch } }]
+    })
+    const peerMesh = mesh.addEntry({ entry: incarnation, incarnation, failureDomain: 's' })
+    schedulerNames.push(incarnation)
+    schedulers.push(createSchedulerModel({
+      table: modelTable,
+      cellEpoch: modelTable.cellEpoch,
+      clock,
+      random: createSeededRandom(options.seed + 1000 + modelTable.cellEpoch),
+      mesh: peerMesh,
+      workers: workers.map(({ id }) => id),
+      runMs: options.runMs
+    }))
+  }
+
+  const createEntry = (index: number): CellEntry => {
+    generation += 1
+    const name = `e${index}`
+    const incarnation = `${name}.${generation}`
+    const failureDomain = options.entryDomains[index]!
+    const random = createSeededRandom(computeHash(`${options.seed} ${incarnation}`))
+    const process = createFakeProcess(clock)
+    const platform = createFakePlatform({ model: table, clock, random: createSeededRandom(options.seed + generation) })
+    const ownMesh = mesh.addEntry({ entry: name, incarnation, failureDomain })
+    const log = createMemoryEventLog()
+    const links = new Map(workers.map((worker) => [worker.id, createWorkerLinkFaults()]))
+    const common = { clock: process.clock, random, log, platform: process.wrapPlatform(platform) }
+    const sessions = createSessions({
+      ...common,
+      entry: name,
+      incarnation,
+      failureDomain,
+      linkAddress: '',
+      httpAddress: '',
+      onLost: () => stopLost(entry)
+    })
+    const ownership = createOwnership({ ...common, sessions, cellKey: CELL_KEY })
+    const createClient = (address: string): ReturnType<FakeProcess['wrapWorker']> => {
+      const model = workers.find((worker) => worker.id === address)!
+      const judged = oracle.wrapModel(model, incarnation)
+      const client = createFakeWorkerClient({ model: judged, clock, random, faults: links.get(address)! })
+      return process.wrapWorker(wrapLost(client, () => lostWorkers.has(address)))
+    }
+    const liaison = createWorkerLiaison({
+      ...common,
+      incarnation,
+      mesh: process.wrapMesh(wrapObserved(ownMesh, oracle)),
+      ownership,
+      createClient,
+      outageToleranceMs: options.outageToleranceMs,
+      readCellEpoch: ownership.readCellEpoch,
+      findScheduler: () => schedulerNames.at(-1)!,
+      onObserved: () => {}
+    })
+    const entry = {
+      name,
+      incarnation,
+      process,
+      platform,
+      mesh: ownMesh,
+      sessions,
+      ownership,
+      liaison,
+      log,
+      links,
+      isServing: () => !stopped.has(incarnation)
+    }
+    sessions.start()
+    ownership.start(liaison)
+    return entry
+  }
+  const stopLost = (entry: CellEntry): void => {
+    stopped.add(entry.incarnation)
+    // The process ends; whoever runs it starts it anew.
+    entry.liaison.dispose()
+    entry.ownership.stop(false).catch(() => {})
+    entry.sessions.stop(false).catch(() => {})
+    clock.setTimer(500, () => {
+      const index = entries.indexOf(entry)
+      if (index >= 0) startEntry(index)
+    })
+  }
+  const startEntry = (index: number): void => {
+    const old = entries[index]
+    old?.process.kill()
+    old?.mesh.dispose()
+    entries[index] = createEntry(index)
+  }
+  deposeScheduler()
+  for (const index of options.entryDomains.keys()) startEntry(index)
+
+  return {
+    clock,
+    table,
+    mesh,
+    workers,
+    entries,
+    oracle,
+    schedulers,
+    startEntry,
+    deposeScheduler,
+    setVmState: setVm,
+    lostWorkers,
+    loseVm: (index) => {
+      const worker = workers[index]!
+      worker.restart()
+      lostWorkers.add(worker.id)
+      setVm(index, 'gone')
+    },
+    stopEntry: async (index) => {
+      const entry = entries[index]!
+      if (stopped.has(entry.incarnation)) return
+      stopped.add(entry.incarnation)
+      entry.sessions.setLeaving()
+      await entry.ownership.stop(true)
+      entry.liaison.dispose()
+      await entry.sessions.stop(true)
+    },
+    runFor: async (ms) => {
+      for (let passed = 0; passed < ms; passed += CYCLE_MS) {
+        await clock.runFor(Math.min(CYCLE_MS, ms - passed))
+        for (const scheduler of schedulers.slice(-2)) scheduler.runCycle()
+        oracle.judge()
+        oracle.recordFenced(entries.filter(({ process }) => process.isRunning()))
+      }
+    }
+  }
+}
+
+/** Fails each call once the VM is gone. */
+function wrapLost (client: WorkerClient, isLost: () => boolean): WorkerClient {
+  const refuse = async (): Promise<Result<never, WorkerFailure>> => err({ kind: 'unreachable', message: 'the VM is gone' })
+  return {
+    renewLease: (command) => isLost() ? refuse() : client.renewLease(command),
+    startTask: (command) => isLost() ? refuse() : client.startTask(command),
+    stopTask: (command) => isLost() ? refuse() : client.stopTask(command)
+  }
+}
+
+/** Lets the oracle see each report at the time at which it is composed. */
+function wrapObserved (mesh: FakePeerMesh, oracle: MembershipOracle): FakePeerMesh {
+  return {
+    ...mesh,
+    sendMessage: (incarnation, message) => {
+      if (message.type === 'workerObserved') oracle.recordObserved(message)
+      return mesh.sendMessage(incarnation, message)
+    }
+  }
+}
--- /dev/null
+++ b/packages/entry/src/testing/membershipOracle.ts
@@ -0,0 +1,119 @@
+/** Judges ownership from the outside: by what the workers accepted, ran and were said to run. */
+import { formatAttempt, type Clock, type WorkerObserved } from '@fuchsiatally/core'
+import type { Sessions } from '../ports.js'
+import type { Ownership } from '../vm/ownership.js'
+import type { TaskRun, WorkerModel } from './workerModel.js'
+
+/** What one entry knows. */
+export interface OwnershipView {
+  readonly sessions: Sessions
+  readonly ownership: Ownership
+}
+
+/** Collects broken promises; an empty list is a pass. */
+export interface MembershipOracle {
+  readonly faults: string[]
+  /** The model as one owner reaches it. */
+  wrapModel: (model: WorkerModel, incarnation: string) => WorkerModel
+  recordObserved: (message: WorkerObserved) => void
+  /** Notes which incarnations the running entries hold for fenced; nothing of theirs may be accepted afterwards. */
+  recordFenced: (views: readonly OwnershipView[]) => void
+  /** Checks that no task runs in two places now, nor ever did. */
+  judge: () => void
+  countStarts: () => number
+  /** Time of accepted contacts by worker, for measuring gaps. */
+  readLastContactMs: (worker: string) => number
+}
+
+/** Creates the oracle. */
+export function createMembershipOracle (clock: Clock, workers: readonly WorkerModel[]): MembershipOracle {
+  const faults: string[] = []
+  const startEpochs = new Map<string, number>()
+  const epochOwners = new Map<string, string>()
+  const highestEpochs = new Map<string, number>()
+  /** Incarnations that an entry has read: only of those it may be asked. */
+  const seenBy = new Map<Sessions, Set<string>>()
+  const fenced = new Set<string>()
+  const lastContactMs = new Map<string, number>()
+  let starts = 0
+
+  const fail = (text: string): void => {
+    const line = `${clock.nowMs()} ms: ${text}`
+    if (faults.length < 20) faults.push(line)
+  }
+  const formatRun = (worker: string, id: TaskRun['id']): string => `${worker} ${formatAttempt(id)}`
+  const recordAccepted = (worker: WorkerModel, incarnation: string, epoch: number): void => {
+    const key = `${worker.id} ${worker.readIncarnation()}`
+    if (fenced.has(incarnation)) fail(`${worker.id} accepted the fenced ${incarnation}`)
+    if (epoch < (highestEpochs.get(key) ?? 0)) fail(`${worker.id} accepted epoch ${epoch} late`)
+    highestEpochs.set(key, Math.max(epoch, highestEpochs.get(key) ?? 0))
+    const owner = epochOwners.get(`${worker.id} ${epoch}`) ?? incarnation
+    epochOwners.set(`${worker.id} ${epoch}`, owner)
+    if (owner !== incarnation) fail(`${worker.id}: epoch ${epoch} of ${owner} used by ${incarnation}`)
+  }
+  const listAllRuns = (): Map<number, TaskRun[]> => {
+    const runs = new Map<number, TaskRun[]>()
+    for (const worker of workers) {
+      for (const run of worker.listRuns()) {
+        if (!runs.has(run.id.task)) runs.set(run.id.task, [])
+        runs.get(run.id.task)!.push(run)
+      }
+    }
+    return runs
+  }
+  const judgeTask = (task: number, runs: TaskRun[]): void => {
+    runs.sort((a, b) => a.startedAtMs - b.startedAtMs)
+    let previous: TaskRun | undefined
+    for (const run of runs) {
+      const overlaps = previous !== undefined && (previous.endedAtMs ?? Infinity) > run.startedAtMs
+      if (overlaps) fail(`task ${task} ran at ${previous!.worker} and at ${run.worker} from ${run.startedAtMs} ms`)
+      previous = run
+    }
+  }
+  return {
+    faults,
+    wrapModel: (model, incarnation) => {
+      return {
+        ...model,
+        renewLease: (command) => {
+          const answer = model.renewLease(command)
+          if (!answer.refused) {
+            recordAccepted(model, incarnation, command.epoch)
+            lastContactMs.set(model.id, clock.nowMs())
+          }
+          return answer
+        },
+        startTask: (command) => {
+          const before = model.listRuns().length
+          const answer = model.startTask(command)
+          if (model.listRuns().length === before) return answer
+          recordAccepted(model, incarnation, command.epoch)
+          startEpochs.set(formatRun(model.id, command.id), command.epoch)
+          starts += 1
+          return answer
+        }
+      }
+    },
+    recordObserved: ({ worker, workerEpoch, state }) => {
+      if (state !== 'lost') return
+      const model = workers.find(({ id }) => id === worker)!
+      for (const run of model.listRunning()) {
+        const epoch = startEpochs.get(formatRun(worker, run.id)) ?? 0
+        if (epoch <= workerEpoch) fail(`${worker} said lost under epoch ${workerEpoch} while ${formatAttempt(run.id)} runs`)
+      }
+    },
+    recordFenced: (views) => {
+      for (const { sessions, ownership } of views) {
+        let seen = seenBy.get(sessions)
+        if (seen === undefined) seenBy.set(sessions, seen = new Set())
+        for (const incarnation of seen) if (ownership.isFenced(incarnation)) fenced.add(incarnation)
+        for (const { incarnation } of sessions.listSessions()) seen.add(incarnation)
+      }
+    },
+    judge: () => {
+      for (const [task, runs] of listAllRuns()) judgeTask(task, runs)
+    },
+    countStarts: () => starts,
+    readLastContactMs: (worker) => lastContactMs.get(worker) ?? -Infinity
+  }
+}
--- /dev/null
+++ b/packages/entry/src/testing/schedulerModel.ts
@@ -0,0 +1,139 @@
+/** The least scheduler that keeps the rule: a new attempt only when the old one is known to be over. */
+import { formatAttempt } from '@fuchsiatally/core'
+import type { AttemptId, Clock, Random, WorkerDesired, WorkerObserved } from '@fuchsiatally/core'
+import type { PeerMesh } from '../ports.js'
+
+/** One task as the table keeps it, shared by all schedulers. */
+export interface ModelTask {
+  readonly task: number
+  attempt: number
+  /** Worker of the current attempt; `null` between attempts. */
+  worker: string | null
+  stopping: boolean
+}
+
+/** What the table says of tasks and of the scheduler role. */
+export interface ModelTable {
+  readonly tasks: ModelTask[]
+  cellEpoch: number
+}
+
+/** Options of a scheduler. */
+export interface SchedulerModelOptions {
+  readonly table: ModelTable
+  readonly cellEpoch: number
+  readonly clock: Clock
+  readonly random: Random
+  readonly mesh: PeerMesh
+  readonly workers: readonly string[]
+  /** Run time of an attempt, in milliseconds. */
+  readonly runMs: number
+}
+
+interface KnownWorker {
+  owner: string
+  observed: WorkerObserved
+  observedAtMs: number
+}
+
+const RESOURCES = { processors: 1, memoryMb: 1, accelerators: 0 }
+const REPORT_SILENCE_MS = 3_500
+const RESEND_MS = 1_000
+
+/** A scheduler; a deposed one cannot commit but goes on sending what it knew. */
+export interface SchedulerModel {
+  /** Decides, commits and sends; call it at an interval. */
+  runCycle: () => void
+  /** Ends the current attempt of a task, so that a new one follows elsewhere. */
+  stopTask: (task: number) => void
+  isSettled: () => boolean
+}
+
+/** Creates a scheduler and registers its receivers. */
+export function createSchedulerModel (options: SchedulerModelOptions): SchedulerModel {
+  const { table, clock, random, mesh } = options
+  const known = new Map<string, KnownWorker>()
+  const acknowledged = new Map<string, Map<string, AttemptId>>()
+  const lastTasks: ModelTask[] = []
+  const lastSent = new Map<string, { text: string, atMs: number }>()
+  let sequence = 0
+
+  const isDeposed = (): boolean => table.cellEpoch !== options.cellEpoch
+  const findTask = (id: AttemptId, worker: string): ModelTask | undefined =>
+    table.tasks.find((task) => task.task === id.task && task.attempt === id.attempt && task.worker === worker)
+  const endAttempt = (task: ModelTask): void => {
+    task.worker = null
+    task.stopping = false
+  }
+  const recordEnds = (observed: WorkerObserved): void => {
+    const acks = new Map<string, AttemptId>()
+    for (const { id } of observed.ended) {
+      const task = findTask(id, observed.worker)
+      if (task !== undefined) endAttempt(task)
+      acks.set(formatAttempt(id), id)
+    }
+    acknowledged.set(observed.worker, acks)
+  }
+  const recordObserved = (observed: WorkerObserved, owner: string): void => {
+    const current = known.get(observed.worker)
+    if (current !== undefined && observed.workerEpoch < current.observed.workerEpoch) return
+    known.set(observed.worker, { owner, observed, observedAtMs: clock.nowMs() })
+    if (isDeposed()) return
+    if (observed.state === 'lost') {
+      for (const task of table.tasks) if (task.worker === observed.worker) endAttempt(task)
+    }
+    recordEnds(observed)
+  }
+  const isReachable = (worker: string): boolean => {
+    const current = known.get(worker)
+    if (current === undefined || current.observed.state !== 'reachable') return false
+    return clock.nowMs() - current.observedAtMs < REPORT_SILENCE_MS
+  }
+  const placeTasks = (): void => {
+    const reachable = options.workers.filter(isReachable)
+    if (reachable.length === 0) return
+    for (const task of table.tasks) {
+      if (task.worker !== null) continue
+      task.attempt += 1
+      task.worker = reachable[Math.floor(random.nextFloat() * reachable.length)]!
+    }
+  }
+  const sendDesired = (worker: string, { owner, observed }: KnownWorker): void => {
+    const own = lastTasks.filter((task) => task.worker === worker)
+    const toId = ({ task, attempt }: ModelTask): AttemptId => ({ job: 'j', task, attempt })
+    const message: WorkerDesired = {
+      type: 'workerDesired',
+      cellEpoch: options.cellEpoch,
+      sequence: 0,
+      worker,
+      workerEpoch: observed.workerEpoch,
+      run: own.filter((task) => !task.stopping)
+        .map((task) => ({ id: toId(task), resources: RESOURCES, payload: JSON.stringify({ runMs: options.runMs }) })),
+      end: own.filter((task) => task.stopping).map((task) => ({ id: toId(task), checkpoint: false })),
+      acknowledged: [...acknowledged.get(worker)?.values() ?? []]
+    }
+    const text = JSON.stringify([owner, message])
+    const last = lastSent.get(worker)
+    if (last?.text === text && clock.nowMs() - last.atMs < RESEND_MS) return
+    lastSent.set(worker, { text, atMs: clock.nowMs() })
+    sequence += 1
+    mesh.sendMessage(owner, { ...message, sequence })
+  }
+  mesh.onMessage('workerObserved', (message, from) => recordObserved(message, from.incarnation))
+  return {
+    runCycle: () => {
+      if (!isDeposed()) {
+        placeTasks()
+        lastTasks.splice(0, lastTasks.length, ...structuredClone(table.tasks))
+      }
+      for (const [worker, current] of known) sendDesired(worker, current)
+    },
+    stopTask: (index) => {
+      const task = table.tasks[index]
+      if (task !== undefined && task.worker !== null && !isDeposed()) task.stopping = true
+    },
+    isSettled: () => table.tasks.every(({ task, attempt, worker, stopping }) =>
+      worker !== null && !stopping && known.get(worker)?.observed.state === 'reachable' &&
+      known.get(worker)!.observed.running.some((id) => id.task === task && id.attempt === attempt))
+  }
+}
--- /dev/null
+++ b/packages/entry/src/vm/__tests__/membership.spec.ts
@@ -0,0 +1,32 @@
+/** Sessions, ownership and liaison of several entries over fakes, against the oracle. */
+import { test } from 'uvu'
+import * as assert from 'uvu/assert'
+import { createMembershipCell } from '../../testing/membershipCell.js'
+
+const SMALL = {
+  seed: 1, entryDomains: ['a', 'a', 'b'], workerDomains: ['a', 'a', 'b', 'b'], taskCount: 6, runMs: 1e9, outageToleranceMs: 20_000
+}
+
+test('tasks start at their owners and stay', async () => {
+  const cell = createMembershipCell(SMALL)
+  await cell.runFor(10_000)
+  assert.equal(cell.oracle.faults, [])
+  assert.ok(cell.schedulers[0]!.isSettled())
+  assert.is(cell.oracle.countStarts(), SMALL.taskCount)
+  await cell.runFor(60_000)
+  assert.is(cell.oracle.countStarts(), SMALL.taskCount)
+  assert.equal(cell.oracle.faults, [])
+})
+
+test('the workers of a killed entry go on under the next owner', async () => {
+  const cell = createMembershipCell(SMALL)
+  await cell.runFor(10_000)
+  cell.entries[0]!.process.kill()
+  await cell.runFor(20_000)
+  assert.equal(cell.oracle.faults, [])
+  assert.is(cell.oracle.countStarts(), SMALL.taskCount)
+  assert.is(cell.entries[1]!.liaison.listOwnedWorkers().length, 2)
+  assert.ok(cell.entries[2]!.ownership.isFenced(cell.entries[0]!.incarnation))
+})
+
+test.run()
--- a/packages/entry/src/vm/ownership.ts
+++ b/packages/entry/src/vm/ownership.ts
@@ -53,7 +53,10 @@
   updateEpoch: (worker: string, minEpoch: number) => void
   /** The worker accepted a contact of the epoch: all earlier owners are shut out. */
   recordContact: (worker: string, epoch: number) => void
-  /** Time before the last read that showed the rows of all owned workers as this entry's own. */
+  /**
+   * A time at which the rows of all owned workers named this entry: that of the last session renewal which a read of the
+   * rows is known to be younger than. Nobody else had taken them over by then.
+   */
   readConfirmedMs: () => number
   /** Epoch of the scheduler role as of the last read; at least as new as every row handed out. */
   readCellEpoch: () => number
@@ -90,6 +93,7 @@
   const settledRevisions = new Map<string, number>()
   let listener: OwnershipListener | null = null
   let confirmedMs = -Infinity
+  let hasPolled = false
   let cellEpoch = 0
   let state: 'idle' | 'running' | 'releasing' | 'stopped' = 'idle'
   let committing: Promise<void> | null = null
@@ -138,8 +142,11 @@
     decide()
   }
   const handlePolled = (info: PollInfo): void => {
-    confirmedMs = info.sentMs
+    hasPolled = true
     dropForeign()
+    // A read may be answered from an old snapshot, so its own sending does not tell its age.
+    const renewal = sessions.readLastRenewal()
+    if (renewal !== null && info.revision >= renewal.revision) confirmedMs = renewal.sentMs
     handOut(info)
     decide()
     removeExpiredSessions()
@@ -184,7 +191,7 @@
   }
   const decide = (): void => {
     if (state !== 'running' || committing !== null) return
-    if (confirmedMs === -Infinity || !directory.isRead() || !sessions.isValid()) return
+    if (!hasPolled || !directory.isRead() || !sessions.isValid()) return
     const changes = collectChanges(plan, chooser)
     if (changes.length > 0) startCommit(changes)
   }
--- a/packages/entry/src/vm/workerTask.ts
+++ b/packages/entry/src/vm/workerTask.ts
@@ -1,7 +1,7 @@
 /** Contact with one owned worker: renews its lease and drives it to the desired set of attempts. */
 import {
   computeTakeoverBoundMs, createDisposableStore, createLeaseTracker, formatAttempt, hasRightToExtend,
-  LEASE_RENEWAL_MS, startInterval
+  isLapsedForCertain, LEASE_RENEWAL_MS, startInterval
 } from '@fuchsiatally/core'
 import type {
   AttemptId, Clock, Disposable, EventLog, LeaseReport, LeaseTracker, Random, Vm, WorkerDesired, WorkerObserved
@@ -25,7 +25,7 @@
   readonly log: EventLog
   readonly createClient: WorkerClientFactory
   readonly outageToleranceMs: number
-  /** Time before the last read of the table that showed the worker's row as this entry's own. */
+  /** A time at which the worker's row named this entry for certain. */
   readonly readConfirmedMs: () => number
   readonly updateEpoch: (worker: string, minEpoch: number) => void
   readonly recordContact: (worker: string, epoch: number) => void
@@ -197,7 +197,8 @@
   const checkLost = (): void => {
     const nowMs = clock.nowMs()
     const isSilent = nowMs - epochSetMs >= FIRST_CONTACT_MS && !tracker.hasContact(nowMs)
-    const isOver = vm.state === 'gone' || (isSilent && nowMs >= tracker.readLapseBoundMs())
+    const isLapsed = isLapsedForCertain(nowMs, tracker.readLapseBoundMs(), options.readConfirmedMs())
+    const isOver = vm.state === 'gone' || (isSilent && isLapsed)
     if (isLost || !isOver) return
     isLost = true
     blocked = true
