Whole entries over fakes, judged from the outside

Cause: each part is proved alone; the promises are about them together. Change: a cell of whole entries over the fakes with an injected clock, commands that fail and heal it, an oracle over the runs of all workers (no task in two places, no VM without room for a start, ceilings, no completed task again, accepted jobs come to their ends).

--- a/packages/entry/src/process/entry.ts
+++ b/packages/entry/src/process/entry.ts
@@ -12,7 +12,7 @@
 import type { Route } from '../http/route.js'
 import { createTeamRoutes } from '../http/teamRoutes.js'
 import { createVmRoutes } from '../http/vmRoutes.js'
-import { createJobAdmission } from '../job/jobAdmission.js'
+import { createJobAdmission, type JobAdmission } from '../job/jobAdmission.js'
 import { createJobRoutes } from '../job/jobRoutes.js'
 import { createJobService, type JobService } from '../job/jobService.js'
 import { computeTaskCapacity } from '../job/schedulerTask.js'
@@ -54,6 +54,7 @@
   readonly config: ConfigStoreHandle
   readonly keyRing: KeyRingHandle
   readonly jobs: JobService
+  readonly admission: JobAdmission
   readonly requests: RequestService
   readonly ownership: Ownership
   readonly routes: readonly Route[]
@@ -153,6 +154,7 @@
     config,
     keyRing,
     jobs,
+    admission,
     requests,
     ownership,
     routes: [
--- /dev/null
+++ b/packages/entry/src/testing/entryCell.ts
@@ -0,0 +1,195 @@
+/** Whole entries over fakes: real sessions, ownership, scheduler role, configuration and requests, judged from the outside. */
+import { computeHash, type ConfigDocument, type Manifest, type Vm } from '@fuchsiatally/core'
+import { createFakeClock, type FakeClock } from '@fuchsiatally/core/testing/fakeClock'
+import { createMemoryEventLog, type MemoryEventLog } from '@fuchsiatally/core/testing/memoryEventLog'
+import { createSeededRandom } from '@fuchsiatally/core/testing/seededRandom'
+import { createFakePlatform, type FakePlatform } from '@fuchsiatally/platform/testing/fakePlatform'
+import { createTableModel, type TableModel } from '@fuchsiatally/platform/testing/tableModel'
+import { createEntry, type Entry } from '../process/entry.js'
+import type { EndpointClient, PeerMesh } from '../ports.js'
+import { createFakeMesh, type FakeMesh, type FakePeerMesh } from './fakeMesh.js'
+import { createFakeProcess, type FakeProcess } from './fakeProcess.js'
+import { createFakeWorkerClient, createWorkerLinkFaults, type WorkerLinkFaults } from './fakeWorkerClient.js'
+import { createJobOracle, type JobOracle } from './jobOracle.js'
+import { createWorkerModel, type WorkerModel } from './workerModel.js'
+
+/** Sizes of a cell under test. */
+export interface EntryCellOptions {
+  readonly seed: number
+  /** Entries by failure domain, such as `['a', 'a', 'b']`. */
+  readonly entryDomains: readonly string[]
+  /** Workers by failure domain. */
+  readonly workerDomains: readonly string[]
+  readonly manifest: Manifest
+  readonly outageToleranceMs: number
+}
+
+/** One entry's process of the moment. */
+export interface CellProcess {
+  readonly name: string
+  readonly incarnation: string
+  readonly process: FakeProcess
+  readonly platform: FakePlatform
+  readonly mesh: FakePeerMesh
+  readonly entry: Entry
+  readonly log: MemoryEventLog
+  /** Faults of the connections by worker. */
+  readonly links: ReadonlyMap<string, WorkerLinkFaults>
+  isServing: () => boolean
+}
+
+/** A running cell. */
+export interface EntryCell {
+  readonly clock: FakeClock
+  readonly table: TableModel
+  readonly mesh: FakeMesh
+  readonly workers: readonly WorkerModel[]
+  readonly entries: CellProcess[]
+  readonly oracle: JobOracle
+  /** Advances time; the oracle judges every 100 ms. */
+  runFor: (ms: number) => Promise<void>
+  /** Starts a new process of an entry; the old one is killed if it still runs. */
+  startEntry: (index: number) => void
+  /** Planned stop of an entry. */
+  stopEntry: (index: number) => Promise<void>
+  /** The VM stops for good, and the list says so. */
+  loseVm: (worker: number) => void
+  readonly lostWorkers: ReadonlySet<string>
+}
+
+const STEP_MS = 100
+const HEARTBEAT_MS = 1000
+const RESTART_MS = 500
+const CELL = 'test'
+
+const NO_ENDPOINTS: EndpointClient = {
+  sendExchange: async () => ({ kind: 'refused', reason: 'no endpoint in this cell' }),
+  dispose: () => {}
+}
+
+/** Creates the cell with all entries started and the manifest in force. */
+export function createEntryCell (options: EntryCellOptions): EntryCell {
+  const clock = createFakeClock()
+  const table = createTableModel()
+  const mesh = createFakeMesh({ clock })
+  const workers = options.workerDomains.map((domain, index) => createWorkerModel({
+    id: `w${index}-${domain}`, clock, random: createSeededRandom(options.seed + 100 + index)
+  }))
+  const oracle = createJobOracle(clock, workers, options.manifest)
+  const entries: CellProcess[] = []
+  const stopped = new Set<string>()
+  const lostWorkers = new Set<string>()
+  let generation = 0
+
+  const setVm = (index: number, state: Vm['state']): void => table.setVm({
+    id: workers[index]!.id,
+    state,
+    failureDomain: options.workerDomains[index]!,
+    rack: 'r',
+    pool: 'p',
+    address: workers[index]!.id,
+    resources: workers[index]!.resources,
+    runners: []
+  })
+  for (const index of workers.keys()) setVm(index, 'live')
+  const document: ConfigDocument = { version: 1, manifest: options.manifest, grants: [], revokedKeyIds: [], drainedVms: [] }
+  table.transact({ writeId: 'setup', checks: [], writes: [{ key: 'config/current', value: document }] })
+
+  const createProcess = (index: number): CellProcess => {
+    generation += 1
+    const name = `e${index}`
+    const incarnation = `${name}.${generation}`
+    const failureDomain = options.entryDomains[index]!
+    const random = createSeededRandom(computeHash(`${options.seed} ${incarnation}`))
+    const process = createFakeProcess(clock)
+    const platform = createFakePlatform({ model: table, clock, random: createSeededRandom(options.seed + generation) })
+    const ownMesh = mesh.addEntry({ entry: name, incarnation, failureDomain })
+    const log = createMemoryEventLog()
+    const links = new Map(workers.map((worker) => [worker.id, createWorkerLinkFaults()]))
+    const peers: PeerMesh = process.wrapMesh(ownMesh)
+    const entry = createEntry({
+      clock: process.clock,
+      random,
+      events: log,
+      platform: process.wrapPlatform(platform),
+      mesh: peers,
+      endpoints: NO_ENDPOINTS,
+      createWorkerClient: (address) => {
+        const model = oracle.wrapModel(workers.find((worker) => worker.id === address)!)
+        return process.wrapWorker(createFakeWorkerClient({ model, clock, random, faults: links.get(address)! }))
+      }
+    }, {
+      entry: name,
+      incarnation,
+      failureDomain,
+      cell: CELL,
+      httpAddress: '',
+      linkAddress: '',
+      operatorKeySha256: '0'.repeat(64),
+      outageToleranceMs: options.outageToleranceMs,
+      onLost: () => { restartLost(incarnation) }
+    })
+    startHeartbeats(process, peers, entry)
+    entry.start()
+    return { name, incarnation, process, platform, mesh: ownMesh, entry, log, links, isServing: () => !stopped.has(incarnation) }
+  }
+
+  const startHeartbeats = (process: FakeProcess, peers: PeerMesh, entry: Entry): void => {
+    let sequence = 0
+    const sendHeartbeat = (): void => {
+      sequence += 1
+      peers.broadcastMessage({ type: 'heartbeat', sequence, ...entry.buildHeartbeat() })
+      process.clock.setTimer(HEARTBEAT_MS, sendHeartbeat)
+    }
+    process.clock.setTimer(HEARTBEAT_MS, sendHeartbeat)
+  }
+
+  const restartLost = (incarnation: string): void => {
+    stopped.add(incarnation)
+    const index = entries.findIndex((entry) => entry.incarnation === incarnation)
+    entries[index]?.entry.dispose()
+    clock.setTimer(RESTART_MS, () => {
+      if (entries[index]?.incarnation === incarnation) startEntry(index)
+    })
+  }
+
+  const startEntry = (index: number): void => {
+    const old = entries[index]
+    old?.process.kill()
+    old?.mesh.dispose()
+    entries[index] = createProcess(index)
+  }
+  for (const index of options.entryDomains.keys()) startEntry(index)
+
+  return {
+    clock,
+    table,
+    mesh,
+    workers,
+    entries,
+    oracle,
+    startEntry,
+    lostWorkers,
+    loseVm: (index) => {
+      const worker = workers[index]!
+      worker.restart()
+      lostWorkers.add(worker.id)
+      oracle.recordLoss(worker.id)
+      for (const { links } of entries) links.get(worker.id)!.unreachable = true
+      setVm(index, 'gone')
+    },
+    stopEntry: async (index) => {
+      const target = entries[index]!
+      if (stopped.has(target.incarnation)) return
+      stopped.add(target.incarnation)
+      await target.entry.drain()
+      await target.entry.release()
+    },
+    runFor: async (ms) => {
+      for (let passed = 0; passed < ms; passed += STEP_MS) {
+        await clock.runFor(Math.min(STEP_MS, ms - passed))
+        oracle.judge()
+      }
+    }
+  }
+}
--- /dev/null
+++ b/packages/entry/src/testing/entryCommands.ts
@@ -0,0 +1,131 @@
+/** Jobs, failures and events of a cell of whole entries, as values that a property test can generate and shrink. */
+import type { JobSpec, Team } from '@fuchsiatally/core'
+import type { CellProcess, EntryCell } from './entryCell.js'
+import { createWorkerLinkFaults } from './fakeWorkerClient.js'
+
+/** One step; numbers are taken modulo the size of the cell. */
+export type EntryCommand =
+  | { readonly kind: 'run', readonly ms: number }
+  | { readonly kind: 'submit', readonly entry: number, readonly team: number, readonly job: JobSpec['kind'], readonly urgent: boolean, readonly tasks: number, readonly processors: number, readonly runMs: number }
+  | { readonly kind: 'cancel', readonly entry: number, readonly job: number }
+  | { readonly kind: 'pause', readonly entry: number, readonly leadMs: number }
+  | { readonly kind: 'resume' | 'kill' | 'start' | 'stop', readonly entry: number }
+  | { readonly kind: 'platform', readonly entry: number, readonly fault: 'outage' | 'silent' | 'lostAnswers' | 'lateEffects' | 'staleReads' | 'none' }
+  | { readonly kind: 'outage', readonly on: boolean }
+  | { readonly kind: 'worker', readonly entry: number, readonly worker: number, readonly fault: 'unreachable' | 'silent' | 'late' | 'doubled' | 'lostAnswers' | 'none' }
+  | { readonly kind: 'cut' | 'heal', readonly entry: number, readonly peer: number }
+  | { readonly kind: 'restartWorker' | 'loseVm', readonly worker: number }
+
+/** A job that an entry accepted. */
+export interface AcceptedJob {
+  readonly team: string
+  readonly id: string
+  cancelled: boolean
+}
+
+const FAULT_RATE = 0.4
+const LATE_MS = 15_000
+
+function setPlatformFault (target: CellProcess, fault: string): void {
+  const { faults } = target.platform
+  faults.outage = fault === 'outage'
+  faults.silent = fault === 'silent'
+  faults.lostAnswerRate = fault === 'lostAnswers' ? FAULT_RATE : 0
+  faults.lateEffectRate = fault === 'lateEffects' ? FAULT_RATE : 0
+  faults.staleReadRate = fault === 'staleReads' ? FAULT_RATE : 0
+}
+
+function setWorkerFault (target: CellProcess, worker: string, fault: string): void {
+  Object.assign(target.links.get(worker)!, createWorkerLinkFaults(), {
+    unreachable: fault === 'unreachable',
+    silent: fault === 'silent',
+    lateRate: fault === 'late' ? FAULT_RATE : 0,
+    lateMs: LATE_MS,
+    doubledRate: fault === 'doubled' ? FAULT_RATE : 0,
+    lostAnswerRate: fault === 'lostAnswers' ? FAULT_RATE : 0
+  })
+}
+
+function buildSpec (command: Extract<EntryCommand, { kind: 'submit' }>): JobSpec {
+  return {
+    name: 'job',
+    kind: command.job,
+    priority: command.urgent ? 'urgent' : 'normal',
+    taskCount: command.tasks,
+    resources: { processors: command.processors, memoryMb: 64, accelerators: 0 },
+    runTimeMs: command.runMs,
+    maxRetries: 1,
+    checkpointable: command.urgent,
+    payload: JSON.stringify({ runMs: command.runMs })
+  }
+}
+
+/** Submits a job and enters it into `accepted` when the entry says that it is durable. */
+function submitJob (cell: EntryCell, target: CellProcess, team: Team, command: Extract<EntryCommand, { kind: 'submit' }>, accepted: AcceptedJob[]): void {
+  target.entry.admission.submitJob(team, undefined, buildSpec(command)).then((view) => {
+    if (view.isOk()) accepted.push({ team: team.name, id: view.value.id, cancelled: false })
+  }, (error: unknown) => { cell.oracle.faults.push(`submission threw ${String(error)}`) })
+}
+
+function cancelJob (target: CellProcess, job: AcceptedJob): void {
+  target.entry.admission.cancelJob(job.team, job.id).then((view) => {
+    if (view.isOk()) job.cancelled = true
+  }, () => {})
+}
+
+/** Applies a step to the cell. */
+export async function applyEntryCommand (cell: EntryCell, command: EntryCommand, teams: readonly Team[], accepted: AcceptedJob[]): Promise<void> {
+  const target = cell.entries['entry' in command ? command.entry % cell.entries.length : 0]!
+  const worker = cell.workers['worker' in command ? command.worker % cell.workers.length : 0]!
+  switch (command.kind) {
+    case 'run': return await cell.runFor(command.ms)
+    case 'submit': return submitJob(cell, target, teams[command.team % teams.length]!, command, accepted)
+    case 'cancel': {
+      const job = accepted[command.job % Math.max(1, accepted.length)]
+      if (job !== undefined) cancelJob(target, job)
+      return
+    }
+    case 'pause': return target.process.pause(command.leadMs)
+    case 'resume': return target.process.resume()
+    case 'kill': return target.process.kill()
+    case 'start': return cell.startEntry(cell.entries.indexOf(target))
+    case 'stop': {
+      cell.stopEntry(cell.entries.indexOf(target)).catch(() => {})
+      return
+    }
+    case 'platform': return setPlatformFault(target, command.fault)
+    case 'outage': {
+      for (const each of cell.entries) setPlatformFault(each, command.on ? 'outage' : 'none')
+      return
+    }
+    case 'worker': {
+      if (!cell.lostWorkers.has(worker.id)) setWorkerFault(target, worker.id, command.fault)
+      return
+    }
+    case 'cut':
+    case 'heal': {
+      const peer = cell.entries[command.peer % cell.entries.length]!
+      if (peer === target) return
+      if (command.kind === 'cut') cell.mesh.setCut(target.incarnation, peer.incarnation)
+      else cell.mesh.removeCut(target.incarnation, peer.incarnation)
+      return
+    }
+    case 'restartWorker': {
+      cell.oracle.recordLoss(worker.id)
+      worker.restart()
+      return
+    }
+    case 'loseVm': if (cell.lostWorkers.size < cell.workers.length - 2 && !cell.lostWorkers.has(worker.id)) cell.loseVm(cell.workers.indexOf(worker))
+  }
+}
+
+/** Ends all faults and starts every entry anew that does not run. */
+export function applyEntryHealing (cell: EntryCell): void {
+  for (const [index, target] of cell.entries.entries()) {
+    target.process.resume()
+    setPlatformFault(target, 'none')
+    for (const worker of cell.workers) if (!cell.lostWorkers.has(worker.id)) setWorkerFault(target, worker.id, 'none')
+    for (const peer of cell.entries) if (peer !== target) cell.mesh.removeCut(target.incarnation, peer.incarnation)
+    if (!target.process.isRunning() || !target.isServing()) cell.startEntry(index)
+  }
+}
