Properties of the scheduler over long event sequences, and the index against a scan

fast-check bounds array lengths by its size setting, so the first properties saw about ten steps; with size 'max' they see up to 150.

--- a/packages/core/src/job/__tests__/cellScheduler.spec.ts
+++ b/packages/core/src/job/__tests__/cellScheduler.spec.ts
@@ -22,6 +22,7 @@
   | { kind: 'lose', worker: string }
   | { kind: 'close', worker: string, schedulable: boolean }
   | { kind: 'wait', ms: number }
+  | { kind: 'repeat', pick: number, worker: string }
   | { kind: 'restore' }
 
 const specs: fc.Arbitrary<JobSpec> = fc.record({
@@ -57,6 +58,7 @@
   { weight: 1, arbitrary: fc.record({ kind: fc.constant('lose' as const), worker: workerIds }) },
   { weight: 1, arbitrary: fc.record({ kind: fc.constant('close' as const), worker: workerIds, schedulable: fc.boolean() }) },
   { weight: 3, arbitrary: fc.record({ kind: fc.constant('wait' as const), ms: fc.constantFrom(10, 2000, 70_000) }) },
+  { weight: 2, arbitrary: fc.record({ kind: fc.constant('repeat' as const), pick: picks, worker: workerIds }) },
   { weight: 1, arbitrary: fc.record({ kind: fc.constant('restore' as const) }) }
 )
 
@@ -85,12 +87,13 @@
       world.nowMs += step.ms
       return undefined
     }
+    case 'repeat': return world.repeatEnded(step.pick, step.worker)
     case 'restore': return world.restore()
   }
 }
 
 test('capacity, ceilings, single attempts, gangs and restored state hold under any order of events', () => {
-  fc.assert(fc.property(fc.array(steps, { maxLength: 120 }), (list) => {
+  fc.assert(fc.property(fc.array(steps, { maxLength: 150, size: 'max' }), (list) => {
     const world = createWorld()
     for (const step of list) {
       runStep(world, step)
@@ -100,7 +103,7 @@
 })
 
 test('equal calls give equal results', () => {
-  fc.assert(fc.property(fc.array(steps, { maxLength: 80 }), (list) => {
+  fc.assert(fc.property(fc.array(steps, { maxLength: 100, size: 'max' }), (list) => {
     const [first, second] = [createWorld(), createWorld()]
     for (const step of list) {
       assert.equal(runStep(first, step), runStep(second, step))
@@ -110,7 +113,7 @@
 })
 
 test('only jobs that are reported as changed have changed state', () => {
-  fc.assert(fc.property(fc.array(steps, { maxLength: 80 }), (list) => {
+  fc.assert(fc.property(fc.array(steps, { maxLength: 100, size: 'max' }), (list) => {
     const world = createWorld()
     for (const step of list) {
       const before = world.readStates()
@@ -126,7 +129,7 @@
 
 test('every task of a feasible job ends when workers keep working', () => {
   const feasible = specs.map((spec) => ({ ...spec, kind: spec.kind === 'service' ? 'batch' as const : spec.kind }))
-  fc.assert(fc.property(fc.array(steps, { maxLength: 60 }), fc.array(feasible, { minLength: 1, maxLength: 8 }), (list, added) => {
+  fc.assert(fc.property(fc.array(steps, { maxLength: 60, size: 'max' }), fc.array(feasible, { minLength: 1, maxLength: 8 }), (list, added) => {
     const world = createWorld()
     for (const step of list) runStep(world, step.kind === 'add' && step.spec.kind === 'service' ? { ...step, spec: { ...step.spec, kind: 'batch' } } : step)
     for (const worker of world.workers.values()) world.setWorker({ ...worker, schedulable: true })
@@ -169,4 +172,26 @@
     spec.resources.accelerators * tasks <= resources.accelerators
 }
 
+test('a gang that needs the whole cell starts although small tasks never cease to arrive', () => {
+  const world = createWorld()
+  for (let second = 0; second < 30; second++) runBusySecond(world)
+  const gang = world.addJob(createSpec({ kind: 'gang', taskCount: 5, resources: { processors: 3, memoryMb: 1000, accelerators: 0 } }), 'blue')
+  let waitedS = 0
+  for (; world.scheduler.readJobState(gang)!.phase === 'queued' && waitedS < 600; waitedS++) runBusySecond(world)
+  assert.is(world.scheduler.readJobState(gang)!.phase, 'running')
+  assert.ok(waitedS < 60, `waited ${waitedS} s`)
+})
+
+/** More small tasks than fit arrive; each runs for some seconds although half a second is declared. */
+function runBusySecond (world: SchedulerWorld): void {
+  world.nowMs += 1000
+  const spec = createSpec({ taskCount: 6, runTimeMs: 500, resources: { processors: 1, memoryMb: 500, accelerators: 0 } })
+  world.addJob(spec, 'blue')
+  world.decide()
+  for (const id of WORKER_IDS) {
+    world.syncWorker(id)
+    world.endAttempt(id, 0, 'completed', 5000)
+  }
+}
+
 test.run()
--- a/packages/core/src/job/__tests__/schedulerWorld.ts
+++ b/packages/core/src/job/__tests__/schedulerWorld.ts
@@ -57,7 +57,8 @@
   readonly running = new Map<string, Map<string, RunningAttempt>>()
   readonly jobs = new Map<string, JobRow>()
   readonly highestAttempt = new Map<string, number>()
-  private cancelled = new Set<string>()
+  private readonly ended: EndedTask[] = []
+  private readonly cancelled = new Set<string>()
 
   constructor (readonly manifest: Manifest, workers: readonly SchedulerWorker[]) {
     this.scheduler.setManifest(manifest)
@@ -81,6 +82,8 @@
   cancelJob (id: string): void {
     this.cancelled.add(id)
     this.scheduler.cancelJob(id, this.nowMs)
+    const { tasks } = this.scheduler.readJobState(id)!
+    assert.not(tasks.some(({ phase }) => phase === 'queued' || phase === 'assigned'), `${id} goes on after its cancellation`)
   }
 
   decide (max = 10_000): ReturnType<CellScheduler['decide']> {
@@ -115,12 +118,23 @@
     const [job, task] = key.split('/')
     const id = { job: job!, task: Number(task), attempt: running.get(key)!.attempt }
     running.delete(key)
+    this.ended.push({ id, result, ranMs })
     this.scheduler.recordEnded({ id, result, ranMs }, worker, this.nowMs)
   }
 
+  /** A report that was delayed arrives again, perhaps for the wrong worker. */
+  repeatEnded (pick: number, worker: string): void {
+    const ended = this.ended.at(-1 - pick)
+    if (!ended) return
+    const before = [...this.readStates()]
+    this.scheduler.recordEnded(ended, worker, this.nowMs)
+    assert.equal([...this.readStates()], before)
+  }
+
   loseWorker (id: string): void {
     this.running.get(id)!.clear()
     this.scheduler.recordWorkerLost(id, this.nowMs)
+    assert.equal(this.scheduler.listDesired(id), { run: [], end: [] })
   }
 
   /** Another entry takes the role over from the committed rows. */
--- /dev/null
+++ b/packages/core/src/vm/__tests__/placementIndex.spec.ts
@@ -0,0 +1,41 @@
+/** The index against a plain scan, and what placement and quarantine do with it. */
+import fc from 'fast-check'
+import { test } from 'uvu'
+import * as assert from 'uvu/assert'
+import { hasRoom, type Amounts } from '../amounts.js'
+import { updateKnown } from '../workerEntry.js'
+import { createWorkerPool } from '../workerPool.js'
+
+const amounts: fc.Arbitrary<Amounts> = fc.record({
+  processors: fc.integer({ min: -100, max: 64_000 }),
+  memoryMb: fc.integer({ min: -100, max: 128_000 }),
+  accelerators: fc.integer({ min: 0, max: 9 })
+})
+
+test('finds exactly the workers with room after any changes', () => {
+  const changes = fc.array(fc.tuple(fc.nat({ max: 19 }), amounts, fc.boolean()), { maxLength: 100, size: 'max' })
+  fc.assert(fc.property(changes, amounts, (list, need) => {
+    const pool = createWorkerPool()
+    const open = new Set<string>()
+    for (const [number, free, schedulable] of list) {
+      const worker = pool.getWorker(`w${number}`)
+      const capacity = { processors: 64, memoryMb: 128_000, accelerators: number % 2 === 0 ? 0 : 9 }
+      updateKnown(worker, { id: worker.id, failureDomain: `d${number % 3}`, rack: 'r', pool: 'p', capacity, schedulable })
+      Object.assign(worker.free, free)
+      pool.updateWorker(worker, false)
+      if (schedulable) open.add(worker.id)
+      else open.delete(worker.id)
+    }
+    const found: string[] = []
+    for (const partition of pool.open.listPartitions()) {
+      pool.open.findCandidates(partition, need, (worker) => {
+        found.push(worker.id)
+        return false
+      })
+    }
+    const expected = [...open].filter((id) => hasRoom(pool.getWorker(id).free, need))
+    assert.equal(found.sort(), expected.sort())
+  }), { seed: 51, numRuns: 300 })
+})
+
+test.run()
