--- a/packages/core/src/contract/allotment.ts
+++ b/packages/core/src/contract/allotment.ts
@@ -59,11 +59,6 @@
   listHolders: () => string[]
 }
 
-interface Pending {
-  readonly plan: AllotmentPlan
-  readonly debit: number
-}
-
 /** Sum of all parts of a row. */
 export function sumParts (row: AllotmentRow): number {
   let sum = 0
@@ -79,7 +74,7 @@
   let row = NO_ROW
   let own = { ceiling: 0, configVersion: 0 }
   let inUse = 0
-  let pending: Pending | null = null
+  let pending: { readonly debit: number } | null = null
 
   const getPart = (): number => row.parts[incarnation] ?? 0
 
@@ -99,7 +94,7 @@
 
   const setPending = (next: AllotmentRow): AllotmentPlan => {
     const plan = { checkVersion: version, row: next }
-    pending = { plan, debit: Math.max(0, getPart() - (next.parts[incarnation] ?? 0)) }
+    pending = { debit: Math.max(0, getPart() - (next.parts[incarnation] ?? 0)) }
     return plan
   }
 
@@ -164,7 +159,8 @@
       if (newVersion <= version) return
       version = newVersion
       row = newRow ?? NO_ROW
-      if (pending !== null && version > pending.plan.checkVersion) pending = null
+      // The pending transaction checked an older version: it took effect before this row or never will.
+      pending = null
     },
     decidePlan,
     decideLeave: () => {
--- /dev/null
+++ b/packages/core/src/request/__tests__/ticketBook.spec.ts
@@ -0,0 +1,109 @@
+/** Tickets and forwarded exchanges: whatever is forgotten, nothing runs a second time. */
+import fc from 'fast-check'
+import { test } from 'uvu'
+import * as assert from 'uvu/assert'
+import { createExchangeLedger, createTicketBook, type RequestOutcome } from '../../index.js'
+import { createSeededRandom } from '../../testing/seededRandom.js'
+
+function createCompleted (bytes: number): RequestOutcome {
+  return { kind: 'completed', status: 200, headers: {}, body: new Uint8Array(bytes), worker: 'w' }
+}
+
+const OUTCOMES: Record<string, RequestOutcome> = {
+  completed: createCompleted(800),
+  notRun: { kind: 'notRun', reason: 'full', retryAfterMs: 100 },
+  unknown: { kind: 'unknown', reason: 'broken' }
+}
+
+interface Model {
+  readonly ticket: string
+  readonly team: string
+  readonly issuedMs: number
+  executions: number
+  running: boolean
+  answer: RequestOutcome | null
+}
+
+const ticketStep = fc.record({
+  kind: fc.constantFrom('issue', 'use', 'use', 'end', 'end', 'wait'),
+  index: fc.nat({ max: 11 }),
+  team: fc.constantFrom('a', 'b'),
+  fingerprint: fc.constantFrom('f', 'f', 'f', 'g'),
+  outcome: fc.constantFrom('completed', 'completed', 'notRun', 'unknown')
+})
+
+test('a ticket runs at most once until it is known not to have run; forgotten ones never run', () => {
+  fc.assert(fc.property(fc.array(ticketStep, { maxLength: 150, size: 'max' }), (steps) => {
+    const book = createTicketBook({
+      incarnation: 'me', random: createSeededRandom(1), maxTickets: 6, maxOpenOfTeam: 4, maxAnswerBytes: 4000, lifetimeMs: 100
+    })
+    const models: Model[] = []
+    let nowMs = 0
+    for (const step of steps) {
+      const model = models[models.length - 1 - step.index % Math.max(1, models.length)]
+      if (step.kind === 'wait') nowMs += 40
+      if (step.kind === 'issue') {
+        const ticket = book.addTicket(step.team, nowMs)
+        if (ticket !== undefined) models.push({ ticket, team: step.team, issuedMs: nowMs, executions: 0, running: false, answer: null })
+        const open = models.filter((other) => other.team === step.team && other.issuedMs + 100 > nowMs && other.executions === 0)
+        assert.ok(open.length <= 4)
+      }
+      if (model === undefined) continue
+      if (step.kind === 'use') {
+        const use = book.takeTicket(model.ticket, step.team, step.fingerprint, nowMs)
+        if (use.kind === 'run') {
+          assert.ok(!model.running && model.executions === 0 && step.team === model.team)
+          assert.ok(nowMs < model.issuedMs + 100)
+          model.running = true
+        }
+        if (use.kind === 'wait') assert.ok(model.running)
+        if (use.kind === 'outcome') {
+          assert.ok(!model.running, 'a running ticket is never forgotten')
+          if (use.outcome.kind === 'completed') assert.is(use.outcome, model.answer)
+          if (use.outcome.kind === 'notRun') assert.is(model.executions, 0)
+        }
+      }
+      if (step.kind === 'end' && model.running) {
+        const outcome = OUTCOMES[step.outcome]!
+        book.recordOutcome(model.ticket, outcome)
+        model.running = false
+        model.executions += outcome.kind === 'notRun' ? 0 : 1
+        model.answer = outcome
+      }
+      assert.ok(book.countTickets() <= 6)
+    }
+  }), { seed: 530, numRuns: 1500 })
+})
+
+const exchangeStep = fc.record({
+  kind: fc.constantFrom('arrive', 'arrive', 'ask', 'end'), sequence: fc.integer({ min: 1, max: 25 })
+})
+
+test('an exchange runs at most once, and never after its peer was told that it did not', () => {
+  fc.assert(fc.property(fc.array(exchangeStep, { maxLength: 200, size: 'max' }), (steps) => {
+    const ledger = createExchangeLedger(3000)
+    const runs = new Map<number, 'running' | 'done'>()
+    const toldNotRun = new Set<number>()
+    for (const { kind, sequence } of steps) {
+      if (kind === 'end') {
+        if (runs.get(sequence) !== 'running') continue
+        runs.set(sequence, 'done')
+        ledger.recordOutcome(sequence, createCompleted(sequence * 20))
+        continue
+      }
+      const state = kind === 'arrive' ? ledger.addExchange(sequence) : ledger.resolveExchange(sequence)
+      if (state.kind === 'fresh') {
+        assert.ok(!runs.has(sequence) && !toldNotRun.has(sequence))
+        runs.set(sequence, 'running')
+      }
+      if (state.kind === 'running') assert.is(runs.get(sequence), 'running')
+      if (state.kind !== 'done') continue
+      assert.is.not(runs.get(sequence), 'running')
+      if (state.outcome.kind === 'notRun') toldNotRun.add(sequence)
+      if (state.outcome.kind === 'notRun') assert.not(runs.has(sequence))
+      if (state.outcome.kind === 'completed') assert.is(state.outcome.body.byteLength, sequence * 20)
+    }
+  }), { seed: 531, numRuns: 1500 })
+})
+
+test.run()
--- a/packages/core/src/request/endpointBook.ts
+++ b/packages/core/src/request/endpointBook.ts
@@ -45,8 +45,14 @@
 export interface EndpointBook {
   /** Replaces the set of endpoints; exchanges in flight at endpoints that left stay counted until released. */
   updateEndpoints: (endpoints: readonly EndpointView[]) => void
-  /** Chooses an endpoint and takes one of its slots. */
-  chooseEndpoint: (service: string, nowMs: number, excluded: ReadonlySet<string>) => EndpointChoice | undefined
+  /**
+   * Chooses an endpoint and takes one of its slots.
+   *
+   * @param canProbe whether the request may test an endpoint that failed: one that may be sent again
+   */
+  chooseEndpoint: (
+    service: string, nowMs: number, excluded: ReadonlySet<string>, canProbe: boolean
+  ) => EndpointChoice | undefined
   /** Gives the slot back and learns from the exchange. */
   releaseEndpoint: (address: string, sample: EndpointSample, nowMs: number) => EjectionChange | undefined
   countSlots: (service: string, nowMs: number) => SlotCount
@@ -67,6 +73,9 @@
   failures: number
   ejections: number
   ejectedUntilMs: number
+  /** Time from which a request tests an endpoint that failed. */
+  probeAtMs: number
+  /** Only one exchange at a time until one is answered. */
   probing: boolean
 }
 
@@ -82,6 +91,7 @@
     failures: 0,
     ejections: 0,
     ejectedUntilMs: -Infinity,
+    probeAtMs: -Infinity,
     probing: false
   }
 }
@@ -131,17 +141,22 @@
     return countFree(known, nowMs) === 0 ? 'no free slot' : 'more loaded'
   }
 
-  /** Load from 0 to 1, a failing endpoint after all others. */
-  const computeLoad = (known: KnownEndpoint): number =>
-    (known.inFlight + known.foreignBusy) / known.view.slots + known.failures
+  /** Load from 0 to 1; a failing endpoint after all others, or before them when a probe of it is due. */
+  const computeLoad = (known: KnownEndpoint, nowMs: number, canProbe: boolean): number => {
+    const isProbe = known.failures > 0 && canProbe && known.inFlight === 0 && nowMs >= known.probeAtMs
+    if (isProbe) return -1
+    return (known.inFlight + known.foreignBusy) / known.view.slots + known.failures
+  }
 
-  const findLeastLoaded = (service: string, nowMs: number, excluded: ReadonlySet<string>): KnownEndpoint | undefined => {
+  const findLeastLoaded = (
+    service: string, nowMs: number, excluded: ReadonlySet<string>, canProbe: boolean
+  ): KnownEndpoint | undefined => {
     let best: KnownEndpoint | undefined
     let bestLoad = Infinity
     let ties = 0
     for (const known of byService.get(service) ?? []) {
       if (excluded.has(known.view.address) || countFree(known, nowMs) === 0) continue
-      const load = computeLoad(known)
+      const load = computeLoad(known, nowMs, canProbe)
       if (load > bestLoad) continue
       ties = load === bestLoad ? ties + 1 : 1
       if (ties > 1 && random.nextFloat() * ties >= 1) continue
@@ -151,8 +166,8 @@
     return best
   }
 
-  const chooseEndpoint = (service: string, nowMs: number, excluded: ReadonlySet<string>): EndpointChoice | undefined => {
-    const best = findLeastLoaded(service, nowMs, excluded)
+  const chooseEndpoint: EndpointBook['chooseEndpoint'] = (service, nowMs, excluded, canProbe) => {
+    const best = findLeastLoaded(service, nowMs, excluded, canProbe)
     if (best === undefined) return undefined
     const losers = []
     for (const known of byService.get(service) ?? []) {
@@ -173,11 +188,13 @@
   const recordFailure = (known: KnownEndpoint, nowMs: number): EjectionChange | undefined => {
     known.failures += 1
     known.limit = Math.max(1, known.limit / 2)
+    const pauseMs = Math.min(MAX_EJECT_MS, MIN_EJECT_MS * 2 ** known.ejections)
+    known.probeAtMs = nowMs + pauseMs
     if (known.failures < EJECT_AFTER_FAILURES && !known.probing) return undefined
+    known.probing = true
     if (nowMs < known.ejectedUntilMs || !canEject(known.view.service, nowMs)) return undefined
-    known.ejectedUntilMs = nowMs + Math.min(MAX_EJECT_MS, MIN_EJECT_MS * 2 ** known.ejections)
+    known.ejectedUntilMs = nowMs + pauseMs
     known.ejections += 1
-    known.probing = true
     return { worker: known.view.worker, address: known.view.address, change: 'ejected' }
   }
 
--- a/packages/core/src/request/ownerChoice.ts
+++ b/packages/core/src/request/ownerChoice.ts
@@ -37,6 +37,8 @@
   chooseOwner: (
     service: string, exchangeMs: number, nowMs: number, excluded: ReadonlySet<string>
   ) => OwnerChoice | undefined
+  /** Whether any owner outside `excluded` reports a free slot. */
+  hasFreeOwner: (service: string, nowMs: number, excluded: ReadonlySet<string>) => boolean
 }
 
 interface KnownOwner {
@@ -115,6 +117,8 @@
       owners.set(report.incarnation, { report, reportedMs: nowMs, slots, forwarded: new Map() })
     },
     removeOwner: (incarnation) => { owners.delete(incarnation) },
+    hasFreeOwner: (service, nowMs, excluded) =>
+      listCandidates(service, 0, nowMs, excluded).some((candidate) => candidate.free > 0),
     chooseOwner: (service, exchangeMs, nowMs, excluded) => {
       const candidates = listCandidates(service, exchangeMs, nowMs, excluded)
       const near = pickOfTwo(candidates.filter((candidate) => candidate.sameDomain), random)
--- a/packages/entry/src/request/forwardReceiver.ts
+++ b/packages/entry/src/request/forwardReceiver.ts
@@ -82,6 +82,7 @@
     },
     removePeer: (incarnation) => {
       removed.add(incarnation)
+      for (const run of [...peers.get(incarnation)?.runs.values() ?? []]) run.cancel()
       peers.delete(incarnation)
     },
     listPeers: () => [...peers.keys()]
--- a/packages/entry/src/request/forwarder.ts
+++ b/packages/entry/src/request/forwarder.ts
@@ -17,24 +17,31 @@
   readonly log: EventLog
 }
 
+/** One request on its way to a peer. */
+export interface ForwardedRequest {
+  /** Owner of the endpoint, or home of the ticket. */
+  readonly incarnation: string
+  readonly request: ServiceRequest
+  readonly ticket?: string
+  readonly deadlineMs: number
+  /** Gives the request up when the caller is gone. */
+  readonly signal?: AbortSignal | undefined
+  /** Asked when the link is lost: whether to give up as `unknown` instead of waiting for the next link. */
+  readonly canLeave?: () => boolean
+}
+
 /** Forwards requests to peers. */
 export interface Forwarder extends Disposable {
   /**
    * Sends a request to its owner, or to the home of its ticket, and waits for the outcome until the deadline.
    *
-   * @param signal gives the request up when the caller is gone
+   * After a lost link the outcome is asked for over the next one.
    */
-  sendRequest: (
-    incarnation: string, request: ServiceRequest, ticket: string | undefined, deadlineMs: number, signal?: AbortSignal
-  ) => Promise<RequestOutcome>
+  sendRequest: (forwarded: ForwardedRequest) => Promise<RequestOutcome>
   countOpen: () => number
 }
 
-interface Pending {
-  readonly incarnation: string
-  readonly request: ServiceRequest
-  readonly ticket: string | undefined
-  readonly deadlineMs: number
+interface Pending extends ForwardedRequest {
   readonly finish: (outcome: RequestOutcome) => void
 }
 
@@ -68,17 +75,20 @@
     for (const [exchange, item] of [...pending]) {
       if (item.incarnation !== peer.incarnation) continue
       if (change === 'up') resumePending(exchange, item)
-      // An idempotent request need not wait for the link: it can run elsewhere.
-      else if (item.request.idempotent && item.ticket === undefined) resolveGone(item)
+      else if (item.canLeave?.() === true) resolveGone(item)
     }
   }
 
   const checkOwners = (): void => {
-    for (const item of [...pending.values()]) if (sessions.isGone(item.incarnation)) resolveGone(item)
+    const linked = new Set(mesh.listPeers().map((peer) => peer.incarnation))
+    for (const item of [...pending.values()]) {
+      if (!linked.has(item.incarnation) && sessions.isGone(item.incarnation)) resolveGone(item)
+    }
   }
 
-  const sendRequest: Forwarder['sendRequest'] = async (incarnation, request, ticket, deadlineMs, signal) =>
+  const sendRequest: Forwarder['sendRequest'] = async (forwarded) =>
     await new Promise((resolve) => {
+      const { incarnation, deadlineMs, signal } = forwarded
       sequence += 1
       const exchange = String(sequence)
       const scope = createDisposableStore()
@@ -91,7 +101,7 @@
         mesh.sendMessage(incarnation, { type: 'forwardCancel', exchange })
         finish(outcome)
       }
-      const item = { incarnation, request, ticket, deadlineMs, finish }
+      const item = { ...forwarded, finish }
       pending.set(exchange, item)
       if (!sendPending(exchange, item)) return finish(createNotRun('no link to the owner', 0))
       scope.add(clock.setTimer(Math.max(0, deadlineMs - clock.nowMs()), () => {
--- a/packages/entry/src/request/owner.ts
+++ b/packages/entry/src/request/owner.ts
@@ -55,6 +55,8 @@
 }
 
 interface Held {
+  /** Unique at this owner; a caller's request may come here more than once. */
+  readonly id: string
   readonly request: ServiceRequest
   readonly service: Service
   readonly weight: number
@@ -65,6 +67,8 @@
   /** An earlier exchange broke: the request can never again be called not run. */
   mayHaveRun: boolean
   ended: boolean
+  /** Ends the request at its deadline while it is queued. */
+  timer: Disposable | null
 }
 
 /** Starts the owner's side. */
@@ -75,6 +79,7 @@
   const budget = createRetryBudget()
   const queues = new Map<string, RequestQueue<Held>>()
   let open = 0
+  let sequence = 0
 
   const getQueue = (service: string): RequestQueue<Held> => {
     let queue = queues.get(service)
@@ -114,6 +119,7 @@
   const resolveHeld = (held: Held, outcome: RequestOutcome): void => {
     if (held.ended) throw new Error('a request ended twice')
     held.ended = true
+    held.timer?.dispose()
     open -= 1
     held.onOutcome(outcome)
   }
@@ -189,8 +195,9 @@
   const startExchange = (held: Held): boolean => {
     const nowMs = clock.nowMs()
     const name = held.service.name
-    const choice = book.chooseEndpoint(name, nowMs, held.triedAddresses) ??
-      book.chooseEndpoint(name, nowMs, new Set())
+    const { idempotent } = held.request
+    const choice = book.chooseEndpoint(name, nowMs, held.triedAddresses, idempotent) ??
+      book.chooseEndpoint(name, nowMs, new Set(), idempotent)
     if (choice === undefined) return false
     if (!allotments.charge(held.request.team)) throw new Error('a request had its turn without allotment')
     held.tries += 1
@@ -223,7 +230,7 @@
   const addToQueue = (held: Held): void => {
     const service = held.service.name
     getQueue(service).addRequest({
-      id: held.request.id,
+      id: held.id,
       team: held.request.team,
       weight: held.weight,
       deadlineMs: held.deadlineMs,
@@ -270,7 +277,9 @@
     open += 1
     budget.addRequest()
     const deadlineMs = clock.nowMs() + request.remainingMs
+    sequence += 1
     const held: Held = {
+      id: String(sequence),
       request,
       service,
       weight: team.share,
@@ -279,7 +288,8 @@
       triedAddresses: new Set(),
       tries: 0,
       mayHaveRun: false,
-      ended: false
+      ended: false,
+      timer: null
     }
     updateEndpoints()
     const refusal = explainRefusal(held, team.limits.queuedRequests)
@@ -287,13 +297,13 @@
       resolveUnsent(held, refusal.reason, refusal.retryAfterMs)
       return { cancel: () => {} }
     }
+    const resolveQueued = (reason: string): void => {
+      if (getQueue(service.name).removeRequest(held.id) !== undefined) resolveUnsent(held, reason, 0)
+    }
     addToQueue(held)
+    held.timer = clock.setTimer(request.remainingMs, () => resolveQueued(HOPELESS))
     startService(service.name)
-    return {
-      cancel: () => {
-        if (getQueue(service.name).removeRequest(request.id) !== undefined) resolveUnsent(held, 'the caller is gone', 0)
-      }
-    }
+    return { cancel: () => resolveQueued('the caller is gone') }
   }
 
   store.add(startInterval(clock, options.random, SWEEP_INTERVAL_MS, 0, startAndSweep))
--- a/packages/entry/src/request/requestService.ts
+++ b/packages/entry/src/request/requestService.ts
@@ -84,8 +84,9 @@
   }
 
   const removeGonePeers = (): void => {
+    const linked = new Set(mesh.listPeers().map((peer) => peer.incarnation))
     for (const incarnation of receiver.listPeers()) {
-      if (!sessions.isGone(incarnation)) continue
+      if (linked.has(incarnation) || !sessions.isGone(incarnation)) continue
       receiver.removePeer(incarnation)
       router.removePeer(incarnation)
     }
--- a/packages/entry/src/request/router.ts
+++ b/packages/entry/src/request/router.ts
@@ -64,42 +64,50 @@
     scope.add({ dispose: () => signal?.removeEventListener('abort', run.cancel) })
   })
 
-  const runAtOwner = async (
-    choice: OwnerChoice, request: ServiceRequest, deadlineMs: number, signal: AbortSignal | undefined
-  ): Promise<RequestOutcome> => {
-    const { incarnation } = choice.owner
+  const recordRoute = (choice: OwnerChoice, request: ServiceRequest): void => {
     options.log.record(requestRouted, {
       request: request.id,
       team: request.team,
       service: request.service,
-      owner: incarnation,
+      owner: choice.owner.incarnation,
       free: choice.owner.free,
       reason: choice.owner.sameDomain ? 'same failure domain' : 'shorter wait in another failure domain',
       losers: choice.losers
     })
-    return incarnation === self
-      ? await runLocal(request, deadlineMs, signal)
-      : await options.forwarder.sendRequest(incarnation, request, undefined, deadlineMs, signal)
-  }
-
-  const canTryAgain = (outcome: RequestOutcome, request: ServiceRequest): boolean => {
-    if (outcome.kind === 'completed') return false
-    return outcome.kind === 'notRun' || (request.idempotent && budget.takeRetry())
   }
 
   const runRequest: Router['runRequest'] = async (request, deadlineMs, signal) => {
     const tried = new Set<string>()
     let mayHaveRun = false
+    let retryTaken = false
     let last = createNotRun('no owner of endpoints of the service is in reach', NO_ENDPOINT_RETRY_MS)
     budget.addRequest()
+
+    const canLeave = (): boolean => {
+      if (!request.idempotent || !chooser.hasFreeOwner(request.service, clock.nowMs(), tried)) return false
+      retryTaken = budget.takeRetry()
+      return retryTaken
+    }
+
+    const runAtOwner = async (incarnation: string): Promise<RequestOutcome> => incarnation === self
+      ? await runLocal(request, deadlineMs, signal)
+      : await options.forwarder.sendRequest({ incarnation, request, deadlineMs, signal, canLeave })
+
+    const canTryAgain = (): boolean => {
+      if (last.kind === 'completed') return false
+      return last.kind === 'notRun' || (request.idempotent && (retryTaken || budget.takeRetry()))
+    }
+
     while (tried.size < MAX_OWNERS_TRIED && clock.nowMs() < deadlineMs && signal?.aborted !== true) {
       const choice = chooseOwner(request.service, tried)
       // After a refusal only an owner with a free slot is worth another try.
       if (choice === undefined || (tried.size > 0 && choice.owner.free <= 0)) break
       tried.add(choice.owner.incarnation)
-      last = await runAtOwner(choice, request, deadlineMs, signal)
+      recordRoute(choice, request)
+      retryTaken = false
+      last = await runAtOwner(choice.owner.incarnation)
       if (last.kind === 'unknown') mayHaveRun = true
-      if (!canTryAgain(last, request)) break
+      if (!canTryAgain()) break
     }
     return mayHaveRun && last.kind === 'notRun' ? createUnknown(`an earlier try broke; then: ${last.reason}`) : last
   }
--- a/packages/entry/src/request/ticketDesk.ts
+++ b/packages/entry/src/request/ticketDesk.ts
@@ -75,12 +75,10 @@
   const runElsewhere = async (
     home: string, ticket: string, request: ServiceRequest, deadlineMs: number
   ): Promise<RequestOutcome> => {
-    if (sessions.isGone(home)) return createUnknown('the entry that issued the ticket is gone')
     if (!mesh.listPeers().some((peer) => peer.incarnation === home)) {
-      return createUnknown('the entry that issued the ticket is out of reach')
+      return createUnknown(`the entry that issued the ticket is ${sessions.isGone(home) ? 'gone' : 'out of reach'}`)
     }
-    const outcome = await options.forwarder.sendRequest(home, request, ticket, deadlineMs)
-    return outcome
+    return await options.forwarder.sendRequest({ incarnation: home, request, ticket, deadlineMs })
   }
 
   mesh.onMessage('ticketRequest', ({ exchange, ticket, request }, from) => {
