--- a/packages/core/src/contract/lease.ts
+++ b/packages/core/src/contract/lease.ts
@@ -83,7 +83,21 @@
   return takenMs + outageToleranceMs * (1 + CLOCK_RATE_ALLOWANCE) + TASK_LEASE_MS + LEASE_ALLOWANCE_MS
 }
 
-/** Whether an owner may still extend leases. */
+/**
+ * Whether an owner may still extend leases.
+ *
+ * @param confirmedMs a time at which the row named the owner for certain
+ */
 export function hasRightToExtend (nowMs: number, confirmedMs: number, outageToleranceMs: number): boolean {
   return nowMs - confirmedMs < outageToleranceMs
 }
+
+/**
+ * Whether a worker runs nothing of this owner's epochs or lower ones for certain.
+ *
+ * @param lapseBoundMs time from which the leases that this owner knows of have lapsed
+ * @param confirmedMs a time at which the row named the owner for certain: until then no other owner extended a lease
+ */
+export function isLapsedForCertain (nowMs: number, lapseBoundMs: number, confirmedMs: number): boolean {
+  return nowMs >= lapseBoundMs && confirmedMs >= lapseBoundMs
+}
--- a/packages/core/src/schema/linkMessage.ts
+++ b/packages/core/src/schema/linkMessage.ts
@@ -171,8 +171,21 @@
 
 /** Every message that a link carries. */
 export const LinkMessage = Schema.Union([
-  Hello, Heartbeat, ConfigPull, ConfigPush, ConfigQuery, ConfigState,
-  ForwardRequest, TicketRequest, ForwardReply, ForwardQuery, ForwardCancel,
-  WorkerDesired, WorkerObserved, JobsChanged, SchedulerQuery, SchedulerAnswer
+  Hello,
+  Heartbeat,
+  ConfigPull,
+  ConfigPush,
+  ConfigQuery,
+  ConfigState,
+  ForwardRequest,
+  TicketRequest,
+  ForwardReply,
+  ForwardQuery,
+  ForwardCancel,
+  WorkerDesired,
+  WorkerObserved,
+  JobsChanged,
+  SchedulerQuery,
+  SchedulerAnswer
 ])
 export type LinkMessage = typeof LinkMessage.Type
--- a/packages/entry/src/contract/configStore.ts
+++ b/packages/entry/src/contract/configStore.ts
@@ -1,11 +1,12 @@
 /** Configuration in force at this entry: polled from the table, pulled from peers, changed by operators. */
 import {
-  createConfigView, createDisposableStore, startInterval,
+  createConfigView, createDisposableStore,
   type Clock, type ConfigChange, type ConfigDocument, type ConfigView, type Disposable, type EventLog, type Random
 } from '@fuchsiatally/core'
 import type { PlatformClient } from '@fuchsiatally/platform'
 import type { Result } from 'neverthrow'
 import type { ConfigStore, Peer, PeerMesh } from '../ports.js'
+import { createSerialLoop } from '../process/serialLoop.js'
 import { createConfigGossip, type ConfigGossip } from './configGossip.js'
 import { createConfigProposer, type ConfigProposer, type ProposeError } from './configProposer.js'
 import { createDeniedKeys, type DeniedKeys } from './deniedKeys.js'
@@ -122,7 +123,7 @@
     return proposed
   }
 
-  startPolling({ clock, random, readTable, gossip, noteEvidence, proposer: proposeChange, view, denied }, disposables)
+  disposables.add(startPolling({ clock, random, readTable, gossip, noteEvidence, proposeChange, view, denied }))
   const refresh = createRefresh({ clock, view, readTable, askPeers: gossip.askAllPeers, waiting })
   disposables.add(gossip)
 
@@ -154,37 +155,30 @@
   readonly readTable: () => Promise<boolean>
   readonly gossip: ConfigGossip
   readonly noteEvidence: () => void
-  readonly proposer: ConfigProposer['proposeChange']
+  readonly proposeChange: ConfigProposer['proposeChange']
   readonly view: ConfigView
   readonly denied: DeniedKeys
 }
 
 /** Polls the table; asks peers while it does not answer; commits revocations that are not durable yet. */
-function startPolling (polling: Polling, disposables: { add: (item: Disposable) => unknown }): void {
-  let committing = false
-  let reading = false
+function startPolling (polling: Polling): Disposable {
+  let answered = true
   const commitDenied = async (): Promise<void> => {
     const document = polling.view.readDocument()
     const keyIds = polling.denied.listPending(document?.revokedKeyIds ?? [])
-    if (committing || document === null || keyIds.length === 0) return
-    committing = true
-    await polling.proposer({ kind: 'revokeKeys', keyIds, allowUnknown: true })
-    committing = false
+    if (document === null || keyIds.length === 0) return
+    await polling.proposeChange({ kind: 'revokeKeys', keyIds, allowUnknown: true })
   }
-  const poll = async (): Promise<void> => {
+  const runStep = async (): Promise<void> => {
     polling.noteEvidence()
-    if (reading) {
-      polling.gossip.askSomePeers()
-      return
-    }
-    reading = true
-    const answered = await polling.readTable()
-    reading = false
+    if (!answered) polling.gossip.askSomePeers()
+    answered = await polling.readTable()
     if (answered) await commitDenied()
     else polling.gossip.askSomePeers()
+    polling.noteEvidence()
   }
-  void poll()
-  disposables.add(startInterval(polling.clock, polling.random, CONFIG_POLL_MS, POLL_JITTER, () => { void poll() }))
+  const readPauseMs = (): number => CONFIG_POLL_MS * (1 + POLL_JITTER * (polling.random.nextFloat() * 2 - 1))
+  return createSerialLoop({ clock: polling.clock, readPauseMs, runStep })
 }
 
 interface Refreshing {
@@ -209,7 +203,7 @@
       }
       const timer = clock.setTimer(CONFIG_REFRESH_MS, finish)
       waiting.add(finish)
-      void refreshing.readTable()
+      refreshing.readTable()
       refreshing.askPeers()
     })
     running = null
