--- /dev/null
+++ b/packages/core/src/contract/__tests__/configView.spec.ts
@@ -0,0 +1,55 @@
+/** The view never goes back and trusts no evidence below what it has heard. */
+import fc from 'fast-check'
+import { test } from 'uvu'
+import * as assert from 'uvu/assert'
+import { CONFIG_FRESH_MS, createConfigView, type ConfigDocument } from '../../index.js'
+
+const version = fc.integer({ min: 1, max: 6 })
+const step = fc.oneof(
+  fc.record({ kind: fc.constant('install' as const), version }),
+  fc.record({ kind: fc.constant('heard' as const), version }),
+  fc.record({ kind: fc.constant('current' as const), version, atMs: fc.nat(10_000) })
+)
+
+test('freshness needs evidence for the highest version heard of, installed and recent', () => {
+  fc.assert(fc.property(fc.array(step, { maxLength: 20 }), fc.nat(15_000), (steps, nowMs) => {
+    const view = createConfigView()
+    let installed = 0
+    let highest = 0
+    for (const next of steps) {
+      if (next.kind === 'install') {
+        assert.is(view.installDocument({ version: next.version } as ConfigDocument), next.version > installed)
+        installed = Math.max(installed, next.version)
+        highest = Math.max(highest, installed)
+      }
+      if (next.kind === 'heard') {
+        view.recordVersionHeard(next.version)
+        highest = Math.max(highest, next.version)
+      }
+      if (next.kind === 'current') {
+        const before = view.readCurrentAtMs()
+        view.recordCurrent(next.version, next.atMs)
+        if (next.version < highest) assert.is(view.readCurrentAtMs(), before, 'an old read counted')
+        highest = Math.max(highest, next.version)
+      }
+      assert.is(view.readVersion(), installed)
+      assert.is(view.readHighestVersion(), highest)
+    }
+    if (view.isFresh(nowMs)) {
+      assert.is(installed, highest)
+      const evidence = steps.filter((next) => next.kind === 'current').map((next) => next.atMs)
+      assert.ok(evidence.some((atMs) => nowMs - atMs < CONFIG_FRESH_MS))
+    }
+  }), { seed: 20260105, numRuns: 500 })
+})
+
+test('evidence for a version that is not here yet counts from its own time once it is', () => {
+  const view = createConfigView()
+  view.recordCurrent(3, 1000)
+  assert.not(view.isFresh(1000))
+  view.installDocument({ version: 3 } as ConfigDocument)
+  assert.ok(view.isFresh(1000 + CONFIG_FRESH_MS - 1))
+  assert.not(view.isFresh(1000 + CONFIG_FRESH_MS))
+})
+
+test.run()
--- a/packages/entry/src/contract/__tests__/configCluster.spec.ts
+++ b/packages/entry/src/contract/__tests__/configCluster.spec.ts
@@ -30,6 +30,7 @@
   fc.record({ kind: fc.constant('apply' as const), at: entryIndex, rival: entryIndex, share: fc.integer({ min: 1, max: 9 }) }),
   fc.record({ kind: fc.constant('grant' as const), at: entryIndex, team: fc.constantFrom('covers', 'pages') }),
   fc.record({ kind: fc.constant('raceKey' as const), at: entryIndex, rival: entryIndex, team: fc.constantFrom('covers', 'pages') }),
+  { weight: 3, arbitrary: fc.record({ kind: fc.constant('cutDomain' as const), members: fc.subarray([0, 1, 2, 3], { minLength: 1, maxLength: 2 }), on: isOn }) },
   fc.record({ kind: fc.constant('cutLink' as const), at: entryIndex, rival: entryIndex, on: isOn }),
   fc.record({ kind: fc.constant('restart' as const), at: entryIndex }),
   fc.record({ kind: fc.constant('slow' as const), delayMs: fc.constantFrom(0, 100, 400) }),
@@ -123,7 +124,8 @@
     const nowMs = clock.nowMs()
     for (const { version, atMs } of accepted) {
       for (const [index, entry] of cluster.entries.entries()) {
-        if (entry.gate.isPaused() || nowMs < Math.max(atMs, reachableSinceMs[index]!) + IN_FORCE_MS) continue
+        const hasHeard = nowMs >= reachableSinceMs[index]! + IN_FORCE_MS || linkedSinceMs <= atMs
+        if (entry.gate.isPaused() || !hasHeard || nowMs < atMs + IN_FORCE_MS) continue
         assert.ok(entry.store.readVersion() >= version, `${entry.entry} has ${entry.store.readVersion()}, accepted ${version}`)
       }
     }
@@ -164,6 +166,7 @@
     if (next.kind === 'cutPlatform') cluster.entries[next.at]!.faults[next.how] = next.on
     if (next.kind === 'pause') next.on ? cluster.entries[next.at]!.gate.pause() : cluster.entries[next.at]!.gate.resume()
     if (next.kind === 'cutLink' && next.at !== next.rival) setCut(next.at, next.rival, next.on)
+    if (next.kind === 'cutDomain') cutDomain(next.members, next.on)
     if (next.kind === 'restart') {
       for (const pair of [...cuts]) if (pair.split('|').includes(String(next.at))) cuts.delete(pair)
       cluster.restart(next.at)
@@ -184,6 +187,14 @@
     else cuts.delete(pair)
   }
 
+  /** Cuts some entries off from the platform and from the other entries, but not from each other. */
+  const cutDomain = (members: readonly number[], on: boolean): void => {
+    for (const member of members) {
+      cluster.entries[member]!.faults.outage = on
+      for (const other of cluster.entries.keys()) if (!members.includes(other)) setCut(member, other, on)
+    }
+  }
+
   /** Starts what operators do without waiting for its end: races go on through later steps. */
   const runOperators = async (next: Step): Promise<void> => {
     if (!('at' in next) || cluster.entries[next.at]!.gate.isPaused()) return
--- /dev/null
+++ b/packages/entry/src/contract/__tests__/configStore.spec.ts
@@ -0,0 +1,167 @@
+/** Single hazards of configuration and keys, each at its worst moment. */
+import { test } from 'uvu'
+import * as assert from 'uvu/assert'
+import { createKey } from '../key.js'
+import { createConfigCluster, createManifest, OPERATOR_KEY, type ConfigCluster } from './configCluster.js'
+
+const SETTLE_MS = 3000
+
+/** Entries with a manifest in force and one key of each team. */
+async function createReady (size: number) {
+  const cluster = createConfigCluster(size, 7)
+  const { clock, entries } = cluster
+  await clock.runFor(10)
+  const { store, random } = entries[0]!
+  await store.proposeChange({ kind: 'applyManifest', manifest: createManifest() }, 0)
+  const covers = createKey(random, 'covers-1')
+  const pages = createKey(random, 'pages-1')
+  await store.proposeChange({ kind: 'grantKey', team: 'covers', grant: covers.grant })
+  await store.proposeChange({ kind: 'grantKey', team: 'pages', grant: pages.grant })
+  await clock.runFor(SETTLE_MS)
+  return { ...cluster, covers: `Bearer ${covers.key}`, pages: `Bearer ${pages.key}` }
+}
+
+async function check (cluster: ConfigCluster, index: number, key: string | undefined, team?: string): Promise<string> {
+  const checking = cluster.entries[index]!.keys.checkTeam(key, team)
+  await cluster.clock.runFor(600)
+  return (await checking).match((found) => found.name, (refusal) => refusal)
+}
+
+/** Revokes at an entry and lets the table take it. */
+async function revoke (cluster: ConfigCluster, index: number, keyId: string): Promise<void> {
+  const revoking = cluster.entries[index]!.store.proposeChange({ kind: 'revokeKeys', keyIds: [keyId], allowUnknown: false })
+  await cluster.clock.runFor(100)
+  assert.ok((await revoking).isOk())
+}
+
+test('an answer that waited out a pause of the process proves nothing', async () => {
+  // One of these moments lies between the sending of a poll and its answer.
+  for (let offsetMs = 0; offsetMs < 2000; offsetMs += 200) {
+    const ready = await createReady(2)
+    const paused = ready.entries[1]!
+    ready.shared.delayMs = 400
+    await ready.clock.runFor(offsetMs)
+    paused.gate.pause()
+    await ready.clock.runFor(1000)
+    ready.shared.delayMs = 0
+    ready.mesh.setCut(ready.entries[0]!.incarnation, paused.incarnation)
+    await revoke(ready, 0, 'covers-1')
+    await ready.clock.runFor(20_000)
+    ready.shared.outage = true
+    paused.gate.resume()
+    await ready.clock.settle()
+    assert.not(paused.store.isFresh(), `paused after ${offsetMs} ms`)
+    assert.is(await check(ready, 1, ready.covers), 'configurationStale')
+  }
+})
+
+test('a cut pair of entries does not confirm each other', async () => {
+  const ready = await createReady(3)
+  const [outside, first, second] = ready.entries.map((entry) => entry.incarnation)
+  for (const index of [1, 2]) ready.entries[index]!.faults.outage = true
+  ready.mesh.setCut(outside!, first!)
+  ready.mesh.setCut(outside!, second!)
+  await revoke(ready, 0, 'covers-1')
+  await ready.clock.runFor(5000)
+  for (const index of [1, 2]) assert.is(await check(ready, index, ready.covers), 'configurationStale')
+  assert.is(await check(ready, 1, ready.pages), 'pages', 'the other team is served on')
+  assert.is(await check(ready, 1, undefined, 'walkins'), 'walkins', 'the open queue needs no key')
+})
+
+test('an entry cut from the platform alone goes on by its peers', async () => {
+  const ready = await createReady(3)
+  ready.entries[1]!.faults.silent = true
+  await ready.clock.runFor(10_000)
+  assert.ok(ready.entries[1]!.store.isFresh())
+  assert.is(await check(ready, 1, ready.covers), 'covers')
+  await revoke(ready, 0, 'covers-1')
+  await ready.clock.runFor(100)
+  assert.is(await check(ready, 1, ready.covers), 'unauthorized')
+})
+
+test('a change whose answer was lost is settled even when another came on top', async () => {
+  const ready = await createReady(2)
+  ready.entries[0]!.faults.lostAnswerRate = 1
+  const first = ready.entries[0]!.store.proposeChange({ kind: 'drainVm', vm: 'w1', goneVms: [] }, 3)
+  await ready.clock.runFor(500)
+  const second = await ready.entries[1]!.store.proposeChange({ kind: 'drainVm', vm: 'w2', goneVms: [] })
+  assert.is(second._unsafeUnwrap().version, 5)
+  ready.entries[0]!.faults.lostAnswerRate = 0
+  await ready.clock.runFor(SETTLE_MS)
+  assert.ok((await first).isOk(), 'the first operator is not told of a conflict with its own change')
+})
+
+test('of two racing operators one gets the conflict, with both versions and the difference', async () => {
+  const ready = await createReady(2)
+  const [one, two] = await Promise.all([2, 3].map((share, index) => {
+    return ready.entries[index]!.store.proposeChange({ kind: 'applyManifest', manifest: createManifest(share) }, 3)
+  }))
+  assert.ok(one!.isOk())
+  const conflict = two!._unsafeUnwrapErr()
+  assert.is(conflict.kind, 'conflict')
+  if (conflict.kind !== 'conflict') return
+  assert.equal([conflict.expectedVersion, conflict.currentVersion], [3, 4])
+  assert.equal(conflict.difference.map((change) => change.path), ['teams.covers.share', 'teams.pages.share'])
+})
+
+test('an old read neither reverts nor counts as news', async () => {
+  const ready = await createReady(2)
+  const { store, faults } = ready.entries[1]!
+  faults.outage = true
+  await ready.clock.runFor(SETTLE_MS)
+  await revoke(ready, 0, 'covers-1')
+  const version = ready.entries[0]!.store.readVersion()
+  await ready.clock.runFor(200)
+  assert.is(store.readVersion(), version, 'heard of it from the peer')
+  ready.mesh.setCut(ready.entries[0]!.incarnation, ready.entries[1]!.incarnation)
+  await ready.clock.runFor(5000)
+  Object.assign(faults, { outage: false, staleReadRate: 1 })
+  const refreshing = store.refresh()
+  await ready.clock.runFor(5)
+  assert.is(store.readVersion(), version)
+  assert.not(store.isFresh())
+  await ready.clock.runFor(1000)
+  await refreshing
+  assert.ok(ready.log.listFields('FT606').length > 0)
+})
+
+test('a revocation in an outage is heard at once, survives a restart, and is committed by whoever is left', async () => {
+  const ready = await createReady(3)
+  ready.shared.outage = true
+  ready.entries[0]!.store.denyKeys(['pages-1'])
+  await ready.clock.runFor(10)
+  for (const index of [0, 1, 2]) assert.ok(ready.entries[index]!.store.isDenied('pages-1'), 'before any heartbeat')
+  ready.restart(1)
+  await ready.clock.runFor(SETTLE_MS)
+  assert.is(await check(ready, 1, ready.pages), 'unauthorized')
+  ready.restart(0)
+  ready.restart(2)
+  await ready.clock.runFor(SETTLE_MS)
+  ready.shared.outage = false
+  await ready.clock.runFor(SETTLE_MS)
+  assert.equal(ready.entries[0]!.store.readDocument()?.revokedKeyIds, ['pages-1'])
+})
+
+test('a prober cannot tell unknown, malformed, revoked and foreign keys apart', async () => {
+  const ready = await createReady(1)
+  await revoke(ready, 0, 'pages-1')
+  const wrong = ready.covers.replace(/.$/, (last) => last === '0' ? '1' : '0')
+  const probes: Array<[string | undefined, string | undefined]> = [
+    [wrong, undefined], [ready.pages, undefined], ['Bearer nonsense', undefined], ['Basic abc', 'covers'], ['', 'covers'],
+    [undefined, undefined], [undefined, 'covers'], [undefined, 'nobody'], [ready.covers, 'pages'], [ready.covers, 'nobody'],
+    [ready.pages, 'pages'], [`Bearer ${'x'.repeat(100_000)}`, 'covers'], [`Bearer ft_covers-1_${'0'.repeat(64)}`, undefined]
+  ]
+  for (const [key, team] of probes) assert.is(await check(ready, 0, key, team), 'unauthorized')
+  assert.is(await check(ready, 0, ready.covers), 'covers')
+  assert.ok(ready.entries[0]!.keys.isOperator(`Bearer ${OPERATOR_KEY}`))
+  assert.not(ready.entries[0]!.keys.isOperator(ready.covers))
+  assert.not(JSON.stringify(ready.log.recorded).includes(ready.covers.slice(7)))
+})
+
+test('without any configuration nothing is accepted and callers are told to come back', async () => {
+  const cluster = createConfigCluster(1, 1)
+  cluster.shared.outage = true
+  assert.is(await check(cluster, 0, 'Bearer ft_a_0', 'a'), 'noConfiguration')
+})
+
+test.run()
