First contact under an epoch counts only while the session is valid

Ruled out: confirming by a renewal after the first report; it delays the first lease extension by up to 3 s, when a dead owner's last extension has about 1 s left. Change: the first report of an epoch establishes contact only while the own session is valid; a restarted worker ends contact until the next epoch; an incarnation is fenced only 7 s after its session was found removed.

--- a/packages/entry/src/testing/membershipCell.ts
+++ b/packages/entry/src/testing/membershipCell.ts
@@ -89,6 +89,8 @@
   const entries: CellEntry[] = []
   const schedulers: SchedulerModel[] = []
   const schedulerNames: string[] = []
+  /** Every process ever started: a killed or paused one must not wake up in contact. */
+  const started: CellEntry[] = []
   const stopped = new Set<string>()
   const lostWorkers = new Set<string>()
   let generation = 0
@@ -156,7 +158,7 @@
     }
     const liaison = createWorkerLiaison({
       ...common,
-      incarnation,
+      sessions,
       mesh: process.wrapMesh(wrapObserved(ownMesh, oracle)),
       ownership,
       createClient,
@@ -198,6 +200,7 @@
     old?.process.kill()
     old?.mesh.dispose()
     entries[index] = createEntry(index)
+    started.push(entries[index])
   }
   deposeScheduler()
   for (const index of options.entryDomains.keys()) startEntry(index)
@@ -234,7 +237,7 @@
         await clock.runFor(Math.min(CYCLE_MS, ms - passed))
         for (const scheduler of schedulers.slice(-2)) scheduler.runCycle()
         oracle.judge()
-        oracle.recordFenced(entries.filter(({ process }) => process.isRunning()))
+        oracle.recordFenced(started)
       }
     }
   }
--- a/packages/entry/src/vm/ownership.ts
+++ b/packages/entry/src/vm/ownership.ts
@@ -1,5 +1,5 @@
 /** Which workers this entry owns: rows `owner/<worker>`, changed by compare-and-set in batches. */
-import { CellRow, createDecoder, createDisposableStore, OWNER_PREFIX } from '@fuchsiatally/core'
+import { CellRow, createDecoder, createDisposableStore, OWNER_PREFIX, SESSION_ALLOWANCE_MS, SESSION_TTL_MS } from '@fuchsiatally/core'
 import type { Clock, EventLog, Random, Row, RowCheck, Transaction, Vm } from '@fuchsiatally/core'
 import type { PlatformClient, TransactionOutcome } from '@fuchsiatally/platform'
 import type { PollInfo } from '../failureDomain/tablePoll.js'
@@ -91,6 +91,8 @@
   const contactedEpochs = new Map<string, number>()
   /** Revision at which a change by this entry was settled: reads from there on show all that came before it. */
   const settledRevisions = new Map<string, number>()
+  /** When each incarnation that was asked for was first found removed. */
+  const removedSinceMs = new Map<string, number>()
   let listener: OwnershipListener | null = null
   let confirmedMs = -Infinity
   let hasPolled = false
@@ -208,6 +210,12 @@
   }
   const hasWorkers = (incarnation: string): boolean =>
     rows.listUnfenced(incarnation).some((worker) => directory.getVm(worker)?.state !== 'gone')
+  /** Whether an incarnation was found removed so long ago that its own view of its session has ended too. */
+  const isSettled = (incarnation: string): boolean => {
+    const sinceMs = removedSinceMs.get(incarnation)
+    if (sinceMs === undefined) removedSinceMs.set(incarnation, clock.nowMs())
+    return sinceMs !== undefined && clock.nowMs() - sinceMs >= SESSION_TTL_MS + SESSION_ALLOWANCE_MS
+  }
   const release = async (): Promise<void> => {
     for (let round = 0; round < MAX_RELEASE_ROUNDS; round += 1) {
       await committing
@@ -247,7 +255,7 @@
     readCellEpoch: () => cellEpoch,
     listVms: () => [...directory.listVms()],
     isVmListRead: directory.isRead,
-    isFenced: (incarnation) => sessions.isRemoved(incarnation) && !hasWorkers(incarnation)
+    isFenced: (incarnation) => sessions.isRemoved(incarnation) && !hasWorkers(incarnation) && isSettled(incarnation)
   }
 }
 
--- a/packages/entry/src/vm/workerLiaison.ts
+++ b/packages/entry/src/vm/workerLiaison.ts
@@ -1,7 +1,7 @@
 /** All workers that this entry owns: contact, desired sets and reports to the scheduler. */
 import { OUTAGE_TOLERANCE_MS } from '@fuchsiatally/core'
 import type { Clock, Disposable, EventLog, Random, Vm, WorkerDesired, WorkerObserved } from '@fuchsiatally/core'
-import type { OwnedWorkers, PeerMesh, WorkerClientFactory } from '../ports.js'
+import type { OwnedWorkers, PeerMesh, Sessions, WorkerClientFactory } from '../ports.js'
 import { desiredIgnored } from './events.js'
 import type { Ownership, OwnershipListener } from './ownership.js'
 import { createWorkerTask } from './workerTask.js'
@@ -9,7 +9,7 @@
 
 /** Options of the liaison. */
 export interface WorkerLiaisonOptions {
-  readonly incarnation: string
+  readonly sessions: Sessions
   readonly clock: Clock
   readonly random: Random
   readonly log: EventLog
@@ -36,17 +36,18 @@
 
 /** Creates the liaison; pass it to `ownership.start`. */
 export function createWorkerLiaison (options: WorkerLiaisonOptions): WorkerLiaison {
-  const { clock, random, log, mesh, ownership } = options
+  const { clock, random, log, mesh, ownership, sessions } = options
   const tasks = new Map<string, WorkerTask>()
   let highestCellEpoch = 0
 
   const sendObserved = (message: WorkerObserved): void => {
     const scheduler = options.findScheduler()
-    if (scheduler === options.incarnation) options.onObserved(message)
+    if (scheduler === sessions.incarnation) options.onObserved(message)
     else if (scheduler !== null) mesh.sendMessage(scheduler, message)
   }
   const createTask = (vm: Vm): WorkerTask => createWorkerTask(vm, {
-    incarnation: options.incarnation,
+    incarnation: sessions.incarnation,
+    isSessionValid: sessions.isValid,
     clock,
     random,
     log,
--- a/packages/entry/src/vm/workerTask.ts
+++ b/packages/entry/src/vm/workerTask.ts
@@ -25,6 +25,8 @@
   readonly log: EventLog
   readonly createClient: WorkerClientFactory
   readonly outageToleranceMs: number
+  /** Whether this entry's session is valid now. */
+  readonly isSessionValid: () => boolean
   /** A time at which the worker's row named this entry for certain. */
   readonly readConfirmedMs: () => number
   readonly updateEpoch: (worker: string, minEpoch: number) => void
@@ -60,8 +62,14 @@
   let desired: WorkerDesired | null = null
   /** The epoch can no longer run tasks: only contact is kept until the next one. */
   let blocked = false
+  /**
+   * A report arrived while the session was valid: the worker knew no later owner by then, and will not forget one
+   * unless it restarts. A first contact in an outage could meet a worker that was taken over and then restarted.
+   */
+  let trusted = false
   /** The worker has seen this higher epoch. */
   let fencedBy: number | null = null
+  let restarted = false
   let isLost = false
   let extensionLogged = false
   let lastState: WorkerObserved['state'] = 'unreachable'
@@ -82,10 +90,10 @@
     }
   })
 
+  const hasContact = (): boolean => trusted && fencedBy === null && tracker.hasContact(clock.nowMs())
   const readState = (): WorkerObserved['state'] => {
     if (isLost) return 'lost'
-    const isReachable = !blocked && fencedBy === null && tracker.hasContact(clock.nowMs())
-    return isReachable ? 'reachable' : 'unreachable'
+    return !blocked && hasContact() ? 'reachable' : 'unreachable'
   }
   const buildObserved = (state: WorkerObserved['state']): WorkerObserved => ({
     type: 'workerObserved',
@@ -114,34 +122,37 @@
     options.updateEpoch(vm.id, epoch + 1)
   }
   const mayExtend = (nowMs: number): boolean => {
-    if (blocked || isLost || vm.state === 'gone') return false
+    if (!trusted || blocked || isLost || vm.state === 'gone') return false
     const allowed = hasRightToExtend(nowMs, options.readConfirmedMs(), options.outageToleranceMs)
     if (!allowed && !extensionLogged) log.record(extensionEnded, { worker: vm.id, epoch })
     extensionLogged = !allowed
     return allowed
   }
   const reconcile = (): void => {
-    if (disposed || blocked || fencedBy !== null || desired === null || report === null) return
-    if (!tracker.hasContact(clock.nowMs()) || report.leaseNotAfterMs <= report.clockMs) return
+    if (disposed || blocked || desired === null || report === null) return
+    if (!hasContact() || report.leaseNotAfterMs <= report.clockMs) return
     commands.reconcile({ epoch, workerIncarnation: report.workerIncarnation, desired, report })
   }
   /** Returns whether the epoch can go on. */
   const checkReport = (next: LeaseReport): boolean => {
     const knownIncarnation = tracker.readWorkerIncarnation()
     if (knownIncarnation !== null && knownIncarnation !== next.workerIncarnation) {
-      log.record(workerRestarted, { worker: vm.id, epoch })
+      if (!restarted) log.record(workerRestarted, { worker: vm.id, epoch })
+      restarted = true
+      trusted = false
       return false
     }
     // Within one epoch `lost` is final: a desired set that was computed before may still be on its way.
     return !isLost
   }
   const handleReport = (next: LeaseReport, sentMs: number): void => {
-    const isFirst = !tracker.isContacted()
+    const isFirst = !trusted && !restarted
     const canGoOn = checkReport(next)
+    trusted ||= !restarted && options.isSessionValid()
     tracker.recordReport(next, sentMs, clock.nowMs())
     report = next
     fencedBy = null
-    if (isFirst) {
+    if (isFirst && trusted) {
       log.record(workerContacted, { worker: vm.id, epoch })
       options.recordContact(vm.id, epoch)
     }
@@ -153,7 +164,7 @@
     reconcile()
     sendIfChanged()
     // The first contact only learns the worker's clock.
-    if (isFirst) leaseWanted = true
+    if (isFirst && trusted) leaseWanted = true
   }
   const handleFailure = (failure: LeaseFailure): void => {
     if (failure.kind !== 'staleEpoch') {
@@ -224,6 +235,8 @@
       report = null
       desired = null
       blocked = false
+      trusted = false
+      restarted = false
       fencedBy = null
       isLost = false
       commands.reset()
@@ -250,7 +263,7 @@
       id: vm.id,
       epoch,
       rack: vm.rack,
-      hasContact: fencedBy === null && vm.state !== 'gone' && tracker.hasContact(clock.nowMs()),
+      hasContact: vm.state !== 'gone' && hasContact(),
       leaving: vm.state !== 'live',
       runners: vm.runners.map((runner) => ({ ...runner, busy: readBusy(report, runner.service) }))
     }),
