--- a/packages/core/src/contract/__tests__/allotment.spec.ts
+++ b/packages/core/src/contract/__tests__/allotment.spec.ts
@@ -72,7 +72,10 @@
   send (holder: Holder, fate: 'answered' | 'lostAnswer' | 'late' | 'lost'): void {
     const { plan, allotment } = holder
     if (plan === undefined || fate === 'lost') return
-    if (fate === 'late') return void this.table.late.push(plan)
+    if (fate === 'late') {
+      this.table.late.push(plan)
+      return
+    }
     this.table.apply(plan)
     if (fate === 'lostAnswer') return
     // An answer shows the row as it stands, whether this try took effect or conflicted.
@@ -132,7 +135,7 @@
     }
     // The faults end, everyone hears of the configuration, and the work in flight ends step by step.
     for (let round = 0; round < 40; round += 1) {
-      for (const [index, holder] of world.holders.entries()) {
+      for (const index of world.holders.keys()) {
         world.run({ kind: 'settle', holder: index })
         world.run({ kind: 'hear', holder: index })
         world.run({ kind: 'send', holder: index, fate: 'answered' })
