Term of the scheduler begins again after a conflict without a new holder; harder random failures

Cause: a commit that conflicted while this entry still held the role ended the term for good, and the cell had no scheduler until the role moved. Calls to the fake platform took no time, so no process could die between a commit and its effect. Ruled out: treating such a conflict as impossible; an operator's or an old build's write must not stop the cell. Change: the term begins again from the table; the fake platform takes 30 ms each way; cuts of a worker from all entries.

--- a/packages/entry/src/job/jobService.ts
+++ b/packages/entry/src/job/jobService.ts
@@ -63,10 +63,17 @@
     sendDesired,
     onDeposed: () => {
       stopTerm()
-      role.verify().catch(() => {})
+      restartTerm(held).catch(() => {})
     }
   })
 
+  /** A conflict without a new holder means that another writer changed a row: the term begins again from the table. */
+  const restartTerm = async (before: HeldRole): Promise<void> => {
+    await role.verify()
+    const held = role.readHeld()
+    if (task === null && held?.epoch === before.epoch) task = startTerm(held)
+  }
+
   const stopTerm = (): void => {
     task?.dispose()
     task = null
--- a/packages/entry/src/process/__tests__/entryCell.spec.ts
+++ b/packages/entry/src/process/__tests__/entryCell.spec.ts
@@ -33,7 +33,7 @@
 
 const index = fc.nat(5)
 const commandArbitrary: fc.Arbitrary<EntryCommand> = fc.oneof(
-  { weight: 10, arbitrary: fc.record({ kind: fc.constant('run' as const), ms: fc.integer({ min: 100, max: 8_000 }) }) },
+  { weight: 10, arbitrary: fc.record({ kind: fc.constant('run' as const), ms: fc.integer({ min: 50, max: 6_000 }) }) },
   {
     weight: 8,
     arbitrary: fc.record({
@@ -44,7 +44,7 @@
       urgent: fc.boolean(),
       tasks: fc.integer({ min: 1, max: 4 }),
       processors: fc.integer({ min: 1, max: 6 }),
-      runMs: fc.integer({ min: 100, max: 20_000 })
+      runMs: fc.constantFrom(100, 2_000, 10_000, 30_000)
     })
   },
   { weight: 2, arbitrary: fc.record({ kind: fc.constant('cancel' as const), entry: index, job: fc.nat(20) }) },
@@ -55,7 +55,7 @@
     arbitrary: fc.record({
       kind: fc.constant('platform' as const),
       entry: index,
-      fault: fc.constantFrom('outage' as const, 'silent' as const, 'lostAnswers' as const, 'lateEffects' as const, 'staleReads' as const, 'none' as const)
+      fault: fc.constantFrom('outage' as const, 'silent' as const, 'lostAnswers' as const, 'lateEffects' as const, 'staleReads' as const, 'slow' as const, 'none' as const)
     })
   },
   { weight: 1, arbitrary: fc.record({ kind: fc.constant('outage' as const), on: fc.boolean() }) },
@@ -68,15 +68,24 @@
       fault: fc.constantFrom('unreachable' as const, 'silent' as const, 'late' as const, 'doubled' as const, 'lostAnswers' as const, 'none' as const)
     })
   },
+  { weight: 3, arbitrary: fc.record({ kind: fc.constant('workerCut' as const), worker: index, on: fc.boolean() }) },
   { weight: 2, arbitrary: fc.record({ kind: fc.constantFrom('cut' as const, 'heal' as const), entry: index, peer: index }) },
   { weight: 1, arbitrary: fc.record({ kind: fc.constantFrom('restartWorker' as const, 'loseVm' as const), worker: index }) }
 )
 
+/** Work that runs when the failures begin. */
+const FIRST_JOBS: readonly EntryCommand[] = [
+  { kind: 'submit', entry: 0, team: 0, job: 'batch', urgent: false, tasks: 4, processors: 3, runMs: 30_000 },
+  { kind: 'submit', entry: 1, team: 1, job: 'gang', urgent: false, tasks: 3, processors: 4, runMs: 20_000 },
+  { kind: 'submit', entry: 2, team: 0, job: 'service', urgent: false, tasks: 2, processors: 1, runMs: 40_000 }
+]
+const FIRST_JOBS_MS = 1_000
+
 /** Faults of jobs that were accepted and did not come to their end after the healing. */
 async function findUnfinished (cell: EntryCell, accepted: readonly AcceptedJob[]): Promise<string[]> {
   const faults: string[] = []
   for (const job of accepted) {
-    const view = await cell.entries[0]!.entry.admission.readJob(job.team, job.id)
+    const view = await cell.waitFor(cell.entries[0]!.entry.admission.readJob(job.team, job.id))
     if (view.isErr()) faults.push(`accepted job ${job.id} is ${view.error.kind}`)
     else if (job.cancelled && !['cancelled', 'completed', 'failed'].includes(view.value.phase)) faults.push(`cancelled job ${job.id} is ${view.value.phase}`)
     else if (view.value.spec.kind !== 'service' && ['queued', 'running'].includes(view.value.phase)) {
@@ -90,8 +99,8 @@
 async function cancelServices (cell: EntryCell, accepted: readonly AcceptedJob[]): Promise<void> {
   for (const job of accepted) {
     const { admission } = cell.entries[0]!.entry
-    const view = await admission.readJob(job.team, job.id)
-    if (view.isOk() && view.value.spec.kind === 'service') await admission.cancelJob(job.team, job.id)
+    const view = await cell.waitFor(admission.readJob(job.team, job.id))
+    if (view.isOk() && view.value.spec.kind === 'service') await cell.waitFor(admission.cancelJob(job.team, job.id))
   }
 }
 
@@ -99,6 +108,8 @@
   const cell = createCell(seed)
   const accepted: AcceptedJob[] = []
   await cell.runFor(SETTLE_MS)
+  for (const command of FIRST_JOBS) await applyEntryCommand(cell, command, TEAMS, accepted)
+  await cell.runFor(FIRST_JOBS_MS)
   for (const command of commands) {
     await applyEntryCommand(cell, command, TEAMS, accepted)
     if (cell.oracle.faults.length > 0) return cell.oracle.faults
--- a/packages/entry/src/testing/entryCell.ts
+++ b/packages/entry/src/testing/entryCell.ts
@@ -48,6 +48,8 @@
   readonly oracle: JobOracle
   /** Advances time; the oracle judges every 100 ms. */
   runFor: (ms: number) => Promise<void>
+  /** Advances time until the promise is settled. */
+  waitFor: <T>(promise: Promise<T>) => Promise<T>
   /** Starts a new process of an entry; the old one is killed if it still runs. */
   startEntry: (index: number) => void
   /** Planned stop of an entry. */
@@ -60,6 +62,8 @@
 const STEP_MS = 100
 const HEARTBEAT_MS = 1000
 const RESTART_MS = 500
+/** One way to the platform, so that a process can die between a call and its effect or its answer. */
+const PLATFORM_DELAY_MS = 30
 const CELL = 'test'
 
 const NO_ENDPOINTS: EndpointClient = {
@@ -103,6 +107,7 @@
     const random = createSeededRandom(computeHash(`${options.seed} ${incarnation}`))
     const process = createFakeProcess(clock)
     const platform = createFakePlatform({ model: table, clock, random: createSeededRandom(options.seed + generation) })
+    platform.faults.delayMs = PLATFORM_DELAY_MS
     const ownMesh = mesh.addEntry({ entry: name, incarnation, failureDomain })
     const log = createMemoryEventLog()
     const links = new Map(workers.map((worker) => [worker.id, createWorkerLinkFaults()]))
@@ -185,6 +190,12 @@
       await target.entry.drain()
       await target.entry.release()
     },
+    waitFor: async (promise) => {
+      const state = { settled: false }
+      const marked = promise.finally(() => { state.settled = true })
+      while (!state.settled) await clock.runFor(STEP_MS)
+      return await marked
+    },
     runFor: async (ms) => {
       for (let passed = 0; passed < ms; passed += STEP_MS) {
         await clock.runFor(Math.min(STEP_MS, ms - passed))
--- a/packages/entry/src/testing/entryCommands.ts
+++ b/packages/entry/src/testing/entryCommands.ts
@@ -10,9 +10,11 @@
   | { readonly kind: 'cancel', readonly entry: number, readonly job: number }
   | { readonly kind: 'pause', readonly entry: number, readonly leadMs: number }
   | { readonly kind: 'resume' | 'kill' | 'start' | 'stop', readonly entry: number }
-  | { readonly kind: 'platform', readonly entry: number, readonly fault: 'outage' | 'silent' | 'lostAnswers' | 'lateEffects' | 'staleReads' | 'none' }
+  | { readonly kind: 'platform', readonly entry: number, readonly fault: 'outage' | 'silent' | 'lostAnswers' | 'lateEffects' | 'staleReads' | 'slow' | 'none' }
   | { readonly kind: 'outage', readonly on: boolean }
   | { readonly kind: 'worker', readonly entry: number, readonly worker: number, readonly fault: 'unreachable' | 'silent' | 'late' | 'doubled' | 'lostAnswers' | 'none' }
+  /** As `worker`, but for the connections of all entries to it. */
+  | { readonly kind: 'workerCut', readonly worker: number, readonly on: boolean }
   | { readonly kind: 'cut' | 'heal', readonly entry: number, readonly peer: number }
   | { readonly kind: 'restartWorker' | 'loseVm', readonly worker: number }
 
@@ -25,6 +27,8 @@
 
 const FAULT_RATE = 0.4
 const LATE_MS = 15_000
+const FAST_MS = 30
+const SLOW_MS = 450
 
 function setPlatformFault (target: CellProcess, fault: string): void {
   const { faults } = target.platform
@@ -32,6 +36,7 @@
   faults.silent = fault === 'silent'
   faults.lostAnswerRate = fault === 'lostAnswers' ? FAULT_RATE : 0
   faults.lateEffectRate = fault === 'lateEffects' ? FAULT_RATE : 0
+  faults.delayMs = fault === 'slow' ? SLOW_MS : FAST_MS
   faults.staleReadRate = fault === 'staleReads' ? FAULT_RATE : 0
 }
 
@@ -102,6 +107,11 @@
       if (!cell.lostWorkers.has(worker.id)) setWorkerFault(target, worker.id, command.fault)
       return
     }
+    case 'workerCut': {
+      if (cell.lostWorkers.has(worker.id)) return
+      for (const each of cell.entries) setWorkerFault(each, worker.id, command.on ? 'unreachable' : 'none')
+      return
+    }
     case 'cut':
     case 'heal': {
       const peer = cell.entries[command.peer % cell.entries.length]!
