Cost of a decision: searches by need, backfill tried by shape, gangs tried less often the longer they wait

Cause: half of the time went into searches that found nothing: empty rows of the index were walked through iterators, each change of any reservation let every lane try backfill, and each waiting gang tried twice a second.

--- a/packages/core/src/job/cellState.ts
+++ b/packages/core/src/job/cellState.ts
@@ -1,7 +1,8 @@
 /** State that the parts of the cell's scheduler share. */
 import type { Resources } from '../schema/resources.js'
 import { createTeamRegistry, type TeamRegistry } from '../team/teamRegistry.js'
-import { createNeed } from '../vm/amounts.js'
+import { createNeed, hasRoom } from '../vm/amounts.js'
+import { createIndexQuery } from '../vm/placementIndex.js'
 import type { WorkerEntry } from '../vm/workerEntry.js'
 import { createWorkerPool, type WorkerPool } from '../vm/workerPool.js'
 import type { SchedulerDecision } from './cellScheduler.js'
@@ -19,8 +20,6 @@
   readonly estimates: RunTimeEstimates
   /** Reservations, oldest first. */
   readonly reservations: Set<Reservation>
-  /** Grows when backfill may have become possible. */
-  reservationsVersion: number
   /** Grows when a lane may have become able to start something. */
   changes: number
   /** Grows when the set of workers or the capacity of one changes. */
@@ -45,7 +44,6 @@
     shapes: new Map(),
     estimates: createRunTimeEstimates(),
     reservations: new Set(),
-    reservationsVersion: 0,
     changes: 0,
     workersVersion: 0,
     quarantined: new Set(),
@@ -62,7 +60,25 @@
   const key = `${pool ?? '*'}\n${need.processors}\n${need.memoryMb}\n${need.accelerators}`
   const found = state.shapes.get(key)
   if (found) return found
-  const created: Shape = { key, need, pool, blocked: false, fitsPlain: false, fitsPlainAt: -1, users: 0 }
+  const created: Shape = {
+    key,
+    need,
+    query: createIndexQuery(need),
+    pool,
+    blocked: false,
+    backfillVersion: 0,
+    fitsPlain: false,
+    fitsPlainAt: -1,
+    users: 0
+  }
   state.shapes.set(key, created)
   return created
 }
+
+/** Lets lanes try backfill again whose tasks fit into the free room of a worker with reservations. */
+export function updateBackfill (state: CellState, worker: WorkerEntry): void {
+  for (const shape of state.shapes.values()) {
+    if (shape.pool !== undefined && shape.pool !== worker.known?.pool) continue
+    if (hasRoom(worker.free, shape.need)) shape.backfillVersion += 1
+  }
+}
--- a/packages/core/src/job/decideTasks.ts
+++ b/packages/core/src/job/decideTasks.ts
@@ -2,7 +2,7 @@
 import { addAmounts, hasRoom } from '../vm/amounts.js'
 import type { WorkerEntry } from '../vm/workerEntry.js'
 import { stopQuarantine } from '../vm/workerHealth.js'
-import type { CellState } from './cellState.js'
+import { updateBackfill, type CellState } from './cellState.js'
 import { grantReservation } from './grants.js'
 import { releaseReservation } from './reservation.js'
 import { startLane, startReserved, updateUrgentReservations } from './starts.js'
@@ -49,7 +49,7 @@
   state.changes += 1
   const grown = state.workers.takeGrown()
   for (const worker of grown) {
-    if (worker.reservations.size > 0) state.reservationsVersion += 1
+    if (worker.reservations.size > 0) updateBackfill(state, worker)
     else unblockShapes(state, worker)
   }
 }
--- a/packages/core/src/job/jobEntry.ts
+++ b/packages/core/src/job/jobEntry.ts
@@ -4,6 +4,7 @@
 import type { WorkerEntry } from '../vm/workerEntry.js'
 import type { Lane, Shape } from './lane.js'
 import type { Reservation } from './reservation.js'
+import type { Workload } from './runTimeEstimates.js'
 
 /** One task of a job. */
 export interface TaskEntry {
@@ -50,6 +51,8 @@
   ending: JobEnding | undefined
   lane: Lane | undefined
   readonly reservations: Set<Reservation>
+  /** What is known of the job's workload; `undefined` until it is asked for. */
+  workload: Workload | undefined
 }
 
 /** Creates a job with all tasks queued. */
@@ -69,7 +72,8 @@
     phase: 'queued',
     ending: undefined,
     lane: undefined,
-    reservations: new Set()
+    reservations: new Set(),
+    workload: undefined
   }
   for (let index = 0; index < row.spec.taskCount; index++) job.tasks.push(createTaskEntry(job, index))
   return job
--- a/packages/core/src/job/lane.ts
+++ b/packages/core/src/job/lane.ts
@@ -1,5 +1,6 @@
 /** Queues of a team: waiting jobs whose tasks are alike stand in one lane and wait for the same room. */
 import type { Amounts } from '../vm/amounts.js'
+import type { IndexQuery } from '../vm/placementIndex.js'
 import type { TeamEntry } from '../team/teamEntry.js'
 import type { JobEntry } from './jobEntry.js'
 
@@ -7,9 +8,12 @@
 export interface Shape {
   readonly key: string
   readonly need: Amounts
+  readonly query: IndexQuery
   readonly pool: string | undefined
   /** No worker outside reservations has room; cleared when one of them frees enough. */
   blocked: boolean
+  /** Grows when a worker with reservations may have room for a task. */
+  backfillVersion: number
   /** Whether a worker without accelerators could hold a task if it were empty. */
   fitsPlain: boolean
   /** Version of the set of workers that `fitsPlain` was computed for. */
@@ -27,7 +31,7 @@
   readonly gang: boolean
   /** Ordered by acceptance, then id. */
   readonly jobs: JobEntry[]
-  /** Version of the reservations at which no backfill was possible; -1 if not tried. */
+  /** The shape's `backfillVersion` at which no backfill was possible; -1 if not tried. */
   backfillTriedAt: number
   /** Releases of the team at which its ceiling left no room; -1 if it did. */
   ceilingTriedAt: number
--- a/packages/core/src/job/placement.ts
+++ b/packages/core/src/job/placement.ts
@@ -107,7 +107,7 @@
   choice: Choice, job: JobEntry, index: PlacementIndex, partition: Partition, filter: Filter
 ): void {
   let compared = 0
-  index.findCandidates(partition, job.shape.need, (worker) => {
+  index.findCandidates(partition, job.shape.query, (worker) => {
     if (!filter(worker)) return false
     compared += 1
     compareCandidate(choice, job, worker)
--- a/packages/core/src/job/preemption.ts
+++ b/packages/core/src/job/preemption.ts
@@ -81,7 +81,7 @@
   for (const partition of index.listPartitions()) {
     if (!isCandidate(partition.pool, partition.accelerated, job.shape)) continue
     let comparedHere = 0
-    index.findCandidates(partition, job.shape.need, (worker) => {
+    index.findCandidates(partition, job.shape.query, (worker) => {
       if (worker === avoid) return false
       const plan = buildPlan(state, worker, job.shape.need, 1, index === state.workers.soft)
       if (plan && (!best || plan.cost < best.cost)) best = plan
--- a/packages/core/src/job/reservation.ts
+++ b/packages/core/src/job/reservation.ts
@@ -2,7 +2,7 @@
 import { addAmounts, countFits, hasRoom, type Amounts } from '../vm/amounts.js'
 import type { WorkerEntry } from '../vm/workerEntry.js'
 import { hasCapacityFor, isEligible } from '../vm/workerPool.js'
-import type { CellState } from './cellState.js'
+import { updateBackfill, type CellState } from './cellState.js'
 import type { JobEntry, TaskEntry } from './jobEntry.js'
 
 /** A claim of one job on room that others still use. */
@@ -47,8 +47,8 @@
     worker.reservations.set(reservation, count)
     addAmounts(worker.held, job.shape.need, count)
     state.workers.updateWorker(worker, false)
+    updateBackfill(state, worker)
   }
-  state.reservationsVersion += 1
   return reservation
 }
 
@@ -61,7 +61,6 @@
     addAmounts(worker.held, reservation.job.shape.need, -count)
     state.workers.updateWorker(worker, true)
   }
-  state.reservationsVersion += 1
 }
 
 /** Gives back all that is held for a job. */
--- a/packages/core/src/job/runTimeEstimates.ts
+++ b/packages/core/src/job/runTimeEstimates.ts
@@ -3,7 +3,7 @@
 import type { JobEntry } from './jobEntry.js'
 
 /** What is known of one workload. */
-interface Workload {
+export interface Workload {
   /** Completed attempts, capped. */
   samples: number
   /** Mean and mean deviation of the logarithm of actual over declared run time. */
@@ -38,7 +38,11 @@
   const getKey = (job: JobEntry): string => `${job.row.team}\n${job.row.spec.name}`
 
   const getWorkload = (job: JobEntry): Workload => {
-    const key = getKey(job)
+    job.workload ??= findWorkload(getKey(job))
+    return job.workload
+  }
+
+  const findWorkload = (key: string): Workload => {
     const found = workloads.get(key)
     if (found) return found
     if (workloads.size >= MAX_WORKLOADS) workloads.delete(workloads.keys().next().value!)
@@ -78,14 +82,14 @@
   const estimateRunTime = (job: JobEntry): number => {
     const { kind, runTimeMs } = job.row.spec
     if (kind === 'service') return Infinity
-    const workload = workloads.get(getKey(job))
-    if (!workload || workload.samples < MIN_SAMPLES) return runTimeMs
+    const workload = getWorkload(job)
+    if (workload.samples < MIN_SAMPLES) return runTimeMs
     return runTimeMs * Math.exp(clampLog(workload.meanLog + UPPER_DEVIATIONS * workload.deviationLog))
   }
 
   const estimateUse = (job: JobEntry): Resources | undefined => {
-    const workload = workloads.get(getKey(job))
-    return workload && workload.usageSamples > 0 ? { ...workload.usedPart } : undefined
+    const workload = getWorkload(job)
+    return workload.usageSamples > 0 ? { ...workload.usedPart } : undefined
   }
 
   return { recordRun, recordUsage, estimateRunTime, estimateUse }
--- a/packages/core/src/job/starts.ts
+++ b/packages/core/src/job/starts.ts
@@ -12,6 +12,9 @@
 import { checkCeiling, findUnreserved } from './turns.js'
 
 const GANG_RETRY_MS = 500
+const LONGEST_GANG_RETRY_MS = 5000
+/** Part of the time waited so far that a gang waits before it is tried again. */
+const GANG_RETRY_PART = 0.05
 const URGENT_RETRY_MS = 250
 /** An urgent task's room that is not free by then is sought elsewhere. */
 const URGENT_REPLAN_MS = 1500
@@ -41,7 +44,7 @@
   if (placement) return placement
   shape.blocked = true
   const backfill = state.reservations.size > 0 ? chooseBackfill(state, job) : undefined
-  if (!backfill) lane.backfillTriedAt = state.reservationsVersion
+  if (!backfill) lane.backfillTriedAt = shape.backfillVersion
   return backfill
 }
 
@@ -64,7 +67,8 @@
     return
   }
   lane.blockedSinceMs = Math.min(lane.blockedSinceMs, state.nowMs)
-  lane.retryAtMs = state.nowMs + GANG_RETRY_MS
+  const waitedMs = state.nowMs - lane.blockedSinceMs
+  lane.retryAtMs = state.nowMs + Math.min(LONGEST_GANG_RETRY_MS, GANG_RETRY_MS + waitedMs * GANG_RETRY_PART)
   if (lane.urgent && job.reservations.size === 0) reserveGangByPreemption(state, job)
 }
 
@@ -88,14 +92,14 @@
 
 /** Upper bound of the members that fit now, counted no further than needed. */
 function countRoom (state: CellState, job: JobEntry): number {
-  const { need, pool } = job.shape
+  const { need, query, pool } = job.shape
   const wanted = job.queued.length
   let room = 0
   for (const index of [state.workers.open, state.workers.reserved]) {
     for (const partition of index.listPartitions()) {
       if (room >= wanted) return room
       if (pool !== undefined && partition.pool !== pool) continue
-      index.findCandidates(partition, need, (worker) => {
+      index.findCandidates(partition, query, (worker) => {
         room += countFits(worker.free, need, wanted)
         return room >= wanted
       })
--- a/packages/core/src/job/turns.ts
+++ b/packages/core/src/job/turns.ts
@@ -45,7 +45,7 @@
   if (lane.gang) return lane.jobs[0]!.live === 0
   if (lane.urgent) return findUnreserved(lane) !== undefined
   if (!lane.shape.blocked) return true
-  return lane.backfillTriedAt !== state.reservationsVersion && state.reservations.size > 0
+  return lane.backfillTriedAt !== lane.shape.backfillVersion && state.reservations.size > 0
 }
 
 /** The first job of a lane with a queued task that no reservation is held for. */
--- a/packages/core/src/vm/__tests__/placementIndex.spec.ts
+++ b/packages/core/src/vm/__tests__/placementIndex.spec.ts
@@ -3,6 +3,7 @@
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
 import { hasRoom, type Amounts } from '../amounts.js'
+import { createIndexQuery } from '../placementIndex.js'
 import { updateKnown } from '../workerEntry.js'
 import { createWorkerPool } from '../workerPool.js'
 
@@ -28,7 +29,7 @@
     }
     const found: string[] = []
     for (const partition of pool.open.listPartitions()) {
-      pool.open.findCandidates(partition, need, (worker) => {
+      pool.open.findCandidates(partition, createIndexQuery(need), (worker) => {
         found.push(worker.id)
         return false
       })
--- a/packages/core/src/vm/placementIndex.ts
+++ b/packages/core/src/vm/placementIndex.ts
@@ -8,19 +8,38 @@
   readonly pool: string
   readonly failureDomain: string
   readonly accelerated: boolean
-  /** Cells by level of free processors, then by memory and accelerators. */
-  readonly rows: Map<number, WorkerEntry[]>[]
+  /** Cells by level of free processors. */
+  readonly rows: Row[]
   size: number
 }
 
+/** Cells of one level of free processors that hold workers, with their levels of memory and accelerators. */
+interface Row {
+  readonly cells: Cell[]
+}
+
+interface Cell {
+  readonly memoryLevel: number
+  readonly acceleratorLevel: number
+  readonly workers: WorkerEntry[]
+}
+
 /** Where a worker lies in an index. */
 export interface IndexSlot {
   readonly partition: Partition
   readonly row: number
-  readonly cell: number
+  readonly cell: Cell
   position: number
 }
 
+/** What is looked for, with its levels. */
+export interface IndexQuery {
+  readonly need: Amounts
+  readonly row: number
+  readonly memoryLevel: number
+  readonly acceleratorLevel: number
+}
+
 /** Looks at a worker with room; returns `true` to end the search of the partition. */
 export type CandidateVisitor = (worker: WorkerEntry) => boolean
 
@@ -31,7 +50,7 @@
   removeWorker: (worker: WorkerEntry) => void
   listPartitions: () => readonly Partition[]
   /** Visits workers with room for `need`, those with the fewest free processors first. */
-  findCandidates: (partition: Partition, need: Amounts, visit: CandidateVisitor) => void
+  findCandidates: (partition: Partition, query: IndexQuery, visit: CandidateVisitor) => void
 }
 
 /** Options of an index. */
@@ -61,7 +80,7 @@
     const key = `${known.pool}\n${known.failureDomain}\n${accelerated}`
     const found = partitions.get(key)
     if (found) return found
-    const rows = Array.from({ length: LEVELS }, () => new Map<number, WorkerEntry[]>())
+    const rows = Array.from({ length: LEVELS }, () => ({ cells: [] }))
     const partition = { pool: known.pool, failureDomain: known.failureDomain, accelerated, rows, size: 0 }
     partitions.set(key, partition)
     partitionList.push(partition)
@@ -72,14 +91,13 @@
     const slot = worker.slots[number]
     if (!slot) return
     worker.slots[number] = undefined
-    const row = slot.partition.rows[slot.row]!
-    const cell = row.get(slot.cell)!
-    const last = cell.pop()!
+    const { workers } = slot.cell
+    const last = workers.pop()!
     if (last !== worker) {
-      cell[slot.position] = last
+      workers[slot.position] = last
       last.slots[number]!.position = slot.position
     }
-    if (cell.length === 0) row.delete(slot.cell)
+    if (workers.length === 0) removeCell(slot.partition.rows[slot.row]!, slot.cell)
     slot.partition.size -= 1
   }
 
@@ -87,28 +105,25 @@
     const room = readRoom(worker)
     const partition = getPartition(worker)
     const row = computeLevel(room.processors, PROCESSOR_UNIT)
-    const cell = computeCell(room)
+    const memoryLevel = computeLevel(room.memoryMb, MEMORY_UNIT_MB)
+    const acceleratorLevel = computeAcceleratorLevel(room.accelerators)
     const slot = worker.slots[number]
-    if (slot && slot.partition === partition && slot.row === row && slot.cell === cell) return
+    if (slot && slot.partition === partition && slot.row === row &&
+      slot.cell.memoryLevel === memoryLevel && slot.cell.acceleratorLevel === acceleratorLevel) return
     removeWorker(worker)
-    const cells = partition.rows[row]!
-    const workers = cells.get(cell)
-    if (workers) workers.push(worker)
-    else cells.set(cell, [worker])
-    worker.slots[number] = { partition, row, cell, position: (workers?.length ?? 1) - 1 }
+    const cell = getCell(partition.rows[row]!, memoryLevel, acceleratorLevel)
+    cell.workers.push(worker)
+    worker.slots[number] = { partition, row, cell, position: cell.workers.length - 1 }
     partition.size += 1
   }
 
-  const findCandidates = (partition: Partition, need: Amounts, visit: CandidateVisitor): void => {
+  const findCandidates = (partition: Partition, query: IndexQuery, visit: CandidateVisitor): void => {
     if (partition.size === 0) return
-    const lowestMemory = computeLevel(need.memoryMb, MEMORY_UNIT_MB)
-    const fewestAccelerators = computeAcceleratorLevel(need.accelerators)
-    for (let level = computeLevel(need.processors, PROCESSOR_UNIT); level < LEVELS; level++) {
-      for (const [cell, workers] of partition.rows[level]!) {
-        if (Math.floor(cell / ACCELERATOR_LEVELS) < lowestMemory) continue
-        if (cell % ACCELERATOR_LEVELS < fewestAccelerators) continue
-        for (const worker of workers) {
-          if (hasRoom(readRoom(worker), need) && visit(worker)) return
+    for (let level = query.row; level < LEVELS; level++) {
+      for (const cell of partition.rows[level]!.cells) {
+        if (cell.memoryLevel < query.memoryLevel || cell.acceleratorLevel < query.acceleratorLevel) continue
+        for (const worker of cell.workers) {
+          if (hasRoom(readRoom(worker), query.need) && visit(worker)) return
         }
       }
     }
@@ -117,8 +132,28 @@
   return { setWorker, removeWorker, listPartitions: () => partitionList, findCandidates }
 }
 
-function computeCell (room: Amounts): number {
-  return computeLevel(room.memoryMb, MEMORY_UNIT_MB) * ACCELERATOR_LEVELS + computeAcceleratorLevel(room.accelerators)
+/** Computes the levels of a need once for many searches. */
+export function createIndexQuery (need: Amounts): IndexQuery {
+  return {
+    need,
+    row: computeLevel(need.processors, PROCESSOR_UNIT),
+    memoryLevel: computeLevel(need.memoryMb, MEMORY_UNIT_MB),
+    acceleratorLevel: computeAcceleratorLevel(need.accelerators)
+  }
+}
+
+function getCell (row: Row, memoryLevel: number, acceleratorLevel: number): Cell {
+  for (const cell of row.cells) {
+    if (cell.memoryLevel === memoryLevel && cell.acceleratorLevel === acceleratorLevel) return cell
+  }
+  const created = { memoryLevel, acceleratorLevel, workers: [] }
+  row.cells.push(created)
+  return created
+}
+
+function removeCell (row: Row, cell: Cell): void {
+  const last = row.cells.pop()!
+  if (last !== cell) row.cells[row.cells.indexOf(cell)] = last
 }
 
 function computeAcceleratorLevel (accelerators: number): number {
