Cost of a decision: turns in a heap, spare room in an index of its own, backfill only where it can be in time

Cause: every round looked through all lanes of each team in turn with a new search for the next team each time; work without accelerators looked at each accelerator VM that is kept; 147,540 backfill searches gave 276 starts.

--- a/packages/core/src/job/attempts.ts
+++ b/packages/core/src/job/attempts.ts
@@ -149,7 +149,7 @@
     return
   }
   if (task.failures <= job.row.spec.maxRetries) {
-    queueTask(state, task, `failed on ${worker.id}, retry ${task.failures} of ${job.row.spec.maxRetries}`)
+    queueTask(task, `failed on ${worker.id}, retry ${task.failures} of ${job.row.spec.maxRetries}`)
     return
   }
   endTask(task, 'failed', `failed ${task.failures} times, last on ${worker.id}`)
@@ -177,7 +177,7 @@
 function applyInterruption (state: CellState, task: TaskEntry, result: EndedTask['result'] | 'lost'): void {
   const { ending } = task.job
   if (ending) endTask(task, 'cancelled', ending.reason)
-  else queueTask(state, task, `attempt ${task.attempt} ended: ${task.reason ?? result}`)
+  else queueTask(task, `attempt ${task.attempt} ended: ${task.reason ?? result}`)
 }
 
 function endTask (task: TaskEntry, phase: 'failed' | 'cancelled', reason: string): void {
@@ -186,14 +186,13 @@
 }
 
 /** Queues a task that has no live attempt. */
-export function queueTask (state: CellState, task: TaskEntry, reason: string | undefined): void {
+export function queueTask (task: TaskEntry, reason: string | undefined): void {
   const { job } = task
   task.phase = 'queued'
   task.reason = reason
   updateWaiting(job, 1)
   addQueued(job, task.index)
   addToLane(job)
-  state.changes += 1
 }
 
 /** Counts tasks that begin or cease to wait. */
--- a/packages/core/src/job/cellState.ts
+++ b/packages/core/src/job/cellState.ts
@@ -4,7 +4,7 @@
 import { createNeed, hasRoom } from '../vm/amounts.js'
 import { createIndexQuery } from '../vm/placementIndex.js'
 import type { WorkerEntry } from '../vm/workerEntry.js'
-import { createWorkerPool, type WorkerPool } from '../vm/workerPool.js'
+import { createWorkerPool, hasUnheldRoom, type WorkerPool } from '../vm/workerPool.js'
 import type { SchedulerDecision } from './cellScheduler.js'
 import type { JobEntry } from './jobEntry.js'
 import type { Shape } from './lane.js'
@@ -20,8 +20,6 @@
   readonly estimates: RunTimeEstimates
   /** Reservations, oldest first. */
   readonly reservations: Set<Reservation>
-  /** Grows when a lane may have become able to start something. */
-  changes: number
   /** Grows when the set of workers or the capacity of one changes. */
   workersVersion: number
   /** Workers in quarantine. */
@@ -33,6 +31,8 @@
   nowMs: number
   /** Monotonic time before which no further reservation is granted. */
   nextGrantMs: number
+  /** Worker at which the next plan of a reservation begins to look. */
+  planCursor: number
 }
 
 /** Creates the state of a cell without workers, teams and jobs. */
@@ -44,13 +44,13 @@
     shapes: new Map(),
     estimates: createRunTimeEstimates(),
     reservations: new Set(),
-    changes: 0,
     workersVersion: 0,
     quarantined: new Set(),
     changedJobs: new Set(),
     outbox: [],
     nowMs: 0,
-    nextGrantMs: 0
+    nextGrantMs: 0,
+    planCursor: 0
   }
 }
 
@@ -66,7 +66,8 @@
     query: createIndexQuery(need),
     pool,
     blocked: false,
-    backfillVersion: 0,
+    besideVersion: 0,
+    withinVersion: 0,
     fitsPlain: false,
     fitsPlainAt: -1,
     users: 0
@@ -79,6 +80,8 @@
 export function updateBackfill (state: CellState, worker: WorkerEntry): void {
   for (const shape of state.shapes.values()) {
     if (shape.pool !== undefined && shape.pool !== worker.known?.pool) continue
-    if (hasRoom(worker.free, shape.need)) shape.backfillVersion += 1
+    if (!hasRoom(worker.free, shape.need)) continue
+    shape.withinVersion += 1
+    if (hasUnheldRoom(worker, shape.need)) shape.besideVersion += 1
   }
 }
--- a/packages/core/src/job/createCellScheduler.ts
+++ b/packages/core/src/job/createCellScheduler.ts
@@ -32,7 +32,6 @@
     setManifest: (manifest) => {
       state.teams.updateAll()
       state.teams.setManifest(manifest)
-      state.changes += 1
     },
     setWorker: (worker) => setWorker(state, worker),
     recordWorkerLost: (worker, nowMs) => {
@@ -172,7 +171,7 @@
     task.reason = restored.reason
   }
   const { job } = task
-  if (task.phase === 'queued') queueTask(state, task, task.reason)
+  if (task.phase === 'queued') queueTask(task, task.reason)
   else if (task.phase === 'completed') job.completed += 1
   else if (task.phase === 'failed') job.failed += 1
   else if (task.phase !== 'cancelled') restoreAttempt(state, task)
--- a/packages/core/src/job/decideTasks.ts
+++ b/packages/core/src/job/decideTasks.ts
@@ -1,12 +1,12 @@
 /** One round of decisions: takes in what changed and starts what can start. */
-import { addAmounts, hasRoom } from '../vm/amounts.js'
+import { hasRoom } from '../vm/amounts.js'
 import type { WorkerEntry } from '../vm/workerEntry.js'
 import { stopQuarantine } from '../vm/workerHealth.js'
 import { updateBackfill, type CellState } from './cellState.js'
 import { grantReservation } from './grants.js'
 import { releaseReservation } from './reservation.js'
 import { startLane, startReserved, updateUrgentReservations } from './starts.js'
-import { chooseLane } from './turns.js'
+import { createTurns } from './turns.js'
 
 /** Takes decisions until nothing more can start or the outbox holds `maxDecisions`. */
 export function decideTasks (state: CellState, maxDecisions: number): void {
@@ -21,8 +21,9 @@
 }
 
 function startAll (state: CellState, urgent: boolean, maxDecisions: number): void {
+  const turns = createTurns(state, urgent)
   while (state.outbox.length < maxDecisions) {
-    const lane = chooseLane(state, urgent)
+    const lane = turns.chooseLane()
     if (!lane) return
     startLane(state, lane)
   }
@@ -46,7 +47,6 @@
 
 /** Lets shapes be tried again that may find room on workers that freed some. */
 function applyGrown (state: CellState): void {
-  state.changes += 1
   const grown = state.workers.takeGrown()
   for (const worker of grown) {
     if (worker.reservations.size > 0) updateBackfill(state, worker)
@@ -55,11 +55,9 @@
 }
 
 function unblockShapes (state: CellState, worker: WorkerEntry): void {
-  const room = { ...worker.free }
-  addAmounts(room, worker.held, -1)
   for (const shape of state.shapes.values()) {
     if (!shape.blocked) continue
     if (shape.pool !== undefined && shape.pool !== worker.known?.pool) continue
-    if (hasRoom(room, shape.need)) shape.blocked = false
+    if (hasRoom(worker.free, shape.need)) shape.blocked = false
   }
 }
--- a/packages/core/src/job/lane.ts
+++ b/packages/core/src/job/lane.ts
@@ -12,8 +12,10 @@
   readonly pool: string | undefined
   /** No worker outside reservations has room; cleared when one of them frees enough. */
   blocked: boolean
-  /** Grows when a worker with reservations may have room for a task. */
-  backfillVersion: number
+  /** Grows when a worker with reservations may have room for a task beside what is held. */
+  besideVersion: number
+  /** Grows when a worker with reservations may have room for a task within what is held. */
+  withinVersion: number
   /** Whether a worker without accelerators could hold a task if it were empty. */
   fitsPlain: boolean
   /** Version of the set of workers that `fitsPlain` was computed for. */
@@ -31,8 +33,9 @@
   readonly gang: boolean
   /** Ordered by acceptance, then id. */
   readonly jobs: JobEntry[]
-  /** The shape's `backfillVersion` at which no backfill was possible; -1 if not tried. */
-  backfillTriedAt: number
+  /** The shape's `besideVersion` and `withinVersion` at which no backfill was possible; -1 if not tried. */
+  besideTriedAt: number
+  withinTriedAt: number
   /** Releases of the team at which its ceiling left no room; -1 if it did. */
   ceilingTriedAt: number
   /** Monotonic time before which a gang is not tried again. */
@@ -81,7 +84,8 @@
     urgent,
     gang,
     jobs: [],
-    backfillTriedAt: -1,
+    besideTriedAt: -1,
+    withinTriedAt: -1,
     ceilingTriedAt: -1,
     retryAtMs: 0,
     blockedSinceMs: Infinity
--- a/packages/core/src/job/placement.ts
+++ b/packages/core/src/job/placement.ts
@@ -2,7 +2,7 @@
 import { hasRoom } from '../vm/amounts.js'
 import type { Partition, PlacementIndex } from '../vm/placementIndex.js'
 import type { WorkerEntry } from '../vm/workerEntry.js'
-import { computeUnheld, hasCapacityFor } from '../vm/workerPool.js'
+import { hasCapacityFor, hasUnheldRoom } from '../vm/workerPool.js'
 import type { LosingCandidate } from './cellScheduler.js'
 import type { CellState } from './cellState.js'
 import type { JobEntry } from './jobEntry.js'
@@ -15,14 +15,10 @@
   readonly losers: readonly LosingCandidate[]
 }
 
-/** Candidates compared in one partition. */
-const CANDIDATES_PER_PARTITION = 24
+/** Candidates compared in all partitions together, and in each of many. */
+const CANDIDATES = 32
+const LEAST_CANDIDATES = 6
 const MAX_LOSERS = 3
-/**
- * Part of an accelerator VM's processors and memory for each free accelerator that work without
- * accelerators leaves alone.
- */
-const KEPT_FOR_ACCELERATORS = 0.5
 const RACK_PENALTY = 10
 
 /** Best candidate so far. */
@@ -32,11 +28,23 @@
   readonly losers: LosingCandidate[]
 }
 
+/** Workers of an index with or without accelerators; earlier sources go first. */
+interface Source {
+  readonly index: PlacementIndex
+  readonly accelerated: boolean
+}
+
 type Filter = (worker: WorkerEntry) => boolean
 
 /** Chooses among the workers that no reservation holds room on. */
 export function chooseOpenWorker (state: CellState, job: JobEntry): Placement | undefined {
-  const choice = chooseAvoiding(state, job, state.workers.open, (worker) => isKeptOpen(state, worker, job.shape))
+  const { open, spare } = state.workers
+  const { shape } = job
+  const beside = fitsPlainWorker(state, shape) ? spare : open
+  const sources = shape.need.accelerators > 0
+    ? [{ index: open, accelerated: true }]
+    : [{ index: open, accelerated: false }, { index: beside, accelerated: true }]
+  const choice = chooseAvoiding(job, sources, acceptAny)
   return choice && { ...choice, reason: describeOpen(job) }
 }
 
@@ -45,11 +53,15 @@
  * that is expected to end before the room is due.
  */
 export function chooseBackfill (state: CellState, job: JobEntry): Placement | undefined {
+  const { reserved } = state.workers
+  const { need } = job.shape
   const endMs = state.nowMs + state.estimates.estimateRunTime(job)
   const urgent = job.row.spec.priority === 'urgent'
-  const choice = chooseAvoiding(state, job, state.workers.reserved, (worker) => {
-    if (!hasRoom(computeUnheld(worker), job.shape.need) && !canUseHeld(worker, endMs, urgent)) return false
-    return isKeptOpen(state, worker, job.shape)
+  const plain = need.accelerators === 0 && fitsPlainWorker(state, job.shape)
+  const sources = [{ index: reserved, accelerated: false }, { index: reserved, accelerated: true }]
+  const choice = chooseAvoiding(job, sources, (worker) => {
+    if (!hasUnheldRoom(worker, need) && !canUseHeld(worker, endMs, urgent)) return false
+    return !plain || hasRoom(worker.spareRoom, need)
   })
   return choice && { ...choice, reason: 'backfill: room beside reservations, or free before they are due' }
 }
@@ -63,27 +75,29 @@
   return true
 }
 
+function acceptAny (): boolean {
+  return true
+}
+
 /** Workers that tasks of the job failed on come last. */
 function chooseAvoiding (
-  state: CellState, job: JobEntry, index: PlacementIndex, filter: Filter
+  job: JobEntry, sources: readonly Source[], filter: Filter
 ): Omit<Placement, 'reason'> | undefined {
-  if (job.failedOn.size === 0) return chooseFrom(state, job, index, filter)
-  const trusted = chooseFrom(state, job, index, (worker) => !job.failedOn.has(worker.id) && filter(worker))
-  return trusted ?? chooseFrom(state, job, index, filter)
+  if (job.failedOn.size === 0) return chooseFrom(job, sources, filter)
+  const trusted = chooseFrom(job, sources, (worker) => !job.failedOn.has(worker.id) && filter(worker))
+  return trusted ?? chooseFrom(job, sources, filter)
 }
 
 function chooseFrom (
-  state: CellState, job: JobEntry, index: PlacementIndex, filter: Filter
+  job: JobEntry, sources: readonly Source[], filter: Filter
 ): Omit<Placement, 'reason'> | undefined {
-  const { shape } = job
-  const partitions = index.listPartitions().filter((partition) => isCandidatePartition(partition, shape))
   const isService = job.row.spec.kind === 'service'
-  if (isService) sortForSpread(partitions, job)
   const choice: Choice = { worker: undefined, score: Infinity, losers: [] }
-  for (const accelerated of [false, true]) {
-    for (const partition of partitions) {
-      if (partition.accelerated !== accelerated) continue
-      updateChoice(choice, job, index, partition, filter)
+  for (const { index, accelerated } of sources) {
+    const candidates = index.listPartitions(job.shape.pool, accelerated)
+    const limit = Math.max(LEAST_CANDIDATES, Math.ceil(CANDIDATES / candidates.length))
+    for (const partition of isService ? sortForSpread(candidates, job) : candidates) {
+      updateChoice(choice, job, index, partition, filter, limit)
       if (isService && choice.worker) break
     }
     if (choice.worker) return { worker: choice.worker, losers: choice.losers }
@@ -91,27 +105,21 @@
   return undefined
 }
 
-function isCandidatePartition (partition: Partition, shape: Shape): boolean {
-  if (partition.size === 0) return false
-  if (shape.need.accelerators > 0 && !partition.accelerated) return false
-  return shape.pool === undefined || partition.pool === shape.pool
-}
-
 /** Failure domains with the fewest tasks of the job come first. */
-function sortForSpread (partitions: Partition[], job: JobEntry): void {
+function sortForSpread (partitions: readonly Partition[], job: JobEntry): Partition[] {
   const countTasks = (partition: Partition): number => job.spread.get(partition.failureDomain) ?? 0
-  partitions.sort((a, b) => countTasks(a) - countTasks(b))
+  return [...partitions].sort((a, b) => countTasks(a) - countTasks(b))
 }
 
 function updateChoice (
-  choice: Choice, job: JobEntry, index: PlacementIndex, partition: Partition, filter: Filter
+  choice: Choice, job: JobEntry, index: PlacementIndex, partition: Partition, filter: Filter, limit: number
 ): void {
   let compared = 0
   index.findCandidates(partition, job.shape.query, (worker) => {
     if (!filter(worker)) return false
     compared += 1
     compareCandidate(choice, job, worker)
-    return compared >= CANDIDATES_PER_PARTITION
+    return compared >= limit
   })
 }
 
@@ -142,16 +150,7 @@
   return leftover + RACK_PENALTY * (job.spread.get(`${failureDomain}/${rack}`) ?? 0)
 }
 
-/** Keeps accelerator VMs for the work that needs them, unless the task fits nowhere else. */
-function isKeptOpen (state: CellState, worker: WorkerEntry, shape: Shape): boolean {
-  const { capacity, free } = worker
-  if (shape.need.accelerators > 0 || capacity.accelerators === 0 || free.accelerators <= 0) return true
-  const kept = KEPT_FOR_ACCELERATORS * free.accelerators / capacity.accelerators
-  const leavesKept = free.processors - shape.need.processors >= kept * capacity.processors &&
-    free.memoryMb - shape.need.memoryMb >= kept * capacity.memoryMb
-  return leavesKept || !fitsPlainWorker(state, shape)
-}
-
+/** Accelerator VMs are kept for the work that needs them, unless a task fits nowhere else. */
 function fitsPlainWorker (state: CellState, shape: Shape): boolean {
   if (shape.fitsPlainAt !== state.workersVersion) {
     shape.fitsPlainAt = state.workersVersion
--- a/packages/core/src/job/preemption.ts
+++ b/packages/core/src/job/preemption.ts
@@ -6,7 +6,6 @@
 import { stopForRoom } from './attempts.js'
 import type { CellState } from './cellState.js'
 import type { JobEntry, TaskEntry } from './jobEntry.js'
-import type { Shape } from './lane.js'
 import { addReservation } from './reservation.js'
 
 /** What has to stop on one worker. */
@@ -17,7 +16,9 @@
   readonly cost: number
 }
 
-const CANDIDATES = 16
+/** Workers compared in one partition and in all. */
+const CANDIDATES = 8
+const MAX_CANDIDATES = 48
 /** Work of checkpointable tasks is saved; stopping them costs this part of a fresh start. */
 const CHECKPOINT_COST_PART = 0.02
 /** Cost of any stop, so that fewer victims are preferred. */
@@ -77,28 +78,24 @@
   state: CellState, job: JobEntry, index: PlacementIndex, avoid: WorkerEntry | undefined
 ): PreemptionPlan | undefined {
   let best: PreemptionPlan | undefined
+  const { pool, need, query } = job.shape
+  const partitions = [...need.accelerators > 0 ? [] : index.listPartitions(pool, false), ...index.listPartitions(pool, true)]
   let compared = 0
-  for (const partition of index.listPartitions()) {
-    if (!isCandidate(partition.pool, partition.accelerated, job.shape)) continue
+  for (const partition of partitions) {
     let comparedHere = 0
-    index.findCandidates(partition, job.shape.query, (worker) => {
+    index.findCandidates(partition, query, (worker) => {
       if (worker === avoid) return false
-      const plan = buildPlan(state, worker, job.shape.need, 1, index === state.workers.soft)
+      const plan = buildPlan(state, worker, need, 1, index === state.workers.soft)
       if (plan && (!best || plan.cost < best.cost)) best = plan
       compared += 1
       comparedHere += 1
       return comparedHere >= CANDIDATES
     })
-    if (compared >= 4 * CANDIDATES) break
+    if (compared >= MAX_CANDIDATES) break
   }
   return best
 }
 
-function isCandidate (pool: string, accelerated: boolean, shape: Shape): boolean {
-  if (shape.need.accelerators > 0 && !accelerated) return false
-  return shape.pool === undefined || pool === shape.pool
-}
-
 function buildPlan (
   state: CellState, worker: WorkerEntry, need: Amounts, count: number, soft: boolean
 ): PreemptionPlan | undefined {
--- a/packages/core/src/job/reservation.ts
+++ b/packages/core/src/job/reservation.ts
@@ -26,6 +26,9 @@
 
 /** Time that a stopping attempt is expected to take, in milliseconds. */
 const STOPPING_MS = 1000
+/** A plan compares this many openings for each task, and this many besides. */
+const PLAN_SURPLUS = 3
+const PLAN_WORKERS = 200
 /** Part of its run so far that an attempt beyond its estimate is expected to go on for. */
 const OVERDUE_PART = 0.25
 
@@ -83,8 +86,13 @@
  * @returns `undefined` if long-running work would have to end first
  */
 export function buildReservationPlan (state: CellState, job: JobEntry, count: number): ReservationPlan | undefined {
+  const candidates = [...state.workers.listWorkers()]
+  const begin = state.planCursor % Math.max(1, candidates.length)
+  state.planCursor += 1
+  const enough = count * PLAN_SURPLUS + PLAN_WORKERS
   const openings: { atMs: number, worker: WorkerEntry }[] = []
-  for (const worker of state.workers.listWorkers()) {
+  for (const worker of [...candidates.slice(begin), ...candidates.slice(0, begin)]) {
+    if (openings.length >= enough) break
     if (worker.reservations.size > 0 || !isEligible(worker) || !hasCapacityFor(worker, job.shape)) continue
     for (const atMs of listOpenings(state, worker, job.shape.need, count)) openings.push({ atMs, worker })
   }
--- a/packages/core/src/job/starts.ts
+++ b/packages/core/src/job/starts.ts
@@ -44,7 +44,10 @@
   if (placement) return placement
   shape.blocked = true
   const backfill = state.reservations.size > 0 ? chooseBackfill(state, job) : undefined
-  if (!backfill) lane.backfillTriedAt = shape.backfillVersion
+  if (!backfill) {
+    lane.besideTriedAt = shape.besideVersion
+    lane.withinTriedAt = shape.withinVersion
+  }
   return backfill
 }
 
@@ -96,13 +99,14 @@
   const wanted = job.queued.length
   let room = 0
   for (const index of [state.workers.open, state.workers.reserved]) {
-    for (const partition of index.listPartitions()) {
-      if (room >= wanted) return room
-      if (pool !== undefined && partition.pool !== pool) continue
-      index.findCandidates(partition, query, (worker) => {
-        room += countFits(worker.free, need, wanted)
-        return room >= wanted
-      })
+    for (const accelerated of [false, true]) {
+      for (const partition of index.listPartitions(pool, accelerated)) {
+        if (room >= wanted) return room
+        index.findCandidates(partition, query, (worker) => {
+          room += countFits(worker.free, need, wanted)
+          return room >= wanted
+        })
+      }
     }
   }
   return room
--- a/packages/core/src/job/turns.ts
+++ b/packages/core/src/job/turns.ts
@@ -4,31 +4,84 @@
 import type { JobEntry } from './jobEntry.js'
 import { isBefore, type Lane } from './lane.js'
 
-/** Chooses the lane that starts next; `undefined` when nothing can start. */
-export function chooseLane (state: CellState, urgent: boolean): Lane | undefined {
-  for (;;) {
-    const team = chooseTeam(state, urgent)
-    if (!team) return undefined
-    const lane = findRunnableLane(state, team, urgent)
-    if (lane) return lane
-    if (urgent) team.urgentQuietAt = state.changes
-    else team.quietAt = state.changes
-  }
+/** Teams with waiting work in the order of their turns. */
+export interface Turns {
+  /** The lane that starts next; `undefined` when nothing can start. The team's place is found anew on the next call. */
+  chooseLane: () => Lane | undefined
 }
 
-function chooseTeam (state: CellState, urgent: boolean): TeamEntry | undefined {
-  let best: TeamEntry | undefined
-  let bestOrder = Infinity
+/** Orders the teams that wait with urgent or with normal work; a binary heap by `computeTeamOrder`. */
+export function createTurns (state: CellState, urgent: boolean): Turns {
+  const heap: TeamEntry[] = []
+  const orders: number[] = []
+
+  const moveDown = (): void => {
+    let parent = 0
+    const team = heap[0]!
+    const order = orders[0]!
+    for (;;) {
+      let child = 2 * parent + 1
+      if (child >= heap.length) break
+      if (child + 1 < heap.length && orders[child + 1]! < orders[child]!) child += 1
+      if (orders[child]! >= order) break
+      heap[parent] = heap[child]!
+      orders[parent] = orders[child]!
+      parent = child
+    }
+    heap[parent] = team
+    orders[parent] = order
+  }
+
+  const addTeam = (team: TeamEntry, order: number): void => {
+    let child = heap.length
+    heap.push(team)
+    orders.push(order)
+    while (child > 0) {
+      const parent = (child - 1) >> 1
+      if (orders[parent]! <= order) break
+      heap[child] = heap[parent]!
+      orders[child] = orders[parent]!
+      child = parent
+    }
+    heap[child] = team
+    orders[child] = order
+  }
+
+  const removeFirst = (): void => {
+    const team = heap.pop()!
+    const order = orders.pop()!
+    if (heap.length === 0) return
+    heap[0] = team
+    orders[0] = order
+    moveDown()
+  }
+
   for (const team of state.teams.listTeams()) {
-    if (team.weight === 0) continue
-    const waiting = urgent ? team.waitingUrgent : team.waitingTasks - team.waitingUrgent
-    if (waiting === 0 || state.changes === (urgent ? team.urgentQuietAt : team.quietAt)) continue
-    const order = computeTeamOrder(team, state.nowMs)
-    if (order >= bestOrder) continue
-    best = team
-    bestOrder = order
+    if (hasWaiting(team, urgent)) addTeam(team, computeTeamOrder(team, state.nowMs))
   }
-  return best
+
+  let last: TeamEntry | undefined
+  return {
+    chooseLane: () => {
+      if (last && heap[0] === last) {
+        orders[0] = computeTeamOrder(last, state.nowMs)
+        moveDown()
+      }
+      while (heap.length > 0) {
+        const team = heap[0]!
+        const lane = findRunnableLane(state, team, urgent)
+        last = team
+        if (lane) return lane
+        removeFirst()
+      }
+      return undefined
+    }
+  }
+}
+
+function hasWaiting (team: TeamEntry, urgent: boolean): boolean {
+  if (team.weight === 0) return false
+  return (urgent ? team.waitingUrgent : team.waitingTasks - team.waitingUrgent) > 0
 }
 
 function findRunnableLane (state: CellState, team: TeamEntry, urgent: boolean): Lane | undefined {
@@ -45,7 +98,20 @@
   if (lane.gang) return lane.jobs[0]!.live === 0
   if (lane.urgent) return findUnreserved(lane) !== undefined
   if (!lane.shape.blocked) return true
-  return lane.backfillTriedAt !== lane.shape.backfillVersion && state.reservations.size > 0
+  return state.reservations.size > 0 && canTryBackfill(state, lane)
+}
+
+function canTryBackfill (state: CellState, lane: Lane): boolean {
+  if (lane.besideTriedAt !== lane.shape.besideVersion) return true
+  if (lane.withinTriedAt === lane.shape.withinVersion) return false
+  return state.nowMs + state.estimates.estimateRunTime(lane.jobs[0]!) <= findLatestDue(state)
+}
+
+/** The latest time at which a reservation's room is due. */
+function findLatestDue (state: CellState): number {
+  let latestMs = 0
+  for (const reservation of state.reservations) latestMs = Math.max(latestMs, reservation.freeAtMs)
+  return latestMs
 }
 
 /** The first job of a lane with a queued task that no reservation is held for. */
--- a/packages/core/src/team/teamEntry.ts
+++ b/packages/core/src/team/teamEntry.ts
@@ -25,10 +25,6 @@
   waitingUrgent: number
   /** Grows when charge is released or the ceiling changes. */
   releases: number
-  /** Change count of the cell at which no lane could start anything; -1 if unknown. */
-  quietAt: number
-  /** The same for lanes of urgent work. */
-  urgentQuietAt: number
 }
 
 /**
@@ -51,9 +47,7 @@
     lanes: new Map(),
     waitingTasks: 0,
     waitingUrgent: 0,
-    releases: 0,
-    quietAt: -1,
-    urgentQuietAt: -1
+    releases: 0
   }
 }
 
--- a/packages/core/src/vm/__tests__/placementIndex.spec.ts
+++ b/packages/core/src/vm/__tests__/placementIndex.spec.ts
@@ -28,7 +28,7 @@
       else open.delete(worker.id)
     }
     const found: string[] = []
-    for (const partition of pool.open.listPartitions()) {
+    for (const partition of [...pool.open.listPartitions(undefined, false), ...pool.open.listPartitions('p', true)]) {
       pool.open.findCandidates(partition, createIndexQuery(need), (worker) => {
         found.push(worker.id)
         return false
--- a/packages/core/src/vm/placementIndex.ts
+++ b/packages/core/src/vm/placementIndex.ts
@@ -48,7 +48,8 @@
   /** Enters the worker or moves it to the cell of its present room. */
   setWorker: (worker: WorkerEntry) => void
   removeWorker: (worker: WorkerEntry) => void
-  listPartitions: () => readonly Partition[]
+  /** Partitions of a pool, or of all pools, with or without accelerators. */
+  listPartitions: (pool: string | undefined, accelerated: boolean) => readonly Partition[]
   /** Visits workers with room for `need`, those with the fewest free processors first. */
   findCandidates: (partition: Partition, query: IndexQuery, visit: CandidateVisitor) => void
 }
@@ -72,7 +73,16 @@
 export function createPlacementIndex (options: PlacementIndexOptions): PlacementIndex {
   const { number, readRoom } = options
   const partitions = new Map<string, Partition>()
-  const partitionList: Partition[] = []
+  const lists = new Map<string, Partition[]>()
+
+  const listPartitions = (pool: string | undefined, accelerated: boolean): Partition[] => {
+    const key = `${pool ?? '*'}\n${accelerated}`
+    const found = lists.get(key)
+    if (found) return found
+    const created: Partition[] = []
+    lists.set(key, created)
+    return created
+  }
 
   const getPartition = (worker: WorkerEntry): Partition => {
     const known = worker.known!
@@ -83,7 +93,8 @@
     const rows = Array.from({ length: LEVELS }, () => ({ cells: [] }))
     const partition = { pool: known.pool, failureDomain: known.failureDomain, accelerated, rows, size: 0 }
     partitions.set(key, partition)
-    partitionList.push(partition)
+    listPartitions(undefined, accelerated).push(partition)
+    listPartitions(known.pool, accelerated).push(partition)
     return partition
   }
 
@@ -129,7 +140,7 @@
     }
   }
 
-  return { setWorker, removeWorker, listPartitions: () => partitionList, findCandidates }
+  return { setWorker, removeWorker, listPartitions, findCandidates }
 }
 
 /** Computes the levels of a need once for many searches. */
--- a/packages/core/src/vm/workerEntry.ts
+++ b/packages/core/src/vm/workerEntry.ts
@@ -13,6 +13,8 @@
   capacity: Amounts
   /** Capacity less what attempts are charged for, stopping ones included; negative in no component unless capacity shrank. */
   readonly free: Amounts
+  /** Free room that work without accelerators may take; on an accelerator VM less what is kept for the free ones. */
+  readonly spareRoom: Amounts
   /** What stopping attempts will release. */
   readonly stopping: Amounts
   /** What reservations hold. */
@@ -29,6 +31,12 @@
   readonly slots: (IndexSlot | undefined)[]
 }
 
+/**
+ * Part of an accelerator VM's processors and memory for each free accelerator that work without
+ * accelerators leaves alone.
+ */
+const KEPT_FOR_ACCELERATORS = 0.5
+
 /** Creates a worker that nothing is known about yet. */
 export function createWorkerEntry (id: string): WorkerEntry {
   return {
@@ -36,6 +44,7 @@
     known: undefined,
     capacity: createAmounts(),
     free: createAmounts(),
+    spareRoom: createAmounts(),
     stopping: createAmounts(),
     held: createAmounts(),
     softRoom: createAmounts(),
@@ -56,6 +65,14 @@
   entry.capacity = capacity
 }
 
+/** Computes the room for work without accelerators again. */
+export function updateSpareRoom ({ capacity, free, spareRoom }: WorkerEntry): void {
+  const freePart = capacity.accelerators > 0 ? Math.max(0, free.accelerators) / capacity.accelerators : 0
+  const kept = KEPT_FOR_ACCELERATORS * freePart
+  spareRoom.processors = Math.floor(free.processors - kept * capacity.processors)
+  spareRoom.memoryMb = Math.floor(free.memoryMb - kept * capacity.memoryMb)
+}
+
 /** Computes the rooms for urgent work again from the attempts' sums. */
 export function updateUrgentRooms (entry: WorkerEntry): void {
   computeRoom(entry.softRoom, entry)
--- a/packages/core/src/vm/workerPool.ts
+++ b/packages/core/src/vm/workerPool.ts
@@ -1,8 +1,8 @@
 /** All workers of a cell and the indexes that find room among them. */
 import type { Shape } from '../job/lane.js'
-import { addAmounts, hasRoom, type Amounts } from './amounts.js'
+import { hasRoom, type Amounts } from './amounts.js'
 import { createPlacementIndex, type PlacementIndex } from './placementIndex.js'
-import { createWorkerEntry, updateUrgentRooms, type WorkerEntry } from './workerEntry.js'
+import { createWorkerEntry, updateSpareRoom, updateUrgentRooms, type WorkerEntry } from './workerEntry.js'
 
 /** Workers by id. */
 export interface WorkerPool {
@@ -15,6 +15,8 @@
   countWorkers: () => number
   /** Workers that take any task with room. */
   readonly open: PlacementIndex
+  /** The same workers by the room that work without accelerators may take. */
+  readonly spare: PlacementIndex
   /** Workers that reservations hold room on. */
   readonly reserved: PlacementIndex
   /** Workers by their room if checkpointable attempts stop; current after `updateUrgent`. */
@@ -42,11 +44,12 @@
   return hasRoom(worker.capacity, shape.need)
 }
 
-/** Computes the room that no reservation holds. */
-export function computeUnheld (worker: WorkerEntry): Amounts {
-  const room = { ...worker.free }
-  addAmounts(room, worker.held, -1)
-  return room
+/** Tells whether a task of `need` fits beside the room that reservations hold. */
+export function hasUnheldRoom (worker: WorkerEntry, need: Amounts): boolean {
+  const { free, held } = worker
+  return need.processors <= free.processors - held.processors &&
+    need.memoryMb <= free.memoryMb - held.memoryMb &&
+    need.accelerators <= free.accelerators - held.accelerators
 }
 
 /** Creates a pool without workers. */
@@ -56,6 +59,7 @@
   const reserved = createPlacementIndex({ number: 1, readRoom: (worker) => worker.free })
   const soft = createPlacementIndex({ number: 2, readRoom: (worker) => worker.softRoom })
   const hard = createPlacementIndex({ number: 3, readRoom: (worker) => worker.hardRoom })
+  const spare = createPlacementIndex({ number: 4, readRoom: (worker) => worker.spareRoom })
   const grown = new Set<WorkerEntry>()
   const unfit = new Set<WorkerEntry>()
   const urgentStale = new Set<WorkerEntry>()
@@ -69,7 +73,7 @@
   }
 
   const removeFromAll = (worker: WorkerEntry): void => {
-    for (const index of [open, reserved, soft, hard]) index.removeWorker(worker)
+    for (const index of [open, spare, reserved, soft, hard]) index.removeWorker(worker)
     urgentStale.delete(worker)
     grown.delete(worker)
   }
@@ -81,10 +85,16 @@
       return
     }
     const isReserved = worker.reservations.size > 0
-    const target = isReserved ? reserved : open
-    const other = isReserved ? open : reserved
-    other.removeWorker(worker)
-    target.setWorker(worker)
+    updateSpareRoom(worker)
+    if (isReserved) {
+      open.removeWorker(worker)
+      spare.removeWorker(worker)
+      reserved.setWorker(worker)
+    } else {
+      reserved.removeWorker(worker)
+      open.setWorker(worker)
+      if (worker.capacity.accelerators > 0) spare.setWorker(worker)
+    }
     urgentStale.add(worker)
     if (grew) grown.add(worker)
   }
@@ -108,6 +118,7 @@
     listWorkers: () => workers.values(),
     countWorkers: () => workers.size,
     open,
+    spare,
     reserved,
     soft,
     hard,
