--- a/packages/core/src/job/cellState.ts
+++ b/packages/core/src/job/cellState.ts
@@ -1,9 +1,10 @@
 /** State that the parts of the cell's scheduler share. */
 import type { Resources } from '../schema/resources.js'
 import { createTeamRegistry, type TeamRegistry } from '../team/teamRegistry.js'
-import { createNeed } from '../vm/amounts.js'
+import { createNeed, hasRoom } from '../vm/amounts.js'
+import { createIndexQuery } from '../vm/placementIndex.js'
 import type { WorkerEntry } from '../vm/workerEntry.js'
-import { createWorkerPool, type WorkerPool } from '../vm/workerPool.js'
+import { createWorkerPool, hasUnheldRoom, type WorkerPool } from '../vm/workerPool.js'
 import type { SchedulerDecision } from './cellScheduler.js'
 import type { JobEntry } from './jobEntry.js'
 import type { Shape } from './lane.js'
@@ -19,10 +20,6 @@
   readonly estimates: RunTimeEstimates
   /** Reservations, oldest first. */
   readonly reservations: Set<Reservation>
-  /** Grows when backfill may have become possible. */
-  reservationsVersion: number
-  /** Grows when a lane may have become able to start something. */
-  changes: number
   /** Grows when the set of workers or the capacity of one changes. */
   workersVersion: number
   /** Workers in quarantine. */
@@ -34,6 +31,8 @@
   nowMs: number
   /** Monotonic time before which no further reservation is granted. */
   nextGrantMs: number
+  /** Worker at which the next plan of a reservation begins to look. */
+  planCursor: number
 }
 
 /** Creates the state of a cell without workers, teams and jobs. */
@@ -45,14 +44,13 @@
     shapes: new Map(),
     estimates: createRunTimeEstimates(),
     reservations: new Set(),
-    reservationsVersion: 0,
-    changes: 0,
     workersVersion: 0,
     quarantined: new Set(),
     changedJobs: new Set(),
     outbox: [],
     nowMs: 0,
-    nextGrantMs: 0
+    nextGrantMs: 0,
+    planCursor: 0
   }
 }
 
@@ -62,7 +60,28 @@
   const key = `${pool ?? '*'}\n${need.processors}\n${need.memoryMb}\n${need.accelerators}`
   const found = state.shapes.get(key)
   if (found) return found
-  const created: Shape = { key, need, pool, blocked: false, fitsPlain: false, fitsPlainAt: -1, users: 0 }
+  const created: Shape = {
+    key,
+    need,
+    query: createIndexQuery(need),
+    pool,
+    blocked: false,
+    besideVersion: 0,
+    withinVersion: 0,
+    fitsPlain: false,
+    fitsPlainAt: -1,
+    users: 0
+  }
   state.shapes.set(key, created)
   return created
 }
+
+/** Lets lanes try backfill again whose tasks fit into the free room of a worker with reservations. */
+export function updateBackfill (state: CellState, worker: WorkerEntry): void {
+  for (const shape of state.shapes.values()) {
+    if (shape.pool !== undefined && shape.pool !== worker.known?.pool) continue
+    if (!hasRoom(worker.free, shape.need)) continue
+    shape.withinVersion += 1
+    if (hasUnheldRoom(worker, shape.need)) shape.besideVersion += 1
+  }
+}
