--- a/packages/entry/src/request/constants.ts
+++ b/packages/entry/src/request/constants.ts
@@ -11,7 +11,8 @@
 export const TRY_TIMEOUT_FACTOR = 10
 export const MIN_TRY_TIMEOUT_MS = 500
 /** Time by which a forwarded request ends before the caller's deadline, so that a certain outcome arrives in time. */
-export const FORWARD_MARGIN_MS = 25
+export const MIN_FORWARD_MARGIN_MS = 5
+export const MAX_FORWARD_MARGIN_MS = 25
 export const FORWARD_MARGIN_PART = 0.05
 /** How often waiting exchanges are checked for owners whose session is gone, in milliseconds. */
 export const OWNER_CHECK_INTERVAL_MS = 200
--- a/packages/entry/src/request/forwarder.ts
+++ b/packages/entry/src/request/forwarder.ts
@@ -4,7 +4,7 @@
   type Clock, type Disposable, type EventLog, type Random, type RequestOutcome, type ServiceRequest
 } from '@fuchsiatally/core'
 import type { Peer, PeerMesh, Sessions } from '../ports.js'
-import { FORWARD_MARGIN_MS, FORWARD_MARGIN_PART, OWNER_CHECK_INTERVAL_MS } from './constants.js'
+import { FORWARD_MARGIN_PART, MAX_FORWARD_MARGIN_MS, MIN_FORWARD_MARGIN_MS, OWNER_CHECK_INTERVAL_MS } from './constants.js'
 import { lateReplyDropped } from './events.js'
 import { createNotRun, createUnknown } from './outcome.js'
 
@@ -45,6 +45,11 @@
   readonly finish: (outcome: RequestOutcome) => void
 }
 
+function computeMarginMs (leftMs: number): number {
+  const marginMs = Math.max(MIN_FORWARD_MARGIN_MS, leftMs * FORWARD_MARGIN_PART)
+  return Math.min(MAX_FORWARD_MARGIN_MS, leftMs / 2, marginMs)
+}
+
 /** Starts the forwarder; it takes the messages `forwardReply`. */
 export function createForwarder (options: ForwarderOptions): Forwarder {
   const { clock, mesh, sessions } = options
@@ -54,8 +59,7 @@
 
   const sendPending = (exchange: string, item: Pending): boolean => {
     const leftMs = item.deadlineMs - clock.nowMs()
-    const marginMs = Math.min(FORWARD_MARGIN_MS, leftMs * FORWARD_MARGIN_PART)
-    const request = { ...item.request, remainingMs: leftMs - marginMs }
+    const request = { ...item.request, remainingMs: leftMs - computeMarginMs(leftMs) }
     return mesh.sendMessage(item.incarnation, item.ticket === undefined
       ? { type: 'forwardRequest', exchange, request }
       : { type: 'ticketRequest', exchange, ticket: item.ticket, request })
--- /dev/null
+++ b/packages/entry/src/testing/requestCluster.ts
@@ -0,0 +1,251 @@
+/** Several entries' request services in memory, over the fakes of links, platform and endpoints. */
+import { type ConfigDocument, type RequestOutcome, type Team } from '@fuchsiatally/core'
+import { createFakeClock, type FakeClock } from '@fuchsiatally/core/testing/fakeClock'
+import { createMemoryEventLog, type MemoryEventLog } from '@fuchsiatally/core/testing/memoryEventLog'
+import { createSeededRandom } from '@fuchsiatally/core/testing/seededRandom'
+import { createFakePlatform } from '@fuchsiatally/platform/testing/fakePlatform'
+import { createPlatformFaults, type PlatformFaults } from '@fuchsiatally/platform/testing/platformFaults'
+import { createTableModel } from '@fuchsiatally/platform/testing/tableModel'
+import { err, ok } from 'neverthrow'
+import type { HttpResponse } from '../http/route.js'
+import type { OwnedWorker, Peer, SessionView } from '../ports.js'
+import { createRequestService, type RequestService } from '../request/requestService.js'
+import { createFakeEndpoints, type FakeEndpoints } from './fakeEndpoints.js'
+import { createFakeMesh, type FakeMesh } from './fakeMesh.js'
+
+export interface RequestClusterOptions {
+  /** Failure domain of each entry. */
+  readonly domains: readonly string[]
+  readonly workersPerEntry: number
+  readonly teams: readonly Team[]
+  readonly seed: number
+  /** Longest exchange in milliseconds; default 2000. */
+  readonly timeoutMs?: number
+}
+
+/** One request of a caller. */
+export interface CallOptions {
+  readonly team: string
+  readonly method?: string
+  readonly body?: string
+  readonly headers?: Record<string, string>
+  readonly signal?: AbortSignal
+}
+
+export interface ClusterEntry {
+  readonly name: string
+  readonly service: RequestService
+  readonly log: MemoryEventLog
+  dead: boolean
+}
+
+/** The entries with the switches of a test. */
+export interface RequestCluster {
+  readonly clock: FakeClock
+  readonly mesh: FakeMesh
+  readonly endpoints: FakeEndpoints
+  readonly faults: PlatformFaults
+  readonly entries: readonly ClusterEntry[]
+  /** Sends a request at one entry; never resolves if the entry dies first. */
+  sendRequest: (entry: number, options: CallOptions) => Promise<HttpResponse>
+  sendTicketRequest: (entry: number, team: string) => Promise<string>
+  stopEntry: (entry: number) => void
+  /** Changes a team's ceiling on requests as a new configuration, at once everywhere. */
+  setCeiling: (team: string, requests: number) => void
+  /** Workers that keep contact with their owner; all by default. */
+  setContact: (entry: number, hasContact: boolean) => void
+  dispose: () => void
+}
+
+const HEARTBEAT_MS = 250
+/** Shorter than the longest exchange, so that a dead entry's exchanges outlive its fence. */
+const SESSION_EXPIRY_MS = 1000
+const FENCED_AFTER_MS = 1200
+const NO_RESOURCES = { processors: 0, memoryMb: 0, accelerators: 0 }
+
+/** Builds a team with wide limits. */
+export function createTeam (name: string, requests: number, change: Partial<Team> = {}): Team {
+  return {
+    name,
+    share: 1,
+    ceiling: { resources: NO_RESOURCES, requests },
+    limits: { queuedRequests: 1000, requestsPerS: 10_000, activeJobs: 10 },
+    open: false,
+    whenCut: 'serve',
+    keys: [],
+    ...change
+  }
+}
+
+/** Outcome that an answer names. */
+export function readOutcome (response: HttpResponse): RequestOutcome['kind'] {
+  const outcome = response.headers['fuchsiatally-outcome']
+  return outcome === 'completed' ? 'completed' : outcome === 'not_run' ? 'notRun' : 'unknown'
+}
+
+/** Starts the entries; links are up and allotments taken after about a second. */
+export function createRequestCluster (options: RequestClusterOptions): RequestCluster {
+  const clock = createFakeClock()
+  const random = createSeededRandom(options.seed)
+  const mesh = createFakeMesh({ clock })
+  const endpoints = createFakeEndpoints(clock)
+  const faults = createPlatformFaults()
+  const model = createTableModel()
+  const stoppedMs = new Map<string, number>()
+  const contact = options.domains.map(() => true)
+  const listeners = new Set<(document: ConfigDocument) => void>()
+  let document: ConfigDocument = {
+    version: 1,
+    manifest: {
+      cell: 'cell',
+      shareWindow: { endMinuteOfDay: 0, lengthMinutes: 60 },
+      teams: [...options.teams],
+      services: [{
+        name: 'pages',
+        pool: 'pages',
+        slotsPerRunner: 8,
+        connectionsPerRunner: 64,
+        timeoutMs: options.timeoutMs ?? 2000,
+        maxBodyBytes: 1_000_000,
+        reserve: NO_RESOURCES
+      }]
+    },
+    grants: [],
+    revokedKeyIds: [],
+    drainedVms: []
+  }
+
+  const isPast = (incarnation: string, ms: number): boolean =>
+    clock.nowMs() - (stoppedMs.get(incarnation) ?? Infinity) >= ms
+
+  const listSessions = (): SessionView[] => options.domains.map((failureDomain, index) => ({
+    entry: `e${index}`,
+    incarnation: `i${index}`,
+    failureDomain,
+    linkAddress: '',
+    httpAddress: '',
+    leaving: false,
+    configVersion: document.version,
+    expired: isPast(`i${index}`, SESSION_EXPIRY_MS)
+  }))
+
+  const listWorkers = (index: number): OwnedWorker[] =>
+    Array.from({ length: options.workersPerEntry }, (_, worker) => ({
+      id: `w${index}-${worker}`,
+      epoch: 1,
+      rack: `r${worker}`,
+      hasContact: contact[index]!,
+      leaving: false,
+      runners: [{ service: 'pages', address: `w${index}-${worker}:1`, busy: 0 }]
+    }))
+
+  const createEntry = (failureDomain: string, index: number): ClusterEntry & { stop: () => void } => {
+    const incarnation = `i${index}`
+    const links = mesh.addEntry({ entry: `e${index}`, incarnation, failureDomain })
+    const log = createMemoryEventLog()
+    const client = endpoints.createClient()
+    const platform = createFakePlatform({ model, clock, random, shared: faults })
+    const service = createRequestService({
+      clock,
+      random,
+      mesh: links,
+      workers: { listOwnedWorkers: () => listWorkers(index) },
+      endpoints: client,
+      keys: {
+        checkTeam: async (_, team) => {
+          const found = document.manifest.teams.find((other) => other.name === team)
+          return found === undefined ? err('unauthorized') : ok(found)
+        },
+        isOperator: () => false
+      },
+      config: {
+        readDocument: () => document,
+        onChange: (receive) => {
+          listeners.add(receive)
+          return { dispose: () => listeners.delete(receive) }
+        }
+      },
+      sessions: {
+        entry: `e${index}`,
+        incarnation,
+        failureDomain,
+        isValid: () => true,
+        readLastRenewalMs: () => clock.nowMs(),
+        listSessions,
+        isGone: (other) => isPast(other, SESSION_EXPIRY_MS)
+      },
+      platform,
+      log,
+      isFenced: (other) => isPast(other, FENCED_AFTER_MS)
+    })
+    const sendHeartbeat = (): void => {
+      if (entry.dead) return
+      links.broadcastMessage({
+        type: 'heartbeat',
+        sequence: 0,
+        leaving: false,
+        slots: service.listFreeSlots(),
+        configVersion: document.version,
+        deniedKeyIds: [],
+        allotmentDemand: service.listAllotmentDemand()
+      })
+      clock.setTimer(HEARTBEAT_MS, sendHeartbeat)
+    }
+    links.onMessage('heartbeat', (message, from: Peer) => service.recordHeartbeat(from, message))
+    clock.setTimer(1, sendHeartbeat)
+    const entry = {
+      name: `e${index}`,
+      service,
+      log,
+      dead: false,
+      stop: () => {
+        entry.dead = true
+        stoppedMs.set(incarnation, clock.nowMs())
+        client.dispose()
+        service.dispose()
+        links.dispose()
+        // A dead process sends no transactions either.
+        platform.faults.outage = true
+      }
+    }
+    return entry
+  }
+
+  const entries = options.domains.map(createEntry)
+
+  const runRoute = async (entry: number, method: string, path: string, call: CallOptions): Promise<HttpResponse> => {
+    const route = entries[entry]!.service.routes.find((other) =>
+      other.method === method && path.startsWith(other.pattern.replace(':service/*', '')))!
+    const response = await route.handle({
+      method,
+      path,
+      query: new URLSearchParams(),
+      headers: { 'fuchsiatally-team': call.team, ...call.headers },
+      body: Buffer.from(call.body ?? ''),
+      signal: call.signal ?? new AbortController().signal
+    }, { service: 'pages' })
+    return entries[entry]!.dead ? await new Promise<HttpResponse>(() => {}) : response
+  }
+
+  return {
+    clock,
+    mesh,
+    endpoints,
+    faults,
+    entries,
+    sendRequest: async (entry, call) => await runRoute(entry, call.method ?? 'POST', '/v1/services/pages/proof', call),
+    sendTicketRequest: async (entry, team) => {
+      const response = await runRoute(entry, 'POST', '/v1/tickets', { team })
+      return JSON.parse(Buffer.from(response.body as Uint8Array).toString()).ticket
+    },
+    stopEntry: (entry) => { if (!entries[entry]!.dead) entries[entry]!.stop() },
+    setCeiling: (team, requests) => {
+      const teams = document.manifest.teams.map((other) =>
+        other.name === team ? { ...other, ceiling: { ...other.ceiling, requests } } : other)
+      document = { ...document, version: document.version + 1, manifest: { ...document.manifest, teams } }
+      for (const receive of listeners) receive(document)
+    },
+    setContact: (entry, hasContact) => { contact[entry] = hasContact },
+    dispose: () => { for (const entry of entries) entry.stop() }
+  }
+}
