Owners without allotment pass a request on instead of queueing it

A request went to an owner by free slots alone and then waited there for the team's allotment to move, while other owners held free parts. An owner now refuses at once (nothing ran) while another owner with a free slot is in reach; the last one in reach queues it. Requests passed on count as demand, so that the allotment follows the load. owner.ts split by exchange and demand.

--- a/packages/core/src/schema/linkMessage.ts
+++ b/packages/core/src/schema/linkMessage.ts
@@ -63,7 +63,9 @@
 export const ForwardRequest = Schema.Struct({
   type: Schema.Literal('forwardRequest'),
   exchange: Schema.String,
-  request: ServiceRequest
+  request: ServiceRequest,
+  /** Whether to queue the request if the team holds no part of its ceiling at the owner; else it is not run. */
+  mayWait: Schema.Boolean
 })
 
 /** Asks the receiver, the incarnation that a ticket names, to run a request under it. */
--- a/packages/entry/src/request/forwardReceiver.ts
+++ b/packages/entry/src/request/forwardReceiver.ts
@@ -47,7 +47,7 @@
     mesh.sendMessage(to.incarnation, { type: 'forwardReply', exchange, outcome })
   }
 
-  mesh.onMessage('forwardRequest', ({ exchange, request }, from) => {
+  mesh.onMessage('forwardRequest', ({ exchange, request, mayWait }, from) => {
     if (!EXCHANGE_PATTERN.test(exchange) || removed.has(from.incarnation)) return
     const sequence = Number(exchange)
     const peer = getPeer(from.incarnation)
@@ -55,7 +55,7 @@
     if (state.kind === 'done') return sendReply(from, exchange, state.outcome)
     if (state.kind === 'running') return
     let ended = false
-    const run = owner.runRequest(request, (outcome) => {
+    const run = owner.runRequest(request, mayWait, (outcome) => {
       ended = true
       peer.runs.delete(sequence)
       peer.ledger.recordOutcome(sequence, outcome)
--- a/packages/entry/src/request/forwarder.ts
+++ b/packages/entry/src/request/forwarder.ts
@@ -23,6 +23,8 @@
   readonly incarnation: string
   readonly request: ServiceRequest
   readonly ticket?: string
+  /** Whether the owner shall queue the request if it lacks allotment; default true. */
+  readonly mayWait?: boolean
   readonly deadlineMs: number
   /** Gives the request up when the caller is gone. */
   readonly signal?: AbortSignal | undefined
@@ -61,7 +63,7 @@
     const leftMs = item.deadlineMs - clock.nowMs()
     const request = { ...item.request, remainingMs: leftMs - computeMarginMs(leftMs) }
     return mesh.sendMessage(item.incarnation, item.ticket === undefined
-      ? { type: 'forwardRequest', exchange, request }
+      ? { type: 'forwardRequest', exchange, request, mayWait: item.mayWait ?? true }
       : { type: 'ticketRequest', exchange, ticket: item.ticket, request })
   }
 
--- a/packages/entry/src/request/owner.ts
+++ b/packages/entry/src/request/owner.ts
@@ -2,16 +2,19 @@
 import {
   createDisposableStore, createEndpointBook, createRequestQueue, createRetryBudget, startInterval,
   type Clock, type Disposable, type EndpointBook, type EndpointChoice, type EventLog, type FreeSlots, type Random,
-  type RequestOutcome, type RequestQueue, type Service, type ServiceRequest, type QueueCapacity
+  type RequestOutcome, type RequestQueue, type ServiceRequest, type QueueCapacity
 } from '@fuchsiatally/core'
 import type { ConfigStore, EndpointClient, ExchangeResult, OwnedWorkers } from '../ports.js'
 import {
-  MAX_TRIES, MIN_TRY_TIMEOUT_MS, NO_ENDPOINT_RETRY_MS, SWEEP_INTERVAL_MS, TRY_TIMEOUT_FACTOR
+  NO_ENDPOINT_RETRY_MS, SWEEP_INTERVAL_MS
 } from './constants.js'
-import { endpointEjected, endpointRestored, requestPlaced, requestRetried } from './events.js'
+import { createEndpointExchanges, type Held } from './endpointExchanges.js'
+import { requestPlaced, requestRetried } from './events.js'
 import { createNotRun, createUnknown } from './outcome.js'
+import { createPassedOnCounter } from './passedOnCounter.js'
 
 const NO_ENDPOINT = 'no endpoint of the service is in reach'
+const NO_ALLOTMENT = 'the team\'s part of its ceiling is used up at the owner'
 const HOPELESS = 'cannot be answered by its deadline'
 
 /** The owner's view of its parts of the ceilings. */
@@ -41,8 +44,14 @@
 
 /** Runs requests on the endpoints of this entry's workers. */
 export interface Owner extends Disposable {
-  /** Calls `onOutcome` exactly once, possibly before it returns. */
-  runRequest: (request: ServiceRequest, onOutcome: (outcome: RequestOutcome) => void) => OwnerRun
+  /**
+   * Calls `onOutcome` exactly once, possibly before it returns.
+   *
+   * @param mayWait whether to queue the request while only allotment is lacking
+   */
+  runRequest: (
+    request: ServiceRequest, mayWait: boolean, onOutcome: (outcome: RequestOutcome) => void
+  ) => OwnerRun
   listFreeSlots: () => FreeSlots[]
   /** Requests of the team that have a slot but no allotment. */
   countStarved: (team: string) => number
@@ -54,21 +63,9 @@
   countOpen: () => number
 }
 
-interface Held {
-  /** Unique at this owner; a caller's request may come here more than once. */
-  readonly id: string
-  readonly request: ServiceRequest
-  readonly service: Service
-  readonly weight: number
-  readonly deadlineMs: number
-  readonly onOutcome: (outcome: RequestOutcome) => void
-  readonly triedAddresses: Set<string>
-  tries: number
-  /** An earlier exchange broke: the request can never again be called not run. */
-  mayHaveRun: boolean
-  ended: boolean
-  /** Ends the request at its deadline while it is queued. */
-  timer: Disposable | null
+interface Refusal {
+  readonly reason: string
+  readonly retryAfterMs: number
 }
 
 /** Starts the owner's side. */
@@ -77,7 +74,9 @@
   const store = createDisposableStore()
   const book: EndpointBook = createEndpointBook(options.random)
   const budget = createRetryBudget()
+  const exchanges = createEndpointExchanges({ clock, endpoints: options.endpoints, book, budget, log })
   const queues = new Map<string, RequestQueue<Held>>()
+  const passedOn = createPassedOnCounter()
   let open = 0
   let sequence = 0
 
@@ -142,34 +141,15 @@
     getQueue(held.service.name).estimateWaitMs(
       held.request.team, held.weight, book.estimateExchangeMs(held.service.name), capacity)
 
-  /** Time for one try: all that is left, or less if another try would still fit and is paid for. */
-  const decideTryMs = (held: Held, remainingMs: number): { timeoutMs: number, retryTaken: boolean } => {
-    const wholeMs = Math.min(remainingMs, held.service.timeoutMs)
-    const tryMs = Math.max(MIN_TRY_TIMEOUT_MS, TRY_TIMEOUT_FACTOR * book.estimateExchangeMs(held.service.name))
-    const canRetry = held.request.idempotent && held.tries < MAX_TRIES && tryMs * 2 < wholeMs
-    const retryTaken = canRetry && budget.takeRetry()
-    return { timeoutMs: retryTaken ? tryMs : wholeMs, retryTaken }
-  }
-
-  const recordSample = (choice: EndpointChoice, result: ExchangeResult, durationMs: number): void => {
-    const change = book.releaseEndpoint(choice.endpoint.address, { kind: result.kind, durationMs }, clock.nowMs())
-    if (change === undefined) return
-    log.record(change.change === 'ejected' ? endpointEjected : endpointRestored, { ...change })
-  }
-
-  const canRetry = (held: Held, result: Exclude<ExchangeResult, { kind: 'answered' }>, retryTaken: boolean): boolean => {
-    if (held.tries >= MAX_TRIES || clock.nowMs() >= held.deadlineMs) return false
-    if (result.kind === 'broken' && (!held.request.idempotent || result.final === true)) return false
-    return retryTaken || budget.takeRetry()
-  }
-
-  const resolveExchange = (held: Held, choice: EndpointChoice, result: ExchangeResult, retryTaken: boolean): void => {
+  const resolveExchange = (
+    held: Held, result: ExchangeResult, choice: EndpointChoice, retryTaken: boolean
+  ): void => {
     if (result.kind === 'answered') {
       if (retryTaken) budget.addRetry()
       return resolveHeld(held, { ...result.outcome, worker: choice.endpoint.worker })
     }
     if (result.kind === 'broken') held.mayHaveRun = true
-    if (canRetry(held, result, retryTaken)) {
+    if (exchanges.canRetry(held, result, retryTaken)) {
       log.record(requestRetried, { request: held.request.id, worker: choice.endpoint.worker, reason: result.reason })
       addToQueue(held)
       return
@@ -179,15 +159,9 @@
   }
 
   const runExchange = async (held: Held, choice: EndpointChoice): Promise<void> => {
-    const beganMs = clock.nowMs()
-    const { endpoint } = choice
-    const { timeoutMs, retryTaken } = decideTryMs(held, held.deadlineMs - beganMs)
-    const request = { ...held.request, remainingMs: held.deadlineMs - beganMs }
-    const result = await options.endpoints.sendExchange(
-      endpoint.address, request, timeoutMs, held.service.maxBodyBytes, held.service.connectionsPerRunner)
+    const { result, retryTaken } = await exchanges.runExchange(held, choice)
     allotments.release(held.request.team)
-    recordSample(choice, result, clock.nowMs() - beganMs)
-    resolveExchange(held, choice, result, retryTaken)
+    resolveExchange(held, result, choice, retryTaken)
     startService(held.service.name)
   }
 
@@ -255,18 +229,26 @@
     for (const service of queues.keys()) resolveHopeless(service)
   }
 
+  /** Whether the team's next request has a slot but no allotment. */
+  const isStarved = (team: string, capacity: QueueCapacity): boolean =>
+    capacity.freeSlots > 0 && allotments.countFree(team) <= countQueuedOfTeam(team)
+
   /** Why a request must not even be queued; `undefined` if it may. */
-  const explainRefusal = (held: Held, queuedLimit: number): { reason: string, retryAfterMs: number } | undefined => {
+  const explainRefusal = (held: Held, mayWait: boolean, queuedLimit: number): Refusal | undefined => {
     const capacity = getCapacity(held.service.name)
     if (capacity.slots === 0) return { reason: NO_ENDPOINT, retryAfterMs: NO_ENDPOINT_RETRY_MS }
     const waitMs = estimateWaitMs(held, capacity)
+    if (!mayWait && isStarved(held.request.team, capacity)) {
+      passedOn.addRequest(held.request.team, clock.nowMs())
+      return { reason: NO_ALLOTMENT, retryAfterMs: waitMs }
+    }
     const neededMs = waitMs === 0 ? 0 : waitMs + book.estimateExchangeMs(held.service.name)
     if (clock.nowMs() + neededMs >= held.deadlineMs) return { reason: HOPELESS, retryAfterMs: waitMs }
     if (waitMs === 0 || countQueuedOfTeam(held.request.team) < queuedLimit) return undefined
     return { reason: 'the team\'s queue at the owner is full', retryAfterMs: waitMs }
   }
 
-  const runRequest = (request: ServiceRequest, onOutcome: (outcome: RequestOutcome) => void): OwnerRun => {
+  const runRequest: Owner['runRequest'] = (request, mayWait, onOutcome) => {
     const manifest = options.config.readDocument()?.manifest
     const service = manifest?.services.find((other) => other.name === request.service)
     const team = manifest?.teams.find((other) => other.name === request.team)
@@ -292,7 +274,7 @@
       timer: null
     }
     updateEndpoints()
-    const refusal = explainRefusal(held, team.limits.queuedRequests)
+    const refusal = explainRefusal(held, mayWait, team.limits.queuedRequests)
     if (refusal !== undefined) {
       resolveUnsent(held, refusal.reason, refusal.retryAfterMs)
       return { cancel: () => {} }
@@ -320,7 +302,7 @@
       return reports
     },
     countStarved: (team) => {
-      let starved = 0
+      let starved = passedOn.countRequests(team, clock.nowMs())
       for (const [service, queue] of queues) {
         const queued = queue.countOfTeam(team)
         if (queued > 0) starved += Math.min(queued, book.countSlots(service, clock.nowMs()).free)
--- a/packages/entry/src/request/router.ts
+++ b/packages/entry/src/request/router.ts
@@ -53,10 +53,10 @@
   }
 
   const runLocal = async (
-    request: ServiceRequest, deadlineMs: number, signal: AbortSignal | undefined
+    request: ServiceRequest, mayWait: boolean, deadlineMs: number, signal: AbortSignal | undefined
   ): Promise<RequestOutcome> => await new Promise((resolve) => {
     const scope = createDisposableStore()
-    const run = owner.runRequest({ ...request, remainingMs: deadlineMs - clock.nowMs() }, (outcome) => {
+    const run = owner.runRequest({ ...request, remainingMs: deadlineMs - clock.nowMs() }, mayWait, (outcome) => {
       scope.dispose()
       resolve(outcome)
     })
@@ -89,9 +89,13 @@
       return retryTaken
     }
 
+    /** The last owner in reach queues the request if it lacks allotment; the others pass it on. */
+    const canWait = (): boolean => tried.size === MAX_OWNERS_TRIED ||
+      !chooser.hasFreeOwner(request.service, clock.nowMs(), tried)
+
     const runAtOwner = async (incarnation: string): Promise<RequestOutcome> => incarnation === self
-      ? await runLocal(request, deadlineMs, signal)
-      : await options.forwarder.sendRequest({ incarnation, request, deadlineMs, signal, canLeave })
+      ? await runLocal(request, canWait(), deadlineMs, signal)
+      : await options.forwarder.sendRequest({ incarnation, request, mayWait: canWait(), deadlineMs, signal, canLeave })
 
     const canTryAgain = (): boolean => {
       if (last.kind === 'completed') return false
