--- a/packages/core/src/schema/linkMessage.ts
+++ b/packages/core/src/schema/linkMessage.ts
@@ -44,6 +44,21 @@
 /** Hands over a configuration document. */
 export const ConfigPush = Schema.Struct({ type: Schema.Literal('configPush'), document: ConfigDocument })
 
+/** Asks the peer how current its configuration is. */
+export const ConfigQuery = Schema.Struct({ type: Schema.Literal('configQuery'), exchange: Schema.String })
+
+/** Answer to a query; also sent unasked, with an empty exchange, when a key is denied. */
+export const ConfigState = Schema.Struct({
+  type: Schema.Literal('configState'),
+  exchange: Schema.String,
+  /** Version in force at the sender, 0 before the first. */
+  version: Schema.Int,
+  /** Time since the sender knew for certain that nothing newer was in the table, in milliseconds; -1 if never. */
+  ageMs: Schema.Finite,
+  /** Revoked key ids that are not in the sender's configuration document yet. */
+  deniedKeyIds: Schema.Array(Schema.String)
+})
+
 /** Asks the receiver, owner of endpoints of the service, to run a request. */
 export const ForwardRequest = Schema.Struct({
   type: Schema.Literal('forwardRequest'),
@@ -66,6 +81,12 @@
   outcome: RequestOutcome
 })
 
+/**
+ * Asks the receiver for the outcome of an exchange after the link was replaced; a request that never
+ * arrived is barred from running and answered as `notRun`.
+ */
+export const ForwardQuery = Schema.Struct({ type: Schema.Literal('forwardQuery'), exchange: Schema.String })
+
 /** Tells the receiver that nobody waits for the exchange any longer. */
 export const ForwardCancel = Schema.Struct({ type: Schema.Literal('forwardCancel'), exchange: Schema.String })
 
@@ -130,9 +151,41 @@
 /** Tells the cell's scheduler that rows of jobs or cancellations changed. */
 export const JobsChanged = Schema.Struct({ type: Schema.Literal('jobsChanged') })
 
+/** Asks the scheduler for what only its memory holds. */
+export const SchedulerQuery = Schema.Struct({
+  type: Schema.Literal('schedulerQuery'),
+  exchange: Schema.String,
+  query: Schema.Literals(['explainJob', 'listTeamShares']),
+  /** Id of the job for `explainJob`, else empty. */
+  job: Schema.String
+})
+export type SchedulerQuery = typeof SchedulerQuery.Type
+
+/** Answer to a `schedulerQuery`. */
+export const SchedulerAnswer = Schema.Struct({
+  type: Schema.Literal('schedulerAnswer'),
+  exchange: Schema.String,
+  /** JSON text of the answer, or `null` if the receiver does not know. */
+  json: Schema.NullOr(Schema.String)
+})
+
 /** Every message that a link carries. */
 export const LinkMessage = Schema.Union([
-  Hello, Heartbeat, ConfigPull, ConfigPush, ForwardRequest, TicketRequest, ForwardReply, ForwardCancel,
-  WorkerDesired, WorkerObserved, JobsChanged
+  Hello,
+  Heartbeat,
+  ConfigPull,
+  ConfigPush,
+  ConfigQuery,
+  ConfigState,
+  ForwardRequest,
+  TicketRequest,
+  ForwardReply,
+  ForwardQuery,
+  ForwardCancel,
+  WorkerDesired,
+  WorkerObserved,
+  JobsChanged,
+  SchedulerQuery,
+  SchedulerAnswer
 ])
 export type LinkMessage = typeof LinkMessage.Type
--- /dev/null
+++ b/packages/entry/src/contract/__tests__/configCluster.ts
@@ -0,0 +1,123 @@
+/** Entries over fakes, each with its own gate, so that tests can pause, restart and cut them off. */
+import { createHash } from 'node:crypto'
+import type { ConfigDocument, Manifest, Team } from '@fuchsiatally/core'
+import { createFakeClock } from '@fuchsiatally/core/testing/fakeClock'
+import { createMemoryEventLog } from '@fuchsiatally/core/testing/memoryEventLog'
+import { createSeededRandom } from '@fuchsiatally/core/testing/seededRandom'
+import type { PlatformClient } from '@fuchsiatally/platform'
+import { createFakePlatform } from '@fuchsiatally/platform/testing/fakePlatform'
+import { createPlatformFaults } from '@fuchsiatally/platform/testing/platformFaults'
+import { createTableModel } from '@fuchsiatally/platform/testing/tableModel'
+import { createFakeMesh } from '../../testing/fakeMesh.js'
+import { createConfigStore } from '../configStore.js'
+import { createKeyRing } from '../keyRing.js'
+
+const HEARTBEAT_MS = 500
+export const OPERATOR_KEY = 'ft_operator_test'
+
+/** Work of one process that waits while the process is paused. */
+function createGate () {
+  let paused = false
+  const waiting: Array<() => void> = []
+  return {
+    run: (action: () => void) => { if (paused) waiting.push(action); else action() },
+    isPaused: () => paused,
+    pause: () => { paused = true },
+    resume: () => {
+      paused = false
+      for (const action of waiting.splice(0)) action()
+    }
+  }
+}
+
+export function createTeam (name: string, whenCut: Team['whenCut'], share = 1): Team {
+  const resources = { processors: 10, memoryMb: 1024, accelerators: 0 }
+  const limits = { queuedRequests: 10, requestsPerS: 100, activeJobs: 10 }
+  return { name, share, ceiling: { resources, requests: 5 }, limits, open: false, whenCut, keys: [] }
+}
+
+export function createManifest (share = 1): Manifest {
+  const open = { ...createTeam('walkins', 'serve'), open: true }
+  return {
+    cell: 'test',
+    shareWindow: { endMinuteOfDay: 360, lengthMinutes: 600 },
+    teams: [createTeam('covers', 'refuse', share), createTeam('pages', 'serve', share), open],
+    services: []
+  }
+}
+
+export function createConfigCluster (size: number, seed: number) {
+  const clock = createFakeClock()
+  const model = createTableModel()
+  const mesh = createFakeMesh({ clock })
+  const shared = createPlatformFaults()
+  const log = createMemoryEventLog()
+  let incarnations = 0
+
+  const startEntry = (entry: string) => {
+    incarnations += 1
+    const incarnation = `${entry}-${incarnations}`
+    const gate = createGate()
+    const random = createSeededRandom(seed + incarnations)
+    const gatedClock: typeof clock = { ...clock, setTimer: (delayMs, action) => clock.setTimer(delayMs, () => gate.run(action)) }
+    const links = mesh.addEntry({ entry, incarnation, failureDomain: 'a' })
+    const gatedLinks: typeof links = {
+      ...links,
+      onMessage: (type, receive) => links.onMessage(type, (message, from) => gate.run(() => receive(message, from)))
+    }
+    const fake = createFakePlatform({ model, clock, random, shared })
+    const waitForGate = async <T> (answer: Promise<T>): Promise<T> => {
+      const value = await answer
+      await new Promise<void>((resolve) => gate.run(resolve))
+      return value
+    }
+    const platform: PlatformClient = {
+      ...fake,
+      read: (query) => waitForGate(fake.read(query)),
+      transact: (transaction) => waitForGate(fake.transact(transaction))
+    }
+    const store = createConfigStore({ clock: gatedClock, random, platform, mesh: gatedLinks, log })
+    const operatorKeySha256 = createHash('sha256').update(OPERATOR_KEY).digest('hex')
+    const keys = createKeyRing({ config: store, operatorKeySha256, log })
+    const versions: ConfigDocument[] = []
+    store.onChange((document) => versions.push(document))
+    gatedLinks.onMessage('heartbeat', (message, from) => store.handleHeartbeat(from, message.configVersion, message.deniedKeyIds))
+    const beat = (): void => {
+      gatedClock.setTimer(HEARTBEAT_MS, beat)
+      links.broadcastMessage({
+        type: 'heartbeat',
+        sequence: 0,
+        leaving: false,
+        slots: [],
+        configVersion: store.readVersion(),
+        deniedKeyIds: store.listDeniedKeyIds(),
+        allotmentDemand: []
+      })
+    }
+    beat()
+    const stop = (): void => {
+      // A dead process never runs again: its gate stays shut.
+      gate.pause()
+      store.dispose()
+      links.dispose()
+    }
+    return { entry, incarnation, gate, store, keys, versions, faults: fake.faults, random, stop }
+  }
+
+  const entries = Array.from({ length: size }, (_, index) => startEntry(`e${index}`))
+  return {
+    clock,
+    model,
+    mesh,
+    shared,
+    log,
+    entries,
+    restart: (index: number) => {
+      const old = entries[index]!
+      old.stop()
+      entries[index] = startEntry(old.entry)
+    }
+  }
+}
+
+export type ConfigCluster = ReturnType<typeof createConfigCluster>
