Command line for callers and operators

Cause: callers and operators need one program with stable exit codes for pipelines. The schema of the process settings moves to core, so that `config check` reads settings without the entry. Ruled out: printing errors of the HTTP client as they are, since they may quote an authorization header.

--- /dev/null
+++ b/packages/cli/src/commands/jobs.ts
@@ -0,0 +1,105 @@
+/** `status`, `explain` and `cancel`: what became of jobs. */
+import { EXIT_OK, stopWith, type Command } from '../command.js'
+import { EXIT_CODES, type ExitCode } from '../exitCodes.js'
+import { formatTable } from '../output.js'
+
+interface JobView {
+  readonly id: string
+  readonly phase: string
+  readonly spec: { readonly name: string, readonly kind: string, readonly priority: string, readonly taskCount: number }
+  readonly tasks: readonly { readonly phase: string, readonly worker?: string, readonly attempt: number, readonly reason?: string }[]
+}
+
+interface Explanation {
+  readonly summary: string
+  readonly queuePosition?: number
+  readonly tasks: readonly { readonly task: number, readonly phase: string, readonly worker?: string, readonly reason: string }[]
+}
+
+interface StatusArguments {
+  readonly job?: string | undefined
+  readonly wait: boolean
+}
+
+const POLL_MS = 500
+const MAX_SHOWN_TASKS = 50
+const ENDED = new Set(['completed', 'failed', 'cancelled'])
+
+export const status: Command<StatusArguments> = {
+  usage: 'status [job]',
+  description: 'Show one job with its tasks, or all jobs of the team',
+  examples: [
+    ['$0 status', 'all jobs of the team'],
+    ['$0 status covers:2026-02-18 --wait', 'wait for its end; exit code 22 if it failed or was cancelled']
+  ],
+  build: (argv) => argv
+    .positional('job', { type: 'string', describe: 'id of a job' })
+    .option('wait', { type: 'boolean', default: false, describe: 'wait until the job has ended' }),
+  run: async ({ args, output, caller, context }) => {
+    if (args.job === undefined) {
+      const listed = await caller.readJson('GET', '/v1/jobs')
+      if (listed.isErr()) return stopWith(output, listed.error)
+      const jobs = listed.value.value['jobs'] as readonly JobView[]
+      output.writeResult(listed.value.value, formatTable(['JOB', 'PHASE', 'KIND', 'TASKS'], jobs.map((job) => [job.id, job.phase, job.spec.kind, formatTasks(job)])))
+      return EXIT_OK
+    }
+    for (;;) {
+      const read = await caller.readJson('GET', `/v1/jobs/${encodeURIComponent(args.job)}`)
+      if (read.isErr()) return stopWith(output, read.error)
+      const job = read.value.value as unknown as JobView
+      if (!args.wait || ENDED.has(job.phase)) {
+        output.writeResult(job, formatJob(job))
+        return args.wait && job.phase !== 'completed' ? EXIT_CODES.jobFailed : EXIT_OK
+      }
+      await context.wait(POLL_MS)
+    }
+  }
+}
+
+export const explain: Command<{ readonly job: string }> = {
+  usage: 'explain <job>',
+  description: 'Say why a job waits, or where its tasks run and why',
+  examples: [['$0 explain covers:2026-02-18', 'one line a task with the reason']],
+  build: (argv) => argv.positional('job', { type: 'string', demandOption: true, describe: 'id of a job' }),
+  run: async ({ args, output, caller }) => {
+    const read = await caller.readJson('GET', `/v1/jobs/${encodeURIComponent(args.job)}/explanation`)
+    if (read.isErr()) return stopWith(output, read.error)
+    const explanation = read.value.value as unknown as Explanation
+    const place = explanation.queuePosition === undefined ? '' : ` (place ${explanation.queuePosition} in the team's queue)`
+    const rows = explanation.tasks.slice(0, MAX_SHOWN_TASKS).map((task) => [String(task.task), task.phase, task.worker ?? '-', task.reason])
+    output.writeResult(explanation, `${explanation.summary}${place}\n${formatTable(['TASK', 'PHASE', 'WORKER', 'REASON'], rows)}`)
+    return EXIT_OK
+  }
+}
+
+export const cancel: Command<{ readonly jobs: readonly string[] }> = {
+  usage: 'cancel <jobs..>',
+  description: 'Cancel jobs; tasks that run are stopped',
+  examples: [['$0 cancel covers:2026-02-18 covers:2026-02-19', 'the exit code is the first that is not 0']],
+  build: (argv) => argv.positional('jobs', { type: 'string', array: true, demandOption: true, describe: 'ids of jobs' }),
+  run: async ({ args, output, caller }) => {
+    let exitCode: ExitCode = EXIT_OK
+    const cancelled: string[] = []
+    for (const job of args.jobs) {
+      const sent = await caller.readJson('DELETE', `/v1/jobs/${encodeURIComponent(job)}`)
+      if (sent.isOk()) cancelled.push(job)
+      else if (exitCode === EXIT_OK) exitCode = stopWith(output, sent.error)
+      else stopWith(output, sent.error)
+    }
+    if (cancelled.length > 0) output.writeResult({ cancelled }, cancelled.map((job) => `cancelled ${job}`).join('\n'))
+    return exitCode
+  }
+}
+
+function formatTasks (job: JobView): string {
+  const counts = new Map<string, number>()
+  for (const task of job.tasks) counts.set(task.phase, (counts.get(task.phase) ?? 0) + 1)
+  if (counts.size === 0) return `${job.spec.taskCount} queued`
+  return [...counts].map(([phase, count]) => `${count} ${phase}`).join(', ')
+}
+
+function formatJob (job: JobView): string {
+  const rows = job.tasks.slice(0, MAX_SHOWN_TASKS).map((task, index) => [String(index), task.phase, String(task.attempt), task.worker ?? '-', task.reason ?? ''])
+  const head = `${job.id}: ${job.phase}, ${job.spec.kind} of ${job.spec.taskCount}, ${formatTasks(job)}`
+  return rows.length === 0 ? head : `${head}\n${formatTable(['TASK', 'PHASE', 'ATTEMPT', 'WORKER', 'REASON'], rows)}`
+}
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -1,3 +1,10 @@
 #!/usr/bin/env node
-/** Placeholder of the binary. */
-export {}
+/** Binary `fuchsiatally`. */
+import { runCli } from './runCli.js'
+
+process.exitCode = await runCli(process.argv.slice(2), {
+  env: process.env,
+  writeOut: (text) => { process.stdout.write(text) },
+  writeErr: (text) => { process.stderr.write(text) },
+  wait: (ms) => new Promise((resolve) => { setTimeout(resolve, ms) })
+})
--- a/packages/entry/src/settings/__tests__/resolveSettings.spec.ts
+++ b/packages/core/src/settings/__tests__/resolveSettings.spec.ts
@@ -1,9 +1,8 @@
 /** Settings: defaults, all faults at once, no crash on any text. */
-import { formatFault } from '@fuchsiatally/core'
 import fc from 'fast-check'
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
-import { resolveSettings } from '../resolveSettings.js'
+import { formatFault, resolveSettings } from '../../index.js'
 
 const TEXT = `entry = "e1"
 failureDomain = "ba-1"
--- a/packages/entry/src/settings/resolveSettings.ts
+++ b/packages/core/src/settings/resolveSettings.ts
@@ -1,6 +1,6 @@
 /** Turns the text of a settings file into settings, or into all of its faults at once. */
-import { createFault, decodeWithFaults, parseToml, type ConfigFault } from '@fuchsiatally/core'
 import { err, ok, type Result } from 'neverthrow'
+import { createFault, decodeWithFaults, parseToml, type ConfigFault } from '../manifest/configFault.js'
 import { ProcessSettings, SETTINGS_DEFAULTS, type ResolvedSettings } from './settings.js'
 
 /** Exit code of a process whose settings are wrong (`EX_CONFIG`). */
--- a/packages/entry/src/main.ts
+++ b/packages/entry/src/main.ts
@@ -1,12 +1,11 @@
 #!/usr/bin/env node
 /** Binary `fuchsiatallyd`: runs one entry by its TOML settings. */
 import { readFileSync } from 'node:fs'
-import { formatFault } from '@fuchsiatally/core'
+import { EXIT_BAD_SETTINGS, formatFault, resolveSettings } from '@fuchsiatally/core'
 import * as Effect from 'effect/Effect'
 import yargs from 'yargs'
 import { hideBin } from 'yargs/helpers'
 import { runEntry, type RunResult } from './process/runEntry.js'
-import { EXIT_BAD_SETTINGS, resolveSettings } from './settings/resolveSettings.js'
 
 const EXIT_CODES: Readonly<Record<RunResult, number>> = { stopped: 0, lost: 3, startFailed: EXIT_BAD_SETTINGS }
 
