Pages that mirror the code, tests of the command line, one vocabulary of verbs

Cause: EVENTS, CONFIG, verbs and exit codes go out of date unless a test compares them with the code. The command line is proved against canned answers: every exit code, a lost answer to submit sent again under one id, apply naming who lags, no key printed, no argument that makes it throw.

--- /dev/null
+++ b/packages/cli/src/__tests__/runCli.spec.ts
@@ -0,0 +1,153 @@
+/** Command line against a server with canned answers: exit codes, output, and no key anywhere. */
+import { readFileSync } from 'node:fs'
+import { createServer, type IncomingMessage } from 'node:http'
+import type { AddressInfo } from 'node:net'
+import fc from 'fast-check'
+import { test } from 'uvu'
+import * as assert from 'uvu/assert'
+import { EXIT_CODES, runCli } from '../index.js'
+
+const SECRET = `ft_ops_${'5'.repeat(64)}`
+const EXAMPLES = new URL('../../../../examples/', import.meta.url)
+const MANIFEST = new URL('tancopar.toml', EXAMPLES).pathname
+
+interface Canned {
+  readonly status: number
+  readonly body: unknown
+  readonly headers?: Record<string, string>
+}
+
+interface Call {
+  readonly line: string
+  readonly authorization: string | undefined
+  readonly body: string
+}
+
+let answer: (line: string) => Canned | 'destroy' = () => ({ status: 404, body: {} })
+const calls: Call[] = []
+
+async function readText (message: IncomingMessage): Promise<string> {
+  let text = ''
+  for await (const chunk of message) text += String(chunk)
+  return text
+}
+
+const server = createServer((message, response) => {
+  readText(message).then((body) => {
+    const line = `${message.method} ${message.url}`
+    calls.push({ line, authorization: message.headers.authorization, body })
+    const canned = answer(line)
+    if (canned === 'destroy') {
+      message.socket.destroy()
+      return
+    }
+    response.writeHead(canned.status, canned.headers)
+    response.end(typeof canned.body === 'string' ? canned.body : JSON.stringify(canned.body))
+  }, () => {})
+})
+await new Promise<void>((resolve) => { server.listen(0, '127.0.0.1', resolve) })
+const entry = `127.0.0.1:${(server.address() as AddressInfo).port}`
+
+async function run (line: string, env: Record<string, string> = {}): Promise<{ code: number, out: string, err: string }> {
+  let out = ''
+  let err = ''
+  calls.length = 0
+  const code = await runCli(line.split(' ').filter((part) => part !== ''), {
+    env: { FUCHSIATALLY_ENTRY: entry, FUCHSIATALLY_OPERATOR_KEY: SECRET, FUCHSIATALLY_KEY: SECRET, ...env },
+    writeOut: (text) => { out += text },
+    writeErr: (text) => { err += text },
+    wait: async () => {}
+  })
+  assert.not(`${out}${err}`.includes(SECRET), 'a key was printed')
+  return { code, out, err }
+}
+
+test('each problem code has its exit code, in text and in JSON', async () => {
+  const codes: Record<string, number> = {
+    not_run: 10, unknown: 11, unauthorized: 13, not_found: 14, conflict: 15, over_limit: 16, never_fits: 17, bad_request: 18, not_ready: 19, platform_unavailable: 20, internal: 1
+  }
+  for (const [code, exitCode] of Object.entries(codes)) {
+    answer = () => ({ status: 500, body: { code, title: 'T', detail: 'D', retryAfterMs: 1500 } })
+    assert.is((await run('status')).code, exitCode, code)
+    const json = await run('status --json')
+    assert.is(JSON.parse(json.out).error.exitCode, exitCode)
+  }
+  assert.match((await run('status')).err, 'T: D; come back in 2 s')
+})
+
+test('a request tells answered, refused by the endpoint, not run and unknown apart', async () => {
+  const done = { 'fuchsiatally-outcome': 'completed' }
+  answer = () => ({ status: 200, body: 'hello', headers: done })
+  const whole = await run('request matching /pairs?x=1 --no-idempotent')
+  assert.equal([whole.code, whole.out], [0, 'hello\n'])
+  assert.is(calls[0]?.line, 'GET /v1/services/matching/pairs?x=1')
+  answer = () => ({ status: 404, body: '{"code":"not_run"}', headers: done })
+  assert.is((await run('request matching')).code, EXIT_CODES.errorAnswer)
+  answer = () => ({ status: 503, body: { code: 'not_run', title: 'T', detail: 'D' }, headers: { 'fuchsiatally-outcome': 'not_run' } })
+  assert.is((await run('request matching')).code, EXIT_CODES.notRun)
+  answer = () => 'destroy'
+  assert.is((await run('request matching --method POST --data x')).code, EXIT_CODES.unknown)
+  assert.is((await run('request matching --entry 127.0.0.1:1')).code, EXIT_CODES.unreachable)
+})
+
+test('a submission whose answer is lost is sent again under the same id', async () => {
+  const job = new URL('job.toml', EXAMPLES).pathname
+  let left = 2
+  answer = () => left-- > 0 ? 'destroy' : { status: 202, body: { id: 'schools:x' } }
+  const sent = await run(`submit ${job}`)
+  assert.equal([sent.code, sent.out, calls.length], [0, 'schools:x\n', 3])
+  assert.is(new Set(calls.map((call) => JSON.parse(call.body).id)).size, 1)
+})
+
+test('apply sends the version it was compared with, waits, and names who lags', async () => {
+  let inForce = 4
+  answer = (line) => {
+    if (line === 'POST /v1/config/diff') return { status: 200, body: { version: 4, fresh: true, changes: [] } }
+    if (line === 'PUT /v1/config') return { status: 200, body: { version: 5, warnings: ['w1'] } }
+    return { status: 200, body: { entries: [{ entry: 'e1', version: 5, live: true }, { entry: 'e2', version: inForce, live: true }, { entry: 'e3', version: 1, live: false }] } }
+  }
+  const lagging = await run(`apply ${MANIFEST} --wait --wait-seconds 1`)
+  assert.is(lagging.code, EXIT_CODES.lagging)
+  assert.match(lagging.err, 'e2 (version 4)')
+  inForce = 5
+  const done = await run(`apply ${MANIFEST} --wait`)
+  assert.equal([done.code, done.out, done.err], [0, 'version 5 is in force at every live entry\n', 'warning: w1\n'])
+  assert.is(JSON.parse(calls.find((call) => call.line === 'PUT /v1/config')!.body).expectedVersion, 4)
+  await run(`apply ${MANIFEST} --expected-version 2`)
+  assert.is(JSON.parse(calls.find((call) => call.line === 'PUT /v1/config')!.body).expectedVersion, 2)
+})
+
+test('a revocation that is not durable yet has its own exit code', async () => {
+  answer = () => ({ status: 202, body: { durable: false, known: false, detail: 'not in the table yet' } })
+  const revoked = await run('key revoke clubs-1')
+  assert.is(revoked.code, EXIT_CODES.notDurable)
+  assert.match(revoked.out, 'knows no key clubs-1')
+})
+
+test('wrong command lines name the mend', async () => {
+  assert.match((await run('aply x')).err, 'Did you mean apply?')
+  assert.match((await run('apply x --wat')).err, 'did you mean --wait?')
+  assert.match((await run('status --timeout soon')).err, '--timeout is not a number')
+  for (const line of ['', 'aply x', 'apply', 'key grnt', 'key grant', 'config check', 'apply x --wat']) assert.is((await run(line)).code, EXIT_CODES.usage, line)
+  assert.is((await run('config check nowhere.toml')).code, EXIT_CODES.badConfig)
+  assert.is((await run(`apply ${new URL('job.toml', EXAMPLES).pathname}`)).code, EXIT_CODES.badConfig)
+})
+
+test('no command line makes it throw', async () => {
+  answer = () => ({ status: 200, body: '[1' })
+  const words = fc.array(fc.oneof(fc.constantFrom('status', 'key', 'list', 'team', 'config', 'status', 'drain', '--json', '--wait', '--entry', '--', '-x'), fc.string()), { maxLength: 5 })
+  const streams = { env: { FUCHSIATALLY_ENTRY: entry }, writeOut: () => {}, writeErr: () => {}, wait: async () => {} }
+  await fc.assert(fc.asyncProperty(words, async (argv) => {
+    const known: readonly number[] = Object.values(EXIT_CODES)
+    assert.ok(known.includes(await runCli([...argv, '--timeout', '2'], streams)))
+  }), { seed: 20260105, numRuns: 200 })
+})
+
+test('the docs list every exit code', () => {
+  const page = readFileSync(new URL('../docs/operators/exit-codes.md', EXAMPLES), 'utf8')
+  for (const [name, code] of Object.entries(EXIT_CODES)) assert.match(page, `| ${code} | ${name} |`)
+})
+
+test.after(() => { server.close() })
+
+test.run()
--- a/packages/cli/src/commands/config.ts
+++ b/packages/cli/src/commands/config.ts
@@ -100,7 +100,7 @@
   build: (argv) => argv
     .positional('action', { choices: ['check', 'status'] as const, demandOption: true, describe: 'what to do' })
     .positional('files', { type: 'string', array: true, describe: 'files to check' }),
-  run: async (run) => run.args.action === 'check' ? checkFiles(run.args.files ?? [], run) : await showStatus(run)
+  run: async (run) => run.args.action === 'check' ? checkFiles(run.args.files ?? [], run) : await writeStatus(run)
 }
 
 function checkFiles (files: readonly string[], { output }: Pick<CommandRun<object>, 'output'>): ExitCode {
@@ -111,7 +111,7 @@
   return results.every((result) => result.faults.length === 0) ? EXIT_OK : EXIT_CODES.badConfig
 }
 
-async function showStatus ({ output, operator }: Pick<CommandRun<object>, 'output' | 'operator'>): Promise<ExitCode> {
+async function writeStatus ({ output, operator }: Pick<CommandRun<object>, 'output' | 'operator'>): Promise<ExitCode> {
   const read = await operator.readJson('GET', '/v1/config/status')
   if (read.isErr()) return stopWith(output, read.error)
   const entries = read.value.value['entries'] as readonly { entry: string, failureDomain: string, version: number, live: boolean }[]
--- a/packages/cli/src/runCli.ts
+++ b/packages/cli/src/runCli.ts
@@ -67,9 +67,9 @@
 function addSuggestion (message: string, base: unknown): string {
   const unknown = /^Unknown arguments?: ([^, ]+)/.exec(message)?.[1]
   // yargs offers its options, but its types leave the method out.
-  const { getOptions } = base as { getOptions?: () => { key: Readonly<Record<string, unknown>> } }
-  if (unknown === undefined || getOptions === undefined) return message
-  const similar = findSimilarName(unknown, Object.keys(getOptions().key))
+  const parser = base as { getOptions?: () => { key: Readonly<Record<string, unknown>> } }
+  if (unknown === undefined || parser.getOptions === undefined) return message
+  const similar = findSimilarName(unknown, Object.keys(parser.getOptions().key))
   return similar === undefined ? message : `${message}; did you mean --${similar}?`
 }
 
--- a/packages/core/src/manifest/diffManifests.ts
+++ b/packages/core/src/manifest/diffManifests.ts
@@ -15,7 +15,7 @@
  */
 export function diffManifests (before: Manifest | null, after: Manifest): ManifestChange[] {
   const changes: ManifestChange[] = []
-  compareValues(before ?? {}, after, '', changes)
+  collectChanges(before ?? {}, after, '', changes)
   return changes.sort((a, b) => a.path < b.path ? -1 : a.path > b.path ? 1 : 0)
 }
 
@@ -26,7 +26,7 @@
   return `~ ${change.path}: ${JSON.stringify(change.before)} -> ${JSON.stringify(change.after)}`
 }
 
-function compareValues (before: unknown, after: unknown, path: string, changes: ManifestChange[]): void {
+function collectChanges (before: unknown, after: unknown, path: string, changes: ManifestChange[]): void {
   const oldFields = listFields(before)
   const newFields = listFields(after)
   if (oldFields === undefined || newFields === undefined) {
@@ -35,7 +35,7 @@
   }
   for (const [name, value] of oldFields) {
     const fieldPath = path === '' ? name : `${path}.${name}`
-    if (newFields.has(name)) compareValues(value, newFields.get(name), fieldPath, changes)
+    if (newFields.has(name)) collectChanges(value, newFields.get(name), fieldPath, changes)
     else changes.push({ kind: 'removed', path: fieldPath, before: value })
   }
   for (const [name, value] of newFields) {
--- a/packages/core/src/manifest/tomlPath.ts
+++ b/packages/core/src/manifest/tomlPath.ts
@@ -34,7 +34,7 @@
     const header = /^\s*(\[\[?)\s*([^\]]+?)\s*\]/.exec(line)
     const key = /^\s*((?:[A-Za-z0-9_-]+|"[^"]*")(?:\s*\.\s*(?:[A-Za-z0-9_-]+|"[^"]*"))*)\s*=/.exec(line)
     if (header?.[2] !== undefined) table = resolveHeader(header[2], header[1] === '[[', lengths)
-    const path = header ? table : key?.[1] === undefined ? undefined : joinPath(table, splitKeys(key[1]).join('.'))
+    const path = header ? table : key?.[1] === undefined ? undefined : formatChild(table, parseKeys(key[1]).join('.'))
     if (path !== undefined && !lines.has(path)) lines.set(path, index + 1)
   }
   return lines
@@ -43,9 +43,9 @@
 /** Adds the index of the last element to each array of tables on the way. */
 function resolveHeader (header: string, opensElement: boolean, lengths: Map<string, number>): string {
   let path = ''
-  const keys = splitKeys(header)
+  const keys = parseKeys(header)
   for (const [index, key] of keys.entries()) {
-    path = joinPath(path, key)
+    path = formatChild(path, key)
     const isLast = index === keys.length - 1
     if (isLast && opensElement) lengths.set(path, (lengths.get(path) ?? 0) + 1)
     const length = lengths.get(path)
@@ -54,10 +54,10 @@
   return path
 }
 
-function splitKeys (dotted: string): string[] {
+function parseKeys (dotted: string): string[] {
   return dotted.split('.').map((key) => key.trim().replace(/^"(.*)"$/, '$1'))
 }
 
-function joinPath (table: string, key: string): string {
+function formatChild (table: string, key: string): string {
   return table === '' ? key : `${table}.${key}`
 }
--- a/packages/core/src/settings/resolveSettings.ts
+++ b/packages/core/src/settings/resolveSettings.ts
@@ -31,7 +31,7 @@
 function checkAddresses (settings: ProcessSettings, text: string): ConfigFault[] {
   const faults: ConfigFault[] = []
   for (const option of ['httpAddress', 'linkAddress', 'platformAddress'] as const) {
-    const { host, port } = splitAddress(settings[option])
+    const { host, port } = parseAddress(settings[option])
     if (port > MAX_PORT) faults.push(createFault([option], `port ${port} does not exist`, `give a port up to ${MAX_PORT}`, text))
     if (host.split('.').some((part) => Number(part) > 255)) {
       faults.push(createFault([option], `${host} is no IP address`, 'give four numbers up to 255', text))
@@ -40,14 +40,14 @@
       faults.push(createFault([option], `${host} cannot be reached by others`, 'give the address of this VM itself', text))
     }
   }
-  if (splitAddress(settings.platformAddress).port === 0) {
+  if (parseAddress(settings.platformAddress).port === 0) {
     faults.push(createFault(['platformAddress'], 'port 0 cannot be reached', "give the platform's port", text))
   }
   return faults
 }
 
 /** Splits a checked `host:port`; IPv6 hosts keep their brackets. */
-export function splitAddress (address: string): { host: string, port: number } {
+export function parseAddress (address: string): { host: string, port: number } {
   const colon = address.lastIndexOf(':')
   return { host: address.slice(0, colon), port: Number(address.slice(colon + 1)) }
 }
--- a/packages/entry/src/contract/configGossip.ts
+++ b/packages/entry/src/contract/configGossip.ts
@@ -14,18 +14,18 @@
   readonly listDeniedKeyIds: () => string[]
   /** Returns the ids that were not denied before. */
   readonly addDenied: (keyIds: readonly string[]) => string[]
-  readonly install: (document: ConfigDocument) => void
-  readonly noteEvidence: () => void
+  readonly applyDocument: (document: ConfigDocument) => void
+  readonly recordEvidence: () => void
 }
 
 /** Gossip of one entry. */
 export interface ConfigGossip extends Disposable {
   handleHeartbeat: (peer: Peer, configVersion: number, deniedKeyIds: readonly string[]) => void
   /** Tells every peer the version and the denied keys at once. */
-  announce: () => void
-  askAllPeers: () => void
+  sendStateToAll: () => void
+  sendQueries: () => void
   /** Asks the peer that answered last and a few more. */
-  askSomePeers: () => void
+  sendSomeQueries: () => void
   listPeerVersions: () => ReadonlyMap<string, number>
 }
 
@@ -44,7 +44,7 @@
   const pulledAtMs = new Map<string, number>()
   let lastAnswering: string | undefined
 
-  const pullFrom = (incarnation: string): void => {
+  const sendPull = (incarnation: string): void => {
     const nowMs = clock.nowMs()
     if (nowMs - (pulledAtMs.get(incarnation) ?? -Infinity) < PULL_PAUSE_MS) return
     if (mesh.sendMessage(incarnation, { type: 'configPull', newerThan: view.readVersion() })) pulledAtMs.set(incarnation, nowMs)
@@ -61,17 +61,17 @@
     }
   }
 
-  const announce = (): void => mesh.broadcastMessage(createState(''))
+  const sendStateToAll = (): void => mesh.broadcastMessage(createState(''))
 
-  const hearPeer = (peer: Peer, version: number, deniedKeyIds: readonly string[]): void => {
+  const recordPeer = (peer: Peer, version: number, deniedKeyIds: readonly string[]): void => {
     versions.set(peer.incarnation, version)
     // News is passed on, since not every pair of entries has a link.
-    if (options.addDenied(deniedKeyIds).length > 0) announce()
+    if (options.addDenied(deniedKeyIds).length > 0) sendStateToAll()
     view.recordVersionHeard(version)
-    if (version > view.readVersion()) pullFrom(peer.incarnation)
+    if (version > view.readVersion()) sendPull(peer.incarnation)
   }
 
-  const ask = (incarnation: string): void => {
+  const sendQuery = (incarnation: string): void => {
     const exchange = random.nextId()
     const sentAtMs = clock.nowMs()
     if (mesh.sendMessage(incarnation, { type: 'configQuery', exchange })) queries.set(exchange, { sentAtMs, incarnation })
@@ -90,8 +90,8 @@
     if (document !== null && document.version > message.newerThan) mesh.sendMessage(from.incarnation, { type: 'configPush', document })
   })
   mesh.onMessage('configPush', (message) => {
-    options.install(message.document)
-    options.noteEvidence()
+    options.applyDocument(message.document)
+    options.recordEvidence()
   })
   mesh.onMessage('configQuery', (message, from) => {
     mesh.sendMessage(from.incarnation, createState(message.exchange))
@@ -99,11 +99,11 @@
   mesh.onMessage('configState', (message, from) => {
     const query = queries.get(message.exchange)
     queries.delete(message.exchange)
-    hearPeer(from, message.version, message.deniedKeyIds)
+    recordPeer(from, message.version, message.deniedKeyIds)
     if (query === undefined || query.incarnation !== from.incarnation || message.ageMs < 0 || message.version === 0) return
     lastAnswering = from.incarnation
     view.recordCurrent(message.version, query.sentAtMs - message.ageMs)
-    options.noteEvidence()
+    options.recordEvidence()
   })
   mesh.onPeerChange((peer, change) => {
     if (change === 'up') return
@@ -112,13 +112,13 @@
   })
 
   return {
-    handleHeartbeat: hearPeer,
-    announce,
-    askAllPeers: () => {
+    handleHeartbeat: recordPeer,
+    sendStateToAll,
+    sendQueries: () => {
       dropOldQueries()
-      for (const peer of mesh.listPeers()) ask(peer.incarnation)
+      for (const peer of mesh.listPeers()) sendQuery(peer.incarnation)
     },
-    askSomePeers: () => {
+    sendSomeQueries: () => {
       dropOldQueries()
       const peers = mesh.listPeers().map((peer) => peer.incarnation)
       const chosen = new Set(peers.filter((incarnation) => incarnation === lastAnswering))
@@ -126,7 +126,7 @@
         const peer = peers[Math.floor(random.nextFloat() * peers.length)]
         if (peer !== undefined) chosen.add(peer)
       }
-      for (const incarnation of chosen) ask(incarnation)
+      for (const incarnation of chosen) sendQuery(incarnation)
     },
     listPeerVersions: () => versions,
     dispose: () => { queries.clear() }
--- a/packages/entry/src/contract/configProposer.ts
+++ b/packages/entry/src/contract/configProposer.ts
@@ -83,7 +83,7 @@
     clock.setTimer(RETRY_DELAY_MS * 2 ** (attempt - 1) * (0.5 + random.nextFloat()), resolve)
   })
 
-  const settle = async (transaction: Transaction): Promise<Result<TransactionOutcome, PlatformFailure>> => {
+  const sendUntilSettled = async (transaction: Transaction): Promise<Result<TransactionOutcome, PlatformFailure>> => {
     let outcome = await platform.transact(transaction)
     for (let attempt = 1; attempt < MAX_TRIES && outcome.isErr(); attempt++) {
       await waitForRetry(attempt)
@@ -104,7 +104,7 @@
       if (changed.isErr()) return err(changed.error)
       // A change without effect writes nothing, but the checked version shows that the read was not an old one.
       const writes = changed.value === table.document ? [] : [{ key: CONFIG_ROW, value: changed.value }]
-      const settled = await settle({ writeId, checks: [{ key: CONFIG_ROW, version: table.rowVersion }], writes })
+      const settled = await sendUntilSettled({ writeId, checks: [{ key: CONFIG_ROW, version: table.rowVersion }], writes })
       if (settled.isErr()) return err({ kind: 'unsettled', mayBeApplied: true, failure: settled.error })
       if (settled.value.kind === 'applied') return ok(changed.value)
       const current = decodeRow(settled.value.rows.find((row) => row.key === CONFIG_ROW))
--- a/packages/entry/src/contract/configStore.ts
+++ b/packages/entry/src/contract/configStore.ts
@@ -3,7 +3,7 @@
   createConfigView, createDisposableStore,
   type Clock, type ConfigChange, type ConfigDocument, type ConfigView, type Disposable, type EventLog, type Random
 } from '@fuchsiatally/core'
-import type { PlatformClient } from '@fuchsiatally/platform'
+import type { PlatformClient, PlatformFailure } from '@fuchsiatally/platform'
 import type { Result } from 'neverthrow'
 import type { ConfigStore, Peer, PeerMesh } from '../ports.js'
 import { createSerialLoop } from '../process/serialLoop.js'
@@ -19,6 +19,8 @@
 /** Time after a failed refresh during which no further one is tried, in milliseconds. */
 const REFRESH_PAUSE_MS = 1000
 const POLL_JITTER = 0.2
+/** Time between two log lines of one lasting fault, in milliseconds. */
+const REMINDER_MS = 30_000
 
 /** What the store needs. */
 export interface ConfigStoreOptions {
@@ -64,8 +66,9 @@
   const waiting = new Set<() => void>()
   let revoked = new Set<string>()
   let wasFresh = true
+  let malformedAtMs = -Infinity
 
-  const install = (document: ConfigDocument, source: 'table' | 'peer' | 'change'): void => {
+  const applyDocument = (document: ConfigDocument, source: 'table' | 'peer' | 'change'): void => {
     if (!view.installDocument(document)) return
     revoked = new Set(document.revokedKeyIds)
     log.record(events.configInstalled, { version: document.version, source })
@@ -73,7 +76,7 @@
   }
 
   /** Follows new evidence: wakes who waits for freshness and logs a change of it. */
-  const noteEvidence = (): void => {
+  const recordEvidence = (): void => {
     const fresh = view.isFresh(clock.nowMs())
     if (fresh) for (const wake of [...waiting]) wake()
     if (fresh === wasFresh) return
@@ -90,14 +93,21 @@
   const listDeniedKeyIds = (): string[] => denied.listPending(view.readDocument()?.revokedKeyIds ?? [])
 
   const gossip = createConfigGossip({
-    clock, random, mesh, view, listDeniedKeyIds, addDenied, noteEvidence, install: (document) => install(document, 'peer')
+    clock, random, mesh, view, listDeniedKeyIds, addDenied, recordEvidence, applyDocument: (document) => applyDocument(document, 'peer')
   })
 
+  /** Logs a malformed row at its first sight, then from time to time. */
+  const recordMalformed = (failure: PlatformFailure): void => {
+    if (failure.kind !== 'malformed' || clock.nowMs() - malformedAtMs < REMINDER_MS) return
+    malformedAtMs = clock.nowMs()
+    log.record(events.configMalformed, { reason: failure.message })
+  }
+
   const readTable = async (): Promise<boolean> => {
     const sentAtMs = clock.nowMs()
     const read = await proposer.readTable()
     if (read.isErr()) {
-      if (read.error.kind === 'malformed') log.record(events.configMalformed, { reason: read.error.message })
+      recordMalformed(read.error)
       return false
     }
     const { document } = read.value
@@ -106,9 +116,9 @@
       log.record(events.configOldRead, { version, highestVersion: view.readHighestVersion() })
       return false
     }
-    if (document !== null) install(document, 'table')
+    if (document !== null) applyDocument(document, 'table')
     view.recordCurrent(version, sentAtMs)
-    noteEvidence()
+    recordEvidence()
     return true
   }
 
@@ -117,14 +127,14 @@
     recordProposal(log, change, proposed)
     if (proposed.isErr()) return proposed
     const before = view.readVersion()
-    install(proposed.value, 'change')
-    noteEvidence()
-    if (view.readVersion() > before) gossip.announce()
+    applyDocument(proposed.value, 'change')
+    recordEvidence()
+    if (view.readVersion() > before) gossip.sendStateToAll()
     return proposed
   }
 
-  disposables.add(startPolling({ clock, random, readTable, gossip, noteEvidence, proposeChange, view, denied }))
-  const refresh = createRefresh({ clock, view, readTable, askPeers: gossip.askAllPeers, waiting })
+  disposables.add(startPolling({ clock, random, readTable, gossip, recordEvidence, proposeChange, view, denied }))
+  const refresh = createRefresh({ clock, view, readTable, sendQueries: gossip.sendQueries, waiting })
   disposables.add(gossip)
 
   return {
@@ -139,7 +149,7 @@
     refresh,
     isDenied: (keyId) => denied.has(keyId) || revoked.has(keyId),
     denyKeys: (keyIds) => {
-      if (addDenied(keyIds).length > 0) gossip.announce()
+      if (addDenied(keyIds).length > 0) gossip.sendStateToAll()
     },
     listDeniedKeyIds,
     listPeerVersions: gossip.listPeerVersions,
@@ -154,7 +164,7 @@
   readonly random: Random
   readonly readTable: () => Promise<boolean>
   readonly gossip: ConfigGossip
-  readonly noteEvidence: () => void
+  readonly recordEvidence: () => void
   readonly proposeChange: ConfigProposer['proposeChange']
   readonly view: ConfigView
   readonly denied: DeniedKeys
@@ -170,12 +180,12 @@
     await polling.proposeChange({ kind: 'revokeKeys', keyIds, allowUnknown: true })
   }
   const runStep = async (): Promise<void> => {
-    polling.noteEvidence()
-    if (!answered) polling.gossip.askSomePeers()
+    polling.recordEvidence()
+    if (!answered) polling.gossip.sendSomeQueries()
     answered = await polling.readTable()
     if (answered) await commitDenied()
-    else polling.gossip.askSomePeers()
-    polling.noteEvidence()
+    else polling.gossip.sendSomeQueries()
+    polling.recordEvidence()
   }
   const readPauseMs = (): number => CONFIG_POLL_MS * (1 + POLL_JITTER * (polling.random.nextFloat() * 2 - 1))
   return createSerialLoop({ clock: polling.clock, readPauseMs, runStep })
@@ -185,7 +195,7 @@
   readonly clock: Clock
   readonly view: ConfigView
   readonly readTable: () => Promise<boolean>
-  readonly askPeers: () => void
+  readonly sendQueries: () => void
   readonly waiting: Set<() => void>
 }
 
@@ -204,7 +214,7 @@
       const timer = clock.setTimer(CONFIG_REFRESH_MS, finish)
       waiting.add(finish)
       refreshing.readTable()
-      refreshing.askPeers()
+      refreshing.sendQueries()
     })
     running = null
     const fresh = view.isFresh(clock.nowMs())
--- a/packages/entry/src/contract/key.ts
+++ b/packages/entry/src/contract/key.ts
@@ -16,11 +16,11 @@
 export function createKey (random: Random, id: string): NewKey {
   const secret = createHash('sha256').update(`${random.nextId()} ${random.nextId()}`).digest('hex')
   const key = `ft_${id}_${secret}`
-  return { key, grant: { id, sha256: hashKey(key).toString('hex') } }
+  return { key, grant: { id, sha256: computeKeyHash(key).toString('hex') } }
 }
 
 /** SHA-256 of a key; longer input than any key is cut first, so that hashing is bounded. */
-export function hashKey (key: string): Buffer {
+export function computeKeyHash (key: string): Buffer {
   return createHash('sha256').update(key.slice(0, MAX_KEY_LENGTH)).digest()
 }
 
--- a/packages/entry/src/contract/keyRing.ts
+++ b/packages/entry/src/contract/keyRing.ts
@@ -4,7 +4,7 @@
 import type { KeyRefusal, KeyRing } from '../ports.js'
 import type { ConfigStoreHandle } from './configStore.js'
 import { keyRefused } from './events.js'
-import { hashKey, isSameHash, readBearer, readKeyId } from './key.js'
+import { computeKeyHash, isSameHash, readBearer, readKeyId } from './key.js'
 
 /** What the key ring needs. */
 export interface KeyRingOptions {
@@ -43,7 +43,7 @@
   let held = new Map<string, HeldKey>()
   let teams = new Map<string, Team>()
 
-  const follow = (document: ConfigDocument): void => {
+  const updateKeys = (document: ConfigDocument): void => {
     teams = new Map(document.manifest.teams.map((team) => [team.name, team]))
     held = new Map()
     for (const { team, grant } of listGrants(document)) {
@@ -52,8 +52,8 @@
     }
   }
   const current = config.readDocument()
-  if (current !== null) follow(current)
-  const following = config.onChange(follow)
+  if (current !== null) updateKeys(current)
+  const following = config.onChange(updateKeys)
 
   const findOpenTeam = (authorization: string | undefined, name: string | undefined): Team | undefined => {
     if (authorization !== undefined || name === undefined) return undefined
@@ -65,7 +65,7 @@
   const checkKey = (key: string, team: string | undefined): Team | undefined => {
     const id = readKeyId(key)
     const found = held.get(id) ?? NO_KEY
-    const matches = isSameHash(hashKey(key), found.hash)
+    const matches = isSameHash(computeKeyHash(key), found.hash)
     const denied = config.isDenied(id)
     const foreign = team !== undefined && team !== found.team.name
     const cause = [matches ? '' : 'unknown', denied ? 'revoked' : '', foreign ? 'foreign' : ''].filter((part) => part !== '')
@@ -87,7 +87,7 @@
       if (holder.whenCut === 'refuse' && !config.isFresh()) return err('configurationStale')
       return ok(holder)
     },
-    isOperator: (authorization) => isSameHash(hashKey(readBearer(authorization)), operatorHash),
+    isOperator: (authorization) => isSameHash(computeKeyHash(readBearer(authorization)), operatorHash),
     dispose: () => following.dispose()
   }
 }
--- a/packages/entry/src/http/configRoutes.ts
+++ b/packages/entry/src/http/configRoutes.ts
@@ -57,7 +57,7 @@
     return createJsonResponse(200, { version: proposed.value.version, warnings: listWarnings(proposed.value) })
   }
 
-  const compareConfig = async (body: Uint8Array): Promise<HttpResponse> => {
+  const explainDifference = async (body: Uint8Array): Promise<HttpResponse> => {
     const decoded = decodeBody(DiffBody, body)
     if (decoded.isErr()) return createFaultsResponse(decoded.error)
     const checked = checkForCell(decoded.value.manifest, options.cell)
@@ -72,7 +72,7 @@
   return [
     createOperatorRoute(options, 'GET', '/v1/config', MAX_OPERATOR_BODY_BYTES, readConfig),
     createOperatorRoute(options, 'PUT', '/v1/config', MAX_MANIFEST_BYTES, (request) => applyConfig(request.body)),
-    createOperatorRoute(options, 'POST', '/v1/config/diff', MAX_MANIFEST_BYTES, (request) => compareConfig(request.body)),
+    createOperatorRoute(options, 'POST', '/v1/config/diff', MAX_MANIFEST_BYTES, (request) => explainDifference(request.body)),
     createOperatorRoute(options, 'GET', '/v1/config/status', MAX_OPERATOR_BODY_BYTES, readStatus)
   ]
 }
--- a/packages/entry/src/http/httpServer.ts
+++ b/packages/entry/src/http/httpServer.ts
@@ -23,6 +23,8 @@
   readonly events: EventLog
   /** Connections open at once; further ones are refused. */
   readonly maxConnections: number
+  /** Bound on bodies that holds beside the routes' own; default none. */
+  readonly maxBodyBytes?: number
   /** Longest time for a caller to send its whole request, in milliseconds. Default 60000. */
   readonly requestReadMs?: number
 }
@@ -107,8 +109,9 @@
       const detail = `${url.pathname} takes ${search.allowed.join(', ')}`
       return createProblemResponse({ status: 405, code: 'bad_request', title: 'Method not allowed', detail })
     }
-    const body = await readBody(message, search.match.route.maxBodyBytes)
-    if (body.isErr()) return createBodyFaultResponse(body.error, search.match.route.maxBodyBytes)
+    const maxBytes = Math.min(search.match.route.maxBodyBytes, options.maxBodyBytes ?? Infinity)
+    const body = await readBody(message, maxBytes)
+    if (body.isErr()) return createBodyFaultResponse(body.error, maxBytes)
     return await runRoute(search.match, createRequest(message, url, body.value, signal))
   }
 
--- a/packages/entry/src/process/runEntry.ts
+++ b/packages/entry/src/process/runEntry.ts
@@ -1,6 +1,6 @@
 /** Life of the process: sockets are opened, the entry takes part, and a planned stop hands everything over. */
 import { randomBytes } from 'node:crypto'
-import { splitAddress, type ResolvedSettings } from '@fuchsiatally/core'
+import { parseAddress, type ResolvedSettings } from '@fuchsiatally/core'
 import * as Effect from 'effect/Effect'
 import type * as Scope from 'effect/Scope'
 import { createHttpPlatformClient } from '@fuchsiatally/platform'
@@ -103,8 +103,8 @@
     const waiter = createStopWaiter()
     const incarnation = randomBytes(INCARNATION_BYTES).toString('base64url')
     const self = { entry: settings.entry, incarnation, failureDomain: settings.failureDomain }
-    const http = splitAddress(settings.httpAddress)
-    const link = splitAddress(settings.linkAddress)
+    const http = parseAddress(settings.httpAddress)
+    const link = parseAddress(settings.linkAddress)
     const platform = yield * Effect.acquireRelease(
       Effect.sync(() => createHttpPlatformClient({ address: settings.platformAddress, clock, random, events })),
       (held) => Effect.sync(held.dispose)
@@ -134,7 +134,7 @@
       return 'startFailed' as const
     }
     const server = yield * Effect.promise(() => createHttpServer({
-      host: http.host, port: http.port, routes: [], events, maxConnections: settings.limits.maxConnections, requestReadMs: settings.limits.requestReadMs
+      host: http.host, port: http.port, routes: [], events, maxConnections: settings.limits.maxConnections, requestReadMs: settings.limits.requestReadMs, maxBodyBytes: settings.limits.maxBodyBytes
     }).catch((error: unknown) => {
       events.record(startFailed, { option: 'httpAddress', reason: String(error), mend: 'choose a free address of this VM' })
       return null
--- /dev/null
+++ b/scripts/renderEvents.mjs
@@ -0,0 +1,9 @@
+// Writes docs/EVENTS.md from the events that the code defines.
+import { writeFileSync } from 'node:fs'
+import { join } from 'node:path'
+import { setUp } from './setup.mjs'
+
+setUp()
+const { eventRegistry } = await import('../packages/entry/dist/telemetry/allEvents.js')
+const { renderEventsPage } = await import('../packages/entry/dist/telemetry/renderEvents.js')
+writeFileSync(join(import.meta.dirname, '..', 'docs', 'EVENTS.md'), renderEventsPage(eventRegistry))
