--- /dev/null
+++ b/packages/core/src/contract/__tests__/lease.spec.ts
@@ -0,0 +1,81 @@
+/** A lease that its owner holds for lapsed has lapsed at the worker, whatever is late, lost or doubled. */
+import * as fc from 'fast-check'
+import { test } from 'uvu'
+import * as assert from 'uvu/assert'
+import { createLeaseTracker, hasRightToExtend, isLapsedForCertain } from '../lease.js'
+
+const MAX_DRIFT = 0.03
+
+type Step = { readonly kind: 'wait', readonly ms: number } |
+  { readonly kind: 'send' } |
+  { readonly kind: 'deliver' | 'answer', readonly index: number }
+
+const step: fc.Arbitrary<Step> = fc.oneof(
+  { weight: 3, arbitrary: fc.record({ kind: fc.constant('wait' as const), ms: fc.integer({ min: 1, max: 4_000 }) }) },
+  { weight: 2, arbitrary: fc.record({ kind: fc.constant('send' as const) }) },
+  { weight: 5, arbitrary: fc.record({ kind: fc.constantFrom('deliver' as const, 'answer' as const), index: fc.nat(20) }) }
+)
+
+interface Call {
+  readonly sentMs: number
+  readonly notAfterMs: number
+  report: { workerIncarnation: string, clockMs: number, leaseNotAfterMs: number } | null
+}
+
+/** One worker and one owner; calls stay on their way until a step delivers or answers them, in any order. */
+function createWorld (ownerRate: number, workerRate: number) {
+  const tracker = createLeaseTracker(Infinity)
+  const calls: Call[] = []
+  let realMs = 0
+  let leaseEndMs = 0
+  const ownerMs = (): number => realMs * (1 + ownerRate) + 77
+  const workerMs = (): number => realMs * (1 + workerRate) + 5_000_000
+  const sendCall = (): void => {
+    const notAfterMs = tracker.computeNotAfter(ownerMs())
+    if (notAfterMs > 0) tracker.recordExtension(ownerMs())
+    calls.push({ sentMs: ownerMs(), notAfterMs, report: null })
+  }
+  const deliverCall = (call: Call | undefined): void => {
+    if (call === undefined) return
+    // A worker never takes up a lease that has ended already.
+    if (call.notAfterMs > workerMs()) leaseEndMs = Math.max(leaseEndMs, call.notAfterMs)
+    call.report = { workerIncarnation: 'v', clockMs: workerMs(), leaseNotAfterMs: leaseEndMs }
+  }
+  const answerCall = (call: Call | undefined): void => {
+    if (call?.report != null) tracker.recordReport(call.report, call.sentMs, ownerMs())
+  }
+  return {
+    runStep: (next: Step) => {
+      if (next.kind === 'wait') realMs += next.ms
+      else if (next.kind === 'send') sendCall()
+      else if (next.kind === 'deliver') deliverCall(calls.at(-1 - next.index))
+      else answerCall(calls.at(-1 - next.index))
+    },
+    isHeldForLapsed: () => isLapsedForCertain(ownerMs(), tracker.readLapseBoundMs(), ownerMs()),
+    isLapsedAtWorker: () => leaseEndMs <= workerMs()
+  }
+}
+
+test('what the owner holds for lapsed has lapsed', () => {
+  let lapses = 0
+  const drift = fc.double({ min: -MAX_DRIFT, max: MAX_DRIFT, noNaN: true })
+  fc.assert(fc.property(drift, drift, fc.array(step, { minLength: 10, maxLength: 80 }), (ownerRate, workerRate, steps) => {
+    const world = createWorld(ownerRate, workerRate)
+    for (const next of steps) {
+      world.runStep(next)
+      if (!world.isHeldForLapsed()) continue
+      lapses += 1
+      assert.ok(world.isLapsedAtWorker())
+    }
+  }), { seed: 12, numRuns: 20_000 })
+  assert.ok(lapses > 1_000)
+})
+
+test('an owner whose row is not confirmed neither extends beyond the tolerance nor calls a worker lost', () => {
+  assert.ok(hasRightToExtend(5_999, 1_000, 5_000))
+  assert.not.ok(hasRightToExtend(6_000, 1_000, 5_000))
+  assert.not.ok(isLapsedForCertain(50_000, 20_000, 19_999))
+  assert.ok(isLapsedForCertain(50_000, 20_000, 20_000))
+})
+
+test.run()
--- /dev/null
+++ b/packages/core/src/contract/__tests__/ownership.spec.ts
@@ -0,0 +1,54 @@
+/** Placement of workers on owners, and rows that never lose an owner who was not shut out. */
+import * as fc from 'fast-check'
+import { test } from 'uvu'
+import * as assert from 'uvu/assert'
+import { buildOwnerRow, chooseOwner, hasUnfenced, type OwnerCandidate, type OwnerRow } from '../ownership.js'
+
+const listEntries = (count: number, failureDomain = 'a'): OwnerCandidate[] =>
+  Array.from({ length: count }, (_, i) => ({ entry: `e${i}`, incarnation: `i${i}`, failureDomain }))
+const WORKERS = Array.from({ length: 990 }, (_, i) => `worker-${i}`)
+
+test('workers spread evenly, and a new entry takes only its own part', () => {
+  const before = listEntries(4)
+  const after = listEntries(5)
+  const counts = new Map<string, number>()
+  let moved = 0
+  for (const worker of WORKERS) {
+    const owner = chooseOwner(worker, 'a', before)!.entry
+    counts.set(owner, (counts.get(owner) ?? 0) + 1)
+    const next = chooseOwner(worker, 'a', after)!.entry
+    if (next === owner) continue
+    moved += 1
+    assert.is(next, 'e4')
+  }
+  for (const count of counts.values()) assert.ok(Math.abs(count - 247) < 60, String(count))
+  assert.ok(moved > 140 && moved < 260, String(moved))
+})
+
+test('the order of candidates does not matter, and other domains only help out', () => {
+  fc.assert(fc.property(fc.string(), fc.shuffledSubarray([...listEntries(6), ...listEntries(3, 'b').map((e) => ({ ...e, entry: `b${e.entry}` }))]), (worker, candidates) => {
+    const chosen = chooseOwner(worker, 'a', candidates)
+    assert.equal(chooseOwner(worker, 'a', [...candidates].reverse()), chosen)
+    const hasLocal = candidates.some(({ failureDomain }) => failureDomain === 'a')
+    if (hasLocal) assert.is(chosen?.failureDomain, 'a')
+    assert.is(chosen === null, candidates.length === 0)
+  }), { seed: 13, numRuns: 1_000 })
+})
+
+test('every owner since the last contact stays listed, and epochs only grow', () => {
+  const event = fc.record({ owner: fc.constantFrom('x', 'y', 'z'), contact: fc.boolean() })
+  fc.assert(fc.property(fc.array(event, { maxLength: 30 }), (events) => {
+    let row: OwnerRow | null = null
+    let open = new Set<string>()
+    for (const { owner, contact } of events) {
+      const next: OwnerRow = buildOwnerRow(row, owner)
+      assert.ok(next.epoch > (row?.epoch ?? 0))
+      open.add(owner)
+      row = contact ? { ...next, unfenced: [] } : next
+      if (contact) open = new Set([owner])
+      for (const name of ['x', 'y', 'z']) assert.is(hasUnfenced(row, name), open.has(name))
+    }
+  }), { seed: 14, numRuns: 1_000 })
+})
+
+test.run()
