--- a/packages/entry/src/process/entry.ts
+++ b/packages/entry/src/process/entry.ts
@@ -100,7 +100,7 @@
     isLeaving: () => leaving
   }))
   const liaison = store.add(createWorkerLiaison({
-    incarnation: sessions.incarnation,
+    sessions,
     clock,
     random,
     log: events,
