A deposed term of the scheduler sends nothing more

Cause: after a commit found the role lost, the next cycle had no changed rows, counted as committed and sent the assignments that were never recorded. Only the owner of the term disposing it at once kept that from happening. Ruled out: relying on the caller. Conclusion: an assignment leaves this entry only when the table records it.

--- a/packages/entry/src/job/schedulerTask.ts
+++ b/packages/entry/src/job/schedulerTask.ts
@@ -75,6 +75,11 @@
   let workersAppliedMs = -Infinity
   const committer = createStateCommitter({ ...options, isDisposed: () => disposed })
 
+  const dispose = (): void => {
+    disposed = true
+    disposables.dispose()
+  }
+
   const applyNews = (news: FeedNews): void => {
     const nowMs = clock.nowMs()
     for (const job of news.newJobs) {
@@ -186,6 +191,8 @@
     const outcome = await commitDecisions()
     if (disposed) return
     if (outcome === 'deposed') {
+      // What was decided is not in the table and must never be sent.
+      dispose()
       options.onDeposed()
       return
     }
@@ -227,10 +234,7 @@
       loop.wake()
     },
     readScheduler: () => loaded ? scheduler : null,
-    dispose: () => {
-      disposed = true
-      disposables.dispose()
-    }
+    dispose
   }
 }
 
