--- /dev/null
+++ b/packages/standins/src/httpStandin.ts
@@ -0,0 +1,64 @@
+/** HTTP listeners of the stand-ins, and small calls to them. */
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import type { AddressInfo } from 'node:net'
+
+/** A listener on a loopback port of its own. */
+export interface Listener {
+  /** `127.0.0.1:port`. */
+  readonly address: string
+  readonly server: Server
+  readonly stop: () => Promise<void>
+}
+
+/** Answers one request whose body has arrived. */
+export type Handle = (request: IncomingMessage, body: Buffer, response: ServerResponse) => void | Promise<void>
+
+const KEEP_ALIVE_MS = 30_000
+const MAX_BODY_BYTES = 64 * 1024 * 1024
+
+/** Starts a listener on a free port. */
+export async function startListener (handle: Handle): Promise<Listener> {
+  const server = createServer((request, response) => {
+    request.on('error', () => {})
+    response.on('error', () => {})
+    readBody(request)
+      .then((body) => handle(request, body, response))
+      .catch(() => request.socket.destroy())
+  })
+  server.keepAliveTimeout = KEEP_ALIVE_MS
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
+  return {
+    address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
+    server,
+    stop: () => new Promise((resolve) => {
+      server.close(() => resolve())
+      server.closeAllConnections()
+    })
+  }
+}
+
+async function readBody (request: IncomingMessage): Promise<Buffer> {
+  const chunks: Buffer[] = []
+  let size = 0
+  for await (const chunk of request) {
+    size += (chunk as Buffer).length
+    if (size > MAX_BODY_BYTES) throw new Error('body too large')
+    chunks.push(chunk as Buffer)
+  }
+  return Buffer.concat(chunks)
+}
+
+/** Sends an answer with a JSON body. */
+export function sendJson (response: ServerResponse, status: number, value: unknown): void {
+  const body = Buffer.from(JSON.stringify(value))
+  response.writeHead(status, { 'content-type': 'application/json', 'content-length': body.length })
+  response.end(body)
+}
+
+/** Calls a stand-in's control interface. */
+export async function callControl<T> (address: string, path: string, value?: unknown): Promise<T> {
+  const init = value === undefined ? {} : { method: 'POST', body: JSON.stringify(value) }
+  const answer = await fetch(`http://${address}${path}`, init)
+  if (!answer.ok) throw new Error(`${path} at ${address} answered ${answer.status}: ${await answer.text()}`)
+  return await answer.json() as T
+}
--- /dev/null
+++ b/packages/standins/src/platformServer.ts
@@ -0,0 +1,146 @@
+/** Stand-in of the platform: table, object store and VM list over HTTP, with faults switched by `POST /control`. */
+import type { ServerResponse } from 'node:http'
+import { setTimeout as wait } from 'node:timers/promises'
+import { type Clock, createDecoder, type Random, TableQuery, Transaction, Vm } from '@fuchsiatally/core'
+import { createSystemRandom } from '@fuchsiatally/core/testing/systemClock'
+import { createPlatformFaults, type PlatformFaults } from '@fuchsiatally/platform/testing/platformFaults'
+import { createTableModel, type TableModel } from '@fuchsiatally/platform/testing/tableModel'
+import * as Schema from 'effect/Schema'
+import { sendJson, startListener } from './httpStandin.js'
+import { createProcessClock } from './processClock.js'
+import { createRateLimit } from './rateLimit.js'
+
+export interface PlatformServerOptions {
+  /** Transactions a second; default 400. */
+  readonly writesPerS?: number
+  /** Reads a second; default 2000. */
+  readonly readsPerS?: number
+  /** Time by which the VM list lags; default 1000. */
+  readonly vmLagMs?: number
+}
+
+/** Body of `POST /control`: switches to change and VMs to set. */
+export interface PlatformControl {
+  readonly faults?: Partial<PlatformFaults>
+  readonly vms?: readonly Vm[]
+  /** Whether the VMs show at once instead of after the lag. */
+  readonly atOnce?: boolean
+}
+
+/** Answer of `GET /counts`. */
+export interface PlatformCounts {
+  readonly transactions: number
+  readonly reads: number
+  readonly limited: number
+  readonly lostAnswers: number
+}
+
+export interface PlatformServer {
+  readonly address: string
+  readonly model: TableModel
+  readonly faults: PlatformFaults
+  readonly stop: () => Promise<void>
+}
+
+const SNAPSHOT_INTERVAL_MS = 2000
+const decodeTransaction = createDecoder(Transaction)
+const decodeQuery = createDecoder(TableQuery)
+const decodeVms = createDecoder(Schema.Array(Vm))
+
+/** Starts the platform on a free loopback port. */
+export async function startPlatformServer (options: PlatformServerOptions = {}): Promise<PlatformServer> {
+  const clock: Clock = createProcessClock()
+  const random: Random = createSystemRandom()
+  const model = createTableModel()
+  const faults = createPlatformFaults()
+  const counts = { transactions: 0, reads: 0, limited: 0, lostAnswers: 0 }
+  const takeWrite = createRateLimit(clock, options.writesPerS ?? 400)
+  const takeRead = createRateLimit(clock, options.readsPerS ?? 2000)
+  let snapshot = model.createSnapshot()
+  const snapshots = setInterval(() => { snapshot = model.createSnapshot() }, SNAPSHOT_INTERVAL_MS)
+  const isLucky = (rate: number): boolean => rate > 0 && random.nextFloat() < rate
+
+  const applyTransaction = async (body: Buffer, response: ServerResponse): Promise<void> => {
+    const transaction = decodeTransaction(JSON.parse(body.toString()))
+    if (transaction.isErr()) return sendJson(response, 400, { message: transaction.error.message })
+    counts.transactions += 1
+    if (isLucky(faults.lateEffectRate)) {
+      setTimeout(() => model.transact(transaction.value), faults.lateEffectMs)
+      return
+    }
+    const report = model.transact(transaction.value)
+    if (isLucky(faults.lostAnswerRate)) {
+      counts.lostAnswers += 1
+      response.socket?.destroy()
+      return
+    }
+    await wait(faults.delayMs)
+    sendJson(response, report.outcome === 'applied' ? 200 : 409, report)
+  }
+
+  const answerRead = async (body: Buffer, response: ServerResponse): Promise<void> => {
+    const query = decodeQuery(JSON.parse(body.toString()))
+    if (query.isErr()) return sendJson(response, 400, { message: query.error.message })
+    counts.reads += 1
+    const answer = (isLucky(faults.staleReadRate) ? snapshot : model).read(query.value)
+    await wait(faults.delayMs)
+    sendJson(response, 200, answer)
+  }
+
+  const handleObject = (method: string, key: string, body: Buffer, response: ServerResponse): void => {
+    if (method === 'PUT') {
+      model.putObject(key, body)
+      response.writeHead(204).end()
+      return
+    }
+    const found = model.getObject(key)
+    if (found === null) response.writeHead(404).end()
+    else response.writeHead(200, { 'content-length': found.byteLength }).end(found)
+  }
+
+  const applyControl = (body: Buffer, response: ServerResponse): void => {
+    const control = JSON.parse(body.toString()) as PlatformControl
+    Object.assign(faults, control.faults)
+    const vms = decodeVms(control.vms ?? [])
+    if (vms.isErr()) return sendJson(response, 400, { message: vms.error.message })
+    const setVms = (): void => { for (const vm of vms.value) model.setVm(vm) }
+    if (control.atOnce === true) setVms()
+    else setTimeout(setVms, options.vmLagMs ?? 1000)
+    sendJson(response, 200, { faults })
+  }
+
+  const handlePlatformCall = async (method: string, path: string, body: Buffer, response: ServerResponse): Promise<void> => {
+    if (faults.silent) return
+    if (faults.outage) {
+      response.socket?.destroy()
+      return
+    }
+    const isWrite = path === '/table/transact' || method === 'PUT'
+    if (faults.rateLimited || !(isWrite ? takeWrite() : takeRead())) {
+      counts.limited += 1
+      return sendJson(response, 429, { message: 'too many calls' })
+    }
+    await wait(faults.delayMs)
+    if (path === '/table/transact') return await applyTransaction(body, response)
+    if (path === '/table/read') return await answerRead(body, response)
+    if (path === '/vms') return sendJson(response, 200, { vms: model.listVms() })
+    if (path.startsWith('/objects/')) return handleObject(method, path.slice('/objects/'.length), body, response)
+    sendJson(response, 404, { message: 'no such path' })
+  }
+
+  const listener = await startListener(async (request, body, response) => {
+    const path = request.url ?? ''
+    if (path === '/control') return applyControl(body, response)
+    if (path === '/counts') return sendJson(response, 200, counts)
+    await handlePlatformCall(request.method ?? '', path, body, response)
+  })
+  return {
+    address: listener.address,
+    model,
+    faults,
+    stop: () => {
+      clearInterval(snapshots)
+      return listener.stop()
+    }
+  }
+}
--- /dev/null
+++ b/packages/standins/src/tools/platformStandin.ts
@@ -0,0 +1,7 @@
+/** Process of the platform's stand-in; the first argument holds its options as JSON. */
+import { type PlatformServerOptions, startPlatformServer } from '../platformServer.js'
+import { endWithParent, readOptions, reportReady } from '../standinProcess.js'
+
+const server = await startPlatformServer(readOptions<PlatformServerOptions>())
+endWithParent(server.stop)
+reportReady({ address: server.address })
