Cluster of real processes: platform, workers and entries on loopback

A deployment starts as one platform process, one process that hosts all its workers, and one fuchsiatallyd for each entry with generated TOML settings on free ports. Each process is ended by its own id.

--- /dev/null
+++ b/packages/standins/src/cluster.ts
@@ -0,0 +1,137 @@
+/** A deployment as running processes: platform stand-in, worker stand-ins and entries. */
+import { createHash, randomBytes } from 'node:crypto'
+import { mkdtempSync, rmSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { setTimeout as wait } from 'node:timers/promises'
+import type { Vm } from '@fuchsiatally/core'
+import { type Child, startChild } from './childProcess.js'
+import type { Deployment } from './deployment.js'
+import { type EntryProcess, startEntryProcess } from './entryProcess.js'
+import { callControl } from './httpStandin.js'
+import type { PlatformControl, PlatformServerOptions } from './platformServer.js'
+import type { WorkerRecords } from './records.js'
+import type { WorkerControl } from './workerHost.js'
+
+export interface ClusterOptions {
+  readonly deployment: Deployment
+  /** Default: the platform's usual limits. */
+  readonly platform?: PlatformServerOptions
+  /** Default `info`. */
+  readonly logLevel?: 'debug' | 'info'
+}
+
+export interface Cluster {
+  readonly deployment: Deployment
+  readonly operatorKey: string
+  readonly platformAddress: string
+  /** Entries by position; a killed one stays until `startEntry` replaces it. */
+  readonly entries: EntryProcess[]
+  readonly vms: readonly Vm[]
+  readonly startEntry: (index: number) => Promise<EntryProcess>
+  readonly controlPlatform: (control: PlatformControl) => Promise<void>
+  readonly controlWorker: (control: WorkerControl) => Promise<void>
+  readonly readRecords: () => Promise<WorkerRecords>
+  /** Ends every process by its id: entries by SIGTERM first. Returns the names of those that had to be killed. */
+  readonly stop: () => Promise<string[]>
+}
+
+const STOP_WITHIN_MS = 8000
+const READY_WITHIN_MS = 30_000
+const POLL_MS = 100
+const OPERATOR_KEY_BYTES = 24
+
+/** Starts all processes of a deployment and applies its manifest. */
+export async function startCluster (options: ClusterOptions): Promise<Cluster> {
+  const { deployment } = options
+  const directory = mkdtempSync(join(tmpdir(), `fuchsiatally-${deployment.cell}-`))
+  const operatorKey = randomBytes(OPERATOR_KEY_BYTES).toString('hex')
+  const platform = startTool('platformStandin', [JSON.stringify(options.platform ?? {})])
+  const host = startTool('workerStandin', [], JSON.stringify(deployment.workers) + '\n')
+  const { address: platformAddress } = await readReady<{ address: string }>(platform)
+  const { controlAddress, vms } = await readReady<{ controlAddress: string, vms: Vm[] }>(host)
+  await callControl(platformAddress, '/control', { vms, atOnce: true })
+
+  const startEntryAt = (index: number): Promise<EntryProcess> => startEntryProcess({
+    name: `${deployment.cell}-e${index}`,
+    failureDomain: deployment.entryDomains[index]!,
+    cell: deployment.cell,
+    platformAddress,
+    operatorKeySha256: createHash('sha256').update(operatorKey).digest('hex'),
+    directory,
+    logLevel: options.logLevel ?? 'info'
+  })
+  const entries = await Promise.all(deployment.entryDomains.map((_, index) => startEntryAt(index)))
+  await applyManifest(entries[0]!, operatorKey, deployment)
+  for (const entry of entries) await waitUntilReady(entry)
+
+  return {
+    deployment,
+    operatorKey,
+    platformAddress,
+    entries,
+    vms,
+    startEntry: async (index) => {
+      const entry = await startEntryAt(index)
+      entries[index] = entry
+      await waitUntilReady(entry)
+      return entry
+    },
+    controlPlatform: async (control) => { await callControl(platformAddress, '/control', control) },
+    controlWorker: async (control) => { await callControl(controlAddress, '/control', control) },
+    readRecords: () => callControl<WorkerRecords>(controlAddress, '/records'),
+    stop: async () => {
+      const killed = await Promise.all(entries.map(async ({ name, child }) => {
+        child.sendSignal('SIGCONT')
+        const wasRunning = !child.hasEnded()
+        const end = await child.stop('SIGTERM', STOP_WITHIN_MS)
+        return wasRunning && end.code !== 0 ? [name] : []
+      }))
+      await Promise.all([platform, host].map((child) => child.stop('SIGTERM', STOP_WITHIN_MS)))
+      rmSync(directory, { recursive: true, force: true })
+      return killed.flat()
+    }
+  }
+}
+
+/** Waits until a condition holds; `false` if it does not in time. */
+export async function waitFor (condition: () => boolean | Promise<boolean>, withinMs: number): Promise<boolean> {
+  const deadline = performance.now() + withinMs
+  while (performance.now() < deadline) {
+    if (await condition()) return true
+    await wait(POLL_MS)
+  }
+  return false
+}
+
+/** Whether the balancer may send callers to an entry. */
+export async function isReady (entry: EntryProcess): Promise<boolean> {
+  try {
+    return (await fetch(`http://${entry.httpAddress}/readyz`, { signal: AbortSignal.timeout(1000) })).ok
+  } catch {
+    return false
+  }
+}
+
+async function waitUntilReady (entry: EntryProcess): Promise<void> {
+  if (await waitFor(() => isReady(entry), READY_WITHIN_MS)) return
+  throw new Error(`${entry.name} is not ready within ${READY_WITHIN_MS} ms:\n${entry.child.listTail().join('\n')}`)
+}
+
+async function applyManifest (entry: EntryProcess, operatorKey: string, deployment: Deployment): Promise<void> {
+  const answer = await fetch(`http://${entry.httpAddress}/v1/config`, {
+    method: 'PUT',
+    headers: { authorization: `Bearer ${operatorKey}`, 'content-type': 'application/json' },
+    body: JSON.stringify({ manifest: deployment.manifest, expectedVersion: 0 })
+  })
+  if (!answer.ok) throw new Error(`manifest refused with ${answer.status}: ${await answer.text()}`)
+}
+
+function startTool (name: string, args: readonly string[], input?: string): Child {
+  const script = join(import.meta.dirname, 'tools', `${name}.js`)
+  return startChild({ name, args: [script, ...args], ...(input === undefined ? {} : { input }) })
+}
+
+function readReady<T> (child: Child): Promise<T> {
+  return child.waitForLine((line) => line.startsWith('{') ? JSON.parse(line) as T : undefined)
+}
