Ceilings across entries: tests of death, lowering, outage and stranded parts

A donor gave half of its free part at most, which took 2240 ms of the fake clock until a team alone at one of three entries held its whole ceiling of 12 there.

--- a/packages/entry/src/contract/allotmentTask.ts
+++ b/packages/entry/src/contract/allotmentTask.ts
@@ -14,6 +14,8 @@
 const STARVED_READ_INTERVAL_MS = 200
 /** How long a peer's demand stands without being renewed. */
 const DEMAND_LIFETIME_MS = 2500
+/** Window in which the use of a part is watched before the unused rest is given away. */
+const PEAK_WINDOW_MS = 1000
 /** Least time between two gifts to the same peer for one team. */
 const GIVE_INTERVAL_MS = 300
 /** An owner that lost contact sends nothing for longer than this; beside the longest exchange. */
@@ -62,6 +64,8 @@
 
 interface TeamState {
   readonly allotment: Allotment
+  /** Most exchanges in flight in this and the last window: what is kept when a peer asks. */
+  readonly peak: { current: number, last: number, sinceMs: number }
   readonly demands: Map<string, Demand>
   readonly gaveMs: Map<string, number>
   transaction: Transaction | null
@@ -87,7 +91,12 @@
     const known = teams.get(team)
     if (known !== undefined) return known
     const state: TeamState = {
-      allotment: createAllotment(incarnation), demands: new Map(), gaveMs: new Map(), transaction: null, running: false
+      allotment: createAllotment(incarnation),
+      peak: { current: 0, last: 0, sinceMs: clock.nowMs() },
+      demands: new Map(),
+      gaveMs: new Map(),
+      transaction: null,
+      running: false
     }
     teams.set(team, state)
     return state
@@ -149,17 +158,37 @@
     return countFirstShare(ceiling ?? 0)
   }
 
+  const updatePeak = (state: TeamState): void => {
+    const { peak, allotment } = state
+    const elapsedMs = clock.nowMs() - peak.sinceMs
+    if (elapsedMs >= PEAK_WINDOW_MS) {
+      peak.last = elapsedMs >= 2 * PEAK_WINDOW_MS ? 0 : peak.current
+      peak.current = 0
+      peak.sinceMs = clock.nowMs()
+    }
+    peak.current = Math.max(peak.current, allotment.countInUse())
+  }
+
+  /** Free exchanges beyond what was used here of late. */
+  const countSpare = (state: TeamState): number => {
+    updatePeak(state)
+    const kept = Math.max(state.peak.current, state.peak.last) - state.allotment.countInUse()
+    return Math.max(0, state.allotment.countFree() - kept)
+  }
+
   const collectGives = (state: TeamState): { incarnation: string, amount: number }[] => {
     const gives = []
     const nowMs = clock.nowMs()
-    const most = Math.ceil(state.allotment.countFree() / 2)
+    let spare = countSpare(state)
     for (const [peer, demand] of state.demands) {
       if (nowMs - demand.receivedMs > DEMAND_LIFETIME_MS || sessions.isGone(peer)) {
         state.demands.delete(peer)
         continue
       }
       if (nowMs - (state.gaveMs.get(peer) ?? -Infinity) < GIVE_INTERVAL_MS) continue
-      gives.push({ incarnation: peer, amount: Math.min(most, demand.waiting) })
+      const amount = Math.min(spare, demand.waiting)
+      if (amount > 0) gives.push({ incarnation: peer, amount })
+      spare -= amount
     }
     return gives
   }
@@ -224,7 +253,12 @@
   store.add(startInterval(clock, options.random, STEP_INTERVAL_MS, 0.2, step))
 
   return {
-    charge: (team) => teams.get(team)?.allotment.charge() ?? false,
+    charge: (team) => {
+      const state = teams.get(team)
+      if (state?.allotment.charge() !== true) return false
+      updatePeak(state)
+      return true
+    },
     release: (team) => { getTeam(team).allotment.release() },
     countFree: (team) => teams.get(team)?.allotment.countFree() ?? 0,
     countPart: (team) => teams.get(team)?.allotment.countPart() ?? 0,
--- /dev/null
+++ b/packages/entry/src/request/__tests__/requestAllotments.spec.ts
@@ -0,0 +1,103 @@
+/** Ceilings on requests across entries: death, lowering under load, outage, and parts at the wrong entries. */
+import { test } from 'uvu'
+import * as assert from 'uvu/assert'
+import { createRequestCluster, createTeam, readOutcome, type RequestCluster } from '../../testing/requestCluster.js'
+
+const CEILING = 12
+
+async function createCluster (seed: number, ceiling = CEILING): Promise<RequestCluster> {
+  const cluster = createRequestCluster({
+    domains: ['a', 'a', 'b'], workersPerEntry: 2, teams: [createTeam('a', ceiling)], seed, timeoutMs: 2000
+  })
+  await cluster.clock.runFor(2000)
+  return cluster
+}
+
+/** Sends requests at one entry and forgets them. */
+function sendMany (cluster: RequestCluster, entry: number, count: number, headers: Record<string, string>): void {
+  for (let sent = 0; sent < count; sent += 1) cluster.sendRequest(entry, { team: 'a', headers }).catch(() => {})
+}
+
+/** Keeps load on an entry for a while; returns the most and the last number in flight. */
+async function runLoad (cluster: RequestCluster, entry: number, ms: number, workMs: number): Promise<{ most: number, last: number }> {
+  let most = 0
+  for (let elapsed = 0; elapsed < ms; elapsed += 20) {
+    sendMany(cluster, entry, 2, { 'x-work-ms': String(workMs) })
+    await cluster.clock.runFor(20)
+    most = Math.max(most, cluster.endpoints.countInFlight('a'))
+    assert.ok(most <= CEILING, `${most} in flight`)
+  }
+  return { most, last: cluster.endpoints.countInFlight('a') }
+}
+
+test('the part of a dead entry returns only after its exchanges have ended, and then it returns', async () => {
+  const cluster = await createCluster(1)
+  // The dead entry leaves all of its part in exchanges that last as long as any may.
+  sendMany(cluster, 0, 40, { 'x-behaviour': 'silent' })
+  await cluster.clock.runFor(100)
+  cluster.stopEntry(0)
+  await runLoad(cluster, 1, 4000, 300)
+  const { most } = await runLoad(cluster, 1, 6000, 300)
+  assert.is(most, CEILING)
+  cluster.dispose()
+})
+
+test('a ceiling lowered under full load is met as work ends, and raised again it is used', async () => {
+  const cluster = await createCluster(2)
+  assert.is((await runLoad(cluster, 0, 3000, 400)).last, CEILING)
+  cluster.setCeiling('a', 4)
+  await runLoad(cluster, 0, 800, 400)
+  assert.ok((await runLoad(cluster, 0, 1500, 400)).most <= 4)
+  cluster.setCeiling('a', CEILING)
+  assert.is((await runLoad(cluster, 0, 3000, 400)).last, CEILING)
+  cluster.dispose()
+})
+
+test('without the table parts stay where they are and keep their limit; lost answers strand nothing for good', async () => {
+  const cluster = await createCluster(3)
+  cluster.faults.outage = true
+  cluster.setContact(1, false)
+  cluster.setContact(2, false)
+  const cutOff = await runLoad(cluster, 0, 2000, 300)
+  assert.is(cutOff.most, CEILING / 3)
+  cluster.faults.outage = false
+  cluster.faults.lostAnswerRate = 0.5
+  await runLoad(cluster, 0, 8000, 300)
+  cluster.faults.lostAnswerRate = 0
+  assert.is((await runLoad(cluster, 0, 8000, 300)).most, CEILING)
+  cluster.dispose()
+})
+
+test('a planned stop waits for what is in flight and gives its part up', async () => {
+  const cluster = await createCluster(4)
+  const response = cluster.sendRequest(0, { team: 'a', headers: { 'x-work-ms': '1000' } })
+  await cluster.clock.runFor(10)
+  let drained = false
+  const draining = cluster.entries[0]!.service.drain().then(() => { drained = true })
+  await cluster.clock.runFor(500)
+  assert.not(drained)
+  assert.equal(cluster.entries[0]!.service.listFreeSlots(), [])
+  await cluster.clock.runFor(1500)
+  assert.is(readOutcome(await response), 'completed')
+  await draining
+  cluster.stopEntry(0)
+  assert.is((await runLoad(cluster, 1, 2000, 300)).most, CEILING)
+  cluster.dispose()
+})
+
+test('the team that is alone at one entry soon has the whole ceiling there', async () => {
+  const cluster = await createCluster(5)
+  cluster.setContact(1, false)
+  cluster.setContact(2, false)
+  const startMs = cluster.clock.nowMs()
+  let stranded = CEILING
+  for (let rounds = 0; stranded > 0 && rounds < 200; rounds += 1) {
+    const { last } = await runLoad(cluster, 0, 40, 400)
+    if (rounds === 0 || last !== CEILING - stranded) console.log(`stranded ${CEILING - last} after ${cluster.clock.nowMs() - startMs} ms`)
+    stranded = CEILING - last
+  }
+  assert.is(stranded, 0)
+  cluster.dispose()
+})
+
+test.run()
