--- a/packages/cli/src/commands/operators.ts
+++ b/packages/cli/src/commands/operators.ts
@@ -111,7 +111,7 @@
 
 export const drain: Command<{ readonly vm: string, readonly undo: boolean }> = {
   usage: 'drain <vm>',
-  description: 'Give a worker VM no new work; what runs there is stopped by checkpoint or ends',
+  description: 'Give a worker VM no new work; what runs there goes on to its end',
   examples: [['$0 drain w-matching-07', 'before a replacement'], ['$0 drain w-matching-07 --undo', 'take it back into use']],
   build: (argv) => argv
     .positional('vm', { type: 'string', demandOption: true, describe: 'id of the VM' })
