--- a/packages/core/src/job/lane.ts
+++ b/packages/core/src/job/lane.ts
@@ -1,5 +1,6 @@
 /** Queues of a team: waiting jobs whose tasks are alike stand in one lane and wait for the same room. */
 import type { Amounts } from '../vm/amounts.js'
+import type { IndexQuery } from '../vm/placementIndex.js'
 import type { TeamEntry } from '../team/teamEntry.js'
 import type { JobEntry } from './jobEntry.js'
 
@@ -7,9 +8,14 @@
 export interface Shape {
   readonly key: string
   readonly need: Amounts
+  readonly query: IndexQuery
   readonly pool: string | undefined
   /** No worker outside reservations has room; cleared when one of them frees enough. */
   blocked: boolean
+  /** Grows when a worker with reservations may have room for a task beside what is held. */
+  besideVersion: number
+  /** Grows when a worker with reservations may have room for a task within what is held. */
+  withinVersion: number
   /** Whether a worker without accelerators could hold a task if it were empty. */
   fitsPlain: boolean
   /** Version of the set of workers that `fitsPlain` was computed for. */
@@ -27,8 +33,9 @@
   readonly gang: boolean
   /** Ordered by acceptance, then id. */
   readonly jobs: JobEntry[]
-  /** Version of the reservations at which no backfill was possible; -1 if not tried. */
-  backfillTriedAt: number
+  /** The shape's `besideVersion` and `withinVersion` at which no backfill was possible; -1 if not tried. */
+  besideTriedAt: number
+  withinTriedAt: number
   /** Releases of the team at which its ceiling left no room; -1 if it did. */
   ceilingTriedAt: number
   /** Monotonic time before which a gang is not tried again. */
@@ -77,7 +84,8 @@
     urgent,
     gang,
     jobs: [],
-    backfillTriedAt: -1,
+    besideTriedAt: -1,
+    withinTriedAt: -1,
     ceilingTriedAt: -1,
     retryAtMs: 0,
     blockedSinceMs: Infinity
