--- a/packages/cli/src/__tests__/runCli.spec.ts
+++ b/packages/cli/src/__tests__/runCli.spec.ts
@@ -3,6 +3,7 @@
 import { createServer, type IncomingMessage } from 'node:http'
 import type { AddressInfo } from 'node:net'
 import fc from 'fast-check'
+import { resolveFuzzOptions } from '@fuchsiatally/core/testing/fuzzOptions'
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
 import { EXIT_CODES, runCli } from '../index.js'
@@ -140,7 +141,7 @@
   await fc.assert(fc.asyncProperty(words, async (argv) => {
     const known: readonly number[] = Object.values(EXIT_CODES)
     assert.ok(known.includes(await runCli([...argv, '--timeout', '2'], streams)))
-  }), { seed: 20260105, numRuns: 200 })
+  }), resolveFuzzOptions(20260105, 200))
 })
 
 test('the docs list every exit code', () => {
--- a/packages/core/src/contract/__tests__/allotment.spec.ts
+++ b/packages/core/src/contract/__tests__/allotment.spec.ts
@@ -1,5 +1,6 @@
 /** Holders of a ceiling's parts against a table with lost, late and stale answers. */
 import fc from 'fast-check'
+import { resolveFuzzOptions } from '../../testing/fuzzOptions.js'
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
 import { createAllotment, sumParts, type Allotment, type AllotmentPlan, type AllotmentRow } from '../../index.js'
@@ -120,7 +121,7 @@
       world.checkCovered(step)
       assert.ok(sumParts(world.table.row ?? { configVersion: 0, ceiling: 0, parts: {} }) <= FIRST_CEILING)
     }
-  }), { seed: 501, numRuns: 3000 })
+  }), resolveFuzzOptions(501, 3000))
 })
 
 test('a lowered ceiling never lets the parts grow above it, and is met once work has ended', () => {
@@ -147,7 +148,7 @@
     }
     if (world.holders.every((holder) => holder.dead) || world.table.row === null) return
     assert.ok(sumParts(world.table.row) <= world.config.ceiling, JSON.stringify(world.table.row))
-  }), { seed: 502, numRuns: 1500 })
+  }), resolveFuzzOptions(502, 1500))
 })
 
 test('while the table is down each holder keeps to its proportion of a lowered ceiling', () => {
--- a/packages/core/src/contract/__tests__/configView.spec.ts
+++ b/packages/core/src/contract/__tests__/configView.spec.ts
@@ -1,5 +1,6 @@
 /** The view never goes back and trusts no evidence below what it has heard. */
 import fc from 'fast-check'
+import { resolveFuzzOptions } from '../../testing/fuzzOptions.js'
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
 import { CONFIG_FRESH_MS, createConfigView, type ConfigDocument } from '../../index.js'
@@ -40,7 +41,7 @@
       const evidence = steps.filter((next) => next.kind === 'current').map((next) => next.atMs)
       assert.ok(evidence.some((atMs) => nowMs - atMs < CONFIG_FRESH_MS))
     }
-  }), { seed: 20260105, numRuns: 500 })
+  }), resolveFuzzOptions(20260105, 500))
 })
 
 test('evidence for a version that is not here yet counts from its own time once it is', () => {
--- a/packages/core/src/contract/__tests__/lease.spec.ts
+++ b/packages/core/src/contract/__tests__/lease.spec.ts
@@ -1,5 +1,6 @@
 /** A lease that its owner holds for lapsed has lapsed at the worker, whatever is late, lost or doubled. */
 import * as fc from 'fast-check'
+import { resolveFuzzOptions } from '../../testing/fuzzOptions.js'
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
 import { createLeaseTracker, hasRightToExtend, isLapsedForCertain } from '../lease.js'
@@ -67,7 +68,7 @@
       lapses += 1
       assert.ok(world.isLapsedAtWorker())
     }
-  }), { seed: 12, numRuns: 20_000 })
+  }), resolveFuzzOptions(12, 20_000))
   assert.ok(lapses > 1_000)
 })
 
--- a/packages/core/src/contract/__tests__/ownership.spec.ts
+++ b/packages/core/src/contract/__tests__/ownership.spec.ts
@@ -1,5 +1,6 @@
 /** Placement of workers on owners, and rows that never lose an owner who was not shut out. */
 import * as fc from 'fast-check'
+import { resolveFuzzOptions } from '../../testing/fuzzOptions.js'
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
 import { buildOwnerRow, chooseOwner, hasUnfenced, type OwnerCandidate, type OwnerRow } from '../ownership.js'
@@ -32,7 +33,7 @@
     const hasLocal = candidates.some(({ failureDomain }) => failureDomain === 'a')
     if (hasLocal) assert.is(chosen?.failureDomain, 'a')
     assert.is(chosen === null, candidates.length === 0)
-  }), { seed: 13, numRuns: 1_000 })
+  }), resolveFuzzOptions(13, 1_000))
 })
 
 test('every owner since the last contact stays listed, and epochs only grow', () => {
@@ -48,7 +49,7 @@
       if (contact) open = new Set([owner])
       for (const name of ['x', 'y', 'z']) assert.is(hasUnfenced(row, name), open.has(name))
     }
-  }), { seed: 14, numRuns: 1_000 })
+  }), resolveFuzzOptions(14, 1_000))
 })
 
 test.run()
--- a/packages/core/src/contract/__tests__/session.spec.ts
+++ b/packages/core/src/contract/__tests__/session.spec.ts
@@ -1,5 +1,6 @@
 /** An observer holds a session for expired only when its holder does too, whatever is late, lost or repeated. */
 import * as fc from 'fast-check'
+import { resolveFuzzOptions } from '../../testing/fuzzOptions.js'
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
 import { createSessionHolder, createSessionObserver, type SessionRow } from '../session.js'
@@ -85,7 +86,7 @@
       takeovers += 1
       assert.not.ok(world.isValid())
     }
-  }), { seed: 11, numRuns: 20_000 })
+  }), resolveFuzzOptions(11, 20_000))
   assert.ok(takeovers > 1_000)
 })
 
--- a/packages/core/src/job/__tests__/cellScheduler.spec.ts
+++ b/packages/core/src/job/__tests__/cellScheduler.spec.ts
@@ -1,5 +1,6 @@
 /** Properties of the scheduler under any order of events, against the oracle of the small world. */
 import fc from 'fast-check'
+import { resolveFuzzOptions } from '../../testing/fuzzOptions.js'
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
 import type { JobRow, JobSpec } from '../../schema/job.js'
@@ -99,7 +100,7 @@
       runStep(world, step)
       world.checkAll()
     }
-  }), { seed: 41, numRuns: 400 })
+  }), resolveFuzzOptions(41, 400))
 })
 
 test('equal calls give equal results', () => {
@@ -109,7 +110,7 @@
       assert.equal(runStep(first, step), runStep(second, step))
       assert.equal(first.scheduler.takeChangedJobs(), second.scheduler.takeChangedJobs())
     }
-  }), { seed: 42, numRuns: 100 })
+  }), resolveFuzzOptions(42, 100))
 })
 
 test('only jobs that are reported as changed have changed state', () => {
@@ -124,7 +125,7 @@
         if (!changed.has(id)) assert.equal(world.scheduler.readJobState(id), state, `${id} changed unreported`)
       }
     }
-  }), { seed: 43, numRuns: 100 })
+  }), resolveFuzzOptions(43, 100))
 })
 
 test('every task of a feasible job ends when workers keep working', () => {
@@ -140,7 +141,7 @@
       const { phase } = world.scheduler.readJobState(id)!
       assert.ok(['completed', 'failed', 'cancelled'].includes(phase), `${id} ${phase}: ${world.scheduler.explainJob(id, world.nowMs)?.summary}`)
     }
-  }), { seed: 44, numRuns: 150 })
+  }), resolveFuzzOptions(44, 150))
 })
 
 /** All workers obey; each ends its oldest attempt; small jobs keep arriving and compete for the room. */
--- a/packages/core/src/job/turns.ts
+++ b/packages/core/src/job/turns.ts
@@ -15,7 +15,7 @@
   const heap: TeamEntry[] = []
   const orders: number[] = []
 
-  const moveDown = (): void => {
+  const updateHeap = (): void => {
     let parent = 0
     const team = heap[0]!
     const order = orders[0]!
@@ -53,7 +53,7 @@
     if (heap.length === 0) return
     heap[0] = team
     orders[0] = order
-    moveDown()
+    updateHeap()
   }
 
   for (const team of state.teams.listTeams()) {
@@ -65,7 +65,7 @@
     chooseLane: () => {
       if (last && heap[0] === last) {
         orders[0] = computeTeamOrder(last, state.nowMs)
-        moveDown()
+        updateHeap()
       }
       while (heap.length > 0) {
         const team = heap[0]!
--- a/packages/core/src/manifest/__tests__/manifest.spec.ts
+++ b/packages/core/src/manifest/__tests__/manifest.spec.ts
@@ -1,6 +1,7 @@
 /** Reading, comparing and changing manifests; bad input never crashes and every fault is named. */
 import { readFileSync } from 'node:fs'
 import fc from 'fast-check'
+import { resolveFuzzOptions } from '../../testing/fuzzOptions.js'
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
 import {
@@ -47,7 +48,7 @@
     const parsed = parseManifest(text)
     if (parsed.isErr()) assert.ok(parsed.error.length > 0)
     findLine(text, ['teams', 0, 'share'])
-  }), { seed: SEED, numRuns: 500 })
+  }), resolveFuzzOptions(SEED, 500))
 })
 
 test('compares by name, not by position', () => {
@@ -91,7 +92,7 @@
       if (next.kind === 'grantKey') assert.not(revoked.has(next.grant.id), 'a revoked id was granted')
       document = after
     }
-  }), { seed: SEED, numRuns: 500 })
+  }), resolveFuzzOptions(SEED, 500))
 })
 
 test.run()
--- a/packages/core/src/request/__tests__/requestQueue.spec.ts
+++ b/packages/core/src/request/__tests__/requestQueue.spec.ts
@@ -1,5 +1,6 @@
 /** Fairness, order and deadlines of the request queue. */
 import fc from 'fast-check'
+import { resolveFuzzOptions } from '../../testing/fuzzOptions.js'
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
 import { createRequestQueue, createTokenBucket, type QueueCapacity, type QueuedRequest } from '../../index.js'
@@ -42,7 +43,7 @@
         assert.ok(difference <= first.costMs / first.weight + second.costMs / second.weight + 1e-6, `${a} against ${b}: ${difference}`)
       }
     }
-  }), { seed: 510, numRuns: 300 })
+  }), resolveFuzzOptions(510, 300))
 })
 
 test('a team that was empty or kept out saves up no turns', () => {
@@ -82,7 +83,7 @@
       workMs += request.costMs
       if (requests.every((other) => other.costMs === request.costMs)) assert.ok(workMs / slots <= request.deadlineMs + request.costMs)
     }
-  }), { seed: 511, numRuns: 500 })
+  }), resolveFuzzOptions(511, 500))
 })
 
 test('the wait of a team counts its own queue and the turns of the others', () => {
@@ -108,7 +109,7 @@
       if (waitMs > 0) [nowMs, taken] = [nowMs + waitMs, taken + 1]
       assert.ok(taken <= rate + nowMs * rate / 1000 + 1e-6)
     }
-  }), { seed: 512, numRuns: 300 })
+  }), resolveFuzzOptions(512, 300))
 })
 
 test.run()
--- a/packages/core/src/request/__tests__/routing.spec.ts
+++ b/packages/core/src/request/__tests__/routing.spec.ts
@@ -1,5 +1,6 @@
 /** Choice of owner and endpoint on stale figures, with silent, slow and lost endpoints. */
 import fc from 'fast-check'
+import { resolveFuzzOptions } from '../../testing/fuzzOptions.js'
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
 import { createEndpointBook, createOwnerChooser, type EndpointBook, type EndpointView, type OwnerReport } from '../../index.js'
@@ -62,7 +63,7 @@
     const choice = chooser.chooseOwner('s', 10, 10_000, excluded)
     if (usable.size === 0) assert.is(choice, undefined)
     else assert.ok(usable.has(choice!.owner.incarnation))
-  }), { seed: 520, numRuns: 500 })
+  }), resolveFuzzOptions(520, 500))
 })
 
 function runExchanges (book: EndpointBook, count: number, isDead: (address: string) => boolean, durationMs = 10): Map<string, number> {
@@ -173,7 +174,7 @@
       const { free, total } = book.countSlots('s', nowMs)
       assert.ok(free <= total && total <= 12)
     }
-  }), { seed: 521, numRuns: 500 })
+  }), resolveFuzzOptions(521, 500))
 })
 
 test.run()
--- a/packages/core/src/request/__tests__/ticketBook.spec.ts
+++ b/packages/core/src/request/__tests__/ticketBook.spec.ts
@@ -1,5 +1,6 @@
 /** Tickets and forwarded exchanges: whatever is forgotten, nothing runs a second time. */
 import fc from 'fast-check'
+import { resolveFuzzOptions } from '../../testing/fuzzOptions.js'
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
 import { createExchangeLedger, createTicketBook, type RequestOutcome } from '../../index.js'
@@ -72,7 +73,7 @@
       }
       assert.ok(book.countTickets() <= 6)
     }
-  }), { seed: 530, numRuns: 1500 })
+  }), resolveFuzzOptions(530, 1500))
 })
 
 const exchangeStep = fc.record({
@@ -103,7 +104,7 @@
       if (state.outcome.kind === 'notRun') assert.not(runs.has(sequence))
       if (state.outcome.kind === 'completed') assert.is(state.outcome.body.byteLength, sequence * 20)
     }
-  }), { seed: 531, numRuns: 1500 })
+  }), resolveFuzzOptions(531, 1500))
 })
 
 test.run()
--- a/packages/core/src/settings/__tests__/resolveSettings.spec.ts
+++ b/packages/core/src/settings/__tests__/resolveSettings.spec.ts
@@ -1,5 +1,6 @@
 /** Settings: defaults, all faults at once, no crash on any text. */
 import fc from 'fast-check'
+import { resolveFuzzOptions } from '../../testing/fuzzOptions.js'
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
 import { formatFault, resolveSettings } from '../../index.js'
@@ -40,7 +41,7 @@
   fc.assert(fc.property(fc.oneof(fc.string({ unit: 'binary' }), cut), (text) => {
     const resolved = resolveSettings(text)
     if (resolved.isErr()) assert.ok(resolved.error.length > 0)
-  }), { seed: 20260105, numRuns: 500 })
+  }), resolveFuzzOptions(20260105, 500))
 })
 
 test.run()
--- a/packages/core/src/vm/__tests__/placementIndex.spec.ts
+++ b/packages/core/src/vm/__tests__/placementIndex.spec.ts
@@ -1,5 +1,6 @@
 /** The index against a plain scan, and what placement and quarantine do with it. */
 import fc from 'fast-check'
+import { resolveFuzzOptions } from '../../testing/fuzzOptions.js'
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
 import { hasRoom, type Amounts } from '../amounts.js'
@@ -36,7 +37,7 @@
     }
     const expected = [...open].filter((id) => hasRoom(pool.getWorker(id).free, need))
     assert.equal(found.sort(), expected.sort())
-  }), { seed: 51, numRuns: 300 })
+  }), resolveFuzzOptions(51, 300))
 })
 
 test.run()
--- a/packages/entry/src/contract/__tests__/configCluster.spec.ts
+++ b/packages/entry/src/contract/__tests__/configCluster.spec.ts
@@ -3,6 +3,7 @@
  * Each property names the mutations of the code that it was seen to catch.
  */
 import fc from 'fast-check'
+import { resolveFuzzOptions } from '@fuchsiatally/core/testing/fuzzOptions'
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
 import type { ConfigDocument } from '@fuchsiatally/core'
@@ -15,8 +16,8 @@
 const CHECK_MS = 700
 /** Time after which no read is answered from an old state any more. */
 const OLD_READ_LIMIT_MS = 10_000
-const RUNS = Number(process.env['FUZZ_RUNS'] ?? 200)
-const SEED = Number(process.env['FUZZ_SEED'] ?? 20260105)
+const RUNS = 200
+const SEED = 20260105
 
 const entryIndex = fc.nat(ENTRIES - 1)
 const isOn = fc.oneof({ weight: 2, arbitrary: fc.constant(true) }, { weight: 1, arbitrary: fc.constant(false) })
@@ -261,7 +262,7 @@
     await trial.checkRevoked()
     checkEnd(trial.cluster, trial.keys, trial.accepted)
   })
-  await fc.assert(property, { seed: SEED, numRuns: RUNS })
+  await fc.assert(property, resolveFuzzOptions(SEED, RUNS))
 })
 
 test.run()
--- a/packages/entry/src/http/__tests__/httpServer.spec.ts
+++ b/packages/entry/src/http/__tests__/httpServer.spec.ts
@@ -3,6 +3,7 @@
 import { connect } from 'node:net'
 import { createMemoryEventLog } from '@fuchsiatally/core/testing/memoryEventLog'
 import fc from 'fast-check'
+import { resolveFuzzOptions } from '@fuchsiatally/core/testing/fuzzOptions'
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
 import { createHttpServer, type HttpServer } from '../httpServer.js'
@@ -67,7 +68,7 @@
   const start = fc.constantFrom('', 'GET ', 'POST /echo/a HTTP/1.1\r\n', 'POST /echo/a HTTP/1.1\r\nhost: e\r\ncontent-length: 10\r\n\r\n')
   await fc.assert(fc.asyncProperty(start, fc.uint8Array({ maxLength: 200 }), async (text, bytes) => {
     await sendRaw(server, Buffer.concat([Buffer.from(text), bytes]))
-  }), { seed: 7, numRuns: 100 })
+  }), resolveFuzzOptions(7, 100))
   assert.is((await sendRequest(server, 'POST', '/echo/a', 'ok')).status, 200)
   assert.is(server.countInFlight(), 0)
   await server.stop()
--- a/packages/entry/src/http/__tests__/operatorRoutes.spec.ts
+++ b/packages/entry/src/http/__tests__/operatorRoutes.spec.ts
@@ -2,6 +2,7 @@
 import type { Vm } from '@fuchsiatally/core'
 import { createFakePlatform } from '@fuchsiatally/platform/testing/fakePlatform'
 import fc from 'fast-check'
+import { resolveFuzzOptions } from '@fuchsiatally/core/testing/fuzzOptions'
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
 import { createConfigCluster, createManifest, OPERATOR_KEY } from '../../contract/__tests__/configCluster.js'
@@ -129,7 +130,7 @@
   const target = fc.constantFrom(['PUT', '/v1/config'] as const, ['POST', '/v1/config/diff'] as const, ['POST', '/v1/keys'] as const)
   await fc.assert(fc.asyncProperty(target, body, async ([method, path], text) => {
     assert.is((await call(method, path, text)).status >= 400, true)
-  }), { seed: 20260105, numRuns: 200 })
+  }), resolveFuzzOptions(20260105, 200))
 })
 
 test.run()
--- a/packages/entry/src/job/__tests__/jobAdmission.spec.ts
+++ b/packages/entry/src/job/__tests__/jobAdmission.spec.ts
@@ -6,6 +6,7 @@
 import { createFakePlatform } from '@fuchsiatally/platform/testing/fakePlatform'
 import { createTableModel } from '@fuchsiatally/platform/testing/tableModel'
 import fc from 'fast-check'
+import { resolveFuzzOptions } from '@fuchsiatally/core/testing/fuzzOptions'
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
 import { createJobAdmission, type JobAdmission } from '../jobAdmission.js'
@@ -54,7 +55,7 @@
     assert.ok(accepted >= 1)
     const jobs = (await waitFor(clock, createAdmission().admission.listJobs('press')))._unsafeUnwrap()
     assert.equal(jobs.map((job) => job.id), ['press:once'])
-  }), { seed: 11, numRuns: 60 })
+  }), resolveFuzzOptions(11, 60))
 })
 
 test('another specification, too many jobs and foreign jobs are refused with their reasons', async () => {
--- a/packages/entry/src/job/schedulerTask.ts
+++ b/packages/entry/src/job/schedulerTask.ts
@@ -75,7 +75,7 @@
   let workersAppliedMs = -Infinity
   const committer = createStateCommitter({ ...options, isDisposed: () => disposed })
 
-  const dispose = (): void => {
+  const stopTerm = (): void => {
     disposed = true
     disposables.dispose()
   }
@@ -192,7 +192,7 @@
     if (disposed) return
     if (outcome === 'deposed') {
       // What was decided is not in the table and must never be sent.
-      dispose()
+      stopTerm()
       options.onDeposed()
       return
     }
@@ -234,7 +234,7 @@
       loop.wake()
     },
     readScheduler: () => loaded ? scheduler : null,
-    dispose
+    dispose: stopTerm
   }
 }
 
--- a/packages/entry/src/link/__tests__/frameCodec.spec.ts
+++ b/packages/entry/src/link/__tests__/frameCodec.spec.ts
@@ -2,11 +2,12 @@
 import { createDecoder, LinkMessage } from '@fuchsiatally/core'
 import { Encoder } from 'cbor-x'
 import * as fc from 'fast-check'
+import { resolveFuzzOptions } from '@fuchsiatally/core/testing/fuzzOptions'
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
 import { createFrameReader, decodeFrame, encodeFrame } from '../frameCodec.js'
 
-const OPTIONS = { seed: 7, numRuns: 400 }
+const OPTIONS = resolveFuzzOptions(7, 400)
 const MAX_BYTES = 10_000
 const attempt = fc.record({ job: fc.string(), task: fc.nat(), attempt: fc.integer({ min: 1, max: 1e6 }) })
 const message: fc.Arbitrary<LinkMessage> = fc.oneof(
--- a/packages/entry/src/process/__tests__/entryCell.spec.ts
+++ b/packages/entry/src/process/__tests__/entryCell.spec.ts
@@ -1,13 +1,14 @@
 /** Whole entries over fakes: jobs run once, in one place, under their team's ceiling, whatever fails. */
 import type { Manifest, Team } from '@fuchsiatally/core'
 import * as fc from 'fast-check'
+import { resolveFuzzOptions } from '@fuchsiatally/core/testing/fuzzOptions'
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
 import { createEntryCell, type EntryCell } from '../../testing/entryCell.js'
 import { applyEntryCommand, applyEntryHealing, type AcceptedJob, type EntryCommand } from '../../testing/entryCommands.js'
 
-const RUNS = Number(process.env['FUZZ_RUNS'] ?? 40)
-const SEED = Number(process.env['FUZZ_SEED'] ?? 20261204)
+const RUNS = 40
+const SEED = 20261204
 const SETTLE_MS = 8_000
 const RECOVERY_MS = 120_000
 
@@ -139,7 +140,7 @@
   await fc.assert(fc.asyncProperty(
     fc.nat(1e6), fc.array(commandArbitrary, { minLength: 5, maxLength: 40 }),
     async (seed, commands) => { assert.equal(await runCommands(seed, commands), []) }
-  ), { seed: SEED, numRuns: RUNS })
+  ), resolveFuzzOptions(SEED, RUNS))
 })
 
 test.run()
--- a/packages/entry/src/request/__tests__/requestFuzz.spec.ts
+++ b/packages/entry/src/request/__tests__/requestFuzz.spec.ts
@@ -1,5 +1,6 @@
 /** Requests through three entries while exchanges, links, entries and the table break, against an oracle. */
 import fc from 'fast-check'
+import { resolveFuzzOptions } from '@fuchsiatally/core/testing/fuzzOptions'
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
 import type { RequestOutcome } from '@fuchsiatally/core'
@@ -177,7 +178,7 @@
     const oracle = await runSteps(steps, seed)
     for (const entry of oracle.cluster.entries) for (const f of entry.log.listFields('FT504')) reasons[String(f.reason)] = (reasons[String(f.reason)] ?? 0) + 1
     for (const { outcome } of oracle.calls) counts[outcome!] = (counts[outcome!] ?? 0) + 1
-  }), { seed: 540, numRuns: 150 })
+  }), resolveFuzzOptions(540, 150))
   console.log(reasons)
   console.log(`outcomes: ${JSON.stringify(counts)}`)
 })
@@ -196,7 +197,7 @@
       // An idempotent request leaves a lost link instead of waiting for word, as its caller may resend it.
       if (call.outcome === 'unknown' && !isDuplicate && !call.submit.idempotent) assert.ok(broken.has(call.label), `${call.label} is known not to have run`)
     }
-  }), { seed: 541, numRuns: 150 })
+  }), resolveFuzzOptions(541, 150))
 })
 
 test.run()
--- a/packages/entry/src/vm/__tests__/membershipFuzz.spec.ts
+++ b/packages/entry/src/vm/__tests__/membershipFuzz.spec.ts
@@ -1,12 +1,13 @@
 /** Random failures of a whole cell: no task in two places, no old epoch, `lost` only when nothing runs, and recovery. */
 import * as fc from 'fast-check'
+import { resolveFuzzOptions } from '@fuchsiatally/core/testing/fuzzOptions'
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
 import { applyCommand, applyHealing, type MembershipCommand } from '../../testing/membershipCommands.js'
 import { createMembershipCell } from '../../testing/membershipCell.js'
 
-const RUNS = Number(process.env['FUZZ_RUNS'] ?? 60)
-const SEED = Number(process.env['FUZZ_SEED'] ?? 20261204)
+const RUNS = 60
+const SEED = 20261204
 const RECOVERY_MS = 90_000
 
 const index = fc.nat(5)
@@ -68,7 +69,7 @@
     async (seed, commands) => {
       assert.equal(await runCommands(seed, commands), [])
     }
-  ), { seed: SEED, numRuns: RUNS, endOnFailure: false })
+  ), resolveFuzzOptions(SEED, RUNS))
 })
 
 test.run()
--- a/packages/platform/src/__tests__/fakePlatform.spec.ts
+++ b/packages/platform/src/__tests__/fakePlatform.spec.ts
@@ -2,6 +2,7 @@
 import { createFakeClock } from '@fuchsiatally/core/testing/fakeClock'
 import { createSeededRandom } from '@fuchsiatally/core/testing/seededRandom'
 import fc from 'fast-check'
+import { resolveFuzzOptions } from '@fuchsiatally/core/testing/fuzzOptions'
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
 import type { PlatformClient, TransactionOutcome } from '../platformClient.js'
@@ -58,7 +59,7 @@
     await Promise.all(writers)
     const counted = Number(model.findRow(KEY)?.value ?? 0)
     assert.ok(counted >= told.applied && counted <= told.applied + told.undecided, `${counted} for ${told.applied} and ${told.undecided}`)
-  }), { seed: 7, numRuns: 60 })
+  }), resolveFuzzOptions(7, 60))
 })
 
 test('versions grow across a deletion, and only reads since a revision show the deleted row', () => {
--- a/packages/platform/src/__tests__/httpPlatformClient.spec.ts
+++ b/packages/platform/src/__tests__/httpPlatformClient.spec.ts
@@ -6,6 +6,7 @@
 import { createSeededRandom } from '@fuchsiatally/core/testing/seededRandom'
 import { createSystemClock } from '@fuchsiatally/core/testing/systemClock'
 import fc from 'fast-check'
+import { resolveFuzzOptions } from '@fuchsiatally/core/testing/fuzzOptions'
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
 import { createHttpPlatformClient } from '../httpPlatformClient.js'
@@ -124,7 +125,7 @@
     assert.is(outcome.kind, 'applied')
     assert.is(platform.model.findRow('counter')?.version, version + 1)
     assert.is(platform.model.findRow('counter')?.writeId, `w${writes}`)
-  }), { seed: 11, numRuns: 40 })
+  }), resolveFuzzOptions(11, 40))
 })
 
 test('a try that lands after another writer took the row is told as a conflict, with the rows as they stand', async () => {
