--- /dev/null
+++ b/packages/standins/src/monitorTasks.ts
@@ -0,0 +1,67 @@
+/** Checks of tasks: room on VMs, one place at a time, gangs, ceilings. */
+import { formatAttempt, NO_RESOURCES } from '@fuchsiatally/core'
+import type { History } from './history.js'
+import type { Report } from './monitor.js'
+import type { TaskRunRecord } from './records.js'
+import { collectBy, computePeak } from './sweep.js'
+
+/** A VM's tasks together never need more than it has. */
+export function checkOvercommit (history: History, report: Report): void {
+  for (const [worker, runs] of collectBy(history.runs, (run) => run.worker)) {
+    const capacity = history.capacities.get(worker)
+    if (capacity === undefined) {
+      report(`${worker} ran tasks and is in no list`)
+      continue
+    }
+    const peak = computePeak(runs)
+    for (const name of ['processors', 'memoryMb', 'accelerators'] as const) {
+      if (peak[name] > capacity[name]) report(`${worker}: ${peak[name]} ${name} of ${capacity[name]}`)
+    }
+  }
+}
+
+/** A task's runs never overlap, and none follows a completed one whose worker lived on. */
+export function checkTwoPlaces (history: History, report: Report): void {
+  const lost = new Set(history.lostWorkers)
+  for (const [task, runs] of collectBy(history.runs, formatTask)) {
+    const ordered = runs.toSorted((a, b) => a.startedAtMs - b.startedAtMs)
+    for (const [index, run] of ordered.entries()) {
+      const next = ordered[index + 1]
+      if (next === undefined) continue
+      if ((run.endedAtMs ?? Infinity) > next.startedAtMs) {
+        report(`${task} ran at ${run.worker} and ${next.worker} at once (${formatAttempt(run.id)}, ${formatAttempt(next.id)})`)
+      } else if (run.result === 'completed' && !lost.has(run.worker)) {
+        report(`${task} was completed at ${run.worker} and ran again at ${next.worker}`)
+      }
+    }
+  }
+}
+
+/** A gang that completed had all its members running at one time. */
+export function checkGangs (history: History, report: Report): void {
+  const byJob = collectBy(history.runs, (run) => run.id.job)
+  for (const job of history.jobs) {
+    if (job.kind !== 'gang' || job.phase !== 'completed') continue
+    const { count } = computePeak(byJob.get(job.job) ?? [])
+    if (count !== job.taskCount) report(`gang ${job.job} had ${count} of ${job.taskCount} members at once`)
+  }
+}
+
+/** A team's tasks and requests keep within its ceiling at every moment. */
+export function checkCeilings (history: History, report: Report): void {
+  const teamOfJob = new Map(history.jobs.map((job) => [job.job, job.team]))
+  const runs = collectBy(history.runs, (run) => teamOfJob.get(run.id.job) ?? '')
+  const executions = collectBy(history.executions, (execution) => execution.team)
+  for (const [team, ceiling] of history.ceilings) {
+    const used = computePeak(runs.get(team) ?? [])
+    for (const name of ['processors', 'memoryMb', 'accelerators'] as const) {
+      if (used[name] > ceiling.resources[name]) report(`${team}: ${used[name]} ${name} of ${ceiling.resources[name]}`)
+    }
+    const { count } = computePeak((executions.get(team) ?? []).map((execution) => ({ ...execution, resources: NO_RESOURCES })))
+    if (count > ceiling.requests) report(`${team}: ${count} requests at once of ${ceiling.requests}`)
+  }
+}
+
+function formatTask (run: TaskRunRecord): string {
+  return `${run.id.job}/${run.id.task}`
+}
