--- a/packages/standins/src/childProcess.ts
+++ b/packages/standins/src/childProcess.ts
@@ -37,7 +37,8 @@
 
 /** Starts a Node.js script as a process of its own. */
 export function startChild (options: ChildOptions): Child {
-  const child = spawn(process.execPath, [...options.args], { stdio: ['pipe', 'pipe', 'pipe'] })
+  // A process group of its own keeps the terminal's Ctrl-C for the parent, which then stops the children in order.
+  const child = spawn(process.execPath, [...options.args], { stdio: ['pipe', 'pipe', 'pipe'], detached: true })
   const tail: string[] = []
   const listeners = new Set<(line: string) => void>()
   let end: ProcessEnd | undefined
