--- a/packages/standins/src/cluster.ts
+++ b/packages/standins/src/cluster.ts
@@ -11,6 +11,8 @@
 import { callControl } from './httpStandin.js'
 import type { PlatformControl, PlatformServerOptions } from './platformServer.js'
 import type { WorkerRecords } from './records.js'
+import { startRelay } from './relay.js'
+import { type ClusterRelays, startClusterRelays } from './clusterRelays.js'
 import type { WorkerControl } from './workerHost.js'
 
 export interface ClusterOptions {
@@ -19,6 +21,8 @@
   readonly platform?: PlatformServerOptions
   /** Default `info`. */
   readonly logLevel?: 'debug' | 'info'
+  /** Whether relays stand between the entries and everything that they connect to; default `false`. */
+  readonly relayed?: boolean
 }
 
 export interface Cluster {
@@ -28,6 +32,8 @@
   /** Entries by position; a killed one stays until `startEntry` replaces it. */
   readonly entries: EntryProcess[]
   readonly vms: readonly Vm[]
+  /** Absent without the option `relayed`. */
+  readonly relays: ClusterRelays | undefined
   readonly startEntry: (index: number) => Promise<EntryProcess>
   readonly controlPlatform: (control: PlatformControl) => Promise<void>
   readonly controlWorker: (control: WorkerControl) => Promise<void>
@@ -49,18 +55,35 @@
   const platform = startTool('platformStandin', [JSON.stringify(options.platform ?? {})])
   const host = startTool('workerStandin', [], JSON.stringify(deployment.workers) + '\n')
   const { address: platformAddress } = await readReady<{ address: string }>(platform)
-  const { controlAddress, vms } = await readReady<{ controlAddress: string, vms: Vm[] }>(host)
+  const { controlAddress, vms: hosted } = await readReady<{ controlAddress: string, vms: Vm[] }>(host)
+  const relayed = options.relayed === true
+    ? await startClusterRelays(platformAddress, deployment.entryDomains.length, hosted)
+    : undefined
+  const relays = relayed?.relays
+  const vms = relayed?.vms ?? hosted
   await callControl(platformAddress, '/control', { vms, atOnce: true })
 
-  const startEntryAt = (index: number): Promise<EntryProcess> => startEntryProcess({
-    name: `${deployment.cell}-e${index}`,
-    failureDomain: deployment.entryDomains[index]!,
-    cell: deployment.cell,
-    platformAddress,
-    operatorKeySha256: createHash('sha256').update(operatorKey).digest('hex'),
-    directory,
-    logLevel: options.logLevel ?? 'info'
-  })
+  const showLinkRelay = async (index: number, entry: EntryProcess): Promise<void> => {
+    if (relays === undefined) return
+    await relays.links.get(index)?.stop()
+    const relay = await startRelay(entry.linkAddress)
+    relays.links.set(index, relay)
+    await callControl(platformAddress, '/control', { shownAddresses: { [entry.linkAddress]: relay.address } })
+  }
+
+  const startEntryAt = async (index: number): Promise<EntryProcess> => {
+    const entry = await startEntryProcess({
+      name: `${deployment.cell}-e${index}`,
+      failureDomain: deployment.entryDomains[index]!,
+      cell: deployment.cell,
+      platformAddress: relays?.platform[index]?.address ?? platformAddress,
+      operatorKeySha256: createHash('sha256').update(operatorKey).digest('hex'),
+      directory,
+      logLevel: options.logLevel ?? 'info'
+    })
+    await showLinkRelay(index, entry)
+    return entry
+  }
   const entries = await Promise.all(deployment.entryDomains.map((_, index) => startEntryAt(index)))
   await applyManifest(entries[0]!, operatorKey, deployment)
   for (const entry of entries) await waitUntilReady(entry)
@@ -71,6 +94,7 @@
     platformAddress,
     entries,
     vms,
+    relays,
     startEntry: async (index) => {
       const entry = await startEntryAt(index)
       entries[index] = entry
@@ -87,6 +111,7 @@
         const end = await child.stop('SIGTERM', STOP_WITHIN_MS)
         return wasRunning && end.code !== 0 ? [name] : []
       }))
+      await relays?.stop()
       await Promise.all([platform, host].map((child) => child.stop('SIGTERM', STOP_WITHIN_MS)))
       rmSync(directory, { recursive: true, force: true })
       return killed.flat()
--- a/packages/standins/src/entryProcess.ts
+++ b/packages/standins/src/entryProcess.ts
@@ -21,6 +21,7 @@
   readonly failureDomain: string
   readonly child: Child
   readonly httpAddress: string
+  readonly linkAddress: string
   readonly incarnation: string
   /** How often each numbered event was logged. */
   readonly eventCounts: ReadonlyMap<string, number>
@@ -54,6 +55,7 @@
     failureDomain: options.failureDomain,
     child,
     httpAddress: String(started['httpAddress']),
+    linkAddress: String(started['linkAddress']),
     incarnation: String(started['incarnation']),
     eventCounts
   }
--- a/packages/standins/src/load.ts
+++ b/packages/standins/src/load.ts
@@ -28,6 +28,7 @@
 const SLOW_PART = 0.2
 const TIMEOUT_MS = 5000
 const MAX_BODY_BYTES = 20_000
+const PREFIX_LENGTH = 6
 const OPEN_TEAM = 'visitors'
 
 /** Starts sending. */
@@ -36,6 +37,8 @@
   const services = cluster.deployment.manifest.services.map((service) => service.name)
   const teams = cluster.deployment.manifest.teams.map((team) => team.name)
   const open = new Set<Promise<void>>()
+  // Names of requests differ between the loads that one cluster sees in turn.
+  const prefix = `${cluster.deployment.cell}-${random.nextId().slice(0, PREFIX_LENGTH)}`
   let sent = 0
 
   const pick = <T>(items: readonly T[]): T => items[Math.floor(random.nextFloat() * items.length)]!
@@ -48,7 +51,7 @@
     const team = change.team ?? pick(teams)
     const grant = cluster.deployment.keys.get(team)
     return {
-      requestKey: `${cluster.deployment.cell}-${sent}`,
+      requestKey: `${prefix}-${sent}`,
       entry: entry.name,
       address: entry.httpAddress,
       service: pick(services),
--- a/packages/standins/src/platformServer.ts
+++ b/packages/standins/src/platformServer.ts
@@ -1,7 +1,7 @@
 /** Stand-in of the platform: table, object store and VM list over HTTP, with faults switched by `POST /control`. */
 import type { ServerResponse } from 'node:http'
 import { setTimeout as wait } from 'node:timers/promises'
-import { type Clock, createDecoder, type Random, TableQuery, Transaction, Vm } from '@fuchsiatally/core'
+import { type Clock, createDecoder, type Random, TableQuery, type TableRead, Transaction, Vm } from '@fuchsiatally/core'
 import { createSystemRandom } from '@fuchsiatally/core/testing/systemClock'
 import { createPlatformFaults, type PlatformFaults } from '@fuchsiatally/platform/testing/platformFaults'
 import { createTableModel, type TableModel } from '@fuchsiatally/platform/testing/tableModel'
@@ -25,6 +25,8 @@
   readonly vms?: readonly Vm[]
   /** Whether the VMs show at once instead of after the lag. */
   readonly atOnce?: boolean
+  /** Addresses that reads show instead of those in the table, so that a relay can stand between two ends. */
+  readonly shownAddresses?: Readonly<Record<string, string>>
 }
 
 /** Answer of `GET /counts`. */
@@ -56,6 +58,7 @@
   const counts = { transactions: 0, reads: 0, limited: 0, lostAnswers: 0 }
   const takeWrite = createRateLimit(clock, options.writesPerS ?? 400)
   const takeRead = createRateLimit(clock, options.readsPerS ?? 2000)
+  const shownAddresses = new Map<string, string>()
   let snapshot = model.createSnapshot()
   const snapshots = setInterval(() => { snapshot = model.createSnapshot() }, SNAPSHOT_INTERVAL_MS)
   const isLucky = (rate: number): boolean => rate > 0 && random.nextFloat() < rate
@@ -84,7 +87,7 @@
     counts.reads += 1
     const answer = (isLucky(faults.staleReadRate) ? snapshot : model).read(query.value)
     await wait(faults.delayMs)
-    sendJson(response, 200, answer)
+    sendJson(response, 200, replaceAddresses(answer, shownAddresses))
   }
 
   const handleObject = (method: string, key: string, body: Buffer, response: ServerResponse): void => {
@@ -101,6 +104,7 @@
   const applyControl = (body: Buffer, response: ServerResponse): void => {
     const control = JSON.parse(body.toString()) as PlatformControl
     Object.assign(faults, control.faults)
+    for (const [address, shown] of Object.entries(control.shownAddresses ?? {})) shownAddresses.set(address, shown)
     const vms = decodeVms(control.vms ?? [])
     if (vms.isErr()) return sendJson(response, 400, { message: vms.error.message })
     const setVms = (): void => { for (const vm of vms.value) model.setVm(vm) }
@@ -144,3 +148,9 @@
     }
   }
 }
+
+/** Replaces addresses wherever they stand as whole strings. */
+function replaceAddresses (answer: TableRead, shown: ReadonlyMap<string, string>): TableRead {
+  if (shown.size === 0) return answer
+  return JSON.parse(JSON.stringify(answer), (_, value) => typeof value === 'string' ? shown.get(value) ?? value : value) as TableRead
+}
