Shares: teams that are ahead checkpoint work for teams that are behind

Cause: room drains empty for minutes before a large task or gang of a team behind its share gets it. Change: such a task first takes room of checkpointable tasks of teams ahead; two draining reservations remain, and lanes that find no room do not hold up the next.

--- a/packages/core/src/job/grants.ts
+++ b/packages/core/src/job/grants.ts
@@ -2,11 +2,15 @@
 import { computeTeamOrder, hasCeilingRoom } from '../team/teamEntry.js'
 import type { CellState } from './cellState.js'
 import type { Lane } from './lane.js'
+import { reserveForShare } from './preemption.js'
 import { addReservation, buildReservationPlan } from './reservation.js'
 
 const GRANT_INTERVAL_MS = 1000
+/** Lanes tried at each interval, and the time until one is tried again. */
+const TRIES = 4
+const GRANT_RETRY_MS = 5000
 /** Reservations of normal work held at once. */
-const MAX_RESERVATIONS = 8
+const MAX_RESERVATIONS = 2
 /** Wait for room after which a gang gets a reservation. */
 const GANG_WAIT_MS = 5000
 /** Wait for room after which a single task gets a reservation. */
@@ -18,15 +22,27 @@
 export function grantReservation (state: CellState): void {
   if (state.nowMs < state.nextGrantMs) return
   state.nextGrantMs = state.nowMs + GRANT_INTERVAL_MS
-  let granted = 0
-  for (const reservation of state.reservations) granted += reservation.urgent ? 0 : 1
-  if (granted >= MAX_RESERVATIONS) return
-  const lane = chooseWaitingLane(state)
-  if (!lane) return
+  for (let tries = 0; tries < TRIES; tries++) {
+    const lane = chooseWaitingLane(state)
+    if (!lane || tryLane(state, lane)) return
+    lane.grantRetryAtMs = state.nowMs + GRANT_RETRY_MS
+  }
+}
+
+function tryLane (state: CellState, lane: Lane): boolean {
   const job = lane.jobs[0]!
+  if (reserveForShare(state, job)) return true
+  if (countGranted(state) >= MAX_RESERVATIONS) return false
   const plan = buildReservationPlan(state, job, lane.gang ? job.queued.length : 1)
   if (plan) addReservation(state, job, plan, false)
-  else lane.blockedSinceMs = state.nowMs
+  return plan !== undefined
+}
+
+/** Reservations that wait for running work to end by itself. */
+function countGranted (state: CellState): number {
+  let granted = 0
+  for (const reservation of state.reservations) granted += reservation.urgent ? 0 : 1
+  return granted
 }
 
 /** Lanes that waited longest go first once overdue, else those of the team furthest behind. */
@@ -49,7 +65,7 @@
 }
 
 function isWaitingForRoom (state: CellState, lane: Lane): boolean {
-  if (lane.urgent || lane.jobs[0]!.reservations.size > 0) return false
+  if (lane.urgent || lane.grantRetryAtMs > state.nowMs || lane.jobs[0]!.reservations.size > 0) return false
   const waitMs = lane.gang ? GANG_WAIT_MS : SINGLE_WAIT_MS
   if (state.nowMs - lane.blockedSinceMs < waitMs) return false
   const job = lane.jobs[0]!
--- a/packages/core/src/job/lane.ts
+++ b/packages/core/src/job/lane.ts
@@ -40,6 +40,8 @@
   ceilingTriedAt: number
   /** Monotonic time before which a gang is not tried again. */
   retryAtMs: number
+  /** Monotonic time before which no reservation is sought. */
+  grantRetryAtMs: number
   /** Monotonic time since which its first task could not be placed; `Infinity` if it could. */
   blockedSinceMs: number
 }
@@ -88,6 +90,7 @@
     withinTriedAt: -1,
     ceilingTriedAt: -1,
     retryAtMs: 0,
+    grantRetryAtMs: 0,
     blockedSinceMs: Infinity
   }
   team.lanes.set(key, lane)
--- a/packages/core/src/job/preemption.ts
+++ b/packages/core/src/job/preemption.ts
@@ -1,72 +1,95 @@
-/** Makes room for urgent work at the cost of the least lost work. */
-import { addAmounts, countFits, hasRoom, type Amounts } from '../vm/amounts.js'
+/** Makes room by stopping other work: for urgent tasks, and for teams behind their share. */
+import { computeTeamOrder } from '../team/teamEntry.js'
+import { countFits } from '../vm/amounts.js'
 import type { PlacementIndex } from '../vm/placementIndex.js'
 import type { WorkerEntry } from '../vm/workerEntry.js'
 import { hasCapacityFor, isEligible } from '../vm/workerPool.js'
 import { stopForRoom } from './attempts.js'
 import type { CellState } from './cellState.js'
-import type { JobEntry, TaskEntry } from './jobEntry.js'
+import type { JobEntry } from './jobEntry.js'
 import { addReservation } from './reservation.js'
+import { buildPlan, isCheckpointable, isNormal, type PreemptionPlan, type VictimRule } from './victims.js'
 
-/** What has to stop on one worker. */
-interface PreemptionPlan {
-  readonly worker: WorkerEntry
-  readonly victims: readonly TaskEntry[]
-  /** Work lost, in core-milliseconds. */
-  readonly cost: number
+/** Stops on one worker for a number of tasks. */
+interface MemberPlan extends PreemptionPlan {
+  readonly count: number
 }
 
 /** Workers compared in one partition and in all. */
 const CANDIDATES = 8
 const MAX_CANDIDATES = 48
-/** Work of checkpointable tasks is saved; stopping them costs this part of a fresh start. */
-const CHECKPOINT_COST_PART = 0.02
-/** Cost of any stop, so that fewer victims are preferred. */
-const STOP_COST_MS = 5000
-/** Services answer callers and lose more than their run time when they stop. */
-const SERVICE_COST_FACTOR = 1000
+/** Time that checkpointing victims are given, in milliseconds. */
+const CHECKPOINT_MS = 1000
+/** A team must be this many times as far as the waiting one for its tasks to make way. */
+const AHEAD_FACTOR = 1.02
+/** Tasks that have run for less do not make way for shares. */
+const LEAST_RUN_MS = 60_000
 
-/** Stops the cheapest victims for one queued task of an urgent job and holds their room; `false` if nothing can make room. */
-export function reserveByPreemption (state: CellState, job: JobEntry, avoid: WorkerEntry | undefined): boolean {
+/**
+ * Stops the cheapest victims for one queued task of an urgent job and holds their room.
+ *
+ * @param avoid worker that did not free its room in time
+ * @returns `false` if nothing can make room
+ */
+export function reserveForUrgent (state: CellState, job: JobEntry, avoid: WorkerEntry | undefined): boolean {
   state.workers.updateUrgent()
-  const plan = choosePlan(state, job, state.workers.soft, avoid) ?? choosePlan(state, job, state.workers.hard, avoid)
-  if (!plan) return false
-  addReservation(state, job, { workers: new Map([[plan.worker, 1]]), freeAtMs: state.nowMs }, true)
-  for (const victim of plan.victims) stopForRoom(state, victim)
-  return true
+  const { soft, hard } = state.workers
+  const plan = choosePlan(state, job, soft, isCheckpointable, avoid) ?? choosePlan(state, job, hard, isNormal, avoid)
+  if (plan) applyPlans(state, job, [{ ...plan, count: 1 }], true)
+  return plan !== undefined
 }
 
 /** Does the same for all members of an urgent gang at once. */
-export function reserveGangByPreemption (state: CellState, job: JobEntry): boolean {
+export function reserveForUrgentGang (state: CellState, job: JobEntry): boolean {
   state.workers.updateUrgent()
-  const plan = buildGangPlan(state, job, true) ?? buildGangPlan(state, job, false)
-  if (!plan) return false
-  const workers = new Map(plan.map(({ worker, count }) => [worker, count]))
-  addReservation(state, job, { workers, freeAtMs: state.nowMs }, true)
-  for (const { victims } of plan) {
+  const plans = buildGangPlan(state, job, isCheckpointable) ?? buildGangPlan(state, job, isNormal)
+  if (plans) applyPlans(state, job, plans, true)
+  return plans !== undefined
+}
+
+/** Checkpoints tasks of teams that are ahead, for a task or gang of a team that is behind. */
+export function reserveForShare (state: CellState, job: JobEntry): boolean {
+  state.workers.updateUrgent()
+  const order = computeTeamOrder(job.team, state.nowMs)
+  const isAhead: VictimRule = (task) => {
+    if (!isCheckpointable(task) || state.nowMs - task.startedMs < LEAST_RUN_MS) return false
+    return computeTeamOrder(task.job.team, state.nowMs) > order * AHEAD_FACTOR
+  }
+  const plans = job.row.spec.kind === 'gang' ? buildGangPlan(state, job, isAhead) : buildSinglePlan(state, job, isAhead)
+  if (plans) applyPlans(state, job, plans, false)
+  return plans !== undefined
+}
+
+function buildSinglePlan (state: CellState, job: JobEntry, rule: VictimRule): MemberPlan[] | undefined {
+  const plan = choosePlan(state, job, state.workers.soft, rule, undefined)
+  return plan && [{ ...plan, count: 1 }]
+}
+
+function applyPlans (state: CellState, job: JobEntry, plans: readonly MemberPlan[], urgent: boolean): void {
+  const workers = new Map(plans.map(({ worker, count }) => [worker, count]))
+  addReservation(state, job, { workers, freeAtMs: state.nowMs + (urgent ? 0 : CHECKPOINT_MS) }, urgent)
+  for (const { victims } of plans) {
     for (const victim of victims) stopForRoom(state, victim)
   }
-  return true
 }
 
 /** Takes the workers with the most room first, so that few of them are disturbed. */
-function buildGangPlan (
-  state: CellState, job: JobEntry, soft: boolean
-): (PreemptionPlan & { count: number })[] | undefined {
+function buildGangPlan (state: CellState, job: JobEntry, rule: VictimRule): MemberPlan[] | undefined {
   const { need } = job.shape
   const offers: { worker: WorkerEntry, fits: number }[] = []
   for (const worker of state.workers.listWorkers()) {
     if (!isEligible(worker) || !hasCapacityFor(worker, job.shape)) continue
-    const fits = countFits(soft ? worker.softRoom : worker.hardRoom, need, job.queued.length)
+    const room = rule === isNormal ? worker.hardRoom : worker.softRoom
+    const fits = countFits(room, need, job.queued.length)
     if (fits > 0) offers.push({ worker, fits })
   }
   offers.sort((a, b) => b.fits - a.fits)
-  const plans: (PreemptionPlan & { count: number })[] = []
+  const plans: MemberPlan[] = []
   let missing = job.queued.length
   for (const { worker, fits } of offers) {
     if (missing === 0) break
     const count = Math.min(missing, fits)
-    const plan = buildPlan(state, worker, need, count, soft)
+    const plan = buildPlan(state, worker, need, count, rule)
     if (!plan) continue
     plans.push({ ...plan, count })
     missing -= count
@@ -74,18 +97,19 @@
   return missing === 0 ? plans : undefined
 }
 
+/** Compares some workers with enough room after stops and takes the one that loses the least work. */
 function choosePlan (
-  state: CellState, job: JobEntry, index: PlacementIndex, avoid: WorkerEntry | undefined
+  state: CellState, job: JobEntry, index: PlacementIndex, rule: VictimRule, avoid: WorkerEntry | undefined
 ): PreemptionPlan | undefined {
   let best: PreemptionPlan | undefined
   const { pool, need, query } = job.shape
-  const partitions = [...need.accelerators > 0 ? [] : index.listPartitions(pool, false), ...index.listPartitions(pool, true)]
+  const plain = need.accelerators > 0 ? [] : index.listPartitions(pool, false)
   let compared = 0
-  for (const partition of partitions) {
+  for (const partition of [...plain, ...index.listPartitions(pool, true)]) {
     let comparedHere = 0
     index.findCandidates(partition, query, (worker) => {
       if (worker === avoid) return false
-      const plan = buildPlan(state, worker, need, 1, index === state.workers.soft)
+      const plan = buildPlan(state, worker, need, 1, rule)
       if (plan && (!best || plan.cost < best.cost)) best = plan
       compared += 1
       comparedHere += 1
@@ -95,60 +119,3 @@
   }
   return best
 }
-
-function buildPlan (
-  state: CellState, worker: WorkerEntry, need: Amounts, count: number, soft: boolean
-): PreemptionPlan | undefined {
-  const room = { ...worker.free }
-  addAmounts(room, worker.stopping, 1)
-  addAmounts(room, worker.held, -1)
-  const victims: TaskEntry[] = []
-  const priced = listVictims(state, worker, soft)
-  for (const { task } of priced) {
-    if (hasRoom(room, need, count)) break
-    addAmounts(room, task.job.shape.need, 1)
-    victims.push(task)
-  }
-  if (!hasRoom(room, need, count)) return undefined
-  const needed = removeSurplus(victims, room, need, count)
-  return { worker, victims: needed, cost: sumCosts(state, needed) }
-}
-
-/** Victims that turn out not to be needed go on, the dearest first. */
-function removeSurplus (victims: TaskEntry[], room: Amounts, need: Amounts, count: number): TaskEntry[] {
-  const needed: TaskEntry[] = []
-  for (const victim of victims.reverse()) {
-    addAmounts(room, victim.job.shape.need, -1)
-    if (hasRoom(room, need, count)) continue
-    addAmounts(room, victim.job.shape.need, 1)
-    needed.push(victim)
-  }
-  return needed
-}
-
-function listVictims (state: CellState, worker: WorkerEntry, soft: boolean): { task: TaskEntry, cost: number }[] {
-  const priced: { task: TaskEntry, cost: number }[] = []
-  for (const task of worker.attempts) {
-    const { kind, priority, checkpointable } = task.job.row.spec
-    if (task.phase !== 'assigned' || priority === 'urgent') continue
-    if (soft && (!checkpointable || kind !== 'batch')) continue
-    priced.push({ task, cost: computeCost(state, task) })
-  }
-  return priced.sort((a, b) => a.cost - b.cost)
-}
-
-function sumCosts (state: CellState, tasks: readonly TaskEntry[]): number {
-  let cost = 0
-  for (const task of tasks) cost += computeCost(state, task)
-  return cost
-}
-
-/** Work lost by stopping a task, in core-milliseconds; a gang loses the work of all its members. */
-function computeCost (state: CellState, task: TaskEntry): number {
-  const { kind, checkpointable } = task.job.row.spec
-  const ranMs = state.nowMs - task.startedMs
-  const lostMs = STOP_COST_MS + ranMs * (checkpointable ? CHECKPOINT_COST_PART : 1)
-  const cores = Math.max(1, task.job.shape.need.processors / 1000)
-  if (kind === 'gang') return lostMs * cores * task.job.live
-  return lostMs * cores * (kind === 'service' ? SERVICE_COST_FACTOR : 1)
-}
--- a/packages/core/src/job/starts.ts
+++ b/packages/core/src/job/starts.ts
@@ -7,7 +7,7 @@
 import type { JobEntry, TaskEntry } from './jobEntry.js'
 import type { Lane } from './lane.js'
 import { chooseBackfill, chooseOpenWorker, type Placement } from './placement.js'
-import { reserveByPreemption, reserveGangByPreemption } from './preemption.js'
+import { reserveForUrgent, reserveForUrgentGang } from './preemption.js'
 import { isReady, releaseReservation, releaseReservations, type Reservation } from './reservation.js'
 import { checkCeiling, findUnreserved } from './turns.js'
 
@@ -56,7 +56,7 @@
   if (!checkCeiling(lane, 1 + job.reservations.size)) return
   const placement = chooseOpenWorker(state, job) ?? chooseBackfill(state, job)
   if (placement) startPlaced(state, getNextTask(job), placement)
-  else if (!reserveByPreemption(state, job, undefined)) lane.retryAtMs = state.nowMs + URGENT_RETRY_MS
+  else if (!reserveForUrgent(state, job, undefined)) lane.retryAtMs = state.nowMs + URGENT_RETRY_MS
 }
 
 function startGang (state: CellState, lane: Lane): void {
@@ -72,7 +72,7 @@
   lane.blockedSinceMs = Math.min(lane.blockedSinceMs, state.nowMs)
   const waitedMs = state.nowMs - lane.blockedSinceMs
   lane.retryAtMs = state.nowMs + Math.min(LONGEST_GANG_RETRY_MS, GANG_RETRY_MS + waitedMs * GANG_RETRY_PART)
-  if (lane.urgent && job.reservations.size === 0) reserveGangByPreemption(state, job)
+  if (lane.urgent && job.reservations.size === 0) reserveForUrgentGang(state, job)
 }
 
 /** One worker for each queued member, or `undefined`; nothing stays charged. */
@@ -161,6 +161,6 @@
     if (reservation.job.row.spec.kind === 'gang') continue
     const [worker] = reservation.workers.keys()
     releaseReservation(state, reservation)
-    reserveByPreemption(state, reservation.job, worker)
+    reserveForUrgent(state, reservation.job, worker)
   }
 }
