--- /dev/null
+++ b/packages/entry/src/request/__tests__/httpEndpointClient.spec.ts
@@ -0,0 +1,195 @@
+/** The endpoint client over real sockets against endpoints that answer in every bad way. */
+import { once } from 'node:events'
+import { createServer, type AddressInfo, type Server, type Socket } from 'node:net'
+import { setTimeout as waitMs } from 'node:timers/promises'
+import type { ServiceRequest } from '@fuchsiatally/core'
+import fc from 'fast-check'
+import { test } from 'uvu'
+import * as assert from 'uvu/assert'
+import type { EndpointClient, ExchangeResult } from '../../ports.js'
+import { createSystemClock } from '../../process/systemClock.js'
+import { createHttpEndpointClient } from '../httpEndpointClient.js'
+
+/** Writes an answer to one request; `index` counts the requests of all connections. */
+type Answer = (socket: Socket, body: string, index: number) => void
+
+interface Endpoint {
+  readonly address: string
+  readonly client: EndpointClient
+  countConnections: () => number
+  countOpen: () => number
+  close: () => void
+}
+
+function createRequest (change: Partial<ServiceRequest> = {}): ServiceRequest {
+  return {
+    id: 'r1', team: 'a', service: 's', method: 'POST', path: '/proof', headers: {}, body: Buffer.from('hello'), idempotent: false, remainingMs: 5000, ...change
+  }
+}
+
+/** Listens for whole requests and answers each by hand. */
+async function createEndpoint (answer: Answer): Promise<Endpoint> {
+  const open = new Set<Socket>()
+  let connections = 0
+  let requests = 0
+  const server: Server = createServer((socket) => {
+    connections += 1
+    open.add(socket)
+    let text = ''
+    socket.on('error', () => {})
+    socket.on('close', () => open.delete(socket))
+    socket.on('data', (chunk) => {
+      text += chunk.toString('latin1')
+      const match = /content-length: (\d+)\r\n[^]*?\r\n\r\n/i.exec(text)
+      const end = match === null ? Infinity : match.index + match[0].length + Number(match[1])
+      if (text.length < end) return
+      const body = text.slice(end - Number(match![1]), end)
+      text = text.slice(end)
+      answer(socket, body, requests++)
+    })
+  })
+  server.listen(0, '127.0.0.1')
+  await once(server, 'listening')
+  const client = createHttpEndpointClient({ clock: createSystemClock() })
+  return {
+    address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
+    client,
+    countConnections: () => connections,
+    countOpen: () => open.size,
+    close: () => {
+      client.dispose()
+      server.close()
+      for (const socket of open) socket.destroy()
+    }
+  }
+}
+
+function formatAnswer (body: string, headers = ''): string {
+  return `HTTP/1.1 200 OK\r\ncontent-length: ${body.length}\r\n${headers}\r\n${body}`
+}
+
+async function sendOne (endpoint: Endpoint, change: Partial<ServiceRequest> = {}, timeoutMs = 5000): Promise<ExchangeResult> {
+  return await endpoint.client.sendExchange(endpoint.address, createRequest(change), timeoutMs, 100_000, 64)
+}
+
+function readBody (result: ExchangeResult): string {
+  return result.kind === 'answered' ? Buffer.from(result.outcome.body).toString('latin1') : `${result.kind}: ${result.reason}`
+}
+
+test('exchanges in turn share a connection, exchanges at once never do', async () => {
+  const endpoint = await createEndpoint((socket, body) => setTimeout(() => socket.write(formatAnswer(`echo:${body}`)), 20))
+  for (let turn = 0; turn < 3; turn += 1) assert.is(readBody(await sendOne(endpoint)), 'echo:hello')
+  assert.is(endpoint.countConnections(), 1)
+  const bodies = ['a', 'b', 'c', 'd']
+  const results = await Promise.all(bodies.map((body) => sendOne(endpoint, { body: Buffer.from(body) })))
+  assert.equal(results.map(readBody), bodies.map((body) => `echo:${body}`))
+  assert.is(endpoint.countConnections(), 4)
+  endpoint.close()
+})
+
+test('only what is certain counts as refused', async () => {
+  const endpoint = await createEndpoint((socket, _, index) => {
+    if (index === 0) socket.write('HTTP/1.1 503 Busy\r\nfuchsiatally-refused: 1\r\ncontent-length: 0\r\n\r\n')
+    else socket.destroy()
+  })
+  assert.is((await sendOne(endpoint)).kind, 'refused')
+  // The connection broke after the request was written.
+  assert.is((await sendOne(endpoint)).kind, 'broken')
+  assert.is((await sendOne(endpoint, { path: '/bad path\n' })).kind, 'refused')
+  const full = await endpoint.client.sendExchange(endpoint.address, createRequest(), 1000, 1000, 0)
+  assert.is(full.kind, 'refused')
+  endpoint.close()
+  await waitMs(10)
+  assert.is((await sendOne(endpoint)).kind, 'refused')
+})
+
+test('answers that are truncated, endless, too large or another\'s are broken', async () => {
+  const answers: [string, boolean][] = [
+    ['HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\nhalf', true],
+    ['HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nhello\r\n', true],
+    ['HTTP/1.1 200 OK\r\nconnection: close\r\n\r\nno end mark', true],
+    [formatAnswer('x'.repeat(100_001)), false],
+    [formatAnswer('other', 'fuchsiatally-request: r2\r\n'), false],
+    ['nonsense\r\n\r\n', false],
+    ['HTTP/1.1 200 OK\r\ncontent-length: 4\r\n', true]
+  ]
+  for (const [text, close] of answers) {
+    const endpoint = await createEndpoint((socket) => {
+      if (close) socket.end(text)
+      else socket.write(text)
+    })
+    const result = await sendOne(endpoint)
+    assert.is(result.kind, 'broken', text.slice(0, 60))
+    if (text.length > 100_000) assert.ok(result.kind === 'broken' && result.final)
+    endpoint.close()
+  }
+})
+
+test('a connection that went silent is destroyed and the next exchange takes a new one', async () => {
+  const endpoint = await createEndpoint((socket, body, index) => {
+    if (index === 0) socket.write('HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\nhalf')
+    if (index === 2) socket.write(formatAnswer(body))
+  })
+  assert.is(readBody(await sendOne(endpoint, {}, 150)), 'broken: no whole answer in time')
+  assert.is(readBody(await sendOne(endpoint, {}, 150)), 'broken: no whole answer in time')
+  assert.is(readBody(await sendOne(endpoint)), 'hello')
+  assert.is(endpoint.countConnections(), 3)
+  assert.is(endpoint.countOpen(), 1)
+  endpoint.close()
+})
+
+test('bytes after an answer never become the answer to the next request', async () => {
+  const endpoint = await createEndpoint((socket, body, index) => {
+    socket.write(formatAnswer(`${index}:${body}`))
+    if (index === 0) setTimeout(() => socket.write(formatAnswer('crossed')), 20)
+  })
+  assert.is(readBody(await sendOne(endpoint)), '0:hello')
+  await waitMs(60)
+  assert.is(readBody(await sendOne(endpoint)), '1:hello')
+  assert.is(endpoint.countConnections(), 2)
+  endpoint.close()
+})
+
+test('idle connections that the endpoint closed, or that are old, are not used', async () => {
+  const endpoint = await createEndpoint((socket, body, index) => {
+    socket.write(formatAnswer(body))
+    if (index === 0) setTimeout(() => socket.end(), 10)
+  })
+  for (const pauseMs of [60, 1100, 0]) {
+    assert.is(readBody(await sendOne(endpoint)), 'hello')
+    await waitMs(pauseMs)
+  }
+  assert.is(endpoint.countConnections(), 3)
+  endpoint.close()
+})
+
+test('slow and large bodies in both directions arrive whole', async () => {
+  const large = 'y'.repeat(90_000)
+  const endpoint = await createEndpoint((socket, body) => {
+    const text = formatAnswer(body)
+    for (let part = 0; part < 6; part += 1) {
+      setTimeout(() => socket.write(text.slice(part * 16_000, (part + 1) * 16_000)), part * 30)
+    }
+  })
+  const results = await Promise.all([1, 2, 3].map(() => sendOne(endpoint, { body: Buffer.from(large) })))
+  for (const result of results) assert.is(readBody(result), large)
+  endpoint.close()
+})
+
+test('an answer cut anywhere, in any pieces, is relayed only if it is whole', async () => {
+  const chunked = 'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\nwhol\r\n1\r\ne\r\n0\r\n\r\n'
+  await fc.assert(fc.asyncProperty(
+    fc.constantFrom(formatAnswer('whole'), chunked), fc.nat({ max: 100 }), fc.nat({ max: 100 }), async (text, cut, split) => {
+      const sent = text.slice(0, cut)
+      const endpoint = await createEndpoint((socket) => {
+        socket.write(sent.slice(0, split))
+        setTimeout(() => socket.end(sent.slice(split)), 1)
+      })
+      const result = await sendOne(endpoint)
+      endpoint.close()
+      if (sent.length === text.length) assert.is(readBody(result), 'whole')
+      else assert.is(result.kind, 'broken')
+    }), { seed: 550, numRuns: 120 })
+})
+
+test.run()
--- a/packages/entry/src/testing/requestCluster.ts
+++ b/packages/entry/src/testing/requestCluster.ts
@@ -52,6 +52,8 @@
   stopEntry: (entry: number) => void
   /** Changes a team's ceiling on requests as a new configuration, at once everywhere. */
   setCeiling: (team: string, requests: number) => void
+  /** Makes the others see an entry's session as expired although it goes on; it is never fenced. */
+  setExpired: (entry: number) => void
   /** Workers that keep contact with their owner; all by default. */
   setContact: (entry: number, hasContact: boolean) => void
   dispose: () => void
@@ -92,6 +94,7 @@
   const faults = createPlatformFaults()
   const model = createTableModel()
   const stoppedMs = new Map<string, number>()
+  const expired = new Set<string>()
   const contact = options.domains.map(() => true)
   const listeners = new Set<(document: ConfigDocument) => void>()
   let document: ConfigDocument = {
@@ -118,6 +121,8 @@
   const isPast = (incarnation: string, ms: number): boolean =>
     clock.nowMs() - (stoppedMs.get(incarnation) ?? Infinity) >= ms
 
+  const isGone = (incarnation: string): boolean => expired.has(incarnation) || isPast(incarnation, SESSION_EXPIRY_MS)
+
   const listSessions = (): SessionView[] => options.domains.map((failureDomain, index) => ({
     entry: `e${index}`,
     incarnation: `i${index}`,
@@ -126,7 +131,7 @@
     httpAddress: '',
     leaving: false,
     configVersion: document.version,
-    expired: isPast(`i${index}`, SESSION_EXPIRY_MS)
+    expired: isGone(`i${index}`)
   }))
 
   const listWorkers = (index: number): OwnedWorker[] =>
@@ -172,7 +177,7 @@
         isValid: () => true,
         readLastRenewalMs: () => clock.nowMs(),
         listSessions,
-        isGone: (other) => isPast(other, SESSION_EXPIRY_MS)
+        isGone
       },
       platform,
       log,
@@ -245,6 +250,7 @@
       document = { ...document, version: document.version + 1, manifest: { ...document.manifest, teams } }
       for (const receive of listeners) receive(document)
     },
+    setExpired: (entry) => { expired.add(`i${entry}`) },
     setContact: (entry, hasContact) => { contact[entry] = hasContact },
     dispose: () => { for (const entry of entries) entry.stop() }
   }
