Polls of the configuration ask only for what was written since the last read

Cause: every entry read and decoded the whole document each second. Change: the poll names the revision of the last good read; without a newer row the version stands. A revision below it is an old read and no news, also where it shows the same version. Ruled out: going back to a whole read after an old one, since a second old read would then count; found by a mutation that survived. Test: a read older than the last one is no news; it fails without the check of the revision.

--- a/packages/entry/src/contract/__tests__/configStore.spec.ts
+++ b/packages/entry/src/contract/__tests__/configStore.spec.ts
@@ -125,6 +125,19 @@
   assert.ok(ready.log.listFields('FT606').length > 0)
 })
 
+test('a read older than the last one is no news, also where it shows the same version', async () => {
+  const ready = await createReady(2)
+  const { store, faults } = ready.entries[1]!
+  ready.mesh.setCut(ready.entries[0]!.incarnation, ready.entries[1]!.incarnation)
+  await ready.clock.runFor(2500)
+  ready.model.transact({ writeId: 'w', checks: [], writes: [{ key: 'job/x', value: {} }] })
+  await ready.clock.runFor(1200)
+  faults.staleReadRate = 1
+  await ready.clock.runFor(1200)
+  assert.is(store.readVersion(), 3)
+  assert.ok(ready.log.listFields('FT606').length > 0)
+})
+
 test('a revocation in an outage is heard at once, survives a restart, and is committed by whoever is left', async () => {
   const ready = await createReady(3)
   ready.shared.outage = true
--- a/packages/entry/src/contract/configProposer.ts
+++ b/packages/entry/src/contract/configProposer.ts
@@ -43,9 +43,18 @@
   readonly readKnownVersion: () => number
 }
 
+/** What a poll of the table brought. */
+export interface TablePoll {
+  /** Revision of the table that answered. */
+  readonly revision: number
+  /** The configuration if it was written after the revision asked for, else `undefined`. */
+  readonly written: TableConfig | undefined
+}
+
 /** Proposes changes. */
 export interface ConfigProposer {
-  readTable: () => Promise<Result<TableConfig, PlatformFailure>>
+  /** Reads the configuration only if it was written after a revision of the table; 0 reads it in any case. */
+  readWritten: (sinceRevision: number) => Promise<Result<TablePoll, PlatformFailure>>
   /** @param expectedVersion conflict unless the table holds this version; absent: the change is applied to any version */
   proposeChange: (change: ConfigChange, expectedVersion?: number) => Promise<Result<ConfigDocument, ProposeError>>
 }
@@ -67,6 +76,15 @@
     return read.andThen((table) => decodeRow(table.rows.find((row) => row.key === CONFIG_ROW)))
   }
 
+  const readWritten = async (sinceRevision: number): Promise<Result<TablePoll, PlatformFailure>> => {
+    const read = await platform.read({ keys: [], prefixes: [{ prefix: CONFIG_ROW, sinceRevision }] })
+    return read.andThen((table) => {
+      const row = table.rows.find((candidate) => candidate.key === CONFIG_ROW)
+      if (row === undefined && sinceRevision > 0) return ok({ revision: table.revision, written: undefined })
+      return decodeRow(row).map((written) => ({ revision: table.revision, written }))
+    })
+  }
+
   /** Reads until the answer is not older than what this entry knows. */
   const readCurrentTable = async (): Promise<Result<TableConfig, PlatformFailure>> => {
     let failure: PlatformFailure = { kind: 'malformed', message: 'the platform keeps answering with an old configuration' }
@@ -115,7 +133,7 @@
     return err(createConflict(table, change, expectedVersion ?? table.document?.version ?? 0))
   }
 
-  return { readTable, proposeChange }
+  return { readWritten, proposeChange }
 }
 
 function decodeRow (row: Row | undefined): Result<TableConfig, PlatformFailure> {
--- a/packages/entry/src/contract/configStore.ts
+++ b/packages/entry/src/contract/configStore.ts
@@ -66,6 +66,9 @@
   const waiting = new Set<() => void>()
   let revoked = new Set<string>()
   let wasFresh = true
+  /** Revision of the last good read of the table, and the configuration's version there. */
+  let tableRevision = 0
+  let tableVersion = 0
   let malformedAtMs = -Infinity
 
   const applyDocument = (document: ConfigDocument, source: 'table' | 'peer' | 'change'): void => {
@@ -105,18 +108,23 @@
 
   const readTable = async (): Promise<boolean> => {
     const sentAtMs = clock.nowMs()
-    const read = await proposer.readTable()
-    if (read.isErr()) {
-      recordMalformed(read.error)
+    const sinceRevision = tableRevision
+    const polled = await proposer.readWritten(sinceRevision)
+    if (polled.isErr()) {
+      recordMalformed(polled.error)
       return false
     }
-    const { document } = read.value
-    const version = document?.version ?? 0
-    if (version < view.readHighestVersion()) {
+    const { revision, written } = polled.value
+    const document = written?.document ?? null
+    // Without a newer row, the version is at most that of the last good read.
+    const version = written === undefined ? tableVersion : document?.version ?? 0
+    if (revision < sinceRevision || version < view.readHighestVersion()) {
       log.record(events.configOldRead, { version, highestVersion: view.readHighestVersion() })
       return false
     }
     if (document !== null) applyDocument(document, 'table')
+    tableRevision = Math.max(tableRevision, revision)
+    tableVersion = version
     view.recordCurrent(version, sentAtMs)
     recordEvidence()
     return true
