Tests of the worker client over real sockets

Decoded reports and refusals, malformed, oversized, broken-off and missing answers; connections are replaced together after silence.

--- /dev/null
+++ b/packages/entry/src/vm/__tests__/httpWorkerClient.spec.ts
@@ -0,0 +1,94 @@
+/** The worker client over real sockets: typed outcomes for whatever a worker answers, or does not. */
+import { createServer, type RequestListener, type Server } from 'node:http'
+import type { AddressInfo } from 'node:net'
+import type { LeaseReport } from '@fuchsiatally/core'
+import { createMemoryEventLog } from '@fuchsiatally/core/testing/memoryEventLog'
+import { test } from 'uvu'
+import * as assert from 'uvu/assert'
+import { createSystemClock } from '../../process/systemClock.js'
+import { createHttpWorkerClient } from '../httpWorkerClient.js'
+
+const LEASE = { owner: 'o', epoch: 1, workerIncarnation: '', notAfterMs: 0, acknowledged: [] }
+const REPORT: LeaseReport = {
+  workerIncarnation: 'v', epoch: 1, clockMs: 5, leaseNotAfterMs: 0, running: [], ended: [], usage: [], runners: []
+}
+
+async function runWith (
+  handle: RequestListener, run: (client: ReturnType<typeof createHttpWorkerClient>, server: Server) => Promise<void>
+): Promise<string[]> {
+  const server = createServer(handle)
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
+  const log = createMemoryEventLog()
+  const { port } = server.address() as AddressInfo
+  const client = createHttpWorkerClient(`127.0.0.1:${port}`, { clock: createSystemClock(), log, timeoutMs: 300, maxBytes: 10_000 })
+  await run(client, server)
+  client.dispose()
+  server.closeAllConnections()
+  await new Promise((resolve) => server.close(resolve))
+  return log.recorded.map(({ event }) => event.id)
+}
+
+test('reports and refusals are decoded', async () => {
+  let status = 200
+  let body: unknown = REPORT
+  await runWith((request, response) => {
+    response.writeHead(status).end(JSON.stringify(body))
+  }, async (client) => {
+    assert.equal((await client.renewLease(LEASE))._unsafeUnwrap(), REPORT)
+    status = 409
+    body = { epoch: 7 }
+    assert.equal((await client.renewLease(LEASE))._unsafeUnwrapErr(), { kind: 'staleEpoch', epoch: 7 })
+    status = 200
+    body = { result: 'noRoom' }
+    const stop = { epoch: 1, workerIncarnation: 'v', id: { job: 'j', task: 0, attempt: 1 }, mode: 'stop' as const }
+    assert.equal((await client.stopTask(stop))._unsafeUnwrap(), { result: 'noRoom' })
+  })
+})
+
+test('what a worker must not answer is malformed', async () => {
+  const answers: ReadonlyArray<(response: Parameters<RequestListener>[1]) => unknown> = [
+    (response) => response.end('{'),
+    (response) => response.end('null'),
+    (response) => response.end(JSON.stringify({ ...REPORT, epoch: 'one' })),
+    (response) => response.end('x'.repeat(20_000)),
+    (response) => response.writeHead(500).end('{}'),
+    (response) => response.writeHead(409).end('{}')
+  ]
+  for (const answer of answers) {
+    await runWith((_, response) => { answer(response) }, async (client) => {
+      assert.is((await client.renewLease(LEASE))._unsafeUnwrapErr().kind, 'malformed')
+    })
+  }
+})
+
+test('an answer that breaks off is no answer', async () => {
+  await runWith((_, response) => {
+    response.writeHead(200, { 'content-length': 100 })
+    response.write('{"a"')
+    setTimeout(() => response.destroy(), 20)
+  }, async (client) => {
+    assert.is((await client.renewLease(LEASE))._unsafeUnwrapErr().kind, 'unreachable')
+  })
+})
+
+test('silent connections are given up together and replaced', async () => {
+  const ports = new Set<number>()
+  let silent = false
+  const events = await runWith((request, response) => {
+    if (silent) return
+    ports.add(request.socket.remotePort!)
+    response.end(JSON.stringify(REPORT))
+  }, async (client) => {
+    await client.renewLease(LEASE)
+    await client.renewLease(LEASE)
+    assert.is(ports.size, 1)
+    silent = true
+    assert.is((await client.renewLease(LEASE))._unsafeUnwrapErr().kind, 'timeout')
+    silent = false
+    assert.ok((await client.renewLease(LEASE)).isOk())
+    assert.is(ports.size, 2)
+  })
+  assert.equal(events, ['FT335'])
+})
+
+test.run()
