--- a/packages/core/src/job/grants.ts
+++ b/packages/core/src/job/grants.ts
@@ -24,12 +24,12 @@
   state.nextGrantMs = state.nowMs + GRANT_INTERVAL_MS
   for (let tries = 0; tries < TRIES; tries++) {
     const lane = chooseWaitingLane(state)
-    if (!lane || tryLane(state, lane)) return
+    if (!lane || startFromLane(state, lane)) return
     lane.grantRetryAtMs = state.nowMs + GRANT_RETRY_MS
   }
 }
 
-function tryLane (state: CellState, lane: Lane): boolean {
+function startFromLane (state: CellState, lane: Lane): boolean {
   const job = lane.jobs[0]!
   if (reserveForShare(state, job)) return true
   if (countGranted(state) >= MAX_RESERVATIONS) return false
--- a/packages/entry/src/process/entry.ts
+++ b/packages/entry/src/process/entry.ts
@@ -1,7 +1,7 @@
 /** One entry, put together from its parts over the interfaces to the outside. */
 import {
   createCellScheduler, createDisposableStore, findNeverFits,
-  type Clock, type EventLog, type JobSpec, type Random, type SchedulerWorker, type Team
+  type Clock, type EventLog, type JobSpec, type Random, type RequestOutcome, type SchedulerWorker, type Team
 } from '@fuchsiatally/core'
 import type { PlatformClient } from '@fuchsiatally/platform'
 import { createConfigStore, type ConfigStoreHandle } from '../contract/configStore.js'
@@ -32,6 +32,8 @@
   readonly mesh: PeerMesh
   readonly createWorkerClient: WorkerClientFactory
   readonly endpoints: EndpointClient
+  /** Called with each final outcome of a caller's request and its time in milliseconds. Default: nothing. */
+  readonly onRequestOutcome?: (kind: RequestOutcome['kind'], elapsedMs: number) => void
 }
 
 /** Identity and limits of an entry. */
@@ -124,7 +126,8 @@
     sessions,
     platform,
     log: events,
-    isFenced: ownership.isFenced
+    isFenced: ownership.isFenced,
+    ...(ports.onRequestOutcome === undefined ? {} : { onOutcome: ports.onRequestOutcome })
   }))
 
   const listSchedulerWorkers = (): SchedulerWorker[] => {
--- a/packages/entry/src/request/requestRoutes.ts
+++ b/packages/entry/src/request/requestRoutes.ts
@@ -24,6 +24,8 @@
   readonly runRequest: (request: ServiceRequest, deadlineMs: number, signal: AbortSignal) => Promise<RequestOutcome>
   /** Called when a caller's request begins and ends. */
   readonly onOpenChange: (change: 1 | -1) => void
+  /** Called with each final outcome and the time since the request arrived, in milliseconds. */
+  readonly onOutcome: (kind: RequestOutcome['kind'], elapsedMs: number) => void
 }
 
 const METHODS = ['GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE', 'OPTIONS']
@@ -149,12 +151,14 @@
 
   const runRequest = async (request: HttpRequest, accepted: Accepted): Promise<HttpResponse> => {
     const serviceRequest = createServiceRequest(request, accepted)
-    const deadlineMs = clock.nowMs() + accepted.timeoutMs
+    const arrivedMs = clock.nowMs()
+    const deadlineMs = arrivedMs + accepted.timeoutMs
     const ticket = request.headers['fuchsiatally-ticket']
     const outcome = ticket === undefined
       ? await options.runRequest(serviceRequest, deadlineMs, request.signal)
       : await options.tickets.runTicket(ticket, serviceRequest, deadlineMs)
     recordOutcome(serviceRequest, outcome)
+    options.onOutcome(outcome.kind, clock.nowMs() - arrivedMs)
     return createOutcomeResponse(outcome, ticket === undefined ? undefined : TICKET_RETRY_MS)
   }
 
--- a/packages/entry/src/request/requestService.ts
+++ b/packages/entry/src/request/requestService.ts
@@ -1,7 +1,8 @@
 /** Requests from caller to endpoint and back: joins ingress, router, owner, tickets and ceilings. */
 import {
   createDisposableStore, startInterval,
-  type Clock, type Disposable, type EventLog, type FreeSlots, type Heartbeat, type Random
+  type Clock, type Disposable, type EventLog, type FreeSlots, type Heartbeat, type Random,
+  type RequestOutcome
 } from '@fuchsiatally/core'
 import type { PlatformClient } from '@fuchsiatally/platform'
 import { createAllotmentTask, type AllotmentTask } from '../contract/allotmentTask.js'
@@ -31,6 +32,8 @@
   readonly log: EventLog
   /** Whether every worker that the incarnation owned was taken over and fenced, or is gone. */
   readonly isFenced: (incarnation: string) => boolean
+  /** Called with each final outcome and the time since the request arrived, in milliseconds. Default: nothing. */
+  readonly onOutcome?: (kind: RequestOutcome['kind'], elapsedMs: number) => void
 }
 
 /** Requests of callers at this entry, and of peers for its endpoints. */
@@ -107,7 +110,8 @@
       log,
       tickets,
       runRequest: router.runRequest,
-      onOpenChange: (change) => { callersOpen += change }
+      onOpenChange: (change) => { callersOpen += change },
+      onOutcome: options.onOutcome ?? (() => {})
     }),
     listFreeSlots: () => draining ? [] : owner.listFreeSlots(),
     listAllotmentDemand: allotments.listDemand,
--- a/packages/entry/src/telemetry/metrics.ts
+++ b/packages/entry/src/telemetry/metrics.ts
@@ -2,6 +2,7 @@
 import { build, type Histogram } from 'hdr-histogram-js'
 import { collectDefaultMetrics, Counter, Gauge, Registry } from 'prom-client'
 import type { Disposable, EventDefinition, EventFields } from '@fuchsiatally/core'
+import type { Traffic } from './trafficMeter.js'
 
 const HIGHEST_LATENCY_US = 120_000_000
 const SIGNIFICANT_DIGITS = 2
@@ -16,6 +17,8 @@
   recordRequest: (outcome: string, elapsedMs: number) => void
   /** Registers a value that is read at each scrape. */
   addGauge: (name: string, help: string, readValue: () => number) => void
+  /** Registers the bytes by kind of peer. */
+  addTraffic: (listTraffic: () => readonly Traffic[]) => void
   render: () => Promise<string>
 }
 
@@ -62,6 +65,20 @@
     addGauge: (name, help, readValue) => {
       const gauge: Gauge = new Gauge({ name, help, registers: [registry], collect () { gauge.set(readValue()) } })
     },
+    addTraffic: (listTraffic) => {
+      const bytes: Gauge = new Gauge({
+        name: 'fuchsiatally_traffic_bytes',
+        help: 'Bytes since the start by kind of peer',
+        labelNames: ['kind', 'direction'],
+        registers: [registry],
+        collect () {
+          for (const { kind, sentBytes, receivedBytes } of listTraffic()) {
+            bytes.set({ kind, direction: 'sent' }, sentBytes)
+            bytes.set({ kind, direction: 'received' }, receivedBytes)
+          }
+        }
+      })
+    },
     render: () => registry.metrics(),
     dispose: () => { registry.clear() }
   }
