Command line over real processes; status lists linked peers that have no session row here yet

Cause: a trial against three entry processes showed a status that left out entries just started, called an entry whose own session had expired in an outage not live, and a warning of a stale configuration at each start. Change: the status takes linked peers in and counts the answering entry as live; the warning comes only after a configuration was fresh.

--- a/packages/entry/src/contract/configGossip.ts
+++ b/packages/entry/src/contract/configGossip.ts
@@ -18,6 +18,12 @@
   readonly recordEvidence: () => void
 }
 
+/** What a peer last said. */
+export interface PeerVersion {
+  readonly peer: Peer
+  readonly version: number
+}
+
 /** Gossip of one entry. */
 export interface ConfigGossip extends Disposable {
   handleHeartbeat: (peer: Peer, configVersion: number, deniedKeyIds: readonly string[]) => void
@@ -26,7 +32,8 @@
   sendQueries: () => void
   /** Asks the peer that answered last and a few more. */
   sendSomeQueries: () => void
-  listPeerVersions: () => ReadonlyMap<string, number>
+  /** Version in force at each linked peer, by incarnation. */
+  listPeerVersions: () => ReadonlyMap<string, PeerVersion>
 }
 
 const ASKED_PEERS = 3
@@ -39,7 +46,7 @@
 /** Registers the receivers of the configuration's messages. */
 export function createConfigGossip (options: ConfigGossipOptions): ConfigGossip {
   const { clock, random, mesh, view } = options
-  const versions = new Map<string, number>()
+  const versions = new Map<string, PeerVersion>()
   const queries = new Map<string, { sentAtMs: number, incarnation: string }>()
   const pulledAtMs = new Map<string, number>()
   let lastAnswering: string | undefined
@@ -64,7 +71,7 @@
   const sendStateToAll = (): void => mesh.broadcastMessage(createState(''))
 
   const recordPeer = (peer: Peer, version: number, deniedKeyIds: readonly string[]): void => {
-    versions.set(peer.incarnation, version)
+    versions.set(peer.incarnation, { peer, version })
     // News is passed on, since not every pair of entries has a link.
     if (options.addDenied(deniedKeyIds).length > 0) sendStateToAll()
     view.recordVersionHeard(version)
--- a/packages/entry/src/contract/configStore.ts
+++ b/packages/entry/src/contract/configStore.ts
@@ -7,7 +7,7 @@
 import type { Result } from 'neverthrow'
 import type { ConfigStore, Peer, PeerMesh } from '../ports.js'
 import { createSerialLoop } from '../process/serialLoop.js'
-import { createConfigGossip, type ConfigGossip } from './configGossip.js'
+import { createConfigGossip, type ConfigGossip, type PeerVersion } from './configGossip.js'
 import { createConfigProposer, type ConfigProposer, type ProposeError } from './configProposer.js'
 import { createDeniedKeys, type DeniedKeys } from './deniedKeys.js'
 import * as events from './events.js'
@@ -47,8 +47,8 @@
   denyKeys: (keyIds: readonly string[]) => void
   /** Denied ids that the document in force does not revoke yet; for heartbeats. */
   listDeniedKeyIds: () => string[]
-  /** Version in force by incarnation, from the latest heartbeats. */
-  listPeerVersions: () => ReadonlyMap<string, number>
+  /** Version in force at each linked peer, by incarnation, from its latest message. */
+  listPeerVersions: () => ReadonlyMap<string, PeerVersion>
   /** Takes what a peer's heartbeat says. */
   handleHeartbeat: (peer: Peer, configVersion: number, deniedKeyIds: readonly string[]) => void
   /** Brings a change into the table; what it returns is in force here and durable. */
@@ -65,7 +65,7 @@
   const receivers = new Set<(document: ConfigDocument) => void>()
   const waiting = new Set<() => void>()
   let revoked = new Set<string>()
-  let wasFresh = true
+  let wasFresh = false
   /** Revision of the last good read of the table, and the configuration's version there. */
   let tableRevision = 0
   let tableVersion = 0
--- a/packages/entry/src/contract/events.ts
+++ b/packages/entry/src/contract/events.ts
@@ -15,8 +15,8 @@
   'The platform answered with a lower version than one already heard of; it is not installed and does not count as news.')
 export const configStale = defineEvent('FT607', 'warn', 'Configuration is stale',
   'Neither the platform nor a peer that hears it has confirmed the version in force for 4 s; teams with whenCut = "refuse" are refused here, and a revocation may not be in force here.')
-export const configFresh = defineEvent('FT608', 'info', 'Configuration is fresh again',
-  'The version in force is confirmed; all teams are served by it.')
+export const configFresh = defineEvent('FT608', 'info', 'Configuration is fresh',
+  'The version in force is confirmed, for the first time or again; all teams are served by it.')
 export const keyGranted = defineEvent('FT610', 'info', 'Key granted',
   'An operator granted a key; only its hash is kept.')
 export const keyRevoked = defineEvent('FT611', 'info', 'Key revoked',
--- a/packages/entry/src/http/configRoutes.ts
+++ b/packages/entry/src/http/configRoutes.ts
@@ -102,19 +102,22 @@
   return warnings
 }
 
-/** Versions in force by entry: the higher of what its session row and its heartbeats say. */
+/** Versions in force by entry: the higher of what its session row and its messages say. */
 function createStatus (options: ConfigRoutesOptions): unknown {
   const { config, sessions } = options
   const heard = config.listPeerVersions()
-  const entries: EntryConfigStatus[] = []
-  for (const session of sessions.listSessions()) {
-    const isSelf = session.incarnation === sessions.incarnation
-    const version = isSelf ? config.readVersion() : Math.max(session.configVersion, heard.get(session.incarnation) ?? 0)
-    const { entry, incarnation, failureDomain, expired } = session
-    entries.push({ entry, incarnation, failureDomain, version, live: !expired || heard.has(incarnation) })
+  const entries = new Map<string, EntryConfigStatus>()
+  for (const { entry, incarnation, failureDomain, expired, configVersion } of sessions.listSessions()) {
+    const isSelf = incarnation === sessions.incarnation
+    const version = isSelf ? config.readVersion() : Math.max(configVersion, heard.get(incarnation)?.version ?? 0)
+    entries.set(incarnation, { entry, incarnation, failureDomain, version, live: isSelf || !expired || heard.has(incarnation) })
   }
-  const version = Math.max(config.readHighestVersion(), 0, ...entries.map((entry) => entry.version))
-  const lagging = entries.filter((entry) => entry.live && entry.version < version).map((entry) => entry.entry)
-  const unreachable = entries.filter((entry) => !entry.live).map((entry) => entry.entry)
-  return { version, fresh: config.isFresh(), deniedKeyIds: config.listDeniedKeyIds(), entries, lagging, unreachable }
+  for (const { peer, version } of heard.values()) {
+    if (!entries.has(peer.incarnation)) entries.set(peer.incarnation, { ...peer, version, live: true })
+  }
+  const listed = [...entries.values()].sort((a, b) => a.entry < b.entry ? -1 : 1)
+  const version = Math.max(config.readHighestVersion(), ...listed.map((entry) => entry.version))
+  const lagging = listed.filter((entry) => entry.live && entry.version < version).map((entry) => entry.entry)
+  const unreachable = listed.filter((entry) => !entry.live).map((entry) => entry.entry)
+  return { version, fresh: config.isFresh(), deniedKeyIds: config.listDeniedKeyIds(), entries: listed, lagging, unreachable }
 }
--- /dev/null
+++ b/packages/standins/src/__tests__/operators.spec.ts
@@ -0,0 +1,110 @@
+/** The command line against real processes: a key's life, a paused entry, racing operators, an outage. */
+import { setTimeout as wait } from 'node:timers/promises'
+import { fileURLToPath } from 'node:url'
+import { EXIT_CODES, runCli } from '@fuchsiatally/cli'
+import { test } from 'uvu'
+import * as assert from 'uvu/assert'
+import { startCluster, waitFor, type Cluster } from '../cluster.js'
+import { createDeployment } from '../deployment.js'
+import { writeFileSync, mkdtempSync, rmSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { stringify } from 'smol-toml'
+
+/** Longer than a configuration stays fresh without news. */
+const STALE_MS = 5000
+/** Generous bound of waits that are not what is tested. */
+const BOUND_MS = 20_000
+const JOB = fileURLToPath(new URL('../../../../examples/job.toml', import.meta.url))
+
+const deployment = createDeployment({
+  cell: 'operators',
+  domains: ['a', 'b', 'c'],
+  entryCount: 3,
+  pools: [{ name: 'pages', count: 3, resources: { processors: 16, memoryMb: 65_536, accelerators: 0 }, service: 'proof' }],
+  teams: [{ name: 'parishes', share: 2 }, { name: 'schools', share: 1 }]
+})
+const directory = mkdtempSync(join(tmpdir(), 'fuchsiatally-operators-'))
+const manifestFile = join(directory, 'cell.toml')
+let cluster: Cluster
+
+async function run (index: number, line: string, key?: string): Promise<{ code: number, out: string }> {
+  let out = ''
+  const code = await runCli(line.split(' '), {
+    env: {
+      FUCHSIATALLY_ENTRY: cluster.entries[index]!.httpAddress,
+      FUCHSIATALLY_OPERATOR_KEY: cluster.operatorKey,
+      ...(key === undefined ? {} : { FUCHSIATALLY_KEY: key })
+    },
+    writeOut: (text) => { out += text },
+    writeErr: () => {},
+    wait: async (ms) => { await wait(ms) }
+  })
+  return { code, out }
+}
+
+async function grant (index: number, id: string): Promise<string> {
+  const granted = await run(index, `key grant schools --id ${id} --json`)
+  assert.is(granted.code, 0)
+  return JSON.parse(granted.out).key
+}
+
+test.before(async () => { cluster = await startCluster({ deployment }) })
+test.after(async () => {
+  rmSync(directory, { recursive: true, force: true })
+  assert.equal(await cluster.stop(), [])
+})
+
+test('a granted key sends requests and jobs everywhere; none of it is in any log', async () => {
+  const key = await grant(0, 's1')
+  for (const index of [0, 1, 2]) assert.ok(await waitFor(async () => (await run(index, 'request proof /hello', key)).code === 0, BOUND_MS))
+  const submitted = await run(1, `submit ${JOB}`, key)
+  assert.is((await run(2, `status ${submitted.out.trim()} --wait`, key)).code, 0)
+  assert.is((await run(0, 'team schools')).code, 0)
+  assert.is((await run(2, `explain ${submitted.out.trim()}`, key)).code, 0)
+  for (const index of [0, 1, 2]) assert.not((await run(index, 'events --json')).out.includes(key))
+})
+
+test('an entry back from a pause refuses a key that was revoked meanwhile, at its first request', async () => {
+  const key = await grant(0, 's2')
+  assert.ok(await waitFor(async () => (await run(2, 'request proof /hello', key)).code === 0, BOUND_MS))
+  cluster.entries[2]!.child.sendSignal('SIGSTOP')
+  try {
+    assert.is((await run(0, 'key revoke s2')).code, 0)
+    await wait(STALE_MS)
+    assert.is((await run(1, 'request proof /hello', key)).code, EXIT_CODES.unauthorized)
+  } finally {
+    cluster.entries[2]!.child.sendSignal('SIGCONT')
+  }
+  assert.is((await run(2, 'request proof /hello', key)).code, EXIT_CODES.unauthorized)
+  assert.is((await run(2, 'key grant schools --id s2')).code, EXIT_CODES.conflict)
+})
+
+test('of two operators that apply at once one gets the conflict; the other waits until it is in force everywhere', async () => {
+  const version = JSON.parse((await run(0, 'config status --json')).out).version
+  const { manifest } = deployment
+  const teams = manifest.teams.map((team) => ({ ...team, share: team.share + 1 }))
+  writeFileSync(manifestFile, stringify({ ...manifest, teams }))
+  const codes = await Promise.all([0, 1].map(async (index) => (await run(index, `apply ${manifestFile} --wait --expected-version ${version}`)).code))
+  assert.equal(codes.sort((a, b) => a - b), [0, EXIT_CODES.conflict])
+  for (const index of [0, 1, 2]) {
+    const status = JSON.parse((await run(index, 'config status --json')).out)
+    assert.equal([status.version, status.lagging, status.entries.length], [version + 1, [], 3])
+  }
+  assert.is((await run(0, `diff ${manifestFile} --exit-code`)).code, 0)
+})
+
+test('a revocation in an outage works at once and becomes durable by itself', async () => {
+  const key = await grant(1, 's3')
+  assert.ok(await waitFor(async () => (await run(2, 'request proof /hello', key)).code === 0, BOUND_MS))
+  await cluster.controlPlatform({ faults: { outage: true } })
+  assert.is((await run(0, 'key revoke s3')).code, EXIT_CODES.notDurable)
+  for (const index of [0, 1, 2]) assert.is((await run(index, 'request proof /hello', key)).code, EXIT_CODES.unauthorized)
+  assert.is((await run(0, 'key grant schools')).code, EXIT_CODES.platformUnavailable)
+  assert.is((await run(1, 'request proof /hello --team visitors')).code, 0, 'the open queue goes on')
+  await cluster.controlPlatform({ faults: { outage: false } })
+  const isDurable = async (): Promise<boolean> => (await run(2, 'key list --json')).out.includes('{"id":"s3","state":"revoked"}')
+  assert.ok(await waitFor(isDurable, BOUND_MS))
+})
+
+test.run()
