--- a/packages/entry/src/contract/__tests__/configStore.spec.ts
+++ b/packages/entry/src/contract/__tests__/configStore.spec.ts
@@ -79,6 +79,18 @@
   assert.is(await check(ready, 1, ready.covers), 'unauthorized')
 })
 
+test('an entry whose configuration is stale asks before it accepts a key, also of a team that is served when cut', async () => {
+  const ready = await createReady(2)
+  ready.mesh.setCut(ready.entries[0]!.incarnation, ready.entries[1]!.incarnation)
+  ready.entries[1]!.faults.outage = true
+  await ready.clock.runFor(6000)
+  await revoke(ready, 0, 'pages-1')
+  assert.is(await check(ready, 1, ready.pages), 'pages', 'nobody can be asked')
+  await ready.clock.runFor(2000)
+  ready.entries[1]!.faults.outage = false
+  assert.is(await check(ready, 1, ready.pages), 'unauthorized')
+})
+
 test('a change whose answer was lost is settled even when another came on top', async () => {
   const ready = await createReady(2)
   ready.entries[0]!.faults.lostAnswerRate = 1
