Command line: exact bytes of answers, waits that outlast a lost entry; headers under arbitrary input

Cause: a binary answer was garbled by its conversion to text; a wait for a job ended with the first lost connection; a GET with a body was reported as a malformed address.

--- a/packages/cli/src/commands/jobs.ts
+++ b/packages/cli/src/commands/jobs.ts
@@ -23,6 +23,12 @@
 
 const POLL_MS = 500
 const MAX_SHOWN_TASKS = 50
+/** Failures in a row after which a wait gives up. */
+const MAX_FAILURES = 60
+/** Failures that a wait outlasts: another entry, or the same one later, may answer. */
+const PASSING_FAILURES = new Set<ExitCode>([
+  EXIT_CODES.unknown, EXIT_CODES.unreachable, EXIT_CODES.notReady, EXIT_CODES.platformUnavailable, EXIT_CODES.overLimit
+])
 const ENDED = new Set(['completed', 'failed', 'cancelled'])
 
 export const status: Command<StatusArguments> = {
@@ -43,11 +49,12 @@
       output.writeResult(listed.value.value, formatTable(['JOB', 'PHASE', 'KIND', 'TASKS'], jobs.map((job) => [job.id, job.phase, job.spec.kind, formatTasks(job)])))
       return EXIT_OK
     }
-    for (;;) {
+    for (let failures = 0; ;) {
       const read = await caller.readJson('GET', `/v1/jobs/${encodeURIComponent(args.job)}`)
-      if (read.isErr()) return stopWith(output, read.error)
-      const job = read.value.value as unknown as JobView
-      if (!args.wait || ENDED.has(job.phase)) {
+      failures = read.isOk() ? 0 : failures + 1
+      if (read.isErr() && !(args.wait && failures < MAX_FAILURES && PASSING_FAILURES.has(read.error.exitCode))) return stopWith(output, read.error)
+      const job = read.isOk() ? read.value.value as unknown as JobView : undefined
+      if (job !== undefined && (!args.wait || ENDED.has(job.phase))) {
         output.writeResult(job, formatJob(job))
         return args.wait && job.phase !== 'completed' ? EXIT_CODES.jobFailed : EXIT_OK
       }
--- a/packages/cli/src/commands/request.ts
+++ b/packages/cli/src/commands/request.ts
@@ -14,6 +14,8 @@
   readonly ticket?: string | undefined
 }
 
+const BODILESS_METHODS = new Set(['GET', 'HEAD'])
+
 export const request: Command<RequestArguments> = {
   usage: 'request <service> [path]',
   description: 'Send a request to a service and print the answer',
@@ -30,14 +32,19 @@
     .option('idempotent', { type: 'boolean', describe: 'may be sent to a second endpoint; true for GET and HEAD where absent' })
     .option('ticket', { type: 'string', describe: 'ticket under which a repeated request runs at most once' }),
   run: async ({ args, output, caller }) => {
+    const method = args.method.toUpperCase()
+    if (args.data !== undefined && BODILESS_METHODS.has(method)) {
+      return stopWith(output, { exitCode: EXIT_CODES.usage, message: `${method} takes no --data; name another --method` })
+    }
     const call = createCall(args)
     if (call === undefined) return stopWith(output, { exitCode: EXIT_CODES.badConfig, message: `${String(args.data)}: cannot be read; name a readable file after @` })
     const path = `/v1/services/${encodeURIComponent(args.service)}/${(args.path ?? '').replace(/^\//, '')}`
-    const answer = await caller.sendRequest(args.method.toUpperCase(), path, call)
+    const answer = await caller.sendRequest(method, path, call)
     if (answer.isErr()) return stopWith(output, answer.error)
     const outcome = answer.value.headers.get('fuchsiatally-outcome')
     if (outcome !== 'completed') return stopWith(output, createProblemFailure(answer.value.status, parseObject(answer.value.body)))
-    writeAnswer(output, answer.value)
+    if (args.json) output.writeResult(renderAnswer(answer.value), '')
+    else output.writeBytes(answer.value.body)
     return answer.value.status >= 400 ? EXIT_CODES.errorAnswer : EXIT_OK
   }
 }
@@ -55,12 +62,10 @@
   }
 }
 
-function writeAnswer (output: { writeResult: (value: unknown, text: string) => void }, answer: EntryAnswer): void {
-  const text = Buffer.from(answer.body).toString('utf8')
-  const value = {
+function renderAnswer (answer: EntryAnswer): object {
+  return {
     status: answer.status,
     headers: Object.fromEntries(answer.headers),
     bodyBase64: Buffer.from(answer.body).toString('base64')
   }
-  output.writeResult(value, text)
 }
--- a/packages/cli/src/output.ts
+++ b/packages/cli/src/output.ts
@@ -3,14 +3,18 @@
 
 /** Streams of one run. */
 export interface CliStreams {
-  readonly writeOut: (text: string) => void
+  readonly writeOut: (text: string | Uint8Array) => void
   readonly writeErr: (text: string) => void
+  /** Whether people read the output. */
+  readonly isTerminal: boolean
 }
 
 /** Prints results of one command. */
 export interface Output {
   /** The result: `value` with `--json`, else `text`. */
   writeResult: (value: unknown, text: string) => void
+  /** Bytes as they came; a line end is added on a terminal alone. */
+  writeBytes: (bytes: Uint8Array) => void
   /** A line for people alone. */
   writeNote: (text: string) => void
   writeFailure: (failure: CliFailure) => void
@@ -20,6 +24,10 @@
 export function createOutput (streams: CliStreams, json: boolean): Output {
   return {
     writeResult: (value, text) => { streams.writeOut(`${json ? JSON.stringify(value) : text}\n`) },
+    writeBytes: (bytes) => {
+      streams.writeOut(bytes)
+      if (streams.isTerminal && bytes.length > 0) streams.writeOut('\n')
+    },
     writeNote: (text) => { if (!json) streams.writeErr(`${text}\n`) },
     writeFailure: (failure) => {
       if (json) streams.writeOut(`${JSON.stringify({ error: { exitCode: failure.exitCode, message: failure.message, ...(failure.problem === undefined ? {} : { problem: failure.problem }) } })}\n`)
--- a/packages/entry/src/contract/__tests__/configStore.spec.ts
+++ b/packages/entry/src/contract/__tests__/configStore.spec.ts
@@ -1,4 +1,6 @@
 /** Single hazards of configuration and keys, each at its worst moment. */
+import { resolveFuzzOptions } from '@fuchsiatally/core/testing/fuzzOptions'
+import fc from 'fast-check'
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
 import { createKey } from '../key.js'
@@ -183,6 +185,16 @@
   assert.not(JSON.stringify(ready.log.recorded).includes(ready.covers.slice(7)))
 })
 
+test('no header and no team name makes the key ring throw or accept', async () => {
+  const ready = await createReady(1)
+  const { keys } = ready.entries[0]!
+  const header = fc.oneof(fc.string({ unit: 'binary' }), fc.string().map((text) => `Bearer ${text}`), fc.string().map((text) => `Bearer ft_covers-1_${text}`))
+  await fc.assert(fc.asyncProperty(header, fc.option(fc.string(), { nil: undefined }), async (authorization, team) => {
+    assert.is((await keys.checkTeam(authorization, team))._unsafeUnwrapErr(), 'unauthorized')
+    assert.not(keys.isOperator(authorization))
+  }), resolveFuzzOptions(20260105, 500))
+})
+
 test('without any configuration nothing is accepted and callers are told to come back', async () => {
   const cluster = createConfigCluster(1, 1)
   cluster.shared.outage = true
