--- a/packages/entry/src/contract/__tests__/configStore.spec.ts
+++ b/packages/entry/src/contract/__tests__/configStore.spec.ts
@@ -1,4 +1,6 @@
 /** Single hazards of configuration and keys, each at its worst moment. */
+import { resolveFuzzOptions } from '@fuchsiatally/core/testing/fuzzOptions'
+import fc from 'fast-check'
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
 import { createKey } from '../key.js'
@@ -79,6 +81,18 @@
   assert.is(await check(ready, 1, ready.covers), 'unauthorized')
 })
 
+test('an entry whose configuration is stale asks before it accepts a key, also of a team that is served when cut', async () => {
+  const ready = await createReady(2)
+  ready.mesh.setCut(ready.entries[0]!.incarnation, ready.entries[1]!.incarnation)
+  ready.entries[1]!.faults.outage = true
+  await ready.clock.runFor(6000)
+  await revoke(ready, 0, 'pages-1')
+  assert.is(await check(ready, 1, ready.pages), 'pages', 'nobody can be asked')
+  await ready.clock.runFor(2000)
+  ready.entries[1]!.faults.outage = false
+  assert.is(await check(ready, 1, ready.pages), 'unauthorized')
+})
+
 test('a change whose answer was lost is settled even when another came on top', async () => {
   const ready = await createReady(2)
   ready.entries[0]!.faults.lostAnswerRate = 1
@@ -171,6 +185,16 @@
   assert.not(JSON.stringify(ready.log.recorded).includes(ready.covers.slice(7)))
 })
 
+test('no header and no team name makes the key ring throw or accept', async () => {
+  const ready = await createReady(1)
+  const { keys } = ready.entries[0]!
+  const header = fc.oneof(fc.string({ unit: 'binary' }), fc.string().map((text) => `Bearer ${text}`), fc.string().map((text) => `Bearer ft_covers-1_${text}`))
+  await fc.assert(fc.asyncProperty(header, fc.option(fc.string(), { nil: undefined }), async (authorization, team) => {
+    assert.is((await keys.checkTeam(authorization, team))._unsafeUnwrapErr(), 'unauthorized')
+    assert.not(keys.isOperator(authorization))
+  }), resolveFuzzOptions(20260105, 500))
+})
+
 test('without any configuration nothing is accepted and callers are told to come back', async () => {
   const cluster = createConfigCluster(1, 1)
   cluster.shared.outage = true
