Packing: checkpointable tasks fill held room until it is needed

Cause: room held for gangs and large tasks stood empty until the last of it was free.

The property on eventual starts found a fault on the way: urgent reservations were planned again before they were looked at, so a caller that decides seldom never started them. They are now looked at first.

--- a/packages/core/src/job/decideTasks.ts
+++ b/packages/core/src/job/decideTasks.ts
@@ -12,9 +12,9 @@
 export function decideTasks (state: CellState, maxDecisions: number): void {
   releaseQuarantined(state)
   releaseUnfit(state)
-  updateUrgentReservations(state)
   applyGrown(state)
   startReserved(state)
+  updateUrgentReservations(state)
   startAll(state, true, maxDecisions)
   startAll(state, false, maxDecisions)
   grantReservation(state)
--- a/packages/core/src/job/grants.ts
+++ b/packages/core/src/job/grants.ts
@@ -9,8 +9,10 @@
 /** Lanes tried at each interval, and the time until one is tried again. */
 const TRIES = 4
 const GRANT_RETRY_MS = 5000
-/** Reservations of normal work held at once. */
-const MAX_RESERVATIONS = 2
+/** Reservations that wait for running work to end, as a part of the workers and within bounds. */
+const RESERVATIONS_PER_WORKER = 0.1
+const LEAST_RESERVATIONS = 2
+const MOST_RESERVATIONS = 32
 /** Wait for room after which a gang gets a reservation. */
 const GANG_WAIT_MS = 5000
 /** Wait for room after which a single task gets a reservation. */
@@ -32,12 +34,17 @@
 function tryLane (state: CellState, lane: Lane): boolean {
   const job = lane.jobs[0]!
   if (reserveForShare(state, job)) return true
-  if (countGranted(state) >= MAX_RESERVATIONS) return false
+  if (countGranted(state) >= computeMostReservations(state)) return false
   const plan = buildReservationPlan(state, job, lane.gang ? job.queued.length : 1)
   if (plan) addReservation(state, job, plan, false)
   return plan !== undefined
 }
 
+function computeMostReservations (state: CellState): number {
+  const wanted = Math.round(state.workers.countWorkers() * RESERVATIONS_PER_WORKER)
+  return Math.max(LEAST_RESERVATIONS, Math.min(MOST_RESERVATIONS, wanted))
+}
+
 /** Reservations that wait for running work to end by itself. */
 function countGranted (state: CellState): number {
   let granted = 0
--- a/packages/core/src/job/jobEntry.ts
+++ b/packages/core/src/job/jobEntry.ts
@@ -22,6 +22,8 @@
   startedMs: number
   /** Whether the stopping attempt saves its work. */
   checkpoint: boolean
+  /** Whether it runs in held room until the reservation needs it. */
+  filler: boolean
 }
 
 /** How a job ends before all its tasks have completed. */
@@ -90,7 +92,8 @@
     lastWorker: undefined,
     reason: undefined,
     startedMs: 0,
-    checkpoint: false
+    checkpoint: false,
+    filler: false
   }
 }
 
--- a/packages/core/src/job/placement.ts
+++ b/packages/core/src/job/placement.ts
@@ -13,6 +13,8 @@
   readonly worker: WorkerEntry
   readonly reason: string
   readonly losers: readonly LosingCandidate[]
+  /** Whether the task makes way when the reservation needs the room. */
+  readonly filler?: boolean
 }
 
 /** Candidates compared in all partitions together, and in each of many. */
@@ -55,22 +57,38 @@
 export function chooseBackfill (state: CellState, job: JobEntry): Placement | undefined {
   const { reserved } = state.workers
   const { need } = job.shape
-  const endMs = state.nowMs + state.estimates.estimateRunTime(job)
+  const endMs = computeBackfillEnd(state, job)
   const urgent = job.row.spec.priority === 'urgent'
   const plain = need.accelerators === 0 && fitsPlainWorker(state, job.shape)
   const sources = [{ index: reserved, accelerated: false }, { index: reserved, accelerated: true }]
   const choice = chooseAvoiding(job, sources, (worker) => {
-    if (!hasUnheldRoom(worker, need) && !canUseHeld(worker, endMs, urgent)) return false
+    if (!hasUnheldRoom(worker, need) && !canUseHeld(state, worker, endMs, urgent)) return false
     return !plain || hasRoom(worker.spareRoom, need)
   })
-  return choice && { ...choice, reason: 'backfill: room beside reservations, or free before they are due' }
+  if (!choice) return undefined
+  const filler = endMs === state.nowMs && !hasUnheldRoom(choice.worker, need)
+  const reason = filler
+    ? 'filler: in reserved room until it is needed'
+    : 'backfill: room beside reservations, or free before they are due'
+  return { ...choice, reason, filler }
+}
+
+/** When a task would leave held room; a checkpointable one leaves it whenever it is needed. */
+function computeBackfillEnd (state: CellState, job: JobEntry): number {
+  return isFillerJob(job) ? state.nowMs : state.nowMs + state.estimates.estimateRunTime(job)
+}
+
+/** Tells whether tasks of the job may run in held room until it is needed. */
+export function isFillerJob (job: JobEntry): boolean {
+  const { checkpointable, kind, priority } = job.row.spec
+  return checkpointable && kind === 'batch' && priority === 'normal'
 }
 
 /** Tells whether a task ending at `endMs` may use room that reservations hold on the worker. */
-function canUseHeld (worker: WorkerEntry, endMs: number, urgent: boolean): boolean {
+function canUseHeld (state: CellState, worker: WorkerEntry, endMs: number, urgent: boolean): boolean {
   for (const reservation of worker.reservations.keys()) {
-    if (reservation.urgent) return false
-    if (!urgent && endMs > reservation.freeAtMs) return false
+    if (reservation.urgent || reservation.closing) return false
+    if (!urgent && endMs > Math.max(state.nowMs, reservation.freeAtMs)) return false
   }
   return true
 }
--- a/packages/core/src/job/reservation.ts
+++ b/packages/core/src/job/reservation.ts
@@ -2,6 +2,7 @@
 import { addAmounts, countFits, hasRoom, type Amounts } from '../vm/amounts.js'
 import type { WorkerEntry } from '../vm/workerEntry.js'
 import { hasCapacityFor, isEligible } from '../vm/workerPool.js'
+import { stopAttempt } from './attempts.js'
 import { updateBackfill, type CellState } from './cellState.js'
 import type { JobEntry, TaskEntry } from './jobEntry.js'
 
@@ -14,8 +15,8 @@
   /** Monotonic time at which the room should be free; no backfill may be expected to run beyond it. */
   readonly freeAtMs: number
   readonly grantedMs: number
-  /** Monotonic time before which placement elsewhere is not tried again. */
-  retryAtMs: number
+  /** Fillers are being stopped; nothing more may use the held room. */
+  closing: boolean
 }
 
 /** A planned set of workers. */
@@ -42,7 +43,7 @@
     workers: plan.workers,
     freeAtMs: plan.freeAtMs,
     grantedMs: state.nowMs,
-    retryAtMs: state.nowMs
+    closing: false
   }
   state.reservations.add(reservation)
   job.reservations.add(reservation)
@@ -127,3 +128,23 @@
   const leftMs = state.estimates.estimateRunTime(task.job) - ranMs
   return state.nowMs + Math.max(leftMs, ranMs * OVERDUE_PART)
 }
+
+/** Stops the fillers of a reservation once nothing else is in its way. */
+export function stopFillers (state: CellState, reservation: Reservation): void {
+  if (reservation.closing) return
+  const { need } = reservation.job.shape
+  const victims: TaskEntry[] = []
+  for (const [worker, count] of reservation.workers) {
+    const room = { ...worker.free }
+    addAmounts(room, worker.stopping, 1)
+    for (const task of worker.attempts) {
+      if (hasRoom(room, need, count)) break
+      if (!task.filler || task.phase !== 'assigned') continue
+      addAmounts(room, task.job.shape.need, 1)
+      victims.push(task)
+    }
+    if (!hasRoom(room, need, count)) return
+  }
+  reservation.closing = true
+  for (const victim of victims) stopAttempt(state, victim, 'preempted')
+}
--- a/packages/core/src/job/starts.ts
+++ b/packages/core/src/job/starts.ts
@@ -8,7 +8,7 @@
 import type { Lane } from './lane.js'
 import { chooseBackfill, chooseOpenWorker, type Placement } from './placement.js'
 import { reserveForUrgent, reserveForUrgentGang } from './preemption.js'
-import { isReady, releaseReservation, releaseReservations, type Reservation } from './reservation.js'
+import { isReady, releaseReservation, releaseReservations, stopFillers, type Reservation } from './reservation.js'
 import { checkCeiling, findUnreserved } from './turns.js'
 
 const GANG_RETRY_MS = 500
@@ -114,6 +114,7 @@
 
 function startPlaced (state: CellState, task: TaskEntry, placement: Placement): void {
   startAttempt(state, task, placement.worker, placement.reason, placement.losers)
+  task.filler = placement.filler ?? false
 }
 
 function startMembers (state: CellState, job: JobEntry, workers: readonly WorkerEntry[], reason: string): void {
@@ -133,7 +134,11 @@
       releaseReservation(state, reservation)
       continue
     }
-    if (!isReady(reservation) || !hasCeilingRoom(job.team, job.shape.need, count)) continue
+    if (!hasCeilingRoom(job.team, job.shape.need, count)) continue
+    if (!isReady(reservation)) {
+      stopFillers(state, reservation)
+      continue
+    }
     releaseReservation(state, reservation)
     startMembers(state, job, listPlanned(reservation), 'reserved room is free')
     if (job.lane) job.lane.blockedSinceMs = Infinity
@@ -158,7 +163,7 @@
 export function updateUrgentReservations (state: CellState): void {
   for (const reservation of [...state.reservations]) {
     if (!reservation.urgent || state.nowMs - reservation.grantedMs < URGENT_REPLAN_MS) continue
-    if (reservation.job.row.spec.kind === 'gang') continue
+    if (reservation.job.row.spec.kind === 'gang' || isReady(reservation)) continue
     const [worker] = reservation.workers.keys()
     releaseReservation(state, reservation)
     reserveForUrgent(state, reservation.job, worker)
--- a/packages/core/src/job/turns.ts
+++ b/packages/core/src/job/turns.ts
@@ -2,6 +2,7 @@
 import { computeTeamOrder, hasCeilingRoom, type TeamEntry } from '../team/teamEntry.js'
 import type { CellState } from './cellState.js'
 import type { JobEntry } from './jobEntry.js'
+import { isFillerJob } from './placement.js'
 import { isBefore, type Lane } from './lane.js'
 
 /** Teams with waiting work in the order of their turns. */
@@ -104,7 +105,9 @@
 function canTryBackfill (state: CellState, lane: Lane): boolean {
   if (lane.besideTriedAt !== lane.shape.besideVersion) return true
   if (lane.withinTriedAt === lane.shape.withinVersion) return false
-  return state.nowMs + state.estimates.estimateRunTime(lane.jobs[0]!) <= findLatestDue(state)
+  const job = lane.jobs[0]!
+  if (isFillerJob(job)) return true
+  return state.nowMs + state.estimates.estimateRunTime(job) <= findLatestDue(state)
 }
 
 /** The latest time at which a reservation's room is due. */
