--- a/packages/core/src/contract/__tests__/allotment.spec.ts
+++ b/packages/core/src/contract/__tests__/allotment.spec.ts
@@ -1,5 +1,6 @@
 /** Holders of a ceiling's parts against a table with lost, late and stale answers. */
 import fc from 'fast-check'
+import { resolveFuzzOptions } from '../../testing/fuzzOptions.js'
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
 import { createAllotment, sumParts, type Allotment, type AllotmentPlan, type AllotmentRow } from '../../index.js'
@@ -72,7 +73,10 @@
   send (holder: Holder, fate: 'answered' | 'lostAnswer' | 'late' | 'lost'): void {
     const { plan, allotment } = holder
     if (plan === undefined || fate === 'lost') return
-    if (fate === 'late') return void this.table.late.push(plan)
+    if (fate === 'late') {
+      this.table.late.push(plan)
+      return
+    }
     this.table.apply(plan)
     if (fate === 'lostAnswer') return
     // An answer shows the row as it stands, whether this try took effect or conflicted.
@@ -117,7 +121,7 @@
       world.checkCovered(step)
       assert.ok(sumParts(world.table.row ?? { configVersion: 0, ceiling: 0, parts: {} }) <= FIRST_CEILING)
     }
-  }), { seed: 501, numRuns: 3000 })
+  }), resolveFuzzOptions(501, 3000))
 })
 
 test('a lowered ceiling never lets the parts grow above it, and is met once work has ended', () => {
@@ -132,7 +136,7 @@
     }
     // The faults end, everyone hears of the configuration, and the work in flight ends step by step.
     for (let round = 0; round < 40; round += 1) {
-      for (const [index, holder] of world.holders.entries()) {
+      for (const index of world.holders.keys()) {
         world.run({ kind: 'settle', holder: index })
         world.run({ kind: 'hear', holder: index })
         world.run({ kind: 'send', holder: index, fate: 'answered' })
@@ -144,7 +148,7 @@
     }
     if (world.holders.every((holder) => holder.dead) || world.table.row === null) return
     assert.ok(sumParts(world.table.row) <= world.config.ceiling, JSON.stringify(world.table.row))
-  }), { seed: 502, numRuns: 1500 })
+  }), resolveFuzzOptions(502, 1500))
 })
 
 test('while the table is down each holder keeps to its proportion of a lowered ceiling', () => {
--- a/packages/entry/src/contract/configProposer.ts
+++ b/packages/entry/src/contract/configProposer.ts
@@ -43,9 +43,18 @@
   readonly readKnownVersion: () => number
 }
 
+/** What a poll of the table brought. */
+export interface TablePoll {
+  /** Revision of the table that answered. */
+  readonly revision: number
+  /** The configuration if it was written after the revision asked for, else `undefined`. */
+  readonly written: TableConfig | undefined
+}
+
 /** Proposes changes. */
 export interface ConfigProposer {
-  readTable: () => Promise<Result<TableConfig, PlatformFailure>>
+  /** Reads the configuration only if it was written after a revision of the table; 0 reads it in any case. */
+  readWritten: (sinceRevision: number) => Promise<Result<TablePoll, PlatformFailure>>
   /** @param expectedVersion conflict unless the table holds this version; absent: the change is applied to any version */
   proposeChange: (change: ConfigChange, expectedVersion?: number) => Promise<Result<ConfigDocument, ProposeError>>
 }
@@ -67,6 +76,15 @@
     return read.andThen((table) => decodeRow(table.rows.find((row) => row.key === CONFIG_ROW)))
   }
 
+  const readWritten = async (sinceRevision: number): Promise<Result<TablePoll, PlatformFailure>> => {
+    const read = await platform.read({ keys: [], prefixes: [{ prefix: CONFIG_ROW, sinceRevision }] })
+    return read.andThen((table) => {
+      const row = table.rows.find((candidate) => candidate.key === CONFIG_ROW)
+      if (row === undefined && sinceRevision > 0) return ok({ revision: table.revision, written: undefined })
+      return decodeRow(row).map((written) => ({ revision: table.revision, written }))
+    })
+  }
+
   /** Reads until the answer is not older than what this entry knows. */
   const readCurrentTable = async (): Promise<Result<TableConfig, PlatformFailure>> => {
     let failure: PlatformFailure = { kind: 'malformed', message: 'the platform keeps answering with an old configuration' }
@@ -83,7 +101,7 @@
     clock.setTimer(RETRY_DELAY_MS * 2 ** (attempt - 1) * (0.5 + random.nextFloat()), resolve)
   })
 
-  const settle = async (transaction: Transaction): Promise<Result<TransactionOutcome, PlatformFailure>> => {
+  const sendUntilSettled = async (transaction: Transaction): Promise<Result<TransactionOutcome, PlatformFailure>> => {
     let outcome = await platform.transact(transaction)
     for (let attempt = 1; attempt < MAX_TRIES && outcome.isErr(); attempt++) {
       await waitForRetry(attempt)
@@ -104,7 +122,7 @@
       if (changed.isErr()) return err(changed.error)
       // A change without effect writes nothing, but the checked version shows that the read was not an old one.
       const writes = changed.value === table.document ? [] : [{ key: CONFIG_ROW, value: changed.value }]
-      const settled = await settle({ writeId, checks: [{ key: CONFIG_ROW, version: table.rowVersion }], writes })
+      const settled = await sendUntilSettled({ writeId, checks: [{ key: CONFIG_ROW, version: table.rowVersion }], writes })
       if (settled.isErr()) return err({ kind: 'unsettled', mayBeApplied: true, failure: settled.error })
       if (settled.value.kind === 'applied') return ok(changed.value)
       const current = decodeRow(settled.value.rows.find((row) => row.key === CONFIG_ROW))
@@ -115,7 +133,7 @@
     return err(createConflict(table, change, expectedVersion ?? table.document?.version ?? 0))
   }
 
-  return { readTable, proposeChange }
+  return { readWritten, proposeChange }
 }
 
 function decodeRow (row: Row | undefined): Result<TableConfig, PlatformFailure> {
