--- a/packages/standins/src/bench/shareAccounts.ts
+++ b/packages/standins/src/bench/shareAccounts.ts
@@ -32,6 +32,8 @@
   readonly share: number
   readonly running: { processors: number, memoryMb: number, accelerators: number }
   receivedMs: number
+  /** Resource time asked for, in milliseconds of each component. */
+  readonly asked: { processors: number, memoryMb: number, accelerators: number }
   askedMs: number
   settledMs: number
   entitledMs: number
@@ -47,6 +49,7 @@
     share,
     running: { processors: 0, memoryMb: 0, accelerators: 0 },
     receivedMs: 0,
+    asked: { processors: 0, memoryMb: 0, accelerators: 0 },
     askedMs: 0,
     settledMs: 0,
     entitledMs: 0
@@ -64,11 +67,17 @@
     account.settledMs = Math.max(account.settledMs, nowMs)
   }
 
-  const countAsked = (arrival: JobArrival, tasks: number): number => {
+  const updateAsked = (arrival: JobArrival, tasks: number): void => {
+    const account = accounts.get(arrival.row.team)!
+    const { resources } = arrival.row.spec
     const leftMs = cell.durationMs - arrival.atMs
     let sumMs = 0
     for (const runMs of arrival.runMs) sumMs += Math.min(runMs, leftMs)
-    return computePart(arrival.row.spec.resources) * sumMs * tasks / arrival.runMs.length
+    const askedMs = sumMs * tasks / arrival.runMs.length
+    account.asked.processors += resources.processors * askedMs
+    account.asked.memoryMb += resources.memoryMb * askedMs
+    account.asked.accelerators += resources.accelerators * askedMs
+    account.askedMs = computePart(account.asked)
   }
 
   /** Splits what all teams received by share; what a team did not ask for goes to the others. */
@@ -100,10 +109,10 @@
 
   return {
     recordArrival: (arrival) => {
-      accounts.get(arrival.row.team)!.askedMs += countAsked(arrival, arrival.runMs.length)
+      updateAsked(arrival, arrival.runMs.length)
     },
     recordCancel: (arrival, tasks) => {
-      accounts.get(arrival.row.team)!.askedMs -= countAsked(arrival, tasks)
+      updateAsked(arrival, -tasks)
     },
     recordRunning: (arrival, count, nowMs) => {
       const account = accounts.get(arrival.row.team)!
