--- a/packages/standins/src/tools/demo.ts
+++ b/packages/standins/src/tools/demo.ts
@@ -30,10 +30,14 @@
   const service = cluster.deployment.manifest.services[0]!.name
   return [
     `${cluster.deployment.cell} (platform ${cluster.platformAddress}):`,
+    `  export FUCHSIATALLY_ENTRY=${address} FUCHSIATALLY_OPERATOR_KEY=${cluster.operatorKey}`,
+    `  export FUCHSIATALLY_KEY=${grant.key}   # of team ${team}`,
+    `  npx fuchsiatally request ${service} /work --method POST --data hello`,
+    '  npx fuchsiatally submit examples/job.toml',
+    '  npx fuchsiatally status',
+    '  npx fuchsiatally team',
+    '  npx fuchsiatally config status',
     `  curl -i http://${address}/readyz`,
-    `  curl -i -H 'authorization: Bearer ${grant.key}' -d hello http://${address}/v1/services/${service}/work   # as ${team}`,
-    `  curl -s -H 'authorization: Bearer ${grant.key}' http://${address}/v1/jobs`,
-    `  curl -s -H 'authorization: Bearer ${cluster.operatorKey}' http://${address}/v1/config/status`,
     `  curl -s http://${address}/metrics`
   ].join('\n')
 }
