--- a/packages/standins/src/tools/bench.ts
+++ b/packages/standins/src/tools/bench.ts
@@ -14,10 +14,20 @@
   .option('earlier', { type: 'string', describe: 'path of an earlier build of packages/core/dist/index.js to compare with' })
   .option('json', { type: 'boolean', default: false, describe: 'print all figures as JSON' })
   .option('plot', { type: 'string', describe: 'folder to write SVG plots into, such as dist/bench' })
+  .option('live', { type: 'boolean', default: false, describe: 'measure real processes on loopback instead' })
+  .option('workers', { type: 'number', default: 33, describe: 'workers of the live run' })
+  .option('entries', { type: 'number', default: 7, describe: 'entries of the live run' })
   .example('npm run bench -- --case night --condition overload', 'one case')
   .strict()
   .parseAsync()
 
+if (options.live) {
+  const { formatLive, runLive } = await import('../bench/live.js')
+  const result = await runLive({ workers: options.workers, entries: options.entries, partMs: options.quick ? 6000 : 15_000 })
+  console.log(options.json ? JSON.stringify(result, undefined, 1) : formatLive(result))
+  process.exit(0)
+}
+
 const factories = await createFactories(options.earlier, options.baseline)
 const results: CaseResult[] = []
 for (const name of options.case ?? CASES) {
