--- a/packages/entry/src/contract/__tests__/configCluster.ts
+++ b/packages/entry/src/contract/__tests__/configCluster.ts
@@ -13,6 +13,8 @@
 import { createKeyRing } from '../keyRing.js'
 
 const HEARTBEAT_MS = 500
+/** As long as a call of the client over HTTP may take. */
+const PLATFORM_TIMEOUT_MS = 2500
 export const OPERATOR_KEY = 'ft_operator_test'
 
 /** Work of one process that waits while the process is paused. */
@@ -65,7 +67,7 @@
       ...links,
       onMessage: (type, receive) => links.onMessage(type, (message, from) => gate.run(() => receive(message, from)))
     }
-    const fake = createFakePlatform({ model, clock, random, shared })
+    const fake = createFakePlatform({ model, clock, random, shared, timeoutMs: PLATFORM_TIMEOUT_MS })
     const waitForGate = async <T> (answer: Promise<T>): Promise<T> => {
       const value = await answer
       await new Promise<void>((resolve) => gate.run(resolve))
