Desired sets name running attempts without their details

Cause: at 20 task starts/s the holder of the scheduler role sent 28 KB/s over its links, most of it payloads of attempts that ran already. Change: attempts that the owner reported as running under the same epoch are named in keep; reachability follows the link to the owner. Conclusion: safe, since a worker that lost an attempt gets a new epoch and with it the details.

--- a/packages/core/src/schema/linkMessage.ts
+++ b/packages/core/src/schema/linkMessage.ts
@@ -104,7 +104,7 @@
 export const UndesiredTask = Schema.Struct({ id: AttemptId, checkpoint: Schema.Boolean })
 export type UndesiredTask = typeof UndesiredTask.Type
 
-/** Scheduler to owner: the whole set of attempts that a worker shall run; replaces the set sent before. */
+/** Scheduler to owner: the whole set of attempts that a worker shall run, `run` and `keep`; replaces the set sent before. */
 export const WorkerDesired = Schema.Struct({
   type: Schema.Literal('workerDesired'),
   cellEpoch: Schema.Int,
@@ -113,6 +113,8 @@
   /** Epoch of the worker's ownership that the set was computed for. */
   workerEpoch: Schema.Int,
   run: Schema.Array(DesiredTask),
+  /** Attempts that the owner reported as running under this epoch; their details are not sent again. */
+  keep: Schema.optionalKey(Schema.Array(AttemptId)),
   end: Schema.Array(UndesiredTask),
   /** Ended attempts that the table records; the worker may forget them. */
   acknowledged: Schema.Array(AttemptId)
--- a/packages/entry/src/job/__tests__/schedulerTask.spec.ts
+++ b/packages/entry/src/job/__tests__/schedulerTask.spec.ts
@@ -63,6 +63,7 @@
     config: { readDocument: () => DOCUMENT, onChange: () => ({ dispose: () => {} }) },
     createScheduler: createCellScheduler,
     listVms: () => [VM],
+    isLinked: () => true,
     sendDesired: (_, message) => { checkDesired(message) },
     onDeposed: () => { deposed += 1 }
   })
--- a/packages/entry/src/job/constants.ts
+++ b/packages/entry/src/job/constants.ts
@@ -16,8 +16,8 @@
 export const MAX_ROWS_PER_COMMIT = 64
 /** Pause before a commit of unknown fate is tried again. */
 export const COMMIT_RETRY_MS = 250
-/** After this time without a report a worker gets no new task. */
-export const REPORT_SILENCE_MS = 3500
+/** After this time without a report a worker gets no new task, even if the link to its owner is up. */
+export const REPORT_SILENCE_MS = 25_000
 /** Least pause before the same desired set is sent again. */
 export const DESIRED_RESEND_MS = 1000
 /** Longest wait for the scheduler's answer to a query. */
--- a/packages/entry/src/job/jobService.ts
+++ b/packages/entry/src/job/jobService.ts
@@ -61,6 +61,7 @@
     ...options,
     role: held,
     sendDesired,
+    isLinked: (incarnation) => incarnation === sessions.incarnation || mesh.listPeers().some((peer) => peer.incarnation === incarnation),
     onDeposed: () => {
       stopTerm()
       restartTerm(held).catch(() => {})
--- a/packages/entry/src/job/schedulerTask.ts
+++ b/packages/entry/src/job/schedulerTask.ts
@@ -29,6 +29,8 @@
   readonly createScheduler: (options: CellSchedulerOptions) => CellScheduler
   /** The VMs of the platform's list as last read. */
   readonly listVms: () => readonly Vm[]
+  /** Whether an incarnation is this one or a peer with a live link. */
+  readonly isLinked: (incarnation: string) => boolean
   readonly sendDesired: (incarnation: string, message: WorkerDesired) => void
   /** A commit found the role lost. */
   readonly onDeposed: () => void
@@ -64,7 +66,7 @@
   const ledgerStore = createShareLedgerStore(options)
   let scheduler = options.createScheduler({})
   let ledgerRead = false
-  const book = createWorkerBook({ clock, cellEpoch: options.role.epoch, sendDesired: options.sendDesired })
+  const book = createWorkerBook({ ...options, cellEpoch: options.role.epoch })
   const endedAtMs = new Map<string, number>()
   const knownWorkers = new Set<string>()
   let disposed = false
--- a/packages/entry/src/job/workerBook.ts
+++ b/packages/entry/src/job/workerBook.ts
@@ -10,6 +10,8 @@
   readonly clock: Clock
   readonly cellEpoch: number
   /** Hands a message to an incarnation, possibly this one. */
+  /** Whether an incarnation is this one or a peer with a live link; owners report unchanged workers only now and then. */
+  readonly isLinked: (incarnation: string) => boolean
   readonly sendDesired: (incarnation: string, message: WorkerDesired) => void
 }
 
@@ -58,7 +60,13 @@
     const { worker, observed } = entry.record
     const desired = scheduler.listDesired(worker)
     sequence += 1
-    const run: DesiredTask[] = desired.run.map(({ id, job }) => ({ id, resources: job.spec.resources, payload: job.spec.payload }))
+    const running = new Set(observed.running.map(formatAttempt))
+    const run: DesiredTask[] = []
+    const keep: AttemptId[] = []
+    for (const { id, job } of desired.run) {
+      if (running.has(formatAttempt(id))) keep.push(id)
+      else run.push({ id, resources: job.spec.resources, payload: job.spec.payload })
+    }
     const end: UndesiredTask[] = desired.end.map(({ id, checkpoint }) => ({ id, checkpoint }))
     return {
       type: 'workerDesired',
@@ -67,6 +75,7 @@
       worker,
       workerEpoch: observed.workerEpoch,
       run,
+      keep,
       end,
       acknowledged: [...entry.committedEnds.values()]
     }
@@ -107,6 +116,7 @@
     isReachable: (worker) => {
       const record = entries.get(worker)?.record
       if (record === undefined || record.observed.state !== 'reachable') return false
+      if (!options.isLinked(record.owner)) return false
       return options.clock.nowMs() - record.observedAtMs < REPORT_SILENCE_MS
     },
     addEnded: (worker, id) => {
--- a/packages/entry/src/vm/workerCommands.ts
+++ b/packages/entry/src/vm/workerCommands.ts
@@ -97,6 +97,7 @@
       wanted.add(key)
       if (!ended.has(key)) calls.push(buildStop(current, id, key, checkpoint ? 'checkpoint' : 'stop'))
     }
+    for (const id of desired.keep ?? []) wanted.add(formatAttempt(id))
     for (const task of desired.run) {
       const key = formatAttempt(task.id)
       if (wanted.has(key)) continue
