Process tests: slow answers of idempotent requests by themselves, output kept on demand

A planned stop was judged red by 'unknown' outcomes that had nothing to do with the stop: an idempotent request whose answer takes 2 s is cut off after ten average exchanges and tried elsewhere until its tries are used up. It has a test of its own now, and the planned stop is judged by its own requests, which are not tried twice.

--- a/packages/standins/src/__tests__/processes.spec.ts
+++ b/packages/standins/src/__tests__/processes.spec.ts
@@ -125,18 +125,32 @@
   const entry = run.cluster.entries[3]!
   const load = run.startLoad({ slowBodyMs: 1000 })
   await run.submitJob('gang', 8, 3000)
-  const inFlight = Array.from({ length: 12 }, () => load.sendOne({ entry: entry.name, address: entry.httpAddress, slowBodyMs: 2000 }))
+  const slowRequest = { entry: entry.name, address: entry.httpAddress, slowBodyMs: 2000, timeoutMs: 20_000, idempotent: false }
+  const inFlight = Array.from({ length: 12 }, () => load.sendOne(slowRequest))
   const sinceMs = await passTime(300)
   run.recorder.addMark('plannedStops', entry.name)
   const end = await entry.child.stop('SIGTERM', STOP_WITHIN_MS)
   await Promise.all(inFlight)
   assert.equal(end, { code: 0, signal: null })
-  const slow = run.listRequestsSince(sinceMs - 1000).filter((request) => request.entry === entry.name)
-  assert.equal(slow.filter((request) => request.outcome === 'cutOff' || request.outcome === 'unknown'), [])
+  const sent = run.listRequestsSince(sinceMs - 1000).filter((request) => request.entry === entry.name)
+  assert.equal(sent.filter((request) => request.outcome === 'cutOff'), [])
+  assert.equal(sent.filter((request) => !request.idempotent && request.outcome === 'unknown'), [])
   await run.cluster.startEntry(3)
   await assertKept()
 })
 
+test('an idempotent request whose answer takes far longer than the others is answered before its deadline', async () => {
+  const entry = run.cluster.entries[0]!
+  const load = run.startLoad({ slowBodyMs: 0 })
+  await passTime(2000)
+  const sinceMs = await passTime(0)
+  const change = { entry: entry.name, address: entry.httpAddress, slowBodyMs: 2000, timeoutMs: 10_000, idempotent: true, keyId: 'slow' }
+  await Promise.all(Array.from({ length: 4 }, () => load.sendOne(change)))
+  const slow = run.listRequestsSince(sinceMs).filter((request) => request.keyId === 'slow')
+  assert.equal(countOutcomes(slow), { completed: 4 })
+  await assertKept()
+})
+
 test('a key revoked while an entry restarts works nowhere a few seconds later', async () => {
   const operator = createApiClient(run.cluster.entries[0]!.httpAddress, run.cluster.operatorKey)
   const granted = await operator.grantKey('blue', 'blue-temporary')
--- a/packages/standins/src/childProcess.ts
+++ b/packages/standins/src/childProcess.ts
@@ -1,5 +1,7 @@
 /** Child processes of a cluster: each is ended by its own id, and none outlives its parent. */
 import { type ChildProcess, spawn } from 'node:child_process'
+import { appendFileSync } from 'node:fs'
+import { join } from 'node:path'
 import { createInterface } from 'node:readline'
 
 /** How a process ended. */
@@ -35,7 +37,7 @@
 const living = new Set<ChildProcess>()
 process.on('exit', () => { for (const child of living) child.kill('SIGKILL') })
 
-/** Starts a Node.js script as a process of its own. */
+/** Starts a Node.js script as a process of its own; the variable `STANDINS_LOG_DIR` names a folder that keeps its whole output. */
 export function startChild (options: ChildOptions): Child {
   // A process group of its own keeps the terminal's Ctrl-C for the parent, which then stops the children in order.
   const child = spawn(process.execPath, [...options.args], { stdio: ['pipe', 'pipe', 'pipe'], detached: true })
@@ -46,7 +48,9 @@
   child.stdin.on('error', () => {})
   if (options.input !== undefined) child.stdin.write(options.input)
 
+  const logDirectory = process.env['STANDINS_LOG_DIR']
   const takeLine = (line: string): void => {
+    if (logDirectory !== undefined) appendFileSync(join(logDirectory, `${options.name}-${child.pid}.log`), line + '\n')
     tail.push(line)
     if (tail.length > TAIL_LINES) tail.shift()
     options.onLine?.(line)
