Placement: what is kept on accelerator VMs is learned from the work that needs them

Cause: half of each accelerator VM's processors and memory was kept for its free accelerators, although work on accelerators needs far less.

--- a/packages/core/src/job/createCellScheduler.ts
+++ b/packages/core/src/job/createCellScheduler.ts
@@ -154,6 +154,7 @@
   const team = state.teams.getTeam(row.team)
   const job = createJobEntry(id, row, team, shape)
   shape.users += 1
+  if (shape.need.accelerators > 0) state.workers.recordAcceleratorNeed(shape.need, row.spec.taskCount)
   state.jobs.set(id, job)
   if (team.waitingTasks === 0 && isIdle(team.running)) state.teams.updateForfeit(team)
   if (jobState) job.phase = jobState.phase
--- a/packages/core/src/vm/workerEntry.ts
+++ b/packages/core/src/vm/workerEntry.ts
@@ -31,12 +31,6 @@
   readonly slots: (IndexSlot | undefined)[]
 }
 
-/**
- * Part of an accelerator VM's processors and memory for each free accelerator that work without
- * accelerators leaves alone.
- */
-const KEPT_FOR_ACCELERATORS = 0.5
-
 /** Creates a worker that nothing is known about yet. */
 export function createWorkerEntry (id: string): WorkerEntry {
   return {
@@ -65,12 +59,19 @@
   entry.capacity = capacity
 }
 
-/** Computes the room for work without accelerators again. */
-export function updateSpareRoom ({ capacity, free, spareRoom }: WorkerEntry): void {
-  const freePart = capacity.accelerators > 0 ? Math.max(0, free.accelerators) / capacity.accelerators : 0
-  const kept = KEPT_FOR_ACCELERATORS * freePart
-  spareRoom.processors = Math.floor(free.processors - kept * capacity.processors)
-  spareRoom.memoryMb = Math.floor(free.memoryMb - kept * capacity.memoryMb)
+/**
+ * Computes the room for work without accelerators again.
+ *
+ * @param kept what work on accelerators needs for each of them
+ */
+export function updateSpareRoom ({ capacity, free, spareRoom }: WorkerEntry, kept: Amounts): void {
+  const freeAccelerators = Math.max(0, free.accelerators)
+  spareRoom.processors = Math.floor(free.processors - kept.processors * freeAccelerators)
+  spareRoom.memoryMb = Math.floor(free.memoryMb - kept.memoryMb * freeAccelerators)
+  // Whatever the need, a VM's own share of them for each accelerator is enough.
+  const freePart = capacity.accelerators > 0 ? freeAccelerators / capacity.accelerators : 0
+  spareRoom.processors = Math.max(spareRoom.processors, Math.floor(free.processors - capacity.processors * freePart))
+  spareRoom.memoryMb = Math.max(spareRoom.memoryMb, Math.floor(free.memoryMb - capacity.memoryMb * freePart))
 }
 
 /** Computes the rooms for urgent work again from the attempts' sums. */
--- a/packages/core/src/vm/workerPool.ts
+++ b/packages/core/src/vm/workerPool.ts
@@ -1,6 +1,6 @@
 /** All workers of a cell and the indexes that find room among them. */
 import type { Shape } from '../job/lane.js'
-import { hasRoom, type Amounts } from './amounts.js'
+import { createAmounts, hasRoom, type Amounts } from './amounts.js'
 import { createPlacementIndex, type PlacementIndex } from './placementIndex.js'
 import { createWorkerEntry, updateSpareRoom, updateUrgentRooms, type WorkerEntry } from './workerEntry.js'
 
@@ -26,6 +26,8 @@
   /** Moves a worker whose room or state changed to where it belongs. */
   updateWorker: (worker: WorkerEntry, grew: boolean) => void
   updateUrgent: () => void
+  /** Learns from submitted work what a task on accelerators needs beside each of them. */
+  recordAcceleratorNeed: (need: Amounts, tasks: number) => void
   /** Workers that may have room for more since the last call. */
   takeGrown: () => WorkerEntry[]
   /** Workers with reservations that can no longer take tasks, since the last call. */
@@ -52,6 +54,10 @@
     need.accelerators <= free.accelerators - held.accelerators
 }
 
+/** Weight of one submitted task, and most of one job, in the mean need beside an accelerator. */
+const NEED_GAIN = 0.01
+const MOST_NEED_GAIN = 0.1
+
 /** Creates a pool without workers. */
 export function createWorkerPool (): WorkerPool {
   const workers = new Map<string, WorkerEntry>()
@@ -60,6 +66,7 @@
   const soft = createPlacementIndex({ number: 2, readRoom: (worker) => worker.softRoom })
   const hard = createPlacementIndex({ number: 3, readRoom: (worker) => worker.hardRoom })
   const spare = createPlacementIndex({ number: 4, readRoom: (worker) => worker.spareRoom })
+  const kept = createAmounts()
   const grown = new Set<WorkerEntry>()
   const unfit = new Set<WorkerEntry>()
   const urgentStale = new Set<WorkerEntry>()
@@ -85,7 +92,7 @@
       return
     }
     const isReserved = worker.reservations.size > 0
-    updateSpareRoom(worker)
+    updateSpareRoom(worker, kept)
     if (isReserved) {
       open.removeWorker(worker)
       spare.removeWorker(worker)
@@ -108,7 +115,14 @@
     urgentStale.clear()
   }
 
+  const recordAcceleratorNeed = (need: Amounts, tasks: number): void => {
+    const gain = Math.min(MOST_NEED_GAIN, tasks * NEED_GAIN)
+    kept.processors += gain * (need.processors / need.accelerators - kept.processors)
+    kept.memoryMb += gain * (need.memoryMb / need.accelerators - kept.memoryMb)
+  }
+
   return {
+    recordAcceleratorNeed,
     findWorker: (id) => workers.get(id),
     getWorker,
     dropWorker: (worker) => {
