Shares: the window sums resource time by component and takes the largest sum

Change: received resource time is kept by component, and its largest sum is the team's dominant part of the window.

--- a/packages/core/src/team/teamEntry.ts
+++ b/packages/core/src/team/teamEntry.ts
@@ -1,7 +1,7 @@
 /** What the scheduler holds for one team: its charge, its part received and its queue. */
 import type { Team } from '../schema/manifest.js'
 import type { Lane } from '../job/lane.js'
-import { computeDominantPart, createAmounts, createCapacity, hasRoom, type Amounts } from '../vm/amounts.js'
+import { COMPONENTS, computeLargest, createAmounts, createCapacity, hasRoom, type Amounts } from '../vm/amounts.js'
 
 /** One team; a team that the manifest does not name starts nothing. */
 export interface TeamEntry {
@@ -11,13 +11,13 @@
   ceiling: Amounts
   /** Charged for assigned and stopping attempts. */
   readonly running: Amounts
-  /** Dominant part of capacity in use now. */
-  runningPart: number
-  /** Dominant part received in the period, in seconds of the whole cluster. */
-  receivedS: number
-  /** Counted beside `receivedS` for order only: time kept idle beyond the bound of credit. */
+  /** Parts of capacity in use now. */
+  readonly parts: Amounts
+  /** Received in the period, in seconds of all processors, memory or accelerators of the cell. */
+  readonly received: Amounts
+  /** Counted beside `received` for order only: time kept idle beyond the bound of credit. */
   forfeitedS: number
-  /** Monotonic time up to which `receivedS` counts. */
+  /** Monotonic time up to which `received` counts. */
   settledAtMs: number
   readonly lanes: Map<string, Lane>
   waitingTasks: number
@@ -40,8 +40,8 @@
     weight: 0,
     ceiling: createAmounts(),
     running: createAmounts(),
-    runningPart: 0,
-    receivedS: 0,
+    parts: createAmounts(),
+    received: createAmounts(),
     forfeitedS: 0,
     settledAtMs: nowMs,
     lanes: new Map(),
@@ -61,10 +61,13 @@
 /** Counts the part received until now and the part in use from now on. */
 export function updateReceived (entry: TeamEntry, capacity: Amounts, nowMs: number): void {
   if (nowMs > entry.settledAtMs) {
-    entry.receivedS += entry.runningPart * (nowMs - entry.settledAtMs) / 1000
+    const seconds = (nowMs - entry.settledAtMs) / 1000
+    for (const component of COMPONENTS) entry.received[component] += entry.parts[component] * seconds
     entry.settledAtMs = nowMs
   }
-  entry.runningPart = computeDominantPart(entry.running, capacity)
+  for (const component of COMPONENTS) {
+    entry.parts[component] = capacity[component] > 0 ? entry.running[component] / capacity[component] : 0
+  }
 }
 
 /** Tells whether `count` more tasks keep the team at or below its ceiling. */
@@ -81,7 +84,22 @@
  * with what runs now counted ahead, so that teams that start together share at once.
  */
 export function computeTeamOrder (entry: TeamEntry, nowMs: number): number {
-  const unsettledS = Math.max(0, nowMs - entry.settledAtMs) / 1000
-  const ahead = entry.runningPart * (unsettledS + CORRECTION_S)
-  return (entry.receivedS + entry.forfeitedS + ahead) / entry.weight
+  const aheadS = Math.max(0, nowMs - entry.settledAtMs) / 1000 + CORRECTION_S
+  const { received, parts } = entry
+  const dominantS = Math.max(
+    received.processors + parts.processors * aheadS,
+    received.memoryMb + parts.memoryMb * aheadS,
+    received.accelerators + parts.accelerators * aheadS
+  )
+  return (dominantS + entry.forfeitedS) / entry.weight
+}
+
+/** Computes the dominant part received in the period, in seconds of the whole cell. */
+export function computeReceived ({ received }: TeamEntry): number {
+  return computeLargest(received)
+}
+
+/** Computes the dominant part of capacity in use now. */
+export function computeRunningPart ({ parts }: TeamEntry): number {
+  return computeLargest(parts)
 }
--- a/packages/core/src/team/teamRegistry.ts
+++ b/packages/core/src/team/teamRegistry.ts
@@ -1,13 +1,14 @@
 /** All teams of a cell with the period in which their parts are summed up. */
 import type { Manifest } from '../schema/manifest.js'
+import type { Resources } from '../schema/resources.js'
 import { createAmounts, type Amounts } from '../vm/amounts.js'
 import { computeSharePeriod, type SharePeriod } from './shareWindow.js'
-import { createTeamEntry, updateReceived, updateTeam, type TeamEntry } from './teamEntry.js'
+import { computeReceived, createTeamEntry, updateReceived, updateTeam, type TeamEntry } from './teamEntry.js'
 
 /** Parts received in the period by team, for the next holder of the scheduler role. */
 export interface ShareLedger {
   readonly periodEndMs: number
-  readonly received: readonly { readonly team: string, readonly receivedS: number, readonly forfeitedS: number }[]
+  readonly teams: readonly { readonly team: string, readonly received: Resources, readonly forfeitedS: number }[]
 }
 
 /** Teams by name. */
@@ -72,7 +73,7 @@
     updateAll()
     if (!begins) return
     for (const team of list) {
-      team.receivedS = 0
+      Object.assign(team.received, createAmounts())
       team.forfeitedS = 0
     }
   }
@@ -82,14 +83,15 @@
     let received = 0
     let weights = 0
     for (const other of list) {
-      if (other.receivedS + other.forfeitedS === 0 || other === team) continue
-      received += other.receivedS + other.forfeitedS
+      const otherS = computeReceived(other) + other.forfeitedS
+      if (otherS === 0 || other === team) continue
+      received += otherS
       weights += other.weight
     }
     if (weights === 0) return
     const creditS = CREDIT_PART * (period.endMs - period.startMs) / 1000 / (weights + team.weight)
     const leastOrder = received / weights - creditS
-    const missing = leastOrder * team.weight - team.receivedS
+    const missing = leastOrder * team.weight - computeReceived(team)
     team.forfeitedS = Math.max(team.forfeitedS, missing)
   }
 
@@ -107,13 +109,15 @@
       updateAll()
       return {
         periodEndMs: period?.endMs ?? 0,
-        received: list.map(({ name, receivedS, forfeitedS }) => ({ team: name, receivedS, forfeitedS }))
+        teams: list.map(({ name, received, forfeitedS }) => ({ team: name, received: { ...received }, forfeitedS }))
       }
     },
     setLedger: (ledger) => {
       if (!period || ledger.periodEndMs !== period.endMs) return
-      for (const { team, receivedS, forfeitedS } of ledger.received) {
-        Object.assign(getTeam(team), { receivedS, forfeitedS })
+      for (const { team, received, forfeitedS } of ledger.teams) {
+        const entry = getTeam(team)
+        Object.assign(entry.received, received)
+        entry.forfeitedS = forfeitedS
       }
     }
   }
--- a/packages/core/src/team/teamShares.ts
+++ b/packages/core/src/team/teamShares.ts
@@ -1,8 +1,8 @@
 /** How near each team is to its part of the cluster in the share window. */
 import type { CellState } from '../job/cellState.js'
 import type { TeamShare } from '../job/cellScheduler.js'
-import { computeDominantPart, formatAmounts } from '../vm/amounts.js'
-import type { TeamEntry } from './teamEntry.js'
+import { COMPONENTS, computeLargest, formatAmounts } from '../vm/amounts.js'
+import { computeReceived, computeRunningPart, type TeamEntry } from './teamEntry.js'
 
 /** A team's demand in the window, in seconds of the whole cluster. */
 interface Demand {
@@ -16,13 +16,13 @@
   state.teams.updateAll()
   const demands: Demand[] = []
   for (const team of state.teams.listTeams()) {
-    if (team.weight > 0) demands.push({ team, askedS: team.receivedS + estimateWaiting(state, team), entitledS: 0 })
+    if (team.weight > 0) demands.push({ team, askedS: estimateAsked(state, team), entitledS: 0 })
   }
   computeEntitled(demands)
   return demands.map(({ team, entitledS }) => ({
     team: team.name,
-    runningShare: team.runningPart,
-    receivedOverEntitled: entitledS > 0 ? team.receivedS / entitledS : 1,
+    runningShare: computeRunningPart(team),
+    receivedOverEntitled: entitledS > 0 ? computeReceived(team) / entitledS : 1,
     running: formatAmounts(team.running),
     waitingTasks: team.waitingTasks
   }))
@@ -31,7 +31,7 @@
 /** Splits what all teams received by weight; what a team did not ask for goes to the others. */
 function computeEntitled (demands: readonly Demand[]): void {
   let left = 0
-  for (const { team } of demands) left += team.receivedS
+  for (const { team } of demands) left += computeReceived(team)
   let open = [...demands]
   while (open.length > 0 && left > 0) {
     let weights = 0
@@ -50,14 +50,18 @@
   }
 }
 
-/** Estimated work of the waiting tasks, in seconds of the whole cluster. */
-function estimateWaiting (state: CellState, team: TeamEntry): number {
-  let seconds = 0
+/** What the team received and what its waiting tasks will need, in seconds of the whole cell. */
+function estimateAsked (state: CellState, team: TeamEntry): number {
+  const asked = { ...team.received }
+  const { capacity } = state.teams
   for (const lane of team.lanes.values()) {
-    const part = computeDominantPart(lane.shape.need, state.teams.capacity)
     for (const job of lane.jobs) {
-      seconds += job.queued.length * part * state.estimates.estimateRunTime(job) / 1000
+      const seconds = job.queued.length * state.estimates.estimateRunTime(job) / 1000
+      for (const component of COMPONENTS) {
+        const need = lane.shape.need[component]
+        if (need > 0 && capacity[component] > 0) asked[component] += seconds * need / capacity[component]
+      }
     }
   }
-  return seconds
+  return computeLargest(asked)
 }
--- a/packages/core/src/vm/amounts.ts
+++ b/packages/core/src/vm/amounts.ts
@@ -8,6 +8,9 @@
   accelerators: number
 }
 
+/** Names of the components. */
+export const COMPONENTS = ['processors', 'memoryMb', 'accelerators'] as const
+
 const UNITS_PER_CORE = 1000
 /** Absorbs the error of decimal fractions such as 0.1 when they are turned into whole units. */
 const FRACTION_TOLERANCE = 1e-6
@@ -67,13 +70,9 @@
   return Math.max(0, fits)
 }
 
-/** Computes the largest part of `capacity` that `amounts` takes in any component. */
-export function computeDominantPart (amounts: Amounts, capacity: Amounts): number {
-  return Math.max(
-    computePart(amounts.processors, capacity.processors),
-    computePart(amounts.memoryMb, capacity.memoryMb),
-    computePart(amounts.accelerators, capacity.accelerators)
-  )
+/** Computes the largest component of amounts that are parts of a whole. */
+export function computeLargest (parts: Amounts): number {
+  return Math.max(parts.processors, parts.memoryMb, parts.accelerators)
 }
 
 /** Names the first component in which `need` passes `room`. */
@@ -83,7 +82,3 @@
   if (need.accelerators > room.accelerators) return 'accelerators'
   return undefined
 }
-
-function computePart (amount: number, whole: number): number {
-  return whole > 0 ? amount / whole : 0
-}
--- a/packages/standins/src/bench/shareAccounts.ts
+++ b/packages/standins/src/bench/shareAccounts.ts
@@ -31,6 +31,8 @@
   readonly team: string
   readonly share: number
   readonly running: { processors: number, memoryMb: number, accelerators: number }
+  /** Resource time received, in milliseconds of each component. */
+  readonly received: { processors: number, memoryMb: number, accelerators: number }
   receivedMs: number
   /** Resource time asked for, in milliseconds of each component. */
   readonly asked: { processors: number, memoryMb: number, accelerators: number }
@@ -48,6 +50,7 @@
     team: name,
     share,
     running: { processors: 0, memoryMb: 0, accelerators: 0 },
+    received: { processors: 0, memoryMb: 0, accelerators: 0 },
     receivedMs: 0,
     asked: { processors: 0, memoryMb: 0, accelerators: 0 },
     askedMs: 0,
@@ -63,7 +66,11 @@
   )
 
   const settle = (account: Account, nowMs: number): void => {
-    account.receivedMs += computePart(account.running) * Math.max(0, nowMs - account.settledMs)
+    const passedMs = Math.max(0, nowMs - account.settledMs)
+    account.received.processors += account.running.processors * passedMs
+    account.received.memoryMb += account.running.memoryMb * passedMs
+    account.received.accelerators += account.running.accelerators * passedMs
+    account.receivedMs = computePart(account.received)
     account.settledMs = Math.max(account.settledMs, nowMs)
   }
 
