Shares over short tasks: the wait for a reservation follows the run time

Cause: tasks of a minute waited a minute before room was made for them, and tasks of teams ahead ran a minute before they could make way. Change: a single task waits a sixth of its run time (5 to 60 s), tasks make way after 10 s.

--- a/packages/core/src/job/cellState.ts
+++ b/packages/core/src/job/cellState.ts
@@ -31,6 +31,8 @@
   nowMs: number
   /** Monotonic time before which no further reservation is granted. */
   nextGrantMs: number
+  /** Latest time at which a reservation's room is due. */
+  latestDueMs: number
   /** Worker at which the next plan of a reservation begins to look. */
   planCursor: number
 }
@@ -50,6 +52,7 @@
     outbox: [],
     nowMs: 0,
     nextGrantMs: 0,
+    latestDueMs: 0,
     planCursor: 0
   }
 }
--- a/packages/core/src/job/grants.ts
+++ b/packages/core/src/job/grants.ts
@@ -1,6 +1,7 @@
 /** Grants reservations to lanes that have waited long for room, so that nothing feasible waits for ever. */
 import { computeTeamOrder, hasCeilingRoom } from '../team/teamEntry.js'
 import type { CellState } from './cellState.js'
+import type { JobEntry } from './jobEntry.js'
 import type { Lane } from './lane.js'
 import { reserveForShare } from './preemption.js'
 import { addReservation, buildReservationPlan } from './reservation.js'
@@ -15,8 +16,10 @@
 const MOST_RESERVATIONS = 32
 /** Wait for room after which a gang gets a reservation. */
 const GANG_WAIT_MS = 5000
-/** Wait for room after which a single task gets a reservation. */
-const SINGLE_WAIT_MS = 60_000
+/** Wait for room after which a single task gets a reservation: a part of its run time, within bounds. */
+const SINGLE_WAIT_PART = 1 / 6
+const SHORTEST_SINGLE_WAIT_MS = 5000
+const LONGEST_SINGLE_WAIT_MS = 60_000
 /** Wait after which lanes go by age alone. */
 const OVERDUE_WAIT_MS = 30 * 60_000
 
@@ -73,9 +76,14 @@
 
 function isWaitingForRoom (state: CellState, lane: Lane): boolean {
   if (lane.urgent || lane.grantRetryAtMs > state.nowMs || lane.jobs[0]!.reservations.size > 0) return false
-  const waitMs = lane.gang ? GANG_WAIT_MS : SINGLE_WAIT_MS
-  if (state.nowMs - lane.blockedSinceMs < waitMs) return false
   const job = lane.jobs[0]!
+  const waitMs = lane.gang ? GANG_WAIT_MS : computeSingleWait(state, job)
+  if (state.nowMs - lane.blockedSinceMs < waitMs) return false
   if (lane.gang && job.live > 0) return false
   return hasCeilingRoom(lane.team, lane.shape.need, lane.gang ? job.queued.length : 1)
 }
+
+function computeSingleWait (state: CellState, job: JobEntry): number {
+  const waitMs = state.estimates.estimateRunTime(job) * SINGLE_WAIT_PART
+  return Math.min(LONGEST_SINGLE_WAIT_MS, Math.max(SHORTEST_SINGLE_WAIT_MS, waitMs))
+}
--- a/packages/core/src/job/preemption.ts
+++ b/packages/core/src/job/preemption.ts
@@ -23,7 +23,7 @@
 /** A team must be this many times as far as the waiting one for its tasks to make way. */
 const AHEAD_FACTOR = 1.02
 /** Tasks that have run for less do not make way for shares. */
-const LEAST_RUN_MS = 60_000
+const LEAST_RUN_MS = 10_000
 
 /**
  * Stops the cheapest victims for one queued task of an urgent job and holds their room.
--- a/packages/core/src/job/reservation.ts
+++ b/packages/core/src/job/reservation.ts
@@ -46,6 +46,7 @@
     closing: false
   }
   state.reservations.add(reservation)
+  state.latestDueMs = Math.max(state.latestDueMs, plan.freeAtMs)
   job.reservations.add(reservation)
   for (const [worker, count] of plan.workers) {
     worker.reservations.set(reservation, count)
@@ -60,6 +61,7 @@
 export function releaseReservation (state: CellState, reservation: Reservation): void {
   if (!state.reservations.delete(reservation)) return
   reservation.job.reservations.delete(reservation)
+  updateLatestDue(state)
   for (const [worker, count] of reservation.workers) {
     worker.reservations.delete(reservation)
     addAmounts(worker.held, reservation.job.shape.need, -count)
@@ -67,6 +69,11 @@
   }
 }
 
+function updateLatestDue (state: CellState): void {
+  state.latestDueMs = 0
+  for (const { freeAtMs } of state.reservations) state.latestDueMs = Math.max(state.latestDueMs, freeAtMs)
+}
+
 /** Gives back all that is held for a job. */
 export function releaseReservations (state: CellState, job: JobEntry): void {
   for (const reservation of [...job.reservations]) releaseReservation(state, reservation)
--- a/packages/core/src/job/turns.ts
+++ b/packages/core/src/job/turns.ts
@@ -107,14 +107,7 @@
   if (lane.withinTriedAt === lane.shape.withinVersion) return false
   const job = lane.jobs[0]!
   if (isFillerJob(job)) return true
-  return state.nowMs + state.estimates.estimateRunTime(job) <= findLatestDue(state)
-}
-
-/** The latest time at which a reservation's room is due. */
-function findLatestDue (state: CellState): number {
-  let latestMs = 0
-  for (const reservation of state.reservations) latestMs = Math.max(latestMs, reservation.freeAtMs)
-  return latestMs
+  return state.nowMs + state.estimates.estimateRunTime(job) <= state.latestDueMs
 }
 
 /** The first job of a lane with a queued task that no reservation is held for. */
