--- a/packages/entry/src/job/shareLedger.ts
+++ b/packages/entry/src/job/shareLedger.ts
@@ -6,10 +6,17 @@
 import type { HeldRole } from './cellRole.js'
 import { LEDGER_INTERVAL_MS } from './constants.js'
 
+/** Seconds of all processors, memory or accelerators of the cell. */
+const Received = Schema.Struct({
+  processors: Schema.Finite,
+  memoryMb: Schema.Finite,
+  accelerators: Schema.Finite
+})
+
 /** Row `shares/<cell>`. */
 const LedgerRow = Schema.Struct({
   periodEndMs: Schema.Finite,
-  received: Schema.Array(Schema.Struct({ team: Schema.String, receivedS: Schema.Finite, forfeitedS: Schema.Finite }))
+  teams: Schema.Array(Schema.Struct({ team: Schema.String, received: Received, forfeitedS: Schema.Finite }))
 })
 const decodeLedger = createDecoder(LedgerRow)
 
