Tool that measures links, leases and sessions at several sizes

Cause: CAPACITY.md needs slopes of these roles. Change: npm run measure runs each part in a process of its own against stand-ins in another, and prints CPU, bytes, calls and memory a second.

--- /dev/null
+++ b/packages/standins/src/tools/measureMembership.ts
@@ -0,0 +1,139 @@
+/** `npm run measure`: CPU and bytes a second of links, worker leases, and sessions with ownership, at several sizes. */
+import { type ChildProcess, fork } from 'node:child_process'
+import { once } from 'node:events'
+import { setTimeout as wait } from 'node:timers/promises'
+import type { Vm } from '@fuchsiatally/core'
+import { createSystemRandom } from '@fuchsiatally/core/testing/systemClock'
+import { createPeerMesh, type LinkMesh } from '@fuchsiatally/entry'
+import yargs from 'yargs'
+import { hideBin } from 'yargs/helpers'
+import { startPlatformServer } from '../platformServer.js'
+import { createProcessClock } from '../processClock.js'
+import { startWorkerHost } from '../workerHost.js'
+import type { MeasuredProcess, MeasureOrder } from './measuredEntry.js'
+
+const RESOURCES = { processors: 16, memoryMb: 65_536, accelerators: 0 }
+const SESSION_INTERVAL_MS = 2_000
+
+/** One line of the report. */
+interface Figure extends MeasuredProcess {
+  readonly part: string
+  readonly size: number
+}
+
+const options = await yargs(hideBin(process.argv))
+  .scriptName('npm run measure --')
+  .option('part', { choices: ['links', 'workers', 'sessions'] as const, array: true, describe: 'parts to measure; all by default' })
+  .option('seconds', { type: 'number', default: 8, describe: 'length of each measurement' })
+  .option('sizes', { type: 'number', array: true, describe: 'peers, workers or VMs; defaults differ by part' })
+  .option('json', { type: 'boolean', default: false, describe: 'print all figures as JSON' })
+  .example('npm run measure -- --part workers --sizes 31 62 124', 'lease renewals at three sizes')
+  .strict()
+  .parseAsync()
+
+async function runChild (order: MeasureOrder, afterReady: (child: ChildProcess, address: string) => Promise<void>): Promise<MeasuredProcess> {
+  const child = fork(new URL('./measuredEntry.js', import.meta.url), [JSON.stringify(order)])
+  const [{ address }] = await once(child, 'message') as [{ address: string }]
+  await afterReady(child, address)
+  child.send({ kind: 'measure' })
+  const [figures] = await once(child, 'message') as [MeasuredProcess]
+  child.send({ kind: 'end' })
+  await once(child, 'exit')
+  return figures
+}
+
+async function measureLinks (size: number): Promise<MeasuredProcess> {
+  const meshes: LinkMesh[] = []
+  const figures = await runChild({ part: 'links', seconds: options.seconds, size, vms: [] }, async (_, address) => {
+    for (let i = 0; i < size; i += 1) {
+      const view = {
+        entry: 'm', incarnation: 'm', failureDomain: 'a', linkAddress: address, httpAddress: '', leaving: false, configVersion: 1, expired: false
+      }
+      const mesh = createPeerMesh({
+        self: { entry: `a${i}`, incarnation: `a${i}`, failureDomain: 'a' },
+        host: '127.0.0.1',
+        clock: createProcessClock(),
+        random: createSystemRandom(),
+        log: { record: () => {} },
+        listSessions: () => [view]
+      })
+      await mesh.start()
+      meshes.push(mesh)
+    }
+    while (meshes.some((mesh) => mesh.listPeers().length === 0)) await wait(50)
+  })
+  for (const mesh of meshes) await mesh.stop()
+  return figures
+}
+
+async function measureWorkers (size: number): Promise<MeasuredProcess> {
+  const host = await startWorkerHost(Array.from({ length: size }, (_, i) => ({
+    id: `worker-vm-${i}`, failureDomain: 'a', rack: 'r1', pool: 'pages', resources: { ...RESOURCES, processors: 64 }, services: ['pages']
+  })))
+  const figures = await runChild({ part: 'workers', seconds: options.seconds, size, vms: host.vms }, () => wait(4_000))
+  await host.stop()
+  return figures
+}
+
+function buildVms (count: number): Vm[] {
+  return Array.from({ length: count }, (_, i) => ({
+    id: `worker-vm-${i}`,
+    state: 'live',
+    failureDomain: `domain-${i % 8}`,
+    rack: `rack-${i % 32}`,
+    pool: 'pages',
+    address: `127.0.0.1:${20_000 + i}`,
+    resources: RESOURCES,
+    runners: [{ service: 'pages', address: `127.0.0.1:${30_000 + i}` }]
+  }))
+}
+
+/** Six other entries, or one for every 40 VMs if that is more. */
+async function measureSessions (size: number): Promise<MeasuredProcess> {
+  const platform = await startPlatformServer()
+  const vms = buildVms(size)
+  for (const vm of vms) platform.model.setVm(vm)
+  const writeRow = (key: string, value: unknown): void => {
+    platform.model.transact({ writeId: 'w', checks: [], writes: [{ key, value }] })
+  }
+  const entries = Array.from({ length: Math.max(6, Math.ceil(size / 40)) }, (_, i) => i)
+  const renewAll = (): void => {
+    for (const i of entries) {
+      writeRow(`session/entry-${i}`, {
+        incarnation: `incarnation-${i}`, failureDomain: `domain-${i % 8}`, linkAddress: '127.0.0.1:1', httpAddress: '127.0.0.1:2', leaving: false, configVersion: 1
+      })
+    }
+  }
+  for (const [i, vm] of vms.entries()) {
+    writeRow(`owner/${vm.id}`, { incarnation: `incarnation-${i % entries.length}`, epoch: 1, unfenced: [] })
+  }
+  renewAll()
+  const renewals = setInterval(renewAll, SESSION_INTERVAL_MS)
+  const order = { part: 'sessions' as const, seconds: options.seconds, size, vms: [], platformAddress: platform.address }
+  const figures = await runChild(order, () => wait(4_000))
+  clearInterval(renewals)
+  await platform.stop()
+  return figures
+}
+
+const PARTS = {
+  links: { measure: measureLinks, sizes: [0, 8, 16, 32] },
+  workers: { measure: measureWorkers, sizes: [0, 31, 62, 124] },
+  sessions: { measure: measureSessions, sizes: [33, 248, 495, 990] }
+}
+
+const figures: Figure[] = []
+for (const part of options.part ?? ['links', 'workers', 'sessions'] as const) {
+  for (const size of options.sizes ?? PARTS[part].sizes) {
+    const measured = await PARTS[part].measure(size)
+    figures.push({ part, size, ...measured })
+    if (options.json) continue
+    const { cpuPercent, sentBytes, receivedBytes, calls, rssMb } = measured
+    console.log(`${part.padEnd(9)} ${String(size).padStart(4)}  cpu ${cpuPercent.toFixed(2)} %  sent ${Math.round(sentBytes)} B/s  ` +
+      `received ${Math.round(receivedBytes)} B/s  calls ${calls.toFixed(1)} /s  memory ${rssMb.toFixed(0)} MB`)
+  }
+}
+if (options.json) console.log(JSON.stringify(figures, null, 2))
+
+// The listeners of the stand-ins would hold the process.
+process.exit(0)
