A silent worker's lease is not extended, so that it can be called lost

Cause: the directed test of a silent worker never saw lost: each contact that was tried in the silence carried an extension that might still arrive, and put the time of certain lapse off for ever. Random failures had not asked whether lost is said. Change: an extension is sent only while a contact of the last 2 s was accepted; after a silence the first contact extends nothing and the next follows at once. Tests of each rule of an owner by itself: worker epoch, cell epoch, late sets, first contact without session, restart, loss, outage tolerance, takeover of an unreached worker, VM gone, acknowledged ends.

--- /dev/null
+++ b/packages/entry/src/vm/__tests__/workerLiaison.spec.ts
@@ -0,0 +1,202 @@
+/** Rules of one owner, each by itself: which desired sets count, what a lapse, a restart and a loss lead to. */
+import type { Vm, WorkerDesired, WorkerObserved } from '@fuchsiatally/core'
+import { createFakeClock } from '@fuchsiatally/core/testing/fakeClock'
+import { createMemoryEventLog } from '@fuchsiatally/core/testing/memoryEventLog'
+import { createSeededRandom } from '@fuchsiatally/core/testing/seededRandom'
+import { test } from 'uvu'
+import * as assert from 'uvu/assert'
+import type { Sessions } from '../../ports.js'
+import { createFakeMesh } from '../../testing/fakeMesh.js'
+import { createFakeWorkerClient, createWorkerLinkFaults } from '../../testing/fakeWorkerClient.js'
+import { createWorkerModel } from '../../testing/workerModel.js'
+import type { Ownership } from '../ownership.js'
+import { createWorkerLiaison } from '../workerLiaison.js'
+
+const RESOURCES = { processors: 1, memoryMb: 1, accelerators: 0 }
+const VM: Vm = {
+  id: 'w', state: 'live', failureDomain: 'a', rack: 'r', pool: 'p', address: 'w', resources: RESOURCES, runners: []
+}
+const TOLERANCE_MS = 20_000
+
+function createOwner () {
+  const clock = createFakeClock()
+  const random = createSeededRandom(3)
+  const log = createMemoryEventLog()
+  const model = createWorkerModel({ id: 'w', clock, random: createSeededRandom(4) })
+  const faults = createWorkerLinkFaults()
+  const observed: WorkerObserved[] = []
+  const wanted: number[] = []
+  const state = { valid: true, cellEpoch: 0, confirmedMs: null as number | null }
+  const ownership = {
+    readConfirmedMs: () => state.confirmedMs ?? clock.nowMs(),
+    updateEpoch: (_: string, epoch: number) => { wanted.push(epoch) },
+    recordContact: () => {}
+  } as unknown as Ownership
+  const liaison = createWorkerLiaison({
+    sessions: { incarnation: 'o', isValid: () => state.valid } as Sessions,
+    clock,
+    random,
+    log,
+    mesh: createFakeMesh({ clock }).addEntry({ entry: 'o', incarnation: 'o', failureDomain: 'a' }),
+    ownership,
+    createClient: () => createFakeWorkerClient({ model, clock, random, faults }),
+    outageToleranceMs: TOLERANCE_MS,
+    readCellEpoch: () => state.cellEpoch,
+    findScheduler: () => 'o',
+    onObserved: (message) => { observed.push(message) }
+  })
+  const sendDesired = (change: Partial<WorkerDesired>): void => {
+    const task = { id: { job: 'j', task: change.sequence ?? 1, attempt: 1 }, resources: RESOURCES, payload: '{"runMs":1000000000}' }
+    const base = { type: 'workerDesired' as const, worker: 'w', cellEpoch: 1, sequence: 1, workerEpoch: 1, run: [task], end: [], acknowledged: [] }
+    liaison.handleDesired({ ...base, ...change }, 's')
+  }
+  const listRunning = (): number[] => model.listRunning().map(({ id }) => id.task)
+  return { clock, log, model, faults, observed, wanted, state, liaison, sendDesired, listRunning }
+}
+
+async function createStarted (): Promise<ReturnType<typeof createOwner>> {
+  const owner = createOwner()
+  owner.liaison.handleOwned({ vm: VM, epoch: 1, continuous: false })
+  await owner.clock.runFor(100)
+  return owner
+}
+
+test('a desired set counts only for the worker epoch that it was computed for', async () => {
+  const owner = await createStarted()
+  owner.sendDesired({ workerEpoch: 2 })
+  await owner.clock.runFor(2_000)
+  assert.equal(owner.listRunning(), [])
+  owner.sendDesired({})
+  await owner.clock.runFor(2_000)
+  assert.equal(owner.listRunning(), [1])
+  owner.liaison.handleOwned({ vm: VM, epoch: 2, continuous: true })
+  owner.sendDesired({ sequence: 2 })
+  await owner.clock.runFor(2_000)
+  assert.equal(owner.listRunning(), [1])
+  assert.is(owner.observed.at(-1)!.desiredSequence, 0)
+})
+
+test('a deposed scheduler and late sets are ignored', async () => {
+  const owner = await createStarted()
+  owner.state.cellEpoch = 5
+  owner.sendDesired({ cellEpoch: 4 })
+  await owner.clock.runFor(2_000)
+  assert.equal(owner.listRunning(), [])
+  owner.sendDesired({ cellEpoch: 6, sequence: 8 })
+  await owner.clock.runFor(2_000)
+  assert.equal(owner.listRunning(), [8])
+  owner.sendDesired({ cellEpoch: 5, sequence: 9 })
+  owner.sendDesired({ cellEpoch: 6, sequence: 7 })
+  await owner.clock.runFor(2_000)
+  assert.equal(owner.listRunning(), [8])
+  owner.sendDesired({ cellEpoch: 7, sequence: 2 })
+  await owner.clock.runFor(2_000)
+  assert.equal(owner.listRunning(), [2])
+})
+
+test('a first contact without a valid session leads to nothing', async () => {
+  const owner = createOwner()
+  owner.state.valid = false
+  owner.liaison.handleOwned({ vm: VM, epoch: 1, continuous: false })
+  owner.sendDesired({})
+  await owner.clock.runFor(5_000)
+  assert.equal(owner.listRunning(), [])
+  assert.not.ok(owner.liaison.listOwnedWorkers()[0]!.hasContact)
+  owner.state.valid = true
+  await owner.clock.runFor(3_000)
+  assert.equal(owner.listRunning(), [1])
+  owner.state.valid = false
+  await owner.clock.runFor(15_000)
+  assert.equal(owner.listRunning(), [1])
+  assert.ok(owner.liaison.listOwnedWorkers()[0]!.hasContact)
+})
+
+test('after a restart of the worker nothing starts until the next epoch', async () => {
+  const owner = await createStarted()
+  owner.sendDesired({})
+  await owner.clock.runFor(2_000)
+  owner.model.restart()
+  await owner.clock.runFor(5_000)
+  assert.equal(owner.listRunning(), [])
+  assert.not.ok(owner.liaison.listOwnedWorkers()[0]!.hasContact)
+  assert.ok(owner.wanted.every((epoch) => epoch === 2) && owner.wanted.length > 0)
+  owner.liaison.handleOwned({ vm: VM, epoch: 2, continuous: true })
+  owner.sendDesired({ workerEpoch: 2, sequence: 3 })
+  await owner.clock.runFor(2_000)
+  assert.equal(owner.listRunning(), [3])
+})
+
+test('a silent worker is unreachable, then lost for good within its epoch', async () => {
+  const owner = await createStarted()
+  owner.sendDesired({})
+  await owner.clock.runFor(2_000)
+  owner.faults.silent = true
+  await owner.clock.runFor(9_000)
+  assert.is(owner.observed.at(-1)!.state, 'unreachable')
+  await owner.clock.runFor(6_000)
+  assert.is(owner.observed.at(-1)!.state, 'lost')
+  owner.faults.silent = false
+  await owner.clock.runFor(5_000)
+  assert.is(owner.observed.at(-1)!.state, 'lost')
+  assert.equal(owner.listRunning(), [])
+  owner.liaison.handleOwned({ vm: VM, epoch: 2, continuous: true })
+  await owner.clock.runFor(2_000)
+  assert.is(owner.observed.at(-1)!.state, 'reachable')
+})
+
+test('without confirmation leases end with the tolerance, and nothing is called lost', async () => {
+  const owner = await createStarted()
+  owner.sendDesired({})
+  owner.state.confirmedMs = owner.clock.nowMs()
+  await owner.clock.runFor(TOLERANCE_MS + 8_000)
+  assert.equal(owner.listRunning(), [1])
+  await owner.clock.runFor(4_000)
+  assert.equal(owner.listRunning(), [])
+  owner.faults.silent = true
+  await owner.clock.runFor(60_000)
+  assert.is(owner.observed.at(-1)!.state, 'unreachable')
+  owner.state.confirmedMs = null
+  await owner.clock.runFor(2_000)
+  assert.is(owner.observed.at(-1)!.state, 'lost')
+})
+
+test('a new owner that never reached the worker waits out what the earlier one may have allowed', async () => {
+  const owner = createOwner()
+  owner.faults.silent = true
+  owner.liaison.handleOwned({ vm: VM, epoch: 2, continuous: false })
+  await owner.clock.runFor(TOLERANCE_MS + 10_000)
+  assert.is(owner.observed.at(-1)!.state, 'unreachable')
+  await owner.clock.runFor(4_000)
+  assert.is(owner.observed.at(-1)!.state, 'lost')
+  owner.liaison.handleVm({ ...VM, state: 'gone' })
+  assert.is(owner.observed.at(-1)!.state, 'lost')
+})
+
+test('a VM that is gone is lost at once', async () => {
+  const owner = await createStarted()
+  owner.liaison.handleVm({ ...VM, state: 'gone' })
+  assert.is(owner.observed.at(-1)!.state, 'lost')
+})
+
+test('what is desired no longer is stopped, and acknowledged ends are forgotten unless a start may still arrive', async () => {
+  const owner = await createStarted()
+  owner.sendDesired({})
+  await owner.clock.runFor(2_000)
+  const id = { job: 'j', task: 1, attempt: 1 }
+  owner.sendDesired({ sequence: 2, run: [], end: [{ id, checkpoint: true }] })
+  await owner.clock.runFor(2_000)
+  assert.equal(owner.observed.at(-1)!.ended.map(({ result }) => result), ['stopped'])
+  owner.sendDesired({ sequence: 3, run: [], acknowledged: [id] })
+  await owner.clock.runFor(2_000)
+  assert.equal(owner.observed.at(-1)!.ended, [])
+  owner.faults.lostAnswerRate = 1
+  const late = { ...id, task: 4 }
+  owner.sendDesired({ sequence: 4, run: [{ id: late, resources: RESOURCES, payload: '{"runMs":1}' }] })
+  await owner.clock.runFor(1_500)
+  owner.faults.lostAnswerRate = 0
+  owner.sendDesired({ sequence: 5, run: [], acknowledged: [late] })
+  await owner.clock.runFor(3_000)
+  assert.equal(owner.observed.at(-1)!.ended.map((ended) => ended.id), [late])
+})
+
+test.run()
--- a/packages/entry/src/vm/workerTask.ts
+++ b/packages/entry/src/vm/workerTask.ts
@@ -122,7 +122,8 @@
     options.updateEpoch(vm.id, epoch + 1)
   }
   const mayExtend = (nowMs: number): boolean => {
-    if (!trusted || blocked || isLost || vm.state === 'gone') return false
+    // Without contact each further extension would put off the time from which the worker is lost for certain.
+    if (!hasContact() || blocked || isLost || vm.state === 'gone') return false
     const allowed = hasRightToExtend(nowMs, options.readConfirmedMs(), options.outageToleranceMs)
     if (!allowed && !extensionLogged) log.record(extensionEnded, { worker: vm.id, epoch })
     extensionLogged = !allowed
@@ -145,7 +146,7 @@
     // Within one epoch `lost` is final: a desired set that was computed before may still be on its way.
     return !isLost
   }
-  const handleReport = (next: LeaseReport, sentMs: number): void => {
+  const handleReport = (next: LeaseReport, sentMs: number, isExtended: boolean): void => {
     const isFirst = !trusted && !restarted
     const canGoOn = checkReport(next)
     trusted ||= !restarted && options.isSessionValid()
@@ -163,8 +164,8 @@
     }
     reconcile()
     sendIfChanged()
-    // The first contact only learns the worker's clock.
-    if (isFirst && trusted) leaseWanted = true
+    // The first contact, also after a silence, extends nothing.
+    if (!isExtended && mayExtend(clock.nowMs())) leaseWanted = true
   }
   const handleFailure = (failure: LeaseFailure): void => {
     if (failure.kind !== 'staleEpoch') {
@@ -193,7 +194,7 @@
     if (disposed || sentEpoch !== epoch) return
     if (answer.isErr()) handleFailure(answer.error)
     // A worker that has seen another epoch than it was told breaks the contract of the answer.
-    else if (answer.value.epoch === sentEpoch) handleReport(answer.value, sentMs)
+    else if (answer.value.epoch === sentEpoch) handleReport(answer.value, sentMs, notAfterMs > 0)
   }
   const sendLease = (): void => {
     if (disposed || epoch === 0 || vm.state === 'gone') return
