--- a/packages/core/src/job/starts.ts
+++ b/packages/core/src/job/starts.ts
@@ -7,8 +7,8 @@
 import type { JobEntry, TaskEntry } from './jobEntry.js'
 import type { Lane } from './lane.js'
 import { chooseBackfill, chooseOpenWorker, type Placement } from './placement.js'
-import { reserveByPreemption, reserveGangByPreemption } from './preemption.js'
-import { isReady, releaseReservation, releaseReservations, type Reservation } from './reservation.js'
+import { reserveForUrgent, reserveForUrgentGang } from './preemption.js'
+import { isReady, releaseReservation, releaseReservations, stopFillers, type Reservation } from './reservation.js'
 import { checkCeiling, findUnreserved } from './turns.js'
 
 const GANG_RETRY_MS = 500
@@ -56,7 +56,7 @@
   if (!checkCeiling(lane, 1 + job.reservations.size)) return
   const placement = chooseOpenWorker(state, job) ?? chooseBackfill(state, job)
   if (placement) startPlaced(state, getNextTask(job), placement)
-  else if (!reserveByPreemption(state, job, undefined)) lane.retryAtMs = state.nowMs + URGENT_RETRY_MS
+  else if (!reserveForUrgent(state, job, undefined)) lane.retryAtMs = state.nowMs + URGENT_RETRY_MS
 }
 
 function startGang (state: CellState, lane: Lane): void {
@@ -72,7 +72,7 @@
   lane.blockedSinceMs = Math.min(lane.blockedSinceMs, state.nowMs)
   const waitedMs = state.nowMs - lane.blockedSinceMs
   lane.retryAtMs = state.nowMs + Math.min(LONGEST_GANG_RETRY_MS, GANG_RETRY_MS + waitedMs * GANG_RETRY_PART)
-  if (lane.urgent && job.reservations.size === 0) reserveGangByPreemption(state, job)
+  if (lane.urgent && job.reservations.size === 0) reserveForUrgentGang(state, job)
 }
 
 /** One worker for each queued member, or `undefined`; nothing stays charged. */
@@ -114,6 +114,7 @@
 
 function startPlaced (state: CellState, task: TaskEntry, placement: Placement): void {
   startAttempt(state, task, placement.worker, placement.reason, placement.losers)
+  task.filler = placement.filler ?? false
 }
 
 function startMembers (state: CellState, job: JobEntry, workers: readonly WorkerEntry[], reason: string): void {
@@ -133,7 +134,11 @@
       releaseReservation(state, reservation)
       continue
     }
-    if (!isReady(reservation) || !hasCeilingRoom(job.team, job.shape.need, count)) continue
+    if (!hasCeilingRoom(job.team, job.shape.need, count)) continue
+    if (!isReady(reservation)) {
+      stopFillers(state, reservation)
+      continue
+    }
     releaseReservation(state, reservation)
     startMembers(state, job, listPlanned(reservation), 'reserved room is free')
     if (job.lane) job.lane.blockedSinceMs = Infinity
@@ -158,9 +163,9 @@
 export function updateUrgentReservations (state: CellState): void {
   for (const reservation of [...state.reservations]) {
     if (!reservation.urgent || state.nowMs - reservation.grantedMs < URGENT_REPLAN_MS) continue
-    if (reservation.job.row.spec.kind === 'gang') continue
+    if (reservation.job.row.spec.kind === 'gang' || isReady(reservation)) continue
     const [worker] = reservation.workers.keys()
     releaseReservation(state, reservation)
-    reserveByPreemption(state, reservation.job, worker)
+    reserveForUrgent(state, reservation.job, worker)
   }
 }
--- a/packages/core/src/job/turns.ts
+++ b/packages/core/src/job/turns.ts
@@ -2,6 +2,7 @@
 import { computeTeamOrder, hasCeilingRoom, type TeamEntry } from '../team/teamEntry.js'
 import type { CellState } from './cellState.js'
 import type { JobEntry } from './jobEntry.js'
+import { isFillerJob } from './placement.js'
 import { isBefore, type Lane } from './lane.js'
 
 /** Teams with waiting work in the order of their turns. */
@@ -15,7 +16,7 @@
   const heap: TeamEntry[] = []
   const orders: number[] = []
 
-  const moveDown = (): void => {
+  const updateHeap = (): void => {
     let parent = 0
     const team = heap[0]!
     const order = orders[0]!
@@ -53,7 +54,7 @@
     if (heap.length === 0) return
     heap[0] = team
     orders[0] = order
-    moveDown()
+    updateHeap()
   }
 
   for (const team of state.teams.listTeams()) {
@@ -65,7 +66,7 @@
     chooseLane: () => {
       if (last && heap[0] === last) {
         orders[0] = computeTeamOrder(last, state.nowMs)
-        moveDown()
+        updateHeap()
       }
       while (heap.length > 0) {
         const team = heap[0]!
@@ -104,7 +105,9 @@
 function canTryBackfill (state: CellState, lane: Lane): boolean {
   if (lane.besideTriedAt !== lane.shape.besideVersion) return true
   if (lane.withinTriedAt === lane.shape.withinVersion) return false
-  return state.nowMs + state.estimates.estimateRunTime(lane.jobs[0]!) <= findLatestDue(state)
+  const job = lane.jobs[0]!
+  if (isFillerJob(job)) return true
+  return state.nowMs + state.estimates.estimateRunTime(job) <= findLatestDue(state)
 }
 
 /** The latest time at which a reservation's room is due. */
--- a/packages/standins/src/platformServer.ts
+++ b/packages/standins/src/platformServer.ts
@@ -1,7 +1,8 @@
 /** Stand-in of the platform: table, object store and VM list over HTTP, with faults switched by `POST /control`. */
-import type { ServerResponse } from 'node:http'
+import { createHash } from 'node:crypto'
+import type { IncomingMessage, ServerResponse } from 'node:http'
 import { setTimeout as wait } from 'node:timers/promises'
-import { type Clock, createDecoder, type Random, TableQuery, Transaction, Vm } from '@fuchsiatally/core'
+import { type Clock, createDecoder, type Random, TableQuery, type TableRead, Transaction, Vm } from '@fuchsiatally/core'
 import { createSystemRandom } from '@fuchsiatally/core/testing/systemClock'
 import { createPlatformFaults, type PlatformFaults } from '@fuchsiatally/platform/testing/platformFaults'
 import { createTableModel, type TableModel } from '@fuchsiatally/platform/testing/tableModel'
@@ -25,6 +26,8 @@
   readonly vms?: readonly Vm[]
   /** Whether the VMs show at once instead of after the lag. */
   readonly atOnce?: boolean
+  /** Addresses that reads show instead of those in the table, so that a relay can stand between two ends. */
+  readonly shownAddresses?: Readonly<Record<string, string>>
 }
 
 /** Answer of `GET /counts`. */
@@ -56,6 +59,7 @@
   const counts = { transactions: 0, reads: 0, limited: 0, lostAnswers: 0 }
   const takeWrite = createRateLimit(clock, options.writesPerS ?? 400)
   const takeRead = createRateLimit(clock, options.readsPerS ?? 2000)
+  const shownAddresses = new Map<string, string>()
   let snapshot = model.createSnapshot()
   const snapshots = setInterval(() => { snapshot = model.createSnapshot() }, SNAPSHOT_INTERVAL_MS)
   const isLucky = (rate: number): boolean => rate > 0 && random.nextFloat() < rate
@@ -84,7 +88,7 @@
     counts.reads += 1
     const answer = (isLucky(faults.staleReadRate) ? snapshot : model).read(query.value)
     await wait(faults.delayMs)
-    sendJson(response, 200, answer)
+    sendJson(response, 200, replaceAddresses(answer, shownAddresses))
   }
 
   const handleObject = (method: string, key: string, body: Buffer, response: ServerResponse): void => {
@@ -98,9 +102,21 @@
     else response.writeHead(200, { 'content-length': found.byteLength }).end(found)
   }
 
+  const sendVms = (request: IncomingMessage, response: ServerResponse): void => {
+    const vms = model.listVms()
+    const etag = `"${createHash('sha256').update(JSON.stringify(vms)).digest('base64url')}"`
+    if (request.headers['if-none-match'] === etag) {
+      response.writeHead(304, { etag }).end()
+      return
+    }
+    response.setHeader('etag', etag)
+    sendJson(response, 200, { vms })
+  }
+
   const applyControl = (body: Buffer, response: ServerResponse): void => {
     const control = JSON.parse(body.toString()) as PlatformControl
     Object.assign(faults, control.faults)
+    for (const [address, shown] of Object.entries(control.shownAddresses ?? {})) shownAddresses.set(address, shown)
     const vms = decodeVms(control.vms ?? [])
     if (vms.isErr()) return sendJson(response, 400, { message: vms.error.message })
     const setVms = (): void => { for (const vm of vms.value) model.setVm(vm) }
@@ -109,12 +125,13 @@
     sendJson(response, 200, { faults })
   }
 
-  const handlePlatformCall = async (method: string, path: string, body: Buffer, response: ServerResponse): Promise<void> => {
+  const handlePlatformCall = async (request: IncomingMessage, path: string, body: Buffer, response: ServerResponse): Promise<void> => {
     if (faults.silent) return
     if (faults.outage) {
       response.socket?.destroy()
       return
     }
+    const method = request.method ?? ''
     const isWrite = path === '/table/transact' || method === 'PUT'
     if (faults.rateLimited || !(isWrite ? takeWrite() : takeRead())) {
       counts.limited += 1
@@ -123,7 +140,7 @@
     await wait(faults.delayMs)
     if (path === '/table/transact') return await applyTransaction(body, response)
     if (path === '/table/read') return await answerRead(body, response)
-    if (path === '/vms') return sendJson(response, 200, { vms: model.listVms() })
+    if (path === '/vms') return sendVms(request, response)
     if (path.startsWith('/objects/')) return handleObject(method, path.slice('/objects/'.length), body, response)
     sendJson(response, 404, { message: 'no such path' })
   }
@@ -132,7 +149,7 @@
     const path = request.url ?? ''
     if (path === '/control') return applyControl(body, response)
     if (path === '/counts') return sendJson(response, 200, counts)
-    await handlePlatformCall(request.method ?? '', path, body, response)
+    await handlePlatformCall(request, path, body, response)
   })
   return {
     address: listener.address,
@@ -144,3 +161,9 @@
     }
   }
 }
+
+/** Replaces addresses wherever they stand as whole strings. */
+function replaceAddresses (answer: TableRead, shown: ReadonlyMap<string, string>): TableRead {
+  if (shown.size === 0) return answer
+  return JSON.parse(JSON.stringify(answer), (_, value) => typeof value === 'string' ? shown.get(value) ?? value : value) as TableRead
+}
