--- a/packages/entry/src/http/__tests__/operatorRoutes.spec.ts
+++ b/packages/entry/src/http/__tests__/operatorRoutes.spec.ts
@@ -25,9 +25,12 @@
   const { store, keys, random, incarnation } = entries[0]!
   const options = { keyRing: keys, config: store, log }
   const platform = createFakePlatform({ model, clock, random, shared })
-  const listSessions = (): SessionView[] => entries.map((entry) => ({
-    entry: entry.entry, incarnation: entry.incarnation, failureDomain: 'a', linkAddress: '', httpAddress: '', leaving: false, configVersion: 0, expired: false
-  }))
+  const createView = (name: string, id: string, expired: boolean): SessionView => ({
+    entry: name, incarnation: id, failureDomain: 'a', linkAddress: '', httpAddress: '', leaving: false, configVersion: 0, expired
+  })
+  const listSessions = (): SessionView[] => [
+    ...entries.map((entry) => createView(entry.entry, entry.incarnation, false)), createView('e9', 'e9-1', true)
+  ]
   const routes: Route[] = [
     ...createConfigRoutes({ ...options, sessions: { incarnation, listSessions }, cell: 'test' }),
     ...createKeyRoutes({ ...options, random }),
@@ -110,12 +113,13 @@
   assert.is((await call('GET', '/v1/keys')).value.keys[0].state, 'revoked')
 })
 
-test('the status names who lags, and drains are checked against the list of VMs', async () => {
+test('the status names who lags and who is cut off, and drains are checked against the list of VMs', async () => {
   const { call, entries, clock } = createApi()
   await call('PUT', '/v1/config', { manifest: createManifest(), expectedVersion: 0 })
   entries[1]!.gate.pause()
   assert.is((await call('POST', '/v1/vms/w-matching-07/drain')).value.version, 2)
-  assert.equal((await call('GET', '/v1/config/status')).value.lagging, ['e1'])
+  const status = (await call('GET', '/v1/config/status')).value
+  assert.equal([status.version, status.lagging, status.unreachable], [2, ['e1'], ['e9']])
   entries[1]!.gate.resume()
   await clock.runFor(3000)
   assert.equal((await call('GET', '/v1/config/status')).value.lagging, [])
