Owners report a worker on change, and else every 10 s

Cause: every worker was reported each second; at 17 tasks a report has 2,611 bytes, so 124 workers came to 324 KB/s and 990 would have filled the scheduler's node. Change: a report follows each change, the link to the scheduler coming up and a new scheduler at once; what ended, or could not be sent, is repeated each second; the same report is repeated after 8 to 10 s.

--- a/packages/entry/src/testing/schedulerModel.ts
+++ b/packages/entry/src/testing/schedulerModel.ts
@@ -37,7 +37,7 @@
 }
 
 const RESOURCES = { processors: 1, memoryMb: 1, accelerators: 0 }
-const REPORT_SILENCE_MS = 3_500
+const REPORT_SILENCE_MS = 12_500
 const RESEND_MS = 1_000
 
 /** A scheduler; a deposed one cannot commit but goes on sending what it knew. */
--- a/packages/entry/src/vm/__tests__/workerLiaison.spec.ts
+++ b/packages/entry/src/vm/__tests__/workerLiaison.spec.ts
@@ -172,6 +172,26 @@
   assert.is(owner.observed.at(-1)!.state, 'lost')
 })
 
+test('a report follows each change at once, and the same one only now and then', async () => {
+  const owner = await createStarted()
+  owner.sendDesired({})
+  await owner.clock.runFor(2_000)
+  assert.equal(owner.observed.at(-1)!.running.map(({ task }) => task), [1])
+  const before = owner.observed.length
+  await owner.clock.runFor(30_000)
+  const repeats = owner.observed.length - before
+  assert.ok(repeats >= 3 && repeats <= 4, String(repeats))
+  owner.sendDesired({ sequence: 2 })
+  await owner.clock.runFor(100)
+  assert.is(owner.observed.at(-1)!.desiredSequence, 2)
+  assert.equal(owner.observed.at(-1)!.running.map(({ task }) => task), [2])
+  owner.sendDesired({ sequence: 3, run: [] })
+  await owner.clock.runFor(100)
+  const ended = owner.observed.length
+  await owner.clock.runFor(5_000)
+  assert.ok(owner.observed.length - ended >= 4)
+})
+
 test('a VM that is gone is lost at once', async () => {
   const owner = await createStarted()
   owner.liaison.handleVm({ ...VM, state: 'gone' })
--- a/packages/entry/src/vm/workerLiaison.ts
+++ b/packages/entry/src/vm/workerLiaison.ts
@@ -40,10 +40,11 @@
   const tasks = new Map<string, WorkerTask>()
   let highestCellEpoch = 0
 
-  const sendObserved = (message: WorkerObserved): void => {
+  const sendObserved = (message: WorkerObserved): boolean => {
     const scheduler = options.findScheduler()
-    if (scheduler === sessions.incarnation) options.onObserved(message)
-    else if (scheduler !== null) mesh.sendMessage(scheduler, message)
+    if (scheduler !== sessions.incarnation) return scheduler !== null && mesh.sendMessage(scheduler, message)
+    options.onObserved(message)
+    return true
   }
   const createTask = (vm: Vm): WorkerTask => createWorkerTask(vm, {
     incarnation: sessions.incarnation,
@@ -56,7 +57,8 @@
     readConfirmedMs: ownership.readConfirmedMs,
     updateEpoch: ownership.updateEpoch,
     recordContact: ownership.recordContact,
-    sendObserved
+    sendObserved,
+    findScheduler: options.findScheduler
   })
   const findFault = (message: WorkerDesired): string | null => {
     const task = tasks.get(message.worker)
@@ -73,6 +75,10 @@
     if (fault === null) tasks.get(message.worker)!.setDesired(message)
     else log.record(desiredIgnored, { worker: message.worker, from: fromIncarnation, fault })
   }
+  mesh.onPeerChange((peer, change) => {
+    if (change !== 'up' || peer.incarnation !== options.findScheduler()) return
+    for (const task of tasks.values()) task.sendReport()
+  })
   mesh.onMessage('workerDesired', (message, from) => handleDesired(message, from.incarnation))
 
   return {
--- a/packages/entry/src/vm/workerTask.ts
+++ b/packages/entry/src/vm/workerTask.ts
@@ -14,6 +14,9 @@
 import { createWorkerCommands } from './workerCommands.js'
 
 const LEASE_JITTER = 0.1
+/** Longest time between two reports of a worker where nothing changes, in milliseconds. */
+const REPORT_REPEAT_MS = 10_000
+const REPORT_JITTER = 0.2
 /** Time that a new epoch has for its first contact before its worker may be called lost, in milliseconds. */
 const FIRST_CONTACT_MS = 4_000
 
@@ -31,8 +34,10 @@
   readonly readConfirmedMs: () => number
   readonly updateEpoch: (worker: string, minEpoch: number) => void
   readonly recordContact: (worker: string, epoch: number) => void
-  /** What the worker runs changed, or it is time to say it again. */
-  readonly sendObserved: (message: WorkerObserved) => void
+  /** What the worker runs changed, or it is time to say it again; `false` if it could not be sent. */
+  readonly sendObserved: (message: WorkerObserved) => boolean
+  /** Incarnation of the cell's scheduler, or `null` if unknown. */
+  readonly findScheduler: () => string | null
 }
 
 /** One owned worker. */
@@ -42,6 +47,8 @@
   setVm: (vm: Vm) => void
   /** Takes a desired set that was accepted for the current epoch. */
   setDesired: (desired: WorkerDesired) => void
+  /** Reports at once what the worker runs. */
+  sendReport: () => void
   readEpoch: () => number
   readDesired: () => WorkerDesired | null
   readWorker: () => OwnedWorker
@@ -74,6 +81,7 @@
   let extensionLogged = false
   let lastState: WorkerObserved['state'] = 'unreachable'
   let lastSignature = ''
+  let nextReportMs = -Infinity
   let leaseInFlight = false
   let leaseWanted = false
   let disposed = false
@@ -106,15 +114,19 @@
     ended: report?.ended ?? [],
     usage: isLost ? [] : report?.usage ?? []
   })
+  const formatReport = (message: WorkerObserved): string => `${options.findScheduler()}|${formatSignature(message)}`
   const sendObserved = (): void => {
     if (epoch === 0 || disposed) return
     lastState = readState()
     const message = buildObserved(lastState)
-    lastSignature = formatSignature(message)
-    options.sendObserved(message)
+    lastSignature = formatReport(message)
+    const repeatMs = REPORT_REPEAT_MS * (1 - REPORT_JITTER * random.nextFloat())
+    // What ended is repeated until it is acknowledged, and what could not be sent until it can.
+    const isSettled = options.sendObserved(message) && message.ended.length === 0
+    nextReportMs = isSettled ? clock.nowMs() + repeatMs : -Infinity
   }
   const sendIfChanged = (): void => {
-    if (formatSignature(buildObserved(readState())) !== lastSignature) sendObserved()
+    if (formatReport(buildObserved(readState())) !== lastSignature) sendObserved()
   }
   const blockEpoch = (): void => {
     if (!blocked) commands.reset()
@@ -221,7 +233,8 @@
     if (epoch === 0) return
     checkLost()
     if (readState() === 'unreachable' && lastState === 'reachable') log.record(workerUnreachable, { worker: vm.id, epoch })
-    sendObserved()
+    if (clock.nowMs() >= nextReportMs) sendObserved()
+    else sendIfChanged()
     sendLease()
   }
   store.add(startInterval(clock, random, LEASE_RENEWAL_MS, LEASE_JITTER, runTick))
@@ -258,6 +271,7 @@
       reconcile()
       sendIfChanged()
     },
+    sendReport: sendObserved,
     readEpoch: () => epoch,
     readDesired: () => desired,
     readWorker: () => ({
