Tests of ownership by itself

What each transaction checks, hand-out and confirmation by reads that are young enough, broken ownership, short pauses, the delay of fencing, and a planned stop that hands three workers over within 4 s without a second start.

--- a/packages/entry/src/vm/__tests__/workerLiaison.spec.ts
+++ b/packages/entry/src/vm/__tests__/workerLiaison.spec.ts
@@ -139,6 +139,7 @@
   await owner.clock.runFor(5_000)
   assert.is(owner.observed.at(-1)!.state, 'lost')
   assert.equal(owner.listRunning(), [])
+  assert.ok(owner.wanted.includes(2))
   owner.liaison.handleOwned({ vm: VM, epoch: 2, continuous: true })
   await owner.clock.runFor(2_000)
   assert.is(owner.observed.at(-1)!.state, 'reachable')
