--- a/packages/entry/src/request/__tests__/httpEndpointClient.spec.ts
+++ b/packages/entry/src/request/__tests__/httpEndpointClient.spec.ts
@@ -6,6 +6,7 @@
 import fc from 'fast-check'
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
+import { resolveFuzzOptions } from '@fuchsiatally/core/testing/fuzzOptions'
 import type { EndpointClient, ExchangeResult } from '../../ports.js'
 import { createSystemClock } from '../../process/systemClock.js'
 import { createHttpEndpointClient } from '../httpEndpointClient.js'
@@ -189,7 +190,7 @@
       endpoint.close()
       if (sent.length === text.length) assert.is(readBody(result), 'whole')
       else assert.is(result.kind, 'broken')
-    }), { seed: 550, numRuns: 120 })
+    }), resolveFuzzOptions(550, 120))
 })
 
 test.run()
