--- a/packages/core/src/request/constants.ts
+++ b/packages/core/src/request/constants.ts
@@ -33,3 +33,5 @@
 export const MAX_OPEN_TICKETS_OF_TEAM = 4000
 /** Bytes of answers kept for tickets. */
 export const MAX_TICKET_ANSWER_BYTES = 8 * 1024 * 1024
+/** Endpoints that lost which a decision names. */
+export const MAX_NAMED_LOSERS = 8
--- a/packages/core/src/request/endpointBook.ts
+++ b/packages/core/src/request/endpointBook.ts
@@ -1,7 +1,8 @@
 /** Choice of the endpoint at the owner: slots, adaptive concurrency, ejection of silent endpoints. */
 import type { Random } from '../clock.js'
 import {
-  EJECT_AFTER_FAILURES, INITIAL_EXCHANGE_MS, MAX_EJECTED_PART, MAX_EJECT_MS, MIN_EJECT_MS, SAMPLE_WEIGHT, SLOW_FACTOR
+  EJECT_AFTER_FAILURES, INITIAL_EXCHANGE_MS, MAX_EJECTED_PART, MAX_EJECT_MS, MAX_NAMED_LOSERS, MIN_EJECT_MS,
+  SAMPLE_WEIGHT, SLOW_FACTOR
 } from './constants.js'
 
 /** One endpoint that exchanges may be sent to. */
@@ -22,7 +23,7 @@
   readonly durationMs: number
 }
 
-/** The chosen endpoint with those that lost. */
+/** The chosen endpoint with those that lost, the first `MAX_NAMED_LOSERS` of them. */
 export interface EndpointChoice {
   readonly endpoint: EndpointView
   readonly losers: readonly { readonly worker: string, readonly reason: string }[]
@@ -171,6 +172,7 @@
     if (best === undefined) return undefined
     const losers = []
     for (const known of byService.get(service) ?? []) {
+      if (losers.length >= MAX_NAMED_LOSERS) break
       if (known !== best) losers.push({ worker: known.view.worker, reason: explainLoss(known, nowMs, excluded) })
     }
     best.inFlight += 1
