A request is not forwarded again when the outcome could no longer arrive

The ingress now tries another owner only if an average exchange and twice the forwarding margin still fit.

--- a/packages/entry/src/request/router.ts
+++ b/packages/entry/src/request/router.ts
@@ -5,7 +5,7 @@
   type ServiceRequest
 } from '@fuchsiatally/core'
 import type { Peer, Sessions } from '../ports.js'
-import { MAX_OWNERS_TRIED, NO_ENDPOINT_RETRY_MS } from './constants.js'
+import { MAX_OWNERS_TRIED, MIN_FORWARD_MARGIN_MS, NO_ENDPOINT_RETRY_MS } from './constants.js'
 import { requestRouted } from './events.js'
 import type { Forwarder } from './forwarder.js'
 import { createNotRun, createUnknown } from './outcome.js'
@@ -97,8 +97,10 @@
       ? await runLocal(request, canWait(), deadlineMs, signal)
       : await options.forwarder.sendRequest({ incarnation, request, mayWait: canWait(), deadlineMs, signal, canLeave })
 
+    /** Another owner is tried only while its certain outcome can still arrive before the deadline. */
     const canTryAgain = (): boolean => {
       if (last.kind === 'completed') return false
+      if (clock.nowMs() + owner.estimateExchangeMs(request.service) + 2 * MIN_FORWARD_MARGIN_MS >= deadlineMs) return false
       return last.kind === 'notRun' || (request.idempotent && (retryTaken || budget.takeRetry()))
     }
 
