--- a/packages/core/src/job/__tests__/policy.spec.ts
+++ b/packages/core/src/job/__tests__/policy.spec.ts
@@ -65,6 +65,21 @@
   assert.equal(listPhases(world, urgent), ['assigned'])
 })
 
+test('of work that cannot be saved, the youngest makes way', () => {
+  const world = createWorld()
+  world.addJob(createSpec({ name: 'old', resources: CORE, taskCount: 3 }), 'red')
+  world.decide()
+  world.syncWorker('w0')
+  world.nowMs = 25_000
+  const young = world.addJob(createSpec({ name: 'young', resources: CORE }), 'red')
+  world.decide()
+  world.syncWorker('w0')
+  world.nowMs = 30_000
+  world.addJob(createSpec({ resources: CORE, priority: 'urgent' }), 'blue')
+  world.decide()
+  assert.equal(listPhases(world, young), ['stopping'])
+})
+
 test('urgent work seeks other room when a worker does not free it in time', () => {
   const world = createWorld(2)
   world.addJob(createSpec({ resources: FOUR, taskCount: 2 }), 'red')
--- a/packages/standins/src/tools/bench.ts
+++ b/packages/standins/src/tools/bench.ts
@@ -14,6 +14,7 @@
   .option('earlier', { type: 'string', describe: 'path of an earlier build of packages/core/dist/index.js to compare with' })
   .option('json', { type: 'boolean', default: false, describe: 'print all figures as JSON' })
   .option('plot', { type: 'string', describe: 'folder to write SVG plots into, such as dist/bench' })
+  .option('memory', { type: 'boolean', default: false, describe: 'measure the memory of a full cell by size instead' })
   .option('live', { type: 'boolean', default: false, describe: 'measure real processes on loopback instead' })
   .option('workers', { type: 'number', default: 33, describe: 'workers of the live run' })
   .option('entries', { type: 'number', default: 7, describe: 'entries of the live run' })
@@ -28,6 +29,13 @@
   process.exit(0)
 }
 
+if (options.memory) {
+  const { computeMemory, formatMemory } = await import('../bench/memory.js')
+  const results = computeMemory()
+  console.log(options.json ? JSON.stringify(results, undefined, 1) : formatMemory(results))
+  process.exit(0)
+}
+
 const factories = await createFactories(options.earlier, options.baseline)
 const results: CaseResult[] = []
 for (const name of options.case ?? CASES) {
