--- a/packages/platform/src/__tests__/httpPlatformClient.spec.ts
+++ b/packages/platform/src/__tests__/httpPlatformClient.spec.ts
@@ -26,7 +26,10 @@
   readonly events: MemoryEventLog
   /** Treatment of the next calls, the first first; afterwards calls are answered. */
   readonly script: Behaviour[]
+  /** Every connection that was opened. */
   readonly sockets: Set<unknown>
+  /** Connections whose calls are not heard any longer. */
+  readonly silentSockets: Set<unknown>
   readonly close: () => Promise<void>
 }
 
@@ -50,11 +53,12 @@
   const model = createTableModel()
   const script: Behaviour[] = []
   const sockets = new Set<unknown>()
+  const silentSockets = new Set<unknown>()
   const server = createServer(async (request, response) => {
     const behaviour = script.shift() ?? 'answer'
     const path = request.url ?? ''
     const body = await readBody(request)
-    if (behaviour === 'silent') return
+    if (behaviour === 'silent' || silentSockets.has(request.socket)) return
     if (behaviour === 'refused') return response.writeHead(503).end()
     if (behaviour === 'limited') return response.writeHead(429).end()
     if (behaviour === 'late') return setTimeout(() => answerCall(model, path, body), LATE_MS)
@@ -90,6 +94,7 @@
     events,
     script,
     sockets,
+    silentSockets,
     close: async () => {
       client.dispose()
       server.closeAllConnections()
@@ -158,13 +163,14 @@
   assert.is(platform.events.listFields('FT702').length, 1)
 })
 
-test('a connection that went silent is left for a new one', async () => {
+test('connections that went silent are left for a new one, the idle ones beside them too', async () => {
   const platform = await startPlatform()
-  assert.ok((await platform.client.read({ keys: [], prefixes: [] })).isOk())
-  assert.is(platform.sockets.size, 1)
-  platform.script.push('silent')
-  assert.ok((await platform.client.read({ keys: [], prefixes: [] })).isOk())
-  assert.is(platform.sockets.size, 2)
+  const read = (): ReturnType<PlatformClient['read']> => platform.client.read({ keys: [], prefixes: [] })
+  await Promise.all([read(), read(), read()])
+  assert.is(platform.sockets.size, 3)
+  for (const socket of platform.sockets) platform.silentSockets.add(socket)
+  assert.ok((await read()).isOk())
+  assert.is(platform.sockets.size, 4)
 })
 
 test.run()
