Gangs start when every owner has confirmed its part

Cause: the members of a gang were started as each owner received its part. Ruled out: stopping the started members after a time, which throws work away and still runs a part alone. Change: members are handed out held; the scheduler releases them when the last desired set of every member's owner is confirmed. A gang restored by a new holder of the role is held too until a member is reported as running. Conclusion: an owner that pauses in the milliseconds between its confirmation and the release can still start late.

--- a/packages/core/src/schema/linkMessage.ts
+++ b/packages/core/src/schema/linkMessage.ts
@@ -96,7 +96,9 @@
 export const DesiredTask = Schema.Struct({
   id: AttemptId,
   resources: Resources,
-  payload: Schema.String
+  payload: Schema.String,
+  /** Member of a gang whose other owners have not confirmed yet: it is kept ready and not started. */
+  held: Schema.optionalKey(Schema.Boolean)
 })
 export type DesiredTask = typeof DesiredTask.Type
 
--- a/packages/entry/src/job/__tests__/schedulerTask.spec.ts
+++ b/packages/entry/src/job/__tests__/schedulerTask.spec.ts
@@ -13,7 +13,7 @@
 
 const ROOM = { processors: 8, memoryMb: 8192, accelerators: 0 }
 const TEAM: Team = {
-  name: 'press', share: 1, ceiling: { resources: ROOM, requests: 1 }, limits: { queuedRequests: 1, requestsPerS: 1, activeJobs: 10 }, open: false, whenCut: 'serve', keys: []
+  name: 'press', share: 1, ceiling: { resources: { processors: 16, memoryMb: 16_384, accelerators: 0 }, requests: 1 }, limits: { queuedRequests: 1, requestsPerS: 1, activeJobs: 10 }, open: false, whenCut: 'serve', keys: []
 }
 const DOCUMENT: ConfigDocument = {
   version: 1, manifest: { cell: 'test', shareWindow: { endMinuteOfDay: 0, lengthMinutes: 60 }, teams: [TEAM], services: [] }, grants: [], revokedKeyIds: [], drainedVms: []
@@ -62,7 +62,7 @@
     events: createMemoryEventLog(),
     config: { readDocument: () => DOCUMENT, onChange: () => ({ dispose: () => {} }) },
     createScheduler: createCellScheduler,
-    listVms: () => [VM],
+    listVms: () => [VM, { ...VM, id: 'w2' }],
     isLinked: () => true,
     sendDesired: (_, message) => { checkDesired(message) },
     onDeposed: () => { deposed += 1 }
@@ -115,6 +115,25 @@
   }
 })
 
+test('the members of a gang are held until every owner has confirmed its part', async () => {
+  const term = createTerm()
+  term.write('job/press:g', { ...JOB, spec: { ...JOB.spec, kind: 'gang', resources: { processors: 6, memoryMb: 64, accelerators: 0 } } })
+  term.write('cancel/press:a', {})
+  await term.clock.runFor(600)
+  for (const worker of ['w', 'w2']) term.observe({ worker, desiredSequence: 0 })
+  await term.clock.runFor(600)
+  const findLast = (worker: string): WorkerDesired | undefined => term.sent.findLast((message) => message.worker === worker)
+  for (const worker of ['w', 'w2']) assert.equal(findLast(worker)?.run.map((task) => task.held), [true])
+  term.observe({ worker: 'w', desiredSequence: findLast('w')!.sequence })
+  await term.clock.runFor(1000)
+  assert.ok(term.sent.every((message) => message.run.every((task) => task.held)))
+  term.observe({ worker: 'w2', desiredSequence: findLast('w2')!.sequence })
+  term.observe({ worker: 'w', desiredSequence: findLast('w')!.sequence })
+  await term.clock.runFor(1000)
+  for (const worker of ['w', 'w2']) assert.equal(findLast(worker)?.run.map((task) => task.held), [undefined])
+  term.task.dispose()
+})
+
 test('a term whose role went to another incarnation commits and sends nothing more', async () => {
   const term = createTerm()
   await term.clock.runFor(600)
--- a/packages/entry/src/job/schedulerTask.ts
+++ b/packages/entry/src/job/schedulerTask.ts
@@ -12,6 +12,7 @@
   BUSY_CYCLE_MS, IDLE_CYCLE_MS, JOB_POLL_MS, JOB_RETENTION_MS, MAX_DECISIONS_PER_CYCLE, WORKER_REVIEW_MS
 } from './constants.js'
 import { jobEnded, taskPlaced, taskStopping, workerTasksLost } from './events.js'
+import { createGangGate } from './gangGate.js'
 import { createJobFeed, type FeedNews } from './jobFeed.js'
 import { createShareLedgerStore } from './shareLedger.js'
 import { createStateCommitter, type CommitOutcome, type StateChange } from './stateCommitter.js'
@@ -66,7 +67,8 @@
   const ledgerStore = createShareLedgerStore(options)
   let scheduler = options.createScheduler({})
   let ledgerRead = false
-  const book = createWorkerBook({ ...options, cellEpoch: options.role.epoch })
+  const book = createWorkerBook({ ...options, cellEpoch: options.role.epoch, isHeld: (id) => gate.isHeld(id) })
+  const gate = createGangGate({ readScheduler: () => scheduler, isConfirmed: book.isConfirmed })
   const endedAtMs = new Map<string, number>()
   const knownWorkers = new Set<string>()
   let disposed = false
@@ -87,6 +89,8 @@
     for (const job of news.newJobs) {
       if (job.stateVersion > 0) committer.setVersion(job.id, job.stateVersion)
       scheduler.addJob(job.id, job.row, job.state, nowMs)
+      // The last holder of the role may have died before it released the gang; a running member tells otherwise.
+      if (job.row.spec.kind === 'gang') gate.addGang(job.id)
       if (job.cancelled) scheduler.cancelJob(job.id, nowMs)
       if (isEnded(job.state?.phase)) endedAtMs.set(job.id, nowMs)
     }
@@ -155,6 +159,7 @@
       events.record(taskStopping, { ...decision.id, team: decision.team, worker: decision.worker, checkpoint: decision.checkpoint, reason: decision.reason })
       return
     }
+    if (scheduler.readJobRow(decision.id.job)?.spec.kind === 'gang') gate.addGang(decision.id.job)
     events.record(taskPlaced, { ...decision.id, team: decision.team, worker: decision.worker, reason: decision.reason, losers: decision.losers })
   }
 
@@ -199,10 +204,18 @@
       return
     }
     book.sendDirty(scheduler)
+    releaseGangs()
     ledgerStore.writeDue(scheduler.readShareLedger)
     if (decisions.length > 0) loop.wake()
   }
 
+  /** The release needs no commit: the assignments are in the table already. */
+  const releaseGangs = (): void => {
+    const workers = gate.releaseReady()
+    for (const worker of workers) book.addDirty(worker)
+    if (workers.length > 0) loop.wake()
+  }
+
   const recordObserved = (message: WorkerObserved, owner: string): void => {
     const { worker } = message
     const previousState = book.readRecord(worker)?.observed.state
@@ -212,13 +225,18 @@
       if (previousState !== 'lost') events.record(workerTasksLost, { worker, reason: 'its task lease has lapsed' })
       scheduler.recordWorkerLost(worker, nowMs)
     }
-    for (const id of message.running) scheduler.recordStarted(id, worker, nowMs)
+    for (const id of message.running) {
+      gate.recordRunning(id)
+      scheduler.recordStarted(id, worker, nowMs)
+    }
     for (const usage of message.usage) scheduler.recordUsage(usage, worker, nowMs)
     for (const ended of message.ended) {
+      if (ended.result !== 'refused') gate.recordRunning(ended.id)
       scheduler.recordEnded(ended, worker, nowMs)
       book.addEnded(worker, ended.id)
     }
     if (message.ended.length > 0) loop.wake()
+    releaseGangs()
   }
 
   const loop = createSerialLoop({
--- a/packages/entry/src/job/workerBook.ts
+++ b/packages/entry/src/job/workerBook.ts
@@ -12,6 +12,8 @@
   /** Hands a message to an incarnation, possibly this one. */
   /** Whether an incarnation is this one or a peer with a live link; owners report unchanged workers only now and then. */
   readonly isLinked: (incarnation: string) => boolean
+  /** Whether an attempt shall not be started yet. */
+  readonly isHeld: (id: AttemptId) => boolean
   readonly sendDesired: (incarnation: string, message: WorkerDesired) => void
 }
 
@@ -38,6 +40,8 @@
   addDirty: (worker: string) => void
   /** Sends the desired sets that changed or that their owners have not confirmed. Call after a commit only. */
   sendDirty: (scheduler: CellScheduler) => void
+  /** Whether the owner has accepted the last desired set and it still stands. */
+  isConfirmed: (worker: string) => boolean
   removeWorker: (worker: string) => void
 }
 
@@ -65,7 +69,7 @@
     const keep: AttemptId[] = []
     for (const { id, job } of desired.run) {
       if (running.has(formatAttempt(id))) keep.push(id)
-      else run.push({ id, resources: job.spec.resources, payload: job.spec.payload })
+      else run.push({ id, resources: job.spec.resources, payload: job.spec.payload, ...(options.isHeld(id) ? { held: true } : {}) })
     }
     const end: UndesiredTask[] = desired.end.map(({ id, checkpoint }) => ({ id, checkpoint }))
     return {
@@ -146,6 +150,10 @@
         sendEntry(entry, scheduler, nowMs)
       }
     },
+    isConfirmed: (worker) => {
+      const entry = entries.get(worker)
+      return entry !== undefined && !entry.dirty && isConfirmed(entry)
+    },
     removeWorker: (worker) => { entries.delete(worker) }
   }
 }
--- a/packages/entry/src/vm/workerCommands.ts
+++ b/packages/entry/src/vm/workerCommands.ts
@@ -102,7 +102,7 @@
       const key = formatAttempt(task.id)
       if (wanted.has(key)) continue
       wanted.add(key)
-      if (running.has(key) || ended.has(key)) continue
+      if (task.held === true || running.has(key) || ended.has(key)) continue
       calls.push(unfit.has(key) ? buildStop(current, task.id, key, 'stop') : buildStart(current, task, key))
     }
     for (const id of report.running) {
