A silent worker is recorded once, and holds up no other

Cause: FT335 was recorded at each call to a worker without answers, about once a second. Change: once until it answers again; a test that the other workers of the same owner are contacted and run tasks meanwhile.

--- a/packages/entry/src/vm/__tests__/membership.spec.ts
+++ b/packages/entry/src/vm/__tests__/membership.spec.ts
@@ -29,4 +29,17 @@
   assert.ok(cell.entries[2]!.ownership.isFenced(cell.entries[0]!.incarnation))
 })
 
+test('a worker that gives no answers holds up no other worker', async () => {
+  const cell = createMembershipCell({ ...SMALL, entryDomains: ['a'] })
+  const silent = cell.workers[0]!
+  cell.entries[0]!.links.get(silent.id)!.silent = true
+  await cell.runFor(4_000)
+  for (const worker of cell.workers.slice(1)) assert.ok(cell.clock.nowMs() - cell.oracle.readLastContactMs(worker.id) < 1_500)
+  assert.is(cell.oracle.countStarts(), SMALL.taskCount)
+  await cell.runFor(30_000)
+  for (const worker of cell.workers.slice(1)) assert.ok(cell.clock.nowMs() - cell.oracle.readLastContactMs(worker.id) < 1_500)
+  assert.ok(cell.schedulers[0]!.isSettled())
+  assert.equal(cell.oracle.faults, [])
+})
+
 test.run()
--- a/packages/entry/src/vm/events.ts
+++ b/packages/entry/src/vm/events.ts
@@ -41,4 +41,4 @@
 export const desiredIgnored = defineEvent('FT334', 'debug', 'Desired set ignored',
   'It was computed for another epoch of the worker, by a deposed scheduler, or arrived late.')
 export const workerClientReplaced = defineEvent('FT335', 'info', 'Connections to a worker replaced',
-  'Several calls in a row gave no answer; the next ones use new connections.')
+  'A call gave no answer, so all connections to the worker were given up; recorded once until it answers again.')
--- a/packages/entry/src/vm/httpWorkerClient.ts
+++ b/packages/entry/src/vm/httpWorkerClient.ts
@@ -49,6 +49,7 @@
   const { host, port } = parseAddress(address)
   const createAgent = (): Agent => new Agent({ keepAlive: true, maxSockets: MAX_CONNECTIONS, maxFreeSockets: 2 })
   let agent = createAgent()
+  let silent = false
   let disposed = false
 
   const replaceAgent = (used: Agent): void => {
@@ -56,13 +57,16 @@
     // Something between the two ends may have lost track of every idle connection.
     agent = createAgent()
     used.destroy()
-    options.log.record(workerClientReplaced, { address })
+    // A worker that stays silent is recorded once, not at each call.
+    if (!silent) options.log.record(workerClientReplaced, { address })
+    silent = true
   }
   const callWorker = async (path: string, command: unknown): Promise<Result<Answer, WorkerFailure>> => {
     if (disposed) return err({ kind: 'unreachable', message: 'the client is closed' })
     const used = agent
     const answer = await sendCall({ agent: used, host, port, path, body: JSON.stringify(command), timeoutMs, maxBytes, clock: options.clock })
-    if (answer.isErr() && answer.error.kind === 'timeout') replaceAgent(used)
+    if (answer.isOk()) silent = false
+    else if (answer.error.kind === 'timeout') replaceAgent(used)
     return answer
   }
   const callCommand = async (path: string, command: unknown): Promise<Result<CommandReport, WorkerFailure>> =>
