Cost of a decision: each team's runnable lanes are listed once a round

Cause: all lanes of a team were looked through at each of its turns. Room only shrinks within a round, so a lane that cannot start stays out of it.

--- a/packages/core/src/job/turns.ts
+++ b/packages/core/src/job/turns.ts
@@ -16,6 +16,16 @@
   const heap: TeamEntry[] = []
   const orders: number[] = []
 
+  const runnable = new Map<TeamEntry, Lane[]>()
+
+  const getRunnable = (team: TeamEntry): Lane[] => {
+    const found = runnable.get(team)
+    if (found) return found
+    const lanes = listRunnable(state, team, urgent)
+    runnable.set(team, lanes)
+    return lanes
+  }
+
   const updateHeap = (): void => {
     let parent = 0
     const team = heap[0]!
@@ -70,7 +80,7 @@
       }
       while (heap.length > 0) {
         const team = heap[0]!
-        const lane = findRunnableLane(state, team, urgent)
+        const lane = findOldest(state, getRunnable(team))
         last = team
         if (lane) return lane
         removeFirst()
@@ -85,11 +95,23 @@
   return (urgent ? team.waitingUrgent : team.waitingTasks - team.waitingUrgent) > 0
 }
 
-function findRunnableLane (state: CellState, team: TeamEntry, urgent: boolean): Lane | undefined {
-  let oldest: Lane | undefined
+function listRunnable (state: CellState, team: TeamEntry, urgent: boolean): Lane[] {
+  const lanes: Lane[] = []
   for (const lane of team.lanes.values()) {
-    if (lane.urgent !== urgent || !isRunnable(state, lane)) continue
-    if (!oldest || isBefore(lane.jobs[0]!, oldest.jobs[0]!)) oldest = lane
+    if (lane.urgent === urgent && isRunnable(state, lane)) lanes.push(lane)
+  }
+  return lanes
+}
+
+/** The lane with the oldest job; lanes that have become unable to start leave the list, since room only shrinks in a round. */
+function findOldest (state: CellState, lanes: Lane[]): Lane | undefined {
+  let oldest: Lane | undefined
+  for (let position = lanes.length - 1; position >= 0; position--) {
+    const lane = lanes[position]!
+    if (lane.jobs.length === 0 || !isRunnable(state, lane)) {
+      lanes[position] = lanes.at(-1)!
+      lanes.pop()
+    } else if (!oldest || isBefore(lane.jobs[0]!, oldest.jobs[0]!)) oldest = lane
   }
   return oldest
 }
