Lease answers leave out contents that did not change

Cause: a worker's answer listed every task and its usage each second: 3.3 KB/s received a worker with 17 tasks, 134 KB/s an entry at the two-year size. Ruled out: fewer renewals, which would lengthen the contact rule and every takeover. Change: the lease call names the revision of the contents that the owner holds; the worker answers without them if they are the same. A worker that knows no revisions answers in full as before. Conclusion: the interface of the workers gains one optional field, stated as an assumption that costs bytes alone.

--- a/packages/core/src/schema/worker.ts
+++ b/packages/core/src/schema/worker.ts
@@ -13,7 +13,9 @@
   /** Time on the worker's clock until which its tasks may run; never shortens; 0 extends nothing. */
   notAfterMs: Schema.Finite,
   /** Ended attempts that the worker may forget. */
-  acknowledged: Schema.Array(AttemptId)
+  acknowledged: Schema.Array(AttemptId),
+  /** Revision of the contents that the caller holds; if they are unchanged, the answer leaves them out. */
+  knownRevision: Schema.optionalKey(Schema.String)
 })
 export type LeaseCommand = typeof LeaseCommand.Type
 
@@ -37,6 +39,23 @@
 })
 export type LeaseReport = typeof LeaseReport.Type
 
+/** What a `LeaseReport` says of tasks and runners; the rest of it changes with each answer. */
+export const LEASE_CONTENTS = ['running', 'ended', 'usage', 'runners'] as const
+
+/** Answer to `POST /lease` with the revision of its contents. */
+export const FullLeaseAnswer = Schema.Struct({ ...LeaseReport.fields, revision: Schema.optionalKey(Schema.String) })
+export type FullLeaseAnswer = typeof FullLeaseAnswer.Type
+
+/** Answer to `POST /lease` whose contents are those of the revision that the caller knows. */
+export const UnchangedLeaseAnswer = Schema.Struct({
+  unchanged: Schema.Literal(true),
+  workerIncarnation: LeaseReport.fields.workerIncarnation,
+  epoch: LeaseReport.fields.epoch,
+  clockMs: LeaseReport.fields.clockMs,
+  leaseNotAfterMs: LeaseReport.fields.leaseNotAfterMs
+})
+export type UnchangedLeaseAnswer = typeof UnchangedLeaseAnswer.Type
+
 /** `POST /start`: idempotent for one attempt; an attempt that has ended or been stopped never starts. */
 export const StartCommand = Schema.Struct({
   epoch: Schema.Int,
--- a/packages/entry/src/vm/__tests__/httpWorkerClient.spec.ts
+++ b/packages/entry/src/vm/__tests__/httpWorkerClient.spec.ts
@@ -45,6 +45,26 @@
   })
 })
 
+test('unchanged contents are taken from the report that the call named', async () => {
+  const running = [{ job: 'j', task: 0, attempt: 1 }]
+  const commands: Array<{ knownRevision?: string }> = []
+  await runWith((request, response) => {
+    let text = ''
+    request.on('data', (chunk) => { text += chunk })
+    request.on('end', () => {
+      const command = JSON.parse(text) as { knownRevision?: string }
+      commands.push(command)
+      const { workerIncarnation, epoch, leaseNotAfterMs } = REPORT
+      const unchanged = { unchanged: true, workerIncarnation, epoch, clockMs: 9, leaseNotAfterMs }
+      response.end(JSON.stringify(command.knownRevision === 'r' ? unchanged : { ...REPORT, running, revision: 'r' }))
+    })
+  }, async (client) => {
+    assert.equal((await client.renewLease(LEASE))._unsafeUnwrap(), { ...REPORT, running })
+    assert.equal((await client.renewLease(LEASE))._unsafeUnwrap(), { ...REPORT, running, clockMs: 9 })
+    assert.equal(commands.map((command) => command.knownRevision), [undefined, 'r'])
+  })
+})
+
 test('what a worker must not answer is malformed', async () => {
   const answers: ReadonlyArray<(response: Parameters<RequestListener>[1]) => unknown> = [
     (response) => response.end('{'),
--- a/packages/entry/src/vm/httpWorkerClient.ts
+++ b/packages/entry/src/vm/httpWorkerClient.ts
@@ -1,8 +1,8 @@
 /** Calls to a worker's lease and task interface over HTTP. */
 import { Agent, request as sendHttp } from 'node:http'
 import type { IncomingMessage } from 'node:http'
-import { CommandReport, createDecoder, LeaseReport } from '@fuchsiatally/core'
-import type { Clock, DecodeError, Disposable, EventLog } from '@fuchsiatally/core'
+import { CommandReport, createDecoder, FullLeaseAnswer, UnchangedLeaseAnswer } from '@fuchsiatally/core'
+import type { Clock, DecodeError, Disposable, EventLog, LeaseReport } from '@fuchsiatally/core'
 import * as Schema from 'effect/Schema'
 import { err, ok } from 'neverthrow'
 import type { Result } from 'neverthrow'
@@ -32,7 +32,8 @@
   readonly body: unknown
 }
 
-const decodeLease = createDecoder(LeaseReport)
+const decodeFull = createDecoder(FullLeaseAnswer)
+const decodeUnchanged = createDecoder(UnchangedLeaseAnswer)
 const decodeCommand = createDecoder(CommandReport)
 const decodeStale = createDecoder(Schema.Struct({ epoch: Schema.Int }))
 
@@ -51,6 +52,18 @@
   let agent = createAgent()
   let silent = false
   let disposed = false
+  let held: FullLeaseAnswer | null = null
+
+  /** @param known contents that the call named, for an answer that leaves them out */
+  const parseReport = (body: unknown, known: FullLeaseAnswer | null): Result<LeaseReport, WorkerFailure> => {
+    if (known !== null && (body as { unchanged?: unknown } | null)?.unchanged === true) {
+      return decodeUnchanged(body).mapErr(toMalformed).map(({ unchanged, ...current }) => createReport({ ...known, ...current }))
+    }
+    return decodeFull(body).mapErr(toMalformed).map((answer) => {
+      held = answer.revision === undefined ? null : answer
+      return createReport(answer)
+    })
+  }
 
   const replaceAgent = (used: Agent): void => {
     if (used !== agent || disposed) return
@@ -73,10 +86,11 @@
     (await callWorker(path, command)).andThen(({ body }) => decodeCommand(body).mapErr(toMalformed))
   return {
     renewLease: async (command) => {
-      const answer = await callWorker('/lease', command)
+      const known = held
+      const answer = await callWorker('/lease', known?.revision === undefined ? command : { ...command, knownRevision: known.revision })
       if (answer.isErr()) return err(answer.error)
       if (answer.value.status === HTTP_CONFLICT) return parseRefusal(answer.value.body)
-      return decodeLease(answer.value.body).mapErr(toMalformed)
+      return parseReport(answer.value.body, known)
     },
     startTask: (command) => callCommand('/start', command),
     stopTask: (command) => callCommand('/stop', command),
@@ -87,6 +101,10 @@
   }
 }
 
+function createReport ({ revision, ...report }: FullLeaseAnswer): LeaseReport {
+  return report
+}
+
 interface Call {
   readonly clock: Clock
   readonly agent: Agent
--- a/packages/standins/src/workerHost.ts
+++ b/packages/standins/src/workerHost.ts
@@ -1,6 +1,7 @@
 /** Stand-ins of worker VMs: one process hosts many, each with its own ports for leases and runners. */
+import { createHash } from 'node:crypto'
 import type { IncomingMessage, ServerResponse } from 'node:http'
-import { type Clock, createDecoder, LeaseCommand, type Random, type Resources, StartCommand, StopCommand, type Vm } from '@fuchsiatally/core'
+import { type Clock, createDecoder, LEASE_CONTENTS, LeaseCommand, type Random, type Resources, StartCommand, StopCommand, type Vm } from '@fuchsiatally/core'
 import { createSystemRandom } from '@fuchsiatally/core/testing/systemClock'
 import type { WorkerFaults } from '@fuchsiatally/entry/testing/workerFaults'
 import { createWorkerModel, type WorkerModel } from '@fuchsiatally/entry/testing/workerModel'
@@ -124,7 +125,12 @@
   if (lease.isErr()) return sendJson(response, 400, lease.error)
   const answer = model.renewLease(lease.value)
   if (answer.refused) return sendJson(response, CONFLICT, { epoch: answer.epoch })
-  sendJson(response, 200, answer.report)
+  const { report } = answer
+  const contents = JSON.stringify(LEASE_CONTENTS.map((name) => report[name]))
+  const revision = createHash('sha256').update(contents).digest('base64url')
+  if (lease.value.knownRevision !== revision) return sendJson(response, 200, { ...report, revision })
+  const { workerIncarnation, epoch, clockMs, leaseNotAfterMs } = report
+  sendJson(response, 200, { unchanged: true, workerIncarnation, epoch, clockMs, leaseNotAfterMs })
 }
 
 function applyControl (worker: HostedWorker, control: WorkerControl): void {
