Sums of decimal fractions of a core are exact

The scheduler counts in thousandths and was right; the oracle added binary fractions, and so does the worker's model, which would have refused such a start for ever. addResources and subtractResources now round to millionths; the oracle counts in thousandths, which is as strict.

--- a/packages/core/src/__tests__/schema.spec.ts
+++ b/packages/core/src/__tests__/schema.spec.ts
@@ -1,7 +1,7 @@
 /** Checks that decoding reports all faults and accepts what fits. */
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
-import { createDecoder, JobSpec } from '../index.js'
+import { addResources, createDecoder, JobSpec, NO_RESOURCES, subtractResources } from '../index.js'
 
 const decodeJob = createDecoder(JobSpec)
 const JOB: JobSpec = {
@@ -25,4 +25,12 @@
   for (const part of ['taskCount', 'kind', 'colour']) assert.match(faults, part)
 })
 
+test('sums of decimal fractions of a core are exact', () => {
+  const tenth = { processors: 0.1, memoryMb: 1, accelerators: 0 }
+  let used = NO_RESOURCES
+  for (let task = 0; task < 10; task++) used = addResources(used, tenth)
+  assert.is(used.processors, 1)
+  assert.is(subtractResources({ ...used, processors: 0.3 }, { ...tenth, processors: 0.1 }).processors, 0.2)
+})
+
 test.run()
--- a/packages/core/src/job/__tests__/schedulerWorld.ts
+++ b/packages/core/src/job/__tests__/schedulerWorld.ts
@@ -165,14 +165,14 @@
       if (row.spec.kind === 'gang') assert.not(phases.includes('assigned') && phases.includes('queued'), `gang ${id} in part`)
       for (const task of state.tasks) {
         if (task.phase !== 'assigned' && task.phase !== 'stopping') continue
-        addTo(byWorker, task.worker!, row.spec.resources)
-        addTo(byTeam, row.team, row.spec.resources)
+        addTo(byWorker, task.worker!, toWhole(row.spec.resources))
+        addTo(byTeam, row.team, toWhole(row.spec.resources))
       }
     }
-    for (const [id, used] of byWorker) assert.ok(hasRoomFor(this.workers.get(id)!.capacity, used), `${id} over capacity`)
+    for (const [id, used] of byWorker) assert.ok(hasRoomFor(toWhole(this.workers.get(id)!.capacity), used), `${id} over capacity`)
     for (const team of this.manifest.teams) {
       const used = byTeam.get(team.name) ?? NO_RESOURCES
-      assert.ok(hasRoomFor(team.ceiling.resources, used), `${team.name} over its ceiling`)
+      assert.ok(hasRoomFor(toWhole(team.ceiling.resources), used), `${team.name} over its ceiling`)
     }
   }
 
@@ -186,11 +186,16 @@
 
   private checkRunning (id: string): void {
     let used = NO_RESOURCES
-    for (const { resources } of this.running.get(id)!.values()) used = addResources(used, resources)
-    assert.ok(hasRoomFor(this.workers.get(id)!.capacity, used), `${id} runs beyond its capacity`)
+    for (const { resources } of this.running.get(id)!.values()) used = addResources(used, toWhole(resources))
+    assert.ok(hasRoomFor(toWhole(this.workers.get(id)!.capacity), used), `${id} runs beyond its capacity`)
   }
 }
 
+/** Processors in thousandths, so that sums of decimal fractions are exact. */
+function toWhole (resources: Resources): Resources {
+  return { ...resources, processors: Math.round(resources.processors * 1000) }
+}
+
 function addTo (sums: Map<string, Resources>, key: string, amount: Resources): void {
   sums.set(key, addResources(sums.get(key) ?? NO_RESOURCES, amount))
 }
--- a/packages/core/src/schema/resources.ts
+++ b/packages/core/src/schema/resources.ts
@@ -12,13 +12,16 @@
 })
 export type Resources = typeof Resources.Type
 
+/** Smallest part of a core that sums tell apart. */
+const PROCESSOR_PARTS = 1e6
+
 /** No resources at all. */
 export const NO_RESOURCES: Resources = { processors: 0, memoryMb: 0, accelerators: 0 }
 
 /** Adds two amounts. */
 export function addResources (a: Resources, b: Resources): Resources {
   return {
-    processors: a.processors + b.processors,
+    processors: computeRounded(a.processors + b.processors),
     memoryMb: a.memoryMb + b.memoryMb,
     accelerators: a.accelerators + b.accelerators
   }
@@ -27,7 +30,7 @@
 /** Subtracts `b` from `a`; components may become negative. */
 export function subtractResources (a: Resources, b: Resources): Resources {
   return {
-    processors: a.processors - b.processors,
+    processors: computeRounded(a.processors - b.processors),
     memoryMb: a.memoryMb - b.memoryMb,
     accelerators: a.accelerators - b.accelerators
   }
@@ -39,3 +42,8 @@
     need.memoryMb <= free.memoryMb &&
     need.accelerators <= free.accelerators
 }
+
+/** Takes the error of binary fractions off, so that ten tasks of 0.1 cores need one core and no more. */
+function computeRounded (processors: number): number {
+  return Math.round(processors * PROCESSOR_PARTS) / PROCESSOR_PARTS
+}
