Draining workers: services and saved work move, other work runs to its end

SchedulerWorker gains the optional field draining; without it nothing changes. The stop is taken in each round, so that it also holds for attempts that are restored after the worker was made known. The test fails when the round leaves draining workers alone.

--- a/packages/core/src/job/__tests__/policy.spec.ts
+++ b/packages/core/src/job/__tests__/policy.spec.ts
@@ -147,6 +147,21 @@
   assert.equal(['d0', 'd1', 'd2'].map((domain) => domains.filter((used) => used === domain).length), [2, 2, 2])
 })
 
+test('services and saved work leave a draining worker, other work runs to its end', () => {
+  const world = createWorld()
+  const kinds = [{ kind: 'service' as const }, { checkpointable: true }, { checkpointable: false }]
+  const jobs = kinds.map((kind, number) => world.addJob(createSpec({ name: `job-${number}`, resources: CORE, ...kind }), 'red'))
+  world.decide()
+  world.syncWorker('w0')
+  world.setWorker(createWorker('w1', FOUR))
+  world.setWorker({ ...world.workers.get('w0')!, schedulable: false, draining: true })
+  world.decide()
+  assert.equal(jobs.map((job) => listPhases(world, job)[0]), ['stopping', 'stopping', 'assigned'])
+  world.syncWorker('w0')
+  world.decide()
+  assert.equal(jobs.map((job) => world.scheduler.readJobState(job)!.tasks[0]!.worker), ['w1', 'w1', 'w0'])
+})
+
 test('a team that was behind in the window gets the room that comes free', () => {
   const world = createWorld()
   world.addJob(createSpec({ resources: CORE, taskCount: 100 }), 'red')
--- a/packages/core/src/job/cellScheduler.ts
+++ b/packages/core/src/job/cellScheduler.ts
@@ -15,6 +15,8 @@
   readonly capacity: Resources
   /** Whether new tasks may start there: reachable, not leaving, not drained. */
   readonly schedulable: boolean
+  /** Whether its services and checkpointable tasks shall move elsewhere; other tasks run to their end. */
+  readonly draining?: boolean
 }
 
 /** A worker that lost against the chosen one. */
--- a/packages/core/src/job/cellState.ts
+++ b/packages/core/src/job/cellState.ts
@@ -24,6 +24,8 @@
   workersVersion: number
   /** Workers in quarantine. */
   readonly quarantined: Set<WorkerEntry>
+  /** Workers whose services and checkpointable tasks shall move. */
+  readonly draining: Set<WorkerEntry>
   readonly changedJobs: Set<string>
   /** Decisions taken but not handed out. */
   readonly outbox: SchedulerDecision[]
@@ -48,6 +50,7 @@
     reservations: new Set(),
     workersVersion: 0,
     quarantined: new Set(),
+    draining: new Set(),
     changedJobs: new Set(),
     outbox: [],
     nowMs: 0,
--- a/packages/core/src/job/createCellScheduler.ts
+++ b/packages/core/src/job/createCellScheduler.ts
@@ -102,6 +102,8 @@
 
 function setWorker (state: CellState, known: SchedulerWorker): void {
   const worker = state.workers.getWorker(known.id)
+  if (known.draining) state.draining.add(worker)
+  else state.draining.delete(worker)
   if (worker.known && isUnchanged(worker.known, known)) return
   updateWorkerKnown(state, worker, known)
 }
@@ -116,6 +118,7 @@
   if (!worker) return
   updateWorkerKnown(state, worker, undefined)
   state.quarantined.delete(worker)
+  state.draining.delete(worker)
   if (worker.attempts.size === 0 && worker.reservations.size === 0) state.workers.dropWorker(worker)
 }
 
--- a/packages/core/src/job/decideTasks.ts
+++ b/packages/core/src/job/decideTasks.ts
@@ -2,6 +2,7 @@
 import { hasRoom } from '../vm/amounts.js'
 import type { WorkerEntry } from '../vm/workerEntry.js'
 import { stopQuarantine } from '../vm/workerHealth.js'
+import { stopAttempt, stopGang } from './attempts.js'
 import { updateBackfill, type CellState } from './cellState.js'
 import { grantReservation } from './grants.js'
 import { releaseReservation } from './reservation.js'
@@ -11,6 +12,7 @@
 /** Takes decisions until nothing more can start or the outbox holds `maxDecisions`. */
 export function decideTasks (state: CellState, maxDecisions: number): void {
   releaseQuarantined(state)
+  stopDraining(state)
   releaseUnfit(state)
   applyGrown(state)
   startReserved(state)
@@ -37,6 +39,18 @@
   }
 }
 
+/** Moves what can move away from workers that drain. */
+function stopDraining (state: CellState): void {
+  for (const worker of state.draining) {
+    for (const task of worker.attempts) {
+      const { kind, checkpointable } = task.job.row.spec
+      if (task.phase !== 'assigned' || (kind !== 'service' && !checkpointable)) continue
+      if (kind === 'gang') stopGang(state, task.job, 'drained')
+      else stopAttempt(state, task, 'drained')
+    }
+  }
+}
+
 /** Gives up reservations on workers that take no tasks any longer; their lanes plan again. */
 function releaseUnfit (state: CellState): void {
   for (const worker of state.workers.takeUnfit()) {
