Silent connections to endpoints: idle ones beside them are closed, idempotent tries end at half of the time left

Seen in the process tests (flaky, on a busy machine): after all open connections went silent, requests with slow bodies ended as unknown after 7 s ('no whole answer in time'). A try of an idempotent request was only cut off early if ten average exchanges fitted twice, which slow bodies never let happen. Tries now end at half of the time left if that is at least two average exchanges. The cause of every such case in the process tests is not shown by this.

--- a/packages/entry/src/request/__tests__/httpEndpointClient.spec.ts
+++ b/packages/entry/src/request/__tests__/httpEndpointClient.spec.ts
@@ -139,6 +139,15 @@
   endpoint.close()
 })
 
+test('with a connection that went silent the idle ones beside it are closed', async () => {
+  const endpoint = await createEndpoint((socket, body, index) => { if (index !== 2) socket.write(formatAnswer(body)) })
+  await Promise.all([sendOne(endpoint), sendOne(endpoint)])
+  assert.is((await sendOne(endpoint, {}, 100)).kind, 'broken')
+  assert.is(readBody(await sendOne(endpoint)), 'hello')
+  assert.is(endpoint.countConnections(), 3)
+  endpoint.close()
+})
+
 test('bytes after an answer never become the answer to the next request', async () => {
   const endpoint = await createEndpoint((socket, body, index) => {
     socket.write(formatAnswer(`${index}:${body}`))
--- a/packages/entry/src/request/__tests__/requestFuzz.spec.ts
+++ b/packages/entry/src/request/__tests__/requestFuzz.spec.ts
@@ -197,4 +197,12 @@
   }), resolveFuzzOptions(541, 150))
 })
 
+test('an idempotent request leaves a silent endpoint while another try still fits', async () => {
+  const submit: Submit = {
+    kind: 'submit', entry: 0, idempotent: true, ticket: false, behaviours: ['silent'], workMs: 300, timeoutMs: 1500
+  }
+  const oracle = await runSteps([{ ...submit, behaviours: [] }, { kind: 'wait', ms: 1500 }, submit], 3)
+  assert.equal(oracle.calls.map((call) => call.outcome), ['completed', 'completed'])
+})
+
 test.run()
--- a/packages/entry/src/request/constants.ts
+++ b/packages/entry/src/request/constants.ts
@@ -10,6 +10,8 @@
 /** A try of an idempotent request is cut off after this many average exchanges, but not before the minimum. */
 export const TRY_TIMEOUT_FACTOR = 10
 export const MIN_TRY_TIMEOUT_MS = 500
+/** It is cut off at half of the time left at the latest, if that is worth this many average exchanges. */
+export const MIN_TRY_AVERAGES = 2
 /** Time by which a forwarded request ends before the caller's deadline, so that a certain outcome arrives in time. */
 export const MIN_FORWARD_MARGIN_MS = 5
 export const MAX_FORWARD_MARGIN_MS = 25
--- a/packages/entry/src/request/endpointExchanges.ts
+++ b/packages/entry/src/request/endpointExchanges.ts
@@ -3,7 +3,7 @@
   Clock, Disposable, EndpointBook, EndpointChoice, EventLog, RequestOutcome, RetryBudget, Service, ServiceRequest
 } from '@fuchsiatally/core'
 import type { EndpointClient, ExchangeResult } from '../ports.js'
-import { MAX_TRIES, MIN_TRY_TIMEOUT_MS, TRY_TIMEOUT_FACTOR } from './constants.js'
+import { MAX_TRIES, MIN_TRY_AVERAGES, MIN_TRY_TIMEOUT_MS, TRY_TIMEOUT_FACTOR } from './constants.js'
 import { endpointEjected, endpointRestored } from './events.js'
 
 /** A request in the owner's hands. */
@@ -55,8 +55,9 @@
   /** Time for one try: all that is left, or less if another try would still fit and is paid for. */
   const decideTryMs = (held: Held, remainingMs: number): { timeoutMs: number, retryTaken: boolean } => {
     const wholeMs = Math.min(remainingMs, held.service.timeoutMs)
-    const tryMs = Math.max(MIN_TRY_TIMEOUT_MS, TRY_TIMEOUT_FACTOR * book.estimateExchangeMs(held.service.name))
-    const mayRetry = held.request.idempotent && held.tries < MAX_TRIES && tryMs * 2 < wholeMs
+    const averageMs = book.estimateExchangeMs(held.service.name)
+    const tryMs = Math.min(wholeMs / 2, Math.max(MIN_TRY_TIMEOUT_MS, TRY_TIMEOUT_FACTOR * averageMs))
+    const mayRetry = held.request.idempotent && held.tries < MAX_TRIES && tryMs >= MIN_TRY_AVERAGES * averageMs
     const retryTaken = mayRetry && budget.takeRetry()
     return { timeoutMs: retryTaken ? tryMs : wholeMs, retryTaken }
   }
--- a/packages/entry/src/request/httpEndpointClient.ts
+++ b/packages/entry/src/request/httpEndpointClient.ts
@@ -135,7 +135,11 @@
       exchange.resolve({ kind: connection.hasSent() ? 'broken' : 'refused', reason })
       destroy()
     }
-    const timer = clock.setTimer(timeoutMs, () => fail('no whole answer in time'))
+    const timer = clock.setTimer(timeoutMs, () => {
+      // What silenced this connection may have silenced the idle ones beside it.
+      agent.removeIdle(agent.getName({ host, port: Number(port) }), -1)
+      fail('no whole answer in time')
+    })
     outgoing.on('response', (response) => readResponse(response, exchange, destroy))
     outgoing.on('error', (error) => fail(`connection to the endpoint failed: ${error.message}`))
     outgoing.on('close', () => {
