--- a/packages/entry/src/job/schedulerTask.ts
+++ b/packages/entry/src/job/schedulerTask.ts
@@ -12,6 +12,7 @@
   BUSY_CYCLE_MS, IDLE_CYCLE_MS, JOB_POLL_MS, JOB_RETENTION_MS, MAX_DECISIONS_PER_CYCLE, WORKER_REVIEW_MS
 } from './constants.js'
 import { jobEnded, taskPlaced, taskStopping, workerTasksLost } from './events.js'
+import { createGangGate } from './gangGate.js'
 import { createJobFeed, type FeedNews } from './jobFeed.js'
 import { createShareLedgerStore } from './shareLedger.js'
 import { createStateCommitter, type CommitOutcome, type StateChange } from './stateCommitter.js'
@@ -29,6 +30,8 @@
   readonly createScheduler: (options: CellSchedulerOptions) => CellScheduler
   /** The VMs of the platform's list as last read. */
   readonly listVms: () => readonly Vm[]
+  /** Whether an incarnation is this one or a peer with a live link. */
+  readonly isLinked: (incarnation: string) => boolean
   readonly sendDesired: (incarnation: string, message: WorkerDesired) => void
   /** A commit found the role lost. */
   readonly onDeposed: () => void
@@ -64,7 +67,8 @@
   const ledgerStore = createShareLedgerStore(options)
   let scheduler = options.createScheduler({})
   let ledgerRead = false
-  const book = createWorkerBook({ clock, cellEpoch: options.role.epoch, sendDesired: options.sendDesired })
+  const book = createWorkerBook({ ...options, cellEpoch: options.role.epoch, isHeld: (id) => gate.isHeld(id) })
+  const gate = createGangGate({ readScheduler: () => scheduler, isConfirmed: book.isConfirmed })
   const endedAtMs = new Map<string, number>()
   const knownWorkers = new Set<string>()
   let disposed = false
@@ -85,6 +89,8 @@
     for (const job of news.newJobs) {
       if (job.stateVersion > 0) committer.setVersion(job.id, job.stateVersion)
       scheduler.addJob(job.id, job.row, job.state, nowMs)
+      // The last holder of the role may have died before it released the gang; a running member tells otherwise.
+      if (job.row.spec.kind === 'gang') gate.addGang(job.id)
       if (job.cancelled) scheduler.cancelJob(job.id, nowMs)
       if (isEnded(job.state?.phase)) endedAtMs.set(job.id, nowMs)
     }
@@ -153,6 +159,7 @@
       events.record(taskStopping, { ...decision.id, team: decision.team, worker: decision.worker, checkpoint: decision.checkpoint, reason: decision.reason })
       return
     }
+    if (scheduler.readJobRow(decision.id.job)?.spec.kind === 'gang') gate.addGang(decision.id.job)
     events.record(taskPlaced, { ...decision.id, team: decision.team, worker: decision.worker, reason: decision.reason, losers: decision.losers })
   }
 
@@ -197,10 +204,18 @@
       return
     }
     book.sendDirty(scheduler)
+    releaseGangs()
     ledgerStore.writeDue(scheduler.readShareLedger)
     if (decisions.length > 0) loop.wake()
   }
 
+  /** The release needs no commit: the assignments are in the table already. */
+  const releaseGangs = (): void => {
+    const workers = gate.releaseReady()
+    for (const worker of workers) book.addDirty(worker)
+    if (workers.length > 0) loop.wake()
+  }
+
   const recordObserved = (message: WorkerObserved, owner: string): void => {
     const { worker } = message
     const previousState = book.readRecord(worker)?.observed.state
@@ -210,13 +225,18 @@
       if (previousState !== 'lost') events.record(workerTasksLost, { worker, reason: 'its task lease has lapsed' })
       scheduler.recordWorkerLost(worker, nowMs)
     }
-    for (const id of message.running) scheduler.recordStarted(id, worker, nowMs)
+    for (const id of message.running) {
+      gate.recordRunning(id)
+      scheduler.recordStarted(id, worker, nowMs)
+    }
     for (const usage of message.usage) scheduler.recordUsage(usage, worker, nowMs)
     for (const ended of message.ended) {
+      if (ended.result !== 'refused') gate.recordRunning(ended.id)
       scheduler.recordEnded(ended, worker, nowMs)
       book.addEnded(worker, ended.id)
     }
     if (message.ended.length > 0) loop.wake()
+    releaseGangs()
   }
 
   const loop = createSerialLoop({
--- a/packages/entry/src/job/workerBook.ts
+++ b/packages/entry/src/job/workerBook.ts
@@ -10,6 +10,10 @@
   readonly clock: Clock
   readonly cellEpoch: number
   /** Hands a message to an incarnation, possibly this one. */
+  /** Whether an incarnation is this one or a peer with a live link; owners report unchanged workers only now and then. */
+  readonly isLinked: (incarnation: string) => boolean
+  /** Whether an attempt shall not be started yet. */
+  readonly isHeld: (id: AttemptId) => boolean
   readonly sendDesired: (incarnation: string, message: WorkerDesired) => void
 }
 
@@ -36,6 +40,8 @@
   addDirty: (worker: string) => void
   /** Sends the desired sets that changed or that their owners have not confirmed. Call after a commit only. */
   sendDirty: (scheduler: CellScheduler) => void
+  /** Whether the owner has accepted the last desired set and it still stands. */
+  isConfirmed: (worker: string) => boolean
   removeWorker: (worker: string) => void
 }
 
@@ -58,7 +64,13 @@
     const { worker, observed } = entry.record
     const desired = scheduler.listDesired(worker)
     sequence += 1
-    const run: DesiredTask[] = desired.run.map(({ id, job }) => ({ id, resources: job.spec.resources, payload: job.spec.payload }))
+    const running = new Set(observed.running.map(formatAttempt))
+    const run: DesiredTask[] = []
+    const keep: AttemptId[] = []
+    for (const { id, job } of desired.run) {
+      if (running.has(formatAttempt(id))) keep.push(id)
+      else run.push({ id, resources: job.spec.resources, payload: job.spec.payload, ...(options.isHeld(id) ? { held: true } : {}) })
+    }
     const end: UndesiredTask[] = desired.end.map(({ id, checkpoint }) => ({ id, checkpoint }))
     return {
       type: 'workerDesired',
@@ -67,6 +79,7 @@
       worker,
       workerEpoch: observed.workerEpoch,
       run,
+      keep,
       end,
       acknowledged: [...entry.committedEnds.values()]
     }
@@ -107,6 +120,7 @@
     isReachable: (worker) => {
       const record = entries.get(worker)?.record
       if (record === undefined || record.observed.state !== 'reachable') return false
+      if (!options.isLinked(record.owner)) return false
       return options.clock.nowMs() - record.observedAtMs < REPORT_SILENCE_MS
     },
     addEnded: (worker, id) => {
@@ -136,6 +150,10 @@
         sendEntry(entry, scheduler, nowMs)
       }
     },
+    isConfirmed: (worker) => {
+      const entry = entries.get(worker)
+      return entry !== undefined && !entry.dirty && isConfirmed(entry)
+    },
     removeWorker: (worker) => { entries.delete(worker) }
   }
 }
--- a/packages/entry/src/vm/workerCommands.ts
+++ b/packages/entry/src/vm/workerCommands.ts
@@ -97,11 +97,12 @@
       wanted.add(key)
       if (!ended.has(key)) calls.push(buildStop(current, id, key, checkpoint ? 'checkpoint' : 'stop'))
     }
+    for (const id of desired.keep ?? []) wanted.add(formatAttempt(id))
     for (const task of desired.run) {
       const key = formatAttempt(task.id)
       if (wanted.has(key)) continue
       wanted.add(key)
-      if (running.has(key) || ended.has(key)) continue
+      if (task.held === true || running.has(key) || ended.has(key)) continue
       calls.push(unfit.has(key) ? buildStop(current, task.id, key, 'stop') : buildStart(current, task, key))
     }
     for (const id of report.running) {
