Leaving and drained VMs are handed to the scheduler as draining

Cause: the scheduler moves services and saved work off draining VMs, and nobody told it which they are. Change: the flag is set from the VM list and the drained VMs of the configuration. Measured: types; the policy's own tests cover the moves. Conclusion: a drain moves what can be moved, other work runs to its end.

--- a/packages/entry/src/job/schedulerTask.ts
+++ b/packages/entry/src/job/schedulerTask.ts
@@ -137,7 +137,8 @@
       rack: vm.rack,
       pool: vm.pool,
       capacity: computeTaskCapacity(vm, document),
-      schedulable: vm.state === 'live' && !drained && book.isReachable(vm.id)
+      schedulable: vm.state === 'live' && !drained && book.isReachable(vm.id),
+      draining: drained || vm.state === 'leaving'
     })
   }
 
