Batch work leaves memory that runs short beside accelerators

Tasks with much memory took what was left of it on the accelerator VMs, and nothing could use the processors there.

Change: once less than a tenth of a component would be left on an accelerator VM and a tenth more of the other is free, batch tasks and gangs that plain VMs can hold take room there only if they need a smaller part of what is short. Services and urgent work are exempt. The new test failed before the change.

--- a/packages/core/src/job/__tests__/policy.spec.ts
+++ b/packages/core/src/job/__tests__/policy.spec.ts
@@ -48,6 +48,24 @@
   assert.equal(listPhases(world, gang), ['assigned'])
 })
 
+test('batch work takes no memory that runs short beside accelerators, unless it needs more processors than memory', () => {
+  const world = createWorld(1, CORE)
+  world.setWorker(createWorker('video', { processors: 64, memoryMb: 64_000, accelerators: 8 }, { pool: 'video' }))
+  world.setWorker(createWorker('plain', { processors: 4, memoryMb: 64_000, accelerators: 0 }, { schedulable: false }))
+  world.addJob(createSpec({ name: 'render', resources: { processors: 8, memoryMb: 8000, accelerators: 8 } }), 'red')
+  world.addJob(createSpec({ name: 'service', kind: 'service', resources: { processors: 8, memoryMb: 46_000, accelerators: 0 } }), 'red')
+  world.addJob(createSpec({ name: 'fill', resources: CORE }), 'red')
+  world.decide()
+  const heavy = world.addJob(createSpec({ name: 'heavy', resources: { processors: 1, memoryMb: 5000, accelerators: 0 } }), 'blue')
+  const light = world.addJob(createSpec({ name: 'light', resources: { processors: 10, memoryMb: 5000, accelerators: 0 } }), 'blue')
+  const urgent = world.addJob(createSpec({ name: 'urgent', priority: 'urgent', resources: { processors: 1, memoryMb: 5000, accelerators: 0 } }), 'blue')
+  world.decide()
+  assert.equal([heavy, light, urgent].map((job) => listPhases(world, job)[0]), ['queued', 'assigned', 'assigned'])
+  world.setWorker(createWorker('plain', { processors: 4, memoryMb: 64_000, accelerators: 0 }))
+  world.decide()
+  assert.equal(listPhases(world, heavy), ['assigned'])
+})
+
 test('urgent work stops the least lost work and starts when it is over', () => {
   const world = createWorld()
   const plain = world.addJob(createSpec({ name: 'plain', resources: CORE, taskCount: 3 }), 'red')
--- a/packages/core/src/job/placement.ts
+++ b/packages/core/src/job/placement.ts
@@ -1,7 +1,7 @@
 /** Chooses a worker for one task: best fit over processors, memory and accelerators together. */
 import { hasRoom } from '../vm/amounts.js'
 import type { Partition, PlacementIndex } from '../vm/placementIndex.js'
-import type { WorkerEntry } from '../vm/workerEntry.js'
+import { hasBalancedRoom, type WorkerEntry } from '../vm/workerEntry.js'
 import { hasCapacityFor, hasUnheldRoom } from '../vm/workerPool.js'
 import type { LosingCandidate } from './cellScheduler.js'
 import type { CellState } from './cellState.js'
@@ -46,7 +46,7 @@
   const sources = shape.need.accelerators > 0
     ? [{ index: open, accelerated: true }]
     : [{ index: open, accelerated: false }, { index: beside, accelerated: true }]
-  const choice = chooseAvoiding(job, sources, acceptAny)
+  const choice = chooseAvoiding(job, sources, (worker) => beside === open || canTakeBeside(job, worker))
   return choice && { ...choice, reason: describeOpen(job) }
 }
 
@@ -63,7 +63,7 @@
   const sources = [{ index: reserved, accelerated: false }, { index: reserved, accelerated: true }]
   const choice = chooseAvoiding(job, sources, (worker) => {
     if (!hasUnheldRoom(worker, need) && !canUseHeld(state, worker, endMs, urgent)) return false
-    return !plain || hasRoom(worker.spareRoom, need)
+    return !plain || (hasRoom(worker.spareRoom, need) && canTakeBeside(job, worker))
   })
   if (!choice) return undefined
   const filler = endMs === state.nowMs && !hasUnheldRoom(choice.worker, need)
@@ -93,8 +93,11 @@
   return true
 }
 
-function acceptAny (): boolean {
-  return true
+/** Tells whether a task that other VMs can hold too may take room beside accelerators; services and urgent work always may. */
+function canTakeBeside (job: JobEntry, worker: WorkerEntry): boolean {
+  const { kind, priority } = job.row.spec
+  if (worker.capacity.accelerators === 0 || kind === 'service' || priority === 'urgent') return true
+  return hasBalancedRoom(worker, job.shape.need)
 }
 
 /** Workers that tasks of the job failed on come last. */
--- a/packages/core/src/vm/workerEntry.ts
+++ b/packages/core/src/vm/workerEntry.ts
@@ -31,6 +31,11 @@
   readonly slots: (IndexSlot | undefined)[]
 }
 
+/** Difference of the free parts of processors and memory from which a worker counts as uneven. */
+const UNEVEN_PART = 0.1
+/** Part of a component below which it runs short. */
+const SHORT_PART = 0.1
+
 /** Creates a worker that nothing is known about yet. */
 export function createWorkerEntry (id: string): WorkerEntry {
   return {
@@ -74,6 +79,21 @@
   spareRoom.memoryMb = Math.max(spareRoom.memoryMb, Math.floor(free.memoryMb - capacity.memoryMb * freePart))
 }
 
+/**
+ * Tells whether a task may be placed without using up the component of which a smaller part is left:
+ * once that runs short, only tasks that need less of it than of the other are taken.
+ */
+export function hasBalancedRoom ({ capacity, free }: WorkerEntry, need: Amounts): boolean {
+  const memoryScarce = free.memoryMb * capacity.processors < free.processors * capacity.memoryMb
+  const scarce = memoryScarce ? 'memoryMb' : 'processors'
+  const other = memoryScarce ? 'processors' : 'memoryMb'
+  const needPart = need[scarce] / Math.max(1, capacity[scarce])
+  if (needPart <= need[other] / Math.max(1, capacity[other])) return true
+  const freePart = free[scarce] / Math.max(1, capacity[scarce])
+  if (free[other] / Math.max(1, capacity[other]) - freePart < UNEVEN_PART) return true
+  return freePart - needPart >= SHORT_PART
+}
+
 /** Computes the rooms for urgent work again from the attempts' sums. */
 export function updateUrgentRooms (entry: WorkerEntry): void {
   computeRoom(entry.softRoom, entry)
