--- a/packages/entry/src/vm/httpWorkerClient.ts
+++ b/packages/entry/src/vm/httpWorkerClient.ts
@@ -1,8 +1,8 @@
 /** Calls to a worker's lease and task interface over HTTP. */
 import { Agent, request as sendHttp } from 'node:http'
 import type { IncomingMessage } from 'node:http'
-import { CommandReport, createDecoder, LeaseReport } from '@fuchsiatally/core'
-import type { Clock, DecodeError, Disposable, EventLog } from '@fuchsiatally/core'
+import { CommandReport, createDecoder, FullLeaseAnswer, UnchangedLeaseAnswer } from '@fuchsiatally/core'
+import type { Clock, DecodeError, Disposable, EventLog, LeaseReport } from '@fuchsiatally/core'
 import * as Schema from 'effect/Schema'
 import { err, ok } from 'neverthrow'
 import type { Result } from 'neverthrow'
@@ -32,7 +32,8 @@
   readonly body: unknown
 }
 
-const decodeLease = createDecoder(LeaseReport)
+const decodeFull = createDecoder(FullLeaseAnswer)
+const decodeUnchanged = createDecoder(UnchangedLeaseAnswer)
 const decodeCommand = createDecoder(CommandReport)
 const decodeStale = createDecoder(Schema.Struct({ epoch: Schema.Int }))
 
@@ -49,30 +50,47 @@
   const { host, port } = parseAddress(address)
   const createAgent = (): Agent => new Agent({ keepAlive: true, maxSockets: MAX_CONNECTIONS, maxFreeSockets: 2 })
   let agent = createAgent()
+  let silent = false
   let disposed = false
+  let held: FullLeaseAnswer | null = null
+
+  /** @param known contents that the call named, for an answer that leaves them out */
+  const parseReport = (body: unknown, known: FullLeaseAnswer | null): Result<LeaseReport, WorkerFailure> => {
+    if (known !== null && (body as { unchanged?: unknown } | null)?.unchanged === true) {
+      return decodeUnchanged(body).mapErr(toMalformed).map(({ unchanged, ...current }) => createReport({ ...known, ...current }))
+    }
+    return decodeFull(body).mapErr(toMalformed).map((answer) => {
+      held = answer.revision === undefined ? null : answer
+      return createReport(answer)
+    })
+  }
 
   const replaceAgent = (used: Agent): void => {
     if (used !== agent || disposed) return
     // Something between the two ends may have lost track of every idle connection.
     agent = createAgent()
     used.destroy()
-    options.log.record(workerClientReplaced, { address })
+    // A worker that stays silent is recorded once, not at each call.
+    if (!silent) options.log.record(workerClientReplaced, { address })
+    silent = true
   }
   const callWorker = async (path: string, command: unknown): Promise<Result<Answer, WorkerFailure>> => {
     if (disposed) return err({ kind: 'unreachable', message: 'the client is closed' })
     const used = agent
     const answer = await sendCall({ agent: used, host, port, path, body: JSON.stringify(command), timeoutMs, maxBytes, clock: options.clock })
-    if (answer.isErr() && answer.error.kind === 'timeout') replaceAgent(used)
+    if (answer.isOk()) silent = false
+    else if (answer.error.kind === 'timeout') replaceAgent(used)
     return answer
   }
   const callCommand = async (path: string, command: unknown): Promise<Result<CommandReport, WorkerFailure>> =>
     (await callWorker(path, command)).andThen(({ body }) => decodeCommand(body).mapErr(toMalformed))
   return {
     renewLease: async (command) => {
-      const answer = await callWorker('/lease', command)
+      const known = held
+      const answer = await callWorker('/lease', known?.revision === undefined ? command : { ...command, knownRevision: known.revision })
       if (answer.isErr()) return err(answer.error)
       if (answer.value.status === HTTP_CONFLICT) return parseRefusal(answer.value.body)
-      return decodeLease(answer.value.body).mapErr(toMalformed)
+      return parseReport(answer.value.body, known)
     },
     startTask: (command) => callCommand('/start', command),
     stopTask: (command) => callCommand('/stop', command),
@@ -83,6 +101,10 @@
   }
 }
 
+function createReport ({ revision, ...report }: FullLeaseAnswer): LeaseReport {
+  return report
+}
+
 interface Call {
   readonly clock: Clock
   readonly agent: Agent
