A gang is released only when each worker has answered after its part arrived; cookies stay apart

Several set-cookie headers were joined by a comma, which breaks them. Ruled out: a longer hold, which proves nothing about the worker. Change: a set with held tasks counts as in force after a lease answer that was asked for later; cookies are split again. Conclusion: a worker that falls silent between that answer and the start, a few milliseconds, still starts late.

--- a/packages/core/src/schema/linkMessage.ts
+++ b/packages/core/src/schema/linkMessage.ts
@@ -144,7 +144,7 @@
   workerEpoch: Schema.Int,
   /** Highest cell epoch whose desired set the owner has accepted. */
   cellEpoch: Schema.Int,
-  /** Sequence of the desired set in force, 0 if none. */
+  /** Sequence of the desired set in force, 0 if none; one with held tasks counts once the worker has answered after it. */
   desiredSequence: Schema.Int,
   /** `lost`: the worker's task lease has lapsed for certain, nothing started before runs any longer. */
   state: Schema.Literals(['reachable', 'unreachable', 'lost']),
--- a/packages/entry/src/http/__tests__/httpServer.spec.ts
+++ b/packages/entry/src/http/__tests__/httpServer.spec.ts
@@ -15,6 +15,7 @@
 const routes: Route[] = [
   { method: 'POST', pattern: '/echo/:name', maxBodyBytes: MAX_BODY, handle: async (message, { name }) => createJsonResponse(200, { name, size: message.body.length }) },
   { method: 'GET', pattern: '/wait', maxBodyBytes: 0, handle: () => new Promise((resolve) => { release = () => resolve(createJsonResponse(200, {})) }) },
+  { method: 'GET', pattern: '/cookies', maxBodyBytes: 0, handle: async () => ({ status: 200, headers: { 'set-cookie': 'a=1; expires=Mon, 1 Jan\nb=2' }, body: Buffer.alloc(0) }) },
   { method: 'GET', pattern: '/broken', maxBodyBytes: 0, handle: async () => { throw new Error('broken invariant') } }
 ]
 
@@ -63,6 +64,13 @@
   await server.stop()
 })
 
+test('several cookies stay apart', async () => {
+  const server = await startServer()
+  const answer = await fetch(`http://${server.address}/cookies`)
+  assert.equal(answer.headers.getSetCookie(), ['a=1; expires=Mon, 1 Jan', 'b=2'])
+  await server.stop()
+})
+
 test('arbitrary bytes never stop the server', async () => {
   const server = await startServer()
   const start = fc.constantFrom('', 'GET ', 'POST /echo/a HTTP/1.1\r\n', 'POST /echo/a HTTP/1.1\r\nhost: e\r\ncontent-length: 10\r\n\r\n')
--- a/packages/entry/src/http/httpServer.ts
+++ b/packages/entry/src/http/httpServer.ts
@@ -6,7 +6,7 @@
 import type { EventLog } from '@fuchsiatally/core'
 import { readBody, type BodyFault } from './body.js'
 import { listening, routeFailed } from './events.js'
-import { createProblemResponse, type HttpRequest, type HttpResponse, type Route } from './route.js'
+import { createProblemResponse, SET_COOKIE_SEPARATOR, type HttpRequest, type HttpResponse, type Route } from './route.js'
 import { createRouter, type RouteMatch } from './router.js'
 
 const HEADERS_TIMEOUT_MS = 10_000
@@ -56,8 +56,15 @@
   return headers
 }
 
+/** Splits the values of `set-cookie` again. */
+function createOutgoingHeaders (headers: HttpResponse['headers']): Record<string, string | string[]> {
+  const cookies = headers['set-cookie']
+  return cookies === undefined ? { ...headers } : { ...headers, 'set-cookie': cookies.split(SET_COOKIE_SEPARATOR) }
+}
+
 async function sendResponse (response: HttpResponse, target: ServerResponse, closing: boolean): Promise<void> {
-  const headers = closing ? { ...response.headers, connection: 'close' } : response.headers
+  const headers = createOutgoingHeaders(response.headers)
+  if (closing) headers['connection'] = 'close'
   if (response.body instanceof Uint8Array) {
     target.writeHead(response.status, { ...headers, 'content-length': response.body.length })
     target.end(response.body)
--- a/packages/entry/src/http/route.ts
+++ b/packages/entry/src/http/route.ts
@@ -1,5 +1,11 @@
 /** Shape of the entry's HTTP interface: routes, answers and problem details (RFC 9457). */
 
+/**
+ * Separates several values of `set-cookie` in one field, since a comma may be part of a cookie. A header value never
+ * contains it. Node gives no other header of an answer as several values.
+ */
+export const SET_COOKIE_SEPARATOR = '\n'
+
 /** A request whose body has arrived in full. */
 export interface HttpRequest {
   readonly method: string
--- a/packages/entry/src/request/httpEndpointClient.ts
+++ b/packages/entry/src/request/httpEndpointClient.ts
@@ -1,6 +1,7 @@
 /** Sends exchanges to endpoints over HTTP/1.1; an answer counts only when it arrived whole. */
 import { request as sendHttpRequest, type ClientRequest, type IncomingMessage } from 'node:http'
 import type { Clock, ServiceRequest } from '@fuchsiatally/core'
+import { SET_COOKIE_SEPARATOR } from '../http/route.js'
 import type { EndpointClient, ExchangeResult } from '../ports.js'
 import { CONNECT_TIMEOUT_MS, MAX_IDLE_MS, MAX_IDLE_NON_IDEMPOTENT_MS } from './constants.js'
 import { EndpointAgent } from './endpointAgent.js'
@@ -30,7 +31,7 @@
   const headers: Record<string, string> = {}
   for (const [name, value] of Object.entries(response.headers)) {
     if (value === undefined || DROPPED_HEADERS.has(name)) continue
-    headers[name] = Array.isArray(value) ? value.join(', ') : value
+    headers[name] = Array.isArray(value) ? value.join(SET_COOKIE_SEPARATOR) : value
   }
   return headers
 }
--- a/packages/entry/src/vm/__tests__/workerLiaison.spec.ts
+++ b/packages/entry/src/vm/__tests__/workerLiaison.spec.ts
@@ -76,6 +76,22 @@
   assert.is(owner.observed.at(-1)!.desiredSequence, 0)
 })
 
+test('a set with held tasks is confirmed only by an answer of the worker after it, and starts nothing', async () => {
+  const owner = await createStarted()
+  const held = { id: { job: 'g', task: 0, attempt: 1 }, resources: RESOURCES, payload: '{"runMs":1000000000}', held: true }
+  owner.faults.silent = true
+  owner.sendDesired({ sequence: 4, run: [held] })
+  await owner.clock.runFor(1_900)
+  assert.is(owner.observed.at(-1)!.desiredSequence, 0)
+  owner.faults.silent = false
+  await owner.clock.runFor(3_000)
+  assert.is(owner.observed.at(-1)!.desiredSequence, 4)
+  assert.equal(owner.listRunning(), [])
+  owner.sendDesired({ sequence: 5, run: [{ ...held, held: false }] })
+  await owner.clock.runFor(1_000)
+  assert.equal(owner.listRunning(), [0])
+})
+
 test('a deposed scheduler and late sets are ignored', async () => {
   const owner = await createStarted()
   owner.state.cellEpoch = 5
--- a/packages/entry/src/vm/workerTask.ts
+++ b/packages/entry/src/vm/workerTask.ts
@@ -67,6 +67,9 @@
   let tracker: LeaseTracker = createLeaseTracker(Infinity)
   let report: LeaseReport | null = null
   let desired: WorkerDesired | null = null
+  let desiredSetMs = 0
+  /** Sequence of the last desired set that the scheduler may rely on. */
+  let confirmedSequence = 0
   /** The epoch can no longer run tasks: only contact is kept until the next one. */
   let blocked = false
   /**
@@ -108,7 +111,7 @@
     worker: vm.id,
     workerEpoch: epoch,
     cellEpoch: desired?.cellEpoch ?? 0,
-    desiredSequence: desired?.sequence ?? 0,
+    desiredSequence: confirmedSequence,
     state,
     running: isLost ? [] : report?.running ?? [],
     ended: report?.ended ?? [],
@@ -174,6 +177,7 @@
       log.record(workerLapsed, { worker: vm.id, epoch })
       blockEpoch()
     }
+    if (desired !== null && sentMs >= desiredSetMs) confirmedSequence = desired.sequence
     reconcile()
     sendIfChanged()
     // The first contact, also after a silence, extends nothing.
@@ -248,6 +252,7 @@
       epochSetMs = nowMs
       report = null
       desired = null
+      confirmedSequence = 0
       blocked = false
       trusted = false
       restarted = false
@@ -268,6 +273,11 @@
     },
     setDesired: (next) => {
       desired = next
+      desiredSetMs = clock.nowMs()
+      // A gang is released on this word, so the worker itself must have answered after the set arrived.
+      const hasHeld = next.run.some((task) => task.held === true)
+      confirmedSequence = hasHeld ? 0 : next.sequence
+      if (hasHeld) sendLease()
       reconcile()
       sendIfChanged()
     },
