Pairs of failures over whole entries: first version

Change: the cell of whole entries has runners of a service, racks and callers; pairs.spec.ts runs all pairs of 13 failures.

--- /dev/null
+++ b/packages/entry/src/process/__tests__/pairs.spec.ts
@@ -0,0 +1,79 @@
+/** Every pair of failures at once, under steady requests and jobs: promises hold, and the cell recovers. */
+import { test } from 'uvu'
+import * as assert from 'uvu/assert'
+import { CELL_FAILURES, createServingCell, SERVING_TEAMS, sendJobs, type CellFailure, type ServingCell } from '../../testing/cellFailures.js'
+import { applyEntryHealing } from '../../testing/entryCommands.js'
+
+const SEED = 20261204
+const SETTLE_MS = 8_000
+const BETWEEN_MS = 1_500
+const FAILURE_MS = 18_000
+const HEALING_MS = 15_000
+const CHECK_MS = 3_000
+const RECOVERY_STEP_MS = 5_000
+const MAX_RECOVERY_MS = 240_000
+const FINAL = ['completed', 'failed', 'cancelled']
+
+async function findUnfinished ({ cell, accepted }: ServingCell): Promise<string[]> {
+  const faults: string[] = []
+  for (const job of accepted) {
+    const view = await cell.waitFor(cell.entries[0]!.entry.admission.readJob(job.team, job.id))
+    if (view.isErr()) faults.push(`accepted job ${job.id} is ${view.error.kind}`)
+    else if (!FINAL.includes(view.value.phase)) faults.push(`job ${job.id} (${view.value.spec.kind}) is ${view.value.phase}: ${JSON.stringify(view.value.tasks)}`)
+  }
+  return faults
+}
+
+/** Entries that do not answer all steady requests after the healing, or do not agree on the configuration. */
+function findUnhealed ({ cell, traffic, acceptedVersions }: ServingCell): string[] {
+  const faults: string[] = []
+  const untilMs = cell.clock.nowMs() - CHECK_MS
+  const versions = cell.entries.map(({ entry }) => entry.config.readVersion())
+  for (const { name } of cell.entries) {
+    const counts = traffic.countOutcomes(SERVING_TEAMS[0]!.name, name, untilMs - CHECK_MS, untilMs)
+    if (counts.sent === 0 || counts.completed < counts.sent) faults.push(`${name} after the healing: ${JSON.stringify(counts)}`)
+  }
+  if (new Set(versions).size > 1) faults.push(`versions of the configuration differ: ${versions.join()}`)
+  if (new Set(acceptedVersions).size < acceptedVersions.length) faults.push(`two operators were given version ${acceptedVersions.join()}`)
+  if (Math.max(0, ...acceptedVersions) > versions[0]!) faults.push(`accepted version ${acceptedVersions.join()} is lost`)
+  return faults
+}
+
+async function runPair (seed: number, first: CellFailure, second: CellFailure): Promise<string[]> {
+  const serving = createServingCell(seed)
+  const { cell, traffic } = serving
+  await cell.runFor(SETTLE_MS)
+  await sendJobs(serving, 6_000)
+  await cell.runFor(BETWEEN_MS)
+  first.begin(serving)
+  await cell.runFor(BETWEEN_MS)
+  if (second !== first) second.begin(serving)
+  await cell.runFor(BETWEEN_MS)
+  await sendJobs(serving, 3_000)
+  await cell.runFor(FAILURE_MS)
+  applyEntryHealing(cell)
+  for (const { faults } of cell.workers) Object.assign(faults, { failEverything: false, runTimeFactor: 1 })
+  await cell.runFor(HEALING_MS)
+  const unhealed = findUnhealed(serving)
+  traffic.stop()
+  let unfinished = await findUnfinished(serving)
+  for (let passedMs = 0; unfinished.length > 0 && passedMs < MAX_RECOVERY_MS; passedMs += RECOVERY_STEP_MS) {
+    await cell.runFor(RECOVERY_STEP_MS)
+    unfinished = await findUnfinished(serving)
+  }
+  if (serving.accepted.length < 3) unhealed.push('jobs before the failures were not accepted')
+  return [...cell.oracle.faults, ...traffic.listFaults(), ...unhealed, ...unfinished]
+}
+
+const chosen = process.env['PAIRS'] ?? ''
+for (const [index, first] of CELL_FAILURES.entries()) {
+  for (const second of CELL_FAILURES.slice(index)) {
+    const name = first === second ? first.name : `${first.name} and ${second.name}`
+    if (!name.includes(chosen)) continue
+    test(name, async () => {
+      assert.equal(await runPair(Number(process.env['FUZZ_SEED'] ?? SEED), first, second), [])
+    })
+  }
+}
+
+test.run()
--- /dev/null
+++ b/packages/entry/src/testing/cellEndpoints.ts
@@ -0,0 +1,48 @@
+/** Runners of a cell's workers: they share the faults of the connections to their VM and end with it. */
+import type { Clock } from '@fuchsiatally/core'
+import type { EndpointClient, ExchangeResult } from '../ports.js'
+import { createFakeEndpoints, type FakeEndpoints } from './fakeEndpoints.js'
+import type { WorkerLinkFaults } from './fakeWorkerClient.js'
+
+export interface CellEndpointsOptions {
+  readonly clock: Clock
+  /** VMs that are gone; changes while the cell runs. */
+  readonly lostWorkers: ReadonlySet<string>
+}
+
+/** All runners of a cell. */
+export interface CellEndpoints {
+  readonly fakes: FakeEndpoints
+  /** Creates the client of one process. */
+  createClient: (links: ReadonlyMap<string, WorkerLinkFaults>) => EndpointClient
+}
+
+/** Creates runners at the addresses `<worker>:1`. */
+export function createCellEndpoints (options: CellEndpointsOptions): CellEndpoints {
+  const { clock, lostWorkers } = options
+  const fakes = createFakeEndpoints(clock)
+
+  const waitUntil = (ms: number): Promise<void> => new Promise((resolve) => { clock.setTimer(ms, resolve) })
+
+  const createClient = (links: ReadonlyMap<string, WorkerLinkFaults>): EndpointClient => {
+    const client = fakes.createClient()
+    const sendExchange: EndpointClient['sendExchange'] = async (address, request, timeoutMs, ...limits) => {
+      const worker = address.split(':')[0]!
+      const faults = links.get(worker)!
+      const startedMs = clock.nowMs()
+      const broken: ExchangeResult = { kind: 'broken', reason: 'connection lost' }
+      if (lostWorkers.has(worker) || faults.unreachable) return { kind: 'refused', reason: 'connection refused' }
+      if (faults.silent) {
+        await waitUntil(timeoutMs)
+        return broken
+      }
+      const result = await client.sendExchange(address, request, timeoutMs, ...limits)
+      if (lostWorkers.has(worker) || faults.unreachable) return broken
+      if (!faults.silent) return result
+      await waitUntil(Math.max(0, startedMs + timeoutMs - clock.nowMs()))
+      return broken
+    }
+    return { sendExchange, dispose: client.dispose }
+  }
+  return { fakes, createClient }
+}
--- /dev/null
+++ b/packages/entry/src/testing/cellFailures.ts
@@ -0,0 +1,164 @@
+/** Failures that a test brings upon a cell one by one or in pairs, and the cell that they are meant for. */
+import type { Manifest, Team } from '@fuchsiatally/core'
+import { createCellTraffic, type CellTraffic } from './cellTraffic.js'
+import { createEntryCell, type EntryCell } from './entryCell.js'
+import { applyEntryCommand, type AcceptedJob } from './entryCommands.js'
+
+/** A cell with its callers and jobs. */
+export interface ServingCell {
+  readonly cell: EntryCell
+  readonly traffic: CellTraffic
+  readonly accepted: AcceptedJob[]
+  /** Results of racing operators: versions that were accepted on top of the same one. */
+  readonly acceptedVersions: number[]
+}
+
+/** A failure that lasts until the healing. */
+export interface CellFailure {
+  readonly name: string
+  readonly begin: (serving: ServingCell) => void
+}
+
+/** Entry in domain `b`, the one that is cut; the others are in `a`. */
+export const CUT_ENTRY = 2
+const WORKER_DOMAINS = ['a', 'a', 'a', 'b', 'b', 'b']
+const RACKS = ['a1', 'a2', 'a2', 'b1', 'b1', 'b2']
+const PAUSE_MS = 12_000
+const SLOW_MS = 450
+const LOST_ANSWER_RATE = 0.4
+const WAVE_JOBS = 20
+
+function createOpenTeam (name: string, share: number, processors: number, requests: number): Team {
+  return {
+    name,
+    share,
+    ceiling: { resources: { processors, memoryMb: 100_000, accelerators: 0 }, requests },
+    limits: { queuedRequests: 20, requestsPerS: 100, activeJobs: 60 },
+    open: true,
+    whenCut: 'serve',
+    keys: []
+  }
+}
+
+/** `search` sends steadily below its ceiling, `press` in bursts above it. */
+export const SERVING_TEAMS = [createOpenTeam('search', 2, 40, 24), createOpenTeam('press', 1, 20, 4)]
+
+function createManifest (requestsPerS: number): Manifest {
+  return {
+    cell: 'test',
+    shareWindow: { endMinuteOfDay: 360, lengthMinutes: 720 },
+    teams: SERVING_TEAMS.map((team) => ({ ...team, limits: { ...team.limits, requestsPerS } })),
+    services: [{
+      name: 'pages',
+      pool: 'p',
+      slotsPerRunner: 4,
+      connectionsPerRunner: 16,
+      timeoutMs: 2000,
+      maxBodyBytes: 10_000,
+      reserve: { processors: 0, memoryMb: 0, accelerators: 0 }
+    }]
+  }
+}
+
+/** Creates the cell; callers send from the beginning. */
+export function createServingCell (seed: number): ServingCell {
+  const cell = createEntryCell({
+    seed, entryDomains: ['a', 'a', 'b'], workerDomains: WORKER_DOMAINS, racks: RACKS, manifest: createManifest(100), outageToleranceMs: 20_000
+  })
+  const traffic = createCellTraffic(cell, [
+    { team: SERVING_TEAMS[0]!, periodMs: 250, burst: 1, workMs: 100 },
+    { team: SERVING_TEAMS[1]!, periodMs: 1000, burst: 3, workMs: 300 }
+  ])
+  return { cell, traffic, accepted: [], acceptedVersions: [] }
+}
+
+/** Submits one job of each kind, each at another entry. */
+export async function sendJobs ({ cell, accepted }: ServingCell, runMs: number): Promise<void> {
+  const submit = { kind: 'submit' as const, urgent: false, processors: 3, runMs }
+  await applyEntryCommand(cell, { ...submit, entry: 0, team: 0, job: 'batch', tasks: 4 }, SERVING_TEAMS, accepted)
+  await applyEntryCommand(cell, { ...submit, entry: 1, team: 1, job: 'gang', tasks: 3 }, SERVING_TEAMS, accepted)
+  await applyEntryCommand(cell, { ...submit, entry: 2, team: 0, job: 'batch', tasks: 2, urgent: true }, SERVING_TEAMS, accepted)
+}
+
+function setDomainCut ({ cell }: ServingCell): void {
+  const inside = cell.entries[CUT_ENTRY]!
+  inside.platform.faults.outage = true
+  for (const [index, target] of cell.entries.entries()) {
+    if (index !== CUT_ENTRY) cell.mesh.setCut(inside.incarnation, target.incarnation)
+    for (const [worker, model] of cell.workers.entries()) {
+      const isOwnSide = (WORKER_DOMAINS[worker] === 'b') === (index === CUT_ENTRY)
+      if (!isOwnSide) target.links.get(model.id)!.unreachable = true
+    }
+  }
+}
+
+/** Submits many jobs and cancels each as soon as it is accepted. */
+function sendCancelledJobs ({ cell, accepted }: ServingCell): void {
+  for (let index = 0; index < WAVE_JOBS; index++) {
+    const { admission } = cell.entries[index % cell.entries.length]!.entry
+    const job: AcceptedJob = { team: 'search', id: '', cancelled: false }
+    admission.submitJob(SERVING_TEAMS[0]!, undefined, {
+      name: 'wave',
+      kind: 'batch',
+      priority: 'normal',
+      taskCount: 2,
+      resources: { processors: 2, memoryMb: 64, accelerators: 0 },
+      runTimeMs: 5000,
+      maxRetries: 1,
+      checkpointable: false,
+      payload: JSON.stringify({ runMs: 5000 })
+    }).then(async (view) => {
+      if (view.isErr()) return
+      accepted.push({ ...job, id: view.value.id })
+      const own = accepted.at(-1)!
+      if ((await admission.cancelJob(job.team, own.id)).isOk()) own.cancelled = true
+    }, () => {})
+  }
+}
+
+function sendRacingChanges ({ cell, acceptedVersions }: ServingCell): void {
+  const version = cell.entries[0]!.entry.config.readVersion()
+  for (const [index, target] of cell.entries.entries()) {
+    target.entry.config.proposeChange({ kind: 'applyManifest', manifest: createManifest(101 + index) }, version).then((result) => {
+      if (result.isOk()) acceptedVersions.push(result.value.version)
+    }, () => {})
+  }
+}
+
+/** All failures; each is independent of the others. */
+export const CELL_FAILURES: readonly CellFailure[] = [
+  { name: 'entry killed', begin: ({ cell }) => cell.entries[0]!.process.kill() },
+  {
+    name: 'entry paused 12 s',
+    begin: ({ cell }) => {
+      const { process } = cell.entries[1]!
+      process.pause(200)
+      cell.clock.setTimer(PAUSE_MS, process.resume)
+    }
+  },
+  { name: 'VM lost', begin: ({ cell }) => cell.loseVm(5) },
+  {
+    name: 'rack lost',
+    begin: ({ cell }) => {
+      for (const [worker, rack] of RACKS.entries()) if (rack === 'a2') cell.loseVm(worker)
+    }
+  },
+  { name: 'platform out', begin: ({ cell }) => { for (const { platform } of cell.entries) platform.faults.outage = true } },
+  { name: 'platform slow', begin: ({ cell }) => { for (const { platform } of cell.entries) platform.faults.delayMs = SLOW_MS } },
+  {
+    name: 'answers of writes lost',
+    begin: ({ cell }) => { for (const { platform } of cell.entries) platform.faults.lostAnswerRate = LOST_ANSWER_RATE }
+  },
+  { name: 'domain cut', begin: setDomainCut },
+  { name: 'worker fails everything', begin: ({ cell }) => { cell.workers[3]!.faults.failEverything = true } },
+  {
+    name: 'run times tenfold off',
+    begin: ({ cell }) => { for (const [index, { faults }] of cell.workers.entries()) faults.runTimeFactor = index % 2 === 0 ? 10 : 0.1 }
+  },
+  { name: 'wave of cancellations', begin: sendCancelledJobs },
+  {
+    name: 'connections of a worker silent',
+    begin: ({ cell }) => { for (const { links } of cell.entries) links.get(cell.workers[4]!.id)!.silent = true }
+  },
+  { name: 'racing operators', begin: sendRacingChanges }
+]
--- /dev/null
+++ b/packages/entry/src/testing/cellTraffic.ts
@@ -0,0 +1,146 @@
+/** Steady requests of callers at every entry of a cell, judged by what the runners executed. */
+import type { RequestOutcome, Team } from '@fuchsiatally/core'
+import type { CellProcess, EntryCell } from './entryCell.js'
+import { readOutcome } from './requestCluster.js'
+import { WORK_HEADER } from './fakeEndpoints.js'
+
+/** Who sends what to each entry. */
+export interface TrafficStream {
+  readonly team: Team
+  /** Time between two bursts at one entry. */
+  readonly periodMs: number
+  readonly burst: number
+  /** Time that a runner works on one request. */
+  readonly workMs: number
+}
+
+/** One request of a caller. */
+export interface CallerRequest {
+  readonly path: string
+  readonly team: string
+  /** Name of the entry. */
+  readonly entry: string
+  readonly sentMs: number
+  readonly idempotent: boolean
+  /** `undefined` while there is no answer; a dead entry never answers. */
+  outcome: RequestOutcome['kind'] | undefined
+  reason: string
+}
+
+/** Callers of a cell. */
+export interface CellTraffic {
+  readonly requests: readonly CallerRequest[]
+  stop: () => void
+  /** Broken promises up to now. */
+  listFaults: () => string[]
+  /** Requests sent in a time by outcome. */
+  countOutcomes: (team: string, entry: string, fromMs: number, untilMs: number) => OutcomeCounts
+}
+
+export interface OutcomeCounts {
+  sent: number
+  completed: number
+  notRun: number
+  unknown: number
+  /** No answer from the entry at all. */
+  unanswered: number
+}
+
+const SERVICE = 'pages'
+const PATTERN = '/v1/services/:service/*'
+const MAX_FAULTS = 20
+
+function runRoute (target: CellProcess, request: CallerRequest, workMs: number): Promise<void> {
+  const method = request.idempotent ? 'GET' : 'POST'
+  const route = target.entry.routes.find((other) => other.method === method && other.pattern === PATTERN)!
+  return route.handle({
+    method,
+    path: `/v1/services/${SERVICE}${request.path}`,
+    query: new URLSearchParams(),
+    headers: { 'fuchsiatally-team': request.team, [WORK_HEADER]: String(workMs) },
+    body: Buffer.from(request.path),
+    signal: new AbortController().signal
+  }, { service: SERVICE }).then((response) => {
+    // A process that is dead or paused writes no answer.
+    if (!target.process.isRunning()) return
+    request.outcome = readOutcome(response)
+    const body = Buffer.from(response.body as Uint8Array).toString()
+    if (request.outcome === 'completed' && body !== `echo:${request.path}`) request.reason = `foreign answer ${body}`
+    else if (request.outcome !== 'completed') request.reason = body
+  })
+}
+
+/** Starts the callers. */
+export function createCellTraffic (cell: EntryCell, streams: readonly TrafficStream[]): CellTraffic {
+  const { clock, endpoints } = cell
+  const requests: CallerRequest[] = []
+  const faults: string[] = []
+  let stopped = false
+
+  const addFault = (text: string): void => { if (faults.length < MAX_FAULTS) faults.push(`${clock.nowMs()} ms: ${text}`) }
+
+  const sendBurst = (stream: TrafficStream): void => {
+    for (const target of cell.entries) {
+      for (let index = 0; index < stream.burst; index++) {
+        const number = requests.length
+        const request: CallerRequest = {
+          path: `/r${number}`,
+          team: stream.team.name,
+          entry: target.name,
+          sentMs: clock.nowMs(),
+          idempotent: number % 2 === 0,
+          outcome: undefined,
+          reason: ''
+        }
+        requests.push(request)
+        if (!target.process.isRunning()) continue
+        runRoute(target, request, stream.workMs).catch((error: unknown) => addFault(`a request threw ${String(error)}`))
+      }
+    }
+  }
+
+  const startStream = (stream: TrafficStream): void => {
+    if (stopped) return
+    sendBurst(stream)
+    clock.setTimer(stream.periodMs, () => startStream(stream))
+  }
+
+  const judgeCeilings = (): void => {
+    if (stopped) return
+    for (const { team } of streams) {
+      const count = endpoints.fakes.countInFlight(team.name)
+      if (count > team.ceiling.requests) addFault(`${count} requests of ${team.name} in flight, above its ceiling`)
+    }
+    clock.setTimer(20, judgeCeilings)
+  }
+
+  const judgeRequest = (request: CallerRequest, runs: number): void => {
+    const name = `${request.path} at ${request.entry}`
+    if (request.outcome === 'notRun' && runs > 0) addFault(`${name} was answered not_run and ran`)
+    if (request.outcome === 'completed' && runs === 0) addFault(`${name} was answered and did not run`)
+    if (!request.idempotent && runs > 1) addFault(`${name} is not idempotent and ran ${runs} times`)
+    if (request.outcome === 'completed' && request.reason !== '') addFault(`${name}: ${request.reason}`)
+  }
+
+  for (const stream of streams) startStream(stream)
+  judgeCeilings()
+  return {
+    requests,
+    stop: () => { stopped = true },
+    listFaults: () => {
+      const runs = new Map<string, number>()
+      for (const { request } of endpoints.fakes.executions) runs.set(request.path, (runs.get(request.path) ?? 0) + 1)
+      for (const request of requests) judgeRequest(request, runs.get(request.path) ?? 0)
+      return faults
+    },
+    countOutcomes: (team, entry, fromMs, untilMs) => {
+      const counts: OutcomeCounts = { sent: 0, completed: 0, notRun: 0, unknown: 0, unanswered: 0 }
+      for (const request of requests) {
+        if (request.team !== team || request.entry !== entry || request.sentMs < fromMs || request.sentMs >= untilMs) continue
+        counts.sent += 1
+        counts[request.outcome ?? 'unanswered'] += 1
+      }
+      return counts
+    }
+  }
+}
--- a/packages/entry/src/testing/entryCell.ts
+++ b/packages/entry/src/testing/entryCell.ts
@@ -6,7 +6,8 @@
 import { createFakePlatform, type FakePlatform } from '@fuchsiatally/platform/testing/fakePlatform'
 import { createTableModel, type TableModel } from '@fuchsiatally/platform/testing/tableModel'
 import { createEntry, type Entry } from '../process/entry.js'
-import type { EndpointClient, PeerMesh } from '../ports.js'
+import type { PeerMesh } from '../ports.js'
+import { createCellEndpoints, type CellEndpoints } from './cellEndpoints.js'
 import { createFakeMesh, type FakeMesh, type FakePeerMesh } from './fakeMesh.js'
 import { createFakeProcess, type FakeProcess } from './fakeProcess.js'
 import { createFakeWorkerClient, createWorkerLinkFaults, type WorkerLinkFaults } from './fakeWorkerClient.js'
@@ -22,6 +23,8 @@
   readonly workerDomains: readonly string[]
   readonly manifest: Manifest
   readonly outageToleranceMs: number
+  /** Rack of each worker; default one rack for all. */
+  readonly racks?: readonly string[]
 }
 
 /** One entry's process of the moment. */
@@ -46,6 +49,8 @@
   readonly workers: readonly WorkerModel[]
   readonly entries: CellProcess[]
   readonly oracle: JobOracle
+  /** Runners of the manifest's services, one of each on every worker. */
+  readonly endpoints: CellEndpoints
   /** Advances time; the oracle judges every 100 ms. */
   runFor: (ms: number) => Promise<void>
   /** Advances time until the promise is settled. */
@@ -66,34 +71,30 @@
 const PLATFORM_DELAY_MS = 30
 const CELL = 'test'
 
-const NO_ENDPOINTS: EndpointClient = {
-  sendExchange: async () => ({ kind: 'refused', reason: 'no endpoint in this cell' }),
-  dispose: () => {}
-}
-
 /** Creates the cell with all entries started and the manifest in force. */
 export function createEntryCell (options: EntryCellOptions): EntryCell {
   const clock = createFakeClock()
   const table = createTableModel()
   const mesh = createFakeMesh({ clock })
   const workers = options.workerDomains.map((domain, index) => createWorkerModel({
-    id: `w${index}-${domain}`, clock, random: createSeededRandom(options.seed + 100 + index)
+    id: `w${index}-${domain}`, clock, random: createSeededRandom(options.seed + 100 + index), services: options.manifest.services.map((service) => service.name)
   }))
   const oracle = createJobOracle(clock, workers, options.manifest)
   const entries: CellProcess[] = []
   const stopped = new Set<string>()
   const lostWorkers = new Set<string>()
+  const endpoints = createCellEndpoints({ clock, lostWorkers })
   let generation = 0
 
   const setVm = (index: number, state: Vm['state']): void => table.setVm({
     id: workers[index]!.id,
     state,
     failureDomain: options.workerDomains[index]!,
-    rack: 'r',
+    rack: options.racks?.[index] ?? 'r',
     pool: 'p',
     address: workers[index]!.id,
     resources: workers[index]!.resources,
-    runners: []
+    runners: options.manifest.services.map((service) => ({ service: service.name, address: `${workers[index]!.id}:1` }))
   })
   for (const index of workers.keys()) setVm(index, 'live')
   const document: ConfigDocument = { version: 1, manifest: options.manifest, grants: [], revokedKeyIds: [], drainedVms: [] }
@@ -118,7 +119,7 @@
       events: log,
       platform: process.wrapPlatform(platform),
       mesh: peers,
-      endpoints: NO_ENDPOINTS,
+      endpoints: process.wrapEndpoints(endpoints.createClient(links)),
       createWorkerClient: (address) => {
         const model = oracle.wrapModel(workers.find((worker) => worker.id === address)!)
         return process.wrapWorker(createFakeWorkerClient({ model, clock, random, faults: links.get(address)! }))
@@ -173,6 +174,7 @@
     workers,
     entries,
     oracle,
+    endpoints,
     startEntry,
     lostWorkers,
     loseVm: (index) => {
--- a/packages/entry/src/testing/fakeProcess.ts
+++ b/packages/entry/src/testing/fakeProcess.ts
@@ -1,7 +1,7 @@
 /** A process that a test pauses, resumes and kills: its timers, its answers and what it sends pass a gate. */
 import type { Clock, Disposable } from '@fuchsiatally/core'
 import type { PlatformClient } from '@fuchsiatally/platform'
-import type { PeerMesh, WorkerClient } from '../ports.js'
+import type { EndpointClient, PeerMesh, WorkerClient } from '../ports.js'
 
 /** One process; whatever it is built from has to go through these wrappers. */
 export interface FakeProcess {
@@ -9,6 +9,7 @@
   wrapPlatform: (client: PlatformClient) => PlatformClient
   wrapWorker: (client: WorkerClient) => WorkerClient
   wrapMesh: (mesh: PeerMesh) => PeerMesh
+  wrapEndpoints: (client: EndpointClient) => EndpointClient
   /** Holds back what the process sends from now on, and stops it `leadMs` later: commands are composed but delayed. */
   pause: (leadMs: number) => void
   resume: () => void
@@ -74,6 +75,10 @@
       startTask: (command) => callOut(() => client.startTask(command)),
       stopTask: (command) => callOut(() => client.stopTask(command))
     }),
+    wrapEndpoints: (client) => ({
+      sendExchange: (...exchange) => callOut(() => client.sendExchange(...exchange)),
+      dispose: client.dispose
+    }),
     wrapMesh: (mesh) => ({
       listPeers: mesh.listPeers,
       sendMessage: (incarnation, message) => {
