Serving on: table of the work done during each failure

Cause: the share of requests answered during a failure against the time before was not measured. Change: servingTable prints requests completed, jobs accepted and tasks started for each failure in windows of time.

--- a/packages/entry/src/testing/cellFailures.ts
+++ b/packages/entry/src/testing/cellFailures.ts
@@ -125,6 +125,15 @@
   }
 }
 
+/** As a process that is killed on a VM that goes on: peers see its links closed at once. Otherwise they go silent. */
+export const LINKS_CLOSED: CellFailure = {
+  name: 'entry killed, links closed',
+  begin: ({ cell }) => {
+    cell.entries[0]!.process.kill()
+    cell.entries[0]!.mesh.dispose()
+  }
+}
+
 /** All failures; each is independent of the others. */
 export const CELL_FAILURES: readonly CellFailure[] = [
   { name: 'entry killed', begin: ({ cell }) => cell.entries[0]!.process.kill() },
@@ -158,7 +167,11 @@
   { name: 'wave of cancellations', begin: sendCancelledJobs },
   {
     name: 'connections of a worker silent',
-    begin: ({ cell }) => { for (const { links } of cell.entries) links.get(cell.workers[4]!.id)!.silent = true }
+    begin: ({ cell }) => {
+      const { id } = cell.workers[4]!
+      cell.oracle.recordSilence(id)
+      for (const { links } of cell.entries) links.get(id)!.silent = true
+    }
   },
   { name: 'racing operators', begin: sendRacingChanges }
 ]
--- a/packages/entry/src/testing/jobOracle.ts
+++ b/packages/entry/src/testing/jobOracle.ts
@@ -1,6 +1,6 @@
 /** Judges the job path from the outside: by what the workers ran, for whom and when. */
 import {
-  addResources, formatAttempt, hasRoomFor, NO_RESOURCES, type Clock, type Manifest, type Resources
+  addResources, formatAttempt, hasRoomFor, LEASE_RENEWAL_MS, NO_RESOURCES, TASK_LEASE_MS, type Clock, type Manifest, type Resources
 } from '@fuchsiatally/core'
 import type { TaskRun, WorkerModel } from './workerModel.js'
 
@@ -11,6 +11,8 @@
   wrapModel: (model: WorkerModel) => WorkerModel
   /** The worker lost its memory: tasks that it had completed may run again. */
   recordLoss: (worker: string) => void
+  /** Nobody reaches the worker from now on: what it completes is run again, but only when its lease has lapsed. */
+  recordSilence: (worker: string) => void
   /** Checks the runs of all workers up to now. */
   judge: () => void
   countStarts: () => number
@@ -22,6 +24,12 @@
 export function createJobOracle (clock: Clock, workers: readonly WorkerModel[], manifest: Manifest): JobOracle {
   const faults: string[] = []
   const losses = new Set<string>()
+  const silentSinceMs = new Map<string, number>()
+
+  const isUnreportedEnd = (first: TaskRun, second: TaskRun): boolean => {
+    const sinceMs = silentSinceMs.get(first.worker) ?? Infinity
+    return first.endedAtMs! > sinceMs - LEASE_RENEWAL_MS && second.startedAtMs >= sinceMs + TASK_LEASE_MS
+  }
 
   const addFault = (text: string): void => {
     if (faults.length < MAX_FAULTS && !faults.some((fault) => fault.endsWith(text))) faults.push(`${clock.nowMs()} ms: ${text}`)
@@ -39,8 +47,8 @@
     if ((first.endedAtMs ?? Infinity) > second.startedAtMs) {
       addFault(`${task} ran as ${formatAttempt(first.id)} at ${first.worker} and as ${formatAttempt(second.id)} at ${second.worker}`)
     }
-    if (first.result === 'completed' && !losses.has(first.worker)) {
-      addFault(`${task} completed at ${first.worker} and ran again at ${second.worker}`)
+    if (first.result === 'completed' && !losses.has(first.worker) && !isUnreportedEnd(first, second)) {
+      addFault(`${task} completed at ${first.worker} at ${first.endedAtMs} ms and ran again at ${second.worker} from ${second.startedAtMs} ms`)
     }
   }
 
@@ -66,6 +74,7 @@
         return report
       }
     }),
+    recordSilence: (worker) => { silentSinceMs.set(worker, clock.nowMs()) },
     recordLoss: (worker) => { losses.add(worker) },
     judge: () => {
       for (const [task, runs] of collectRuns(workers)) {
--- /dev/null
+++ b/packages/entry/src/testing/servingTable.ts
@@ -0,0 +1,70 @@
+/** Prints how much of a cell's work goes on during each single failure; `node dist/testing/servingTable.js [seed] [part of a failure's name]`. */
+import { CELL_FAILURES, LINKS_CLOSED, createServingCell, SERVING_TEAMS, sendJobs, type CellFailure, type ServingCell } from './cellFailures.js'
+import { applyEntryHealing } from './entryCommands.js'
+
+const SEED = 20261204
+const SETTLE_MS = 8_000
+const BEFORE_MS = 10_000
+const JOBS_PERIOD_MS = 5_000
+const JOB_RUN_MS = 40_000
+/** Ends of the times after the failure's beginning; the healing is at the last. */
+const WINDOW_ENDS_MS = [5_000, 15_000, 30_000, 60_000]
+const AFTER_MS = [5_000, 10_000, 30_000]
+/** Answers to requests sent at the end of a time arrive by then. */
+const ANSWER_MS = 3_000
+
+function formatShare (completed: number, sent: number): string {
+  return sent === 0 ? '-' : `${Math.round(100 * completed / sent)} %`
+}
+
+/** Runs for a time with a set of jobs each few seconds; returns the tasks that were started and the jobs accepted in it. */
+async function runWindow (serving: ServingCell, ms: number): Promise<string> {
+  const { cell, accepted } = serving
+  const [startsBefore, acceptedBefore] = [cell.oracle.countStarts(), accepted.length]
+  let sent = 0
+  for (let passed = 0; passed < ms; passed += JOBS_PERIOD_MS) {
+    await sendJobs(serving, JOB_RUN_MS)
+    sent += 3
+    await cell.runFor(Math.min(JOBS_PERIOD_MS, ms - passed))
+  }
+  const running = cell.workers.reduce((sum, worker) => sum + worker.listRunning().length, 0)
+  return `jobs ${accepted.length - acceptedBefore}/${sent}, starts ${cell.oracle.countStarts() - startsBefore}, running ${running}`
+}
+
+async function collectRow (failure: CellFailure, seed: number): Promise<string[]> {
+  const serving = createServingCell(seed)
+  const { cell, traffic } = serving
+  await cell.runFor(SETTLE_MS)
+  const windows: Array<{ readonly name: string, readonly fromMs: number, readonly untilMs: number, readonly jobs: string }> = []
+  const addWindow = async (name: string, ms: number): Promise<void> => {
+    const fromMs = cell.clock.nowMs()
+    const jobs = await runWindow(serving, ms)
+    windows.push({ name, fromMs, untilMs: cell.clock.nowMs(), jobs })
+  }
+  await addWindow('before', BEFORE_MS)
+  failure.begin(serving)
+  let beginMs = 0
+  for (const endMs of WINDOW_ENDS_MS) {
+    await addWindow(`${beginMs / 1000}-${endMs / 1000} s`, endMs - beginMs)
+    beginMs = endMs
+  }
+  applyEntryHealing(cell)
+  for (const ms of AFTER_MS) await addWindow('healed', ms)
+  await cell.runFor(ANSWER_MS)
+  const faults = [...cell.oracle.faults, ...traffic.listFaults()]
+  return [...windows.map(({ name, fromMs, untilMs, jobs }) => {
+    const shares = SERVING_TEAMS.flatMap((team) => cell.entries.map((entry) => {
+      const counts = traffic.countOutcomes(team.name, entry.name, fromMs, untilMs)
+      return formatShare(counts.completed, counts.sent)
+    }))
+    return `| ${failure.name} | ${name} | ${shares.join(' | ')} | ${jobs} |`
+  }), ...faults.map((fault) => `FAULT ${fault}`)]
+}
+
+const seed = Number(process.argv[2] ?? SEED)
+const entries = ['e0', 'e1', 'e2']
+const headings = SERVING_TEAMS.flatMap((team) => entries.map((entry) => `${team.name} ${entry}`))
+process.stdout.write(`| failure | time | ${headings.join(' | ')} | jobs |\n|${'---|'.repeat(headings.length + 3)}\n`)
+for (const failure of [LINKS_CLOSED, ...CELL_FAILURES].filter(({ name }) => name.includes(process.argv[3] ?? ''))) {
+  for (const line of await collectRow(failure, seed)) process.stdout.write(`${line}\n`)
+}
