--- a/packages/standins/src/childProcess.ts
+++ b/packages/standins/src/childProcess.ts
@@ -48,7 +48,7 @@
   child.stdin.on('error', () => {})
   if (options.input !== undefined) child.stdin.write(options.input)
 
-  const logDirectory = process.env['STANDINS_LOG_DIR']
+  const logDirectory = process.env['STANDINS_LOG_DIR'] || undefined
   const takeLine = (line: string): void => {
     if (logDirectory !== undefined) appendFileSync(join(logDirectory, `${options.name}-${child.pid}.log`), line + '\n')
     tail.push(line)
