--- a/packages/core/src/contract/lease.ts
+++ b/packages/core/src/contract/lease.ts
@@ -26,7 +26,7 @@
   recordReport: (reading: LeaseReading, sentMs: number, receivedMs: number) => void
   /** An extension is about to be sent; it may arrive at any time. */
   recordExtension: (nowMs: number) => void
-  /** Time on the worker's clock to extend its lease to; 0 while that clock is not known. */
+  /** Time on the worker's clock to extend its lease to; 0 without contact, when that clock is not known well enough. */
   computeNotAfter: (nowMs: number) => number
   hasContact: (nowMs: number) => boolean
   /** Whether the worker ever accepted this epoch, which fences all lower ones. */
@@ -59,7 +59,8 @@
       extendedMs = Math.max(extendedMs, nowMs)
     },
     computeNotAfter: (nowMs) => {
-      if (last === null) return 0
+      // Without fresh contact the drift since the last report adds up beyond the allowance.
+      if (last === null || nowMs - contactSentMs >= CONTACT_MS) return 0
       // From the receipt, not from the sending: the worker's clock then is at least this far.
       return last.reading.clockMs + (nowMs - last.receivedMs) + TASK_LEASE_MS
     },
--- a/packages/core/src/request/tokenBucket.ts
+++ b/packages/core/src/request/tokenBucket.ts
@@ -1,5 +1,10 @@
 /** Rate limit of one team at one entry. */
 
+/** Parts of a token that the bucket counts in: at whole rates and milliseconds the sums stay exact. */
+const PARTS_PER_TOKEN = 1000
+/** What sums over fractions of a millisecond may be off by, in parts. */
+const ROUNDING_PARTS = 1e-6
+
 /** Allows a steady rate with a bounded burst. */
 export interface TokenBucket {
   /** Takes one token; returns 0, or the milliseconds until one is there (then none was taken). */
@@ -15,24 +20,26 @@
  */
 export function createTokenBucket (ratePerS: number, nowMs: number): TokenBucket {
   let rate = ratePerS
-  let tokens = ratePerS
+  let parts = ratePerS * PARTS_PER_TOKEN
   let updatedMs = nowMs
   const addTokens = (now: number): void => {
     const elapsedMs = Math.max(0, now - updatedMs)
-    tokens = Math.min(rate, tokens + elapsedMs * rate / 1000)
+    // A rate a second of tokens is the same rate a millisecond of parts.
+    parts = Math.min(rate * PARTS_PER_TOKEN, parts + elapsedMs * rate)
     updatedMs = Math.max(updatedMs, now)
   }
   return {
     takeToken: (now) => {
       addTokens(now)
-      if (tokens < 1) return Math.max(1, Math.ceil((1 - tokens) * 1000 / rate))
-      tokens -= 1
+      const missing = PARTS_PER_TOKEN - parts
+      if (missing > ROUNDING_PARTS) return Math.max(1, Math.ceil(missing / rate))
+      parts = Math.max(0, parts - PARTS_PER_TOKEN)
       return 0
     },
     setRate: (newRate, now) => {
       addTokens(now)
       rate = newRate
-      tokens = Math.min(tokens, rate)
+      parts = Math.min(parts, rate * PARTS_PER_TOKEN)
     }
   }
 }
--- a/packages/entry/src/request/httpEndpointClient.ts
+++ b/packages/entry/src/request/httpEndpointClient.ts
@@ -16,7 +16,9 @@
 /** Connection-bound headers of an answer that are not relayed. */
 const DROPPED_HEADERS = new Set([
   'connection', 'content-length', 'keep-alive', 'proxy-authenticate', 'proxy-connection', 'te', 'trailer',
-  'transfer-encoding', 'upgrade'
+  'transfer-encoding', 'upgrade',
+  // No object can carry it as a field of its own through CBOR.
+  '__proto__'
 ])
 const REQUEST_HEADER = 'fuchsiatally-request'
 const REFUSED_HEADER = 'fuchsiatally-refused'
--- a/packages/entry/src/request/requestRoutes.ts
+++ b/packages/entry/src/request/requestRoutes.ts
@@ -33,7 +33,9 @@
 /** Headers that belong to the caller's connection or to this interface and do not reach the endpoint. */
 const DROPPED_HEADERS = new Set([
   'authorization', 'connection', 'content-length', 'expect', 'host', 'keep-alive', 'proxy-authenticate',
-  'proxy-authorization', 'proxy-connection', 'te', 'trailer', 'transfer-encoding', 'upgrade'
+  'proxy-authorization', 'proxy-connection', 'te', 'trailer', 'transfer-encoding', 'upgrade',
+  // No object can carry it as a field of its own through CBOR.
+  '__proto__'
 ])
 const OWN_HEADER_PREFIX = 'fuchsiatally-'
 
