Explanations say why a task stands on its worker; a new entry is ready once it knows others

Ruled out: keeping the reason in the job's row, which is too large already; readiness by links at all times, which would take a cut entry out of service. Change: the reason of the placement stays in the scheduler's memory; an entry without links or workers waits up to 5 s at its start. Conclusion: after a change of the role the reason is gone, and explain says so.

--- a/packages/core/src/job/attempts.ts
+++ b/packages/core/src/job/attempts.ts
@@ -58,6 +58,7 @@
   task.phase = 'assigned'
   task.attempt += 1
   task.reason = undefined
+  task.placementReason = reason
   task.filler = false
   addAttempt(state, task, worker)
   job.phase = 'running'
--- a/packages/core/src/job/explanation.ts
+++ b/packages/core/src/job/explanation.ts
@@ -3,7 +3,7 @@
 import { hasCapacityFor } from '../vm/workerPool.js'
 import type { JobExplanation } from './cellScheduler.js'
 import type { CellState } from './cellState.js'
-import { isFinal, type JobEntry } from './jobEntry.js'
+import { isFinal, type JobEntry, type TaskEntry } from './jobEntry.js'
 import { isBefore } from './lane.js'
 
 /** Explains one job. */
@@ -17,7 +17,7 @@
       task: task.index,
       phase: task.phase,
       ...(task.worker ? { worker: task.worker.id } : {}),
-      reason: task.reason ?? describePhase(task.phase, waiting)
+      reason: task.reason ?? describePhase(task, waiting)
     }))
   }
 }
@@ -28,9 +28,9 @@
   return waiting ? `${job.phase}: ${counts}; ${waiting}` : `${job.phase}: ${counts}`
 }
 
-function describePhase (phase: string, waiting: string | undefined): string {
-  if (phase === 'queued') return waiting ?? 'waits for its turn'
-  return phase === 'assigned' ? 'assigned' : phase
+function describePhase (task: TaskEntry, waiting: string | undefined): string {
+  if (task.phase === 'queued') return waiting ?? 'waits for its turn'
+  return task.phase === 'assigned' ? task.placementReason ?? 'assigned by the holder of the role before' : task.phase
 }
 
 /** Why the job's queued tasks wait; `undefined` when none do. */
--- a/packages/core/src/job/jobEntry.ts
+++ b/packages/core/src/job/jobEntry.ts
@@ -18,6 +18,8 @@
   /** Worker of the last attempt, as the state row keeps it. */
   lastWorker: string | undefined
   reason: string | undefined
+  /** Why the live attempt was placed on its worker; not kept across holders of the role. */
+  placementReason: string | undefined
   /** Monotonic time at which the live attempt was assigned or was seen to run. */
   startedMs: number
   /** Whether the stopping attempt saves its work. */
@@ -93,6 +95,7 @@
     reason: undefined,
     startedMs: 0,
     checkpoint: false,
+    placementReason: undefined,
     filler: false
   }
 }
--- a/packages/entry/src/process/__tests__/entryCell.spec.ts
+++ b/packages/entry/src/process/__tests__/entryCell.spec.ts
@@ -125,7 +125,9 @@
 test('a batch, a gang and an urgent job of two teams come to their ends in a calm cell', async () => {
   const cell = createCell(1)
   const accepted: AcceptedJob[] = []
+  assert.ok(cell.entries.every(({ entry }) => entry.findUnreadyReason() !== null))
   await cell.runFor(SETTLE_MS)
+  assert.equal(cell.entries.map(({ entry }) => entry.findUnreadyReason()), [null, null, null])
   const submit = { kind: 'submit' as const, entry: 0, team: 0, urgent: false, tasks: 3, processors: 4, runMs: 2_000 }
   await applyEntryCommand(cell, { ...submit, job: 'batch' }, TEAMS, accepted)
   await applyEntryCommand(cell, { ...submit, job: 'gang', entry: 1, team: 1 }, TEAMS, accepted)
--- a/packages/entry/src/process/entry.ts
+++ b/packages/entry/src/process/entry.ts
@@ -23,6 +23,9 @@
 import { createOwnership, type Ownership } from '../vm/ownership.js'
 import { createWorkerLiaison } from '../vm/workerLiaison.js'
 
+/** How long a new entry waits for a link or a worker before it takes callers without any, in milliseconds. */
+const SETTLE_MS = 5000
+
 /** What an entry needs from the outside. */
 export interface EntryPorts {
   readonly clock: Clock
@@ -79,7 +82,8 @@
   const { clock, random, events, platform, mesh } = ports
   const store = createDisposableStore()
   let leaving = false
-  let started = false
+  let startedMs = Infinity
+  let isSettled = false
 
   const config = store.add(createConfigStore({ clock, random, platform, mesh, log: events }))
   const keyRing = store.add(createKeyRing({ config, operatorKeySha256: options.operatorKeySha256, log: events }))
@@ -170,7 +174,7 @@
       ...createVmRoutes({ ...operatorOptions, platform })
     ],
     start: () => {
-      started = true
+      startedMs = clock.nowMs()
       sessions.start()
       ownership.start(liaison)
     },
@@ -183,9 +187,11 @@
     }),
     findUnreadyReason: () => {
       if (leaving) return 'a planned stop has begun'
-      if (!started) return 'starting'
+      if (startedMs === Infinity) return 'starting'
       if (config.readDocument() === null) return 'no configuration yet'
-      return null
+      // Only at the start: later an entry without links is cut off and goes on serving what it can.
+      isSettled ||= clock.nowMs() - startedMs >= SETTLE_MS || mesh.listPeers().length > 0 || liaison.listOwnedWorkers().length > 0
+      return isSettled ? null : 'no link to another entry and no worker yet'
     },
     drain: async () => {
       leaving = true
