Work above a lowered ceiling on resources stops

Cause: a lowered ceiling blocked new starts and stopped nothing, so services ran above it for ever. Ruled out: waiting for tasks to end, which services never do. Change: each round stops what a team runs above its ceiling, saved work first, then the youngest; gangs as a whole. Conclusion: the promise on ceilings holds after a change of the manifest too, once the stops are done.

--- a/packages/core/src/job/__tests__/policy.spec.ts
+++ b/packages/core/src/job/__tests__/policy.spec.ts
@@ -48,6 +48,30 @@
   assert.equal(listPhases(world, gang), ['assigned'])
 })
 
+test('work above a lowered ceiling stops, saved and youngest first, and starts again when the ceiling rises', () => {
+  const world = createWorld(2)
+  const old = world.addJob(createSpec({ name: 'old', resources: CORE, taskCount: 2 }), 'red')
+  world.decide()
+  world.nowMs = 5000
+  const young = world.addJob(createSpec({ name: 'young', resources: CORE, taskCount: 2 }), 'red')
+  const saved = world.addJob(createSpec({ name: 'saved', resources: CORE, taskCount: 2, checkpointable: true }), 'red')
+  world.decide()
+  const lower = (processors: number): void => {
+    const red = createTeam('red', 1, { processors, memoryMb: 1_000_000, accelerators: 0 })
+    world.scheduler.setManifest(createManifest([red, createTeam('blue', 1, BIG)]))
+  }
+  lower(3)
+  const stops = world.decide().filter(({ kind }) => kind === 'stop')
+  assert.is(stops.length, 3)
+  assert.equal([old, young, saved].map((job) => listPhases(world, job)), [['assigned', 'assigned'], ['assigned', 'stopping'], ['stopping', 'stopping']])
+  assert.equal(world.decide(), [])
+  for (const worker of ['w0', 'w1']) world.syncWorker(worker)
+  assert.equal(world.decide(), [])
+  assert.equal(listPhases(world, saved), ['queued', 'queued'])
+  lower(6)
+  assert.is(world.decide().filter(({ kind }) => kind === 'start').length, 3)
+})
+
 test('batch work takes no memory that runs short beside accelerators, unless it needs more processors than memory', () => {
   const world = createWorld(1, CORE)
   world.setWorker(createWorker('video', { processors: 64, memoryMb: 64_000, accelerators: 8 }, { pool: 'video' }))
--- a/packages/core/src/job/decideTasks.ts
+++ b/packages/core/src/job/decideTasks.ts
@@ -3,6 +3,7 @@
 import type { WorkerEntry } from '../vm/workerEntry.js'
 import { stopQuarantine } from '../vm/workerHealth.js'
 import { stopAttempt, stopGang } from './attempts.js'
+import { stopAboveCeilings } from './ceilings.js'
 import { updateBackfill, type CellState } from './cellState.js'
 import { grantReservation } from './grants.js'
 import { releaseReservation } from './reservation.js'
@@ -13,6 +14,7 @@
 export function decideTasks (state: CellState, maxDecisions: number): void {
   releaseQuarantined(state)
   stopDraining(state)
+  stopAboveCeilings(state)
   releaseUnfit(state)
   applyGrown(state)
   startReserved(state)
