Worker model: a lease lapses at its end although sums of fractions come out just before it

The owner was right: the fake worker's timer fired when its clock, a sum of fractions, stood an ulp before the end of the lease; it took that for not yet and never looked again. Ruled out: the owner's bound (its last extension and allowance were over by 3.8 s) and the fence. Change: the timer of the model, which the stand-in of the workers uses too, is set again while the end has not come. Conclusion: the fault was in the fake, not in the product.

--- a/packages/entry/src/testing/__tests__/workerModel.spec.ts
+++ b/packages/entry/src/testing/__tests__/workerModel.spec.ts
@@ -41,6 +41,21 @@
   assert.equal(renew(1, 9000), { refused: true, epoch: 2 })
 })
 
+test('a lease lapses by itself at its end, also where sums of fractions come out just before it', () => {
+  const firstMs = 29846.33546879627
+  const secondMs = 30210.61793472298
+  const clock = createFakeClock()
+  const worker = createWorkerModel({ id: 'w', clock, random: createSeededRandom(1), clockStartMs: 549682 })
+  clock.advance(firstMs - clock.nowMs())
+  const readMs = worker.readClockMs()
+  clock.advance(secondMs - clock.nowMs())
+  const notAfterMs = readMs + (secondMs - firstMs) + 10_000
+  worker.renewLease({ owner: 'e', epoch: 1, workerIncarnation: worker.readIncarnation(), notAfterMs, acknowledged: [] })
+  worker.startTask(createStart(worker, 1, 1))
+  clock.advance(11_000)
+  assert.is(worker.listRunning().length, 0)
+})
+
 test('a stop forbids a later start, and ended attempts are reported until acknowledged', () => {
   const { worker, clock, renew } = createWorker()
   renew(1, 60_000)
--- a/packages/entry/src/testing/workerModel.ts
+++ b/packages/entry/src/testing/workerModel.ts
@@ -60,6 +60,7 @@
   dueMs: number
 }
 
+const MIN_TIMER_MS = 1
 const DEFAULT_RESOURCES: Resources = { processors: 16, memoryMb: 65536, accelerators: 0 }
 const MAX_CLOCK_START_MS = 1e9
 
@@ -104,7 +105,11 @@
 
   const setLeaseTimer = (): void => {
     leaseTimer.dispose()
-    leaseTimer = clock.setTimer(notAfterMs - readClockMs(), applyLapse)
+    // Timers and sums of fractions may come out just before the end.
+    leaseTimer = clock.setTimer(Math.max(MIN_TIMER_MS, notAfterMs - readClockMs()), () => {
+      if (hasLease && readClockMs() < notAfterMs) setLeaseTimer()
+      else applyLapse()
+    })
   }
 
   const createReport = (): LeaseReport => ({
