An urgent job starts after its reservation was given up under a nearly full ceiling

Its ceiling held one of two tasks; with room reserved for the first, the check for the second was refused and remembered until the team released some charge. The reservation was then given up, the team ran nothing, and so nothing was ever released. Ruled out: the stops above lowered ceilings (none in the trace) and the packing rule (the trace is of accelerator work). Change: a refusal that counts reservations sets a retry instead of being remembered. Conclusion: remembered refusals depend on charge alone now.

--- a/packages/core/src/job/__tests__/policy.spec.ts
+++ b/packages/core/src/job/__tests__/policy.spec.ts
@@ -72,6 +72,32 @@
   assert.is(world.decide().filter(({ kind }) => kind === 'start').length, 3)
 })
 
+test('an urgent job whose reservation was given up under a nearly full ceiling starts when room comes free', () => {
+  const accelerated = { processors: 8, memoryMb: 16_000, accelerators: 4 }
+  const pair: Resources = { processors: 0.1, memoryMb: 64, accelerators: 2 }
+  const red = createTeam('red', 1, { processors: 7, memoryMb: 30_000, accelerators: 3 })
+  const world = new SchedulerWorld(createManifest([red, createTeam('blue', 3, BIG)]), [createWorker('w3', accelerated), createWorker('w4', accelerated)])
+  world.addJob(createSpec({ priority: 'urgent', resources: pair, taskCount: 4 }), 'blue')
+  world.decide()
+  world.syncWorker('w4')
+  const job = world.addJob(createSpec({ priority: 'urgent', resources: pair, taskCount: 2 }), 'red')
+  world.decide(1)
+  world.endAttempt('w4', 0, 'completed', 10)
+  world.addJob(createSpec({ resources: { ...pair, accelerators: 1 } }), 'blue')
+  world.decide(1)
+  world.nowMs += 2000
+  world.decide(3)
+  for (let round = 0; round < 20; round += 1) {
+    world.nowMs += 10_000
+    world.decide()
+    for (const worker of ['w3', 'w4']) {
+      world.syncWorker(worker)
+      world.endAttempt(worker, 0, 'completed', 10_000)
+    }
+  }
+  assert.equal(listPhases(world, job), ['completed', 'completed'])
+})
+
 test('batch work takes no memory that runs short beside accelerators, unless it needs more processors than memory', () => {
   const world = createWorld(1, CORE)
   world.setWorker(createWorker('video', { processors: 64, memoryMb: 64_000, accelerators: 8 }, { pool: 'video' }))
--- a/packages/core/src/job/starts.ts
+++ b/packages/core/src/job/starts.ts
@@ -53,7 +53,13 @@
 
 function startUrgent (state: CellState, lane: Lane): void {
   const job = findUnreserved(lane)!
-  if (!checkCeiling(lane, 1 + job.reservations.size)) return
+  const reserved = job.reservations.size
+  if (reserved > 0 && !hasCeilingRoom(job.team, job.shape.need, 1 + reserved)) {
+    // Not remembered as a refusal: a reservation may end without any charge being released.
+    lane.retryAtMs = state.nowMs + URGENT_RETRY_MS
+    return
+  }
+  if (reserved === 0 && !checkCeiling(lane, 1)) return
   const placement = chooseOpenWorker(state, job) ?? chooseBackfill(state, job)
   if (placement) startPlaced(state, getNextTask(job), placement)
   else if (!reserveForUrgent(state, job, undefined)) lane.retryAtMs = state.nowMs + URGENT_RETRY_MS
