Operators' process test waits for what entries know of each other

What an entry knows of the others comes with their heartbeats of one second; the test asked at once. Ruled out: a version that was not in force: the version at each entry was right in that run. Change: the version is asserted at once, the view of the others within the bound that the file has already. Measured: the file's 4 tests pass. Conclusion: a fault of the test's timing, not of the promise.

--- a/packages/standins/src/__tests__/operators.spec.ts
+++ b/packages/standins/src/__tests__/operators.spec.ts
@@ -89,8 +89,14 @@
   const codes = await Promise.all([0, 1].map(async (index) => (await run(index, `apply ${manifestFile} --wait --expected-version ${version}`)).code))
   assert.equal(codes.sort((a, b) => a - b), [0, EXIT_CODES.conflict])
   for (const index of [0, 1, 2]) {
-    const status = JSON.parse((await run(index, 'config status --json')).out)
-    assert.equal([status.version, status.lagging, status.entries.length], [version + 1, [], 3])
+    const readStatus = async () => JSON.parse((await run(index, 'config status --json')).out)
+    assert.is((await readStatus()).version, version + 1)
+    // What one entry knows of the others arrives with their heartbeats.
+    const knowsAll = async (): Promise<boolean> => {
+      const status = await readStatus()
+      return status.lagging.length === 0 && status.entries.length === 3
+    }
+    assert.ok(await waitFor(knowsAll, BOUND_MS), `entry ${index} sees others lag`)
   }
   assert.is((await run(0, `diff ${manifestFile} --exit-code`)).code, 0)
 })
