--- /dev/null
+++ b/packages/core/src/cell/constants.ts
@@ -0,0 +1,24 @@
+/** Figures of the cell planner. */
+
+/** Latest multiple of a job's objective at which its end still earns something; from the users' rule of credit. */
+export const LATE_FACTOR = 3
+/** Milliseconds taken off an advice ticket's validity: one commit and one order must fit before it ends. */
+export const TICKET_MARGIN_MS = 150
+/** Workers named in one call for advice; the advice service takes 100 at most, and each one named costs time. */
+export const ADVICE_WORKERS = 40
+/** Milliseconds during which a worker that refused a start gets no other one; about two polls of it. */
+export const REFUSAL_PAUSE_MS = 400
+/** Pauses double up to this many milliseconds while a worker goes on failing what it starts. */
+export const MAX_REFUSAL_PAUSE_MS = 4000
+/** Consecutive failed ends of different tasks after which a worker counts as failing all that it starts. */
+export const FAILING_WORKER_ENDS = 3
+/** Gangs that may hold back workers at the same time; more would empty the cell. */
+export const MAX_HELD_GANGS = 2
+/** Shortest pause before the same advice is asked again after a refusal or silence, in milliseconds. */
+export const ADVICE_RETRY_MS = 250
+/** Time a slow task may take, as a multiple of its estimate, before it counts as a straggler. */
+export const STRAGGLER_FACTOR = 4
+/** A gang that has waited this long gets room held back for it, in milliseconds; a fifth of the shortest gang objective. */
+export const HOLD_AFTER_MS = 400
+/** A long-running task that has waited this long goes first and gets room held back; half of the 6 s that the users grant, less advice. */
+export const LASTING_HOLD_AFTER_MS = 1500
--- /dev/null
+++ b/packages/core/src/cell/index.ts
@@ -0,0 +1,7 @@
+/** Planning of a cell: jobs of steps, workers, advice, and what runs where. */
+export * from './stepJob.js'
+export * from './jobState.js'
+export * from './plannerTypes.js'
+export * from './createCellPlanner.js'
+export * from './cellConfig.js'
+export type { WorkerFacts } from './cellWorker.js'
--- /dev/null
+++ b/packages/core/src/cell/jobState.ts
@@ -0,0 +1,136 @@
+/** State of an accepted job, in memory and as a row of the table. */
+import * as Schema from 'effect/Schema'
+import type { StepJob } from './stepJob.js'
+
+/** How a job stands, as callers see it. */
+export const JobPhase = Schema.Literals(['queued', 'running', 'completed', 'failed', 'cancelled'])
+export type JobPhase = typeof JobPhase.Type
+
+/** How one task stands. It holds room at `worker`, in any phase, until its run is known to be over there. */
+export type TaskPhase = 'waiting' | 'placed' | 'done' | 'failed'
+
+const TASK_PHASES: readonly TaskPhase[] = ['waiting', 'placed', 'done', 'failed']
+
+/** One task of one occurrence. */
+export interface CellTask {
+  readonly job: string
+  readonly occurrence: number
+  readonly step: number
+  readonly index: number
+  /** It serves users under a latency target. */
+  readonly isServing: boolean
+  phase: TaskPhase
+  /** Number of the current or last run; 0 before the first. */
+  run: number
+  /** Worker at which the current run holds room; empty where none does. */
+  worker: string
+  /** Runs that ended `failed`. */
+  failures: number
+  /** Saved state to resume from; empty where none is. */
+  saved: string
+  /** Monotonic time at which the worker confirmed the current run, or `null`. Not kept in the table. */
+  confirmedAtMs: number | null
+  /** The current run has been told to stop. Not kept in the table. */
+  stopping: boolean
+  /** Progress of the current run in percent. Not kept in the table. */
+  percent: number
+  /** Work share that was last set for a filler, in percent. Not kept in the table. */
+  pacePercent: number
+}
+
+/** Tasks of one occurrence, by step and index. */
+export interface Occurrence {
+  readonly index: number
+  readonly steps: readonly (readonly CellTask[])[]
+}
+
+/** One accepted job. */
+export interface CellJob {
+  readonly id: string
+  readonly spec: StepJob
+  phase: JobPhase
+  occurrences: Map<number, Occurrence>
+  /** Wall clock of the end, in milliseconds since 1970; 0 before it. */
+  endedAtMs: number
+}
+
+const TaskRow = Schema.Tuple([Schema.Int, Schema.Int, Schema.String, Schema.Int, Schema.String])
+
+/** Row of a job's state: tasks as `[phase, run, worker, failures, saved]` by occurrence and step. */
+export const JobStateRecord = Schema.Struct({
+  phase: JobPhase,
+  endedAtMs: Schema.Finite,
+  occurrences: Schema.Array(Schema.Tuple([Schema.Int, Schema.Array(Schema.Array(TaskRow))]))
+})
+export type JobStateRecord = typeof JobStateRecord.Type
+
+/** State of a job that was just accepted. */
+export const ACCEPTED_STATE: JobStateRecord = { phase: 'queued', endedAtMs: 0, occurrences: [] }
+
+/** Tells whether a phase is final. */
+export function isFinal (phase: JobPhase): boolean {
+  return phase === 'completed' || phase === 'failed' || phase === 'cancelled'
+}
+
+/** Creates the tasks of an occurrence, all waiting. */
+export function createOccurrence (job: string, spec: StepJob, index: number): Occurrence {
+  const steps = spec.steps.map((step, stepIndex) => Array.from({ length: step.taskCount }, (_, taskIndex): CellTask => ({
+    job,
+    occurrence: index,
+    step: stepIndex,
+    index: taskIndex,
+    isServing: step.targetMs > 0,
+    phase: 'waiting',
+    run: 0,
+    worker: '',
+    failures: 0,
+    saved: '',
+    confirmedAtMs: null,
+    stopping: false,
+    percent: 0,
+    pacePercent: 100
+  })))
+  return { index, steps }
+}
+
+/** Restores a job from its rows. */
+export function createCellJob (id: string, spec: StepJob, record: JobStateRecord): CellJob {
+  const job: CellJob = { id, spec, phase: record.phase, occurrences: new Map(), endedAtMs: record.endedAtMs }
+  for (const [index, steps] of record.occurrences) {
+    const occurrence = createOccurrence(id, spec, index)
+    for (const [stepIndex, rows] of steps.entries()) {
+      for (const [taskIndex, row] of rows.entries()) {
+        const task = occurrence.steps[stepIndex]?.[taskIndex]
+        if (task === undefined) continue
+        const [phase, run, worker, failures, saved] = row
+        Object.assign(task, { phase: TASK_PHASES[phase] ?? 'waiting', run, worker, failures, saved })
+      }
+    }
+    job.occurrences.set(index, occurrence)
+  }
+  return job
+}
+
+/** Builds the row of a job's state; an ended job keeps no tasks. */
+export function buildStateRecord (job: CellJob): JobStateRecord {
+  const occurrences = isFinal(job.phase) && !hasHeldRoom(job)
+    ? []
+    : [...job.occurrences.values()].map((occurrence): JobStateRecord['occurrences'][number] => [
+        occurrence.index,
+        occurrence.steps.map((tasks) => tasks.map((task) => [TASK_PHASES.indexOf(task.phase), task.run, task.worker, task.failures, task.saved] as const))
+      ])
+  return { phase: job.phase, endedAtMs: job.endedAtMs, occurrences }
+}
+
+/** Lists the tasks of all occurrences. */
+export function * listTasks (job: CellJob): Generator<CellTask> {
+  for (const occurrence of job.occurrences.values()) {
+    for (const tasks of occurrence.steps) yield * tasks
+  }
+}
+
+/** Tells whether a run of the job may still hold room at a worker. */
+export function hasHeldRoom (job: CellJob): boolean {
+  for (const task of listTasks(job)) if (task.worker !== '') return true
+  return false
+}
--- /dev/null
+++ b/packages/core/src/cell/stepPlacement.ts
@@ -0,0 +1,153 @@
+/** Chooses workers for the tasks of a step. */
+import { addResources, hasRoomFor, subtractResources, type Resources } from '../schema/resources.js'
+import { canEverRun, computeFree, isOpen, type CellWorker } from './cellWorker.js'
+import { hasTicket, type StepRun } from './stepRun.js'
+import type { CellTask } from './jobState.js'
+
+/** Room that waiting steps of a higher rank hold at workers. */
+export type HeldRoom = ReadonlyMap<string, Resources>
+
+/** One choice. */
+export interface Placement {
+  readonly task: CellTask
+  readonly worker: CellWorker
+}
+
+interface Candidate {
+  readonly worker: CellWorker
+  free: Resources
+  /** Tasks of the step that it runs already. */
+  ofStep: number
+  readonly isNear: boolean
+}
+
+function buildCandidates (run: StepRun, workers: readonly CellWorker[], held: HeldRoom, nowMs: number): Candidate[] {
+  const candidates: Candidate[] = []
+  for (const worker of workers) {
+    if (!isOpen(worker, nowMs) || !canEverRun(worker, run.step) || !hasTicket(run, worker.facts.id, nowMs)) continue
+    if (isDisturbed(run, worker)) continue
+    const reserve = held.get(worker.facts.id)
+    const free = computeFree(worker)
+    const candidate = {
+      worker,
+      free: reserve === undefined ? free : subtractResources(free, reserve),
+      ofStep: run.tasks.filter((task) => task.worker === worker.facts.id).length,
+      isNear: run.step.dataRack === undefined || worker.facts.labels.includes(run.step.dataRack)
+    }
+    if (mayTakeOne(run, candidate)) candidates.push(candidate)
+  }
+  return candidates
+}
+
+/** Fillers stay away from workers whose tasks serve users under a latency target. */
+function isDisturbed (run: StepRun, worker: CellWorker): boolean {
+  if (!run.step.fills) return false
+  for (const task of worker.tasks) if (task.isServing) return true
+  return false
+}
+
+function mayTakeOne (run: StepRun, candidate: Candidate): boolean {
+  if (run.step.maxPerWorker > 0 && candidate.ofStep >= run.step.maxPerWorker) return false
+  return hasRoomFor(candidate.free, run.room)
+}
+
+/** Tight fit: what is left after the task, accelerators first, so that large tasks find whole workers. */
+function computeLeftOver (run: StepRun, candidate: Candidate): number {
+  const left = subtractResources(candidate.free, run.room)
+  return left.accelerators * ACCELERATOR_CORES + Math.max(0, left.processors) + left.memoryMb / MEMORY_PER_CORE_MB
+}
+
+/** Cores that an accelerator counts as; from the users' price of work. */
+const ACCELERATOR_CORES = 8
+/** Memory that weighs as much as a core: 64 GB on 16 cores. */
+const MEMORY_PER_CORE_MB = 4096
+/** Weight of a worker far from the data against its fit; larger than any left-over room. */
+const FAR_PENALTY = 1e6
+
+function chooseCandidate (run: StepRun, candidates: readonly Candidate[]): Candidate | null {
+  let best: Candidate | null = null
+  let bestScore = Infinity
+  for (const candidate of candidates) {
+    if (!mayTakeOne(run, candidate)) continue
+    const score = computeLeftOver(run, candidate) + (candidate.isNear ? 0 : FAR_PENALTY)
+    if (score >= bestScore) continue
+    best = candidate
+    bestScore = score
+  }
+  return best
+}
+
+function placeAll (run: StepRun, tasks: readonly CellTask[], candidates: readonly Candidate[]): Placement[] {
+  const placements: Placement[] = []
+  for (const task of tasks) {
+    const chosen = chooseCandidate(run, candidates)
+    if (chosen === null) break
+    chosen.free = subtractResources(chosen.free, run.room)
+    chosen.ofStep++
+    placements.push({ task, worker: chosen.worker })
+  }
+  return placements
+}
+
+function groupByRack (candidates: readonly Candidate[]): Candidate[][] {
+  const racks = new Map<string, Candidate[]>()
+  for (const candidate of candidates) {
+    const rack = candidate.worker.facts.labels[1] ?? ''
+    const group = racks.get(rack)
+    if (group === undefined) racks.set(rack, [candidate])
+    else group.push(candidate)
+  }
+  return [...racks.values()]
+}
+
+/**
+ * Places as many of the tasks as have room; a gang all or none, a tightly coupled one in one rack where that is possible.
+ *
+ * @param held room that these tasks must leave to others
+ */
+export function placeTasks (
+  run: StepRun, tasks: readonly CellTask[], workers: readonly CellWorker[], held: HeldRoom, nowMs: number
+): Placement[] {
+  if (tasks.length === 0) return []
+  if (run.step.tightlyCoupled) {
+    for (const rack of groupByRack(buildCandidates(run, workers, held, nowMs))) {
+      const placements = placeAll(run, tasks, rack)
+      if (placements.length === tasks.length) return placements
+    }
+  }
+  const placements = placeAll(run, tasks, buildCandidates(run, workers, held, nowMs))
+  return run.step.gang && placements.length < tasks.length ? [] : placements
+}
+
+/**
+ * Holds room for tasks that found none: at the allowed workers where the least is missing.
+ *
+ * @returns the room held by worker, to be left to these tasks by all of a lower rank
+ */
+export function holdRoom (run: StepRun, tasks: readonly CellTask[], workers: readonly CellWorker[], held: Map<string, Resources>, nowMs: number): void {
+  const allowed = workers.filter((worker) => isOpen(worker, nowMs) && canEverRun(worker, run.step) && !run.unsuitable.has(worker.facts.id))
+  const counts = new Map<string, number>()
+  for (const task of run.tasks) if (task.worker !== '') counts.set(task.worker, (counts.get(task.worker) ?? 0) + 1)
+  for (let remaining = tasks.length; remaining > 0; remaining--) {
+    let best: CellWorker | null = null
+    let bestMissing = Infinity
+    for (const worker of allowed) {
+      const { id } = worker.facts
+      if (run.step.maxPerWorker > 0 && (counts.get(id) ?? 0) >= run.step.maxPerWorker) continue
+      const taken = addResources(held.get(id) ?? { processors: 0, memoryMb: 0, accelerators: 0 }, run.room)
+      if (!hasRoomFor(worker.facts.capacity, taken)) continue
+      const missing = computeMissing(subtractResources(computeFree(worker), taken))
+      if (missing >= bestMissing) continue
+      best = worker
+      bestMissing = missing
+    }
+    if (best === null) return
+    const { id } = best.facts
+    counts.set(id, (counts.get(id) ?? 0) + 1)
+    held.set(id, addResources(held.get(id) ?? { processors: 0, memoryMb: 0, accelerators: 0 }, run.room))
+  }
+}
+
+function computeMissing (left: Resources): number {
+  return Math.max(0, -left.processors) + Math.max(0, -left.accelerators) * ACCELERATOR_CORES + Math.max(0, -left.memoryMb) / MEMORY_PER_CORE_MB
+}
--- /dev/null
+++ b/packages/core/src/cell/teamUse.ts
@@ -0,0 +1,28 @@
+/** What each client account runs in a cell, against its ceiling there. */
+import { addResources, hasRoomFor, NO_RESOURCES, subtractResources, type Resources } from '../schema/resources.js'
+
+/** Sums of one cell. */
+export interface TeamUse {
+  setLimits: (limits: ReadonlyMap<string, Resources>) => void
+  mayAdd: (team: string, need: Resources) => boolean
+  add: (team: string, amount: Resources) => void
+  subtract: (team: string, amount: Resources) => void
+  readUse: (team: string) => Resources
+}
+
+/** Creates sums of zero without ceilings. */
+export function createTeamUse (): TeamUse {
+  const used = new Map<string, Resources>()
+  let limits: ReadonlyMap<string, Resources> = new Map()
+  const readUse = (team: string): Resources => used.get(team) ?? NO_RESOURCES
+  return {
+    setLimits: (next) => { limits = next },
+    mayAdd: (team, need) => {
+      const limit = limits.get(team)
+      return limit === undefined || hasRoomFor(subtractResources(limit, readUse(team)), need)
+    },
+    add: (team, amount) => { used.set(team, addResources(readUse(team), amount)) },
+    subtract: (team, amount) => { used.set(team, subtractResources(readUse(team), amount)) },
+    readUse
+  }
+}
--- /dev/null
+++ b/packages/core/src/cell/urgency.ts
@@ -0,0 +1,43 @@
+/** Order in which waiting steps get room: on time before late before hopeless, then priority, then least slack. */
+import { LATE_FACTOR } from './constants.js'
+import { computeChainMs, type StepJob } from './stepJob.js'
+
+/** Rank of a waiting step; compared field by field. */
+export interface Urgency {
+  /** 0: its job can still meet its objective; 1: can still earn a late credit; 2: neither. */
+  readonly standing: 0 | 1 | 2
+  /** Priority of the queue, 0 first. */
+  readonly priority: number
+  /** Wall clock of the objective less the work that is left, in milliseconds since 1970. */
+  readonly latestStartMs: number
+}
+
+/** Time from acceptance, or from the due time of an occurrence, within which a job should end. */
+export function computeObjectiveMs (spec: StepJob): number {
+  const { policy } = spec
+  const adviceMs = policy.advice === undefined ? 0 : policy.advice.decisionMs * spec.steps.length
+  return policy.targetLatencyMs + policy.stretch * (computeChainMs(spec.steps) + adviceMs)
+}
+
+/** Wall clock at which the objective's time began for an occurrence. */
+export function computeDueMs (spec: StepJob, occurrence: number): number {
+  return spec.runCount === 0 ? spec.acceptedAtMs : spec.firstRunMs + occurrence * spec.intervalMs
+}
+
+/** Computes the rank of a step whose remaining chain, itself included, takes `remainingMs`. */
+export function computeUrgency (spec: StepJob, occurrence: number, remainingMs: number, wallMs: number): Urgency {
+  const dueMs = computeDueMs(spec, occurrence)
+  const objectiveMs = computeObjectiveMs(spec)
+  const latestStartMs = dueMs + objectiveMs - remainingMs
+  const latestLateMs = dueMs + LATE_FACTOR * objectiveMs - remainingMs
+  return {
+    standing: wallMs <= latestStartMs ? 0 : wallMs <= latestLateMs ? 1 : 2,
+    priority: spec.policy.priority,
+    latestStartMs
+  }
+}
+
+/** Orders two ranks; negative where `a` goes first. */
+export function compareUrgency (a: Urgency, b: Urgency): number {
+  return a.standing - b.standing || a.priority - b.priority || a.latestStartMs - b.latestStartMs
+}
--- a/packages/core/src/schema/linkMessage.ts
+++ b/packages/core/src/schema/linkMessage.ts
@@ -175,6 +175,36 @@
   json: Schema.NullOr(Schema.String)
 })
 
+/** Asks the receiver to get placement advice on behalf of the sender. */
+export const AdviceRequest = Schema.Struct({
+  type: Schema.Literal('adviceRequest'),
+  exchange: Schema.String,
+  /** `job.occurrence.step` */
+  step: Schema.String,
+  workers: Schema.Array(Schema.String),
+  /** Time that the advice service needs for the answer, in milliseconds. */
+  costMs: Schema.Finite
+})
+export type AdviceRequest = typeof AdviceRequest.Type
+
+/** Answer to an `adviceRequest`. */
+export const AdviceReply = Schema.Struct({
+  type: Schema.Literal('adviceReply'),
+  exchange: Schema.String,
+  /** Pairs of worker and ticket, or `null` where the service gave no answer. */
+  good: Schema.NullOr(Schema.Array(Schema.Tuple([Schema.String, Schema.String])))
+})
+export type AdviceReply = typeof AdviceReply.Type
+
+/** Tells the holder of a cell of a row that was just written for it. */
+export const JobNews = Schema.Struct({
+  type: Schema.Literal('jobNews'),
+  cell: Schema.String,
+  key: Schema.String,
+  value: Schema.String
+})
+export type JobNews = typeof JobNews.Type
+
 /** Every message that a link carries. */
 export const LinkMessage = Schema.Union([
   Hello,
@@ -192,6 +222,9 @@
   WorkerObserved,
   JobsChanged,
   SchedulerQuery,
-  SchedulerAnswer
+  SchedulerAnswer,
+  AdviceRequest,
+  AdviceReply,
+  JobNews
 ])
 export type LinkMessage = typeof LinkMessage.Type
--- /dev/null
+++ b/packages/entry/src/cell/cellCommits.ts
@@ -0,0 +1,173 @@
+/** Commits of one term: plans, stores what the plan changed together with the proof of holding, and only then gives the orders. */
+import { createDisposableStore, type CellPlanner, type Clock, type Disposable, type EventLog, type StartOrder } from '@fuchsiatally/core'
+import { createSerialLoop } from '../process/serialLoop.js'
+import { COMMIT_PAUSE_MS, HOLDER_OUTAGE_MS, MAX_COMMIT_BYTES, MAX_COMMIT_ROWS, PLAN_PAUSE_MS, RENEW_MS } from './constants.js'
+import { runPlaced } from './events.js'
+import { formatRun } from './formatRun.js'
+import { CANCEL_SUFFIX, CELL_TABLE, HOLDER_KEY, JOB_TABLE, parseHolderRow, STATE_TABLE, type HolderRow } from './holderRow.js'
+import type { CellTable, CellTransaction } from './ports.js'
+import type { WorkerContact } from './workerContact.js'
+
+/** Options of the commits. */
+export interface CellCommitsOptions {
+  readonly cell: string
+  readonly row: HolderRow
+  /** Version of the holder's row. */
+  readonly version: number
+  readonly table: CellTable
+  readonly planner: CellPlanner
+  readonly clock: Clock
+  readonly events: EventLog
+  readonly statusMs: number
+  readonly listContacts: () => Iterable<WorkerContact>
+  /** Plans a round: hands out what needs no commit, returns the starts. */
+  readonly plan: () => readonly StartOrder[]
+  readonly startRun: (order: StartOrder) => void
+  readonly onCommitted: (jobs: readonly string[]) => void
+  readonly onDeposed: () => void
+}
+
+/** The running commits. */
+export interface CellCommits extends Disposable {
+  wake: () => void
+  /** Gives the cell up: the last commit says so. */
+  release: () => Promise<void>
+}
+
+type Outcome = 'committed' | 'failed' | 'deposed'
+
+/** Starts planning and committing. */
+export function createCellCommits (options: CellCommitsOptions): CellCommits {
+  const { planner, clock, table } = options
+  const disposables = createDisposableStore()
+  let version = options.version
+  let renewals = options.row.renewals
+  let mustRenew = true
+  let renewedAtMs = -Infinity
+  let confirmedAtMs = clock.nowMs()
+  let pendingStarts: StartOrder[] = []
+  let dropped: string[] = []
+  let failed = false
+  let stopped = false
+  let releasing = false
+
+  const buildHolderRow = (): string => JSON.stringify({
+    ...options.row, renewals, released: releasing, waiting: [...planner.countWaiting()]
+  })
+
+  const takeChanges = (): { jobs: string[], writes: CellTransaction['writes'][number][] } => {
+    const jobs: string[] = []
+    const writes: CellTransaction['writes'][number][] = []
+    let bytes = 0
+    for (const job of planner.takeChangedJobs(MAX_COMMIT_ROWS)) {
+      const record = planner.readRecord(job)
+      if (record === null) continue
+      const value = JSON.stringify(record)
+      if (bytes > 0 && bytes + value.length > MAX_COMMIT_BYTES) {
+        planner.addChangedJobs([job])
+        continue
+      }
+      bytes += value.length
+      jobs.push(job)
+      writes.push({ table: STATE_TABLE, key: job, value })
+    }
+    return { jobs, writes }
+  }
+
+  const listDropped = (room: number): CellTransaction['deletes'] => dropped.slice(0, Math.floor(room / 3)).flatMap((job) => [
+    { table: JOB_TABLE, key: job }, { table: JOB_TABLE, key: `${job}${CANCEL_SUFFIX}` }, { table: STATE_TABLE, key: job }
+  ])
+
+  const commit = async (transaction: CellTransaction, renews: boolean): Promise<Outcome> => {
+    const sentAtMs = clock.nowMs()
+    const result = await table.commit(transaction)
+    if (result.isErr()) {
+      // A try that lands late must find another version of the holder's row than the one it was made for.
+      if (result.error.kind === 'unknown') mustRenew = true
+      return 'failed'
+    }
+    if (result.value.kind === 'applied') {
+      if (renews) {
+        version = result.value.version
+        renewedAtMs = sentAtMs
+        mustRenew = false
+      }
+      confirmedAtMs = sentAtMs
+      return 'committed'
+    }
+    const row = result.value.rows.find((candidate) => candidate.key === HOLDER_KEY)
+    const holder = row === undefined || row.deleted ? null : parseHolderRow(row, options.events)
+    if (row === undefined || holder?.incarnation !== options.row.incarnation || holder.epoch !== options.row.epoch) return 'deposed'
+    // An earlier renewal of this term was applied and its answer lost.
+    version = row.version
+    mustRenew = true
+    return 'failed'
+  }
+
+  const sendStarts = (jobs: readonly string[], ready: number): void => {
+    const stored = new Set(jobs)
+    const due = pendingStarts.slice(0, ready).filter((order) => stored.has(order.job))
+    pendingStarts = pendingStarts.filter((order, index) => index >= ready || !stored.has(order.job))
+    for (const order of due) options.startRun(order)
+  }
+
+  const depose = (): void => {
+    stopped = true
+    disposables.dispose()
+    options.onDeposed()
+  }
+
+  const runStep = async (): Promise<void> => {
+    if (stopped) return
+    const starts = releasing ? [] : options.plan()
+    for (const order of starts) options.events.record(runPlaced, { run: formatRun(order), worker: order.worker, resumed: order.saved !== '' })
+    pendingStarts.push(...starts)
+    dropped.push(...planner.forgetEnded(clock.wallMs() - options.statusMs))
+    const ready = pendingStarts.length
+    const { jobs, writes } = takeChanges()
+    const deletes = listDropped(MAX_COMMIT_ROWS - writes.length)
+    for (const contact of options.listContacts()) contact.beginCommit()
+    const renews = mustRenew || releasing || clock.nowMs() - renewedAtMs >= RENEW_MS
+    if (writes.length === 0 && deletes.length === 0 && !renews) {
+      for (const contact of options.listContacts()) contact.finishCommit()
+      return
+    }
+    if (renews) {
+      renewals++
+      writes.push({ table: CELL_TABLE, key: HOLDER_KEY, value: buildHolderRow() })
+    }
+    const outcome = await commit({ part: options.cell, checks: [{ table: CELL_TABLE, key: HOLDER_KEY, version }], writes, deletes }, renews)
+    failed = outcome === 'failed'
+    if (stopped) return
+    if (outcome === 'committed') {
+      dropped = dropped.slice(deletes.length / 3)
+      for (const contact of options.listContacts()) contact.finishCommit()
+      sendStarts(jobs, ready)
+      options.onCommitted(jobs)
+      return
+    }
+    planner.addChangedJobs(jobs)
+    if (outcome === 'deposed' || clock.nowMs() - confirmedAtMs > HOLDER_OUTAGE_MS) depose()
+  }
+
+  const loop = createSerialLoop({
+    clock,
+    readPauseMs: () => failed ? RENEW_MS / 2 : Math.min(PLAN_PAUSE_MS, Math.max(COMMIT_PAUSE_MS, RENEW_MS - (clock.nowMs() - renewedAtMs))),
+    runStep
+  })
+  disposables.add(loop)
+
+  return {
+    wake: () => { if (!failed) loop.wake() },
+    release: async () => {
+      releasing = true
+      loop.dispose()
+      await runStep()
+      stopped = true
+    },
+    dispose: () => {
+      stopped = true
+      disposables.dispose()
+    }
+  }
+}
--- /dev/null
+++ b/packages/entry/src/cell/cellEntry.ts
@@ -0,0 +1,150 @@
+/** An entry of the cells: follows the configuration, holds cells when it is its turn, and serves callers. */
+import { createDisposableStore, type CellConfig, type Clock, type Disposable, type EventLog, type Random } from '@fuchsiatally/core'
+import type { Peer, PeerMesh, SessionView } from '../ports.js'
+import { createAdviceDesk } from './adviceDesk.js'
+import { createCellTerm, type CellTerm } from './cellTerm.js'
+import { createCellWatch, type CellView } from './cellWatch.js'
+import { createConfigWatch } from './configWatch.js'
+import { cellLost, cellTaken, entryStarted, entryStopped, entryStopping } from './events.js'
+import { CELL_TABLE, type EntryRow } from './holderRow.js'
+import { createJobDesk, type JobDesk } from './jobDesk.js'
+import type { AdviceClient, CellBounds, CellTable, CellWorkerClient, ListedWorker, PlatformRows } from './ports.js'
+import { WRITE_RETRY_MS } from './constants.js'
+
+/** Options of an entry. */
+export interface CellEntryOptions {
+  readonly self: Peer
+  /** `host:port` of the link listener. */
+  readonly linkAddress: string
+  readonly table: CellTable
+  readonly rows: PlatformRows
+  readonly bounds: CellBounds
+  readonly mesh: PeerMesh
+  readonly adviceClient: AdviceClient
+  readonly createWorkerClient: (worker: ListedWorker) => CellWorkerClient
+  readonly clock: Clock
+  readonly random: Random
+  readonly events: EventLog
+}
+
+/** A running entry. */
+export interface CellEntry extends Disposable {
+  readonly desk: JobDesk
+  readConfig: () => CellConfig | null
+  /** Whether keys may be judged now. */
+  isFresh: () => boolean
+  /** Whether the entry should get new callers. */
+  isReady: () => boolean
+  listSessions: () => readonly SessionView[]
+  /** Hands its cells on and takes no others. */
+  release: () => Promise<void>
+}
+
+/** Starts an entry. */
+export function createCellEntry (options: CellEntryOptions): CellEntry {
+  const { self, table, mesh, clock, events, bounds } = options
+  const disposables = createDisposableStore()
+  const terms = new Map<string, CellTerm>()
+  const lostAtMs = new Map<string, number>()
+  /** Terms that ended here, as `cell/epoch`: a row that still shows one starts nothing. */
+  const ended = new Set<string>()
+  let stopping = false
+
+  const config = disposables.add(createConfigWatch(options))
+  const advice = disposables.add(createAdviceDesk({ ...options, incarnation: self.incarnation, client: options.adviceClient }))
+
+  const recordLost = (cell: string, epoch: number): void => {
+    terms.delete(cell)
+    lostAtMs.set(cell, clock.nowMs())
+    ended.add(`${cell}/${epoch}`)
+    events.record(cellLost, { cell, epoch })
+  }
+
+  const startTerm = (view: CellView): void => {
+    const { cell, row, version } = view
+    if (row === null) return
+    events.record(cellTaken, { cell, epoch: row.epoch })
+    terms.set(cell, createCellTerm({
+      ...options, cell, row, version, advice, readConfig: config.readConfig, onDeposed: () => recordLost(cell, row.epoch)
+    }))
+  }
+
+  const handleHolder = (view: CellView): void => {
+    const { cell, row } = view
+    const term = terms.get(cell)
+    if (row !== null && row.incarnation === self.incarnation && !row.released) {
+      if (term === undefined && !stopping && !ended.has(`${cell}/${row.epoch}`)) startTerm(view)
+      return
+    }
+    if (term === undefined || (row !== null && row.epoch <= term.epoch)) return
+    term.dispose()
+    recordLost(cell, term.epoch)
+  }
+
+  const cells = disposables.add(createCellWatch({
+    self,
+    table,
+    clock,
+    events,
+    listCells: () => config.readConfig()?.services ?? [],
+    listPeers: mesh.listPeers,
+    countHeld: () => terms.size,
+    // Holders that take turns within this time would confuse the workers' fences.
+    mayTake: (cell) => !stopping && clock.nowMs() - (lostAtMs.get(cell) ?? -Infinity) > bounds.turnMs + TURN_MARGIN_MS,
+    onHolder: handleHolder
+  }))
+
+  config.onChange((next) => { for (const term of terms.values()) term.applyConfig(next) })
+
+  const acceptNews = (cell: string, key: string, value: string): boolean => {
+    const term = terms.get(cell)
+    term?.acceptNews(key, value)
+    return term !== undefined
+  }
+  mesh.onMessage('jobNews', (message) => { acceptNews(message.cell, message.key, message.value) })
+
+  const desk = createJobDesk({
+    table,
+    mesh,
+    cells,
+    clock,
+    events,
+    readConfig: config.readConfig,
+    acceptNews,
+    readCommittedPhase: (cell, job) => terms.get(cell)?.readCommittedPhase(job) ?? null
+  })
+
+  const registerSelf = async (): Promise<void> => {
+    const row: EntryRow = { incarnation: self.incarnation, failureDomain: self.failureDomain, linkAddress: options.linkAddress }
+    for (;;) {
+      const result = await table.commit({ part: '', checks: [], writes: [{ table: CELL_TABLE, key: self.entry, value: JSON.stringify(row) }], deletes: [] })
+      if (result.isOk() || stopping) return
+      await new Promise<void>((resolve) => { clock.setTimer(WRITE_RETRY_MS, resolve) })
+    }
+  }
+  registerSelf().catch((error: unknown) => { queueMicrotask(() => { throw error }) })
+  events.record(entryStarted, { ...self, linkAddress: options.linkAddress })
+
+  return {
+    desk,
+    readConfig: config.readConfig,
+    isFresh: config.isFresh,
+    isReady: () => !stopping && config.readConfig() !== null && config.isFresh(),
+    listSessions: cells.listSessions,
+    release: async () => {
+      stopping = true
+      events.record(entryStopping, { cells: [...terms.keys()] })
+      const held = [...terms]
+      terms.clear()
+      await Promise.all(held.map(([, term]) => term.release()))
+      events.record(entryStopped, {})
+    },
+    dispose: () => {
+      disposables.dispose()
+      for (const term of terms.values()) term.dispose()
+    }
+  }
+}
+
+/** Added to the time in which holders must not take turns, in milliseconds, for orders under way. */
+const TURN_MARGIN_MS = 1000
--- /dev/null
+++ b/packages/entry/src/cell/cellJobs.ts
@@ -0,0 +1,111 @@
+/** Brings the accepted jobs of a cell into its planner: all of them first, then what is new. */
+import { ACCEPTED_STATE, createDisposableStore, type CellPlanner, type Clock, type Disposable, type EventLog, type StepJob } from '@fuchsiatally/core'
+import { createSerialLoop } from '../process/serialLoop.js'
+import { JOB_READ_MS, WRITE_RETRY_MS } from './constants.js'
+import { cellLoaded } from './events.js'
+import { CANCEL_SUFFIX, JOB_TABLE, parseJobRow, parseStateRow, STATE_TABLE } from './holderRow.js'
+import type { CellTable, TableRow } from './ports.js'
+
+/** Options of the reader. */
+export interface CellJobsOptions {
+  readonly cell: string
+  readonly table: CellTable
+  readonly planner: CellPlanner
+  readonly clock: Clock
+  readonly events: EventLog
+  readonly onLoaded: () => void
+  readonly onNews: () => void
+}
+
+/** Reader of a cell's jobs. */
+export interface CellJobs extends Disposable {
+  isLoaded: () => boolean
+  /** A row that its writer tells of directly. */
+  acceptNews: (key: string, value: string) => void
+}
+
+/** Starts to read. */
+export function createCellJobs (options: CellJobsOptions): CellJobs {
+  const { cell, table, planner, clock, events } = options
+  const disposables = createDisposableStore()
+  let version: number | null = null
+  let loaded = false
+  let isReachable = true
+  /** Cancellations that were seen before their job. */
+  const cancelledEarly = new Set<string>()
+
+  const cancel = (id: string): void => {
+    if (planner.hasJob(id)) planner.cancelJob(id, clock.wallMs())
+    else cancelledEarly.add(id)
+  }
+
+  const addJob = (id: string, spec: StepJob): void => {
+    if (planner.hasJob(id)) return
+    planner.addJob(id, spec, ACCEPTED_STATE, clock.nowMs())
+    if (cancelledEarly.delete(id)) cancel(id)
+  }
+
+  const applyRow = (row: TableRow): void => {
+    if (row.part !== cell || row.deleted) return
+    if (row.key.endsWith(CANCEL_SUFFIX)) {
+      cancel(row.key.slice(0, -CANCEL_SUFFIX.length))
+      return
+    }
+    const spec = parseJobRow(row, events)
+    if (spec !== null) addJob(row.key, spec)
+  }
+
+  const load = async (): Promise<boolean> => {
+    const jobs = await table.readRange({ table: JOB_TABLE, part: cell })
+    if (jobs.isErr()) return false
+    const states = await table.readRange({ table: STATE_TABLE, part: cell })
+    if (states.isErr()) return false
+    const records = new Map(states.value.rows.map((row) => [row.key, row]))
+    const cancelled: string[] = []
+    for (const row of jobs.value.rows) {
+      if (row.key.endsWith(CANCEL_SUFFIX)) {
+        cancelled.push(row.key.slice(0, -CANCEL_SUFFIX.length))
+        continue
+      }
+      const spec = parseJobRow(row, events)
+      const stateRow = records.get(row.key)
+      const state = stateRow === undefined ? ACCEPTED_STATE : parseStateRow(stateRow, events)
+      if (spec !== null && state !== null && !planner.hasJob(row.key)) planner.addJob(row.key, spec, state, clock.nowMs())
+    }
+    for (const id of cancelled) cancel(id)
+    version = jobs.value.version
+    if (!loaded) {
+      loaded = true
+      events.record(cellLoaded, { cell, jobs: jobs.value.rows.length })
+      options.onLoaded()
+    }
+    return true
+  }
+
+  const readNews = async (): Promise<boolean> => {
+    if (version === null) return await load()
+    const read = await table.readChanges(JOB_TABLE, version, 0)
+    if (read.isErr()) return false
+    if (read.value.kind === 'historyLost') return await load()
+    for (const row of read.value.rows) applyRow(row)
+    if (read.value.rows.length > 0) options.onNews()
+    version = read.value.version
+    return true
+  }
+
+  disposables.add(createSerialLoop({
+    clock,
+    readPauseMs: () => isReachable && loaded ? JOB_READ_MS : WRITE_RETRY_MS,
+    runStep: async () => { isReachable = await readNews() }
+  }))
+
+  return {
+    isLoaded: () => loaded,
+    acceptNews: (key, value) => {
+      if (!loaded) return
+      applyRow({ table: JOB_TABLE, part: cell, key, value, version: 0, deleted: false })
+      options.onNews()
+    },
+    dispose: () => disposables.dispose()
+  }
+}
--- /dev/null
+++ b/packages/entry/src/cell/cellTerm.ts
@@ -0,0 +1,211 @@
+/** One term of a cell's holder: jobs, workers, advice and commits together. */
+import {
+  createCellPlanner, createDisposableStore, isFinal,
+  type CellConfig, type Clock, type Disposable, type EventLog, type JobPhase, type StartOrder
+} from '@fuchsiatally/core'
+import type { AdviceDesk } from './adviceDesk.js'
+import { createCellCommits } from './cellCommits.js'
+import { createCellJobs } from './cellJobs.js'
+import { CELL_TABLE, type HolderRow } from './holderRow.js'
+import { cellJobEnded, cellReleased, workerLeaving } from './events.js'
+import type { CellBounds, CellTable, CellWorkerClient, ListedWorker, PlatformRows } from './ports.js'
+import { computeTeamLimits } from './teamLimits.js'
+import { createWorkerContact, type WorkerContact } from './workerContact.js'
+import { createWorkerDirectory } from './workerDirectory.js'
+
+/** Options of a term. */
+export interface CellTermOptions {
+  /** The cell is named after the service that its workers belong to. */
+  readonly cell: string
+  readonly row: HolderRow
+  readonly version: number
+  readonly table: CellTable
+  readonly rows: PlatformRows
+  readonly bounds: CellBounds
+  readonly clock: Clock
+  readonly events: EventLog
+  readonly advice: AdviceDesk
+  readonly readConfig: () => CellConfig | null
+  readonly createWorkerClient: (worker: ListedWorker) => CellWorkerClient
+  readonly onDeposed: () => void
+}
+
+/** A running term. */
+export interface CellTerm extends Disposable {
+  readonly epoch: number
+  acceptNews: (key: string, value: string) => void
+  /** Phase of a job as the table has it, or `null` if this holder doesn't know. */
+  readCommittedPhase: (job: string) => JobPhase | null
+  applyConfig: (config: CellConfig) => void
+  /** Hands the cell on. */
+  release: () => Promise<void>
+}
+
+interface Member {
+  listing: ListedWorker
+  contact: WorkerContact
+  /** No longer in the platform's list. */
+  gone: boolean
+}
+
+/** Starts a term. */
+export function createCellTerm (options: CellTermOptions): CellTerm {
+  const { cell, row, clock, events, advice } = options
+  const disposables = createDisposableStore()
+  const planner = createCellPlanner()
+  const members = new Map<string, Member>()
+  const listings = new Map<string, ListedWorker>()
+  const committed = new Map<string, JobPhase>()
+  let disposed = false
+
+  const dispose = (): void => {
+    if (disposed) return
+    disposed = true
+    disposables.dispose()
+    for (const { contact } of members.values()) contact.dispose()
+  }
+
+  const depose = (): void => {
+    if (disposed) return
+    dispose()
+    options.onDeposed()
+  }
+
+  const applyLimits = (): void => {
+    const config = options.readConfig()
+    if (config !== null) planner.setTeamLimits(computeTeamLimits(config, cell, [...listings.values()]))
+  }
+
+  const addMember = (listing: ListedWorker): void => {
+    const contact = createWorkerContact({
+      worker: listing.id,
+      client: options.createWorkerClient(listing),
+      epoch: row.epoch,
+      maxLeaseMs: options.bounds.maxLeaseMs,
+      planner,
+      clock,
+      events,
+      onNews: () => commits.wake(),
+      onDeposed: depose
+    })
+    members.set(listing.id, { listing, contact, gone: false })
+  }
+
+  const applyListing = (listing: ListedWorker): void => {
+    listings.set(listing.id, listing)
+    applyLimits()
+    if (listing.service !== cell || !jobs.isLoaded()) return
+    const known = members.get(listing.id)
+    if (listing.draining && known?.listing.draining === false) events.record(workerLeaving, { worker: listing.id })
+    planner.setWorker(listing)
+    if (known !== undefined && known.listing.address === listing.address) {
+      known.listing = listing
+      known.gone = false
+      commits.wake()
+      return
+    }
+    known?.contact.dispose()
+    addMember(listing)
+  }
+
+  const dropGone = (): void => {
+    for (const [id, member] of members) {
+      if (!member.gone || !member.contact.isOver()) continue
+      member.contact.dispose()
+      members.delete(id)
+      planner.recordWorkerLost(id, clock.nowMs())
+      planner.removeWorker(id)
+    }
+  }
+
+  const recordGone = (id: string): void => {
+    listings.delete(id)
+    applyLimits()
+    const member = members.get(id)
+    if (member === undefined) return
+    member.gone = true
+    // It may live on, cut off from the table alone: it gets nothing new, but its lease goes on.
+    planner.setWorker({ ...member.listing, draining: true })
+  }
+
+  const ask = (question: Parameters<AdviceDesk['askAdvice']>[0]): void => {
+    advice.askAdvice(question).then((good) => {
+      if (disposed) return
+      if (good === null) planner.recordAdviceFailed(question, clock.nowMs())
+      else planner.recordAdvice(question, good, clock.nowMs())
+      commits.wake()
+    }, failProcess)
+  }
+
+  const plan = (): readonly StartOrder[] => {
+    if (!jobs.isLoaded()) return []
+    dropGone()
+    const decisions = planner.decide(clock.nowMs(), clock.wallMs())
+    for (const stop of decisions.stops) members.get(stop.worker)?.contact.stopRun(stop)
+    for (const question of decisions.questions) ask(question)
+    return decisions.starts
+  }
+
+  const jobs = disposables.add(createCellJobs({
+    cell,
+    table: options.table,
+    planner,
+    clock,
+    events,
+    onLoaded: () => {
+      for (const listing of [...listings.values()]) applyListing(listing)
+    },
+    onNews: () => commits.wake()
+  }))
+
+  const commits = disposables.add(createCellCommits({
+    cell,
+    row,
+    version: options.version,
+    table: options.table,
+    planner,
+    clock,
+    events,
+    statusMs: options.bounds.statusMs,
+    listContacts: () => [...members.values()].map((member) => member.contact),
+    plan,
+    startRun: (order) => {
+      const member = members.get(order.worker)
+      if (member === undefined || member.gone || member.listing.draining) planner.recordStartRefused(order, 'notSent', clock.nowMs())
+      else member.contact.startRun(order)
+    },
+    onCommitted: (ids) => {
+      for (const id of ids) {
+        const phase = planner.readPhase(id)
+        if (phase === null || planner.isChanged(id)) continue
+        if (isFinal(phase) && committed.get(id) !== phase) events.record(cellJobEnded, { job: id, phase })
+        committed.set(id, phase)
+      }
+    },
+    onDeposed: depose
+  }))
+
+  disposables.add(createWorkerDirectory({
+    table: options.table, rows: options.rows, clock, onWorker: applyListing, onGone: recordGone
+  }))
+
+  return {
+    epoch: row.epoch,
+    acceptNews: jobs.acceptNews,
+    readCommittedPhase: (id) => committed.get(id) ?? null,
+    applyConfig: () => {
+      applyLimits()
+      commits.wake()
+    },
+    release: async () => {
+      await commits.release()
+      events.record(cellReleased, { cell, epoch: row.epoch, table: CELL_TABLE })
+      dispose()
+    },
+    dispose
+  }
+}
+
+function failProcess (error: unknown): void {
+  queueMicrotask(() => { throw error })
+}
--- /dev/null
+++ b/packages/entry/src/cell/cellWatch.ts
@@ -0,0 +1,151 @@
+/** Follows who holds each cell and which entries there are, and decides when this entry takes a cell. */
+import { createDisposableStore, type Clock, type Disposable, type EventLog } from '@fuchsiatally/core'
+import type { Peer, SessionView } from '../ports.js'
+import { createSerialLoop } from '../process/serialLoop.js'
+import { HOLDER_SILENCE_MS, MAX_RANK, RANK_STEP_MS, WATCH_MS } from './constants.js'
+import { CELL_TABLE, HOLDER_KEY, parseEntryRow, parseHolderRow, type EntryRow, type HolderRow } from './holderRow.js'
+import type { CellTable, TableRow } from './ports.js'
+import { computeRank } from './rank.js'
+
+/** A cell as the table shows it. */
+export interface CellView {
+  readonly cell: string
+  readonly row: HolderRow | null
+  /** Version of the holder's row; 0 where there is none. */
+  readonly version: number
+}
+
+/** Options of the watch. */
+export interface CellWatchOptions {
+  readonly self: Peer
+  readonly table: CellTable
+  readonly clock: Clock
+  readonly events: EventLog
+  /** Cells that the configuration asks for. */
+  readonly listCells: () => readonly string[]
+  /** Peers with a live link. */
+  readonly listPeers: () => readonly Peer[]
+  /** Cells that this entry holds now. */
+  readonly countHeld: () => number
+  /** Whether this entry may take cells at all, and this one now. */
+  readonly mayTake: (cell: string) => boolean
+  /** The row names this process as the holder, or somebody else. */
+  readonly onHolder: (view: CellView) => void
+}
+
+/** View of all cells. */
+export interface CellWatch extends Disposable {
+  readCell: (cell: string) => CellView | null
+  listSessions: () => readonly SessionView[]
+  /** Looks again at once. */
+  wake: () => void
+}
+
+interface Seen {
+  view: CellView
+  changedAtMs: number
+}
+
+/** Starts to follow the cells. */
+export function createCellWatch (options: CellWatchOptions): CellWatch {
+  const { self, table, clock, events } = options
+  const disposables = createDisposableStore()
+  const cells = new Map<string, Seen>()
+  const entries = new Map<string, EntryRow>()
+  let version: number | null = null
+  let lastReadMs = -Infinity
+
+  const applyRow = (row: TableRow, nowMs: number): void => {
+    if (row.part === '') {
+      const entry = row.deleted ? null : parseEntryRow(row, events)
+      if (entry === null) entries.delete(row.key)
+      else entries.set(row.key, entry)
+      return
+    }
+    if (row.key !== HOLDER_KEY) return
+    const holder = row.deleted ? null : parseHolderRow(row, events)
+    const view = { cell: row.part, row: holder, version: row.deleted ? 0 : row.version }
+    cells.set(row.part, { view, changedAtMs: nowMs })
+    options.onHolder(view)
+  }
+
+  const readAll = async (): Promise<boolean> => {
+    const parts = ['', ...options.listCells()]
+    let oldest: number | null = null
+    for (const part of parts) {
+      const read = await table.readRange({ table: CELL_TABLE, part })
+      if (read.isErr()) return false
+      for (const row of read.value.rows) applyRow(row, clock.nowMs())
+      oldest = Math.min(oldest ?? read.value.version, read.value.version)
+    }
+    version = oldest
+    return true
+  }
+
+  const readNews = async (): Promise<boolean> => {
+    if (version === null) return await readAll()
+    const read = await table.readChanges(CELL_TABLE, version, 0)
+    if (read.isErr()) return false
+    if (read.value.kind === 'historyLost') return await readAll()
+    for (const row of read.value.rows) applyRow(row, clock.nowMs())
+    version = read.value.version
+    return true
+  }
+
+  const takeCell = async (cell: string, seen: Seen | undefined): Promise<void> => {
+    const row: HolderRow = {
+      entry: self.entry,
+      incarnation: self.incarnation,
+      epoch: (seen?.view.row?.epoch ?? 0) + 1,
+      released: false,
+      renewals: 0,
+      waiting: [...seen?.view.row?.waiting ?? []]
+    }
+    const result = await table.commit({
+      part: cell,
+      checks: [{ table: CELL_TABLE, key: HOLDER_KEY, version: seen?.view.version ?? 0 }],
+      writes: [{ table: CELL_TABLE, key: HOLDER_KEY, value: JSON.stringify(row) }],
+      deletes: []
+    })
+    // After a lost answer or a conflict the next read shows the holder.
+    if (result.isErr() || result.value.kind === 'conflict') return
+    const view = { cell, row, version: result.value.version }
+    cells.set(cell, { view, changedAtMs: clock.nowMs() })
+    options.onHolder(view)
+  }
+
+  const isDue = (cell: string, seen: Seen | undefined, nowMs: number): boolean => {
+    const rank = computeRank(cell, self.entry, options.listPeers().map((peer) => peer.entry)) + 2 * options.countHeld()
+    const waitMs = Math.min(MAX_RANK, rank) * RANK_STEP_MS
+    if (seen === undefined || seen.view.row === null) return nowMs - startedAtMs >= waitMs
+    const { row } = seen.view
+    if (row.incarnation === self.incarnation) return false
+    if (row.entry === self.entry) return true
+    if (row.released) return nowMs - seen.changedAtMs >= waitMs
+    return nowMs - seen.changedAtMs >= HOLDER_SILENCE_MS + waitMs
+  }
+
+  const startedAtMs = clock.nowMs()
+  const runStep = async (): Promise<void> => {
+    const askedAtMs = clock.nowMs()
+    if (!await readNews()) return
+    // After a gap in the view every holder gets the whole time again.
+    if (askedAtMs - lastReadMs > HOLDER_SILENCE_MS / 2) for (const seen of cells.values()) seen.changedAtMs = clock.nowMs()
+    lastReadMs = clock.nowMs()
+    for (const cell of options.listCells()) {
+      const seen = cells.get(cell)
+      if (options.mayTake(cell) && isDue(cell, seen, askedAtMs)) await takeCell(cell, seen)
+    }
+  }
+  const loop = createSerialLoop({ clock, readPauseMs: () => WATCH_MS, runStep })
+  disposables.add(loop)
+
+  return {
+    readCell: (cell) => cells.get(cell)?.view ?? null,
+    listSessions: () => [...entries].map(([entry, row]): SessionView => ({
+      entry, incarnation: row.incarnation, failureDomain: row.failureDomain, linkAddress: row.linkAddress, httpAddress: '', leaving: false, configVersion: 0, expired: false
+    })),
+    wake: loop.wake,
+    dispose: () => disposables.dispose()
+  }
+}
--- /dev/null
+++ b/packages/entry/src/cell/configWatch.ts
@@ -0,0 +1,98 @@
+/** Follows the configuration in the table, and knows how old that knowledge is. */
+import { createDisposableStore, type CellConfig, type Clock, type Disposable, type EventLog } from '@fuchsiatally/core'
+import { createSerialLoop } from '../process/serialLoop.js'
+import { CLOCK_DOUBT_MS, CONFIG_WAIT_MS, EVIDENCE_SHARE, WRITE_RETRY_MS } from './constants.js'
+import { cellConfigInForce, cellConfigMalformed, tableLost, tableRegained } from './events.js'
+import type { CellBounds, CellTable, PlatformRows, TableRow } from './ports.js'
+
+/** Options of the watch. */
+export interface ConfigWatchOptions {
+  readonly table: CellTable
+  readonly rows: PlatformRows
+  readonly bounds: CellBounds
+  readonly clock: Clock
+  readonly events: EventLog
+}
+
+/** The configuration in force. */
+export interface ConfigWatch extends Disposable {
+  readConfig: () => CellConfig | null
+  /** Whether a key that the configuration shows may be trusted now. */
+  isFresh: () => boolean
+  onChange: (receive: (config: CellConfig) => void) => void
+}
+
+/** Starts to follow the configuration. */
+export function createConfigWatch (options: ConfigWatchOptions): ConfigWatch {
+  const { table, rows, clock, events } = options
+  const disposables = createDisposableStore()
+  const maxAgeMs = options.bounds.revokeMs * EVIDENCE_SHARE
+  const receivers: Array<(config: CellConfig) => void> = []
+  let config: CellConfig | null = null
+  let version: number | null = null
+  let evidence: { nowMs: number, wallMs: number } | null = null
+  let reachable = true
+
+  const applyRow = (row: TableRow): void => {
+    if (row.key !== rows.configKey || row.deleted) return
+    const decoded = rows.decodeConfig(row)
+    if (decoded === null) {
+      events.record(cellConfigMalformed, { version: row.version })
+      return
+    }
+    if (config !== null && decoded.version <= config.version) return
+    events.record(cellConfigInForce, { version: decoded.version, before: config?.version ?? null, queues: decoded.queues.length })
+    config = decoded
+    for (const receive of receivers) receive(decoded)
+  }
+
+  const recordReachable = (isReachable: boolean, message: string): void => {
+    if (isReachable === reachable) return
+    reachable = isReachable
+    events.record(isReachable ? tableRegained : tableLost, { message })
+  }
+
+  const readAll = async (): Promise<boolean> => {
+    const read = await table.readRange({ table: rows.configTable, part: '' })
+    recordReachable(read.isOk(), read.isErr() ? read.error.message : '')
+    if (read.isErr()) return false
+    for (const row of read.value.rows) applyRow(row)
+    version = read.value.version
+    return true
+  }
+
+  const readNews = async (): Promise<boolean> => {
+    if (version === null) return await readAll()
+    const read = await table.readChanges(rows.configTable, version, CONFIG_WAIT_MS)
+    recordReachable(read.isOk(), read.isErr() ? read.error.message : '')
+    if (read.isErr()) return false
+    if (read.value.kind === 'historyLost') return await readAll()
+    for (const row of read.value.rows) applyRow(row)
+    version = read.value.version
+    return true
+  }
+
+  const loop = createSerialLoop({
+    clock,
+    readPauseMs: () => reachable ? 0 : WRITE_RETRY_MS,
+    runStep: async () => {
+      // What is read is at least as new as the moment at which the question was sent.
+      const asked = { nowMs: clock.nowMs(), wallMs: clock.wallMs() }
+      if (await readNews()) evidence = asked
+    }
+  })
+  disposables.add(loop)
+
+  return {
+    readConfig: () => config,
+    isFresh: () => {
+      if (evidence === null) return false
+      const ageMs = clock.nowMs() - evidence.nowMs
+      // A suspension stops the steady clock but not the wall clock; any doubt counts as stale.
+      const wallAgeMs = clock.wallMs() - evidence.wallMs
+      return ageMs <= maxAgeMs && Math.abs(wallAgeMs - ageMs) <= CLOCK_DOUBT_MS
+    },
+    onChange: (receive) => { receivers.push(receive) },
+    dispose: () => disposables.dispose()
+  }
+}
--- /dev/null
+++ b/packages/entry/src/cell/constants.ts
@@ -0,0 +1,69 @@
+/** Times and sizes of cells and their holders. */
+
+/** Longest wait of one lease call for an end, in milliseconds; a third of the shortest lease that the platform grants. */
+export const LEASE_WAIT_MS = 1000
+/** Time beyond its wait that a lease call may take, in milliseconds; a call takes 5 ms, a slowed worker six times that. */
+export const LEASE_CALL_MS = 700
+/** Time that a start, stop or pace may take, in milliseconds. */
+export const ORDER_CALL_MS = 700
+/** Pause before an order without an answer is sent again, in milliseconds. */
+export const ORDER_RETRY_MS = 100
+/** Starts of a run that are tried before it is stopped instead; three calls fit into the time a gang waits for its members. */
+export const START_TRIES = 3
+/** Pause after a failed lease call, in milliseconds. */
+export const LEASE_RETRY_MS = 250
+/** Longest time that a lease loop waits for the commit of the ends it reported, in milliseconds. */
+export const COMMIT_WAIT_MS = 250
+/** Share by which a worker's clock may be slow; from the platform's page. */
+export const CLOCK_SLOWNESS = 0.02
+/** Time that a lease call may be under way when its deadline is computed, in milliseconds. */
+export const LEASE_MARGIN_MS = 200
+/** Least time of the lease that must be left at a start, in milliseconds; less would lapse before the next renewal. */
+export const MIN_START_LEASE_MS = 500
+
+/** Interval of a holder's renewals, in milliseconds: three fit into the time after which it is replaced. */
+export const RENEW_MS = 400
+/** Interval at which entries look at the rows of the holders, in milliseconds. */
+export const WATCH_MS = 300
+/** A holder that has not renewed for this long is replaced, in milliseconds. */
+export const HOLDER_SILENCE_MS = 1300
+/** Further silence that each rank of successor waits for, in milliseconds: one round of watching, so that ranks seldom meet. */
+export const RANK_STEP_MS = 350
+/** Longest time a holder goes on without a confirmed renewal, in milliseconds: past the outages that the platform announces. */
+export const HOLDER_OUTAGE_MS = 8000
+/** Longest step of successor ranks that counts; beyond it entries wait equally long. */
+export const MAX_RANK = 5
+
+/** Time that one call of the table may take, in milliseconds; a table that is slow sixtyfold takes 360. */
+export const TABLE_CALL_MS = 1200
+/** Wait of a read for changes of the configuration, in milliseconds; a quarter of the time that a removed key may work. */
+export const CONFIG_WAIT_MS = 1000
+/** Share of the revocation bound after which evidence of the configuration is too old. */
+export const EVIDENCE_SHARE = 0.6
+/** Difference of the wall clock and the steady clock from which a suspension is suspected, in milliseconds. */
+export const CLOCK_DOUBT_MS = 300
+/** Interval at which a holder reads the job table for what nobody told it, in milliseconds. */
+export const JOB_READ_MS = 500
+/** Wait of a holder's read for changes of the worker list, in milliseconds. */
+export const WORKER_WAIT_MS = 1000
+/** Shortest time between two commits of a cell, in milliseconds; a part of the table takes 200 a second. */
+export const COMMIT_PAUSE_MS = 8
+/** Longest time between two rounds of planning, in milliseconds. */
+export const PLAN_PAUSE_MS = 200
+/** Rows in one commit; the table takes 100 entries with the checks. */
+export const MAX_COMMIT_ROWS = 90
+/** Bytes of values in one commit; the table takes a megabyte, encoded. */
+export const MAX_COMMIT_BYTES = 500_000
+
+/** Pause between two tries of a caller's write, in milliseconds. */
+export const WRITE_RETRY_MS = 100
+/** Time before a caller's deadline at which an unsettled write is given up, in milliseconds. */
+export const ANSWER_MARGIN_MS = 150
+/** What a caller is told to wait when the table is away, in seconds. */
+export const TABLE_RETRY_S = 1
+/** Waiting questions to the advice service beyond which an entry takes no more from its peers. */
+export const MAX_ADVICE_QUEUE = 24
+/** Time beyond the expected wait after which a peer's advice is given up, in milliseconds. */
+export const ADVICE_SLACK_MS = 800
+/** Interval at which an entry reads the rows of its peers, in milliseconds. */
+export const PEER_READ_MS = 1000
--- /dev/null
+++ b/packages/entry/src/cell/holderRow.ts
@@ -0,0 +1,63 @@
+/** Rows that say who holds a cell, and which entries there are. */
+import { createDecoder, JobStateRecord, StepJob, type EventLog } from '@fuchsiatally/core'
+import * as Schema from 'effect/Schema'
+import { cellRowMalformed } from './events.js'
+import type { TableRow } from './ports.js'
+
+/** Table of holders and entries. */
+export const CELL_TABLE = 'cell'
+/** Key of a cell's holder in the cell's part. */
+export const HOLDER_KEY = 'holder'
+/** Tables of accepted jobs and of their states, both in the part of their cell. */
+export const JOB_TABLE = 'job'
+export const STATE_TABLE = 'state'
+/** Ends the key of a cancellation, which begins with the job's id. */
+export const CANCEL_SUFFIX = '!cancel'
+
+/** Row of a cell. */
+export const HolderRow = Schema.Struct({
+  entry: Schema.String,
+  incarnation: Schema.String,
+  /** Fencing token of the cell's orders; rises with each holder. */
+  epoch: Schema.Int,
+  /** Given up in a planned stop. */
+  released: Schema.Boolean,
+  renewals: Schema.Int,
+  /** Accepted jobs of which nothing has started, by queue. */
+  waiting: Schema.Array(Schema.Tuple([Schema.String, Schema.Int]))
+})
+export type HolderRow = typeof HolderRow.Type
+
+/** Row of an entry, by its name in the empty part. */
+export const EntryRow = Schema.Struct({
+  incarnation: Schema.String,
+  failureDomain: Schema.String,
+  linkAddress: Schema.String
+})
+export type EntryRow = typeof EntryRow.Type
+
+/** Builds a reader of rows that logs those it cannot read and gives `null` for them. */
+export function createRowReader<S extends Schema.ConstraintDecoder<unknown, never>> (schema: S): (row: TableRow, events: EventLog) => S['Type'] | null {
+  const decode = createDecoder(schema)
+  return (row, events) => {
+    const fail = (error: string): null => {
+      events.record(cellRowMalformed, { table: row.table, part: row.part, key: row.key, error })
+      return null
+    }
+    try {
+      const decoded = decode(JSON.parse(row.value))
+      return decoded.isOk() ? decoded.value : fail(decoded.error.message)
+    } catch (error) {
+      return fail(String(error))
+    }
+  }
+}
+
+/** Decodes the row of a cell. */
+export const parseHolderRow = createRowReader(HolderRow)
+/** Decodes the row of an entry. */
+export const parseEntryRow = createRowReader(EntryRow)
+/** Decodes the row of an accepted job. */
+export const parseJobRow = createRowReader(StepJob)
+/** Decodes the row of a job's state. */
+export const parseStateRow = createRowReader(JobStateRecord)
--- /dev/null
+++ b/packages/entry/src/cell/jobDesk.ts
@@ -0,0 +1,130 @@
+/** Takes jobs, tells their state and cancels them, at any entry. */
+import {
+  ACCEPTED_STATE, isFinal, type CellConfig, type Clock, type EventLog, type JobPhase, type QueueConfig, type StepJob
+} from '@fuchsiatally/core'
+import type { PeerMesh } from '../ports.js'
+import type { CellWatch } from './cellWatch.js'
+import { ANSWER_MARGIN_MS, WRITE_RETRY_MS } from './constants.js'
+import { cellJobAccepted, cellJobCancelled, cellJobRefused, cellJobUnsettled } from './events.js'
+import { CANCEL_SUFFIX, JOB_TABLE, parseJobRow, parseStateRow, STATE_TABLE } from './holderRow.js'
+import type { CellTable, CellTransaction, CommitResult } from './ports.js'
+
+/** Outcome of a caller's write. `unsettled`: its fate isn't known, no true answer can be given. */
+export type DeskOutcome = 'done' | 'unknownJob' | 'refused' | 'unsettled'
+
+/** Options of the desk. */
+export interface JobDeskOptions {
+  readonly table: CellTable
+  readonly mesh: PeerMesh
+  readonly cells: CellWatch
+  readonly clock: Clock
+  readonly events: EventLog
+  readonly readConfig: () => CellConfig | null
+  /** Passes a row on to the term that this entry holds; `false` if it holds none of that cell. */
+  readonly acceptNews: (cell: string, key: string, value: string) => boolean
+  /** Committed phase of a job, if this entry holds its cell and knows it. */
+  readonly readCommittedPhase: (cell: string, job: string) => JobPhase | null
+}
+
+/** The desk of one entry. */
+export interface JobDesk {
+  submitJob: (id: string, job: StepJob, deadlineMs: number) => Promise<DeskOutcome>
+  readState: (id: string, queue: QueueConfig, team: string | null) => Promise<JobPhase | 'unknownJob' | 'refused'>
+  cancelJob: (id: string, queue: QueueConfig, team: string | null, deadlineMs: number) => Promise<DeskOutcome>
+  /** Accepted jobs of which nothing has started, or `null` if nothing is known of the cell. */
+  countWaiting: (queue: QueueConfig) => number | null
+}
+
+/** Creates the desk. */
+export function createJobDesk (options: JobDeskOptions): JobDesk {
+  const { table, mesh, clock, events } = options
+  const finals = new Map<string, JobPhase>()
+
+  const tellHolder = (cell: string, key: string, value: string): void => {
+    if (options.acceptNews(cell, key, value)) return
+    const holder = options.cells.readCell(cell)?.row
+    // The holder reads the table as well; the message only saves time.
+    if (holder !== null && holder !== undefined) mesh.sendMessage(holder.incarnation, { type: 'jobNews', cell, key, value })
+  }
+
+  /** Sends a write until its fate is known; the first answer of each try counts for all of them. */
+  const settleWrite = async (transaction: CellTransaction, deadlineMs: number): Promise<CommitResult | 'refused' | 'unsettled'> => {
+    let mayHaveApplied = false
+    for (;;) {
+      const result = await table.commit(transaction)
+      if (result.isOk()) return result.value
+      if (result.error.kind === 'unknown') mayHaveApplied = true
+      else if (!mayHaveApplied) return 'refused'
+      if (clock.nowMs() + WRITE_RETRY_MS + ANSWER_MARGIN_MS > deadlineMs) return 'unsettled'
+      await new Promise<void>((resolve) => { clock.setTimer(WRITE_RETRY_MS, resolve) })
+    }
+  }
+
+  const submitJob = async (id: string, job: StepJob, deadlineMs: number): Promise<DeskOutcome> => {
+    const cell = job.policy.service
+    const value = JSON.stringify(job)
+    const result = await settleWrite({
+      part: cell,
+      checks: [{ table: JOB_TABLE, key: id, version: 0 }],
+      writes: [{ table: JOB_TABLE, key: id, value }, { table: STATE_TABLE, key: id, value: JSON.stringify(ACCEPTED_STATE) }],
+      deletes: []
+    }, deadlineMs)
+    if (result === 'refused') {
+      events.record(cellJobRefused, { job: id, team: job.team, queue: job.policy.queue, reason: 'the table refused the write' })
+      return 'refused'
+    }
+    if (result === 'unsettled') {
+      events.record(cellJobUnsettled, { job: id, team: job.team, queue: job.policy.queue })
+      return 'unsettled'
+    }
+    // A conflict means that an earlier try, here or elsewhere, stored the same job.
+    events.record(cellJobAccepted, { job: id, team: job.team, queue: job.policy.queue, known: result.kind === 'conflict' })
+    if (result.kind === 'applied') tellHolder(cell, id, value)
+    return 'done'
+  }
+
+  const readRow = async (name: string, cell: string, key: string) => {
+    const read = await table.readRange({ table: name, part: cell, from: key, to: `${key}!` })
+    return read.map(({ rows }) => rows.find((row) => row.key === key))
+  }
+
+  const readState: JobDesk['readState'] = async (id, queue) => {
+    const known = finals.get(id) ?? options.readCommittedPhase(queue.service, id)
+    if (known !== null) return known
+    const row = await readRow(STATE_TABLE, queue.service, id)
+    if (row.isErr()) return 'refused'
+    if (row.value === undefined) return 'unknownJob'
+    const state = parseStateRow(row.value, events)
+    if (state === null) return 'refused'
+    if (isFinal(state.phase)) finals.set(id, state.phase)
+    return state.phase
+  }
+
+  const cancelJob: JobDesk['cancelJob'] = async (id, queue, _team, deadlineMs) => {
+    const row = await readRow(JOB_TABLE, queue.service, id)
+    if (row.isErr()) return 'refused'
+    if (row.value === undefined || parseJobRow(row.value, events) === null) return 'unknownJob'
+    const key = `${id}${CANCEL_SUFFIX}`
+    const result = await settleWrite({
+      part: queue.service,
+      checks: [{ table: JOB_TABLE, key, version: 0 }],
+      writes: [{ table: JOB_TABLE, key, value: '{}' }],
+      deletes: []
+    }, deadlineMs)
+    if (result === 'refused' || result === 'unsettled') return result
+    events.record(cellJobCancelled, { job: id, queue: queue.name })
+    if (result.kind === 'applied') tellHolder(queue.service, key, '{}')
+    return 'done'
+  }
+
+  return {
+    submitJob,
+    readState,
+    cancelJob,
+    countWaiting: (queue) => {
+      const row = options.cells.readCell(queue.service)?.row
+      if (row === null || row === undefined) return null
+      return row.waiting.find(([name]) => name === queue.name)?.[1] ?? 0
+    }
+  }
+}
--- /dev/null
+++ b/packages/entry/src/cell/workerContact.ts
@@ -0,0 +1,294 @@
+/** Contact of a cell's holder with one worker: its lease, its lists of runs, and the orders it is given. */
+import { createDisposableStore, type CellPlanner, type Clock, type Disposable, type EventLog, type PaceOrder, type RunName, type StartOrder, type StopOrder } from '@fuchsiatally/core'
+import {
+  CLOCK_SLOWNESS, COMMIT_WAIT_MS, HOLDER_OUTAGE_MS, LEASE_MARGIN_MS, LEASE_RETRY_MS, LEASE_WAIT_MS, MIN_START_LEASE_MS, ORDER_RETRY_MS, START_TRIES
+} from './constants.js'
+import { runEnded, runRefused, runStopping, runUnsettled, workerHeld, workerLapsed, workerSilent } from './events.js'
+import { formatRun } from './formatRun.js'
+import type { CellWorkerClient, LeaseAnswer } from './ports.js'
+
+/** Options of a contact. */
+export interface WorkerContactOptions {
+  readonly worker: string
+  readonly client: CellWorkerClient
+  readonly epoch: number
+  readonly maxLeaseMs: number
+  readonly planner: CellPlanner
+  readonly clock: Clock
+  readonly events: EventLog
+  /** A report or an order's fate changed the planner. */
+  readonly onNews: () => void
+  /** The worker obeys a higher epoch. */
+  readonly onDeposed: () => void
+}
+
+/** Contact with one worker. */
+export interface WorkerContact extends Disposable {
+  startRun: (order: StartOrder) => void
+  stopRun: (order: StopOrder) => void
+  setPace: (order: PaceOrder) => void
+  /** Remembers which of the listed ends the commit that begins now stores. */
+  beginCommit: () => void
+  /** That commit was applied. */
+  finishCommit: () => void
+  /** The platform's list does not show the worker any longer; `true` once nothing of it can run. */
+  isOver: () => boolean
+}
+
+interface PendingEnd {
+  readonly number: number
+  readonly job: string
+}
+
+/** Starts the contact; it goes on until disposed. */
+export function createWorkerContact (options: WorkerContactOptions): WorkerContact {
+  const { worker, client, epoch, planner, clock, events } = options
+  const disposables = createDisposableStore()
+  const createdAtMs = clock.nowMs()
+  const unsettled = new Map<string, RunName>()
+  const stopping = new Set<string>()
+  let disposed = false
+  let held = false
+  let lost = false
+  let bornAtMs: number | null = null
+  /** Reading of the worker's clock and when it was received. */
+  let reading: { clockMs: number, receivedAtMs: number } | null = null
+  let leaseUntilMs = -Infinity
+  let processedEnd = 0
+  let acknowledgedEnd = 0
+  let storedEnd = 0
+  let pendingEnds: PendingEnd[] = []
+  let releaseWait: (() => void) | null = null
+  let failures = 0
+
+  const wait = (delayMs: number): Promise<void> => new Promise((resolve) => {
+    const timer = clock.setTimer(delayMs, resolve)
+    releaseWait = () => {
+      timer.dispose()
+      resolve()
+    }
+  })
+  const pause = (delayMs: number): Promise<void> => new Promise((resolve) => { clock.setTimer(delayMs, resolve) })
+
+  /** Least time that the worker's clock may show now: it may be slow, and a pause of this process is not counted. */
+  const readWorkerClock = (): number | null => {
+    if (reading === null) return null
+    return reading.clockMs + (clock.nowMs() - reading.receivedAtMs) * (1 - CLOCK_SLOWNESS)
+  }
+
+  const computeLease = (): number | null => {
+    const nowMs = readWorkerClock()
+    return nowMs === null ? null : Math.floor(nowMs + options.maxLeaseMs)
+  }
+
+  const depose = (): void => {
+    if (disposed) return
+    dispose()
+    options.onDeposed()
+  }
+
+  const markSilent = (reason: string): void => {
+    failures++
+    if (!held || failures < 2) return
+    held = false
+    planner.setHeld(worker, false)
+    events.record(workerSilent, { worker, reason })
+    options.onNews()
+  }
+
+  const markLost = (reason: string): void => {
+    lost = true
+    held = false
+    planner.recordWorkerLost(worker, clock.nowMs(), (run) => unsettled.has(formatRun(run)))
+    events.record(workerLapsed, { worker, reason, unsettled: unsettled.size })
+    options.onNews()
+  }
+
+  /** Whether every lease that any holder may have granted has run out. */
+  const isLapsed = (): boolean => {
+    const nowMs = readWorkerClock()
+    if (nowMs !== null) return nowMs > leaseUntilMs + LEASE_MARGIN_MS
+    // Never reached in this term: the holder before may have renewed until it gave up.
+    return clock.nowMs() - createdAtMs > HOLDER_OUTAGE_MS + options.maxLeaseMs * (1 + CLOCK_SLOWNESS) + LEASE_MARGIN_MS
+  }
+
+  const applyAnswer = (answer: LeaseAnswer, askedAtMs: number): void => {
+    const nowMs = clock.nowMs()
+    if (bornAtMs !== null && answer.bornAtMs !== bornAtMs) {
+      processedEnd = acknowledgedEnd = storedEnd = 0
+      pendingEnds = []
+      leaseUntilMs = -Infinity
+      markLost('started anew')
+    }
+    bornAtMs = answer.bornAtMs
+    reading = { clockMs: answer.clockMs, receivedAtMs: nowMs }
+    failures = 0
+    lost = false
+    const ended = answer.ended.filter((end) => end.number > processedEnd)
+    for (const end of ended) {
+      processedEnd = Math.max(processedEnd, end.number)
+      pendingEnds.push({ number: end.number, job: end.job })
+      events.record(runEnded, { run: formatRun(end), worker, how: end.how })
+    }
+    const strays = planner.recordReport(worker, { askedAtMs, running: answer.running, ended }, nowMs, clock.wallMs())
+    for (const stray of strays) stopRun(stray)
+    if (!held) {
+      held = true
+      planner.setHeld(worker, true)
+      events.record(workerHeld, { worker, epoch, running: answer.running.length, ended: ended.length })
+      options.onNews()
+    }
+    if (ended.length > 0) options.onNews()
+  }
+
+  const renewLease = async (): Promise<void> => {
+    const askedAtMs = clock.nowMs()
+    const lease = computeLease()
+    if (lease !== null) leaseUntilMs = Math.max(leaseUntilMs, lease)
+    const waitMs = held && pendingEnds.length === 0 ? LEASE_WAIT_MS : 0
+    const result = await client.renewLease({ epoch, acknowledgedEnd, leaseUntilMs: lease, waitMs })
+    if (disposed) return
+    if (result.isErr() || result.value.kind === 'otherWorker') {
+      markSilent(result.isErr() ? result.error.message : 'another worker answers at its address')
+      if (!lost && isLapsed()) markLost('its lease has lapsed')
+      await pause(LEASE_RETRY_MS)
+      return
+    }
+    if (result.value.kind === 'deposed') {
+      depose()
+      return
+    }
+    const isFirst = reading === null
+    applyAnswer(result.value, askedAtMs)
+    if (!isFirst && pendingEnds.length > 0) await wait(COMMIT_WAIT_MS)
+  }
+
+  const runLoop = async (): Promise<void> => {
+    while (!disposed) await renewLease()
+  }
+
+  /** The order may still be carried out: a stop that is answered bars it for good. */
+  const barRun = async (order: StartOrder): Promise<void> => {
+    stopRun({ ...order, reason: 'superseded' })
+  }
+
+  const sendStart = async (order: StartOrder): Promise<void> => {
+    const name = formatRun(order)
+    unsettled.set(name, order)
+    let isCertain = true
+    for (let attempt = 0; attempt < START_TRIES; attempt++) {
+      const lease = computeLease()
+      const nowMs = readWorkerClock()
+      if (lease === null || nowMs === null || disposed) break
+      if (lease - nowMs < MIN_START_LEASE_MS || stopping.has(name)) break
+      leaseUntilMs = Math.max(leaseUntilMs, lease)
+      const result = await client.startRun(order, epoch, lease)
+      if (disposed) return
+      if (result.isErr()) {
+        if (result.error.kind === 'unknown') isCertain = false
+        events.record(runUnsettled, { run: name, worker, attempt, message: result.error.message })
+        await pause(ORDER_RETRY_MS)
+        continue
+      }
+      if (result.value.kind === 'deposed') {
+        depose()
+        return
+      }
+      if (result.value.kind === 'started') {
+        unsettled.delete(name)
+        planner.recordSettled(order, worker, clock.nowMs())
+        return
+      }
+      const reason = result.value.kind === 'otherWorker' ? 'unavailable' : result.value.reason
+      events.record(runRefused, { run: name, worker, reason, attempt })
+      if (reason === 'superseded') {
+        // An earlier try was carried out and has ended, or the run was stopped: the next list tells.
+        unsettled.delete(name)
+        planner.recordSettled(order, worker, clock.nowMs())
+        return
+      }
+      if (isCertain) {
+        unsettled.delete(name)
+        planner.recordStartRefused(order, reason === 'room' || reason === 'ticket' ? reason : 'unavailable', clock.nowMs())
+        options.onNews()
+        return
+      }
+      break
+    }
+    if (isCertain) {
+      unsettled.delete(name)
+      planner.recordStartRefused(order, 'notSent', clock.nowMs())
+      options.onNews()
+      return
+    }
+    await barRun(order)
+  }
+
+  const sendStop = async (order: StopOrder, name: string): Promise<void> => {
+    stopping.add(name)
+    while (!disposed && (planner.isHeldAt(order, worker) || order.reason === 'stray' || unsettled.has(name))) {
+      const result = await client.stopRun(order, epoch)
+      if (disposed) return
+      if (result.isOk() && result.value.kind === 'deposed') {
+        depose()
+        return
+      }
+      if (result.isOk()) {
+        unsettled.delete(name)
+        planner.recordSettled(order, worker, clock.nowMs())
+        options.onNews()
+        break
+      }
+      if (order.reason === 'stray') break
+      await pause(LEASE_RETRY_MS)
+    }
+    stopping.delete(name)
+  }
+
+  const stopRun = (order: StopOrder): void => {
+    const name = formatRun(order)
+    if (stopping.has(name)) return
+    events.record(runStopping, { run: name, worker, reason: order.reason })
+    sendStop(order, name).catch(failProcess)
+  }
+
+  const dispose = (): void => {
+    if (disposed) return
+    disposed = true
+    disposables.dispose()
+    client.dispose()
+    releaseWait?.()
+  }
+
+  runLoop().catch(failProcess)
+
+  return {
+    startRun: (order) => { sendStart(order).catch(failProcess) },
+    stopRun,
+    setPace: (order) => {
+      client.setPace(order, epoch).then((result) => {
+        if (!disposed && result.isOk() && result.value.kind === 'deposed') depose()
+      }, failProcess)
+    },
+    beginCommit: () => {
+      storedEnd = acknowledgedEnd
+      for (const end of pendingEnds) {
+        if (planner.isChanged(end.job)) break
+        storedEnd = end.number
+      }
+    },
+    finishCommit: () => {
+      if (storedEnd <= acknowledgedEnd) return
+      acknowledgedEnd = storedEnd
+      pendingEnds = pendingEnds.filter((end) => end.number > acknowledgedEnd)
+      if (pendingEnds.length === 0) releaseWait?.()
+    },
+    isOver: () => lost || (!planner.hasRuns(worker) && !held),
+    dispose
+  }
+}
+
+/** A step that throws is a broken invariant. */
+function failProcess (error: unknown): void {
+  queueMicrotask(() => { throw error })
+}
--- a/packages/entry/src/contract/allotmentTask.ts
+++ b/packages/entry/src/contract/allotmentTask.ts
@@ -4,7 +4,7 @@
   type Allotment, type AllotmentPlan, type Clock, type ConfigDocument, type Disposable, type EventLog,
   type Heartbeat, type Random, type Row, type Transaction
 } from '@fuchsiatally/core'
-import type { PlatformClient } from '@fuchsiatally/platform'
+import type { PlatformClient } from '@fuchsiatally/table'
 import type { ConfigStore, Sessions } from '../ports.js'
 import { allotmentChanged, allotmentMalformed, allotmentStuck } from '../request/events.js'
 
--- a/packages/entry/src/contract/configProposer.ts
+++ b/packages/entry/src/contract/configProposer.ts
@@ -3,7 +3,7 @@
   applyChange, ConfigDocument, createDecoder, diffManifests,
   type ChangeFault, type Clock, type ConfigChange, type ManifestChange, type Random, type Row, type Transaction
 } from '@fuchsiatally/core'
-import type { PlatformClient, PlatformFailure, TransactionOutcome } from '@fuchsiatally/platform'
+import type { PlatformClient, PlatformFailure, TransactionOutcome } from '@fuchsiatally/table'
 import { err, ok, type Result } from 'neverthrow'
 
 /** Row of the configuration document. */
--- a/packages/entry/src/contract/configStore.ts
+++ b/packages/entry/src/contract/configStore.ts
@@ -3,7 +3,7 @@
   createConfigView, createDisposableStore,
   type Clock, type ConfigChange, type ConfigDocument, type ConfigView, type Disposable, type EventLog, type Random
 } from '@fuchsiatally/core'
-import type { PlatformClient, PlatformFailure } from '@fuchsiatally/platform'
+import type { PlatformClient, PlatformFailure } from '@fuchsiatally/table'
 import type { Result } from 'neverthrow'
 import type { ConfigStore, Peer, PeerMesh } from '../ports.js'
 import { createSerialLoop } from '../process/serialLoop.js'
--- a/packages/entry/src/failureDomain/sessions.ts
+++ b/packages/entry/src/failureDomain/sessions.ts
@@ -3,7 +3,7 @@
 import type {
   Clock, Disposable, EventLog, ObservedSession, Random, Row, RowCheck, SessionChange, Transaction
 } from '@fuchsiatally/core'
-import type { PlatformClient, TransactionOutcome } from '@fuchsiatally/platform'
+import type { PlatformClient, TransactionOutcome } from '@fuchsiatally/table'
 import type { Sessions, SessionView } from '../ports.js'
 import {
   sessionLost, sessionRegistered, sessionReleased, sessionReleaseFailed, sessionRemoved, sessionRenewalFailed,
--- a/packages/entry/src/failureDomain/tablePoll.ts
+++ b/packages/entry/src/failureDomain/tablePoll.ts
@@ -1,7 +1,7 @@
 /** One combined read of the table at a fixed interval, shared by everything that follows rows. */
 import { createDisposableStore, startInterval } from '@fuchsiatally/core'
 import type { Clock, Disposable, EventLog, Random, Row, TableQuery } from '@fuchsiatally/core'
-import type { PlatformClient } from '@fuchsiatally/platform'
+import type { PlatformClient } from '@fuchsiatally/table'
 import { tablePollFailed, tablePollRecovered } from './events.js'
 import { createOutageLog } from './outageLog.js'
 
--- a/packages/entry/src/http/__tests__/operatorRoutes.spec.ts
+++ b/packages/entry/src/http/__tests__/operatorRoutes.spec.ts
@@ -1,6 +1,6 @@
 /** Operators' routes over real stores and fakes: who may call, what they answer, what operators are told in faults. */
 import type { Vm } from '@fuchsiatally/core'
-import { createFakePlatform } from '@fuchsiatally/platform/testing/fakePlatform'
+import { createFakePlatform } from '@fuchsiatally/table/testing/fakePlatform'
 import fc from 'fast-check'
 import { resolveFuzzOptions } from '@fuchsiatally/core/testing/fuzzOptions'
 import { test } from 'uvu'
--- a/packages/entry/src/http/vmRoutes.ts
+++ b/packages/entry/src/http/vmRoutes.ts
@@ -1,6 +1,6 @@
 /** Operators' routes that take worker VMs out of use and back. */
 import { findSimilarName } from '@fuchsiatally/core'
-import type { PlatformClient } from '@fuchsiatally/platform'
+import type { PlatformClient } from '@fuchsiatally/table'
 import {
   createOperatorRoute, createProposeErrorResponse, MAX_OPERATOR_BODY_BYTES, type OperatorRoutesOptions
 } from './operatorRoute.js'
--- a/packages/entry/src/job/cellRole.ts
+++ b/packages/entry/src/job/cellRole.ts
@@ -2,7 +2,7 @@
 import {
   CellRow, createDecoder, createDisposableStore, decideCellClaim, type Clock, type Disposable, type EventLog, type Random, type Row
 } from '@fuchsiatally/core'
-import type { PlatformClient } from '@fuchsiatally/platform'
+import type { PlatformClient } from '@fuchsiatally/table'
 import type { Sessions } from '../ports.js'
 import { createSerialLoop } from '../process/serialLoop.js'
 import { ROLE_POLL_MS } from './constants.js'
--- a/packages/entry/src/job/jobAdmission.ts
+++ b/packages/entry/src/job/jobAdmission.ts
@@ -2,7 +2,7 @@
 import {
   createDecoder, JobRow, JobStateRow, type Clock, type EventLog, type JobSpec, type Random, type Row, type Team
 } from '@fuchsiatally/core'
-import type { PlatformClient, PlatformFailure } from '@fuchsiatally/platform'
+import type { PlatformClient, PlatformFailure } from '@fuchsiatally/table'
 import { err, ok, type Result } from 'neverthrow'
 import { jobAccepted, jobCancelled, jobRefused } from './events.js'
 import { formatJobKeys } from './jobFeed.js'
--- a/packages/entry/src/job/jobFeed.ts
+++ b/packages/entry/src/job/jobFeed.ts
@@ -2,7 +2,7 @@
 import {
   createDecoder, JobRow, JobStateRow, type EventLog, type Row
 } from '@fuchsiatally/core'
-import type { PlatformClient } from '@fuchsiatally/platform'
+import type { PlatformClient } from '@fuchsiatally/table'
 import { rowMalformed } from './events.js'
 
 const JOB_PREFIX = 'job/'
--- a/packages/entry/src/job/jobService.ts
+++ b/packages/entry/src/job/jobService.ts
@@ -4,7 +4,7 @@
   type CellScheduler, type CellSchedulerOptions, type Clock, type Disposable, type EventLog, type Random, type SchedulerQuery, type TeamShare, type Vm,
   type WorkerDesired, type WorkerObserved
 } from '@fuchsiatally/core'
-import type { PlatformClient } from '@fuchsiatally/platform'
+import type { PlatformClient } from '@fuchsiatally/table'
 import type { ConfigStore, PeerMesh, Sessions } from '../ports.js'
 import { createCellRole, type HeldRole } from './cellRole.js'
 import { QUERY_TIMEOUT_MS } from './constants.js'
--- a/packages/entry/src/job/schedulerTask.ts
+++ b/packages/entry/src/job/schedulerTask.ts
@@ -4,7 +4,7 @@
   type CellScheduler, type CellSchedulerOptions, type Clock, type ConfigDocument, type Disposable, type EventLog, type Random, type Resources,
   type SchedulerDecision, type Vm, type WorkerDesired, type WorkerObserved
 } from '@fuchsiatally/core'
-import type { PlatformClient } from '@fuchsiatally/platform'
+import type { PlatformClient } from '@fuchsiatally/table'
 import type { ConfigStore } from '../ports.js'
 import { createSerialLoop } from '../process/serialLoop.js'
 import type { HeldRole } from './cellRole.js'
--- a/packages/entry/src/job/shareLedger.ts
+++ b/packages/entry/src/job/shareLedger.ts
@@ -1,6 +1,6 @@
 /** Keeps the parts that teams received in the share window across holders of the scheduler role. */
 import { createDecoder, type Clock, type Random, type ShareLedger } from '@fuchsiatally/core'
-import type { PlatformClient, PlatformFailure } from '@fuchsiatally/platform'
+import type { PlatformClient, PlatformFailure } from '@fuchsiatally/table'
 import * as Schema from 'effect/Schema'
 import { ok, type Result } from 'neverthrow'
 import type { HeldRole } from './cellRole.js'
--- a/packages/entry/src/job/stateCommitter.ts
+++ b/packages/entry/src/job/stateCommitter.ts
@@ -1,6 +1,6 @@
 /** Commits states of jobs in groups, each under the condition that this entry still holds the role. */
 import type { Clock, EventLog, JobStateRow, Random, RowCheck, RowWrite } from '@fuchsiatally/core'
-import type { PlatformClient } from '@fuchsiatally/platform'
+import type { PlatformClient } from '@fuchsiatally/table'
 import type { HeldRole } from './cellRole.js'
 import { COMMIT_RETRY_MS, MAX_ROWS_PER_COMMIT } from './constants.js'
 import { commitDelayed } from './events.js'
--- a/packages/entry/src/process/entry.ts
+++ b/packages/entry/src/process/entry.ts
@@ -3,7 +3,7 @@
   createCellScheduler, createDisposableStore, findNeverFits,
   type Clock, type EventLog, type JobSpec, type Random, type RequestOutcome, type SchedulerWorker, type Team
 } from '@fuchsiatally/core'
-import type { PlatformClient } from '@fuchsiatally/platform'
+import type { PlatformClient } from '@fuchsiatally/table'
 import { createConfigStore, type ConfigStoreHandle } from '../contract/configStore.js'
 import { createKeyRing, type KeyRingHandle } from '../contract/keyRing.js'
 import { createSessions, type SessionService } from '../failureDomain/sessions.js'
--- a/packages/entry/src/process/sockets.ts
+++ b/packages/entry/src/process/sockets.ts
@@ -2,7 +2,7 @@
 import * as Effect from 'effect/Effect'
 import type * as Scope from 'effect/Scope'
 import { parseAddress, type Clock, type Disposable, type EventLog, type Random, type ResolvedSettings } from '@fuchsiatally/core'
-import { createHttpPlatformClient, type PlatformClient } from '@fuchsiatally/platform'
+import { createHttpPlatformClient, type PlatformClient } from '@fuchsiatally/table'
 import { createHttpServer, type HttpServer } from '../http/httpServer.js'
 import { createPeerMesh, type HeartbeatContents, type LinkMesh } from '../link/peerMesh.js'
 import type { EndpointClient, Peer, SessionView } from '../ports.js'
--- a/packages/entry/src/request/requestService.ts
+++ b/packages/entry/src/request/requestService.ts
@@ -4,7 +4,7 @@
   type Clock, type Disposable, type EventLog, type FreeSlots, type Heartbeat, type Random,
   type RequestOutcome
 } from '@fuchsiatally/core'
-import type { PlatformClient } from '@fuchsiatally/platform'
+import type { PlatformClient } from '@fuchsiatally/table'
 import { createAllotmentTask, type AllotmentTask } from '../contract/allotmentTask.js'
 import type { Route } from '../http/route.js'
 import type { ConfigStore, EndpointClient, KeyRing, OwnedWorkers, Peer, PeerMesh, Sessions } from '../ports.js'
--- a/packages/entry/src/telemetry/allEvents.ts
+++ b/packages/entry/src/telemetry/allEvents.ts
@@ -1,5 +1,5 @@
 /** Loads every module that defines events, so that the registry is complete. */
-import '@fuchsiatally/platform/events'
+import '@fuchsiatally/table/events'
 import '../contract/events.js'
 import '../failureDomain/events.js'
 import '../http/events.js'
--- a/packages/entry/src/testing/fakeProcess.ts
+++ b/packages/entry/src/testing/fakeProcess.ts
@@ -1,6 +1,6 @@
 /** A process that a test pauses, resumes and kills: its timers, its answers and what it sends pass a gate. */
 import type { Clock, Disposable } from '@fuchsiatally/core'
-import type { PlatformClient } from '@fuchsiatally/platform'
+import type { PlatformClient } from '@fuchsiatally/table'
 import type { EndpointClient, PeerMesh, WorkerClient } from '../ports.js'
 
 /** One process; whatever it is built from has to go through these wrappers. */
--- a/packages/entry/src/vm/ownership.ts
+++ b/packages/entry/src/vm/ownership.ts
@@ -1,7 +1,7 @@
 /** Which workers this entry owns: rows `owner/<worker>`, changed by compare-and-set in batches. */
 import { CellRow, createDecoder, createDisposableStore, OWNER_PREFIX, SESSION_ALLOWANCE_MS, SESSION_TTL_MS } from '@fuchsiatally/core'
 import type { Clock, EventLog, Random, Row, RowCheck, Transaction, Vm } from '@fuchsiatally/core'
-import type { PlatformClient, TransactionOutcome } from '@fuchsiatally/platform'
+import type { PlatformClient, TransactionOutcome } from '@fuchsiatally/table'
 import type { PollInfo } from '../failureDomain/tablePoll.js'
 import type { SessionService } from '../failureDomain/sessions.js'
 import { createOutageLog } from '../failureDomain/outageLog.js'
--- a/packages/entry/src/vm/vmDirectory.ts
+++ b/packages/entry/src/vm/vmDirectory.ts
@@ -1,7 +1,7 @@
 /** The platform's VM list, read at a fixed interval. */
 import { createDisposableStore, startInterval } from '@fuchsiatally/core'
 import type { Clock, Disposable, EventLog, Random, Vm } from '@fuchsiatally/core'
-import type { PlatformClient } from '@fuchsiatally/platform'
+import type { PlatformClient } from '@fuchsiatally/table'
 import { createOutageLog } from '../failureDomain/outageLog.js'
 import { vmListFailed, vmListRecovered } from './events.js'
 
--- a/packages/standins/src/tools/measuredEntry.ts
+++ b/packages/standins/src/tools/measuredEntry.ts
@@ -6,7 +6,7 @@
 import { createSystemRandom } from '@fuchsiatally/core/testing/systemClock'
 import { createHttpWorkerClient, createOwnership, createPeerMesh, createSessions, createWorkerLiaison } from '@fuchsiatally/entry'
 import type { HeartbeatContents, LinkMesh, Ownership, SessionService } from '@fuchsiatally/entry'
-import { createHttpPlatformClient } from '@fuchsiatally/platform'
+import { createHttpPlatformClient } from '@fuchsiatally/table'
 import { createProcessClock } from '../processClock.js'
 
 /** What to measure. */
--- a/packages/platform/src/httpCall.ts
+++ b/packages/table/src/httpCall.ts
@@ -11,6 +11,8 @@
   readonly contentType?: string
   /** `ETag` of the answer that the caller holds; an unchanged one is answered by 304 without a body. */
   readonly knownEtag?: string | undefined
+  /** Further headers, by name in lower case. */
+  readonly headers?: Readonly<Record<string, string>>
   readonly body?: Uint8Array
   readonly timeoutMs: number
   readonly maxAnswerBytes: number
@@ -35,12 +37,16 @@
   readonly clock: Clock
   /** Told that a connection was silent and has been replaced. */
   readonly onSilent: () => void
+  /** Connections at once; default `MAX_CONNECTIONS`. */
+  readonly maxConnections?: number
+  /** Time after which an idle connection is closed, in milliseconds; default `IDLE_CONNECTION_MS`. */
+  readonly idleMs?: number
 }
 
 /** Creates a pool without connections; they are opened as calls need them. */
 export function createHttpConnections (options: HttpConnectionsOptions): HttpConnections {
   const { hostname, port } = new URL(`http://${options.address}`)
-  const agent = createAgent()
+  const agent = createAgent(options)
 
   /** Closes every idle connection: whatever lost track of one may have lost the others. */
   const closeIdle = (): void => {
@@ -69,7 +75,9 @@
         closeIdle()
         options.onSilent()
       })
-      sent.on('error', (error) => finish(err({ kind: 'unavailable', message: error.message })))
+      sent.on('error', (error: NodeJS.ErrnoException) => {
+        finish(err({ kind: 'unavailable', message: error.message, ...(error.code === 'ECONNREFUSED' ? { notSent: true as const } : {}) }))
+      })
       sent.on('response', (response) => collectAnswer(sent, response, call.maxAnswerBytes, finish))
       sent.end(call.body)
     })
@@ -78,13 +86,18 @@
   return { sendCall, dispose: () => agent.destroy() }
 }
 
-function createAgent (): Agent {
-  return new Agent({ keepAlive: true, maxSockets: MAX_CONNECTIONS, maxFreeSockets: MAX_CONNECTIONS, timeout: IDLE_CONNECTION_MS, scheduling: 'fifo' })
+function createAgent (options: HttpConnectionsOptions): Agent {
+  const maxSockets = options.maxConnections ?? MAX_CONNECTIONS
+  return new Agent({ keepAlive: true, maxSockets, maxFreeSockets: maxSockets, timeout: options.idleMs ?? IDLE_CONNECTION_MS, scheduling: 'fifo' })
 }
 
 function buildHeaders (call: HttpCall): Record<string, string> {
-  if (call.body === undefined) return call.knownEtag === undefined ? {} : { 'if-none-match': call.knownEtag }
-  return { 'content-type': call.contentType ?? 'application/json', 'content-length': String(call.body.byteLength) }
+  if (call.body === undefined) return call.knownEtag === undefined ? { ...call.headers } : { ...call.headers, 'if-none-match': call.knownEtag }
+  return {
+    ...call.headers,
+    'content-type': call.contentType ?? 'application/json',
+    'content-length': String(call.body.byteLength)
+  }
 }
 
 function collectAnswer (
--- a/packages/platform/src/platformClient.ts
+++ b/packages/table/src/platformClient.ts
@@ -6,6 +6,8 @@
 export interface PlatformFailure {
   readonly kind: 'unavailable' | 'rateLimited' | 'timeout' | 'malformed'
   readonly message: string
+  /** No connection came about: nothing of the call reached the other side. */
+  readonly notSent?: true
 }
 
 /** A transaction whose fate is settled. */
