A cell that stood before the entry started is seen by it

Cause: the watch of holders read the cells' parts once, before the first configuration named any, and then only changes. Ruled out: a slow restart (entries served submissions 1.8 s after the power). Change: each part is read whole once, when the configuration first names it.

--- a/packages/entry/src/cell/cellWatch.ts
+++ b/packages/entry/src/cell/cellWatch.ts
@@ -52,6 +52,8 @@
   const disposables = createDisposableStore()
   const cells = new Map<string, Seen>()
   const entries = new Map<string, EntryRow>()
+  /** Parts that were read whole. */
+  const known = new Set<string>()
   let version: number | null = null
   let lastReadMs = -Infinity
 
@@ -69,24 +71,30 @@
     options.onHolder(view)
   }
 
-  const readAll = async (): Promise<boolean> => {
-    const parts = ['', ...options.listCells()]
-    let oldest: number | null = null
+  /** Reads parts whole; what changes meanwhile is read again as news. */
+  const readParts = async (parts: readonly string[]): Promise<boolean> => {
     for (const part of parts) {
       const read = await table.readRange({ table: CELL_TABLE, part })
       if (read.isErr()) return false
       for (const row of read.value.rows) applyRow(row, clock.nowMs())
-      oldest = Math.min(oldest ?? read.value.version, read.value.version)
+      version = Math.min(version ?? read.value.version, read.value.version)
+      known.add(part)
     }
-    version = oldest
     return true
   }
 
   const readNews = async (): Promise<boolean> => {
-    if (version === null) return await readAll()
+    // The news begin after the first read: a cell that the configuration names later is read whole once.
+    const unread = ['', ...options.listCells()].filter((part) => !known.has(part))
+    if (unread.length > 0 && !await readParts(unread)) return false
+    if (version === null) return false
     const read = await table.readChanges(CELL_TABLE, version, 0)
     if (read.isErr()) return false
-    if (read.value.kind === 'historyLost') return await readAll()
+    if (read.value.kind === 'historyLost') {
+      known.clear()
+      version = null
+      return false
+    }
     for (const row of read.value.rows) applyRow(row, clock.nowMs())
     version = read.value.version
     return true
