Advice is rationed by rank and room, a planned stop names its successor

A released cell waited for ranks of up to 1.75 s. Change: a question is asked only if some worker has room beyond what steps of a higher rank mean to use, and only where less than 400 ms of calls wait; a quarter of the entries stays free of long calls; a lost link settles its questions. The holder that stops writes its successor into the row and tells it.

--- a/packages/core/src/cell/createCellPlanner.ts
+++ b/packages/core/src/cell/createCellPlanner.ts
@@ -1,13 +1,13 @@
 /** Planner of one cell: which task runs where, from jobs, workers, reports and advice. */
-import type { Resources } from '../schema/resources.js'
+import { addResources, hasRoomFor, NO_RESOURCES, subtractResources, type Resources } from '../schema/resources.js'
 import { MAX_HELD_GANGS, HOLD_AFTER_MS, LASTING_HOLD_AFTER_MS } from './constants.js'
-import { addTaskTo, createCellWorker, recordEndAt, recordRefusalAt, removeTaskFrom, type CellWorker } from './cellWorker.js'
+import { addTaskTo, computeFree, createCellWorker, isOpen, recordEndAt, recordRefusalAt, removeTaskFrom, type CellWorker } from './cellWorker.js'
 import { createJobBook } from './jobBook.js'
 import { listTasks, type CellTask } from './jobState.js'
 import type {
-  AdviceQuestion, CellDecisions, CellPlanner, ListedEnd, PlannedRun, RunName, StartOrder, StopOrder, WorkerReport
+  CellDecisions, CellPlanner, ListedEnd, PlannedRun, RunName, StartOrder, StopOrder, TryAsk, WorkerReport
 } from './plannerTypes.js'
-import { chooseAdviceWorkers, estimateRemainingMs, listStartable, recordAdvice, recordAdviceFailed, type StepRun } from './stepRun.js'
+import { chooseAdviceWorkers, estimateRemainingMs, listStartable, mayBeSuitable, recordAdvice, recordAdviceFailed, type ReadFree, type StepRun } from './stepRun.js'
 import { holdRoom, placeTasks } from './stepPlacement.js'
 import { createTeamUse } from './teamUse.js'
 import { compareUrgency, computeUrgency, type Urgency } from './urgency.js'
@@ -226,13 +226,27 @@
     return nowMs - run.waitingSinceMs > (run.step.longRunning ? LASTING_HOLD_AFTER_MS : HOLD_AFTER_MS)
   }
 
-  const askAdvice = (run: StepRun, nowMs: number): AdviceQuestion | null => {
+  /** Asks for advice if it can be used; tells whether a question is open. */
+  const askAdvice = (run: StepRun, readFree: ReadFree, tryAsk: TryAsk, nowMs: number): boolean => {
     const { advice } = run.job.spec.policy
-    if (advice === undefined) return null
-    const named = chooseAdviceWorkers(run, [...workers.values()], nowMs)
-    if (named.length === 0) return null
-    run.adviceAsked = true
-    return { step: run.key, workers: named, costMs: advice.decisionMs + advice.eachMs * named.length }
+    if (advice === undefined || run.adviceAsked) return run.adviceAsked
+    const named = chooseAdviceWorkers(run, [...workers.values()], readFree, nowMs)
+    if (named.length === 0) return false
+    run.adviceAsked = tryAsk({ step: run.key, workers: named, costMs: advice.decisionMs + advice.eachMs * named.length })
+    return run.adviceAsked
+  }
+
+  /** Counts the room that a step will take once it is advised, so that steps of a lower rank don't ask for the same. */
+  const claimRoom = (run: StepRun, tasks: readonly CellTask[], claimed: Map<string, Resources>, readFree: ReadFree, nowMs: number): void => {
+    let left = tasks.length
+    for (const worker of workers.values()) {
+      if (!isOpen(worker, nowMs) || !mayBeSuitable(run, worker)) continue
+      while (left > 0 && hasRoomFor(readFree(worker), run.room)) {
+        claimed.set(worker.facts.id, addResources(claimed.get(worker.facts.id) ?? NO_RESOURCES, run.room))
+        left--
+      }
+      if (left === 0) return
+    }
   }
 
   const collectStops = (): StopOrder[] => {
@@ -245,22 +259,25 @@
     return stops
   }
 
-  const decide = (nowMs: number, wallMs: number): CellDecisions => {
+  const decide = (nowMs: number, wallMs: number, tryAsk: TryAsk): CellDecisions => {
     book.addDueOccurrences(wallMs, nowMs)
     const starts: StartOrder[] = []
-    const questions: AdviceQuestion[] = []
     const held = new Map<string, Resources>()
+    const claimed = new Map<string, Resources>()
+    const readFree: ReadFree = (worker) => {
+      const taken = addResources(held.get(worker.facts.id) ?? NO_RESOURCES, claimed.get(worker.facts.id) ?? NO_RESOURCES)
+      return subtractResources(computeFree(worker), taken)
+    }
     let holding = 0
     for (const { run } of rankRuns(nowMs, wallMs)) {
       const left = startRun(run, held, nowMs, starts)
       if (left.length === 0) continue
-      const question = askAdvice(run, nowMs)
-      if (question !== null) questions.push(question)
+      if (askAdvice(run, readFree, tryAsk, nowMs)) claimRoom(run, left, claimed, readFree, nowMs)
       if (holding >= MAX_HELD_GANGS || !mayHold(run, nowMs) || !teams.mayAdd(run.job.spec.team, run.step.resources)) continue
       holding++
       holdRoom(run, left, [...workers.values()], held, nowMs)
     }
-    return { starts, stops: collectStops(), questions }
+    return { starts, stops: collectStops() }
   }
 
   return {
--- a/packages/core/src/cell/plannerTypes.ts
+++ b/packages/core/src/cell/plannerTypes.ts
@@ -80,9 +80,11 @@
 export interface CellDecisions {
   readonly starts: readonly StartOrder[]
   readonly stops: readonly StopOrder[]
-  readonly questions: readonly AdviceQuestion[]
 }
 
+/** Sends a question to the advice service; `false` if it is too busy now. */
+export type TryAsk = (question: AdviceQuestion) => boolean
+
 /** Plans one cell; pure but for its own memory. */
 export interface CellPlanner {
   /** Adds or changes a worker. A new one gets nothing before it is held. */
@@ -109,7 +111,8 @@
   isHeldAt: (run: RunName, worker: string) => boolean
   recordAdvice: (question: AdviceQuestion, good: ReadonlyMap<string, string>, nowMs: number) => void
   recordAdviceFailed: (question: AdviceQuestion, nowMs: number) => void
-  decide: (nowMs: number, wallMs: number) => CellDecisions
+  /** @param tryAsk called for steps in the order of their rank */
+  decide: (nowMs: number, wallMs: number, tryAsk: TryAsk) => CellDecisions
   /** Jobs whose state differs from the table. */
   takeChangedJobs: (most: number) => string[]
   isChanged: (job: string) => boolean
--- a/packages/core/src/cell/stepRun.ts
+++ b/packages/core/src/cell/stepRun.ts
@@ -1,10 +1,9 @@
 /** A step of one occurrence whose earlier steps are done: what waits for room, and where it may go. */
 import { ADVICE_RETRY_MS, ADVICE_WORKERS, TICKET_MARGIN_MS } from './constants.js'
-import { canEverRun, computeFree, isOpen, type CellWorker } from './cellWorker.js'
+import { canEverRun, computeStepRoom, isOpen, type CellWorker } from './cellWorker.js'
 import { hasRoomFor, type Resources } from '../schema/resources.js'
 import type { CellJob, CellTask, Occurrence } from './jobState.js'
 import type { AdvicePolicy, JobStep } from './stepJob.js'
-import { computeStepRoom } from './cellWorker.js'
 
 /** Permission to run a step at one worker. */
 export interface Ticket {
@@ -72,18 +71,24 @@
   return canEverRun(worker, run.step) && !run.unsuitable.has(worker.facts.id)
 }
 
+/** Room at a worker that no waiting step of a higher rank means to use. */
+export type ReadFree = (worker: CellWorker) => Resources
+
 /**
  * Chooses the workers to ask advice about, none if no question is due.
  * The first question names many workers, for the answer never changes; later ones renew the tickets that have room to use.
+ * Nothing is asked while no worker has room: the ticket would end unused.
  */
-export function chooseAdviceWorkers (run: StepRun, workers: readonly CellWorker[], nowMs: number): string[] {
+export function chooseAdviceWorkers (run: StepRun, workers: readonly CellWorker[], readFree: ReadFree, nowMs: number): string[] {
   if (run.job.spec.policy.advice === undefined || run.adviceAsked || nowMs < run.nextAdviceMs) return []
   const candidates = workers.filter((worker) => isOpen(worker, nowMs) && mayBeSuitable(run, worker))
+  const roomy = candidates.filter((worker) => hasRoomFor(readFree(worker), run.room))
+  if (roomy.length === 0) return []
   const isFirst = run.tickets.size === 0 && run.unsuitable.size === 0
-  const useful = isFirst || run.step.gang ? candidates : candidates.filter((worker) => hasRoomFor(computeFree(worker), run.room))
-  if (!isFirst && useful.some((worker) => hasTicket(run, worker.facts.id, nowMs + TICKET_MARGIN_MS))) return []
-  useful.sort((a, b) => computeFree(b).processors - computeFree(a).processors)
-  return useful.slice(0, ADVICE_WORKERS).map((worker) => worker.facts.id)
+  if (!isFirst && roomy.some((worker) => hasTicket(run, worker.facts.id, nowMs + TICKET_MARGIN_MS))) return []
+  const named = isFirst || run.step.gang ? candidates : roomy
+  named.sort((a, b) => readFree(b).processors - readFree(a).processors)
+  return named.slice(0, ADVICE_WORKERS).map((worker) => worker.facts.id)
 }
 
 /** Notes the answer to a question about `workers`. */
--- a/packages/core/src/schema/linkMessage.ts
+++ b/packages/core/src/schema/linkMessage.ts
@@ -205,6 +205,12 @@
 })
 export type JobNews = typeof JobNews.Type
 
+/** Tells the named successor that a cell was handed to it. */
+export const CellReleased = Schema.Struct({ type: Schema.Literal('cellReleased'), cell: Schema.String })
+
+/** The sender is in a planned stop: nothing is handed to it any more. */
+export const EntryLeaving = Schema.Struct({ type: Schema.Literal('entryLeaving') })
+
 /** Every message that a link carries. */
 export const LinkMessage = Schema.Union([
   Hello,
@@ -225,6 +231,8 @@
   SchedulerAnswer,
   AdviceRequest,
   AdviceReply,
-  JobNews
+  JobNews,
+  CellReleased,
+  EntryLeaving
 ])
 export type LinkMessage = typeof LinkMessage.Type
--- a/packages/entry/src/cell/adviceDesk.ts
+++ b/packages/entry/src/cell/adviceDesk.ts
@@ -17,8 +17,12 @@
 
 /** Answers questions of this entry's cells. */
 export interface AdviceDesk extends Disposable {
-  /** Tickets by worker, or `null` if there was no answer in time. */
-  askAdvice: (question: AdviceQuestion) => Promise<ReadonlyMap<string, string> | null>
+  /**
+   * Asks unless all servers are busy, which `false` tells.
+   *
+   * @param onAnswer gets the tickets by worker, or `null` if there was no answer in time
+   */
+  tryAsk: (question: AdviceQuestion, onAnswer: (good: ReadonlyMap<string, string> | null) => void) => boolean
 }
 
 interface Asked {
@@ -70,54 +74,77 @@
     question.settle(message.good === null ? null : new Map(message.good))
   })
 
-  const chooseServer = (): string => {
+  /** Load of each server that may take the question, in milliseconds; long calls leave some servers to short ones. */
+  const listLoads = (isLong: boolean): Map<string, number> => {
     const loads = new Map<string, number>([[options.incarnation, 0]])
     for (const peer of mesh.listPeers()) loads.set(peer.incarnation, 0)
-    for (const { server, costMs } of asked.values()) loads.set(server, (loads.get(server) ?? 0) + costMs)
     const nowMs = clock.nowMs()
-    let best = options.incarnation
-    let bestLoad = Infinity
-    for (const [server, load] of loads) {
-      const penalty = nowMs - (failedAtMs.get(server) ?? -Infinity) < FAILED_SERVER_PAUSE_MS ? FAILED_SERVER_LOAD_MS : 0
-      if (load + penalty >= bestLoad) continue
-      best = server
-      bestLoad = load + penalty
+    for (const [server, atMs] of failedAtMs) {
+      if (nowMs - atMs > FAILED_SERVER_PAUSE_MS) failedAtMs.delete(server)
+      else loads.delete(server)
+    }
+    const withLong = new Set<string>()
+    for (const { server, costMs } of asked.values()) {
+      if (costMs > LONG_CALL_MS) withLong.add(server)
+      const load = loads.get(server)
+      if (load !== undefined) loads.set(server, load + costMs)
+    }
+    if (isLong && withLong.size >= Math.ceil(loads.size * LONG_SERVER_SHARE)) for (const server of loads.keys()) if (!withLong.has(server)) loads.delete(server)
+    return loads
+  }
+
+  const chooseServer = (costMs: number): { server: string, queuedMs: number } | null => {
+    let best: { server: string, queuedMs: number } | null = null
+    for (const [server, queuedMs] of listLoads(costMs > LONG_CALL_MS)) {
+      if (queuedMs <= MAX_ADVICE_WAIT_MS && (best === null || queuedMs < best.queuedMs)) best = { server, queuedMs }
     }
     return best
   }
 
-  const askAdvice = (question: AdviceQuestion): Promise<ReadonlyMap<string, string> | null> => new Promise((resolve) => {
+  const tryAsk: AdviceDesk['tryAsk'] = (question, onAnswer) => {
+    const chosen = chooseServer(question.costMs)
+    if (chosen === null) return false
+    const { server, queuedMs } = chosen
     const exchange = options.random.nextId()
-    const server = chooseServer()
-    const queuedMs = [...asked.values()].reduce((sum, other) => other.server === server ? sum + other.costMs : sum, 0)
     const startedAtMs = clock.nowMs()
     const settle = (good: ReadonlyMap<string, string> | null): void => {
       if (!asked.delete(exchange)) return
       timer.dispose()
-      if (good === null) failedAtMs.set(server, clock.nowMs())
-      else events.record(adviceAnswered, { step: question.step, asked: question.workers.length, good: good.size, waitedMs: Math.round(clock.nowMs() - startedAtMs) })
-      resolve(good)
+      const waitedMs = Math.round(clock.nowMs() - startedAtMs)
+      if (good !== null) events.record(adviceAnswered, { step: question.step, asked: question.workers.length, good: good.size, waitedMs })
+      else {
+        failedAtMs.set(server, clock.nowMs())
+        events.record(adviceMissing, { step: question.step, server, waitedMs })
+      }
+      onAnswer(good)
     }
-    const timer = disposables.add(clock.setTimer(queuedMs + question.costMs + ADVICE_SLACK_MS, () => {
-      events.record(adviceMissing, { step: question.step, reason: 'no answer in time', server })
-      settle(null)
-    }))
+    const timer = disposables.add(clock.setTimer(queuedMs + question.costMs + ADVICE_SLACK_MS, () => settle(null)))
     asked.set(exchange, { server, costMs: question.costMs, settle })
     if (server === options.incarnation) {
       queueCall(question.step, question.workers, question.costMs).then(settle, failProcess)
-      return
+      return true
     }
     const sent = mesh.sendMessage(server, { type: 'adviceRequest', exchange, step: question.step, workers: [...question.workers], costMs: question.costMs })
-    if (!sent) settle(null)
+    if (!sent) clock.setTimer(0, () => settle(null))
+    return true
+  }
+
+  mesh.onPeerChange((peer, change) => {
+    if (change === 'up') return
+    for (const question of [...asked.values()]) if (question.server === peer.incarnation) question.settle(null)
   })
 
-  return { askAdvice, dispose: () => disposables.dispose() }
+  return { tryAsk, dispose: () => disposables.dispose() }
 }
 
 /** Time for which a server that failed a question is avoided, in milliseconds; about one repair of a link. */
 const FAILED_SERVER_PAUSE_MS = 3000
-/** Load that an avoided server counts as, in milliseconds: used only where all others are busier. */
-const FAILED_SERVER_LOAD_MS = 5000
+/** A call is long from this time on, in milliseconds: between the 30 ms and the 200 ms that the users' queues ask for. */
+const LONG_CALL_MS = 100
+/** Share of the servers that long calls may keep busy. */
+const LONG_SERVER_SHARE = 0.75
+/** Longest work in front of a question that is still sent, in milliseconds; more would outlast the tickets. */
+const MAX_ADVICE_WAIT_MS = 400
 
 function failProcess (error: unknown): void {
   queueMicrotask(() => { throw error })
--- a/packages/entry/src/cell/cellCommits.ts
+++ b/packages/entry/src/cell/cellCommits.ts
@@ -30,10 +30,13 @@
 /** The running commits. */
 export interface CellCommits extends Disposable {
   wake: () => void
-  /** Gives the cell up: the last commit says so. */
-  release: () => Promise<void>
+  /** Gives the cell up: the last commit says so, and who is to follow. */
+  release: (successor: string | null) => Promise<void>
 }
 
+/** Commits that a planned stop tries; without one the successor waits for the holder's silence. */
+const RELEASE_TRIES = 3
+
 type Outcome = 'committed' | 'failed' | 'deposed'
 
 /** Starts planning and committing. */
@@ -50,9 +53,11 @@
   let failed = false
   let stopped = false
   let releasing = false
+  let successor: string | null = null
+  let running: Promise<void> = Promise.resolve()
 
   const buildHolderRow = (): string => JSON.stringify({
-    ...options.row, renewals, released: releasing, waiting: [...planner.countWaiting()]
+    ...options.row, ...(successor === null ? {} : { successor }), renewals, released: releasing, waiting: [...planner.countWaiting()]
   })
 
   const takeChanges = (): { jobs: string[], writes: CellTransaction['writes'][number][] } => {
@@ -153,16 +158,24 @@
   const loop = createSerialLoop({
     clock,
     readPauseMs: () => failed ? RENEW_MS / 2 : Math.min(PLAN_PAUSE_MS, Math.max(COMMIT_PAUSE_MS, RENEW_MS - (clock.nowMs() - renewedAtMs))),
-    runStep
+    runStep: () => {
+      running = runStep()
+      return running
+    }
   })
   disposables.add(loop)
 
   return {
     wake: () => { if (!failed) loop.wake() },
-    release: async () => {
-      releasing = true
+    release: async (next) => {
       loop.dispose()
-      await runStep()
+      await running
+      releasing = true
+      successor = next
+      for (let attempt = 0; attempt < RELEASE_TRIES && !stopped; attempt++) {
+        await runStep()
+        if (!failed) break
+      }
       stopped = true
     },
     dispose: () => {
--- a/packages/entry/src/cell/cellEntry.ts
+++ b/packages/entry/src/cell/cellEntry.ts
@@ -8,6 +8,7 @@
 import { cellLost, cellTaken, entryStarted, entryStopped, entryStopping } from './events.js'
 import { CELL_TABLE, type EntryRow } from './holderRow.js'
 import { createJobDesk, type JobDesk } from './jobDesk.js'
+import { computeRank } from './rank.js'
 import type { AdviceClient, CellBounds, CellTable, CellWorkerClient, ListedWorker, PlatformRows } from './ports.js'
 import { WRITE_RETRY_MS } from './constants.js'
 
@@ -48,6 +49,7 @@
   const lostAtMs = new Map<string, number>()
   /** Terms that ended here, as `cell/epoch`: a row that still shows one starts nothing. */
   const ended = new Set<string>()
+  const leavingPeers = new Set<string>()
   let stopping = false
 
   const config = disposables.add(createConfigWatch(options))
@@ -103,6 +105,16 @@
   }
   mesh.onMessage('jobNews', (message) => { acceptNews(message.cell, message.key, message.value) })
 
+  mesh.onMessage('entryLeaving', (_message, from) => { leavingPeers.add(from.incarnation) })
+  mesh.onMessage('cellReleased', () => cells.wake())
+
+  /** The live peer that comes first in the order of the cell. */
+  const chooseSuccessor = (cell: string): string | null => {
+    const peers = mesh.listPeers().filter((peer) => !leavingPeers.has(peer.incarnation))
+    const names = peers.map((peer) => peer.entry)
+    return peers.find((peer) => computeRank(cell, peer.entry, names) === 0)?.incarnation ?? null
+  }
+
   const desk = createJobDesk({
     table,
     mesh,
@@ -134,9 +146,14 @@
     release: async () => {
       stopping = true
       events.record(entryStopping, { cells: [...terms.keys()] })
+      mesh.broadcastMessage({ type: 'entryLeaving' })
       const held = [...terms]
       terms.clear()
-      await Promise.all(held.map(([, term]) => term.release()))
+      await Promise.all(held.map(async ([cell, term]) => {
+        const successor = chooseSuccessor(cell)
+        await term.release(successor)
+        if (successor !== null) mesh.sendMessage(successor, { type: 'cellReleased', cell })
+      }))
       events.record(entryStopped, {})
     },
     dispose: () => {
--- a/packages/entry/src/cell/cellTerm.ts
+++ b/packages/entry/src/cell/cellTerm.ts
@@ -1,12 +1,12 @@
 /** One term of a cell's holder: jobs, workers, advice and commits together. */
 import {
   createCellPlanner, createDisposableStore, isFinal,
-  type CellConfig, type Clock, type Disposable, type EventLog, type JobPhase, type StartOrder
+  type CellConfig, type Clock, type Disposable, type EventLog, type JobPhase, type StartOrder, type TryAsk
 } from '@fuchsiatally/core'
 import type { AdviceDesk } from './adviceDesk.js'
 import { createCellCommits } from './cellCommits.js'
 import { createCellJobs } from './cellJobs.js'
-import { CELL_TABLE, type HolderRow } from './holderRow.js'
+import type { HolderRow } from './holderRow.js'
 import { cellJobEnded, cellReleased, workerLeaving } from './events.js'
 import type { CellBounds, CellTable, CellWorkerClient, ListedWorker, PlatformRows } from './ports.js'
 import { computeTeamLimits } from './teamLimits.js'
@@ -37,8 +37,8 @@
   /** Phase of a job as the table has it, or `null` if this holder doesn't know. */
   readCommittedPhase: (job: string) => JobPhase | null
   applyConfig: (config: CellConfig) => void
-  /** Hands the cell on. */
-  release: () => Promise<void>
+  /** Hands the cell on to the entry of an incarnation, or to any. */
+  release: (successor: string | null) => Promise<void>
 }
 
 interface Member {
@@ -128,21 +128,18 @@
     planner.setWorker({ ...member.listing, draining: true })
   }
 
-  const ask = (question: Parameters<AdviceDesk['askAdvice']>[0]): void => {
-    advice.askAdvice(question).then((good) => {
-      if (disposed) return
-      if (good === null) planner.recordAdviceFailed(question, clock.nowMs())
-      else planner.recordAdvice(question, good, clock.nowMs())
-      commits.wake()
-    }, failProcess)
-  }
+  const tryAsk: TryAsk = (question) => advice.tryAsk(question, (good) => {
+    if (disposed) return
+    if (good === null) planner.recordAdviceFailed(question, clock.nowMs())
+    else planner.recordAdvice(question, good, clock.nowMs())
+    commits.wake()
+  })
 
   const plan = (): readonly StartOrder[] => {
     if (!jobs.isLoaded()) return []
     dropGone()
-    const decisions = planner.decide(clock.nowMs(), clock.wallMs())
+    const decisions = planner.decide(clock.nowMs(), clock.wallMs(), tryAsk)
     for (const stop of decisions.stops) members.get(stop.worker)?.contact.stopRun(stop)
-    for (const question of decisions.questions) ask(question)
     return decisions.starts
   }
 
@@ -197,15 +194,11 @@
       applyLimits()
       commits.wake()
     },
-    release: async () => {
-      await commits.release()
-      events.record(cellReleased, { cell, epoch: row.epoch, table: CELL_TABLE })
+    release: async (successor) => {
+      await commits.release(successor)
+      events.record(cellReleased, { cell, epoch: row.epoch, successor })
       dispose()
     },
     dispose
   }
 }
-
-function failProcess (error: unknown): void {
-  queueMicrotask(() => { throw error })
-}
--- a/packages/entry/src/cell/cellWatch.ts
+++ b/packages/entry/src/cell/cellWatch.ts
@@ -129,7 +129,8 @@
     const { row } = seen.view
     if (row.incarnation === self.incarnation) return false
     if (row.entry === self.entry) return true
-    if (row.released) return nowMs - seen.changedAtMs >= waitMs
+    if (row.released && row.successor === self.incarnation) return true
+    if (row.released && row.successor === undefined) return nowMs - seen.changedAtMs >= waitMs
     return nowMs - seen.changedAtMs >= HOLDER_SILENCE_MS + waitMs
   }
 
--- a/packages/entry/src/cell/holderRow.ts
+++ b/packages/entry/src/cell/holderRow.ts
@@ -22,6 +22,8 @@
   epoch: Schema.Int,
   /** Given up in a planned stop. */
   released: Schema.Boolean,
+  /** Incarnation that a planned stop hands the cell to. */
+  successor: Schema.optionalKey(Schema.String),
   renewals: Schema.Int,
   /** Accepted jobs of which nothing has started, by queue. */
   waiting: Schema.Array(Schema.Tuple([Schema.String, Schema.Int]))
