--- a/packages/entry/src/cell/workerContact.ts
+++ b/packages/entry/src/cell/workerContact.ts
@@ -143,7 +143,8 @@
 
   const renewLease = async (): Promise<void> => {
     const askedAtMs = clock.nowMs()
-    const lease = computeLease()
+    // A worker that didn't answer gets no extension: the lease that it may have would never be known to end.
+    const lease = failures === 0 ? computeLease() : null
     if (lease !== null) leaseUntilMs = Math.max(leaseUntilMs, lease)
     const waitMs = held && pendingEnds.length === 0 ? LEASE_WAIT_MS : 0
     const result = await client.renewLease({ epoch, acknowledgedEnd, leaseUntilMs: lease, waitMs })
