Workers that no list shows count as lost after every lease

Change: such a worker is lost once the longest lease that an earlier holder may have granted has run out; holders extend no lease 3.5 s after their last confirmed renewal, which bounds that time to about 10 s.

--- a/packages/entry/src/cell/cellCommits.ts
+++ b/packages/entry/src/cell/cellCommits.ts
@@ -30,6 +30,8 @@
 /** The running commits. */
 export interface CellCommits extends Disposable {
   wake: () => void
+  /** Age of the last proof that this entry holds the cell, in milliseconds. */
+  readConfirmedAgeMs: () => number
   /** Gives the cell up: the last commit says so, and who is to follow. */
   release: (successor: string | null) => Promise<void>
 }
@@ -47,7 +49,7 @@
   let renewals = options.row.renewals
   let mustRenew = true
   let renewedAtMs = -Infinity
-  let confirmedAtMs = clock.nowMs()
+  let confirmed = { nowMs: clock.nowMs(), wallMs: clock.wallMs() }
   let pendingStarts: StartOrder[] = []
   let dropped: string[] = []
   let failed = false
@@ -84,7 +86,7 @@
   ])
 
   const commit = async (transaction: CellTransaction, renews: boolean): Promise<Outcome> => {
-    const sentAtMs = clock.nowMs()
+    const sent = { nowMs: clock.nowMs(), wallMs: clock.wallMs() }
     const result = await table.commit(transaction)
     if (result.isErr()) {
       // A try that lands late must find another version of the holder's row than the one it was made for.
@@ -94,10 +96,10 @@
     if (result.value.kind === 'applied') {
       if (renews) {
         version = result.value.version
-        renewedAtMs = sentAtMs
+        renewedAtMs = sent.nowMs
         mustRenew = false
       }
-      confirmedAtMs = sentAtMs
+      confirmed = sent
       return 'committed'
     }
     const row = result.value.rows.find((candidate) => candidate.key === HOLDER_KEY)
@@ -152,7 +154,7 @@
       return
     }
     planner.addChangedJobs(jobs)
-    if (outcome === 'deposed' || clock.nowMs() - confirmedAtMs > HOLDER_OUTAGE_MS) depose()
+    if (outcome === 'deposed' || clock.nowMs() - confirmed.nowMs > HOLDER_OUTAGE_MS) depose()
   }
 
   const loop = createSerialLoop({
@@ -167,6 +169,8 @@
 
   return {
     wake: () => { if (!failed) loop.wake() },
+    // A suspension stops the steady clock; the wall clock may jump. The larger age is the safe one.
+    readConfirmedAgeMs: () => Math.max(clock.nowMs() - confirmed.nowMs, clock.wallMs() - confirmed.wallMs),
     release: async (next) => {
       loop.dispose()
       await running
--- a/packages/entry/src/cell/cellTerm.ts
+++ b/packages/entry/src/cell/cellTerm.ts
@@ -5,9 +5,11 @@
 } from '@fuchsiatally/core'
 import type { AdviceDesk } from './adviceDesk.js'
 import { createCellCommits } from './cellCommits.js'
+import { EXTENSION_OUTAGE_MS } from './constants.js'
+import { computeUnknownLeaseMs } from './leaseBounds.js'
 import { createCellJobs } from './cellJobs.js'
 import type { HolderRow } from './holderRow.js'
-import { cellJobEnded, cellReleased, workerLeaving } from './events.js'
+import { cellJobEnded, cellReleased, workerLapsed, workerLeaving } from './events.js'
 import type { CellBounds, CellTable, CellWorkerClient, ListedWorker, PlatformRows } from './ports.js'
 import { computeTeamLimits } from './teamLimits.js'
 import { createWorkerContact, type WorkerContact } from './workerContact.js'
@@ -56,6 +58,7 @@
   const members = new Map<string, Member>()
   const listings = new Map<string, ListedWorker>()
   const committed = new Map<string, JobPhase>()
+  const startedAtMs = clock.nowMs()
   let disposed = false
 
   const dispose = (): void => {
@@ -85,6 +88,7 @@
       planner,
       clock,
       events,
+      mayExtend: () => commits.readConfirmedAgeMs() < EXTENSION_OUTAGE_MS,
       onNews: () => commits.wake(),
       onDeposed: depose
     })
@@ -118,6 +122,17 @@
     }
   }
 
+  /** Workers that earlier terms gave runs to and that no list has shown since: nobody can tell of them but their leases. */
+  const dropUnlisted = (): void => {
+    if (clock.nowMs() - startedAtMs < computeUnknownLeaseMs(options.bounds.maxLeaseMs)) return
+    for (const id of planner.listWorkers()) {
+      if (members.has(id)) continue
+      events.record(workerLapsed, { worker: id, reason: 'never listed in this term and past every lease' })
+      planner.recordWorkerLost(id, clock.nowMs())
+      planner.removeWorker(id)
+    }
+  }
+
   const recordGone = (id: string): void => {
     listings.delete(id)
     applyLimits()
@@ -138,6 +153,7 @@
   const plan = (): readonly StartOrder[] => {
     if (!jobs.isLoaded()) return []
     dropGone()
+    dropUnlisted()
     const decisions = planner.decide(clock.nowMs(), clock.wallMs(), tryAsk)
     for (const stop of decisions.stops) members.get(stop.worker)?.contact.stopRun(stop)
     return decisions.starts
--- a/packages/entry/src/cell/constants.ts
+++ b/packages/entry/src/cell/constants.ts
@@ -29,8 +29,13 @@
 export const HOLDER_SILENCE_MS = 1300
 /** Further silence that each rank of successor waits for, in milliseconds: one round of watching, so that ranks seldom meet. */
 export const RANK_STEP_MS = 350
-/** Longest time a holder goes on without a confirmed renewal, in milliseconds: past the outages that the platform announces. */
-export const HOLDER_OUTAGE_MS = 8000
+/** Time without a confirmed renewal after which a holder ends its term, in milliseconds: past the outages that the platform announces. */
+export const HOLDER_OUTAGE_MS = 12_000
+/**
+ * Time without a confirmed renewal after which a holder extends no lease, in milliseconds. With the lease of 6 s that is granted last,
+ * runs outlive an outage of the table of 9 s, and a successor knows that the leases of workers that it can't reach have ended soon after.
+ */
+export const EXTENSION_OUTAGE_MS = 3500
 /** Longest step of successor ranks that counts; beyond it entries wait equally long. */
 export const MAX_RANK = 5
 
--- a/packages/entry/src/cell/workerContact.ts
+++ b/packages/entry/src/cell/workerContact.ts
@@ -1,8 +1,9 @@
 /** Contact of a cell's holder with one worker: its lease, its lists of runs, and the orders it is given. */
 import { createDisposableStore, type CellPlanner, type Clock, type Disposable, type EventLog, type PaceOrder, type RunName, type StartOrder, type StopOrder } from '@fuchsiatally/core'
 import {
-  CLOCK_SLOWNESS, COMMIT_WAIT_MS, HOLDER_OUTAGE_MS, LEASE_MARGIN_MS, LEASE_RETRY_MS, LEASE_WAIT_MS, MIN_START_LEASE_MS, ORDER_RETRY_MS, START_TRIES
+  CLOCK_SLOWNESS, COMMIT_WAIT_MS, LEASE_MARGIN_MS, LEASE_RETRY_MS, LEASE_WAIT_MS, MIN_START_LEASE_MS, ORDER_RETRY_MS, START_TRIES
 } from './constants.js'
+import { computeUnknownLeaseMs } from './leaseBounds.js'
 import { runEnded, runRefused, runStopping, runUnsettled, workerHeld, workerLapsed, workerSilent } from './events.js'
 import { formatRun } from './formatRun.js'
 import type { CellWorkerClient, LeaseAnswer } from './ports.js'
@@ -16,6 +17,8 @@
   readonly planner: CellPlanner
   readonly clock: Clock
   readonly events: EventLog
+  /** Whether this holder was confirmed lately enough to extend leases. */
+  readonly mayExtend: () => boolean
   /** A report or an order's fate changed the planner. */
   readonly onNews: () => void
   /** The worker obeys a higher epoch. */
@@ -109,7 +112,7 @@
     const nowMs = readWorkerClock()
     if (nowMs !== null) return nowMs > leaseUntilMs + LEASE_MARGIN_MS
     // Never reached in this term: the holder before may have renewed until it gave up.
-    return clock.nowMs() - createdAtMs > HOLDER_OUTAGE_MS + options.maxLeaseMs * (1 + CLOCK_SLOWNESS) + LEASE_MARGIN_MS
+    return clock.nowMs() - createdAtMs > computeUnknownLeaseMs(options.maxLeaseMs)
   }
 
   const applyAnswer = (answer: LeaseAnswer, askedAtMs: number): void => {
@@ -144,7 +147,7 @@
   const renewLease = async (): Promise<void> => {
     const askedAtMs = clock.nowMs()
     // A worker that didn't answer gets no extension: the lease that it may have would never be known to end.
-    const lease = failures === 0 ? computeLease() : null
+    const lease = failures === 0 && options.mayExtend() ? computeLease() : null
     if (lease !== null) leaseUntilMs = Math.max(leaseUntilMs, lease)
     const waitMs = held && pendingEnds.length === 0 ? LEASE_WAIT_MS : 0
     const result = await client.renewLease({ epoch, acknowledgedEnd, leaseUntilMs: lease, waitMs })
