--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,7 +1,7 @@
 import neostandard from 'neostandard'
 
 export default [
-  { ignores: ['**/dist/**', '**/node_modules/**'] },
+  { ignores: ['**/dist/**', '**/node_modules/**', 'target/**', 'journal/**'] },
   ...neostandard({ ts: true }),
   {
     rules: {
--- /dev/null
+++ b/packages/entry/src/cell/__tests__/cellEntry.spec.ts
@@ -0,0 +1,238 @@
+/** Checks holders of cells over a table and workers in memory: takeover, leases, orders of unknown fate, planned stops. */
+import { test } from 'uvu'
+import * as assert from 'uvu/assert'
+import { CLUSTER_CONFIG, createCellCluster, createTestJob, SERVICE, type CellCluster, type ClusterEntry } from '../../testing/cellCluster.js'
+
+const [QUEUE] = CLUSTER_CONFIG.queues
+
+async function submit (cluster: CellCluster, entry: ClusterEntry, id: string, tasks: number): Promise<void> {
+  const outcome = entry.entry.desk.submitJob(id, createTestJob(cluster.clock, tasks), cluster.clock.nowMs() + 3000)
+  await cluster.clock.runFor(50)
+  assert.is(await outcome, 'done')
+}
+
+async function readState (cluster: CellCluster, entry: ClusterEntry, id: string): Promise<string> {
+  const state = entry.entry.desk.readState(id, QUEUE!, null)
+  await cluster.clock.runFor(20)
+  return await state
+}
+
+/** No task ever runs in two places at once. */
+function checkNoTwins (cluster: CellCluster): void {
+  for (const [index, run] of cluster.started.entries()) {
+    for (const other of cluster.started.slice(index + 1)) {
+      if (other.job !== run.job || other.index !== run.index || other.step !== run.step || other.occurrence !== run.occurrence) continue
+      assert.ok(run.endedAtMs !== null && run.endedAtMs <= other.startedAtMs, `${run.job}.${run.index} ran twice at once`)
+    }
+  }
+}
+
+async function startEntries (cluster: CellCluster, names: readonly string[]): Promise<ClusterEntry[]> {
+  const entries = names.map((name) => cluster.addEntry(name))
+  await cluster.clock.runFor(3000)
+  return entries
+}
+
+function splitByHolder (cluster: CellCluster, entries: readonly ClusterEntry[]): { holder: ClusterEntry, other: ClusterEntry } {
+  const holder = entries.find((entry) => entry.name === cluster.findHolder())
+  const other = entries.find((entry) => entry !== holder)
+  if (holder === undefined || other === undefined) throw new Error('no entry holds the cell')
+  return { holder, other }
+}
+
+test('a job runs to its end and every entry shows it', async () => {
+  const cluster = createCellCluster()
+  cluster.addWorker('w1')
+  const [a, b] = await startEntries(cluster, ['a', 'b'])
+  await submit(cluster, a!, '0000000000000001', 4)
+  await cluster.clock.runFor(2000)
+  assert.is(await readState(cluster, a!, '0000000000000001'), 'completed')
+  assert.is(await readState(cluster, b!, '0000000000000001'), 'completed')
+  assert.is(cluster.started.length, 4)
+})
+
+test('entries that start anew take a cell that stands in the table', async () => {
+  const cluster = createCellCluster()
+  cluster.addWorker('w1')
+  const [first] = await startEntries(cluster, ['a'])
+  await submit(cluster, first!, '0000000000000001', 2)
+  first!.kill()
+  const second = cluster.addEntry('b')
+  await cluster.clock.runFor(4000)
+  assert.is(cluster.findHolder(), 'b')
+  assert.is(await readState(cluster, second, '0000000000000001'), 'completed')
+  checkNoTwins(cluster)
+})
+
+test('a killed holder is followed within 3 s and its runs go on', async () => {
+  const cluster = createCellCluster({ planRun: () => ({ durationMs: 5000, how: 'done' }) })
+  cluster.addWorker('w1')
+  const { holder, other } = splitByHolder(cluster, await startEntries(cluster, ['a', 'b', 'c']))
+  await submit(cluster, other, '0000000000000001', 3)
+  holder.kill()
+  await cluster.clock.runFor(3000)
+  assert.is.not(cluster.findHolder(), holder.name)
+  await cluster.clock.runFor(4000)
+  assert.is(await readState(cluster, other, '0000000000000001'), 'completed')
+  assert.is(cluster.started.length, 3)
+})
+
+test('a planned stop hands the cell on within 300 ms', async () => {
+  const cluster = createCellCluster()
+  cluster.addWorker('w1')
+  const { holder } = splitByHolder(cluster, await startEntries(cluster, ['a', 'b', 'c']))
+  const released = holder.entry.release()
+  await cluster.clock.runFor(300)
+  await released
+  assert.is.not(cluster.findHolder(), holder.name)
+})
+
+test('tasks of a worker that falls silent run elsewhere once its lease has ended', async () => {
+  const cluster = createCellCluster({ planRun: (order) => ({ durationMs: order.run === 1 ? 60_000 : 500, how: 'done' }) })
+  const first = cluster.addWorker('w1')
+  const [entry] = await startEntries(cluster, ['a'])
+  await submit(cluster, entry!, '0000000000000001', 2)
+  await cluster.clock.runFor(500)
+  first.faults.cut = true
+  cluster.addWorker('w2')
+  await cluster.clock.runFor(14_000)
+  assert.is(await readState(cluster, entry!, '0000000000000001'), 'completed')
+  checkNoTwins(cluster)
+})
+
+test('tasks of a worker that a successor never saw run elsewhere after every lease', async () => {
+  const cluster = createCellCluster({ planRun: (order) => ({ durationMs: order.run === 1 ? 60_000 : 500, how: 'done' }) })
+  const first = cluster.addWorker('w1')
+  const [holder] = await startEntries(cluster, ['a'])
+  await submit(cluster, holder!, '0000000000000001', 2)
+  await cluster.clock.runFor(500)
+  first.faults.cut = true
+  cluster.table.deleteRow('servers', 'w1')
+  holder!.kill()
+  cluster.addWorker('w2')
+  const next = cluster.addEntry('b')
+  await cluster.clock.runFor(18_000)
+  assert.is(await readState(cluster, next, '0000000000000001'), 'completed')
+  checkNoTwins(cluster)
+})
+
+test('a worker that starts anew has its tasks run again at once', async () => {
+  const cluster = createCellCluster({ planRun: (order) => ({ durationMs: order.run === 1 ? 60_000 : 500, how: 'done' }) })
+  const worker = cluster.addWorker('w1')
+  const [entry] = await startEntries(cluster, ['a'])
+  await submit(cluster, entry!, '0000000000000001', 2)
+  await cluster.clock.runFor(500)
+  worker.restart()
+  await cluster.clock.runFor(3000)
+  assert.is(await readState(cluster, entry!, '0000000000000001'), 'completed')
+  checkNoTwins(cluster)
+})
+
+test('orders that are carried out seconds late start no task twice', async () => {
+  const cluster = createCellCluster({ planRun: () => ({ durationMs: 800, how: 'done' }) })
+  const late = cluster.addWorker('w1')
+  const [entry] = await startEntries(cluster, ['a'])
+  let orders = 0
+  late.faults.delayOrder = () => {
+    orders++
+    return orders % 3 === 0 ? { afterMs: 2000 + 700 * (orders % 10) } : null
+  }
+  cluster.addWorker('w2')
+  for (let job = 0; job < 8; job++) await submit(cluster, entry!, `000000000000000${job}`, 3)
+  await cluster.clock.runFor(10_000)
+  late.faults.delayOrder = () => null
+  await cluster.clock.runFor(30_000)
+  for (let job = 0; job < 8; job++) assert.is(await readState(cluster, entry!, `000000000000000${job}`), 'completed')
+  checkNoTwins(cluster)
+})
+
+test('commits whose answers are lost and that land late harm nothing', async () => {
+  const cluster = createCellCluster()
+  cluster.addWorker('w1')
+  const [entry] = await startEntries(cluster, ['a'])
+  let writes = 0
+  entry!.faults.loseWrite = () => {
+    writes++
+    return writes % 3 === 0 ? { afterMs: writes % 2 === 0 ? 10 : 3000 } : null
+  }
+  for (let job = 0; job < 6; job++) {
+    const outcome = entry!.entry.desk.submitJob(`000000000000000${job}`, createTestJob(cluster.clock, 3), cluster.clock.nowMs() + 3000)
+    await cluster.clock.runFor(3500)
+    assert.is(await outcome, 'done')
+  }
+  entry!.faults.loseWrite = () => null
+  await cluster.clock.runFor(10_000)
+  for (let job = 0; job < 6; job++) assert.is(await readState(cluster, entry!, `000000000000000${job}`), 'completed')
+  checkNoTwins(cluster)
+})
+
+test('with the table away for all, runs go on, submissions are refused at once and nobody takes the cell', async () => {
+  const cluster = createCellCluster({ planRun: () => ({ durationMs: 7000, how: 'done' }) })
+  cluster.addWorker('w1')
+  const entries = await startEntries(cluster, ['a', 'b'])
+  const [first] = entries
+  const holder = cluster.findHolder()
+  await submit(cluster, first!, '0000000000000001', 2)
+  for (const { faults } of entries) faults.outage = 'busy'
+  await cluster.clock.runFor(5000)
+  assert.not(first!.entry.isFresh())
+  const refused = first!.entry.desk.submitJob('0000000000000002', createTestJob(cluster.clock, 1), cluster.clock.nowMs() + 3000)
+  await cluster.clock.runFor(20)
+  assert.is(await refused, 'refused')
+  for (const { faults } of entries) faults.outage = null
+  await cluster.clock.runFor(5000)
+  assert.is(cluster.findHolder(), holder)
+  assert.is(await readState(cluster, first!, '0000000000000001'), 'completed')
+  assert.is(cluster.started.length, 2)
+})
+
+test('a holder that the table refuses alone loses the cell and gives no more orders', async () => {
+  const cluster = createCellCluster({ planRun: () => ({ durationMs: 2000, how: 'done' }) })
+  cluster.addWorker('w1')
+  const { holder, other } = splitByHolder(cluster, await startEntries(cluster, ['a', 'b']))
+  holder.faults.outage = 'busy'
+  await submit(cluster, other, '0000000000000001', 2)
+  await cluster.clock.runFor(8000)
+  assert.is(cluster.findHolder(), other.name)
+  assert.is(holder.events.listFields('FT802').length, 1)
+  assert.is(await readState(cluster, other, '0000000000000001'), 'completed')
+  checkNoTwins(cluster)
+})
+
+test('a cancelled job is stopped and shown so', async () => {
+  const cluster = createCellCluster({ planRun: () => ({ durationMs: 60_000, how: 'done' }) })
+  cluster.addWorker('w1')
+  const [a, b] = await startEntries(cluster, ['a', 'b'])
+  await submit(cluster, a!, '0000000000000001', 2)
+  const outcome = b!.entry.desk.cancelJob('0000000000000001', QUEUE!, null, cluster.clock.nowMs() + 3000)
+  await cluster.clock.runFor(1000)
+  assert.is(await outcome, 'done')
+  assert.is(await readState(cluster, b!, '0000000000000001'), 'cancelled')
+  assert.ok(cluster.started.every((run) => run.how === 'stopped'))
+})
+
+test('a task fails its job after as many failed runs as the queue allows', async () => {
+  const cluster = createCellCluster({ planRun: (order) => ({ durationMs: 100, how: order.index === 0 ? 'failed' : 'done' }) })
+  cluster.addWorker('w1')
+  const [entry] = await startEntries(cluster, ['a'])
+  await submit(cluster, entry!, '0000000000000001', 2)
+  await cluster.clock.runFor(6000)
+  assert.is(await readState(cluster, entry!, '0000000000000001'), 'failed')
+  assert.is(cluster.started.filter((run) => run.index === 0).length, 3)
+})
+
+test('history that the table dropped is read anew', async () => {
+  const cluster = createCellCluster()
+  cluster.addWorker('w1')
+  const [entry] = await startEntries(cluster, ['a'])
+  cluster.table.dropHistory()
+  cluster.addWorker('w2')
+  await submit(cluster, entry!, '0000000000000001', 12)
+  await cluster.clock.runFor(4000)
+  assert.is(await readState(cluster, entry!, '0000000000000001'), 'completed')
+  assert.ok(cluster.started.some((run) => run.worker === 'w2'))
+  assert.is(cluster.findHolder(), 'a')
+  assert.ok(cluster.table.readRow('state', SERVICE, '0000000000000001') !== undefined)
+})
+
+test.run()
--- a/packages/entry/src/cell/cellCommits.ts
+++ b/packages/entry/src/cell/cellCommits.ts
@@ -176,9 +176,9 @@
       await running
       releasing = true
       successor = next
-      for (let attempt = 0; attempt < RELEASE_TRIES && !stopped; attempt++) {
+      for (let attempt = 0; attempt < RELEASE_TRIES; attempt++) {
         await runStep()
-        if (!failed) break
+        if (!failed || stopped) break
       }
       stopped = true
     },
--- a/packages/entry/src/cell/workerContact.ts
+++ b/packages/entry/src/cell/workerContact.ts
@@ -168,7 +168,8 @@
   }
 
   const runLoop = async (): Promise<void> => {
-    while (!disposed) await renewLease()
+    await renewLease()
+    if (!disposed) await runLoop()
   }
 
   /** The order may still be carried out: a stop that is answered bars it for good. */
@@ -230,7 +231,8 @@
 
   const sendStop = async (order: StopOrder, name: string): Promise<void> => {
     stopping.add(name)
-    while (!disposed && (planner.isHeldAt(order, worker) || order.reason === 'stray' || unsettled.has(name))) {
+    for (;;) {
+      if (!planner.isHeldAt(order, worker) && order.reason !== 'stray' && !unsettled.has(name)) break
       const result = await client.stopRun(order, epoch)
       if (disposed) return
       if (result.isOk() && result.value.kind === 'deposed') {
--- /dev/null
+++ b/packages/entry/src/testing/cellCluster.ts
@@ -0,0 +1,171 @@
+/** Entries, workers and the table of cells in memory, under one fake clock. */
+import type { CellConfig, Clock, Resources, StartOrder, StepJob } from '@fuchsiatally/core'
+import { createFakeClock, type FakeClock } from '@fuchsiatally/core/testing/fakeClock'
+import { createMemoryEventLog, type MemoryEventLog } from '@fuchsiatally/core/testing/memoryEventLog'
+import { createSeededRandom } from '@fuchsiatally/core/testing/seededRandom'
+import { ok } from 'neverthrow'
+import { createCellEntry, type CellEntry } from '../cell/cellEntry.js'
+import type { ListedWorker, PlatformRows, TableRow } from '../cell/ports.js'
+import { createCellTableModel, type CellTableModel, type TableFaults } from './cellTableModel.js'
+import { createCellWorkerModel, type CellWorkerModel, type StartedRun } from './cellWorkerModel.js'
+import { createFakeMesh, type FakeMesh, type FakePeerMesh } from './fakeMesh.js'
+
+/** One entry of the cluster. */
+export interface ClusterEntry {
+  readonly name: string
+  readonly incarnation: string
+  readonly entry: CellEntry
+  readonly faults: TableFaults
+  readonly events: MemoryEventLog
+  /** Ends the process without a word. */
+  kill: () => void
+}
+
+/** The cluster. */
+export interface CellCluster {
+  readonly clock: FakeClock
+  readonly table: CellTableModel
+  readonly mesh: FakeMesh
+  readonly workers: Map<string, CellWorkerModel>
+  /** Every run that began anywhere. */
+  readonly started: StartedRun[]
+  addEntry: (name: string) => ClusterEntry
+  addWorker: (id: string, capacity?: Resources) => CellWorkerModel
+  setConfig: (config: CellConfig) => void
+  /** Entry that holds the cell by the table. */
+  findHolder: () => string | null
+}
+
+/** Options of a cluster. */
+export interface CellClusterOptions {
+  readonly planRun?: (order: StartOrder) => { readonly durationMs: number, readonly how: 'done' | 'failed' }
+  readonly maxLeaseMs?: number
+}
+
+/** The only service, which names the cell. */
+export const SERVICE = 'pages'
+const CAPACITY: Resources = { processors: 8, memoryMb: 16384, accelerators: 0 }
+
+/** Configuration with one open queue. */
+export const CLUSTER_CONFIG: CellConfig = {
+  version: 1,
+  queues: [{
+    name: 'proof', host: 'cell.example', pathPrefix: '/proof/', service: SERVICE, priority: 0, maxAttempts: 3, stretch: 2, targetLatencyMs: 500, timeoutMs: 3000, advice: null, public: true
+  }],
+  services: [SERVICE],
+  teams: [{ name: 'clubs', keys: ['k1'], weight: 1, ceiling: { processors: Infinity, memoryMb: Infinity, accelerators: Infinity } }],
+  bodyLimitBytes: 262_144,
+  idleTimeoutMs: 15_000
+}
+
+/** A job of one step of like tasks. */
+export function createTestJob (clock: Clock, taskCount: number, changes: Partial<StepJob['steps'][number]> = {}): StepJob {
+  return {
+    team: 'clubs',
+    policy: { queue: 'proof', service: SERVICE, priority: 0, maxAttempts: 3, stretch: 2, targetLatencyMs: 500 },
+    payload: 'text',
+    steps: [{
+      taskCount,
+      resources: { processors: 1, memoryMb: 1024, accelerators: 0 },
+      estimateMs: 1000,
+      after: [],
+      gang: false,
+      tightlyCoupled: false,
+      maxPerWorker: 0,
+      speculative: false,
+      longRunning: false,
+      targetMs: 0,
+      fills: false,
+      savesWork: false,
+      ...changes
+    }],
+    runCount: 0,
+    firstRunMs: 0,
+    intervalMs: 0,
+    acceptedAtMs: clock.wallMs()
+  }
+}
+
+const rows: PlatformRows = {
+  configTable: 'op',
+  configKey: 'config',
+  workerTable: 'servers',
+  decodeWorker: (row: TableRow) => JSON.parse(row.value) as ListedWorker,
+  decodeConfig: (row: TableRow) => JSON.parse(row.value, (_key, value: unknown) => value === 'unlimited' ? Infinity : value) as CellConfig
+}
+
+function encodeConfig (config: CellConfig): unknown {
+  return JSON.parse(JSON.stringify(config, (_key, value: unknown) => value === Infinity ? 'unlimited' : value))
+}
+
+/** Creates a cluster without entries or workers. */
+export function createCellCluster (options: CellClusterOptions = {}): CellCluster {
+  const clock = createFakeClock()
+  const table = createCellTableModel({ clock })
+  const mesh = createFakeMesh({ clock })
+  const workers = new Map<string, CellWorkerModel>()
+  const started: StartedRun[] = []
+  let lives = 0
+  table.writeRow('op', 'config', encodeConfig(CLUSTER_CONFIG))
+
+  const addEntry = (name: string): ClusterEntry => {
+    lives++
+    const incarnation = `${name}-${lives}`
+    const links: FakePeerMesh = mesh.addEntry({ entry: name, incarnation, failureDomain: 'a' })
+    const { table: client, faults } = table.createClient()
+    const events = createMemoryEventLog()
+    const entry = createCellEntry({
+      self: links.self,
+      linkAddress: '127.0.0.1:1',
+      table: client,
+      rows,
+      bounds: { maxLeaseMs: options.maxLeaseMs ?? 6000, revokeMs: 5000, statusMs: 120_000, stopGraceMs: 6000, turnMs: 3000, earlyMs: 250 },
+      mesh: links,
+      adviceClient: { askAdvice: async () => ok(new Map()) },
+      createWorkerClient: (worker) => {
+        const model = workers.get(worker.id)
+        if (model === undefined) throw new Error(`no worker ${worker.id}`)
+        return model.createClient()
+      },
+      clock,
+      random: createSeededRandom(lives),
+      events
+    })
+    return {
+      name,
+      incarnation,
+      entry,
+      faults,
+      events,
+      kill: () => {
+        // A dead process sends nothing more; what its timers still do must reach nobody.
+        faults.outage = 'silent'
+        entry.dispose()
+        links.dispose()
+      }
+    }
+  }
+
+  return {
+    clock,
+    table,
+    mesh,
+    workers,
+    started,
+    addEntry,
+    addWorker: (id, capacity = CAPACITY) => {
+      const listing: ListedWorker = { id, service: SERVICE, address: `${id}:1`, failureDomain: 'a', labels: ['kind', 'rack'], capacity, draining: false }
+      const model = createCellWorkerModel({
+        listing, clock, started, planRun: options.planRun ?? (() => ({ durationMs: 1000, how: 'done' }))
+      })
+      workers.set(id, model)
+      table.writeRow('servers', id, listing)
+      return model
+    },
+    setConfig: (config) => table.writeRow('op', 'config', encodeConfig(config)),
+    findHolder: () => {
+      const row = table.readRow('cell', SERVICE, 'holder')
+      return row === undefined ? null : (JSON.parse(row.value) as { entry: string }).entry
+    }
+  }
+}
--- /dev/null
+++ b/packages/entry/src/testing/cellTableModel.ts
@@ -0,0 +1,134 @@
+/** The platform's table in memory, with outages, lost answers and writes that land late. */
+import type { Clock } from '@fuchsiatally/core'
+import { err, ok, type Result } from 'neverthrow'
+import type { CallFailure, CellTable, CellTransaction, CommitResult, TableRow } from '../cell/ports.js'
+
+/** What goes wrong with the next calls of one client. */
+export interface TableFaults {
+  /** `silent`: no answer; `busy`: refused for certain. */
+  outage: 'silent' | 'busy' | null
+  /** Decides for each write whether it is carried out but not answered, and how late. */
+  loseWrite: () => { readonly afterMs: number } | null
+}
+
+/** The table and its clients. */
+export interface CellTableModel {
+  /** Creates the client of one entry with faults of its own. */
+  createClient: () => { readonly table: CellTable, readonly faults: TableFaults }
+  /** Writes as the operator or a worker does. */
+  writeRow: (table: string, key: string, value: unknown) => void
+  deleteRow: (table: string, key: string) => void
+  readRow: (table: string, part: string, key: string) => TableRow | undefined
+  /** Forgets which rows changed when. */
+  dropHistory: () => void
+}
+
+/** Options of the model. */
+export interface CellTableModelOptions {
+  readonly clock: Clock
+  /** Time of one call, in milliseconds; default 5. */
+  readonly callMs?: number
+  /** Time after which a silent call fails, in milliseconds; default 1200. */
+  readonly timeoutMs?: number
+}
+
+/** Creates an empty table. */
+export function createCellTableModel (options: CellTableModelOptions): CellTableModel {
+  const { clock } = options
+  const callMs = options.callMs ?? 5
+  const timeoutMs = options.timeoutMs ?? 1200
+  const rows = new Map<string, TableRow>()
+  const watchers = new Set<() => void>()
+  let version = 0
+  let historyFrom = 0
+
+  const formatKey = (table: string, part: string, key: string): string => `${table}\n${part}\n${key}`
+  const setRow = (table: string, part: string, key: string, value: string, deleted: boolean): void => {
+    rows.set(formatKey(table, part, key), { table, part, key, value, version, deleted })
+  }
+  const wakeWatchers = (): void => { for (const wake of [...watchers]) wake() }
+  const wait = (ms: number): Promise<void> => new Promise((resolve) => { clock.setTimer(ms, resolve) })
+  const readVersion = (table: string, part: string, key: string): number => {
+    const row = rows.get(formatKey(table, part, key))
+    return row === undefined || row.deleted ? 0 : row.version
+  }
+
+  const apply = (transaction: CellTransaction): CommitResult => {
+    const { part } = transaction
+    if (transaction.checks.some((check) => readVersion(check.table, part, check.key) !== check.version)) {
+      const current = transaction.checks.map(({ table, key }) => rows.get(formatKey(table, part, key)))
+      return { kind: 'conflict', rows: current.filter((row) => row !== undefined) }
+    }
+    version++
+    for (const { table, key, value } of transaction.writes) setRow(table, part, key, value, false)
+    for (const { table, key } of transaction.deletes) setRow(table, part, key, '', true)
+    wakeWatchers()
+    return { kind: 'applied', version }
+  }
+
+  const createClient = () => {
+    const faults: TableFaults = { outage: null, loseWrite: () => null }
+    const call = async <T> (run: () => T): Promise<Result<T, CallFailure>> => {
+      await wait(callMs)
+      if (faults.outage === 'busy') return err({ kind: 'refused', message: 'busy' })
+      if (faults.outage === 'silent') {
+        await wait(timeoutMs)
+        return err({ kind: 'unknown', message: 'silent' })
+      }
+      return ok(run())
+    }
+    const table: CellTable = {
+      commit: async (transaction) => {
+        const lost = faults.outage === null ? faults.loseWrite() : null
+        if (lost === null) return await call(() => apply(transaction))
+        clock.setTimer(lost.afterMs, () => { apply(transaction) })
+        await wait(timeoutMs)
+        return err({ kind: 'unknown', message: 'lost' })
+      },
+      readRange: ({ table: name, part, from, to }) => call(() => {
+        const found = [...rows.values()].filter((row) => row.table === name && row.part === part && !row.deleted &&
+          (from === undefined || row.key >= from) && (to === undefined || row.key < to))
+        return { rows: found, version }
+      }),
+      readChanges: async (name, after, waitMs) => {
+        const endMs = clock.nowMs() + waitMs
+        const listChanges = () => [...rows.values()].filter((row) => row.table === name && row.version > after).sort((a, b) => a.version - b.version)
+        while (listChanges().length === 0 && clock.nowMs() < endMs && faults.outage === null) {
+          await new Promise<void>((resolve) => {
+            const finish = (): void => {
+              watchers.delete(finish)
+              timer.dispose()
+              resolve()
+            }
+            const timer = clock.setTimer(endMs - clock.nowMs(), finish)
+            watchers.add(finish)
+          })
+        }
+        return await call(() => after < historyFrom ? { kind: 'historyLost' as const } : { kind: 'changes' as const, rows: listChanges(), version })
+      }
+    }
+    return { table, faults }
+  }
+
+  return {
+    createClient,
+    writeRow: (table, key, value) => {
+      version++
+      setRow(table, '', key, JSON.stringify(value), false)
+      wakeWatchers()
+    },
+    deleteRow: (table, key) => {
+      version++
+      setRow(table, '', key, '', true)
+      wakeWatchers()
+    },
+    readRow: (table, part, key) => {
+      const row = rows.get(formatKey(table, part, key))
+      return row?.deleted === true ? undefined : row
+    },
+    dropHistory: () => {
+      version++
+      historyFrom = version
+    }
+  }
+}
