Ceilings are claimed by need, urgent steps stop less urgent work, short advice has servers of its own

Short calls for advice waited behind long ones of the other cell's holder. Change: claims on ceilings in one row by compare-and-set; makeRoom stops saved work of a lower priority; the first 30% of the entries take short calls alone.

--- a/packages/core/src/cell/constants.ts
+++ b/packages/core/src/cell/constants.ts
@@ -22,3 +22,7 @@
 export const HOLD_AFTER_MS = 400
 /** A long-running task that has waited this long goes first and gets room held back; half of the 6 s that the users grant, less advice. */
 export const LASTING_HOLD_AFTER_MS = 1500
+/** A step that has waited this long may stop less urgent work, in milliseconds: a share of tasks ends by itself within that time. */
+export const PREEMPT_AFTER_MS = 100
+/** Stops of one task for the sake of others; each costs it the time to resume. */
+export const MAX_PREEMPTIONS = 2
--- a/packages/core/src/cell/createCellPlanner.ts
+++ b/packages/core/src/cell/createCellPlanner.ts
@@ -1,6 +1,6 @@
 /** Planner of one cell: which task runs where, from jobs, workers, reports and advice. */
-import { addResources, hasRoomFor, NO_RESOURCES, subtractResources, type Resources } from '../schema/resources.js'
-import { MAX_HELD_GANGS, HOLD_AFTER_MS, LASTING_HOLD_AFTER_MS } from './constants.js'
+import { addResources, hasRoomFor, multiplyResources, NO_RESOURCES, subtractResources, type Resources } from '../schema/resources.js'
+import { HOLD_AFTER_MS, LASTING_HOLD_AFTER_MS, MAX_HELD_GANGS, PREEMPT_AFTER_MS } from './constants.js'
 import { addTaskTo, computeFree, createCellWorker, isOpen, recordEndAt, recordRefusalAt, removeTaskFrom, type CellWorker } from './cellWorker.js'
 import { createJobBook } from './jobBook.js'
 import { listTasks, type CellTask } from './jobState.js'
@@ -8,7 +8,8 @@
   CellDecisions, CellPlanner, ListedEnd, PlannedRun, RunName, StartOrder, StopOrder, TryAsk, WorkerReport
 } from './plannerTypes.js'
 import { chooseAdviceWorkers, estimateRemainingMs, listStartable, mayBeSuitable, recordAdvice, recordAdviceFailed, type ReadFree, type StepRun } from './stepRun.js'
-import { holdRoom, placeTasks } from './stepPlacement.js'
+import { makeRoom } from './roomMaking.js'
+import { placeTasks } from './stepPlacement.js'
 import { createTeamUse } from './teamUse.js'
 import { compareUrgency, computeUrgency, type Urgency } from './urgency.js'
 
@@ -198,27 +199,28 @@
     }
   }
 
+  /** Starts what has room and ceiling; returns the tasks that wait for room. */
   const startRun = (run: StepRun, held: ReadonlyMap<string, Resources>, nowMs: number, starts: StartOrder[]): CellTask[] => {
     const startable = listStartable(run)
     const { team } = run.job.spec
+    // A gang takes all of its room at once or none.
+    const need = run.step.gang ? multiplyResources(run.step.resources, run.tasks.length) : run.step.resources
+    if (!teams.mayAdd(team, need)) {
+      if (startable.length > 0) teams.addBlocked(team, multiplyResources(run.step.resources, startable.length))
+      return []
+    }
     const placements = placeTasks(run, startable, [...workers.values()], held, nowMs)
     const gangRun = run.step.gang ? Math.max(0, ...run.tasks.map((task) => task.run)) + 1 : 0
-    let need = run.step.resources
-    if (run.step.gang) {
-      need = {
-        processors: need.processors * run.tasks.length, memoryMb: need.memoryMb * run.tasks.length, accelerators: need.accelerators * run.tasks.length
-      }
-    }
     const placed = new Set<CellTask>()
     for (const { task, worker } of placements) {
-      // A gang asks for all of its room once, before its first member.
-      if ((!run.step.gang || placed.size === 0) && !teams.mayAdd(team, need)) break
+      if (!run.step.gang && !teams.mayAdd(team, need)) break
       starts.push(startTask(run, task, worker, run.step.gang ? gangRun : task.run + 1))
       placed.add(task)
     }
     if (placed.size > 0) book.noteStarted(run)
-    if (placed.size < placements.length) return []
-    return startable.filter((task) => !placed.has(task))
+    if (placed.size === placements.length) return startable.filter((task) => !placed.has(task))
+    teams.addBlocked(team, multiplyResources(run.step.resources, startable.length - placed.size))
+    return []
   }
 
   const mayHold = (run: StepRun, nowMs: number): boolean => {
@@ -226,6 +228,21 @@
     return nowMs - run.waitingSinceMs > (run.step.longRunning ? LASTING_HOLD_AFTER_MS : HOLD_AFTER_MS)
   }
 
+  const mayPreempt = ({ run, rank }: RankedRun, nowMs: number): boolean => {
+    return rank.standing < 2 && run.waitingSinceMs !== null && nowMs - run.waitingSinceMs > PREEMPT_AFTER_MS
+  }
+
+  const readFacts = (task: CellTask) => ({ step: findStep(task), priority: book.findJob(task.job)?.spec.policy.priority ?? 0 })
+
+  const holdRoom = (ranked: RankedRun, tasks: readonly CellTask[], held: Map<string, Resources>, nowMs: number): void => {
+    const preempts = mayPreempt(ranked, nowMs)
+    const victims = makeRoom({ run: ranked.run, tasks, workers: [...workers.values()], held, readFacts, mayPreempt: preempts, nowMs })
+    for (const victim of victims) {
+      victim.preemptions++
+      requestStop(victim, 'preempted')
+    }
+  }
+
   /** Asks for advice if it can be used; tells whether a question is open. */
   const askAdvice = (run: StepRun, readFree: ReadFree, tryAsk: TryAsk, nowMs: number): boolean => {
     const { advice } = run.job.spec.policy
@@ -264,18 +281,21 @@
     const starts: StartOrder[] = []
     const held = new Map<string, Resources>()
     const claimed = new Map<string, Resources>()
+    teams.startRound()
     const readFree: ReadFree = (worker) => {
       const taken = addResources(held.get(worker.facts.id) ?? NO_RESOURCES, claimed.get(worker.facts.id) ?? NO_RESOURCES)
       return subtractResources(computeFree(worker), taken)
     }
     let holding = 0
-    for (const { run } of rankRuns(nowMs, wallMs)) {
+    for (const ranked of rankRuns(nowMs, wallMs)) {
+      const { run } = ranked
       const left = startRun(run, held, nowMs, starts)
       if (left.length === 0) continue
       if (askAdvice(run, readFree, tryAsk, nowMs)) claimRoom(run, left, claimed, readFree, nowMs)
-      if (holding >= MAX_HELD_GANGS || !mayHold(run, nowMs) || !teams.mayAdd(run.job.spec.team, run.step.resources)) continue
-      holding++
-      holdRoom(run, left, [...workers.values()], held, nowMs)
+      const holds = mayHold(run, nowMs)
+      if (holds && holding < MAX_HELD_GANGS) holding++
+      else if (holds || ranked.rank.priority > 0 || !mayPreempt(ranked, nowMs)) continue
+      holdRoom(ranked, left, held, nowMs)
     }
     return { starts, stops: collectStops() }
   }
@@ -309,6 +329,7 @@
     listWorkers: () => [...workers.keys()],
     hasRuns: (id) => (workers.get(id)?.tasks.size ?? 0) > 0,
     setTeamLimits: teams.setLimits,
+    listTeamDemand: teams.listDemand,
     addJob: (id, spec, record, nowMs) => {
       const job = book.addJob(id, spec, record, nowMs)
       for (const task of listTasks(job)) {
--- a/packages/core/src/cell/jobState.ts
+++ b/packages/core/src/cell/jobState.ts
@@ -32,6 +32,8 @@
   confirmedAtMs: number | null
   /** The current run has been told to stop. Not kept in the table. */
   stopping: boolean
+  /** Stops for the sake of more urgent work. Not kept in the table. */
+  preemptions: number
   /** Progress of the current run in percent. Not kept in the table. */
   percent: number
   /** Work share that was last set for a filler, in percent. Not kept in the table. */
@@ -87,6 +89,7 @@
     saved: '',
     confirmedAtMs: null,
     stopping: false,
+    preemptions: 0,
     percent: 0,
     pacePercent: 100
   })))
--- a/packages/core/src/cell/plannerTypes.ts
+++ b/packages/core/src/cell/plannerTypes.ts
@@ -2,6 +2,7 @@
 import type { Resources } from '../schema/resources.js'
 import type { JobPhase, JobStateRecord } from './jobState.js'
 import type { StepJob } from './stepJob.js'
+import type { TeamDemand } from './ceilingClaims.js'
 import type { WorkerFacts } from './cellWorker.js'
 
 /** One run of one task, as orders and reports name it. */
@@ -99,6 +100,8 @@
   hasRuns: (worker: string) => boolean
   /** Ceilings on what a team may run in this cell; infinite where it has none. */
   setTeamLimits: (limits: ReadonlyMap<string, Resources>) => void
+  /** What each team runs here, and what waited for its ceiling in the last round of planning. */
+  listTeamDemand: () => ReadonlyMap<string, TeamDemand>
   addJob: (id: string, spec: StepJob, record: JobStateRecord, nowMs: number) => void
   cancelJob: (id: string, wallMs: number) => void
   hasJob: (id: string) => boolean
--- /dev/null
+++ b/packages/core/src/cell/roomMaking.ts
@@ -0,0 +1,124 @@
+/** Holds room for steps that found none, and chooses running tasks of less urgent work to make way for them. */
+import { addResources, hasRoomFor, NO_RESOURCES, subtractResources, type Resources } from '../schema/resources.js'
+import { canEverRun, computeFree, computeStepRoom, isOpen, type CellWorker } from './cellWorker.js'
+import { MAX_PREEMPTIONS } from './constants.js'
+import type { CellTask } from './jobState.js'
+import { ACCELERATOR_CORES, MEMORY_PER_CORE_MB } from './stepPlacement.js'
+import type { JobStep } from './stepJob.js'
+import type { StepRun } from './stepRun.js'
+
+/** What is known of a running task. */
+export interface TaskFacts {
+  readonly step: JobStep
+  readonly priority: number
+}
+
+/** Options of one search. */
+export interface RoomMakingOptions {
+  readonly run: StepRun
+  /** Tasks of the run that found no room. */
+  readonly tasks: readonly CellTask[]
+  readonly workers: readonly CellWorker[]
+  /** Room held so far by worker; what this search holds is added. */
+  readonly held: Map<string, Resources>
+  readonly readFacts: (task: CellTask) => TaskFacts
+  /** Whether tasks of less urgent work may be stopped. */
+  readonly mayPreempt: boolean
+  readonly nowMs: number
+}
+
+interface Offer {
+  readonly worker: CellWorker
+  readonly victims: readonly CellTask[]
+  /** Cores that are missing or have to be freed. */
+  readonly cost: number
+}
+
+/** Cost of an offer that only waits for work to end by itself, on top of what is missing: any that frees the room goes before. */
+const WAITING_COST = 1e6
+
+function computeMissing (left: Resources): number {
+  return Math.max(0, -left.processors) + Math.max(0, -left.accelerators) * ACCELERATOR_CORES + Math.max(0, -left.memoryMb) / MEMORY_PER_CORE_MB
+}
+
+function computeSize (room: Resources): number {
+  return room.processors + room.accelerators * ACCELERATOR_CORES + room.memoryMb / MEMORY_PER_CORE_MB
+}
+
+/** Only work that resumes from what it saved is stopped, and none again and again. */
+function mayBeStopped (task: CellTask, facts: TaskFacts, priority: number): boolean {
+  if (task.phase !== 'placed' || task.stopping || task.confirmedAtMs === null || task.preemptions >= MAX_PREEMPTIONS) return false
+  return facts.priority > priority && facts.step.savesWork && !facts.step.gang && !facts.step.longRunning
+}
+
+function chooseVictims (options: RoomMakingOptions, worker: CellWorker, left: Resources, taken: ReadonlySet<CellTask>): CellTask[] | null {
+  const { priority } = options.run.job.spec.policy
+  const candidates: { task: CellTask, room: Resources }[] = []
+  for (const task of worker.tasks) {
+    const facts = options.readFacts(task)
+    if (!taken.has(task) && mayBeStopped(task, facts, priority)) candidates.push({ task, room: computeStepRoom(facts.step) })
+  }
+  candidates.sort((a, b) => computeSize(a.room) - computeSize(b.room))
+  const enough = candidates.find(({ room }) => computeMissing(addResources(left, room)) === 0)
+  if (enough !== undefined) return [enough.task]
+  const victims: CellTask[] = []
+  let remaining = left
+  for (const { task, room } of candidates.reverse()) {
+    victims.push(task)
+    remaining = addResources(remaining, room)
+    if (computeMissing(remaining) === 0) return victims
+  }
+  return null
+}
+
+/** Room that running stops are about to give back. */
+function sumStopping (options: RoomMakingOptions, worker: CellWorker, taken: ReadonlySet<CellTask>): Resources {
+  let sum = NO_RESOURCES
+  for (const task of worker.tasks) {
+    if (task.stopping || taken.has(task)) sum = addResources(sum, computeStepRoom(options.readFacts(task).step))
+  }
+  return sum
+}
+
+function buildOffer (options: RoomMakingOptions, worker: CellWorker, taken: ReadonlySet<CellTask>): Offer | null {
+  const claimed = addResources(options.held.get(worker.facts.id) ?? NO_RESOURCES, options.run.room)
+  if (!hasRoomFor(worker.facts.capacity, claimed)) return null
+  const left = subtractResources(addResources(computeFree(worker), sumStopping(options, worker, taken)), claimed)
+  const missing = computeMissing(left)
+  if (missing === 0) return { worker, victims: [], cost: 0 }
+  const victims = options.mayPreempt ? chooseVictims(options, worker, left, taken) : null
+  if (victims === null) return { worker, victims: [], cost: WAITING_COST + missing }
+  return { worker, victims, cost: victims.reduce((sum, task) => sum + computeSize(computeStepRoom(options.readFacts(task).step)), 0) }
+}
+
+/**
+ * Holds room for each task at the allowed worker where it costs least.
+ *
+ * @returns tasks to be stopped; none for a gang that would still lack room
+ */
+export function makeRoom (options: RoomMakingOptions): CellTask[] {
+  const { run, held, nowMs } = options
+  const allowed = options.workers.filter((worker) => isOpen(worker, nowMs) && canEverRun(worker, run.step) && !run.unsuitable.has(worker.facts.id))
+  const counts = new Map<string, number>()
+  for (const task of run.tasks) if (task.worker !== '') counts.set(task.worker, (counts.get(task.worker) ?? 0) + 1)
+  const victims = new Set<CellTask>()
+  let isComplete = true
+  for (let index = 0; index < options.tasks.length; index++) {
+    let best: Offer | null = null
+    for (const worker of allowed) {
+      if (run.step.maxPerWorker > 0 && (counts.get(worker.facts.id) ?? 0) >= run.step.maxPerWorker) continue
+      const offer = buildOffer(options, worker, victims)
+      if (offer !== null && (best === null || offer.cost < best.cost)) best = offer
+    }
+    if (best === null) {
+      isComplete = false
+      break
+    }
+    const { id } = best.worker.facts
+    if (best.cost >= WAITING_COST) isComplete = false
+    for (const task of best.victims) victims.add(task)
+    counts.set(id, (counts.get(id) ?? 0) + 1)
+    held.set(id, addResources(held.get(id) ?? NO_RESOURCES, run.room))
+  }
+  return run.step.gang && !isComplete ? [] : [...victims]
+}
--- a/packages/core/src/cell/stepPlacement.ts
+++ b/packages/core/src/cell/stepPlacement.ts
@@ -58,9 +58,9 @@
 }
 
 /** Cores that an accelerator counts as; from the users' price of work. */
-const ACCELERATOR_CORES = 8
+export const ACCELERATOR_CORES = 8
 /** Memory that weighs as much as a core: 64 GB on 16 cores. */
-const MEMORY_PER_CORE_MB = 4096
+export const MEMORY_PER_CORE_MB = 4096
 /** Weight of a worker far from the data against its fit; larger than any left-over room. */
 const FAR_PENALTY = 1e6
 
@@ -118,36 +118,3 @@
   const placements = placeAll(run, tasks, buildCandidates(run, workers, held, nowMs))
   return run.step.gang && placements.length < tasks.length ? [] : placements
 }
-
-/**
- * Holds room for tasks that found none: at the allowed workers where the least is missing.
- *
- * @returns the room held by worker, to be left to these tasks by all of a lower rank
- */
-export function holdRoom (run: StepRun, tasks: readonly CellTask[], workers: readonly CellWorker[], held: Map<string, Resources>, nowMs: number): void {
-  const allowed = workers.filter((worker) => isOpen(worker, nowMs) && canEverRun(worker, run.step) && !run.unsuitable.has(worker.facts.id))
-  const counts = new Map<string, number>()
-  for (const task of run.tasks) if (task.worker !== '') counts.set(task.worker, (counts.get(task.worker) ?? 0) + 1)
-  for (let remaining = tasks.length; remaining > 0; remaining--) {
-    let best: CellWorker | null = null
-    let bestMissing = Infinity
-    for (const worker of allowed) {
-      const { id } = worker.facts
-      if (run.step.maxPerWorker > 0 && (counts.get(id) ?? 0) >= run.step.maxPerWorker) continue
-      const taken = addResources(held.get(id) ?? { processors: 0, memoryMb: 0, accelerators: 0 }, run.room)
-      if (!hasRoomFor(worker.facts.capacity, taken)) continue
-      const missing = computeMissing(subtractResources(computeFree(worker), taken))
-      if (missing >= bestMissing) continue
-      best = worker
-      bestMissing = missing
-    }
-    if (best === null) return
-    const { id } = best.facts
-    counts.set(id, (counts.get(id) ?? 0) + 1)
-    held.set(id, addResources(held.get(id) ?? { processors: 0, memoryMb: 0, accelerators: 0 }, run.room))
-  }
-}
-
-function computeMissing (left: Resources): number {
-  return Math.max(0, -left.processors) + Math.max(0, -left.accelerators) * ACCELERATOR_CORES + Math.max(0, -left.memoryMb) / MEMORY_PER_CORE_MB
-}
--- a/packages/core/src/cell/teamUse.ts
+++ b/packages/core/src/cell/teamUse.ts
@@ -1,5 +1,6 @@
 /** What each client account runs in a cell, against its ceiling there. */
 import { addResources, hasRoomFor, NO_RESOURCES, subtractResources, type Resources } from '../schema/resources.js'
+import type { TeamDemand } from './ceilingClaims.js'
 
 /** Sums of one cell. */
 export interface TeamUse {
@@ -7,13 +8,17 @@
   mayAdd: (team: string, need: Resources) => boolean
   add: (team: string, amount: Resources) => void
   subtract: (team: string, amount: Resources) => void
-  readUse: (team: string) => Resources
+  /** Notes what waits for the ceiling; forgotten when the next round begins. */
+  addBlocked: (team: string, amount: Resources) => void
+  startRound: () => void
+  listDemand: () => ReadonlyMap<string, TeamDemand>
 }
 
 /** Creates sums of zero without ceilings. */
 export function createTeamUse (): TeamUse {
   const used = new Map<string, Resources>()
   let limits: ReadonlyMap<string, Resources> = new Map()
+  const blocked = new Map<string, Resources>()
   const readUse = (team: string): Resources => used.get(team) ?? NO_RESOURCES
   return {
     setLimits: (next) => { limits = next },
@@ -23,6 +28,12 @@
     },
     add: (team, amount) => { used.set(team, addResources(readUse(team), amount)) },
     subtract: (team, amount) => { used.set(team, subtractResources(readUse(team), amount)) },
-    readUse
+    addBlocked: (team, amount) => { blocked.set(team, addResources(blocked.get(team) ?? NO_RESOURCES, amount)) },
+    startRound: () => { blocked.clear() },
+    listDemand: () => {
+      const demand = new Map<string, TeamDemand>()
+      for (const team of new Set([...used.keys(), ...blocked.keys()])) demand.set(team, { used: readUse(team), blocked: blocked.get(team) ?? NO_RESOURCES })
+      return demand
+    }
   }
 }
--- a/packages/core/src/schema/resources.ts
+++ b/packages/core/src/schema/resources.ts
@@ -36,6 +36,15 @@
   }
 }
 
+/** Room of `count` tasks of one kind. */
+export function multiplyResources (amount: Resources, count: number): Resources {
+  return {
+    processors: computeRounded(amount.processors * count),
+    memoryMb: amount.memoryMb * count,
+    accelerators: amount.accelerators * count
+  }
+}
+
 /** Tells whether `need` fits into `free` in every component. */
 export function hasRoomFor (free: Resources, need: Resources): boolean {
   return need.processors <= free.processors &&
--- a/packages/entry/src/cell/adviceDesk.ts
+++ b/packages/entry/src/cell/adviceDesk.ts
@@ -1,13 +1,14 @@
 /** Placement advice: each entry serves one call at a time for itself and its peers; holders spread their questions by length. */
 import { createDisposableStore, type AdviceQuestion, type Clock, type Disposable, type EventLog, type Random } from '@fuchsiatally/core'
-import type { PeerMesh } from '../ports.js'
+import type { Peer, PeerMesh } from '../ports.js'
 import { ADVICE_SLACK_MS, MAX_ADVICE_QUEUE } from './constants.js'
 import { adviceAnswered, adviceMissing } from './events.js'
 import type { AdviceClient } from './ports.js'
+import { computeRank } from './rank.js'
 
 /** Options of the desk. */
 export interface AdviceDeskOptions {
-  readonly incarnation: string
+  readonly self: Peer
   readonly client: AdviceClient
   readonly mesh: PeerMesh
   readonly clock: Clock
@@ -74,28 +75,36 @@
     question.settle(message.good === null ? null : new Map(message.good))
   })
 
-  /** Load of each server that may take the question, in milliseconds; long calls leave some servers to short ones. */
-  const listLoads = (isLong: boolean): Map<string, number> => {
-    const loads = new Map<string, number>([[options.incarnation, 0]])
-    for (const peer of mesh.listPeers()) loads.set(peer.incarnation, 0)
+  /**
+   * Servers that may take a question, the preferred first. All holders keep the same servers free of long calls, for none of
+   * them sees the others' questions; beyond that each prefers servers of its own.
+   */
+  const listServers = (isLong: boolean): string[] => {
+    const peers = [options.self, ...mesh.listPeers()].sort((a, b) => a.entry < b.entry ? -1 : 1)
+    const shortOnly = Math.max(1, Math.floor(peers.length * SHORT_SERVER_SHARE))
     const nowMs = clock.nowMs()
-    for (const [server, atMs] of failedAtMs) {
-      if (nowMs - atMs > FAILED_SERVER_PAUSE_MS) failedAtMs.delete(server)
-      else loads.delete(server)
-    }
-    const withLong = new Set<string>()
-    for (const { server, costMs } of asked.values()) {
-      if (costMs > LONG_CALL_MS) withLong.add(server)
-      const load = loads.get(server)
-      if (load !== undefined) loads.set(server, load + costMs)
+    const usable = (listed: readonly Peer[]): string[] => {
+      const names = listed.map((peer) => peer.entry)
+      return listed.filter((peer) => nowMs - (failedAtMs.get(peer.incarnation) ?? -Infinity) > FAILED_SERVER_PAUSE_MS)
+        .sort((a, b) => computeRank(options.self.entry, a.entry, names) - computeRank(options.self.entry, b.entry, names))
+        .map((peer) => peer.incarnation)
     }
-    if (isLong && withLong.size >= Math.ceil(loads.size * LONG_SERVER_SHARE)) for (const server of loads.keys()) if (!withLong.has(server)) loads.delete(server)
-    return loads
+    const forLong = usable(peers.length > 1 ? peers.slice(shortOnly) : peers)
+    return isLong ? forLong : [...usable(peers.slice(0, shortOnly)), ...forLong]
+  }
+
+  const readLoad = (server: string): number => {
+    let loadMs = 0
+    for (const question of asked.values()) if (question.server === server) loadMs += question.costMs
+    return loadMs
   }
 
   const chooseServer = (costMs: number): { server: string, queuedMs: number } | null => {
+    const isLong = costMs > LONG_CALL_MS
     let best: { server: string, queuedMs: number } | null = null
-    for (const [server, queuedMs] of listLoads(costMs > LONG_CALL_MS)) {
+    for (const server of listServers(isLong)) {
+      const queuedMs = readLoad(server)
+      if (!isLong && queuedMs <= SHORT_WAIT_MS) return { server, queuedMs }
       if (queuedMs <= MAX_ADVICE_WAIT_MS && (best === null || queuedMs < best.queuedMs)) best = { server, queuedMs }
     }
     return best
@@ -120,7 +129,7 @@
     }
     const timer = disposables.add(clock.setTimer(queuedMs + question.costMs + ADVICE_SLACK_MS, () => settle(null)))
     asked.set(exchange, { server, costMs: question.costMs, settle })
-    if (server === options.incarnation) {
+    if (server === options.self.incarnation) {
       queueCall(question.step, question.workers, question.costMs).then(settle, failProcess)
       return true
     }
@@ -141,8 +150,10 @@
 const FAILED_SERVER_PAUSE_MS = 3000
 /** A call is long from this time on, in milliseconds: between the 30 ms and the 200 ms that the users' queues ask for. */
 const LONG_CALL_MS = 100
-/** Share of the servers that long calls may keep busy. */
-const LONG_SERVER_SHARE = 0.75
+/** Share of the servers that take short calls alone. */
+const SHORT_SERVER_SHARE = 0.3
+/** Work in front of a short call up to which the next preferred server is not tried, in milliseconds; about one such call. */
+const SHORT_WAIT_MS = 30
 /** Longest work in front of a question that is still sent, in milliseconds; more would outlast the tickets. */
 const MAX_ADVICE_WAIT_MS = 400
 
--- /dev/null
+++ b/packages/entry/src/cell/ceilingTask.ts
@@ -0,0 +1,124 @@
+/** Keeps a cell's claims on the client accounts' ceilings up with what it runs. */
+import {
+  addResources, computeClaimLimits, ClaimsRow, createDisposableStore, NO_CLAIMS, NO_RESOURCES, planClaims,
+  type CellConfig, type CellPlanner, type Clock, type Disposable, type EventLog, type Resources
+} from '@fuchsiatally/core'
+import { createSerialLoop } from '../process/serialLoop.js'
+import { CLAIM_COMMIT_MS, CLAIM_PAUSE_MS, CLAIM_REVIEW_MS } from './constants.js'
+import { CELL_TABLE, CLAIMS_KEY, createRowReader } from './holderRow.js'
+import type { CellTable, ListedWorker, TableRow } from './ports.js'
+
+/** Options of the task. */
+export interface CeilingTaskOptions {
+  readonly cell: string
+  readonly epoch: number
+  readonly table: CellTable
+  readonly planner: CellPlanner
+  readonly clock: Clock
+  readonly events: EventLog
+  readonly readConfig: () => CellConfig | null
+  readonly listWorkers: () => readonly ListedWorker[]
+  /** The planner got other limits. */
+  readonly onLimits: () => void
+}
+
+/** The running task. */
+export interface CeilingTask extends Disposable {
+  /** Some team's work waits for its ceiling. */
+  wake: () => void
+}
+
+const parseClaims = createRowReader(ClaimsRow)
+
+/** The cell's part of all listed capacity. */
+function computeShare (cell: string, workers: readonly ListedWorker[]): Resources {
+  let own = NO_RESOURCES
+  let all = NO_RESOURCES
+  for (const worker of workers) {
+    all = addResources(all, worker.capacity)
+    if (worker.service === cell) own = addResources(own, worker.capacity)
+  }
+  return {
+    processors: all.processors > 0 ? own.processors / all.processors : 0,
+    memoryMb: all.memoryMb > 0 ? own.memoryMb / all.memoryMb : 0,
+    accelerators: all.accelerators > 0 ? own.accelerators / all.accelerators : 0
+  }
+}
+
+/** Starts the task; until its first change is in the table the cell starts nothing of a team with a ceiling. */
+export function createCeilingTask (options: CeilingTaskOptions): CeilingTask {
+  const { cell, epoch, table, planner, clock } = options
+  const disposables = createDisposableStore()
+  let current: { row: ClaimsRow, version: number } | null = null
+  let isOutdated = true
+  let disposed = false
+  let reviewedAtMs = clock.nowMs()
+  let committedAtMs = -Infinity
+
+  const listCeilings = (): Map<string, Resources> => new Map((options.readConfig()?.teams ?? []).map((team) => [team.name, team.ceiling]))
+
+  const applyLimits = (pending: ClaimsRow | null): void => {
+    planner.setTeamLimits(computeClaimLimits(cell, epoch, current?.row ?? NO_CLAIMS, pending, listCeilings()))
+  }
+
+  const adoptRow = (row: TableRow | undefined): void => {
+    if (row === undefined) {
+      current = { row: NO_CLAIMS, version: 0 }
+    } else {
+      const parsed = parseClaims(row, options.events)
+      if (parsed !== null) current = { row: parsed, version: row.version }
+    }
+    isOutdated = false
+  }
+
+  const readRow = async (): Promise<boolean> => {
+    const read = await table.readRange({ table: CELL_TABLE, part: '', from: CLAIMS_KEY, to: `${CLAIMS_KEY}!` })
+    if (read.isErr()) return false
+    adoptRow(read.value.rows.find((row) => row.key === CLAIMS_KEY))
+    return true
+  }
+
+  const commitRow = async (next: ClaimsRow, version: number): Promise<void> => {
+    applyLimits(next)
+    committedAtMs = clock.nowMs()
+    const result = await table.commit({
+      part: '',
+      checks: [{ table: CELL_TABLE, key: CLAIMS_KEY, version }],
+      writes: [{ table: CELL_TABLE, key: CLAIMS_KEY, value: JSON.stringify(next) }],
+      deletes: []
+    })
+    if (result.isErr()) {
+      // It may have been applied, or may still be: only a read tells, and until then the smaller claim counts.
+      isOutdated = true
+      return
+    }
+    if (result.value.kind === 'applied') current = { row: next, version: result.value.version }
+    else adoptRow(result.value.rows.find((row) => row.key === CLAIMS_KEY && !row.deleted))
+    applyLimits(null)
+    options.onLimits()
+  }
+
+  const runStep = async (): Promise<void> => {
+    if (isOutdated && !await readRow()) return
+    if (disposed || current === null) return
+    const next = planClaims({
+      cell, epoch, row: current.row, ceilings: listCeilings(), share: computeShare(cell, options.listWorkers()), demand: planner.listTeamDemand()
+    })
+    if (next !== null) await commitRow(next, current.version)
+    else applyLimits(null)
+    if (clock.nowMs() - reviewedAtMs < CLAIM_REVIEW_MS) return
+    reviewedAtMs = clock.nowMs()
+    isOutdated = true
+  }
+
+  applyLimits(null)
+  const loop = createSerialLoop({ clock, readPauseMs: () => CLAIM_PAUSE_MS, runStep })
+  disposables.add(loop)
+  return {
+    wake: () => { if (clock.nowMs() - committedAtMs >= CLAIM_COMMIT_MS) loop.wake() },
+    dispose: () => {
+      disposed = true
+      disposables.dispose()
+    }
+  }
+}
--- a/packages/entry/src/cell/cellEntry.ts
+++ b/packages/entry/src/cell/cellEntry.ts
@@ -53,7 +53,7 @@
   let stopping = false
 
   const config = disposables.add(createConfigWatch(options))
-  const advice = disposables.add(createAdviceDesk({ ...options, incarnation: self.incarnation, client: options.adviceClient }))
+  const advice = disposables.add(createAdviceDesk({ ...options, client: options.adviceClient }))
 
   const recordLost = (cell: string, epoch: number): void => {
     terms.delete(cell)
--- a/packages/entry/src/cell/cellTerm.ts
+++ b/packages/entry/src/cell/cellTerm.ts
@@ -4,6 +4,7 @@
   type CellConfig, type Clock, type Disposable, type EventLog, type JobPhase, type StartOrder, type TryAsk
 } from '@fuchsiatally/core'
 import type { AdviceDesk } from './adviceDesk.js'
+import { createCeilingTask } from './ceilingTask.js'
 import { createCellCommits } from './cellCommits.js'
 import { EXTENSION_OUTAGE_MS } from './constants.js'
 import { computeUnknownLeaseMs } from './leaseBounds.js'
@@ -11,7 +12,6 @@
 import type { HolderRow } from './holderRow.js'
 import { cellJobEnded, cellReleased, workerLapsed, workerLeaving } from './events.js'
 import type { CellBounds, CellTable, CellWorkerClient, ListedWorker, PlatformRows } from './ports.js'
-import { computeTeamLimits } from './teamLimits.js'
 import { createWorkerContact, type WorkerContact } from './workerContact.js'
 import { createWorkerDirectory } from './workerDirectory.js'
 
@@ -74,11 +74,6 @@
     options.onDeposed()
   }
 
-  const applyLimits = (): void => {
-    const config = options.readConfig()
-    if (config !== null) planner.setTeamLimits(computeTeamLimits(config, cell, [...listings.values()]))
-  }
-
   const addMember = (listing: ListedWorker): void => {
     const contact = createWorkerContact({
       worker: listing.id,
@@ -97,7 +92,6 @@
 
   const applyListing = (listing: ListedWorker): void => {
     listings.set(listing.id, listing)
-    applyLimits()
     if (listing.service !== cell || !jobs.isLoaded()) return
     const known = members.get(listing.id)
     if (listing.draining && known?.listing.draining === false) events.record(workerLeaving, { worker: listing.id })
@@ -135,7 +129,6 @@
 
   const recordGone = (id: string): void => {
     listings.delete(id)
-    applyLimits()
     const member = members.get(id)
     if (member === undefined) return
     member.gone = true
@@ -155,6 +148,7 @@
     dropGone()
     dropUnlisted()
     const decisions = planner.decide(clock.nowMs(), clock.wallMs(), tryAsk)
+    for (const { blocked } of planner.listTeamDemand().values()) if (blocked.memoryMb > 0) ceilings.wake()
     for (const stop of decisions.stops) members.get(stop.worker)?.contact.stopRun(stop)
     return decisions.starts
   }
@@ -171,6 +165,18 @@
     onNews: () => commits.wake()
   }))
 
+  const ceilings = disposables.add(createCeilingTask({
+    cell,
+    epoch: row.epoch,
+    table: options.table,
+    planner,
+    clock,
+    events,
+    readConfig: options.readConfig,
+    listWorkers: () => [...listings.values()],
+    onLimits: () => commits.wake()
+  }))
+
   const commits = disposables.add(createCellCommits({
     cell,
     row,
@@ -207,8 +213,7 @@
     acceptNews: jobs.acceptNews,
     readCommittedPhase: (id) => committed.get(id) ?? null,
     applyConfig: () => {
-      applyLimits()
-      commits.wake()
+        commits.wake()
     },
     release: async (successor) => {
       await commits.release(successor)
--- a/packages/entry/src/cell/cellWatch.ts
+++ b/packages/entry/src/cell/cellWatch.ts
@@ -3,7 +3,7 @@
 import type { Peer, SessionView } from '../ports.js'
 import { createSerialLoop } from '../process/serialLoop.js'
 import { HOLDER_SILENCE_MS, MAX_RANK, RANK_STEP_MS, WATCH_MS } from './constants.js'
-import { CELL_TABLE, HOLDER_KEY, parseEntryRow, parseHolderRow, type EntryRow, type HolderRow } from './holderRow.js'
+import { CELL_TABLE, CLAIMS_KEY, HOLDER_KEY, parseEntryRow, parseHolderRow, type EntryRow, type HolderRow } from './holderRow.js'
 import type { CellTable, TableRow } from './ports.js'
 import { computeRank } from './rank.js'
 
@@ -58,6 +58,7 @@
   let lastReadMs = -Infinity
 
   const applyRow = (row: TableRow, nowMs: number): void => {
+    if (row.key === CLAIMS_KEY) return
     if (row.part === '') {
       const entry = row.deleted ? null : parseEntryRow(row, events)
       if (entry === null) entries.delete(row.key)
--- a/packages/entry/src/cell/constants.ts
+++ b/packages/entry/src/cell/constants.ts
@@ -72,3 +72,9 @@
 export const ADVICE_SLACK_MS = 800
 /** Interval at which an entry reads the rows of its peers, in milliseconds. */
 export const PEER_READ_MS = 1000
+/** Pause between two reviews of a cell's claims on ceilings, in milliseconds; work that waits for one wakes it. */
+export const CLAIM_PAUSE_MS = 250
+/** Interval at which the claims of the other cells are read anew, in milliseconds. */
+export const CLAIM_REVIEW_MS = 1000
+/** Shortest time between two changes of a cell's claims that waiting work asks for, in milliseconds; about four commits. */
+export const CLAIM_COMMIT_MS = 60
--- a/packages/entry/src/cell/holderRow.ts
+++ b/packages/entry/src/cell/holderRow.ts
@@ -8,6 +8,8 @@
 export const CELL_TABLE = 'cell'
 /** Key of a cell's holder in the cell's part. */
 export const HOLDER_KEY = 'holder'
+/** Key of the cells' claims on ceilings, in the empty part; no entry has such a name. */
+export const CLAIMS_KEY = '!claims'
 /** Tables of accepted jobs and of their states, both in the part of their cell. */
 export const JOB_TABLE = 'job'
 export const STATE_TABLE = 'state'
