--- a/packages/core/src/cell/createCellPlanner.ts
+++ b/packages/core/src/cell/createCellPlanner.ts
@@ -1,14 +1,13 @@
 /** Planner of one cell: which task runs where, from jobs, workers, reports and advice. */
 import { addResources, hasRoomFor, multiplyResources, NO_RESOURCES, subtractResources, type Resources } from '../schema/resources.js'
 import { HOLD_AFTER_MS, LASTING_HOLD_AFTER_MS, MAX_HELD_GANGS, PREEMPT_AFTER_MS } from './constants.js'
-import { addTaskTo, computeFree, createCellWorker, isOpen, recordEndAt, recordRefusalAt, removeTaskFrom, type CellWorker } from './cellWorker.js'
+import { computeFree, isOpen, recordRefusalAt, type CellWorker } from './cellWorker.js'
 import { createJobBook } from './jobBook.js'
 import { listTasks, type CellTask } from './jobState.js'
-import type {
-  CellDecisions, CellPlanner, ListedEnd, PlannedRun, RunName, StartOrder, StopOrder, TryAsk, WorkerReport
-} from './plannerTypes.js'
+import type { CellDecisions, CellPlanner, PlannedRun, StartOrder, TryAsk } from './plannerTypes.js'
 import { chooseAdviceWorkers, estimateRemainingMs, listStartable, mayBeSuitable, recordAdvice, recordAdviceFailed, type ReadFree, type StepRun } from './stepRun.js'
-import { makeRoom } from './roomMaking.js'
+import { chooseCeilingVictims, makeRoom } from './roomMaking.js'
+import { buildRunName, createRunAccounts } from './runAccounts.js'
 import { placeTasks } from './stepPlacement.js'
 import { createTeamUse } from './teamUse.js'
 import { compareUrgency, computeUrgency, type Urgency } from './urgency.js'
@@ -20,158 +19,10 @@
 
 /** Creates a planner without jobs or workers. */
 export function createCellPlanner (): CellPlanner {
-  const workers = new Map<string, CellWorker>()
   const teams = createTeamUse()
-  const book = createJobBook({
-    onTaskReleased: (task) => releaseRoom(task)
-  })
-  const toStop = new Map<CellTask, StopOrder['reason']>()
-
-  const findStep = (task: CellTask) => {
-    const step = book.findJob(task.job)?.spec.steps[task.step]
-    if (step === undefined) throw new Error(`task of unknown step ${task.job}.${task.step}`)
-    return step
-  }
-
-  const findTeam = (task: CellTask): string => book.findJob(task.job)?.spec.team ?? ''
-
-  const takeRoom = (task: CellTask, worker: CellWorker): void => {
-    const step = findStep(task)
-    addTaskTo(worker, task, step)
-    teams.add(findTeam(task), step.resources)
-  }
-
-  const releaseRoom = (task: CellTask): void => {
-    toStop.delete(task)
-    const worker = workers.get(task.worker)
-    if (worker !== undefined && worker.tasks.has(task)) {
-      const step = findStep(task)
-      removeTaskFrom(worker, task, step)
-      teams.subtract(findTeam(task), step.resources)
-    }
-    task.worker = ''
-    task.stopping = false
-    task.confirmedAtMs = null
-    task.percent = 0
-    task.pacePercent = 100
-  }
-
-  const resolveWorker = (id: string): CellWorker => {
-    const known = workers.get(id)
-    if (known !== undefined) return known
-    // A run of the table names a worker that no list shows: it holds room until the worker is lost for certain.
-    const ghost = createCellWorker({ id, failureDomain: '', labels: [], capacity: { processors: 0, memoryMb: 0, accelerators: 0 }, draining: true })
-    workers.set(id, ghost)
-    return ghost
-  }
-
-  const requestStop = (task: CellTask, reason: StopOrder['reason']): void => {
-    if (task.worker !== '' && !task.stopping) toStop.set(task, reason)
-  }
-
-  const stopJob = (id: string, reason: StopOrder['reason']): void => {
-    const job = book.findJob(id)
-    if (job === undefined) return
-    for (const task of listTasks(job)) requestStop(task, reason)
-  }
-
-  /** The run is over without a result: the task waits again. */
-  const returnTask = (task: CellTask, nowMs: number): void => {
-    releaseRoom(task)
-    if (task.phase === 'placed') task.phase = 'waiting'
-    book.markChanged(task.job)
-    book.noteWaiting(task, nowMs)
-  }
-
-  const endGangMembers = (task: CellTask, nowMs: number): void => {
-    for (const member of book.listGang(task)) {
-      if (member === task || member.run !== task.run || member.phase !== 'placed') continue
-      // All members end together; room elsewhere is free when that worker lists its end.
-      member.phase = 'done'
-      book.noteDone(member, nowMs)
-    }
-  }
-
-  const breakGang = (task: CellTask): void => {
-    for (const member of book.listGang(task)) {
-      if (member !== task && member.run === task.run && member.phase === 'placed') requestStop(member, 'gangBroken')
-    }
-  }
-
-  const recordFailure = (task: CellTask, end: ListedEnd, nowMs: number, wallMs: number): void => {
-    const gang = book.listGang(task)
-    for (const member of gang) if (member.run === end.run) member.failures++
-    const job = book.findJob(task.job)
-    if (job === undefined || findStep(task).longRunning || task.failures < job.spec.policy.maxAttempts) return
-    task.phase = 'failed'
-    book.endJob(job, 'failed', wallMs)
-    stopJob(job.id, 'jobFailed')
-  }
-
-  const keepSaved = (task: CellTask, saved: string): void => {
-    if (saved === '') return
-    for (const member of book.listGang(task)) member.saved = saved
-  }
-
-  const recordEnd = (workerId: string, end: ListedEnd, nowMs: number, wallMs: number): void => {
-    const task = book.findTask(end)
-    if (task === undefined) return
-    const isCurrent = task.run === end.run && task.worker === workerId
-    const worker = workers.get(workerId)
-    if (worker !== undefined && isCurrent) recordEndAt(worker, end.how === 'failed', nowMs)
-    if (!isCurrent) {
-      // A worker that was given up for lost tells of a result after all: the task need not run again.
-      if (end.how !== 'done' || task.phase === 'done' || task.phase === 'failed') return
-      if (task.phase === 'placed') requestStop(task, 'superseded')
-      task.phase = 'done'
-      endGangMembers(task, nowMs)
-      book.noteDone(task, nowMs)
-      book.endIfComplete(task, wallMs)
-      return
-    }
-    keepSaved(task, end.saved)
-    const wasPlaced = task.phase === 'placed'
-    releaseRoom(task)
-    book.markChanged(task.job)
-    if (!wasPlaced) return
-    if (end.how === 'done' && !findStep(task).longRunning) {
-      task.phase = 'done'
-      endGangMembers(task, nowMs)
-      book.noteDone(task, nowMs)
-      book.endIfComplete(task, wallMs)
-      return
-    }
-    task.phase = 'waiting'
-    if (end.how === 'failed') recordFailure(task, end, nowMs, wallMs)
-    // The workers end the other members of a gang by themselves when one fails.
-    if (findStep(task).gang && (end.how === 'stopped' || end.how === 'lapsed' || end.how === 'alone')) breakGang(task)
-    book.noteWaiting(task, nowMs)
-  }
-
-  const recordReport = (workerId: string, report: WorkerReport, nowMs: number, wallMs: number): StopOrder[] => {
-    const worker = resolveWorker(workerId)
-    for (const end of report.ended) recordEnd(workerId, end, nowMs, wallMs)
-    const listed = new Set<CellTask>()
-    const strays: StopOrder[] = []
-    for (const entry of report.running) {
-      const task = book.findTask(entry)
-      if (task === undefined || task.run !== entry.run || task.worker !== workerId) {
-        strays.push({ ...entry, worker: workerId, reason: 'stray' })
-        continue
-      }
-      listed.add(task)
-      task.confirmedAtMs ??= report.askedAtMs
-      task.percent = entry.percent
-      if (entry.saved !== '' && entry.saved !== task.saved) keepSaved(task, entry.saved)
-    }
-    worker.strays = strays.length
-    for (const task of [...worker.tasks]) {
-      if (listed.has(task) || task.confirmedAtMs === null || task.confirmedAtMs >= report.askedAtMs) continue
-      returnTask(task, nowMs)
-      if (findStep(task).gang) breakGang(task)
-    }
-    return strays
-  }
+  const book = createJobBook()
+  const accounts = createRunAccounts(book, teams)
+  const { workers, findStep } = accounts
 
   const rankRuns = (nowMs: number, wallMs: number): RankedRun[] => {
     const ranked: RankedRun[] = []
@@ -188,7 +39,7 @@
     task.run = number
     task.worker = worker.facts.id
     task.confirmedAtMs = null
-    takeRoom(task, worker)
+    accounts.takeRoom(task, worker)
     return {
       ...buildRunName(task),
       worker: worker.facts.id,
@@ -199,14 +50,39 @@
     }
   }
 
+  const stopForOthers = (victims: readonly CellTask[]): void => {
+    for (const victim of victims) {
+      victim.preemptions++
+      accounts.requestStop(victim, 'preempted')
+    }
+  }
+
+  /** Tasks that wait for their team's ceiling alone: less urgent work of the team makes way for urgent tasks. */
+  const waitForCeiling = (ranked: RankedRun, count: number, nowMs: number): void => {
+    if (count === 0) return
+    const { team } = ranked.run.job.spec
+    const need = multiplyResources(ranked.run.step.resources, count)
+    teams.addBlocked(team, need)
+    if (ranked.rank.priority > 0 || !mayPreempt(ranked, nowMs)) return
+    const missing = subtractResources(need, teams.readFree(team))
+    stopForOthers(chooseCeilingVictims({ priority: ranked.rank.priority, missing, tasks: listTasksOf(team), readFacts }))
+  }
+
+  function * listTasksOf (team: string): Generator<CellTask> {
+    for (const worker of workers.values()) {
+      for (const task of worker.tasks) if (book.findJob(task.job)?.spec.team === team) yield task
+    }
+  }
+
   /** Starts what has room and ceiling; returns the tasks that wait for room. */
-  const startRun = (run: StepRun, held: ReadonlyMap<string, Resources>, nowMs: number, starts: StartOrder[]): CellTask[] => {
+  const startRun = (ranked: RankedRun, held: ReadonlyMap<string, Resources>, nowMs: number, starts: StartOrder[]): CellTask[] => {
+    const { run } = ranked
     const startable = listStartable(run)
     const { team } = run.job.spec
     // A gang takes all of its room at once or none.
     const need = run.step.gang ? multiplyResources(run.step.resources, run.tasks.length) : run.step.resources
     if (!teams.mayAdd(team, need)) {
-      if (startable.length > 0) teams.addBlocked(team, multiplyResources(run.step.resources, startable.length))
+      waitForCeiling(ranked, startable.length, nowMs)
       return []
     }
     const placements = placeTasks(run, startable, [...workers.values()], held, nowMs)
@@ -219,7 +95,7 @@
     }
     if (placed.size > 0) book.noteStarted(run)
     if (placed.size === placements.length) return startable.filter((task) => !placed.has(task))
-    teams.addBlocked(team, multiplyResources(run.step.resources, startable.length - placed.size))
+    waitForCeiling(ranked, startable.length - placed.size, nowMs)
     return []
   }
 
@@ -236,11 +112,7 @@
 
   const holdRoom = (ranked: RankedRun, tasks: readonly CellTask[], held: Map<string, Resources>, nowMs: number): void => {
     const preempts = mayPreempt(ranked, nowMs)
-    const victims = makeRoom({ run: ranked.run, tasks, workers: [...workers.values()], held, readFacts, mayPreempt: preempts, nowMs })
-    for (const victim of victims) {
-      victim.preemptions++
-      requestStop(victim, 'preempted')
-    }
+    stopForOthers(makeRoom({ run: ranked.run, tasks, workers: [...workers.values()], held, readFacts, mayPreempt: preempts, nowMs }))
   }
 
   /** Asks for advice if it can be used; tells whether a question is open. */
@@ -266,16 +138,6 @@
     }
   }
 
-  const collectStops = (): StopOrder[] => {
-    const stops: StopOrder[] = []
-    for (const [task, reason] of toStop) {
-      task.stopping = true
-      stops.push({ ...buildRunName(task), worker: task.worker, reason })
-    }
-    toStop.clear()
-    return stops
-  }
-
   const decide = (nowMs: number, wallMs: number, tryAsk: TryAsk): CellDecisions => {
     book.addDueOccurrences(wallMs, nowMs)
     const starts: StartOrder[] = []
@@ -289,7 +151,7 @@
     let holding = 0
     for (const ranked of rankRuns(nowMs, wallMs)) {
       const { run } = ranked
-      const left = startRun(run, held, nowMs, starts)
+      const left = startRun(ranked, held, nowMs, starts)
       if (left.length === 0) continue
       if (askAdvice(run, readFree, tryAsk, nowMs)) claimRoom(run, left, claimed, readFree, nowMs)
       const holds = mayHold(run, nowMs)
@@ -297,15 +159,11 @@
       else if (holds || ranked.rank.priority > 0 || !mayPreempt(ranked, nowMs)) continue
       holdRoom(ranked, left, held, nowMs)
     }
-    return { starts, stops: collectStops() }
+    return { starts, stops: accounts.takeStops() }
   }
 
   return {
-    setWorker: (facts) => {
-      const known = workers.get(facts.id)
-      if (known === undefined) workers.set(facts.id, createCellWorker(facts))
-      else known.facts = facts
-    },
+    setWorker: (facts) => { accounts.resolveWorker(facts.id).facts = facts },
     setHeld: (id, held) => {
       const worker = workers.get(id)
       if (worker !== undefined) worker.held = held
@@ -317,15 +175,14 @@
       worker.strays = 0
       for (const task of [...worker.tasks]) {
         if (isUnsettled?.(buildRunName(task)) === true) continue
-        returnTask(task, nowMs)
-        if (findStep(task).gang) breakGang(task)
+        accounts.returnTask(task, nowMs)
       }
       for (const run of book.listRuns()) {
         run.tickets.delete(id)
         run.unsuitable.delete(id)
       }
     },
-    removeWorker: (id) => { workers.delete(id) },
+    removeWorker: accounts.removeWorker,
     listWorkers: () => [...workers.keys()],
     hasRuns: (id) => (workers.get(id)?.tasks.size ?? 0) > 0,
     setTeamLimits: teams.setLimits,
@@ -336,18 +193,18 @@
         if (task.worker === '') continue
         // Ordered in an earlier term: the worker's first list under this epoch tells what became of it.
         task.confirmedAtMs = -Infinity
-        takeRoom(task, resolveWorker(task.worker))
+        accounts.takeRoom(task, accounts.resolveWorker(task.worker))
       }
-      if (job.phase === 'cancelled') stopJob(id, 'cancelled')
-      if (job.phase === 'failed') stopJob(id, 'jobFailed')
+      if (job.phase === 'cancelled') accounts.stopJob(id, 'cancelled')
+      if (job.phase === 'failed') accounts.stopJob(id, 'jobFailed')
     },
     cancelJob: (id, wallMs) => {
       const job = book.findJob(id)
       if (job === undefined || !book.endJob(job, 'cancelled', wallMs)) return
-      stopJob(id, 'cancelled')
+      accounts.stopJob(id, 'cancelled')
     },
     hasJob: (id) => book.findJob(id) !== undefined,
-    recordReport,
+    recordReport: accounts.recordReport,
     recordSettled: (name, worker, nowMs) => {
       const task = book.findTask(name)
       if (task === undefined || task.run !== name.run || task.worker !== worker) return
@@ -363,8 +220,7 @@
       const worker = workers.get(order.worker)
       if (worker !== undefined && (refusal === 'room' || refusal === 'unavailable')) recordRefusalAt(worker, nowMs)
       if (refusal === 'ticket') book.findRun(task)?.tickets.delete(order.worker)
-      returnTask(task, nowMs)
-      if (findStep(task).gang) breakGang(task)
+      accounts.returnTask(task, nowMs)
     },
     recordAdvice: (question, good, nowMs) => {
       const run = book.findRunByKey(question.step)
@@ -390,7 +246,3 @@
     })
   }
 }
-
-function buildRunName (task: CellTask): RunName {
-  return { job: task.job, occurrence: task.occurrence, step: task.step, index: task.index, run: task.run }
-}
--- a/packages/core/src/cell/jobBook.ts
+++ b/packages/core/src/cell/jobBook.ts
@@ -34,14 +34,8 @@
   forgetEnded: (wallMs: number) => string[]
 }
 
-/** Options of the book. */
-export interface JobBookOptions {
-  /** Called with each task of a forgotten job that still holds room. */
-  readonly onTaskReleased: (task: CellTask) => void
-}
-
 /** Creates an empty book. */
-export function createJobBook (options: JobBookOptions): JobBook {
+export function createJobBook (): JobBook {
   const jobs = new Map<string, CellJob>()
   const runs = new Map<string, StepRun>()
   const waiting = new Set<StepRun>()
@@ -193,7 +187,6 @@
       const forgotten: string[] = []
       for (const job of jobs.values()) {
         if (!isFinal(job.phase) || job.endedAtMs >= wallMs || hasHeldRoom(job)) continue
-        for (const task of listTasks(job)) if (task.worker !== '') options.onTaskReleased(task)
         jobs.delete(job.id)
         changed.delete(job.id)
         forgotten.push(job.id)
--- a/packages/core/src/cell/roomMaking.ts
+++ b/packages/core/src/cell/roomMaking.ts
@@ -122,3 +122,39 @@
   }
   return run.step.gang && !isComplete ? [] : [...victims]
 }
+
+/** Options of a search below a ceiling. */
+export interface CeilingVictimOptions {
+  /** Priority of the tasks that wait. */
+  readonly priority: number
+  /** What the team's ceiling lacks for them; components that are not positive lack nothing. */
+  readonly missing: Resources
+  /** The team's tasks that hold room. */
+  readonly tasks: Iterable<CellTask>
+  readonly readFacts: (task: CellTask) => TaskFacts
+}
+
+/** Chooses less urgent tasks of a team so that its urgent ones fit below its ceiling. */
+export function chooseCeilingVictims (options: CeilingVictimOptions): CellTask[] {
+  let left = subtractResources(NO_RESOURCES, options.missing)
+  const candidates: { task: CellTask, facts: TaskFacts }[] = []
+  for (const task of options.tasks) {
+    const facts = options.readFacts(task)
+    if (task.stopping) left = addResources(left, facts.step.resources)
+    else if (mayBeStopped(task, facts, options.priority)) candidates.push({ task, facts })
+  }
+  candidates.sort((a, b) => b.facts.priority - a.facts.priority || a.task.percent - b.task.percent)
+  const victims: CellTask[] = []
+  for (const { task, facts } of candidates) {
+    if (computeMissing(left) === 0) break
+    if (!isHelpful(left, facts.step.resources)) continue
+    left = addResources(left, facts.step.resources)
+    victims.push(task)
+  }
+  return victims
+}
+
+/** Whether an amount has something of what is missing. */
+function isHelpful (left: Resources, amount: Resources): boolean {
+  return (left.processors < 0 && amount.processors > 0) || (left.memoryMb < 0 && amount.memoryMb > 0) || (left.accelerators < 0 && amount.accelerators > 0)
+}
--- a/packages/core/src/cell/stepPlacement.ts
+++ b/packages/core/src/cell/stepPlacement.ts
@@ -1,5 +1,5 @@
 /** Chooses workers for the tasks of a step. */
-import { addResources, hasRoomFor, subtractResources, type Resources } from '../schema/resources.js'
+import { hasRoomFor, subtractResources, type Resources } from '../schema/resources.js'
 import { canEverRun, computeFree, isOpen, type CellWorker } from './cellWorker.js'
 import { hasTicket, type StepRun } from './stepRun.js'
 import type { CellTask } from './jobState.js'
--- a/packages/core/src/cell/teamUse.ts
+++ b/packages/core/src/cell/teamUse.ts
@@ -8,12 +8,16 @@
   mayAdd: (team: string, need: Resources) => boolean
   add: (team: string, amount: Resources) => void
   subtract: (team: string, amount: Resources) => void
+  /** What is left of the ceiling; infinite where there is none. */
+  readFree: (team: string) => Resources
   /** Notes what waits for the ceiling; forgotten when the next round begins. */
   addBlocked: (team: string, amount: Resources) => void
   startRound: () => void
   listDemand: () => ReadonlyMap<string, TeamDemand>
 }
 
+const NO_LIMIT: Resources = { processors: Infinity, memoryMb: Infinity, accelerators: Infinity }
+
 /** Creates sums of zero without ceilings. */
 export function createTeamUse (): TeamUse {
   const used = new Map<string, Resources>()
@@ -27,6 +31,7 @@
       return limit === undefined || hasRoomFor(subtractResources(limit, readUse(team)), need)
     },
     add: (team, amount) => { used.set(team, addResources(readUse(team), amount)) },
+    readFree: (team) => subtractResources(limits.get(team) ?? NO_LIMIT, readUse(team)),
     subtract: (team, amount) => { used.set(team, subtractResources(readUse(team), amount)) },
     addBlocked: (team, amount) => { blocked.set(team, addResources(blocked.get(team) ?? NO_RESOURCES, amount)) },
     startRound: () => { blocked.clear() },
--- a/packages/entry/src/cell/cellTerm.ts
+++ b/packages/entry/src/cell/cellTerm.ts
@@ -213,7 +213,7 @@
     acceptNews: jobs.acceptNews,
     readCommittedPhase: (id) => committed.get(id) ?? null,
     applyConfig: () => {
-        commits.wake()
+      commits.wake()
     },
     release: async (successor) => {
       await commits.release(successor)
