Room is kept while a ticket is renewed, large tasks hold room

Change: room of an open renewal counts as held for lower ranks; tasks of more than half a worker hold room like gangs.

--- a/packages/core/src/cell/createCellPlanner.ts
+++ b/packages/core/src/cell/createCellPlanner.ts
@@ -1,7 +1,7 @@
 /** Planner of one cell: which task runs where, from jobs, workers, reports and advice. */
 import { addResources, hasRoomFor, multiplyResources, NO_RESOURCES, subtractResources, type Resources } from '../schema/resources.js'
 import { HOLD_AFTER_MS, LASTING_HOLD_AFTER_MS, MAX_HELD_GANGS, PREEMPT_AFTER_MS } from './constants.js'
-import { computeFree, isOpen, recordRefusalAt, type CellWorker } from './cellWorker.js'
+import { canEverRun, computeFree, isOpen, recordRefusalAt, type CellWorker } from './cellWorker.js'
 import { createJobBook } from './jobBook.js'
 import { listTasks, type CellTask } from './jobState.js'
 import type { CellDecisions, CellPlanner, PlannedRun, StartOrder, TryAsk } from './plannerTypes.js'
@@ -99,9 +99,17 @@
     return []
   }
 
+  /** A task that needs more than half of a worker finds room only where small tasks are kept away. */
+  const isLarge = (run: StepRun): boolean => {
+    const twice = multiplyResources(run.room, 2)
+    for (const worker of workers.values()) if (canEverRun(worker, run.step) && hasRoomFor(worker.facts.capacity, twice)) return false
+    return true
+  }
+
   const mayHold = (run: StepRun, nowMs: number): boolean => {
-    if (run.waitingSinceMs === null || !(run.step.gang || run.step.longRunning)) return false
-    return nowMs - run.waitingSinceMs > (run.step.longRunning ? LASTING_HOLD_AFTER_MS : HOLD_AFTER_MS)
+    if (run.waitingSinceMs === null) return false
+    if (run.step.longRunning) return nowMs - run.waitingSinceMs > LASTING_HOLD_AFTER_MS
+    return nowMs - run.waitingSinceMs > HOLD_AFTER_MS && (run.step.gang || isLarge(run))
   }
 
   const mayPreempt = ({ run, rank }: RankedRun, nowMs: number): boolean => {
@@ -153,7 +161,8 @@
       const { run } = ranked
       const left = startRun(ranked, held, nowMs, starts)
       if (left.length === 0) continue
-      if (askAdvice(run, readFree, tryAsk, nowMs)) claimRoom(run, left, claimed, readFree, nowMs)
+      // While a ticket is renewed the room that it is for is kept.
+      if (askAdvice(run, readFree, tryAsk, nowMs)) claimRoom(run, left, run.tickets.size > 0 ? held : claimed, readFree, nowMs)
       const holds = mayHold(run, nowMs)
       if (holds && holding < MAX_HELD_GANGS) holding++
       else if (holds || ranked.rank.priority > 0 || !mayPreempt(ranked, nowMs)) continue
