--- a/packages/entry/src/cell/cellEntry.ts
+++ b/packages/entry/src/cell/cellEntry.ts
@@ -141,7 +141,7 @@
     desk,
     readConfig: config.readConfig,
     isFresh: config.isFresh,
-    isReady: () => !stopping && config.readConfig() !== null && config.isFresh(),
+    isReady: () => !stopping && config.readConfig() !== null && config.isFresh() && !table.isSuspect(),
     listSessions: cells.listSessions,
     release: async () => {
       stopping = true
--- a/packages/entry/src/cell/jobDesk.ts
+++ b/packages/entry/src/cell/jobDesk.ts
@@ -35,6 +35,19 @@
   countWaiting: (queue: QueueConfig) => number | null
 }
 
+/** What decides how a job is planned, for the log. */
+function summarizeJob (job: StepJob): Record<string, unknown> {
+  const flags = new Set<string>()
+  for (const step of job.steps) {
+    if (step.gang) flags.add('gang')
+    if (step.longRunning) flags.add('longRunning')
+    if (step.fills) flags.add('fills')
+    if (step.targetMs > 0) flags.add('target')
+    if (step.savesWork) flags.add('savesWork')
+  }
+  return { service: job.policy.service, priority: job.policy.priority, tasks: job.steps.map((step) => step.taskCount), flags: [...flags], runCount: job.runCount }
+}
+
 /** Creates the desk. */
 export function createJobDesk (options: JobDeskOptions): JobDesk {
   const { table, mesh, clock, events } = options
@@ -49,6 +62,8 @@
 
   /** Sends a write until its fate is known; the first answer of each try counts for all of them. */
   const settleWrite = async (transaction: CellTransaction, deadlineMs: number): Promise<CommitResult | 'refused' | 'unsettled'> => {
+    // A write that gets no answer leaves the caller without one, too; a refusal lets it go elsewhere at once.
+    if (table.isSuspect()) return 'refused'
     let mayHaveApplied = false
     for (;;) {
       const result = await table.commit(transaction)
@@ -78,7 +93,7 @@
       return 'unsettled'
     }
     // A conflict means that an earlier try, here or elsewhere, stored the same job.
-    events.record(cellJobAccepted, { job: id, team: job.team, queue: job.policy.queue, known: result.kind === 'conflict' })
+    events.record(cellJobAccepted, { job: id, team: job.team, queue: job.policy.queue, known: result.kind === 'conflict', ...summarizeJob(job) })
     if (result.kind === 'applied') tellHolder(cell, id, value)
     return 'done'
   }
@@ -91,6 +106,7 @@
   const readState: JobDesk['readState'] = async (id, queue) => {
     const known = finals.get(id) ?? options.readCommittedPhase(queue.service, id)
     if (known !== null) return known
+    if (table.isSuspect()) return 'refused'
     const row = await readRow(STATE_TABLE, queue.service, id)
     if (row.isErr()) return 'refused'
     if (row.value === undefined) return 'unknownJob'
--- a/packages/entry/src/cell/ports.ts
+++ b/packages/entry/src/cell/ports.ts
@@ -60,6 +60,8 @@
   commit: (transaction: CellTransaction) => Promise<Result<CommitResult, CallFailure>>
   /** Reads all rows of a range; `version` is the table's version at or before the read. */
   readRange: (range: TableRange) => Promise<Result<{ rows: readonly TableRow[], version: number }, CallFailure>>
+  /** Whether calls go without an answer at this moment: what is sent now would probably share their fate. */
+  isSuspect: () => boolean
   /** Waits up to `waitMs` for rows changed after `version`. */
   readChanges: (table: string, version: number, waitMs: number) => Promise<Result<TableChanges, CallFailure>>
 }
--- a/packages/entry/src/testing/cellTableModel.ts
+++ b/packages/entry/src/testing/cellTableModel.ts
@@ -78,6 +78,7 @@
       return ok(run())
     }
     const table: CellTable = {
+      isSuspect: () => faults.outage !== null,
       commit: async (transaction) => {
         const lost = faults.outage === null ? faults.loseWrite() : null
         if (lost === null) return await call(() => apply(transaction))
