--- a/packages/core/src/cell/createCellPlanner.ts
+++ b/packages/core/src/cell/createCellPlanner.ts
@@ -1,12 +1,12 @@
 /** Planner of one cell: which task runs where, from jobs, workers, reports and advice. */
-import { addResources, hasRoomFor, multiplyResources, NO_RESOURCES, subtractResources, type Resources } from '../schema/resources.js'
+import { addResources, hasRoomFor, computeTotal, NO_RESOURCES, subtractResources, type Resources } from '../schema/resources.js'
 import { HOLD_AFTER_MS, LASTING_HOLD_AFTER_MS, MAX_HELD_GANGS, PREEMPT_AFTER_MS } from './constants.js'
 import { canEverRun, computeFree, isOpen, recordRefusalAt, type CellWorker } from './cellWorker.js'
 import { createJobBook } from './jobBook.js'
 import { listTasks, type CellTask } from './jobState.js'
 import type { CellDecisions, CellPlanner, PlannedRun, StartOrder, TryAsk } from './plannerTypes.js'
 import { chooseAdviceWorkers, estimateRemainingMs, listStartable, mayBeSuitable, recordAdvice, recordAdviceFailed, type ReadFree, type StepRun } from './stepRun.js'
-import { chooseCeilingVictims, makeRoom } from './roomMaking.js'
+import { chooseCeilingVictims, reserveRoom } from './roomReserve.js'
 import { buildRunName, createRunAccounts } from './runAccounts.js'
 import { placeTasks } from './stepPlacement.js'
 import { createTeamUse } from './teamUse.js'
@@ -24,7 +24,7 @@
   const accounts = createRunAccounts(book, teams)
   const { workers, findStep } = accounts
 
-  const rankRuns = (nowMs: number, wallMs: number): RankedRun[] => {
+  const sortRuns = (nowMs: number, wallMs: number): RankedRun[] => {
     const ranked: RankedRun[] = []
     for (const run of book.listWaitingRuns()) {
       const rank = computeUrgency(run.job.spec, run.occurrence.index, estimateRemainingMs(run), wallMs)
@@ -53,7 +53,7 @@
   const stopForOthers = (victims: readonly CellTask[]): void => {
     for (const victim of victims) {
       victim.preemptions++
-      accounts.requestStop(victim, 'preempted')
+      accounts.scheduleStop(victim, 'preempted')
     }
   }
 
@@ -61,7 +61,7 @@
   const waitForCeiling = (ranked: RankedRun, count: number, nowMs: number): void => {
     if (count === 0) return
     const { team } = ranked.run.job.spec
-    const need = multiplyResources(ranked.run.step.resources, count)
+    const need = computeTotal(ranked.run.step.resources, count)
     teams.addBlocked(team, need)
     if (ranked.rank.priority > 0 || !mayPreempt(ranked, nowMs)) return
     const missing = subtractResources(need, teams.readFree(team))
@@ -80,7 +80,7 @@
     const startable = listStartable(run)
     const { team } = run.job.spec
     // A gang takes all of its room at once or none.
-    const need = run.step.gang ? multiplyResources(run.step.resources, run.tasks.length) : run.step.resources
+    const need = run.step.gang ? computeTotal(run.step.resources, run.tasks.length) : run.step.resources
     if (!teams.mayAdd(team, need)) {
       waitForCeiling(ranked, startable.length, nowMs)
       return []
@@ -101,7 +101,7 @@
 
   /** A task that needs more than half of a worker finds room only where small tasks are kept away. */
   const isLarge = (run: StepRun): boolean => {
-    const twice = multiplyResources(run.room, 2)
+    const twice = computeTotal(run.room, 2)
     for (const worker of workers.values()) if (canEverRun(worker, run.step) && hasRoomFor(worker.facts.capacity, twice)) return false
     return true
   }
@@ -118,9 +118,9 @@
 
   const readFacts = (task: CellTask) => ({ step: findStep(task), priority: book.findJob(task.job)?.spec.policy.priority ?? 0 })
 
-  const holdRoom = (ranked: RankedRun, tasks: readonly CellTask[], held: Map<string, Resources>, nowMs: number): void => {
+  const keepRoom = (ranked: RankedRun, tasks: readonly CellTask[], held: Map<string, Resources>, nowMs: number): void => {
     const preempts = mayPreempt(ranked, nowMs)
-    stopForOthers(makeRoom({ run: ranked.run, tasks, workers: [...workers.values()], held, readFacts, mayPreempt: preempts, nowMs }))
+    stopForOthers(reserveRoom({ run: ranked.run, tasks, workers: [...workers.values()], held, readFacts, mayPreempt: preempts, nowMs }))
   }
 
   /** Asks for advice if it can be used; tells whether a question is open. */
@@ -134,7 +134,7 @@
   }
 
   /** Counts the room that a step will take once it is advised, so that steps of a lower rank don't ask for the same. */
-  const claimRoom = (run: StepRun, tasks: readonly CellTask[], claimed: Map<string, Resources>, readFree: ReadFree, nowMs: number): void => {
+  const reserveAdvisedRoom = (run: StepRun, tasks: readonly CellTask[], claimed: Map<string, Resources>, readFree: ReadFree, nowMs: number): void => {
     let left = tasks.length
     for (const worker of workers.values()) {
       if (!isOpen(worker, nowMs) || !mayBeSuitable(run, worker)) continue
@@ -157,16 +157,16 @@
       return subtractResources(computeFree(worker), taken)
     }
     let holding = 0
-    for (const ranked of rankRuns(nowMs, wallMs)) {
+    for (const ranked of sortRuns(nowMs, wallMs)) {
       const { run } = ranked
       const left = startRun(ranked, held, nowMs, starts)
       if (left.length === 0) continue
       // While a ticket is renewed the room that it is for is kept.
-      if (askAdvice(run, readFree, tryAsk, nowMs)) claimRoom(run, left, run.tickets.size > 0 ? held : claimed, readFree, nowMs)
+      if (askAdvice(run, readFree, tryAsk, nowMs)) reserveAdvisedRoom(run, left, run.tickets.size > 0 ? held : claimed, readFree, nowMs)
       const holds = mayHold(run, nowMs)
       if (holds && holding < MAX_HELD_GANGS) holding++
       else if (holds || ranked.rank.priority > 0 || !mayPreempt(ranked, nowMs)) continue
-      holdRoom(ranked, left, held, nowMs)
+      keepRoom(ranked, left, held, nowMs)
     }
     return { starts, stops: accounts.takeStops() }
   }
@@ -184,7 +184,7 @@
       worker.strays = 0
       for (const task of [...worker.tasks]) {
         if (isUnsettled?.(buildRunName(task)) === true) continue
-        accounts.returnTask(task, nowMs)
+        accounts.releaseTask(task, nowMs)
       }
       for (const run of book.listRuns()) {
         run.tickets.delete(id)
@@ -229,7 +229,7 @@
       const worker = workers.get(order.worker)
       if (worker !== undefined && (refusal === 'room' || refusal === 'unavailable')) recordRefusalAt(worker, nowMs)
       if (refusal === 'ticket') book.findRun(task)?.tickets.delete(order.worker)
-      accounts.returnTask(task, nowMs)
+      accounts.releaseTask(task, nowMs)
     },
     recordAdvice: (question, good, nowMs) => {
       const run = book.findRunByKey(question.step)
--- a/packages/core/src/cell/roomMaking.ts
+++ b/packages/core/src/cell/roomReserve.ts
@@ -96,7 +96,7 @@
  *
  * @returns tasks to be stopped; none for a gang that would still lack room
  */
-export function makeRoom (options: RoomMakingOptions): CellTask[] {
+export function reserveRoom (options: RoomMakingOptions): CellTask[] {
   const { run, held, nowMs } = options
   const allowed = options.workers.filter((worker) => isOpen(worker, nowMs) && canEverRun(worker, run.step) && !run.unsuitable.has(worker.facts.id))
   const counts = new Map<string, number>()
--- a/packages/core/src/cell/runAccounts.ts
+++ b/packages/core/src/cell/runAccounts.ts
@@ -16,8 +16,8 @@
   removeWorker: (id: string) => void
   takeRoom: (task: CellTask, worker: CellWorker) => void
   /** The run is over without a result: the task waits again, and a gang starts anew. */
-  returnTask: (task: CellTask, nowMs: number) => void
-  requestStop: (task: CellTask, reason: StopOrder['reason']) => void
+  releaseTask: (task: CellTask, nowMs: number) => void
+  scheduleStop: (task: CellTask, reason: StopOrder['reason']) => void
   stopJob: (id: string, reason: StopOrder['reason']) => void
   /** Stops that were requested since the last call. */
   takeStops: () => StopOrder[]
@@ -72,18 +72,18 @@
     return ghost
   }
 
-  const requestStop = (task: CellTask, reason: StopOrder['reason']): void => {
+  const scheduleStop = (task: CellTask, reason: StopOrder['reason']): void => {
     if (task.worker !== '' && !task.stopping) toStop.set(task, reason)
   }
 
   const stopJob = (id: string, reason: StopOrder['reason']): void => {
     const job = book.findJob(id)
     if (job === undefined) return
-    for (const task of listTasks(job)) requestStop(task, reason)
+    for (const task of listTasks(job)) scheduleStop(task, reason)
   }
 
   /** The run is over without a result: the task waits again. */
-  const returnTask = (task: CellTask, nowMs: number): void => {
+  const releaseTask = (task: CellTask, nowMs: number): void => {
     releaseRoom(task)
     if (task.phase === 'placed') task.phase = 'waiting'
     book.markChanged(task.job)
@@ -99,9 +99,9 @@
     }
   }
 
-  const breakGang = (task: CellTask): void => {
+  const stopGang = (task: CellTask): void => {
     for (const member of book.listGang(task)) {
-      if (member !== task && member.run === task.run && member.phase === 'placed') requestStop(member, 'gangBroken')
+      if (member !== task && member.run === task.run && member.phase === 'placed') scheduleStop(member, 'gangBroken')
     }
   }
 
@@ -129,7 +129,7 @@
     if (!isCurrent) {
       // A worker that was given up for lost tells of a result after all: the task need not run again.
       if (end.how !== 'done' || task.phase === 'done' || task.phase === 'failed') return
-      if (task.phase === 'placed') requestStop(task, 'superseded')
+      if (task.phase === 'placed') scheduleStop(task, 'superseded')
       task.phase = 'done'
       endGangMembers(task, nowMs)
       book.noteDone(task, nowMs)
@@ -151,7 +151,7 @@
     task.phase = 'waiting'
     if (end.how === 'failed') recordFailure(task, end, nowMs, wallMs)
     // The workers end the other members of a gang by themselves when one fails.
-    if (findStep(task).gang && (end.how === 'stopped' || end.how === 'lapsed' || end.how === 'alone')) breakGang(task)
+    if (findStep(task).gang && (end.how === 'stopped' || end.how === 'lapsed' || end.how === 'alone')) stopGang(task)
     book.noteWaiting(task, nowMs)
   }
 
@@ -174,8 +174,8 @@
     worker.strays = strays.length
     for (const task of [...worker.tasks]) {
       if (listed.has(task) || task.confirmedAtMs === null || task.confirmedAtMs >= report.askedAtMs) continue
-      returnTask(task, nowMs)
-      if (findStep(task).gang) breakGang(task)
+      releaseTask(task, nowMs)
+      if (findStep(task).gang) stopGang(task)
     }
     return strays
   }
@@ -186,11 +186,11 @@
     resolveWorker,
     removeWorker: (id) => { workers.delete(id) },
     takeRoom,
-    returnTask: (task, nowMs) => {
-      returnTask(task, nowMs)
-      if (findStep(task).gang) breakGang(task)
+    releaseTask: (task, nowMs) => {
+      releaseTask(task, nowMs)
+      if (findStep(task).gang) stopGang(task)
     },
-    requestStop,
+    scheduleStop,
     stopJob,
     takeStops: () => {
       const stops: StopOrder[] = []
--- a/packages/core/src/cell/stepPlacement.ts
+++ b/packages/core/src/cell/stepPlacement.ts
@@ -89,7 +89,7 @@
   return placements
 }
 
-function groupByRack (candidates: readonly Candidate[]): Candidate[][] {
+function collectByRack (candidates: readonly Candidate[]): Candidate[][] {
   const racks = new Map<string, Candidate[]>()
   for (const candidate of candidates) {
     const rack = candidate.worker.facts.labels[1] ?? ''
@@ -110,7 +110,7 @@
 ): Placement[] {
   if (tasks.length === 0) return []
   if (run.step.tightlyCoupled) {
-    for (const rack of groupByRack(buildCandidates(run, workers, held, nowMs))) {
+    for (const rack of collectByRack(buildCandidates(run, workers, held, nowMs))) {
       const placements = placeAll(run, tasks, rack)
       if (placements.length === tasks.length) return placements
     }
--- a/packages/core/src/schema/resources.ts
+++ b/packages/core/src/schema/resources.ts
@@ -37,7 +37,7 @@
 }
 
 /** Room of `count` tasks of one kind. */
-export function multiplyResources (amount: Resources, count: number): Resources {
+export function computeTotal (amount: Resources, count: number): Resources {
   return {
     processors: computeRounded(amount.processors * count),
     memoryMb: amount.memoryMb * count,
--- a/packages/entry/src/cell/__tests__/cellEntry.spec.ts
+++ b/packages/entry/src/cell/__tests__/cellEntry.spec.ts
@@ -77,6 +77,25 @@
   assert.is(cluster.started.length, 3)
 })
 
+test('a holder whose links are gone is followed within 1.6 s', async () => {
+  const cluster = createCellCluster()
+  cluster.addWorker('w1')
+  const { holder } = splitByHolder(cluster, await startEntries(cluster, ['a', 'b', 'c']))
+  holder.kill()
+  await cluster.clock.runFor(1600)
+  assert.is.not(cluster.findHolder(), holder.name)
+})
+
+test('a holder that renews keeps its cell although its links are cut', async () => {
+  const cluster = createCellCluster()
+  cluster.addWorker('w1')
+  const entries = await startEntries(cluster, ['a', 'b', 'c'])
+  const { holder } = splitByHolder(cluster, entries)
+  for (const entry of entries) if (entry !== holder) cluster.mesh.setCut(holder.incarnation, entry.incarnation)
+  await cluster.clock.runFor(12_000)
+  assert.is(cluster.findHolder(), holder.name)
+})
+
 test('a planned stop hands the cell on within 300 ms', async () => {
   const cluster = createCellCluster()
   cluster.addWorker('w1')
--- a/packages/entry/src/cell/adviceDesk.ts
+++ b/packages/entry/src/cell/adviceDesk.ts
@@ -83,14 +83,14 @@
     const peers = [options.self, ...mesh.listPeers()].sort((a, b) => a.entry < b.entry ? -1 : 1)
     const shortOnly = Math.max(1, Math.floor(peers.length * SHORT_SERVER_SHARE))
     const nowMs = clock.nowMs()
-    const usable = (listed: readonly Peer[]): string[] => {
+    const listUsable = (listed: readonly Peer[]): string[] => {
       const names = listed.map((peer) => peer.entry)
       return listed.filter((peer) => nowMs - (failedAtMs.get(peer.incarnation) ?? -Infinity) > FAILED_SERVER_PAUSE_MS)
         .sort((a, b) => computeRank(options.self.entry, a.entry, names) - computeRank(options.self.entry, b.entry, names))
         .map((peer) => peer.incarnation)
     }
-    const forLong = usable(peers.length > 1 ? peers.slice(shortOnly) : peers)
-    return isLong ? forLong : [...usable(peers.slice(0, shortOnly)), ...forLong]
+    const forLong = listUsable(peers.length > 1 ? peers.slice(shortOnly) : peers)
+    return isLong ? forLong : [...listUsable(peers.slice(0, shortOnly)), ...forLong]
   }
 
   const readLoad = (server: string): number => {
--- a/packages/entry/src/cell/ceilingTask.ts
+++ b/packages/entry/src/cell/ceilingTask.ts
@@ -61,7 +61,7 @@
     planner.setTeamLimits(computeClaimLimits(cell, epoch, current?.row ?? NO_CLAIMS, pending, listCeilings()))
   }
 
-  const adoptRow = (row: TableRow | undefined): void => {
+  const applyRow = (row: TableRow | undefined): void => {
     if (row === undefined) {
       current = { row: NO_CLAIMS, version: 0 }
     } else {
@@ -74,7 +74,7 @@
   const readRow = async (): Promise<boolean> => {
     const read = await table.readRange({ table: CELL_TABLE, part: '', from: CLAIMS_KEY, to: `${CLAIMS_KEY}!` })
     if (read.isErr()) return false
-    adoptRow(read.value.rows.find((row) => row.key === CLAIMS_KEY))
+    applyRow(read.value.rows.find((row) => row.key === CLAIMS_KEY))
     return true
   }
 
@@ -93,7 +93,7 @@
       return
     }
     if (result.value.kind === 'applied') current = { row: next, version: result.value.version }
-    else adoptRow(result.value.rows.find((row) => row.key === CLAIMS_KEY && !row.deleted))
+    else applyRow(result.value.rows.find((row) => row.key === CLAIMS_KEY && !row.deleted))
     applyLimits(null)
     options.onLimits()
   }
--- a/packages/entry/src/cell/cellCommits.ts
+++ b/packages/entry/src/cell/cellCommits.ts
@@ -118,7 +118,7 @@
     for (const order of due) options.startRun(order)
   }
 
-  const depose = (): void => {
+  const endTerm = (): void => {
     stopped = true
     disposables.dispose()
     options.onDeposed()
@@ -154,7 +154,7 @@
       return
     }
     planner.addChangedJobs(jobs)
-    if (outcome === 'deposed' || clock.nowMs() - confirmed.nowMs > HOLDER_OUTAGE_MS) depose()
+    if (outcome === 'deposed' || clock.nowMs() - confirmed.nowMs > HOLDER_OUTAGE_MS) endTerm()
   }
 
   const loop = createSerialLoop({
--- a/packages/entry/src/cell/cellEntry.ts
+++ b/packages/entry/src/cell/cellEntry.ts
@@ -37,6 +37,7 @@
   /** Whether the entry should get new callers. */
   isReady: () => boolean
   listSessions: () => readonly SessionView[]
+  countHeld: () => number
   /** Hands its cells on and takes no others. */
   release: () => Promise<void>
 }
@@ -143,6 +144,7 @@
     isFresh: config.isFresh,
     isReady: () => !stopping && config.readConfig() !== null && config.isFresh() && !table.isSuspect(),
     listSessions: cells.listSessions,
+    countHeld: () => terms.size,
     release: async () => {
       stopping = true
       events.record(entryStopping, { cells: [...terms.keys()] })
--- a/packages/entry/src/cell/cellJobs.ts
+++ b/packages/entry/src/cell/cellJobs.ts
@@ -55,7 +55,7 @@
     if (spec !== null) addJob(row.key, spec)
   }
 
-  const load = async (): Promise<boolean> => {
+  const readAll = async (): Promise<boolean> => {
     const jobs = await table.readRange({ table: JOB_TABLE, part: cell })
     if (jobs.isErr()) return false
     const states = await table.readRange({ table: STATE_TABLE, part: cell })
@@ -83,10 +83,10 @@
   }
 
   const readNews = async (): Promise<boolean> => {
-    if (version === null) return await load()
+    if (version === null) return await readAll()
     const read = await table.readChanges(JOB_TABLE, version, 0)
     if (read.isErr()) return false
-    if (read.value.kind === 'historyLost') return await load()
+    if (read.value.kind === 'historyLost') return await readAll()
     for (const row of read.value.rows) applyRow(row)
     if (read.value.rows.length > 0) options.onNews()
     version = read.value.version
--- a/packages/entry/src/cell/cellTerm.ts
+++ b/packages/entry/src/cell/cellTerm.ts
@@ -68,7 +68,7 @@
     for (const { contact } of members.values()) contact.dispose()
   }
 
-  const depose = (): void => {
+  const endTerm = (): void => {
     if (disposed) return
     dispose()
     options.onDeposed()
@@ -85,7 +85,7 @@
       events,
       mayExtend: () => commits.readConfirmedAgeMs() < EXTENSION_OUTAGE_MS,
       onNews: () => commits.wake(),
-      onDeposed: depose
+      onDeposed: endTerm
     })
     members.set(listing.id, { listing, contact, gone: false })
   }
@@ -201,7 +201,7 @@
         committed.set(id, phase)
       }
     },
-    onDeposed: depose
+    onDeposed: endTerm
   }))
 
   disposables.add(createWorkerDirectory({
--- a/packages/entry/src/cell/cellWatch.ts
+++ b/packages/entry/src/cell/cellWatch.ts
@@ -2,7 +2,7 @@
 import { createDisposableStore, type Clock, type Disposable, type EventLog } from '@fuchsiatally/core'
 import type { Peer, SessionView } from '../ports.js'
 import { createSerialLoop } from '../process/serialLoop.js'
-import { HOLDER_SILENCE_MS, MAX_RANK, RANK_STEP_MS, WATCH_MS } from './constants.js'
+import { HOLDER_SILENCE_MS, MAX_RANK, RANK_STEP_MS, UNLINKED_SILENCE_MS, WATCH_MS } from './constants.js'
 import { CELL_TABLE, CLAIMS_KEY, HOLDER_KEY, parseEntryRow, parseHolderRow, type EntryRow, type HolderRow } from './holderRow.js'
 import type { CellTable, TableRow } from './ports.js'
 import { computeRank } from './rank.js'
@@ -132,7 +132,9 @@
     if (row.entry === self.entry) return true
     if (row.released && row.successor === self.incarnation) return true
     if (row.released && row.successor === undefined) return nowMs - seen.changedAtMs >= waitMs
-    return nowMs - seen.changedAtMs >= HOLDER_SILENCE_MS + waitMs
+    // Without a link the holder has probably died; one that lives renews in the table all the same.
+    const isLinked = options.listPeers().some((peer) => peer.incarnation === row.incarnation)
+    return nowMs - seen.changedAtMs >= (isLinked ? HOLDER_SILENCE_MS : UNLINKED_SILENCE_MS) + waitMs
   }
 
   const startedAtMs = clock.nowMs()
--- a/packages/entry/src/cell/constants.ts
+++ b/packages/entry/src/cell/constants.ts
@@ -27,6 +27,8 @@
 export const WATCH_MS = 300
 /** A holder that has not renewed for this long is replaced, in milliseconds. */
 export const HOLDER_SILENCE_MS = 1300
+/** The same for a holder that no link reaches, in milliseconds: two renewals and one look at the rows. */
+export const UNLINKED_SILENCE_MS = 800
 /** Further silence that each rank of successor waits for, in milliseconds: one round of watching, so that ranks seldom meet. */
 export const RANK_STEP_MS = 350
 /** Time without a confirmed renewal after which a holder ends its term, in milliseconds: past the outages that the platform announces. */
--- a/packages/entry/src/cell/jobDesk.ts
+++ b/packages/entry/src/cell/jobDesk.ts
@@ -53,7 +53,7 @@
   const { table, mesh, clock, events } = options
   const finals = new Map<string, JobPhase>()
 
-  const tellHolder = (cell: string, key: string, value: string): void => {
+  const notifyHolder = (cell: string, key: string, value: string): void => {
     if (options.acceptNews(cell, key, value)) return
     const holder = options.cells.readCell(cell)?.row
     // The holder reads the table as well; the message only saves time.
@@ -94,7 +94,7 @@
     }
     // A conflict means that an earlier try, here or elsewhere, stored the same job.
     events.record(cellJobAccepted, { job: id, team: job.team, queue: job.policy.queue, known: result.kind === 'conflict', ...summarizeJob(job) })
-    if (result.kind === 'applied') tellHolder(cell, id, value)
+    if (result.kind === 'applied') notifyHolder(cell, id, value)
     return 'done'
   }
 
@@ -129,7 +129,7 @@
     }, deadlineMs)
     if (result === 'refused' || result === 'unsettled') return result
     events.record(cellJobCancelled, { job: id, queue: queue.name })
-    if (result.kind === 'applied') tellHolder(queue.service, key, '{}')
+    if (result.kind === 'applied') notifyHolder(queue.service, key, '{}')
     return 'done'
   }
 
--- a/packages/entry/src/cell/workerContact.ts
+++ b/packages/entry/src/cell/workerContact.ts
@@ -71,7 +71,7 @@
       resolve()
     }
   })
-  const pause = (delayMs: number): Promise<void> => new Promise((resolve) => { clock.setTimer(delayMs, resolve) })
+  const waitFor = (delayMs: number): Promise<void> => new Promise((resolve) => { clock.setTimer(delayMs, resolve) })
 
   /** Least time that the worker's clock may show now: it may be slow, and a pause of this process is not counted. */
   const readWorkerClock = (): number | null => {
@@ -84,13 +84,13 @@
     return nowMs === null ? null : Math.floor(nowMs + options.maxLeaseMs)
   }
 
-  const depose = (): void => {
+  const endContact = (): void => {
     if (disposed) return
     dispose()
     options.onDeposed()
   }
 
-  const markSilent = (reason: string): void => {
+  const recordSilence = (reason: string): void => {
     failures++
     if (!held || failures < 2) return
     held = false
@@ -99,7 +99,7 @@
     options.onNews()
   }
 
-  const markLost = (reason: string): void => {
+  const recordLoss = (reason: string): void => {
     lost = true
     held = false
     planner.recordWorkerLost(worker, clock.nowMs(), (run) => unsettled.has(formatRun(run)))
@@ -121,7 +121,7 @@
       processedEnd = acknowledgedEnd = storedEnd = 0
       pendingEnds = []
       leaseUntilMs = -Infinity
-      markLost('started anew')
+      recordLoss('started anew')
     }
     bornAtMs = answer.bornAtMs
     reading = { clockMs: answer.clockMs, receivedAtMs: nowMs }
@@ -153,13 +153,13 @@
     const result = await client.renewLease({ epoch, acknowledgedEnd, leaseUntilMs: lease, waitMs })
     if (disposed) return
     if (result.isErr() || result.value.kind === 'otherWorker') {
-      markSilent(result.isErr() ? result.error.message : 'another worker answers at its address')
-      if (!lost && isLapsed()) markLost('its lease has lapsed')
-      await pause(LEASE_RETRY_MS)
+      recordSilence(result.isErr() ? result.error.message : 'another worker answers at its address')
+      if (!lost && isLapsed()) recordLoss('its lease has lapsed')
+      await waitFor(LEASE_RETRY_MS)
       return
     }
     if (result.value.kind === 'deposed') {
-      depose()
+      endContact()
       return
     }
     const isFirst = reading === null
@@ -172,11 +172,6 @@
     if (!disposed) await runLoop()
   }
 
-  /** The order may still be carried out: a stop that is answered bars it for good. */
-  const barRun = async (order: StartOrder): Promise<void> => {
-    stopRun({ ...order, reason: 'superseded' })
-  }
-
   const sendStart = async (order: StartOrder): Promise<void> => {
     const name = formatRun(order)
     unsettled.set(name, order)
@@ -192,11 +187,11 @@
       if (result.isErr()) {
         if (result.error.kind === 'unknown') isCertain = false
         events.record(runUnsettled, { run: name, worker, attempt, message: result.error.message })
-        await pause(ORDER_RETRY_MS)
+        await waitFor(ORDER_RETRY_MS)
         continue
       }
       if (result.value.kind === 'deposed') {
-        depose()
+        endContact()
         return
       }
       if (result.value.kind === 'started') {
@@ -226,7 +221,8 @@
       options.onNews()
       return
     }
-    await barRun(order)
+    // The order may still be carried out: a stop that is answered bars it for good.
+    stopRun({ ...order, reason: 'superseded' })
   }
 
   const sendStop = async (order: StopOrder, name: string): Promise<void> => {
@@ -236,7 +232,7 @@
       const result = await client.stopRun(order, epoch)
       if (disposed) return
       if (result.isOk() && result.value.kind === 'deposed') {
-        depose()
+        endContact()
         return
       }
       if (result.isOk()) {
@@ -246,7 +242,7 @@
         break
       }
       if (order.reason === 'stray') break
-      await pause(LEASE_RETRY_MS)
+      await waitFor(LEASE_RETRY_MS)
     }
     stopping.delete(name)
   }
@@ -273,7 +269,7 @@
     stopRun,
     setPace: (order) => {
       client.setPace(order, epoch).then((result) => {
-        if (!disposed && result.isOk() && result.value.kind === 'deposed') depose()
+        if (!disposed && result.isOk() && result.value.kind === 'deposed') endContact()
       }, failProcess)
     },
     beginCommit: () => {
--- a/packages/entry/src/telemetry/__tests__/pages.spec.ts
+++ b/packages/entry/src/telemetry/__tests__/pages.spec.ts
@@ -8,7 +8,7 @@
 import { renderEventsPage } from '../renderEvents.js'
 
 const ROOT = new URL('../../../../../', import.meta.url)
-const PACKAGES = ['core', 'platform', 'entry', 'cli']
+const PACKAGES = ['core', 'table', 'entry', 'cli']
 
 function readPage (name: string): string {
   return readFileSync(new URL(`docs/${name}`, ROOT), 'utf8')
@@ -26,7 +26,7 @@
   for (const file of listSources()) {
     if (!/^export const \w+ = defineEvent\(/m.test(readFileSync(new URL(file, ROOT), 'utf8'))) continue
     const name = file.replace(/^packages\/\w+\/src\//, '').replace(/\.ts$/, '')
-    assert.ok(loaded.includes(`/${name}`), `${file} is not loaded by allEvents.ts`)
+    assert.ok(loaded.includes(`/${name.replace(/^telemetry\//, '')}`), `${file} is not loaded by allEvents.ts`)
   }
   assert.is(readPage('EVENTS.md'), renderEventsPage(eventRegistry), 'run node scripts/renderEvents.mjs')
 })
--- a/packages/entry/src/telemetry/allEvents.ts
+++ b/packages/entry/src/telemetry/allEvents.ts
@@ -8,6 +8,7 @@
 import '../link/events.js'
 import '../process/events.js'
 import '../request/events.js'
+import './events.js'
 import '../vm/events.js'
 
 export { eventRegistry } from '@fuchsiatally/core'
--- a/packages/entry/src/telemetry/metrics.ts
+++ b/packages/entry/src/telemetry/metrics.ts
@@ -15,6 +15,8 @@
   countEvent: (event: EventDefinition, fields: EventFields) => void
   /** Records how long a request took from arrival to its final outcome, in milliseconds. */
   recordRequest: (outcome: string, elapsedMs: number) => void
+  /** Records one wait of a job or call by its part, in milliseconds. */
+  recordWait: (part: string, elapsedMs: number) => void
   /** Registers a value that is read at each scrape. */
   addGauge: (name: string, help: string, readValue: () => number) => void
   /** Registers the bytes by kind of peer. */
@@ -47,21 +49,35 @@
     }
   })
 
-  const resolveHistogram = (outcome: string): Histogram => {
-    const known = histograms.get(outcome)
-    if (known !== undefined) return known
-    const histogram = build({ lowestDiscernibleValue: 1, highestTrackableValue: HIGHEST_LATENCY_US, numberOfSignificantValueDigits: SIGNIFICANT_DIGITS })
-    histograms.set(outcome, histogram)
-    return histogram
+  const waits = new Map<string, Histogram>()
+  const wait = new Gauge({
+    name: 'fuchsiatally_wait_seconds',
+    help: 'Waits of jobs and calls by part',
+    labelNames: ['part', 'quantile'],
+    registers: [registry],
+    collect () {
+      for (const [part, histogram] of waits) {
+        for (const quantile of QUANTILES) wait.set({ part, quantile: String(quantile / 100) }, histogram.getValueAtPercentile(quantile) / 1_000_000)
+      }
+    }
+  })
+
+  const recordIn = (target: Map<string, Histogram>, label: string, elapsedMs: number): void => {
+    let histogram = target.get(label)
+    if (histogram === undefined) {
+      histogram = build({ lowestDiscernibleValue: 1, highestTrackableValue: HIGHEST_LATENCY_US, numberOfSignificantValueDigits: SIGNIFICANT_DIGITS })
+      target.set(label, histogram)
+    }
+    histogram.recordValue(Math.min(HIGHEST_LATENCY_US, Math.max(1, Math.round(elapsedMs * MICROSECONDS_PER_MS))))
   }
 
   return {
     countEvent: (event) => { eventCounter.inc({ event: event.id }) },
     recordRequest: (outcome, elapsedMs) => {
       requestCounter.inc({ outcome })
-      const elapsedUs = Math.min(HIGHEST_LATENCY_US, Math.max(1, Math.round(elapsedMs * MICROSECONDS_PER_MS)))
-      resolveHistogram(outcome).recordValue(elapsedUs)
+      recordIn(histograms, outcome, elapsedMs)
     },
+    recordWait: (part, elapsedMs) => recordIn(waits, part, elapsedMs),
     addGauge: (name, help, readValue) => {
       const gauge: Gauge = new Gauge({ name, help, registers: [registry], collect () { gauge.set(readValue()) } })
     },
