--- /dev/null
+++ b/packages/cli/src/commands/trace.ts
@@ -0,0 +1,47 @@
+/** `trace`: what became of one job, from the logs of the entries alone. */
+import { readFileSync } from 'node:fs'
+import { EXIT_OK, type Command } from '../command.js'
+import { EXIT_CODES } from '../exitCodes.js'
+import { parseLog, type LogLine } from '../trace/logLines.js'
+import { traceJob, type TracedLine } from '../trace/traceJob.js'
+
+interface TraceArguments {
+  readonly job: string
+  readonly files: readonly string[]
+}
+
+const STANDARD_INPUT_FD = 0
+
+function formatLine (line: TracedLine): string {
+  const fields = Object.entries(line.fields).map(([name, value]) => `${name}=${typeof value === 'string' ? value : JSON.stringify(value)}`)
+  return `${(line.sinceMs / 1000).toFixed(3).padStart(8)} s  ${line.source}  ${line.event} ${line.title}: ${fields.join(' ')}`
+}
+
+export const trace: Command<TraceArguments> = {
+  usage: 'trace <job> [files..]',
+  description: 'Show what became of a job, from log files of entries, or from standard input without any',
+  examples: [
+    ['$0 trace 5c0e7a21d94b36f8 entry-1.log entry-2.log', 'its lines in causal order, and what cost the most time'],
+    ['cat *.log | $0 trace 5c0e7a21d94b36f8 --json', 'the same for a pipeline']
+  ],
+  build: (argv) => argv
+    .positional('job', { type: 'string', demandOption: true, describe: 'id of the job' })
+    .positional('files', { type: 'string', array: true, default: [], describe: 'log files; standard input without any' }) as never,
+  run: async ({ args, output, context }) => {
+    const lines: LogLine[] = []
+    const sources: readonly (string | number)[] = args.files.length === 0 ? [STANDARD_INPUT_FD] : args.files
+    for (const file of sources) {
+      try {
+        const parsed = parseLog(readFileSync(file, 'utf8'), String(file))
+        lines.push(...parsed.lines)
+        if (parsed.unread > 0) context.writeErr(`fuchsiatally: ${file}: ${parsed.unread} lines are no log lines and were left out\n`)
+      } catch (error) {
+        context.writeErr(`fuchsiatally: cannot read ${file}: ${String(error)}; name a readable log file\n`)
+        return EXIT_CODES.usage
+      }
+    }
+    const traced = traceJob(args.job, lines)
+    output.writeResult({ ...traced, lines: [...traced.lines] }, [...traced.lines.map(formatLine), `outcome: ${traced.outcome}`, `cause: ${traced.cause}`].join('\n'))
+    return EXIT_OK
+  }
+}
--- a/packages/cli/src/runCli.ts
+++ b/packages/cli/src/runCli.ts
@@ -7,6 +7,7 @@
 import { drain, events, key, team } from './commands/operators.js'
 import { request } from './commands/request.js'
 import { submit } from './commands/submit.js'
+import { trace } from './commands/trace.js'
 import { EXIT_CODES, type ExitCode } from './exitCodes.js'
 
 const DEFAULT_ENTRY = '127.0.0.1:7070'
@@ -38,6 +39,7 @@
   addCommand(base, team, context, finish)
   addCommand(base, drain, context, finish)
   addCommand(base, events, context, finish)
+  addCommand(base, trace, context, finish)
   base.demandCommand(1, 'name a command').strict().recommendCommands().epilogue(EPILOGUE).version(false).wrap(null).exitProcess(false)
   base.check((args) => findWrongNumber(args) ?? true)
   base.fail((message, error) => {
--- /dev/null
+++ b/packages/core/src/cell/__tests__/cellPlanner.spec.ts
@@ -0,0 +1,232 @@
+/** Checks the planner of a cell on the patterns of load that it answers. */
+import { test } from 'uvu'
+import * as assert from 'uvu/assert'
+import { ACCEPTED_STATE, createCellPlanner, type CellPlanner, type JobStep, type ListedEnd, type StartOrder, type StepJob, type TryAsk } from '../index.js'
+
+const NOTHING: TryAsk = () => true
+
+function createStep (changes: Partial<JobStep> = {}): JobStep {
+  return {
+    taskCount: 1,
+    resources: { processors: 2, memoryMb: 1024, accelerators: 0 },
+    estimateMs: 1000,
+    after: [],
+    gang: false,
+    tightlyCoupled: false,
+    maxPerWorker: 0,
+    speculative: false,
+    longRunning: false,
+    targetMs: 0,
+    fills: false,
+    savesWork: false,
+    ...changes
+  }
+}
+
+function createJob (steps: JobStep[], policy: Partial<StepJob['policy']> = {}, changes: Partial<StepJob> = {}): StepJob {
+  return {
+    team: 'clubs',
+    policy: { queue: 'q', service: 'pages', priority: 1, maxAttempts: 2, stretch: 4, targetLatencyMs: 1000, ...policy },
+    payload: '',
+    steps,
+    runCount: 0,
+    firstRunMs: 0,
+    intervalMs: 0,
+    acceptedAtMs: 0,
+    ...changes
+  }
+}
+
+function createPlanner (workers: Readonly<Record<string, number>>, accelerators = 0): CellPlanner {
+  const planner = createCellPlanner()
+  for (const [id, processors] of Object.entries(workers)) {
+    planner.setWorker({ id, failureDomain: 'a', labels: ['kind', id === 'far' ? 'r2' : 'r1'], capacity: { processors, memoryMb: 65536, accelerators }, draining: false })
+    planner.setHeld(id, true)
+  }
+  return planner
+}
+
+function end (
+  planner: CellPlanner, order: StartOrder, how: ListedEnd['how'], number: number, nowMs: number, saved = '', others: readonly StartOrder[] = []
+): void {
+  const { job, occurrence, step, index, run } = order
+  const running = others.filter((other) => other !== order).map((other) => ({ ...other, saved: '', percent: 10, load: 0 }))
+  planner.recordReport(order.worker, { askedAtMs: nowMs, running, ended: [{ job, occurrence, step, index, run, number, how, saved }] }, nowMs, nowMs)
+}
+
+function settle (planner: CellPlanner, starts: readonly StartOrder[], nowMs: number): void {
+  for (const order of starts) planner.recordSettled(order, order.worker, nowMs)
+}
+
+test('a step waits for all tasks of the steps before it', () => {
+  const planner = createPlanner({ w1: 8 })
+  planner.addJob('j', createJob([createStep({ taskCount: 2 }), createStep({ after: [0] })]), ACCEPTED_STATE, 0)
+  const first = planner.decide(0, 0, NOTHING).starts
+  assert.equal(first.map((order) => order.step), [0, 0])
+  end(planner, first[0]!, 'done', 1, 10)
+  assert.is(planner.decide(10, 10, NOTHING).starts.length, 0)
+  end(planner, first[1]!, 'done', 2, 20)
+  assert.equal(planner.decide(20, 20, NOTHING).starts.map((order) => order.step), [1])
+})
+
+test('work that can still meet its objective goes before late work, and that before hopeless work', () => {
+  const planner = createPlanner({ w1: 2 })
+  const step = createStep({ estimateMs: 1000 })
+  planner.addJob('hopeless', createJob([step], { priority: 0 }, { acceptedAtMs: -60_000 }), ACCEPTED_STATE, 0)
+  planner.addJob('late', createJob([step], { priority: 0 }, { acceptedAtMs: -6000 }), ACCEPTED_STATE, 0)
+  planner.addJob('onTime', createJob([step], { priority: 2 }), ACCEPTED_STATE, 0)
+  const order: string[] = []
+  for (let round = 1; round <= 3; round++) {
+    const [start] = planner.decide(round, 0, NOTHING).starts
+    order.push(start!.job)
+    end(planner, start!, 'done', round, round)
+  }
+  assert.equal(order, ['onTime', 'late', 'hopeless'])
+})
+
+test('an urgent step stops less urgent work that saves, and that work resumes from what it saved', () => {
+  const planner = createPlanner({ w1: 4 })
+  planner.addJob('slow', createJob([createStep({ taskCount: 2, savesWork: true })], { priority: 2 }), ACCEPTED_STATE, 0)
+  const slow = planner.decide(0, 0, NOTHING).starts
+  settle(planner, slow, 1)
+  planner.addJob('urgent', createJob([createStep()], { priority: 0 }), ACCEPTED_STATE, 10)
+  assert.is(planner.decide(10, 10, NOTHING).stops.length, 0)
+  const [stop] = planner.decide(200, 200, NOTHING).stops
+  assert.is(stop?.reason, 'preempted')
+  const stopped = slow.find((order) => order.index === stop!.index)!
+  end(planner, stopped, 'stopped', 1, 300, 'half', slow)
+  const urgent = planner.decide(300, 300, NOTHING).starts
+  assert.equal(urgent.map((order) => order.job), ['urgent'])
+  settle(planner, urgent, 301)
+  end(planner, urgent[0]!, 'done', 2, 900, '', slow.filter((order) => order !== stopped))
+  assert.equal(planner.decide(900, 900, NOTHING).starts.map((order) => [order.job, order.run, order.saved]), [['slow', 2, 'half']])
+})
+
+test('work that cannot save is not stopped for urgent work', () => {
+  const planner = createPlanner({ w1: 2 })
+  planner.addJob('slow', createJob([createStep()], { priority: 2 }), ACCEPTED_STATE, 0)
+  settle(planner, planner.decide(0, 0, NOTHING).starts, 1)
+  planner.addJob('urgent', createJob([createStep()], { priority: 0 }), ACCEPTED_STATE, 10)
+  assert.is(planner.decide(500, 500, NOTHING).stops.length, 0)
+})
+
+test('below its ceiling a team’s urgent tasks stop its own less urgent work, not that of others', () => {
+  const planner = createPlanner({ w1: 16 })
+  planner.setTeamLimits(new Map([['clubs', { processors: 4, memoryMb: Infinity, accelerators: Infinity }]]))
+  planner.addJob('own', createJob([createStep({ taskCount: 2, savesWork: true })], { priority: 2 }), ACCEPTED_STATE, 0)
+  planner.addJob('other', createJob([createStep({ taskCount: 2, savesWork: true })], { priority: 2 }, { team: 'schools' }), ACCEPTED_STATE, 0)
+  settle(planner, planner.decide(0, 0, NOTHING).starts, 1)
+  planner.addJob('urgent', createJob([createStep()], { priority: 0 }), ACCEPTED_STATE, 10)
+  const { starts, stops } = planner.decide(300, 300, NOTHING)
+  assert.is(starts.length, 0)
+  assert.equal(stops.map((stop) => stop.job), ['own'])
+})
+
+test('a large task is not kept waiting by small ones that come later', () => {
+  const planner = createPlanner({ w1: 8 })
+  planner.addJob('small', createJob([createStep({ taskCount: 3 })], { priority: 2 }), ACCEPTED_STATE, 0)
+  const small = planner.decide(0, 0, NOTHING).starts
+  settle(planner, small, 1)
+  planner.addJob('large', createJob([createStep({ resources: { processors: 8, memoryMb: 1024, accelerators: 0 } })], { priority: 1, targetLatencyMs: 60_000 }), ACCEPTED_STATE, 10)
+  planner.decide(10, 10, NOTHING)
+  planner.addJob('later', createJob([createStep({ taskCount: 4 })], { priority: 2, targetLatencyMs: 60_000 }), ACCEPTED_STATE, 20)
+  for (const [index, order] of small.entries()) end(planner, order, 'done', index + 1, 1000 + index)
+  assert.equal(planner.decide(1100, 1100, NOTHING).starts.map((order) => order.job), ['large'])
+})
+
+test('advice is asked only for room that no step of a higher rank means to use', () => {
+  const planner = createPlanner({ w1: 2 })
+  const advice = { decisionMs: 10, eachMs: 1, validityMs: 1500 }
+  planner.addJob('first', createJob([createStep()], { priority: 0, advice }), ACCEPTED_STATE, 0)
+  planner.addJob('second', createJob([createStep()], { priority: 1, advice }), ACCEPTED_STATE, 0)
+  const asked: string[] = []
+  planner.decide(0, 0, (question) => asked.push(question.step) > 0)
+  assert.equal(asked, ['first.0.0'])
+})
+
+test('a step runs only where it has a ticket, and asks again when that has ended', () => {
+  const planner = createPlanner({ w1: 2, w2: 2 })
+  const advice = { decisionMs: 10, eachMs: 1, validityMs: 1500 }
+  planner.addJob('j', createJob([createStep({ taskCount: 2 })], { priority: 0, advice }), ACCEPTED_STATE, 0)
+  const questions: Parameters<TryAsk>[0][] = []
+  const ask: TryAsk = (question) => questions.push(question) > 0
+  assert.is(planner.decide(0, 0, ask).starts.length, 0)
+  planner.recordAdvice(questions[0]!, new Map([['w2', 'ticket']]), 20)
+  const [start] = planner.decide(20, 20, ask).starts
+  assert.is(start?.worker, 'w2')
+  assert.is(start?.ticket, 'ticket')
+  end(planner, start!, 'done', 1, 2000)
+  assert.is(planner.decide(2000, 2000, ask).starts.length, 0)
+  assert.equal(questions[1]?.workers, ['w2'])
+})
+
+test('a gang starts whole or not at all, and again as a whole after a member broke', () => {
+  const planner = createPlanner({ w1: 4, w2: 2 })
+  planner.addJob('g', createJob([createStep({ taskCount: 4, gang: true })]), ACCEPTED_STATE, 0)
+  assert.is(planner.decide(0, 0, NOTHING).starts.length, 0)
+  planner.setWorker({ id: 'w3', failureDomain: 'a', labels: [], capacity: { processors: 2, memoryMb: 65536, accelerators: 0 }, draining: false })
+  planner.setHeld('w3', true)
+  const members = planner.decide(10, 10, NOTHING).starts
+  assert.is(members.length, 4)
+  settle(planner, members, 11)
+  end(planner, members[0]!, 'failed', 1, 20)
+  assert.is(planner.decide(20, 20, NOTHING).starts.length, 0)
+  for (const [index, member] of members.slice(1).entries()) {
+    planner.recordReport(member.worker, { askedAtMs: 5, running: [], ended: [{ ...member, number: index + 2, how: 'broken', saved: '' }] }, 30, 30)
+  }
+  const again = planner.decide(40, 40, NOTHING).starts
+  assert.equal(again.map((member) => member.run), [2, 2, 2, 2])
+})
+
+test('no more tasks of a step run on one worker than it allows', () => {
+  const planner = createPlanner({ w1: 16, w2: 16 })
+  planner.addJob('j', createJob([createStep({ taskCount: 5, maxPerWorker: 2 })]), ACCEPTED_STATE, 0)
+  const counts = new Map<string, number>()
+  for (const { worker } of planner.decide(0, 0, NOTHING).starts) counts.set(worker, (counts.get(worker) ?? 0) + 1)
+  assert.equal([...counts.values()], [2, 2])
+})
+
+test('tasks run near their data, elsewhere only when there is no room', () => {
+  const planner = createPlanner({ far: 16, w1: 4 })
+  planner.addJob('j', createJob([createStep({ taskCount: 3, dataRack: 'r1' })]), ACCEPTED_STATE, 0)
+  assert.equal(planner.decide(0, 0, NOTHING).starts.map((order) => order.worker).sort(), ['far', 'w1', 'w1'])
+})
+
+test('each occurrence of a recurring job starts when it is due, also beside the one before', () => {
+  const planner = createPlanner({ w1: 16 })
+  planner.addJob('j', createJob([createStep()], {}, { runCount: 3, firstRunMs: 1000, intervalMs: 500 }), ACCEPTED_STATE, 0)
+  assert.is(planner.decide(0, 999, NOTHING).starts.length, 0)
+  assert.equal(planner.decide(1, 1000, NOTHING).starts.map((order) => order.occurrence), [0])
+  assert.equal(planner.decide(2, 2000, NOTHING).starts.map((order) => order.occurrence), [1, 2])
+  assert.is(planner.readPhase('j'), 'running')
+})
+
+test('a long-running task is restarted however it ends, without a limit', () => {
+  const planner = createPlanner({ w1: 16 })
+  planner.addJob('j', createJob([createStep({ longRunning: true })], { maxAttempts: 1 }), ACCEPTED_STATE, 0)
+  for (let run = 1; run <= 5; run++) {
+    const [start] = planner.decide(run * 10_000, 0, NOTHING).starts
+    assert.is(start?.run, run)
+    end(planner, start!, run % 2 === 0 ? 'failed' : 'done', run, run * 10_000 + 10)
+  }
+  assert.is(planner.readPhase('j'), 'running')
+})
+
+test('a successor takes the runs of the table for running until the worker’s list tells', () => {
+  const before = createPlanner({ w1: 4 })
+  before.addJob('j', createJob([createStep({ taskCount: 2 })]), ACCEPTED_STATE, 0)
+  before.decide(0, 0, NOTHING)
+  const record = before.readRecord('j')!
+  const planner = createPlanner({ w1: 4 })
+  planner.setHeld('w1', false)
+  planner.addJob('j', createJob([createStep({ taskCount: 2 })]), record, 0)
+  assert.is(planner.decide(10, 10, NOTHING).starts.length, 0)
+  planner.recordReport('w1', {
+    askedAtMs: 20, running: [{ job: 'j', occurrence: 0, step: 0, index: 0, run: 1, saved: '', percent: 10, load: 0 }], ended: []
+  }, 25, 25)
+  planner.setHeld('w1', true)
+  const starts = planner.decide(30, 30, NOTHING).starts
+  assert.equal(starts.map(({ index, run }) => ({ index, run })), [{ index: 1, run: 2 }])
+})
+
+test.run()
