A new holder tells the old numbers of waiting jobs until it has read all

Change: the counts of the row before stand until then; numbers of a row older than 2 s are not told.

--- a/packages/entry/src/cell/__tests__/cellEntry.spec.ts
+++ b/packages/entry/src/cell/__tests__/cellEntry.spec.ts
@@ -96,6 +96,21 @@
   assert.is(cluster.findHolder(), holder.name)
 })
 
+test('the number of waiting jobs is never told too low while a holder is replaced', async () => {
+  const cluster = createCellCluster()
+  const { holder, other } = splitByHolder(cluster, await startEntries(cluster, ['a', 'b', 'c']))
+  for (let job = 0; job < 4; job++) await submit(cluster, other, `000000000000000${job}`, 1)
+  await cluster.clock.runFor(2000)
+  assert.is(other.entry.desk.countWaiting(QUEUE!), 4)
+  holder.kill()
+  for (let sample = 0; sample < 100; sample++) {
+    await cluster.clock.runFor(50)
+    const waiting = other.entry.desk.countWaiting(QUEUE!)
+    assert.ok(waiting === null || waiting === 4, `told ${String(waiting)} after ${sample * 50} ms`)
+  }
+  assert.is(other.entry.desk.countWaiting(QUEUE!), 4)
+})
+
 test('a planned stop hands the cell on within 300 ms', async () => {
   const cluster = createCellCluster()
   cluster.addWorker('w1')
--- a/packages/entry/src/cell/cellCommits.ts
+++ b/packages/entry/src/cell/cellCommits.ts
@@ -19,6 +19,8 @@
   readonly clock: Clock
   readonly events: EventLog
   readonly statusMs: number
+  /** All accepted jobs are in the planner; before that the counts of the holder before stand. */
+  readonly isLoaded: () => boolean
   readonly listContacts: () => Iterable<WorkerContact>
   /** Plans a round: hands out what needs no commit, returns the starts. */
   readonly plan: () => readonly StartOrder[]
@@ -59,7 +61,7 @@
   let running: Promise<void> = Promise.resolve()
 
   const buildHolderRow = (): string => JSON.stringify({
-    ...options.row, ...(successor === null ? {} : { successor }), renewals, released: releasing, waiting: [...planner.countWaiting()]
+    ...options.row, ...(successor === null ? {} : { successor }), renewals, released: releasing, waiting: options.isLoaded() ? [...planner.countWaiting()] : options.row.waiting
   })
 
   const takeChanges = (): { jobs: string[], writes: CellTransaction['writes'][number][] } => {
--- a/packages/entry/src/cell/cellTerm.ts
+++ b/packages/entry/src/cell/cellTerm.ts
@@ -186,6 +186,7 @@
     clock,
     events,
     statusMs: options.bounds.statusMs,
+    isLoaded: () => jobs.isLoaded(),
     listContacts: () => [...members.values()].map((member) => member.contact),
     plan,
     startRun: (order) => {
--- a/packages/entry/src/cell/cellWatch.ts
+++ b/packages/entry/src/cell/cellWatch.ts
@@ -36,6 +36,8 @@
 /** View of all cells. */
 export interface CellWatch extends Disposable {
   readCell: (cell: string) => CellView | null
+  /** Time since this entry last saw the holder's row change, in milliseconds. */
+  readCellAgeMs: (cell: string) => number
   listSessions: () => readonly SessionView[]
   /** Looks again at once. */
   wake: () => void
@@ -43,7 +45,9 @@
 
 interface Seen {
   view: CellView
-  changedAtMs: number
+  readonly changedAtMs: number
+  /** Since when the holder's silence counts. */
+  silentSinceMs: number
 }
 
 /** Starts to follow the cells. */
@@ -68,7 +72,7 @@
     if (row.key !== HOLDER_KEY) return
     const holder = row.deleted ? null : parseHolderRow(row, events)
     const view = { cell: row.part, row: holder, version: row.deleted ? 0 : row.version }
-    cells.set(row.part, { view, changedAtMs: nowMs })
+    cells.set(row.part, { view, changedAtMs: nowMs, silentSinceMs: nowMs })
     options.onHolder(view)
   }
 
@@ -119,7 +123,7 @@
     // After a lost answer or a conflict the next read shows the holder.
     if (result.isErr() || result.value.kind === 'conflict') return
     const view = { cell, row, version: result.value.version }
-    cells.set(cell, { view, changedAtMs: clock.nowMs() })
+    cells.set(cell, { view, changedAtMs: clock.nowMs(), silentSinceMs: clock.nowMs() })
     options.onHolder(view)
   }
 
@@ -131,10 +135,10 @@
     if (row.incarnation === self.incarnation) return false
     if (row.entry === self.entry) return true
     if (row.released && row.successor === self.incarnation) return true
-    if (row.released && row.successor === undefined) return nowMs - seen.changedAtMs >= waitMs
+    if (row.released && row.successor === undefined) return nowMs - seen.silentSinceMs >= waitMs
     // Without a link the holder has probably died; one that lives renews in the table all the same.
     const isLinked = options.listPeers().some((peer) => peer.incarnation === row.incarnation)
-    return nowMs - seen.changedAtMs >= (isLinked ? HOLDER_SILENCE_MS : UNLINKED_SILENCE_MS) + waitMs
+    return nowMs - seen.silentSinceMs >= (isLinked ? HOLDER_SILENCE_MS : UNLINKED_SILENCE_MS) + waitMs
   }
 
   const startedAtMs = clock.nowMs()
@@ -142,7 +146,7 @@
     const askedAtMs = clock.nowMs()
     if (!await readNews()) return
     // After a gap in the view every holder gets the whole time again.
-    if (askedAtMs - lastReadMs > HOLDER_SILENCE_MS / 2) for (const seen of cells.values()) seen.changedAtMs = clock.nowMs()
+    if (askedAtMs - lastReadMs > HOLDER_SILENCE_MS / 2) for (const seen of cells.values()) seen.silentSinceMs = clock.nowMs()
     lastReadMs = clock.nowMs()
     for (const cell of options.listCells()) {
       const seen = cells.get(cell)
@@ -154,6 +158,7 @@
 
   return {
     readCell: (cell) => cells.get(cell)?.view ?? null,
+    readCellAgeMs: (cell) => clock.nowMs() - (cells.get(cell)?.changedAtMs ?? -Infinity),
     listSessions: () => [...entries].map(([entry, row]): SessionView => ({
       entry, incarnation: row.incarnation, failureDomain: row.failureDomain, linkAddress: row.linkAddress, httpAddress: '', leaving: false, configVersion: 0, expired: false
     })),
--- a/packages/entry/src/cell/constants.ts
+++ b/packages/entry/src/cell/constants.ts
@@ -80,3 +80,5 @@
 export const CLAIM_REVIEW_MS = 1000
 /** Shortest time between two changes of a cell's claims that waiting work asks for, in milliseconds; about four commits. */
 export const CLAIM_COMMIT_MS = 60
+/** Age of a holder's row up to which its numbers of waiting jobs are told, in milliseconds; the users allow two seconds. */
+export const MAX_COUNT_AGE_MS = 2000
--- a/packages/entry/src/cell/jobDesk.ts
+++ b/packages/entry/src/cell/jobDesk.ts
@@ -4,7 +4,7 @@
 } from '@fuchsiatally/core'
 import type { PeerMesh } from '../ports.js'
 import type { CellWatch } from './cellWatch.js'
-import { ANSWER_MARGIN_MS, WRITE_RETRY_MS } from './constants.js'
+import { ANSWER_MARGIN_MS, MAX_COUNT_AGE_MS, WRITE_RETRY_MS } from './constants.js'
 import { cellJobAccepted, cellJobCancelled, cellJobRefused, cellJobUnsettled } from './events.js'
 import { CANCEL_SUFFIX, JOB_TABLE, parseJobRow, parseStateRow, STATE_TABLE } from './holderRow.js'
 import type { CellTable, CellTransaction, CommitResult } from './ports.js'
@@ -139,7 +139,7 @@
     cancelJob,
     countWaiting: (queue) => {
       const row = options.cells.readCell(queue.service)?.row
-      if (row === null || row === undefined) return null
+      if (row === null || row === undefined || options.cells.readCellAgeMs(queue.service) > MAX_COUNT_AGE_MS) return null
       return row.waiting.find(([name]) => name === queue.name)?.[1] ?? 0
     }
   }
