--- a/scripts/runTests.mjs
+++ b/scripts/runTests.mjs
@@ -12,8 +12,9 @@
 
 function findSpecs () {
   const found = []
-  for (const name of readdirSync(join(root, 'packages'))) {
-    const dist = join(root, 'packages', name, 'dist')
+  const folders = readdirSync(join(root, 'packages')).map((name) => join('packages', name))
+  for (const folder of [...folders, 'platform']) {
+    const dist = join(root, folder, 'dist')
     if (!existsSync(dist)) continue
     for (const file of readdirSync(dist, { recursive: true })) {
       if (file.endsWith('.spec.js')) found.push(relative(root, join(dist, file)))
