A run that stands still is stopped and starts elsewhere

Change: no progress for 1.7 s, in lists that come once a second, stops the run and keeps work from its worker for a while; gangs, fillers and long-running tasks are left. Test in cellPlanner.

--- a/packages/core/src/cell/__tests__/cellPlanner.spec.ts
+++ b/packages/core/src/cell/__tests__/cellPlanner.spec.ts
@@ -201,6 +201,23 @@
   assert.is(planner.readPhase('j'), 'running')
 })
 
+test('a run that stands still is stopped and starts elsewhere, one that creeps is left', () => {
+  const planner = createPlanner({ w1: 2, w2: 2 })
+  planner.addJob('j', createJob([createStep({ taskCount: 2 })]), ACCEPTED_STATE, 0)
+  const starts = planner.decide(0, 0, NOTHING).starts
+  settle(planner, starts, 1)
+  const [hung, slow] = starts
+  for (let second = 1; second <= 4; second++) {
+    planner.recordReport(hung!.worker, { askedAtMs: second * 1000, running: [{ ...hung!, saved: '', percent: 20, load: 0 }], ended: [] }, second * 1000, 0)
+    planner.recordReport(slow!.worker, { askedAtMs: second * 1000, running: [{ ...slow!, saved: '', percent: 20 + second, load: 0 }], ended: [] }, second * 1000, 0)
+  }
+  const { stops } = planner.decide(4000, 0, NOTHING)
+  assert.equal(stops.map((stop) => [stop.index, stop.reason]), [[hung!.index, 'stalled']])
+  end(planner, slow!, 'done', 1, 4100)
+  end(planner, hung!, 'stopped', 2, 4200)
+  assert.equal(planner.decide(4200, 0, NOTHING).starts.map((order) => order.worker), [slow!.worker])
+})
+
 test('a long-running task is restarted however it ends, without a limit', () => {
   const planner = createPlanner({ w1: 16 })
   planner.addJob('j', createJob([createStep({ longRunning: true })], { maxAttempts: 1 }), ACCEPTED_STATE, 0)
--- a/packages/core/src/cell/constants.ts
+++ b/packages/core/src/cell/constants.ts
@@ -16,8 +16,8 @@
 export const MAX_HELD_GANGS = 2
 /** Shortest pause before the same advice is asked again after a refusal or silence, in milliseconds. */
 export const ADVICE_RETRY_MS = 250
-/** Time a slow task may take, as a multiple of its estimate, before it counts as a straggler. */
-export const STRAGGLER_FACTOR = 4
+/** A run without progress for this long stands still, in milliseconds: lists come once a second, and one of them may be late. */
+export const STALL_MS = 1700
 /** A gang that has waited this long gets room held back for it, in milliseconds; a fifth of the shortest gang objective. */
 export const HOLD_AFTER_MS = 400
 /** A long-running task that has waited this long goes first and gets room held back; half of the 6 s that the users grant, less advice. */
--- a/packages/core/src/cell/jobState.ts
+++ b/packages/core/src/cell/jobState.ts
@@ -36,6 +36,8 @@
   preemptions: number
   /** Progress of the current run in percent. Not kept in the table. */
   percent: number
+  /** Monotonic time at which the current run was first seen or made progress, or `null`. Not kept in the table. */
+  progressedAtMs: number | null
   /** Work share that was last set for a filler, in percent. Not kept in the table. */
   pacePercent: number
 }
@@ -91,6 +93,7 @@
     stopping: false,
     preemptions: 0,
     percent: 0,
+    progressedAtMs: null,
     pacePercent: 100
   })))
   return { index, steps }
--- a/packages/core/src/cell/plannerTypes.ts
+++ b/packages/core/src/cell/plannerTypes.ts
@@ -27,7 +27,7 @@
 /** A run that shall stop. */
 export interface StopOrder extends RunName {
   readonly worker: string
-  readonly reason: 'cancelled' | 'jobFailed' | 'gangBroken' | 'superseded' | 'stray' | 'draining' | 'preempted'
+  readonly reason: 'cancelled' | 'jobFailed' | 'gangBroken' | 'superseded' | 'stray' | 'preempted' | 'stalled'
 }
 
 /** A filler that shall work at another share. */
--- a/packages/core/src/cell/runAccounts.ts
+++ b/packages/core/src/cell/runAccounts.ts
@@ -1,5 +1,6 @@
 /** Runs of a cell at its workers: the room and ceilings they take, the stops they need, and what the workers' lists say of them. */
-import { addTaskTo, createCellWorker, recordEndAt, removeTaskFrom, type CellWorker } from './cellWorker.js'
+import { addTaskTo, createCellWorker, recordEndAt, recordRefusalAt, removeTaskFrom, type CellWorker } from './cellWorker.js'
+import { STALL_MS } from './constants.js'
 import type { JobBook } from './jobBook.js'
 import type { CellTask } from './jobState.js'
 import { listTasks } from './jobState.js'
@@ -60,6 +61,7 @@
     task.stopping = false
     task.confirmedAtMs = null
     task.percent = 0
+    task.progressedAtMs = null
     task.pacePercent = 100
   }
 
@@ -155,6 +157,17 @@
     book.noteWaiting(task, nowMs)
   }
 
+  /** A run that stands still for long starts elsewhere; its worker gets nothing for a while. */
+  const checkProgress = (worker: CellWorker, task: CellTask, percent: number, nowMs: number): void => {
+    if (percent > task.percent || task.progressedAtMs === null) task.progressedAtMs = nowMs
+    task.percent = percent
+    const step = findStep(task)
+    // Members of a gang wait for each other, fillers for idle processors, and long-running tasks have no end to come nearer to.
+    if (step.gang || step.fills || step.longRunning || task.stopping || nowMs - task.progressedAtMs < STALL_MS) return
+    recordRefusalAt(worker, nowMs)
+    scheduleStop(task, 'stalled')
+  }
+
   const recordReport = (workerId: string, report: WorkerReport, nowMs: number, wallMs: number): StopOrder[] => {
     const worker = resolveWorker(workerId)
     for (const end of report.ended) recordEnd(workerId, end, nowMs, wallMs)
@@ -168,7 +181,7 @@
       }
       listed.add(task)
       task.confirmedAtMs ??= report.askedAtMs
-      task.percent = entry.percent
+      checkProgress(worker, task, entry.percent, nowMs)
       if (entry.saved !== '' && entry.saved !== task.saved) keepSaved(task, entry.saved)
     }
     worker.strays = strays.length
--- a/packages/core/src/job/preemption.ts
+++ b/packages/core/src/job/preemption.ts
@@ -18,7 +18,7 @@
 /** Workers compared in one partition and in all. */
 const CANDIDATES = 8
 const MAX_CANDIDATES = 48
-/** Time that taking checkpoints victims are given, in milliseconds. */
+/** Time that victims are given to take a checkpoint, in milliseconds. */
 const CHECKPOINT_MS = 1000
 /** A team must be this many times as far as the waiting one for its tasks to make way. */
 const AHEAD_FACTOR = 1.02
