The worker model reports progress

Cause: it listed each run at 50 percent for ever, which the planner now takes for a run that stands still. Change: percent follows the time that the run has worked.

--- a/packages/entry/src/testing/cellWorkerModel.ts
+++ b/packages/entry/src/testing/cellWorkerModel.ts
@@ -40,7 +40,7 @@
 
 interface LiveRun {
   readonly record: StartedRun
-  readonly saved: string
+  readonly durationMs: number
 }
 
 const CALL_MS = 2
@@ -103,8 +103,8 @@
     const { job, occurrence, step, index, run } = order
     const record: StartedRun = { job, occurrence, step, index, run, worker: listing.id, startedAtMs: clock.nowMs(), endedAtMs: null, how: null }
     started.push(record)
-    live.set(name, { record, saved: order.saved })
     const { durationMs, how } = options.planRun(order)
+    live.set(name, { record, durationMs })
     const ofLife = life
     clock.setTimer(durationMs, () => { if (ofLife === life) endRun(name, how) })
     return { kind: 'started' as const, clockMs: readClock() }
@@ -151,7 +151,9 @@
         epoch = request.epoch
         if (request.leaseUntilMs !== null) extendLease(request.leaseUntilMs)
         ended = ended.filter((end) => end.number > request.acknowledgedEnd)
-        const running = [...live.values()].map(({ record }) => ({ ...record, saved: '', percent: 50, load: 0 }))
+        const running = [...live.values()].map(({ record, durationMs }) => ({
+          ...record, saved: '', percent: Math.floor(100 * (clock.nowMs() - record.startedAtMs) / durationMs), load: 0
+        }))
         return { kind: 'held' as const, clockMs: readClock(), bornAtMs, running, ended: [...ended] }
       })
     },
