Revert the trial: holders store submissions with their commits

First starts at p95 took 4 to 5.5 s. Not found out: whether submissions that gave up on the holder after 900 ms doubled the load of the slow part. Conclusion: reverted; to be tried again with a bound on what waits at the holder.

--- a/packages/core/src/schema/linkMessage.ts
+++ b/packages/core/src/schema/linkMessage.ts
@@ -205,18 +205,6 @@
 })
 export type JobNews = typeof JobNews.Type
 
-/** Asks the holder of a cell to store a submitted job with its next commit. */
-export const JobSubmit = Schema.Struct({
-  type: Schema.Literal('jobSubmit'),
-  exchange: Schema.String,
-  cell: Schema.String,
-  job: Schema.String,
-  value: Schema.String
-})
-
-/** Answer to a `jobSubmit`: whether the job is stored; if not, its fate is not known. */
-export const JobSubmitted = Schema.Struct({ type: Schema.Literal('jobSubmitted'), exchange: Schema.String, stored: Schema.Boolean })
-
 /** Tells the named successor that a cell was handed to it. */
 export const CellReleased = Schema.Struct({ type: Schema.Literal('cellReleased'), cell: Schema.String })
 
@@ -244,8 +232,6 @@
   AdviceRequest,
   AdviceReply,
   JobNews,
-  JobSubmit,
-  JobSubmitted,
   CellReleased,
   EntryLeaving
 ])
--- a/packages/entry/src/cell/cellCommits.ts
+++ b/packages/entry/src/cell/cellCommits.ts
@@ -1,7 +1,7 @@
 /** Commits of one term: plans, stores what the plan changed together with the proof of holding, and only then gives the orders. */
 import { createDisposableStore, type CellPlanner, type Clock, type Disposable, type EventLog, type StartOrder } from '@fuchsiatally/core'
 import { createSerialLoop } from '../process/serialLoop.js'
-import { COMMIT_PAUSE_MS, HOLDER_OUTAGE_MS, MAX_COMMIT_BYTES, MAX_COMMIT_JOBS, MAX_COMMIT_ROWS, PLAN_PAUSE_MS, RENEW_MS } from './constants.js'
+import { COMMIT_PAUSE_MS, HOLDER_OUTAGE_MS, MAX_COMMIT_BYTES, MAX_COMMIT_ROWS, PLAN_PAUSE_MS, RENEW_MS } from './constants.js'
 import { runPlaced } from './events.js'
 import { formatRun } from './formatRun.js'
 import { CANCEL_SUFFIX, CELL_TABLE, HOLDER_KEY, JOB_TABLE, parseHolderRow, STATE_TABLE, type HolderRow } from './holderRow.js'
@@ -32,10 +32,6 @@
 /** The running commits. */
 export interface CellCommits extends Disposable {
   wake: () => void
-  /** Whether new jobs can be stored now: the last commit went through. */
-  isWorking: () => boolean
-  /** Stores the row of a new job together with its state; `false` if the commit failed and its fate is not known. */
-  storeJob: (job: string, value: string) => Promise<boolean>
   /** Age of the last proof that this entry holds the cell, in milliseconds. */
   readConfirmedAgeMs: () => number
   /** Gives the cell up: the last commit says so, and who is to follow. */
@@ -58,8 +54,6 @@
   let confirmed = { nowMs: clock.nowMs(), wallMs: clock.wallMs() }
   let pendingStarts: StartOrder[] = []
   let dropped: string[] = []
-  /** Rows of jobs that came in and are not stored yet, and who waits for them. */
-  const newJobs = new Map<string, { readonly value: string, readonly waiters: Array<(stored: boolean) => void> }>()
   let failed = false
   let stopped = false
   let releasing = false
@@ -74,7 +68,7 @@
     const jobs: string[] = []
     const writes: CellTransaction['writes'][number][] = []
     let bytes = 0
-    for (const job of planner.takeChangedJobs(MAX_COMMIT_JOBS)) {
+    for (const job of planner.takeChangedJobs(MAX_COMMIT_ROWS)) {
       const record = planner.readRecord(job)
       if (record === null) continue
       const value = JSON.stringify(record)
@@ -85,10 +79,6 @@
       bytes += value.length
       jobs.push(job)
       writes.push({ table: STATE_TABLE, key: job, value })
-      const row = newJobs.get(job)
-      if (row === undefined) continue
-      bytes += row.value.length
-      writes.push({ table: JOB_TABLE, key: job, value: row.value })
     }
     return { jobs, writes }
   }
@@ -123,14 +113,6 @@
     return 'failed'
   }
 
-  const settleJobs = (jobs: Iterable<string>, stored: boolean): void => {
-    for (const job of [...jobs]) {
-      const row = newJobs.get(job)
-      newJobs.delete(job)
-      for (const settle of row?.waiters ?? []) settle(stored)
-    }
-  }
-
   const sendStarts = (jobs: readonly string[], ready: number): void => {
     const stored = new Set(jobs)
     const due = pendingStarts.slice(0, ready).filter((order) => stored.has(order.job))
@@ -140,7 +122,6 @@
 
   const endTerm = (): void => {
     stopped = true
-    settleJobs(newJobs.keys(), false)
     disposables.dispose()
     options.onDeposed()
   }
@@ -170,14 +151,11 @@
     if (outcome === 'committed') {
       dropped = dropped.slice(deletes.length / 3)
       for (const contact of options.listContacts()) contact.finishCommit()
-      settleJobs(jobs, true)
       sendStarts(jobs, ready)
       options.onCommitted(jobs)
       return
     }
     planner.addChangedJobs(jobs)
-    // Who waits goes on by itself; the rows stay for the next commit, since the planner has the jobs.
-    for (const row of newJobs.values()) for (const settle of row.waiters.splice(0)) settle(false)
     if (outcome === 'deposed' || clock.nowMs() - confirmed.nowMs > HOLDER_OUTAGE_MS) endTerm()
   }
 
@@ -193,18 +171,6 @@
 
   return {
     wake: () => { if (!failed) loop.wake() },
-    isWorking: () => !stopped && !releasing && !failed,
-    storeJob: (job, value) => new Promise((resolve) => {
-      if (stopped || releasing || failed) {
-        resolve(false)
-        return
-      }
-      const row = newJobs.get(job) ?? { value, waiters: [] }
-      row.waiters.push(resolve)
-      newJobs.set(job, row)
-      planner.addChangedJobs([job])
-      if (!failed) loop.wake()
-    }),
     // A suspension stops the steady clock; the wall clock may jump. The larger age is the safe one.
     readConfirmedAgeMs: () => Math.max(clock.nowMs() - confirmed.nowMs, clock.wallMs() - confirmed.wallMs),
     release: async (next) => {
@@ -217,11 +183,9 @@
         if (!failed || stopped) break
       }
       stopped = true
-      settleJobs(newJobs.keys(), false)
     },
     dispose: () => {
       stopped = true
-      settleJobs(newJobs.keys(), false)
       disposables.dispose()
     }
   }
--- a/packages/entry/src/cell/cellEntry.ts
+++ b/packages/entry/src/cell/cellEntry.ts
@@ -104,12 +104,6 @@
     term?.acceptNews(key, value)
     return term !== undefined
   }
-  const storeHere = (cell: string, job: string, value: string): Promise<boolean> | null => terms.get(cell)?.storeJob(job, value) ?? null
-  mesh.onMessage('jobSubmit', ({ exchange, cell, job, value }, from) => {
-    (storeHere(cell, job, value) ?? Promise.resolve(false)).then((stored) => {
-      mesh.sendMessage(from.incarnation, { type: 'jobSubmitted', exchange, stored })
-    }, failProcess)
-  })
   mesh.onMessage('jobNews', (message) => { acceptNews(message.cell, message.key, message.value) })
 
   mesh.onMessage('entryLeaving', (_message, from) => { leavingPeers.add(from.incarnation) })
@@ -129,9 +123,7 @@
     clock,
     events,
     readConfig: config.readConfig,
-    random: options.random,
     acceptNews,
-    storeHere,
     readCommittedPhase: (cell, job) => terms.get(cell)?.readCommittedPhase(job) ?? null
   })
 
@@ -143,7 +135,7 @@
       await new Promise<void>((resolve) => { clock.setTimer(WRITE_RETRY_MS, resolve) })
     }
   }
-  registerSelf().catch(failProcess)
+  registerSelf().catch((error: unknown) => { queueMicrotask(() => { throw error }) })
   events.record(entryStarted, { ...self, linkAddress: options.linkAddress })
 
   return {
@@ -175,8 +167,3 @@
 
 /** Added to the time in which holders must not take turns, in milliseconds, for orders under way. */
 const TURN_MARGIN_MS = 1000
-
-/** A step that throws is a broken invariant. */
-function failProcess (error: unknown): void {
-  queueMicrotask(() => { throw error })
-}
--- a/packages/entry/src/cell/cellJobs.ts
+++ b/packages/entry/src/cell/cellJobs.ts
@@ -14,16 +14,12 @@
   readonly clock: Clock
   readonly events: EventLog
   readonly onLoaded: () => void
-  /** The row of a job was seen in the table. */
-  readonly onStored: (id: string) => void
   readonly onNews: () => void
 }
 
 /** Reader of a cell's jobs. */
 export interface CellJobs extends Disposable {
   isLoaded: () => boolean
-  /** Adds a job whose row is still to be stored; `false` if it is malformed. */
-  addNew: (id: string, value: string) => boolean
   /** A row that its writer tells of directly. */
   acceptNews: (key: string, value: string) => void
 }
@@ -56,9 +52,7 @@
       return
     }
     const spec = parseJobRow(row, events)
-    if (spec === null) return
-    options.onStored(row.key)
-    addJob(row.key, spec)
+    if (spec !== null) addJob(row.key, spec)
   }
 
   const readAll = async (): Promise<boolean> => {
@@ -76,7 +70,6 @@
       const spec = parseJobRow(row, events)
       const stateRow = records.get(row.key)
       const state = stateRow === undefined ? ACCEPTED_STATE : parseStateRow(stateRow, events)
-      if (spec !== null) options.onStored(row.key)
       if (spec !== null && state !== null && !planner.hasJob(row.key)) planner.addJob(row.key, spec, state, clock.nowMs())
     }
     for (const id of cancelled) cancel(id)
@@ -108,11 +101,6 @@
 
   return {
     isLoaded: () => loaded,
-    addNew: (id, value) => {
-      const spec = parseJobRow({ table: JOB_TABLE, part: cell, key: id, value, version: 0, deleted: false }, events)
-      if (spec !== null) addJob(id, spec)
-      return spec !== null
-    },
     acceptNews: (key, value) => {
       if (!loaded) return
       applyRow({ table: JOB_TABLE, part: cell, key, value, version: 0, deleted: false })
--- a/packages/entry/src/cell/cellTerm.ts
+++ b/packages/entry/src/cell/cellTerm.ts
@@ -36,8 +36,6 @@
 export interface CellTerm extends Disposable {
   readonly epoch: number
   acceptNews: (key: string, value: string) => void
-  /** Stores a submitted job; `false` if that is not certain. */
-  storeJob: (job: string, value: string) => Promise<boolean>
   /** Phase of a job as the table has it, or `null` if this holder doesn't know. */
   readCommittedPhase: (job: string) => JobPhase | null
   applyConfig: (config: CellConfig) => void
@@ -60,8 +58,6 @@
   const members = new Map<string, Member>()
   const listings = new Map<string, ListedWorker>()
   const committed = new Map<string, JobPhase>()
-  /** Jobs whose row is in the table for certain. */
-  const stored = new Set<string>()
   const startedAtMs = clock.nowMs()
   let disposed = false
 
@@ -166,7 +162,6 @@
     onLoaded: () => {
       for (const listing of [...listings.values()]) applyListing(listing)
     },
-    onStored: (id) => { stored.add(id) },
     onNews: () => commits.wake()
   }))
 
@@ -201,7 +196,6 @@
     },
     onCommitted: (ids) => {
       for (const id of ids) {
-        stored.add(id)
         const phase = planner.readPhase(id)
         if (phase === null || planner.isChanged(id)) continue
         if (isFinal(phase) && committed.get(id) !== phase) events.record(cellJobEnded, { job: id, phase })
@@ -218,13 +212,6 @@
   return {
     epoch: row.epoch,
     acceptNews: jobs.acceptNews,
-    storeJob: async (job, value) => {
-      if (!jobs.isLoaded() || disposed || !commits.isWorking()) return false
-      // A job that was read from the table or committed is stored; one that is not is waited for.
-      if (planner.hasJob(job)) return stored.has(job) || await commits.storeJob(job, value)
-      if (!jobs.addNew(job, value)) return false
-      return await commits.storeJob(job, value)
-    },
     readCommittedPhase: (id) => committed.get(id) ?? null,
     applyConfig: () => {
       commits.wake()
--- a/packages/entry/src/cell/constants.ts
+++ b/packages/entry/src/cell/constants.ts
@@ -59,8 +59,6 @@
 export const PLAN_PAUSE_MS = 200
 /** Rows in one commit; the table takes 100 entries with the checks. */
 export const MAX_COMMIT_ROWS = 90
-/** Jobs in one commit: a new one has two rows. */
-export const MAX_COMMIT_JOBS = 44
 /** Bytes of values in one commit; the table takes a megabyte, encoded. */
 export const MAX_COMMIT_BYTES = 500_000
 
@@ -84,5 +82,3 @@
 export const CLAIM_COMMIT_MS = 60
 /** Age of a holder's row up to which its numbers of waiting jobs are told, in milliseconds; the users allow two seconds. */
 export const MAX_COUNT_AGE_MS = 2000
-/** Longest time that an entry waits for a holder to store a job before it writes itself, in milliseconds; past a commit of a table slowed sixtyfold. */
-export const HOLDER_STORE_MS = 900
--- a/packages/entry/src/cell/jobDesk.ts
+++ b/packages/entry/src/cell/jobDesk.ts
@@ -1,10 +1,10 @@
 /** Takes jobs, tells their state and cancels them, at any entry. */
 import {
-  ACCEPTED_STATE, isFinal, type CellConfig, type Clock, type EventLog, type JobPhase, type QueueConfig, type Random, type StepJob
+  ACCEPTED_STATE, isFinal, type CellConfig, type Clock, type EventLog, type JobPhase, type QueueConfig, type StepJob
 } from '@fuchsiatally/core'
 import type { PeerMesh } from '../ports.js'
 import type { CellWatch } from './cellWatch.js'
-import { ANSWER_MARGIN_MS, HOLDER_STORE_MS, MAX_COUNT_AGE_MS, WRITE_RETRY_MS } from './constants.js'
+import { ANSWER_MARGIN_MS, MAX_COUNT_AGE_MS, WRITE_RETRY_MS } from './constants.js'
 import { cellJobAccepted, cellJobCancelled, cellJobRefused, cellJobUnsettled } from './events.js'
 import { CANCEL_SUFFIX, JOB_TABLE, parseJobRow, parseStateRow, STATE_TABLE } from './holderRow.js'
 import type { CellTable, CellTransaction, CommitResult } from './ports.js'
@@ -22,9 +22,6 @@
   readonly readConfig: () => CellConfig | null
   /** Passes a row on to the term that this entry holds; `false` if it holds none of that cell. */
   readonly acceptNews: (cell: string, key: string, value: string) => boolean
-  /** Has the term that this entry holds store a job; `null` if it holds none of that cell. */
-  readonly storeHere: (cell: string, job: string, value: string) => Promise<boolean> | null
-  readonly random: Random
   /** Committed phase of a job, if this entry holds its cell and knows it. */
   readonly readCommittedPhase: (cell: string, job: string) => JobPhase | null
 }
@@ -55,8 +52,6 @@
 export function createJobDesk (options: JobDeskOptions): JobDesk {
   const { table, mesh, clock, events } = options
   const finals = new Map<string, JobPhase>()
-  /** Submissions that peers were asked to store. */
-  const waiting = new Map<string, (stored: boolean) => void>()
 
   const notifyHolder = (cell: string, key: string, value: string): void => {
     if (options.acceptNews(cell, key, value)) return
@@ -65,46 +60,11 @@
     if (holder !== null && holder !== undefined) mesh.sendMessage(holder.incarnation, { type: 'jobNews', cell, key, value })
   }
 
-  mesh.onMessage('jobSubmitted', ({ exchange, stored }) => waiting.get(exchange)?.(stored))
-  mesh.onPeerChange((peer, change) => {
-    if (change === 'up') return
-    for (const [exchange, settle] of [...waiting]) if (exchange.startsWith(`${peer.incarnation}/`)) settle(false)
-  })
-
-  /** Has a peer that holds the cell store a job. */
-  const storeAtPeer = (holder: string, cell: string, job: string, value: string): Promise<boolean> => new Promise((resolve) => {
-    const exchange = `${holder}/${options.random.nextId()}`
-    const settle = (stored: boolean): void => {
-      if (!waiting.delete(exchange)) return
-      timer.dispose()
-      resolve(stored)
-    }
-    const timer = clock.setTimer(HOLDER_STORE_MS, () => settle(false))
-    waiting.set(exchange, settle)
-    if (!mesh.sendMessage(holder, { type: 'jobSubmit', exchange, cell, job, value })) settle(false)
-  })
-
-  /**
-   * Has the holder store a job with its next commit, which serves many at once.
-   *
-   * @returns `null` where no holder was asked, `false` where its answer is not known
-   */
-  const storeAtHolder = async (cell: string, job: string, value: string): Promise<boolean | null> => {
-    const here = options.storeHere(cell, job, value)
-    if (here !== null) return await here
-    const holder = options.cells.readCell(cell)?.row
-    const isLinked = mesh.listPeers().some((peer) => peer.incarnation === holder?.incarnation)
-    if (holder === null || holder === undefined || holder.released || !isLinked) return null
-    return await storeAtPeer(holder.incarnation, cell, job, value)
-  }
-
   /** Sends a write until its fate is known; the first answer of each try counts for all of them. */
-  const settleWrite = async (
-    transaction: CellTransaction, deadlineMs: number, mayBeStored = false
-  ): Promise<CommitResult | 'refused' | 'unsettled'> => {
-    let mayHaveApplied = mayBeStored
+  const settleWrite = async (transaction: CellTransaction, deadlineMs: number): Promise<CommitResult | 'refused' | 'unsettled'> => {
     // A write that gets no answer leaves the caller without one, too; a refusal lets it go elsewhere at once.
-    if (table.isSuspect() && !mayHaveApplied) return 'refused'
+    if (table.isSuspect()) return 'refused'
+    let mayHaveApplied = false
     for (;;) {
       const result = await table.commit(transaction)
       if (result.isOk()) return result.value
@@ -118,22 +78,12 @@
   const submitJob = async (id: string, job: StepJob, deadlineMs: number): Promise<DeskOutcome> => {
     const cell = job.policy.service
     const value = JSON.stringify(job)
-    if (table.isSuspect()) {
-      events.record(cellJobRefused, { job: id, team: job.team, queue: job.policy.queue, reason: 'the table gives no answer' })
-      return 'refused'
-    }
-    const stored = await storeAtHolder(cell, id, value)
-    if (stored === true) {
-      events.record(cellJobAccepted, { job: id, team: job.team, queue: job.policy.queue, by: 'holder', ...summarizeJob(job) })
-      return 'done'
-    }
-    // The same job in the same row: whichever write comes first, the other finds it there.
     const result = await settleWrite({
       part: cell,
       checks: [{ table: JOB_TABLE, key: id, version: 0 }],
       writes: [{ table: JOB_TABLE, key: id, value }, { table: STATE_TABLE, key: id, value: JSON.stringify(ACCEPTED_STATE) }],
       deletes: []
-    }, deadlineMs, stored === false)
+    }, deadlineMs)
     if (result === 'refused') {
       events.record(cellJobRefused, { job: id, team: job.team, queue: job.policy.queue, reason: 'the table refused the write' })
       return 'refused'
