--- a/packages/entry/src/cell/cellEntry.ts
+++ b/packages/entry/src/cell/cellEntry.ts
@@ -5,7 +5,7 @@
 import { createCellTerm, type CellTerm } from './cellTerm.js'
 import { createCellWatch, type CellView } from './cellWatch.js'
 import { createConfigWatch } from './configWatch.js'
-import { cellLost, cellTaken, entryStarted, entryStopped, entryStopping } from './events.js'
+import { cellLost, cellTaken, entryStarted, entryStopping } from './events.js'
 import { CELL_TABLE, type EntryRow } from './holderRow.js'
 import { createJobDesk, type JobDesk } from './jobDesk.js'
 import { computeRank } from './rank.js'
@@ -156,7 +156,6 @@
         await term.release(successor)
         if (successor !== null) mesh.sendMessage(successor, { type: 'cellReleased', cell })
       }))
-      events.record(entryStopped, {})
     },
     dispose: () => {
       disposables.dispose()
