--- a/packages/cli/src/commands/trace.ts
+++ b/packages/cli/src/commands/trace.ts
@@ -3,7 +3,7 @@
 import { EXIT_OK, type Command } from '../command.js'
 import { EXIT_CODES } from '../exitCodes.js'
 import { parseLog, type LogLine } from '../trace/logLines.js'
-import { traceJob, type TracedLine } from '../trace/traceJob.js'
+import { summarizeJob, type TracedLine } from '../trace/traceJob.js'
 
 interface TraceArguments {
   readonly job: string
@@ -40,7 +40,7 @@
         return EXIT_CODES.usage
       }
     }
-    const traced = traceJob(args.job, lines)
+    const traced = summarizeJob(args.job, lines)
     output.writeResult({ ...traced, lines: [...traced.lines] }, [...traced.lines.map(formatLine), `outcome: ${traced.outcome}`, `cause: ${traced.cause}`].join('\n'))
     return EXIT_OK
   }
--- a/packages/cli/src/trace/__tests__/traceJob.spec.ts
+++ b/packages/cli/src/trace/__tests__/traceJob.spec.ts
@@ -2,7 +2,7 @@
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
 import { parseLog } from '../logLines.js'
-import { traceJob } from '../traceJob.js'
+import { summarizeJob } from '../traceJob.js'
 
 const JOB = '00000000000000aa'
 
@@ -15,13 +15,13 @@
 }
 
 test('a refused job shows the reason', () => {
-  const trace = traceJob(JOB, parseAll({ a: [buildLine(1, 'FT831', 'Job refused', { job: JOB, reason: 'the table refused the write' })] }))
+  const trace = summarizeJob(JOB, parseAll({ a: [buildLine(1, 'FT831', 'Job refused', { job: JOB, reason: 'the table refused the write' })] }))
   assert.is(trace.outcome, 'refused')
   assert.match(trace.cause, 'the table refused the write')
 })
 
 test('a job that waited for a new holder names the takeover, across clocks that differ', () => {
-  const trace = traceJob(JOB, parseAll({
+  const trace = summarizeJob(JOB, parseAll({
     a: [buildLine(10, 'FT830', 'Job accepted', { job: JOB })],
     // This clock is five seconds behind.
     b: [
@@ -37,7 +37,7 @@
 })
 
 test('the longest wait is named with the holder that was replaced meanwhile', () => {
-  const trace = traceJob(JOB, parseAll({
+  const trace = summarizeJob(JOB, parseAll({
     a: [buildLine(1, 'FT830', 'Job accepted', { job: JOB })],
     b: [
       buildLine(3, 'FT801', 'Cell taken', { cell: 'pages', epoch: 4 }),
@@ -61,8 +61,8 @@
 }
 
 test('a job that fails by its own fault is told apart from one at a bad worker', () => {
-  assert.match(traceJob(JOB, parseAll({ a: buildFailures(false) })).cause, 'by its own fault')
-  assert.match(traceJob(JOB, parseAll({ a: buildFailures(true) })).cause, 'the workers are at fault')
+  assert.match(summarizeJob(JOB, parseAll({ a: buildFailures(false) })).cause, 'by its own fault')
+  assert.match(summarizeJob(JOB, parseAll({ a: buildFailures(true) })).cause, 'the workers are at fault')
 })
 
 test('lines may carry the name of their process, and other output is left out', () => {
--- a/packages/cli/src/trace/traceJob.ts
+++ b/packages/cli/src/trace/traceJob.ts
@@ -63,7 +63,7 @@
 }
 
 /** Share of failed runs of other jobs at a worker, or `null` if too few ended there. */
-function judgeWorker (all: readonly LogLine[], worker: string, job: string): number | null {
+function computeFailedShare (all: readonly LogLine[], worker: string, job: string): number | null {
   let ended = 0
   let failed = 0
   for (const line of all) {
@@ -85,7 +85,7 @@
   if (worst === undefined) return 'ended as failed; no failed run is in these logs'
   const [task, failures] = worst
   const workers = [...new Set(failures.map((line) => String(line.fields['worker'])))]
-  const bad = workers.filter((worker) => (judgeWorker(all, worker, job) ?? 0) >= BAD_WORKER_SHARE)
+  const bad = workers.filter((worker) => (computeFailedShare(all, worker, job) ?? 0) >= BAD_WORKER_SHARE)
   const runs = `${failures.length} runs of task ${task} failed at ${workers.join(', ')}`
   if (bad.length === 0) return `${runs}; other jobs' runs end well there, so the task fails by its own fault`
   return `${runs}; ${bad.join(', ')} fails most of what it runs, so the workers are at fault`
@@ -99,7 +99,7 @@
 }
 
 /** Traces a job through the lines of all processes. */
-export function traceJob (job: string, all: readonly LogLine[]): JobTrace {
+export function summarizeJob (job: string, all: readonly LogLine[]): JobTrace {
   const own = all.filter((line) => readJobId(line) === job)
   const offsets = computeOffsets(own)
   const shifted = own.map((line) => ({ line, timeMs: line.timeMs + (offsets.get(line.source) ?? 0) })).sort((a, b) => a.timeMs - b.timeMs)
--- /dev/null
+++ b/packages/entry/src/telemetry/__tests__/lineWriter.spec.ts
@@ -0,0 +1,44 @@
+/** Checks that the log never waits for its reader, and that a flood of one event is bounded. */
+import { closeSync, mkdtempSync, openSync, readFileSync, rmSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { createFakeClock } from '@fuchsiatally/core/testing/fakeClock'
+import { test } from 'uvu'
+import * as assert from 'uvu/assert'
+import { cellJobRefused, runPlaced } from '../../cell/events.js'
+import { createEventLog } from '../eventLog.js'
+import { createLineWriter, type LineWriter } from '../lineWriter.js'
+
+test('lines that the buffer can’t take are dropped and counted', async () => {
+  const folder = mkdtempSync(join(tmpdir(), 'fuchsiatally-log-'))
+  const fd = openSync(join(folder, 'log'), 'w')
+  const writer = createLineWriter({ fd, maxBufferedBytes: 1000 })
+  // All within one turn of the event loop, as before a reader that is blocked.
+  for (let line = 0; line < 500; line++) writer.writeLine(`line ${line}`)
+  await new Promise((resolve) => { setTimeout(resolve, 100) })
+  writer.dispose()
+  const dropped = writer.takeDropped()
+  const written = readFileSync(join(folder, 'log'), 'utf8').split('\n').length - 1
+  closeSync(fd)
+  rmSync(folder, { recursive: true })
+  assert.ok(dropped > 300, `dropped ${dropped}`)
+  assert.is(written + dropped, 500)
+})
+
+test('a flood of one event is bounded and told, refusals of jobs beside it are kept', () => {
+  const clock = createFakeClock()
+  const lines: string[] = []
+  const writer: LineWriter = { writeLine: (line) => { lines.push(line) }, takeDropped: () => 0, dispose: () => {} }
+  const log = createEventLog({ clock, level: 'info', format: 'json', writer })
+  for (let run = 0; run < 1000; run++) log.record(runPlaced, { run: `j.0.0.${run}#1` })
+  log.record(cellJobRefused, { job: 'j' })
+  clock.advance(1500)
+  log.record(cellJobRefused, { job: 'k' })
+  const count = (event: string): number => lines.filter((line) => line.includes(`"event":"${event}"`)).length
+  assert.is(count('FT820'), 250)
+  assert.is(count('FT831'), 2)
+  const [summary] = lines.filter((line) => line.includes('"FT890"'))
+  assert.match(summary ?? '', '"FT820":750')
+})
+
+test.run()
--- a/packages/entry/src/telemetry/lineWriter.ts
+++ b/packages/entry/src/telemetry/lineWriter.ts
@@ -1,6 +1,6 @@
 /** Writes log lines without ever waiting for their reader. */
 import type { Disposable } from '@fuchsiatally/core'
-import { SonicBoom } from 'sonic-boom'
+import sonic from 'sonic-boom'
 
 /** Writer of lines. */
 export interface LineWriter extends Disposable {
@@ -22,7 +22,7 @@
 
 /** Creates the writer; lines that the buffer can't take are dropped and counted. */
 export function createLineWriter (options: LineWriterOptions = {}): LineWriter {
-  const output = new SonicBoom({ fd: options.fd ?? STANDARD_OUTPUT, sync: false, maxLength: options.maxBufferedBytes ?? DEFAULT_BUFFERED_BYTES })
+  const output = new sonic.SonicBoom({ fd: options.fd ?? STANDARD_OUTPUT, sync: false, maxLength: options.maxBufferedBytes ?? DEFAULT_BUFFERED_BYTES })
   let dropped = 0
   let isBroken = false
   output.on('drop', () => { dropped++ })
