--- a/packages/core/src/schema/linkMessage.ts
+++ b/packages/core/src/schema/linkMessage.ts
@@ -205,6 +205,9 @@
 })
 export type JobNews = typeof JobNews.Type
 
+/** The sender wrote a submission and got no answer: nobody may say that the job was not accepted. */
+export const JobUnsettled = Schema.Struct({ type: Schema.Literal('jobUnsettled'), job: Schema.String })
+
 /** Tells the named successor that a cell was handed to it. */
 export const CellReleased = Schema.Struct({ type: Schema.Literal('cellReleased'), cell: Schema.String })
 
@@ -232,6 +235,7 @@
   AdviceRequest,
   AdviceReply,
   JobNews,
+  JobUnsettled,
   CellReleased,
   EntryLeaving
 ])
--- a/packages/entry/src/cell/__tests__/cellEntry.spec.ts
+++ b/packages/entry/src/cell/__tests__/cellEntry.spec.ts
@@ -220,6 +220,22 @@
   assert.is(cluster.started.length, 2)
 })
 
+test('nobody says of a job that it was not accepted while an earlier write of it may have landed', async () => {
+  const cluster = createCellCluster()
+  const [first, second] = await startEntries(cluster, ['a', 'b'])
+  first!.faults.loseWrite = () => ({ afterMs: 5 })
+  const job = createTestJob(cluster.clock, 1)
+  const before = first!.entry.desk.submitJob('0000000000000001', job, cluster.clock.nowMs() + 1300)
+  await cluster.clock.runFor(2000)
+  assert.is(await before, 'unsettled')
+  second!.faults.outage = 'busy'
+  const again = second!.entry.desk.submitJob('0000000000000001', job, cluster.clock.nowMs() + 3000)
+  const other = second!.entry.desk.submitJob('0000000000000002', job, cluster.clock.nowMs() + 3000)
+  await cluster.clock.runFor(50)
+  assert.is(await again, 'unsettled')
+  assert.is(await other, 'refused')
+})
+
 test('a holder that the table refuses alone loses the cell and gives no more orders', async () => {
   const cluster = createCellCluster({ planRun: () => ({ durationMs: 2000, how: 'done' }) })
   cluster.addWorker('w1')
--- a/packages/entry/src/cell/jobDesk.ts
+++ b/packages/entry/src/cell/jobDesk.ts
@@ -4,7 +4,7 @@
 } from '@fuchsiatally/core'
 import type { PeerMesh } from '../ports.js'
 import type { CellWatch } from './cellWatch.js'
-import { ANSWER_MARGIN_MS, MAX_COUNT_AGE_MS, WRITE_RETRY_MS } from './constants.js'
+import { ANSWER_MARGIN_MS, MAX_COUNT_AGE_MS, MAX_UNSETTLED_JOBS, WRITE_RETRY_MS } from './constants.js'
 import { cellJobAccepted, cellJobCancelled, cellJobRefused, cellJobUnsettled } from './events.js'
 import { CANCEL_SUFFIX, JOB_TABLE, parseJobRow, parseStateRow, STATE_TABLE } from './holderRow.js'
 import type { CellTable, CellTransaction, CommitResult } from './ports.js'
@@ -52,6 +52,8 @@
 export function createJobDesk (options: JobDeskOptions): JobDesk {
   const { table, mesh, clock, events } = options
   const finals = new Map<string, JobPhase>()
+  /** Jobs whose submission was written without an answer, here or at a peer: callers send them again anywhere. */
+  const unsettled = new Set<string>()
 
   const notifyHolder = (cell: string, key: string, value: string): void => {
     if (options.acceptNews(cell, key, value)) return
@@ -60,16 +62,27 @@
     if (holder !== null && holder !== undefined) mesh.sendMessage(holder.incarnation, { type: 'jobNews', cell, key, value })
   }
 
+  const recordUnsettled = (job: string): void => {
+    unsettled.add(job)
+    const [oldest] = unsettled
+    if (unsettled.size > MAX_UNSETTLED_JOBS && oldest !== undefined) unsettled.delete(oldest)
+  }
+  mesh.onMessage('jobUnsettled', ({ job }) => recordUnsettled(job))
+
   /** Sends a write until its fate is known; the first answer of each try counts for all of them. */
-  const settleWrite = async (transaction: CellTransaction, deadlineMs: number): Promise<CommitResult | 'refused' | 'unsettled'> => {
+  const settleWrite = async (
+    transaction: CellTransaction, deadlineMs: number, onUnknown: () => void
+  ): Promise<CommitResult | 'refused' | 'unsettled'> => {
     // A write that gets no answer leaves the caller without one, too; a refusal lets it go elsewhere at once.
     if (table.isSuspect()) return 'refused'
     let mayHaveApplied = false
     for (;;) {
       const result = await table.commit(transaction)
       if (result.isOk()) return result.value
-      if (result.error.kind === 'unknown') mayHaveApplied = true
-      else if (!mayHaveApplied) return 'refused'
+      if (result.error.kind === 'unknown') {
+        if (!mayHaveApplied) onUnknown()
+        mayHaveApplied = true
+      } else if (!mayHaveApplied) return 'refused'
       if (clock.nowMs() + WRITE_RETRY_MS + ANSWER_MARGIN_MS > deadlineMs) return 'unsettled'
       await new Promise<void>((resolve) => { clock.setTimer(WRITE_RETRY_MS, resolve) })
     }
@@ -83,7 +96,15 @@
       checks: [{ table: JOB_TABLE, key: id, version: 0 }],
       writes: [{ table: JOB_TABLE, key: id, value }, { table: STATE_TABLE, key: id, value: JSON.stringify(ACCEPTED_STATE) }],
       deletes: []
-    }, deadlineMs)
+    }, deadlineMs, () => {
+      // The caller may give up and ask another entry before this one knows more.
+      recordUnsettled(id)
+      mesh.broadcastMessage({ type: 'jobUnsettled', job: id })
+    })
+    if (result === 'refused' && unsettled.has(id)) {
+      events.record(cellJobUnsettled, { job: id, team: job.team, queue: job.policy.queue, reason: 'an earlier submission may have been stored' })
+      return 'unsettled'
+    }
     if (result === 'refused') {
       events.record(cellJobRefused, { job: id, team: job.team, queue: job.policy.queue, reason: 'the table refused the write' })
       return 'refused'
@@ -126,7 +147,7 @@
       checks: [{ table: JOB_TABLE, key, version: 0 }],
       writes: [{ table: JOB_TABLE, key, value: '{}' }],
       deletes: []
-    }, deadlineMs)
+    }, deadlineMs, () => {})
     if (result === 'refused' || result === 'unsettled') return result
     events.record(cellJobCancelled, { job: id, queue: queue.name })
     if (result.kind === 'applied') notifyHolder(queue.service, key, '{}')
