Events of the cells stand in the catalogue; one way to end on a broken invariant

Cause: the catalogue left out areas that it had no heading for, and its test compared it with itself. failProcess stood in four places.

--- a/packages/entry/src/cell/adviceDesk.ts
+++ b/packages/entry/src/cell/adviceDesk.ts
@@ -5,6 +5,7 @@
 import { adviceAnswered, adviceMissing } from './events.js'
 import type { AdviceClient } from './ports.js'
 import { computeRank } from './rank.js'
+import { failProcess } from '../process/failProcess.js'
 
 /** Options of the desk. */
 export interface AdviceDeskOptions {
@@ -156,7 +157,3 @@
 const SHORT_WAIT_MS = 30
 /** Longest work in front of a question that is still sent, in milliseconds; more would outlast the tickets. */
 const MAX_ADVICE_WAIT_MS = 400
-
-function failProcess (error: unknown): void {
-  queueMicrotask(() => { throw error })
-}
--- a/packages/entry/src/cell/cellEntry.ts
+++ b/packages/entry/src/cell/cellEntry.ts
@@ -11,6 +11,7 @@
 import { computeRank } from './rank.js'
 import type { AdviceClient, CellBounds, CellTable, CellWorkerClient, ListedWorker, PlatformRows } from './ports.js'
 import { WRITE_RETRY_MS } from './constants.js'
+import { failProcess } from '../process/failProcess.js'
 
 /** Options of an entry. */
 export interface CellEntryOptions {
@@ -135,7 +136,7 @@
       await new Promise<void>((resolve) => { clock.setTimer(WRITE_RETRY_MS, resolve) })
     }
   }
-  registerSelf().catch((error: unknown) => { queueMicrotask(() => { throw error }) })
+  registerSelf().catch(failProcess)
   events.record(entryStarted, { ...self, linkAddress: options.linkAddress })
 
   return {
--- a/packages/entry/src/cell/workerContact.ts
+++ b/packages/entry/src/cell/workerContact.ts
@@ -7,6 +7,7 @@
 import { runEnded, runRefused, runStopping, runUnsettled, workerHeld, workerLapsed, workerSilent } from './events.js'
 import { formatRun } from './formatRun.js'
 import type { CellWorkerClient, LeaseAnswer } from './ports.js'
+import { failProcess } from '../process/failProcess.js'
 
 /** Options of a contact. */
 export interface WorkerContactOptions {
@@ -289,8 +290,3 @@
     dispose
   }
 }
-
-/** A step that throws is a broken invariant. */
-function failProcess (error: unknown): void {
-  queueMicrotask(() => { throw error })
-}
--- a/packages/entry/src/process/serialLoop.ts
+++ b/packages/entry/src/process/serialLoop.ts
@@ -1,5 +1,6 @@
 /** Runs one asynchronous step again and again, never two at a time. */
 import type { Clock, Disposable } from '@fuchsiatally/core'
+import { failProcess } from './failProcess.js'
 
 /** Options of a serial loop. */
 export interface SerialLoopOptions {
@@ -33,9 +34,7 @@
     options.runStep().then(() => {
       running = false
       schedulePause()
-    }, (error: unknown) => {
-      queueMicrotask(() => { throw error })
-    })
+    }, failProcess)
   }
   runNext()
   return {
--- a/packages/entry/src/telemetry/__tests__/pages.spec.ts
+++ b/packages/entry/src/telemetry/__tests__/pages.spec.ts
@@ -28,6 +28,7 @@
     const name = file.replace(/^packages\/\w+\/src\//, '').replace(/\.ts$/, '')
     assert.ok(loaded.includes(`/${name.replace(/^telemetry\//, '')}`), `${file} is not loaded by allEvents.ts`)
   }
+  for (const { id } of eventRegistry) assert.ok(readPage('EVENTS.md').includes(`| ${id} |`), `${id} has no row`)
   assert.is(readPage('EVENTS.md'), renderEventsPage(eventRegistry), 'run node scripts/renderEvents.mjs')
 })
 
--- a/packages/entry/src/telemetry/renderEvents.ts
+++ b/packages/entry/src/telemetry/renderEvents.ts
@@ -8,7 +8,8 @@
   4: 'Jobs and scheduler',
   5: 'Requests',
   6: 'Configuration and keys',
-  7: 'Platform'
+  7: 'Platform',
+  8: 'Cells of workers and their jobs, the log'
 }
 
 /** Renders the page; equal definitions give an equal page. */
