--- a/packages/core/src/cell/createCellPlanner.ts
+++ b/packages/core/src/cell/createCellPlanner.ts
@@ -4,7 +4,7 @@
 import { canEverRun, computeFree, isOpen, recordRefusalAt, type CellWorker } from './cellWorker.js'
 import { createJobBook } from './jobBook.js'
 import { listTasks, type CellTask } from './jobState.js'
-import type { CellDecisions, CellPlanner, PlannedRun, StartOrder, TryAsk } from './plannerTypes.js'
+import type { CellDecisions, CellPlanner, StartOrder, TryAsk } from './plannerTypes.js'
 import { chooseAdviceWorkers, estimateRemainingMs, listStartable, mayBeSuitable, recordAdvice, recordAdviceFailed, type ReadFree, type StepRun } from './stepRun.js'
 import { chooseCeilingVictims, reserveRoom } from './roomReserve.js'
 import { buildRunName, createRunAccounts } from './runAccounts.js'
@@ -247,11 +247,6 @@
     readRecord: book.readRecord,
     readPhase: (id) => book.findJob(id)?.phase ?? null,
     countWaiting: book.countWaiting,
-    findNextDueMs: book.findNextDueMs,
-    forgetEnded: book.forgetEnded,
-    listRunsAt: (id) => [...workers.get(id)?.tasks ?? []].map((task): PlannedRun => {
-      const step = findStep(task)
-      return { ...buildRunName(task), fills: step.fills, targetMs: step.targetMs }
-    })
+    forgetEnded: book.forgetEnded
   }
 }
--- a/packages/core/src/cell/jobBook.ts
+++ b/packages/core/src/cell/jobBook.ts
@@ -18,7 +18,6 @@
   listWaitingRuns: () => StepRun[]
   /** Creates the occurrences that have become due. */
   addDueOccurrences: (wallMs: number, nowMs: number) => void
-  findNextDueMs: () => number | null
   noteWaiting: (task: CellTask, nowMs: number) => void
   noteStarted: (run: StepRun) => void
   /** A task is done: later steps may become ready. */
@@ -123,14 +122,6 @@
         if (job.occurrences.size >= job.spec.runCount) timed.delete(job)
       }
     },
-    findNextDueMs: () => {
-      let next: number | null = null
-      for (const job of timed) {
-        const dueMs = job.spec.firstRunMs + job.occurrences.size * job.spec.intervalMs
-        if (next === null || dueMs < next) next = dueMs
-      }
-      return next
-    },
     noteWaiting: (task, nowMs) => {
       if (task.phase !== 'waiting') return
       const run = findRun(task)
--- a/packages/core/src/cell/jobState.ts
+++ b/packages/core/src/cell/jobState.ts
@@ -38,8 +38,6 @@
   percent: number
   /** Monotonic time at which the current run was first seen or made progress, or `null`. Not kept in the table. */
   progressedAtMs: number | null
-  /** Work share that was last set for a filler, in percent. Not kept in the table. */
-  pacePercent: number
 }
 
 /** Tasks of one occurrence, by step and index. */
@@ -93,8 +91,7 @@
     stopping: false,
     preemptions: 0,
     percent: 0,
-    progressedAtMs: null,
-    pacePercent: 100
+    progressedAtMs: null
   })))
   return { index, steps }
 }
--- a/packages/core/src/cell/plannerTypes.ts
+++ b/packages/core/src/cell/plannerTypes.ts
@@ -30,12 +30,6 @@
   readonly reason: 'cancelled' | 'jobFailed' | 'gangBroken' | 'superseded' | 'stray' | 'preempted' | 'stalled'
 }
 
-/** A filler that shall work at another share. */
-export interface PaceOrder extends RunName {
-  readonly worker: string
-  readonly percent: number
-}
-
 /** A question for the advice service. */
 export interface AdviceQuestion {
   /** `job.occurrence.step` */
@@ -124,16 +118,6 @@
   readPhase: (id: string) => JobPhase | null
   /** Accepted jobs without a time of their own of which no task has started, by queue. */
   countWaiting: () => ReadonlyMap<string, number>
-  /** Wall clock at which the next occurrence of any job is due, or `null`. */
-  findNextDueMs: () => number | null
   /** Drops jobs that ended before `wallMs`; returns their ids. */
   forgetEnded: (wallMs: number) => string[]
-  /** Runs that the worker holds room for. */
-  listRunsAt: (worker: string) => readonly PlannedRun[]
-}
-
-/** A run that holds room at a worker. */
-export interface PlannedRun extends RunName {
-  readonly fills: boolean
-  readonly targetMs: number
 }
--- a/packages/core/src/cell/runAccounts.ts
+++ b/packages/core/src/cell/runAccounts.ts
@@ -62,7 +62,6 @@
     task.confirmedAtMs = null
     task.percent = 0
     task.progressedAtMs = null
-    task.pacePercent = 100
   }
 
   const resolveWorker = (id: string): CellWorker => {
--- a/packages/entry/src/cell/constants.ts
+++ b/packages/entry/src/cell/constants.ts
@@ -72,8 +72,6 @@
 export const MAX_ADVICE_QUEUE = 24
 /** Time beyond the expected wait after which a peer's advice is given up, in milliseconds. */
 export const ADVICE_SLACK_MS = 800
-/** Interval at which an entry reads the rows of its peers, in milliseconds. */
-export const PEER_READ_MS = 1000
 /** Pause between two reviews of a cell's claims on ceilings, in milliseconds; work that waits for one wakes it. */
 export const CLAIM_PAUSE_MS = 250
 /** Interval at which the claims of the other cells are read anew, in milliseconds. */
--- a/packages/entry/src/cell/ports.ts
+++ b/packages/entry/src/cell/ports.ts
@@ -1,5 +1,5 @@
 /** Interfaces at which a cell's holder meets the platform; the adapter implements them, tests replace them. */
-import type { CellConfig, Disposable, ListedEnd, ListedRun, PaceOrder, RunName, StartOrder, WorkerFacts } from '@fuchsiatally/core'
+import type { CellConfig, Disposable, ListedEnd, ListedRun, RunName, StartOrder, WorkerFacts } from '@fuchsiatally/core'
 import type { Result } from 'neverthrow'
 
 /** A call that had no usable answer. */
@@ -112,7 +112,6 @@
   renewLease: (request: LeaseRequest) => Promise<Result<LeaseAnswer | Deposed | OtherWorker, CallFailure>>
   startRun: (order: StartOrder, epoch: number, leaseUntilMs: number) => Promise<Result<StartResult, CallFailure>>
   stopRun: (run: RunName, epoch: number) => Promise<Result<{ readonly kind: 'answered' } | Deposed | OtherWorker, CallFailure>>
-  setPace: (order: PaceOrder, epoch: number) => Promise<Result<{ readonly kind: 'answered' } | Deposed | OtherWorker, CallFailure>>
 }
 
 /** The service that knows which workers a queue's policy allows. */
@@ -139,10 +138,6 @@
   readonly revokeMs: number
   /** Time for which the state of an ended job is kept, in milliseconds. */
   readonly statusMs: number
-  /** Time that a stopping process is given, in milliseconds. */
-  readonly stopGraceMs: number
   /** Time within which a holder of the same workers must not take turns with another, in milliseconds. */
   readonly turnMs: number
-  /** Longest time that a step of the wall clock backwards is excused for occurrences, in milliseconds. */
-  readonly earlyMs: number
 }
--- a/packages/entry/src/cell/workerContact.ts
+++ b/packages/entry/src/cell/workerContact.ts
@@ -1,5 +1,5 @@
 /** Contact of a cell's holder with one worker: its lease, its lists of runs, and the orders it is given. */
-import { createDisposableStore, type CellPlanner, type Clock, type Disposable, type EventLog, type PaceOrder, type RunName, type StartOrder, type StopOrder } from '@fuchsiatally/core'
+import { createDisposableStore, type CellPlanner, type Clock, type Disposable, type EventLog, type RunName, type StartOrder, type StopOrder } from '@fuchsiatally/core'
 import {
   CLOCK_SLOWNESS, COMMIT_WAIT_MS, LEASE_MARGIN_MS, LEASE_RETRY_MS, LEASE_WAIT_MS, MIN_START_LEASE_MS, ORDER_RETRY_MS, START_TRIES
 } from './constants.js'
@@ -30,7 +30,6 @@
 export interface WorkerContact extends Disposable {
   startRun: (order: StartOrder) => void
   stopRun: (order: StopOrder) => void
-  setPace: (order: PaceOrder) => void
   /** Remembers which of the listed ends the commit that begins now stores. */
   beginCommit: () => void
   /** That commit was applied. */
@@ -268,11 +267,6 @@
   return {
     startRun: (order) => { sendStart(order).catch(failProcess) },
     stopRun,
-    setPace: (order) => {
-      client.setPace(order, epoch).then((result) => {
-        if (!disposed && result.isOk() && result.value.kind === 'deposed') endContact()
-      }, failProcess)
-    },
     beginCommit: () => {
       storedEnd = acknowledgedEnd
       for (const end of pendingEnds) {
--- a/packages/entry/src/testing/cellCluster.ts
+++ b/packages/entry/src/testing/cellCluster.ts
@@ -119,7 +119,7 @@
       linkAddress: '127.0.0.1:1',
       table: client,
       rows,
-      bounds: { maxLeaseMs: options.maxLeaseMs ?? 6000, revokeMs: 5000, statusMs: 120_000, stopGraceMs: 6000, turnMs: 3000, earlyMs: 250 },
+      bounds: { maxLeaseMs: options.maxLeaseMs ?? 6000, revokeMs: 5000, statusMs: 120_000, turnMs: 3000 },
       mesh: links,
       adviceClient: { askAdvice: async () => ok(new Map()) },
       createWorkerClient: (worker) => {
--- a/packages/entry/src/testing/cellWorkerModel.ts
+++ b/packages/entry/src/testing/cellWorkerModel.ts
@@ -159,7 +159,6 @@
     },
     startRun: (order, orderEpoch, untilMs) => call(() => acceptStart(order, orderEpoch, untilMs)),
     stopRun: (run, orderEpoch) => call(() => acceptStop(run, orderEpoch)),
-    setPace: () => call(() => ({ kind: 'answered' as const })),
     dispose: () => {}
   })
 
