What an entry keeps is bounded for a process that runs for weeks

Found in reading: the lease loop called itself and kept a chain of promises, the advice desk kept the timer of each question, ended jobs stayed in two maps. Change: a loop; timers end with their question; ended jobs leave with their rows, and 5,000 are remembered at most. Test: an ended job is forgotten in memory and in the table after the time for which its state is kept.

--- a/packages/entry/src/cell/__tests__/cellEntry.spec.ts
+++ b/packages/entry/src/cell/__tests__/cellEntry.spec.ts
@@ -271,6 +271,18 @@
   assert.is(cluster.started.filter((run) => run.index === 0).length, 3)
 })
 
+test('an ended job is forgotten after the time for which its state is kept, in memory and in the table', async () => {
+  const cluster = createCellCluster()
+  cluster.addWorker('w1')
+  const [entry] = await startEntries(cluster, ['a'])
+  await submit(cluster, entry!, '0000000000000001', 1)
+  await cluster.clock.runFor(3000)
+  assert.ok(cluster.table.readRow('state', SERVICE, '0000000000000001') !== undefined)
+  await cluster.clock.runFor(121_000)
+  for (const table of ['job', 'state']) assert.is(cluster.table.readRow(table, SERVICE, '0000000000000001'), undefined)
+  assert.is(await readState(cluster, entry!, '0000000000000001'), 'unknownJob')
+})
+
 test('history that the table dropped is read anew', async () => {
   const cluster = createCellCluster()
   cluster.addWorker('w1')
--- a/packages/entry/src/cell/adviceDesk.ts
+++ b/packages/entry/src/cell/adviceDesk.ts
@@ -1,5 +1,5 @@
 /** Placement advice: each entry serves one call at a time for itself and its peers; holders spread their questions by length. */
-import { createDisposableStore, type AdviceQuestion, type Clock, type Disposable, type EventLog, type Random } from '@fuchsiatally/core'
+import { type AdviceQuestion, type Clock, type Disposable, type EventLog, type Random } from '@fuchsiatally/core'
 import type { Peer, PeerMesh } from '../ports.js'
 import { ADVICE_SLACK_MS, MAX_ADVICE_QUEUE } from './constants.js'
 import { adviceAnswered, adviceMissing } from './events.js'
@@ -36,7 +36,6 @@
 /** Creates the desk and takes questions of peers. */
 export function createAdviceDesk (options: AdviceDeskOptions): AdviceDesk {
   const { mesh, clock, events } = options
-  const disposables = createDisposableStore()
   const asked = new Map<string, Asked>()
   /** When each server failed a question last. */
   const failedAtMs = new Map<string, number>()
@@ -128,7 +127,7 @@
       }
       onAnswer(good)
     }
-    const timer = disposables.add(clock.setTimer(queuedMs + question.costMs + ADVICE_SLACK_MS, () => settle(null)))
+    const timer = clock.setTimer(queuedMs + question.costMs + ADVICE_SLACK_MS, () => settle(null))
     asked.set(exchange, { server, costMs: question.costMs, settle })
     if (server === options.self.incarnation) {
       queueCall(question.step, question.workers, question.costMs).then(settle, failProcess)
@@ -144,7 +143,7 @@
     for (const question of [...asked.values()]) if (question.server === peer.incarnation) question.settle(null)
   })
 
-  return { tryAsk, dispose: () => disposables.dispose() }
+  return { tryAsk, dispose: () => { for (const question of [...asked.values()]) question.settle(null) } }
 }
 
 /** Time for which a server that failed a question is avoided, in milliseconds; about one repair of a link. */
--- a/packages/entry/src/cell/cellCommits.ts
+++ b/packages/entry/src/cell/cellCommits.ts
@@ -26,6 +26,8 @@
   readonly plan: () => readonly StartOrder[]
   readonly startRun: (order: StartOrder) => void
   readonly onCommitted: (jobs: readonly string[]) => void
+  /** Ended jobs left the planner; their rows are deleted next. */
+  readonly onForgotten: (jobs: readonly string[]) => void
   readonly onDeposed: () => void
 }
 
@@ -131,7 +133,9 @@
     const starts = releasing ? [] : options.plan()
     for (const order of starts) options.events.record(runPlaced, { run: formatRun(order), worker: order.worker, resumed: order.saved !== '' })
     pendingStarts.push(...starts)
-    dropped.push(...planner.forgetEnded(clock.wallMs() - options.statusMs))
+    const forgotten = planner.forgetEnded(clock.wallMs() - options.statusMs)
+    if (forgotten.length > 0) options.onForgotten(forgotten)
+    dropped.push(...forgotten)
     const ready = pendingStarts.length
     const { jobs, writes } = takeChanges()
     const deletes = listDropped(MAX_COMMIT_ROWS - writes.length)
--- a/packages/entry/src/cell/cellTerm.ts
+++ b/packages/entry/src/cell/cellTerm.ts
@@ -202,6 +202,7 @@
         committed.set(id, phase)
       }
     },
+    onForgotten: (ids) => { for (const id of ids) committed.delete(id) },
     onDeposed: endTerm
   }))
 
--- a/packages/entry/src/cell/constants.ts
+++ b/packages/entry/src/cell/constants.ts
@@ -80,5 +80,5 @@
 export const CLAIM_COMMIT_MS = 60
 /** Age of a holder's row up to which its numbers of waiting jobs are told, in milliseconds; the users allow two seconds. */
 export const MAX_COUNT_AGE_MS = 2000
-/** Submissions of unknown fate that an entry remembers; at two-year size ten minutes of a day's jobs. */
-export const MAX_UNSETTLED_JOBS = 5000
+/** Submissions of unknown fate, and ended jobs, that an entry remembers; more than a day's jobs at two-year size. */
+export const MAX_REMEMBERED_JOBS = 5000
--- a/packages/entry/src/cell/jobDesk.ts
+++ b/packages/entry/src/cell/jobDesk.ts
@@ -4,7 +4,7 @@
 } from '@fuchsiatally/core'
 import type { PeerMesh } from '../ports.js'
 import type { CellWatch } from './cellWatch.js'
-import { ANSWER_MARGIN_MS, MAX_COUNT_AGE_MS, MAX_UNSETTLED_JOBS, WRITE_RETRY_MS } from './constants.js'
+import { ANSWER_MARGIN_MS, MAX_COUNT_AGE_MS, MAX_REMEMBERED_JOBS, WRITE_RETRY_MS } from './constants.js'
 import { cellJobAccepted, cellJobCancelled, cellJobRefused, cellJobUnsettled } from './events.js'
 import { CANCEL_SUFFIX, JOB_TABLE, parseJobRow, parseStateRow, STATE_TABLE } from './holderRow.js'
 import type { CellTable, CellTransaction, CommitResult } from './ports.js'
@@ -62,10 +62,16 @@
     if (holder !== null && holder !== undefined) mesh.sendMessage(holder.incarnation, { type: 'jobNews', cell, key, value })
   }
 
+  const recordFinal = (job: string, phase: JobPhase): void => {
+    finals.set(job, phase)
+    const [oldest] = finals.keys()
+    if (finals.size > MAX_REMEMBERED_JOBS && oldest !== undefined) finals.delete(oldest)
+  }
+
   const recordUnsettled = (job: string): void => {
     unsettled.add(job)
     const [oldest] = unsettled
-    if (unsettled.size > MAX_UNSETTLED_JOBS && oldest !== undefined) unsettled.delete(oldest)
+    if (unsettled.size > MAX_REMEMBERED_JOBS && oldest !== undefined) unsettled.delete(oldest)
   }
   mesh.onMessage('jobUnsettled', ({ job }) => recordUnsettled(job))
 
@@ -133,7 +139,7 @@
     if (row.value === undefined) return 'unknownJob'
     const state = parseStateRow(row.value, events)
     if (state === null) return 'refused'
-    if (isFinal(state.phase)) finals.set(id, state.phase)
+    if (isFinal(state.phase)) recordFinal(id, state.phase)
     return state.phase
   }
 
--- a/packages/entry/src/cell/workerContact.ts
+++ b/packages/entry/src/cell/workerContact.ts
@@ -168,8 +168,10 @@
   }
 
   const runLoop = async (): Promise<void> => {
-    await renewLease()
-    if (!disposed) await runLoop()
+    for (;;) {
+      await renewLease()
+      if (disposed) return
+    }
   }
 
   const sendStart = async (order: StartOrder): Promise<void> => {
