--- a/packages/entry/src/testing/entryCell.ts
+++ b/packages/entry/src/testing/entryCell.ts
@@ -67,6 +67,8 @@
 const STEP_MS = 100
 const HEARTBEAT_MS = 1000
 const RESTART_MS = 500
+/** Longest wait for one answer: far above every time limit of a call, so that a call that never ends fails instead of hanging the run. */
+const WAIT_LIMIT_MS = 300_000
 /** One way to the platform, so that a process can die between a call and its effect or its answer. */
 const PLATFORM_DELAY_MS = 30
 const CELL = 'test'
@@ -195,7 +197,10 @@
     waitFor: async (promise) => {
       const state = { settled: false }
       const marked = promise.finally(() => { state.settled = true })
-      while (!state.settled) await clock.runFor(STEP_MS)
+      for (let waited = 0; !state.settled; waited += STEP_MS) {
+        if (waited >= WAIT_LIMIT_MS) throw new Error(`no answer within ${WAIT_LIMIT_MS} ms of simulated time`)
+        await clock.runFor(STEP_MS)
+      }
       return await marked
     },
     runFor: async (ms) => {
--- a/packages/entry/src/testing/fakeProcess.ts
+++ b/packages/entry/src/testing/fakeProcess.ts
@@ -92,6 +92,8 @@
     }),
     pause: (leadMs) => {
       outgoing.isOpen = false
+      // Without this, the timer of an earlier pause would close the gate after the resume, and for good.
+      pauseTimer.dispose()
       pauseTimer = base.setTimer(leadMs, () => { inside.isOpen = false })
     },
     resume: () => {
