Leases last 4 s at most, and outlive an outage of the table of 9 s

Cause: holders granted the longest lease that workers take (6 s at one site, 10 s at the other). What ran on a worker that was cut off waited for the whole of it before it began elsewhere, past any objective. The extension while the table is away (3.5 s after the last confirmed commit, plus 6 s) fell short of an outage of 9 s, against what the comment said: a poll that was under way without an extension held the next one back for up to a second. Ruled out: a lease shorter than the restart of all entries after a loss of power (2 s measured from the kill to the first lease call). Change: GRANTED_LEASE_MS 4000, EXTENSION_OUTAGE_MS 7000, polls of 250 ms while no lease may be extended. Two tests, both red before.

--- a/packages/entry/src/cell/__tests__/cellEntry.spec.ts
+++ b/packages/entry/src/cell/__tests__/cellEntry.spec.ts
@@ -134,6 +134,32 @@
   checkNoTwins(cluster)
 })
 
+test('work of a worker that is cut off begins elsewhere within 6 s where workers would grant leases of 10 s', async () => {
+  const cluster = createCellCluster({ maxLeaseMs: 10_000, planRun: (order) => ({ durationMs: order.run === 1 ? 60_000 : 500, how: 'done' }) })
+  const first = cluster.addWorker('w1')
+  const [entry] = await startEntries(cluster, ['a'])
+  await submit(cluster, entry!, '0000000000000001', 2)
+  await cluster.clock.runFor(500)
+  first.faults.cut = true
+  cluster.addWorker('w2')
+  await cluster.clock.runFor(6000)
+  assert.is(cluster.started.length, 4)
+  checkNoTwins(cluster)
+})
+
+test('runs outlive an outage of the table of 9 s', async () => {
+  const cluster = createCellCluster({ maxLeaseMs: 6000, planRun: () => ({ durationMs: 11_000, how: 'done' }) })
+  cluster.addWorker('w1')
+  const entries = await startEntries(cluster, ['a', 'b'])
+  await submit(cluster, entries[0]!, '0000000000000001', 2)
+  for (const { faults } of entries) faults.outage = 'busy'
+  await cluster.clock.runFor(9000)
+  for (const { faults } of entries) faults.outage = null
+  await cluster.clock.runFor(4000)
+  assert.is(await readState(cluster, entries[0]!, '0000000000000001'), 'completed')
+  assert.is(cluster.started.length, 2)
+})
+
 test('tasks of a worker that a successor never saw run elsewhere after every lease', async () => {
   const cluster = createCellCluster({ planRun: (order) => ({ durationMs: order.run === 1 ? 60_000 : 500, how: 'done' }) })
   const first = cluster.addWorker('w1')
--- a/packages/entry/src/cell/constants.ts
+++ b/packages/entry/src/cell/constants.ts
@@ -2,6 +2,8 @@
 
 /** Longest wait of one lease call for an end, in milliseconds; a third of the shortest lease that the platform grants. */
 export const LEASE_WAIT_MS = 1000
+/** The same while no lease may be extended, in milliseconds: the extension must follow soon after the table answers again. */
+export const UNEXTENDED_WAIT_MS = 250
 /** Time beyond its wait that a lease call may take, in milliseconds; a call takes 5 ms, a slowed worker six times that. */
 export const LEASE_CALL_MS = 700
 /** Time that a start, stop or pace may take, in milliseconds. */
@@ -34,10 +36,16 @@
 /** Time without a confirmed renewal after which a holder ends its term, in milliseconds: past the outages that the platform announces. */
 export const HOLDER_OUTAGE_MS = 12_000
 /**
- * Time without a confirmed renewal after which a holder extends no lease, in milliseconds. With the lease of 6 s that is granted last,
- * runs outlive an outage of the table of 9 s, and a successor knows that the leases of workers that it can't reach have ended soon after.
+ * Longest lease that a holder grants, in milliseconds, where workers would grant more: twice the time that entries need to restart
+ * after a loss of power and to take their cells. What ran on a worker that is cut off starts elsewhere after this time.
  */
-export const EXTENSION_OUTAGE_MS = 3500
+export const GRANTED_LEASE_MS = 4000
+/**
+ * Time without a confirmed renewal after which a holder extends no lease, in milliseconds. With the lease that is granted last,
+ * and one poll between the two, runs outlive an outage of the table of 9 s; a successor knows that the leases of workers that it can't
+ * reach have ended soon after.
+ */
+export const EXTENSION_OUTAGE_MS = 7000
 /** Longest step of successor ranks that counts; beyond it entries wait equally long. */
 export const MAX_RANK = 5
 
--- a/packages/entry/src/cell/workerContact.ts
+++ b/packages/entry/src/cell/workerContact.ts
@@ -1,9 +1,9 @@
 /** Contact of a cell's holder with one worker: its lease, its lists of runs, and the orders it is given. */
 import { createDisposableStore, type CellPlanner, type Clock, type Disposable, type EventLog, type RunName, type StartOrder, type StopOrder } from '@fuchsiatally/core'
 import {
-  CLOCK_SLOWNESS, COMMIT_WAIT_MS, LEASE_MARGIN_MS, LEASE_RETRY_MS, LEASE_WAIT_MS, MIN_START_LEASE_MS, ORDER_RETRY_MS, START_TRIES
+  CLOCK_SLOWNESS, COMMIT_WAIT_MS, LEASE_MARGIN_MS, LEASE_RETRY_MS, LEASE_WAIT_MS, MIN_START_LEASE_MS, ORDER_RETRY_MS, START_TRIES, UNEXTENDED_WAIT_MS
 } from './constants.js'
-import { computeUnknownLeaseMs } from './leaseBounds.js'
+import { computeLeaseMs, computeUnknownLeaseMs } from './leaseBounds.js'
 import { runEnded, runRefused, runStopping, runUnsettled, workerHeld, workerLapsed, workerSilent } from './events.js'
 import { formatRun } from './formatRun.js'
 import type { CellWorkerClient, LeaseAnswer } from './ports.js'
@@ -57,6 +57,8 @@
   /** Reading of the worker's clock and when it was received. */
   let reading: { clockMs: number, receivedAtMs: number } | null = null
   let leaseUntilMs = -Infinity
+  /** The last lease call asked for an extension. */
+  let isExtended = false
   let processedEnd = 0
   let acknowledgedEnd = 0
   let storedEnd = 0
@@ -81,7 +83,7 @@
 
   const computeLease = (): number | null => {
     const nowMs = readWorkerClock()
-    return nowMs === null ? null : Math.floor(nowMs + options.maxLeaseMs)
+    return nowMs === null ? null : Math.floor(nowMs + computeLeaseMs(options.maxLeaseMs))
   }
 
   const endContact = (): void => {
@@ -149,7 +151,9 @@
     // A worker that didn't answer gets no extension: the lease that it may have would never be known to end.
     const lease = failures === 0 && options.mayExtend() ? computeLease() : null
     if (lease !== null) leaseUntilMs = Math.max(leaseUntilMs, lease)
-    const waitMs = held && pendingEnds.length === 0 ? LEASE_WAIT_MS : 0
+    const longestMs = lease === null || !isExtended ? UNEXTENDED_WAIT_MS : LEASE_WAIT_MS
+    isExtended = lease !== null
+    const waitMs = held && pendingEnds.length === 0 ? longestMs : 0
     const result = await client.renewLease({ epoch, acknowledgedEnd, leaseUntilMs: lease, waitMs })
     if (disposed) return
     if (result.isErr() || result.value.kind === 'otherWorker') {
