Servers of advice decline questions that would wait, so that another takes them

Each holder chose servers by its own questions alone; the long ones (200 to 800 ms) of another holder stood in front. After a failure the two servers kept for short questions were left out without others in their place, and a question that its asker had given up was asked all the same. Change: a question says how much work may stand in front of it; a server that has more declines at once and says how busy it is, and the next one is asked. The servers kept for short questions are chosen among those that answer. A question whose asker has given up isn't asked. Short questions are given up after 0.4 s beyond their work instead of 0.8 s. The server's queue is a file of its own.

--- a/packages/core/src/schema/linkMessage.ts
+++ b/packages/core/src/schema/linkMessage.ts
@@ -183,7 +183,11 @@
   step: Schema.String,
   workers: Schema.Array(Schema.String),
   /** Time that the advice service needs for the answer, in milliseconds. */
-  costMs: Schema.Finite
+  costMs: Schema.Finite,
+  /** Work in front of the question beyond which it is declined, in milliseconds. */
+  mostQueuedMs: Schema.Finite,
+  /** Time after which the asker has given up, in milliseconds. */
+  patienceMs: Schema.Finite
 })
 export type AdviceRequest = typeof AdviceRequest.Type
 
@@ -191,8 +195,10 @@
 export const AdviceReply = Schema.Struct({
   type: Schema.Literal('adviceReply'),
   exchange: Schema.String,
-  /** Pairs of worker and ticket, or `null` where the service gave no answer. */
-  good: Schema.NullOr(Schema.Array(Schema.Tuple([Schema.String, Schema.String])))
+  /** Pairs of worker and ticket, or `null` where the service gave no answer or the question was declined. */
+  good: Schema.NullOr(Schema.Array(Schema.Tuple([Schema.String, Schema.String]))),
+  /** Work that kept the question from being taken, in milliseconds; 0 where it was taken. */
+  queuedMs: Schema.Finite
 })
 export type AdviceReply = typeof AdviceReply.Type
 
--- a/packages/entry/src/cell/adviceDesk.ts
+++ b/packages/entry/src/cell/adviceDesk.ts
@@ -1,7 +1,8 @@
 /** Placement advice: each entry serves one call at a time for itself and its peers; holders spread their questions by length. */
 import { type AdviceQuestion, type Clock, type Disposable, type EventLog, type Random } from '@fuchsiatally/core'
 import type { Peer, PeerMesh } from '../ports.js'
-import { ADVICE_SLACK_MS, MAX_ADVICE_QUEUE } from './constants.js'
+import { createAdviceQueue, type AdviceOutcome } from './adviceQueue.js'
+import { ADVICE_SLACK_MS } from './constants.js'
 import { adviceAnswered, adviceMissing } from './events.js'
 import type { AdviceClient } from './ports.js'
 import { computeRank } from './rank.js'
@@ -30,120 +31,144 @@
 interface Asked {
   readonly server: string
   readonly costMs: number
-  readonly settle: (good: ReadonlyMap<string, string> | null) => void
+  readonly settle: (outcome: AdviceOutcome) => void
+}
+
+/** A question on its way through the servers. */
+interface Errand {
+  readonly question: AdviceQuestion
+  readonly startedAtMs: number
+  /** Servers that declined it. */
+  readonly declined: Set<string>
 }
 
 /** Creates the desk and takes questions of peers. */
 export function createAdviceDesk (options: AdviceDeskOptions): AdviceDesk {
   const { mesh, clock, events } = options
+  const queue = createAdviceQueue(options)
   const asked = new Map<string, Asked>()
   /** When each server failed a question last. */
   const failedAtMs = new Map<string, number>()
-  let tail: Promise<unknown> = Promise.resolve()
-  let queued = 0
-
-  const callService = async (step: string, workers: readonly string[], costMs: number): Promise<ReadonlyMap<string, string> | null> => {
-    const result = await options.client.askAdvice(step, workers, costMs + ADVICE_SLACK_MS)
-    if (result.isErr()) {
-      events.record(adviceMissing, { step, reason: result.error.message })
-      return null
-    }
-    return result.value
-  }
-
-  const queueCall = async (step: string, workers: readonly string[], costMs: number): Promise<ReadonlyMap<string, string> | null> => {
-    if (queued >= MAX_ADVICE_QUEUE) return null
-    queued++
-    const call = tail.then(() => callService(step, workers, costMs))
-    tail = call
-    try {
-      return await call
-    } finally {
-      queued--
-    }
-  }
+  /** Time until which each server said that it is busy. */
+  const busyUntilMs = new Map<string, number>()
+  let disposed = false
 
-  mesh.onMessage('adviceRequest', (message, from) => {
-    queueCall(message.step, message.workers, message.costMs).then((good) => {
-      mesh.sendMessage(from.incarnation, { type: 'adviceReply', exchange: message.exchange, good: good === null ? null : [...good] })
+  mesh.onMessage('adviceRequest', ({ exchange, step, workers, costMs, mostQueuedMs, patienceMs }, from) => {
+    queue.ask({ step, workers, costMs, mostQueuedMs, patienceMs }).then((outcome) => {
+      mesh.sendMessage(from.incarnation, {
+        type: 'adviceReply',
+        exchange,
+        good: outcome.kind === 'advice' ? [...outcome.good] : null,
+        queuedMs: outcome.kind === 'declined' ? outcome.queuedMs : 0
+      })
     }, failProcess)
   })
 
   mesh.onMessage('adviceReply', (message, from) => {
     const question = asked.get(message.exchange)
     if (question === undefined || question.server !== from.incarnation) return
-    question.settle(message.good === null ? null : new Map(message.good))
+    if (message.good !== null) question.settle({ kind: 'advice', good: new Map(message.good) })
+    else question.settle(message.queuedMs > 0 ? { kind: 'declined', queuedMs: message.queuedMs } : { kind: 'failed' })
   })
 
   /**
-   * Servers that may take a question, the preferred first. All holders keep the same servers free of long calls, for none of
-   * them sees the others' questions; beyond that each prefers servers of its own.
+   * Servers that may take a question, the preferred first. All holders keep the same servers free of long calls; beyond that each
+   * prefers servers of its own.
    */
   const listServers = (isLong: boolean): string[] => {
-    const peers = [options.self, ...mesh.listPeers()].sort((a, b) => a.entry < b.entry ? -1 : 1)
-    const shortOnly = Math.max(1, Math.floor(peers.length * SHORT_SERVER_SHARE))
     const nowMs = clock.nowMs()
-    const listUsable = (listed: readonly Peer[]): string[] => {
+    const peers = [options.self, ...mesh.listPeers()]
+      .filter((peer) => nowMs - (failedAtMs.get(peer.incarnation) ?? -Infinity) > FAILED_SERVER_PAUSE_MS)
+      .sort((a, b) => a.entry < b.entry ? -1 : 1)
+    const shortOnly = peers.length > 1 ? Math.max(1, Math.floor(peers.length * SHORT_SERVER_SHARE)) : 0
+    const sortByRank = (listed: readonly Peer[]): string[] => {
       const names = listed.map((peer) => peer.entry)
-      return listed.filter((peer) => nowMs - (failedAtMs.get(peer.incarnation) ?? -Infinity) > FAILED_SERVER_PAUSE_MS)
-        .sort((a, b) => computeRank(options.self.entry, a.entry, names) - computeRank(options.self.entry, b.entry, names))
+      return [...listed].sort((a, b) => computeRank(options.self.entry, a.entry, names) - computeRank(options.self.entry, b.entry, names))
         .map((peer) => peer.incarnation)
     }
-    const forLong = listUsable(peers.length > 1 ? peers.slice(shortOnly) : peers)
-    return isLong ? forLong : [...listUsable(peers.slice(0, shortOnly)), ...forLong]
+    const forLong = sortByRank(peers.slice(shortOnly))
+    return isLong ? forLong : [...sortByRank(peers.slice(0, shortOnly)), ...forLong]
   }
 
-  const readLoad = (server: string): number => {
-    let loadMs = 0
-    for (const question of asked.values()) if (question.server === server) loadMs += question.costMs
-    return loadMs
+  /** Work in front of a question at a server as far as this entry knows: its own questions, and what the server told. */
+  const readQueuedMs = (server: string): number => {
+    let ownMs = 0
+    for (const question of asked.values()) if (question.server === server) ownMs += question.costMs
+    return Math.max(ownMs, (busyUntilMs.get(server) ?? -Infinity) - clock.nowMs())
   }
 
-  const chooseServer = (costMs: number): { server: string, queuedMs: number } | null => {
-    const isLong = costMs > LONG_CALL_MS
+  const chooseServer = ({ question, declined }: Errand): { server: string, queuedMs: number } | null => {
+    const isLong = question.costMs > LONG_CALL_MS
     let best: { server: string, queuedMs: number } | null = null
     for (const server of listServers(isLong)) {
-      const queuedMs = readLoad(server)
+      if (declined.has(server)) continue
+      const queuedMs = readQueuedMs(server)
       if (!isLong && queuedMs <= SHORT_WAIT_MS) return { server, queuedMs }
       if (queuedMs <= MAX_ADVICE_WAIT_MS && (best === null || queuedMs < best.queuedMs)) best = { server, queuedMs }
     }
     return best
   }
 
-  const tryAsk: AdviceDesk['tryAsk'] = (question, onAnswer) => {
-    const chosen = chooseServer(question.costMs)
-    if (chosen === null) return false
-    const { server, queuedMs } = chosen
+  const sendQuestion = (server: string, errand: Errand, mostQueuedMs: number, onOutcome: (outcome: AdviceOutcome) => void): void => {
+    const { question } = errand
     const exchange = options.random.nextId()
-    const startedAtMs = clock.nowMs()
-    const settle = (good: ReadonlyMap<string, string> | null): void => {
+    const patienceMs = mostQueuedMs + question.costMs + (question.costMs > LONG_CALL_MS ? ADVICE_SLACK_MS : SHORT_SLACK_MS)
+    const settle = (outcome: AdviceOutcome): void => {
       if (!asked.delete(exchange)) return
       timer.dispose()
-      const waitedMs = Math.round(clock.nowMs() - startedAtMs)
-      if (good !== null) events.record(adviceAnswered, { step: question.step, asked: question.workers.length, good: good.size, waitedMs })
-      else {
-        failedAtMs.set(server, clock.nowMs())
-        events.record(adviceMissing, { step: question.step, server, waitedMs })
-      }
-      onAnswer(good)
+      onOutcome(outcome)
     }
-    const timer = clock.setTimer(queuedMs + question.costMs + ADVICE_SLACK_MS, () => settle(null))
+    const timer = clock.setTimer(patienceMs, () => settle({ kind: 'failed' }))
     asked.set(exchange, { server, costMs: question.costMs, settle })
+    const { step, workers, costMs } = question
     if (server === options.self.incarnation) {
-      queueCall(question.step, question.workers, question.costMs).then(settle, failProcess)
-      return true
+      queue.ask({ step, workers, costMs, mostQueuedMs, patienceMs }).then(settle, failProcess)
+      return
     }
-    const sent = mesh.sendMessage(server, { type: 'adviceRequest', exchange, step: question.step, workers: [...question.workers], costMs: question.costMs })
-    if (!sent) clock.setTimer(0, () => settle(null))
+    const sent = mesh.sendMessage(server, { type: 'adviceRequest', exchange, step, workers: [...workers], costMs, mostQueuedMs, patienceMs })
+    if (!sent) clock.setTimer(0, () => settle({ kind: 'failed' }))
+  }
+
+  /** Asks the best server; one that declines is followed by the next. Tells whether there was one to ask. */
+  const runErrand = (errand: Errand, onAnswer: (good: ReadonlyMap<string, string> | null) => void): boolean => {
+    const { question, declined } = errand
+    const chosen = declined.size < MAX_DECLINES ? chooseServer(errand) : null
+    if (chosen === null) return false
+    const { server } = chosen
+    // What this entry knows of already is no reason to decline.
+    const mostQueuedMs = chosen.queuedMs + (declined.size + 1 < MAX_DECLINES ? SHORT_WAIT_MS : MAX_ADVICE_WAIT_MS)
+    sendQuestion(server, errand, mostQueuedMs, (outcome) => {
+      const waitedMs = Math.round(clock.nowMs() - errand.startedAtMs)
+      if (outcome.kind === 'advice') {
+        events.record(adviceAnswered, { step: question.step, asked: question.workers.length, good: outcome.good.size, waitedMs })
+        onAnswer(outcome.good)
+        return
+      }
+      if (outcome.kind === 'declined') {
+        declined.add(server)
+        busyUntilMs.set(server, clock.nowMs() + outcome.queuedMs)
+        if (!disposed && runErrand(errand, onAnswer)) return
+      } else failedAtMs.set(server, clock.nowMs())
+      events.record(adviceMissing, { step: question.step, server, waitedMs, reason: outcome.kind === 'declined' ? 'all servers are busy' : 'no answer in time' })
+      onAnswer(null)
+    })
     return true
   }
 
   mesh.onPeerChange((peer, change) => {
     if (change === 'up') return
-    for (const question of [...asked.values()]) if (question.server === peer.incarnation) question.settle(null)
+    busyUntilMs.delete(peer.incarnation)
+    failedAtMs.delete(peer.incarnation)
+    for (const question of [...asked.values()]) if (question.server === peer.incarnation) question.settle({ kind: 'failed' })
   })
 
-  return { tryAsk, dispose: () => { for (const question of [...asked.values()]) question.settle(null) } }
+  return {
+    tryAsk: (question, onAnswer) => runErrand({ question, startedAtMs: clock.nowMs(), declined: new Set() }, onAnswer),
+    dispose: () => {
+      disposed = true
+      for (const question of [...asked.values()]) question.settle({ kind: 'failed' })
+    }
+  }
 }
 
 /** Time for which a server that failed a question is avoided, in milliseconds; about one repair of a link. */
@@ -156,3 +181,7 @@
 const SHORT_WAIT_MS = 30
 /** Longest work in front of a question that is still sent, in milliseconds; more would outlast the tickets. */
 const MAX_ADVICE_WAIT_MS = 400
+/** Servers that may decline a question before it is asked again later. */
+const MAX_DECLINES = 3
+/** Time beyond the expected wait after which a short call is given up, in milliseconds: a slowed entry takes some 100 ms to answer. */
+const SHORT_SLACK_MS = 400
--- a/packages/entry/src/cell/constants.ts
+++ b/packages/entry/src/cell/constants.ts
@@ -76,8 +76,6 @@
 export const ANSWER_MARGIN_MS = 150
 /** What a caller is told to wait when the table is away, in seconds. */
 export const TABLE_RETRY_S = 1
-/** Waiting questions to the advice service beyond which an entry takes no more from its peers. */
-export const MAX_ADVICE_QUEUE = 24
 /** Time beyond the expected wait after which a peer's advice is given up, in milliseconds. */
 export const ADVICE_SLACK_MS = 800
 /** Pause between two reviews of a cell's claims on ceilings, in milliseconds; work that waits for one wakes it. */
