A worker that leaves a start without an answer is suspect at once

Cause: a worker counted as silent after two failed lease polls, some 3.4 s after it was cut off; until then the planner went on to place tasks on it, and each held room until its fate was settled. Ruled out: shorter time limits of calls, for an order without an answer has to be barred by a stop before its task may run elsewhere. Change: after 200 ms without an answer to a start, or after a failed poll, the worker gets nothing new for 700 ms unless it answers; the poll after a failed one does not wait for ends.

--- a/packages/core/src/cell/cellWorker.ts
+++ b/packages/core/src/cell/cellWorker.ts
@@ -25,6 +25,8 @@
   /** Runs that it lists and the planner doesn't know; nothing starts beside them. */
   strays: number
   blockedUntilMs: number
+  /** An order or poll is without an answer for suspiciously long; nothing starts before this time. */
+  suspectUntilMs: number
   /** Failed ends since the last good one. */
   failedEnds: number
   pauseMs: number
@@ -37,7 +39,7 @@
 
 /** Creates a worker that is not held yet. */
 export function createCellWorker (facts: WorkerFacts): CellWorker {
-  return { facts, held: false, used: NO_RESOURCES, tasks: new Set(), strays: 0, blockedUntilMs: 0, failedEnds: 0, pauseMs: REFUSAL_PAUSE_MS }
+  return { facts, held: false, used: NO_RESOURCES, tasks: new Set(), strays: 0, blockedUntilMs: 0, suspectUntilMs: 0, failedEnds: 0, pauseMs: REFUSAL_PAUSE_MS }
 }
 
 /** Room that is free; components are negative where more runs than the worker has room for. */
@@ -60,7 +62,7 @@
 
 /** Tells whether anything may start at a worker now. */
 export function isOpen (worker: CellWorker, nowMs: number): boolean {
-  return worker.held && !worker.facts.draining && worker.strays === 0 && worker.blockedUntilMs <= nowMs
+  return worker.held && !worker.facts.draining && worker.strays === 0 && worker.blockedUntilMs <= nowMs && worker.suspectUntilMs <= nowMs
 }
 
 /** Tells whether a worker could ever run tasks of a step: its label and its whole capacity. */
--- a/packages/core/src/cell/createCellPlanner.ts
+++ b/packages/core/src/cell/createCellPlanner.ts
@@ -177,6 +177,10 @@
       const worker = workers.get(id)
       if (worker !== undefined) worker.held = held
     },
+    setSuspect: (id, untilMs) => {
+      const worker = workers.get(id)
+      if (worker !== undefined) worker.suspectUntilMs = untilMs
+    },
     recordWorkerLost: (id, nowMs, isUnsettled) => {
       const worker = workers.get(id)
       if (worker === undefined) return
--- a/packages/core/src/cell/plannerTypes.ts
+++ b/packages/core/src/cell/plannerTypes.ts
@@ -86,6 +86,8 @@
   setWorker: (facts: WorkerFacts) => void
   /** Whether the worker answers under the current epoch. */
   setHeld: (worker: string, held: boolean) => void
+  /** Nothing starts at the worker before a time, in monotonic milliseconds: it leaves calls without an answer. 0 ends the suspicion. */
+  setSuspect: (worker: string, untilMs: number) => void
   /** Everything that ran at the worker is over for certain, but for orders that may still be carried out. */
   recordWorkerLost: (worker: string, nowMs: number, isUnsettled?: (run: RunName) => boolean) => void
   /** Forgets a lost worker. */
--- a/packages/entry/src/cell/__tests__/cellEntry.spec.ts
+++ b/packages/entry/src/cell/__tests__/cellEntry.spec.ts
@@ -176,6 +176,23 @@
   checkNoTwins(cluster)
 })
 
+test('a worker that leaves a start without an answer gets no more of them', async () => {
+  const cluster = createCellCluster({ planRun: () => ({ durationMs: 300, how: 'done' }) })
+  const cut = cluster.addWorker('w1', { processors: 40, memoryMb: 65_536, accelerators: 0 })
+  cluster.addWorker('w2', { processors: 42, memoryMb: 65_536, accelerators: 0 })
+  const [entry] = await startEntries(cluster, ['a'])
+  await submit(cluster, entry!, '0000000000000001', 1)
+  cut.faults.cut = true
+  // A job comes each 50 ms; the tightest fit would be the worker that is cut off.
+  for (let job = 2; job < 62; job++) {
+    entry!.entry.desk.submitJob(job.toString(16).padStart(16, '0'), createTestJob(cluster.clock, 1), cluster.clock.nowMs() + 3000).catch(() => {})
+    await cluster.clock.runFor(50)
+  }
+  const placed = entry!.events.listFields('FT820').filter((fields) => fields['worker'] === 'w1').length
+  assert.ok(placed <= 8, `${placed} starts at the worker that is cut off`)
+  checkNoTwins(cluster)
+})
+
 test('a worker that starts anew has its tasks run again at once', async () => {
   const cluster = createCellCluster({ planRun: (order) => ({ durationMs: order.run === 1 ? 60_000 : 500, how: 'done' }) })
   const worker = cluster.addWorker('w1')
--- a/packages/entry/src/cell/constants.ts
+++ b/packages/entry/src/cell/constants.ts
@@ -8,6 +8,10 @@
 export const LEASE_CALL_MS = 700
 /** Time that a start, stop or pace may take, in milliseconds. */
 export const ORDER_CALL_MS = 700
+/** Time after which a start without an answer makes its worker suspect, in milliseconds: forty times that of a calm call. */
+export const SUSPECT_AFTER_MS = 200
+/** Time for which a suspect worker gets nothing new unless it answers, in milliseconds; one call of an order. */
+export const SUSPECT_PAUSE_MS = 700
 /** Pause before an order without an answer is sent again, in milliseconds. */
 export const ORDER_RETRY_MS = 100
 /** Starts of a run that are tried before it is stopped instead; three calls fit into the time a gang waits for its members. */
--- a/packages/entry/src/cell/workerContact.ts
+++ b/packages/entry/src/cell/workerContact.ts
@@ -1,7 +1,7 @@
 /** Contact of a cell's holder with one worker: its lease, its lists of runs, and the orders it is given. */
 import { createDisposableStore, type CellPlanner, type Clock, type Disposable, type EventLog, type RunName, type StartOrder, type StopOrder } from '@fuchsiatally/core'
 import {
-  CLOCK_SLOWNESS, COMMIT_WAIT_MS, LEASE_MARGIN_MS, LEASE_RETRY_MS, LEASE_WAIT_MS, MIN_START_LEASE_MS, ORDER_RETRY_MS, START_TRIES, UNEXTENDED_WAIT_MS
+  CLOCK_SLOWNESS, COMMIT_WAIT_MS, LEASE_MARGIN_MS, LEASE_RETRY_MS, LEASE_WAIT_MS, MIN_START_LEASE_MS, ORDER_RETRY_MS, START_TRIES, SUSPECT_AFTER_MS, SUSPECT_PAUSE_MS, UNEXTENDED_WAIT_MS
 } from './constants.js'
 import { computeLeaseMs, computeUnknownLeaseMs } from './leaseBounds.js'
 import { runEnded, runRefused, runStopping, runUnsettled, workerHeld, workerLapsed, workerSilent } from './events.js'
@@ -92,8 +92,11 @@
     options.onDeposed()
   }
 
+  const setSuspect = (): void => planner.setSuspect(worker, clock.nowMs() + SUSPECT_PAUSE_MS)
+
   const recordSilence = (reason: string): void => {
     failures++
+    setSuspect()
     if (!held || failures < 2) return
     held = false
     planner.setHeld(worker, false)
@@ -128,6 +131,7 @@
     bornAtMs = answer.bornAtMs
     reading = { clockMs: answer.clockMs, receivedAtMs: nowMs }
     failures = 0
+    planner.setSuspect(worker, 0)
     lost = false
     const ended = answer.ended.filter((end) => end.number > processedEnd)
     for (const end of ended) {
@@ -153,7 +157,8 @@
     if (lease !== null) leaseUntilMs = Math.max(leaseUntilMs, lease)
     const longestMs = lease === null || !isExtended ? UNEXTENDED_WAIT_MS : LEASE_WAIT_MS
     isExtended = lease !== null
-    const waitMs = held && pendingEnds.length === 0 ? longestMs : 0
+    // A worker that left a call without an answer shows soon whether it lives.
+    const waitMs = held && failures === 0 && pendingEnds.length === 0 ? longestMs : 0
     const result = await client.renewLease({ epoch, acknowledgedEnd, leaseUntilMs: lease, waitMs })
     if (disposed) return
     if (result.isErr() || result.value.kind === 'otherWorker') {
@@ -188,9 +193,12 @@
       if (lease === null || nowMs === null || disposed) break
       if (lease - nowMs < MIN_START_LEASE_MS || stopping.has(name)) break
       leaseUntilMs = Math.max(leaseUntilMs, lease)
+      const suspicion = clock.setTimer(SUSPECT_AFTER_MS, () => { if (!disposed) setSuspect() })
       const result = await client.startRun(order, epoch, lease)
+      suspicion.dispose()
       if (disposed) return
       if (result.isErr()) {
+        setSuspect()
         if (result.error.kind === 'unknown') isCertain = false
         events.record(runUnsettled, { run: name, worker, attempt, message: result.error.message })
         await waitFor(ORDER_RETRY_MS)
