Lapses are noticed when they happen, retries extend no lease, ended jobs load fast

Change: a timer at the lapse; a retry, or a start after a failed poll, asks for no longer lease; leases of 3 s, extended until 8 s without a confirmed commit.

--- a/packages/core/src/cell/createCellPlanner.ts
+++ b/packages/core/src/cell/createCellPlanner.ts
@@ -211,6 +211,7 @@
       if (job.phase === 'cancelled') accounts.stopJob(id, 'cancelled')
       if (job.phase === 'failed') accounts.stopJob(id, 'jobFailed')
     },
+    addEndedJob: book.addEndedJob,
     cancelJob: (id, wallMs) => {
       const job = book.findJob(id)
       if (job === undefined || !book.endJob(job, 'cancelled', wallMs)) return
--- a/packages/core/src/cell/jobBook.ts
+++ b/packages/core/src/cell/jobBook.ts
@@ -7,6 +7,7 @@
 /** Jobs in memory. */
 export interface JobBook {
   addJob: (id: string, spec: StepJob, record: JobStateRecord, nowMs: number) => CellJob
+  addEndedJob: (id: string, phase: JobPhase, endedAtMs: number) => void
   findJob: (id: string) => CellJob | undefined
   findTask: (name: RunName) => CellTask | undefined
   findRun: (task: CellTask) => StepRun | undefined
@@ -33,6 +34,18 @@
   forgetEnded: (wallMs: number) => string[]
 }
 
+/** Stands for what a job was that ended in an earlier term. */
+const FORGOTTEN_SPEC: StepJob = {
+  team: '',
+  policy: { queue: '', service: '', priority: 0, maxAttempts: 1, stretch: 0, targetLatencyMs: 0 },
+  payload: '',
+  steps: [],
+  runCount: 0,
+  firstRunMs: 0,
+  intervalMs: 0,
+  acceptedAtMs: 0
+}
+
 /** Creates an empty book. */
 export function createJobBook (): JobBook {
   const jobs = new Map<string, CellJob>()
@@ -105,6 +118,9 @@
       else if (job.occurrences.size === 0) addOccurrence(job, 0, nowMs)
       return job
     },
+    addEndedJob: (id, phase, endedAtMs) => {
+      jobs.set(id, { id, spec: FORGOTTEN_SPEC, phase, occurrences: new Map(), endedAtMs })
+    },
     findJob: (id) => jobs.get(id),
     findTask,
     findRun,
--- a/packages/core/src/cell/plannerTypes.ts
+++ b/packages/core/src/cell/plannerTypes.ts
@@ -99,6 +99,8 @@
   /** What each team runs here, and what waited for its ceiling in the last round of planning. */
   listTeamDemand: () => ReadonlyMap<string, TeamDemand>
   addJob: (id: string, spec: StepJob, record: JobStateRecord, nowMs: number) => void
+  /** Takes note of a job that has ended and holds nothing; its steps need not be known any more. */
+  addEndedJob: (id: string, phase: JobPhase, endedAtMs: number) => void
   cancelJob: (id: string, wallMs: number) => void
   hasJob: (id: string) => boolean
   /** Takes a report in; returns runs that nobody should run any longer. */
--- a/packages/entry/src/cell/__tests__/cellEntry.spec.ts
+++ b/packages/entry/src/cell/__tests__/cellEntry.spec.ts
@@ -60,6 +60,23 @@
   checkNoTwins(cluster)
 })
 
+test('starts and polls without an answer do not put off the time at which a worker counts as lost', async () => {
+  const cluster = createCellCluster({ planRun: (order) => ({ durationMs: order.run === 1 ? 60_000 : 300, how: 'done' }) })
+  const cut = cluster.addWorker('w1')
+  const [entry] = await startEntries(cluster, ['a'])
+  await submit(cluster, entry!, '0000000000000001', 2)
+  await cluster.clock.runFor(300)
+  cut.faults.cut = true
+  const cutAtMs = cluster.clock.nowMs()
+  await submit(cluster, entry!, '0000000000000002', 1)
+  cluster.addWorker('w2')
+  while (entry!.events.listFields('FT812').length === 0) await cluster.clock.runFor(10)
+  // A lease of 3 s on a clock that may be 2% slow, and the margin of 0.2 s.
+  const lostAfterMs = cluster.clock.nowMs() - cutAtMs
+  assert.ok(lostAfterMs <= 3400, `lost after ${lostAfterMs} ms`)
+  checkNoTwins(cluster)
+})
+
 test('a worker that starts anew has its tasks run again at once', async () => {
   const cluster = createCellCluster({ planRun: (order) => ({ durationMs: order.run === 1 ? 60_000 : 500, how: 'done' }) })
   const worker = cluster.addWorker('w1')
--- a/packages/entry/src/cell/__tests__/cellTakeover.spec.ts
+++ b/packages/entry/src/cell/__tests__/cellTakeover.spec.ts
@@ -98,6 +98,20 @@
   assert.is(cluster.findHolder(), others[0]!.name)
 })
 
+test('a successor shows jobs that ended before its term, and forgets them in time', async () => {
+  const cluster = createCellCluster()
+  cluster.addWorker('w1')
+  const { holder, other } = splitByHolder(cluster, await startEntries(cluster, ['a', 'b']))
+  await submit(cluster, holder, '0000000000000001', 2)
+  await cluster.clock.runFor(2000)
+  holder.kill()
+  await cluster.clock.runFor(4000)
+  assert.is(cluster.findHolder(), other.name)
+  assert.is(await readState(cluster, other, '0000000000000001'), 'completed')
+  await cluster.clock.runFor(130_000)
+  for (const table of ['job', 'state']) assert.is(cluster.table.readRow(table, SERVICE, '0000000000000001'), undefined)
+})
+
 test('a successor that has not read the jobs yet gives up none of the claims on ceilings', async () => {
   const cluster = createCellCluster({ planRun: () => ({ durationMs: 20_000, how: 'done' }) })
   const [team] = CLUSTER_CONFIG.teams
--- a/packages/entry/src/cell/cellJobs.ts
+++ b/packages/entry/src/cell/cellJobs.ts
@@ -1,5 +1,5 @@
 /** Brings the accepted jobs of a cell into its planner: all of them first, then what is new. */
-import { ACCEPTED_STATE, createDisposableStore, type CellPlanner, type Clock, type Disposable, type EventLog, type StepJob } from '@fuchsiatally/core'
+import { ACCEPTED_STATE, createDisposableStore, isFinal, type CellPlanner, type Clock, type Disposable, type EventLog, type StepJob } from '@fuchsiatally/core'
 import { createSerialLoop } from '../process/serialLoop.js'
 import { JOB_READ_MS, WRITE_RETRY_MS } from './constants.js'
 import { cellLoaded } from './events.js'
@@ -56,10 +56,9 @@
   }
 
   const readAll = async (): Promise<boolean> => {
-    const jobs = await table.readRange({ table: JOB_TABLE, part: cell })
-    if (jobs.isErr()) return false
-    const states = await table.readRange({ table: STATE_TABLE, part: cell })
-    if (states.isErr()) return false
+    // Nobody but this term writes states, so the two may be of different moments.
+    const [jobs, states] = await Promise.all([JOB_TABLE, STATE_TABLE].map((name) => table.readRange({ table: name, part: cell })))
+    if (jobs === undefined || states === undefined || jobs.isErr() || states.isErr()) return false
     const records = new Map(states.value.rows.map((row) => [row.key, row]))
     const cancelled: string[] = []
     for (const row of jobs.value.rows) {
@@ -67,10 +66,16 @@
         cancelled.push(row.key.slice(0, -CANCEL_SUFFIX.length))
         continue
       }
-      const spec = parseJobRow(row, events)
+      if (planner.hasJob(row.key)) continue
       const stateRow = records.get(row.key)
       const state = stateRow === undefined ? ACCEPTED_STATE : parseStateRow(stateRow, events)
-      if (spec !== null && state !== null && !planner.hasJob(row.key)) planner.addJob(row.key, spec, state, clock.nowMs())
+      if (state === null) continue
+      if (isFinal(state.phase) && state.occurrences.length === 0) {
+        planner.addEndedJob(row.key, state.phase, state.endedAtMs)
+        continue
+      }
+      const spec = parseJobRow(row, events)
+      if (spec !== null) planner.addJob(row.key, spec, state, clock.nowMs())
     }
     for (const id of cancelled) cancel(id)
     version = jobs.value.version
--- a/packages/entry/src/cell/constants.ts
+++ b/packages/entry/src/cell/constants.ts
@@ -40,16 +40,16 @@
 /** Time without a confirmed renewal after which a holder ends its term, in milliseconds: past the outages that the platform announces. */
 export const HOLDER_OUTAGE_MS = 12_000
 /**
- * Longest lease that a holder grants, in milliseconds, where workers would grant more: twice the time that entries need to restart
- * after a loss of power and to take their cells. What ran on a worker that is cut off starts elsewhere after this time.
+ * Longest lease that a holder grants, in milliseconds, where workers would grant more: one poll and the 2 s in which entries restart after
+ * a loss of power and take their cells. What ran on a worker that is cut off starts elsewhere after this time.
  */
-export const GRANTED_LEASE_MS = 4000
+export const GRANTED_LEASE_MS = 3000
 /**
  * Time without a confirmed renewal after which a holder extends no lease, in milliseconds. With the lease that is granted last,
  * and one poll between the two, runs outlive an outage of the table of 9 s; a successor knows that the leases of workers that it can't
  * reach have ended soon after.
  */
-export const EXTENSION_OUTAGE_MS = 7000
+export const EXTENSION_OUTAGE_MS = 8000
 /** Longest step of successor ranks that counts; beyond it entries wait equally long. */
 export const MAX_RANK = 5
 
--- a/packages/entry/src/cell/workerContact.ts
+++ b/packages/entry/src/cell/workerContact.ts
@@ -112,12 +112,20 @@
     options.onNews()
   }
 
-  /** Whether every lease that any holder may have granted has run out. */
-  const isLapsed = (): boolean => {
+  /** Time until every lease that any holder may have granted has run out, in milliseconds. */
+  const computeLapseMs = (): number => {
     const nowMs = readWorkerClock()
-    if (nowMs !== null) return nowMs > leaseUntilMs + LEASE_MARGIN_MS
     // Never reached in this term: the holder before may have renewed until it gave up.
-    return clock.nowMs() - createdAtMs > computeUnknownLeaseMs(options.maxLeaseMs)
+    if (nowMs === null) return createdAtMs + computeUnknownLeaseMs(options.maxLeaseMs) - clock.nowMs()
+    return (leaseUntilMs + LEASE_MARGIN_MS - nowMs) / (1 - CLOCK_SLOWNESS)
+  }
+
+  /** Gives the worker's runs up when its lease has run out, also while a call of it is under way. */
+  const watchLapse = (): void => {
+    if (disposed || lost || failures === 0) return
+    const lapseMs = computeLapseMs()
+    if (lapseMs < 0) recordLoss('its lease has lapsed')
+    else clock.setTimer(lapseMs + 1, watchLapse)
   }
 
   const applyAnswer = (answer: LeaseAnswer, askedAtMs: number): void => {
@@ -163,7 +171,7 @@
     if (disposed) return
     if (result.isErr() || result.value.kind === 'otherWorker') {
       recordSilence(result.isErr() ? result.error.message : 'another worker answers at its address')
-      if (!lost && isLapsed()) recordLoss('its lease has lapsed')
+      if (failures === 1) watchLapse()
       await waitFor(LEASE_RETRY_MS)
       return
     }
@@ -187,8 +195,9 @@
     const name = formatRun(order)
     unsettled.set(name, order)
     let isCertain = true
+    // A retry asks for no longer lease: what a worker that is cut off may hold has to end.
+    const lease = failures === 0 ? computeLease() : leaseUntilMs
     for (let attempt = 0; attempt < START_TRIES; attempt++) {
-      const lease = computeLease()
       const nowMs = readWorkerClock()
       if (lease === null || nowMs === null || disposed) break
       if (lease - nowMs < MIN_START_LEASE_MS || stopping.has(name)) break
