A new holder knows its share of the ceilings at once, and stops nothing before

Until the cell's claim on the teams' ceilings is in the table its limits are zero, so steps are not even asked advice for. The claims were planned 250 ms later, without the work that waited, and the wake-up for that work fell into the 60 ms after a commit, in which it was dropped: another 250 ms. Meanwhile urgent steps that had waited 100 ms stopped 35 tasks of their own teams, to make room under a ceiling of zero. Ruled out: advice (asked only from 26.6 s on) and leases (workers held at 26.22 s). Change: the claims are planned as soon as the jobs are read; a wake-up that comes too early is put off instead of dropped; no work is stopped for limits that only bridge the time until the claim is known. Tests: waiting work of a team with a ceiling starts within 200 ms of the taking of the cell (before: not within it); the planner stops nothing for unsettled limits.

--- a/packages/core/src/cell/__tests__/cellPlanner.spec.ts
+++ b/packages/core/src/cell/__tests__/cellPlanner.spec.ts
@@ -84,6 +84,19 @@
   assert.equal(order, ['onTime', 'late', 'hopeless'])
 })
 
+test('work is stopped for a ceiling only once the ceiling is settled', () => {
+  const planner = createPlanner({ w1: 16 })
+  const noRoom = new Map([['clubs', { processors: 4, memoryMb: 65_536, accelerators: 0 }]])
+  planner.addJob('slow', createJob([createStep({ taskCount: 2, savesWork: true })], { priority: 2 }), ACCEPTED_STATE, 0)
+  settle(planner, planner.decide(0, 0, NOTHING).starts, 1)
+  planner.setTeamLimits(noRoom, false)
+  planner.addJob('urgent', createJob([createStep()], { priority: 0 }), ACCEPTED_STATE, 10)
+  assert.equal(planner.decide(200, 200, NOTHING), { starts: [], stops: [] })
+  assert.is(planner.listTeamDemand().get('clubs')?.blocked.processors, 2)
+  planner.setTeamLimits(noRoom)
+  assert.is(planner.decide(210, 210, NOTHING).stops.length, 1)
+})
+
 test('an urgent step stops less urgent work that saves, and that work resumes from what it saved', () => {
   const planner = createPlanner({ w1: 4 })
   planner.addJob('slow', createJob([createStep({ taskCount: 2, savesWork: true })], { priority: 2 }), ACCEPTED_STATE, 0)
--- a/packages/core/src/cell/createCellPlanner.ts
+++ b/packages/core/src/cell/createCellPlanner.ts
@@ -63,7 +63,7 @@
     const { team } = ranked.run.job.spec
     const need = computeTotal(ranked.run.step.resources, count)
     teams.addBlocked(team, need)
-    if (ranked.rank.priority > 0 || !mayPreempt(ranked, nowMs)) return
+    if (ranked.rank.priority > 0 || !teams.areLimitsSettled() || !mayPreempt(ranked, nowMs)) return
     const missing = subtractResources(need, teams.readFree(team))
     stopForOthers(chooseCeilingVictims({ priority: ranked.rank.priority, missing, tasks: listTasksOf(team), readFacts }))
   }
@@ -198,7 +198,7 @@
     removeWorker: accounts.removeWorker,
     listWorkers: () => [...workers.keys()],
     hasRuns: (id) => (workers.get(id)?.tasks.size ?? 0) > 0,
-    setTeamLimits: teams.setLimits,
+    setTeamLimits: (limits, areSettled = true) => teams.setLimits(limits, areSettled),
     listTeamDemand: teams.listDemand,
     addJob: (id, spec, record, nowMs) => {
       const job = book.addJob(id, spec, record, nowMs)
--- a/packages/core/src/cell/plannerTypes.ts
+++ b/packages/core/src/cell/plannerTypes.ts
@@ -94,8 +94,8 @@
   removeWorker: (worker: string) => void
   listWorkers: () => readonly string[]
   hasRuns: (worker: string) => boolean
-  /** Ceilings on what a team may run in this cell; infinite where it has none. */
-  setTeamLimits: (limits: ReadonlyMap<string, Resources>) => void
+  /** Ceilings on what a team may run in this cell; infinite where it has none. No work is stopped for those that are not settled. */
+  setTeamLimits: (limits: ReadonlyMap<string, Resources>, areSettled?: boolean) => void
   /** What each team runs here, and what waited for its ceiling in the last round of planning. */
   listTeamDemand: () => ReadonlyMap<string, TeamDemand>
   addJob: (id: string, spec: StepJob, record: JobStateRecord, nowMs: number) => void
--- a/packages/core/src/cell/teamUse.ts
+++ b/packages/core/src/cell/teamUse.ts
@@ -4,7 +4,9 @@
 
 /** Sums of one cell. */
 export interface TeamUse {
-  setLimits: (limits: ReadonlyMap<string, Resources>) => void
+  /** @param areSettled `false` while the limits only bridge the time until the cell's claims are known */
+  setLimits: (limits: ReadonlyMap<string, Resources>, areSettled: boolean) => void
+  areLimitsSettled: () => boolean
   mayAdd: (team: string, need: Resources) => boolean
   add: (team: string, amount: Resources) => void
   subtract: (team: string, amount: Resources) => void
@@ -22,10 +24,15 @@
 export function createTeamUse (): TeamUse {
   const used = new Map<string, Resources>()
   let limits: ReadonlyMap<string, Resources> = new Map()
+  let settled = true
   const blocked = new Map<string, Resources>()
   const readUse = (team: string): Resources => used.get(team) ?? NO_RESOURCES
   return {
-    setLimits: (next) => { limits = next },
+    setLimits: (next, areSettled) => {
+      limits = next
+      settled = areSettled
+    },
+    areLimitsSettled: () => settled,
     mayAdd: (team, need) => {
       const limit = limits.get(team)
       return limit === undefined || hasRoomFor(subtractResources(limit, readUse(team)), need)
--- a/packages/entry/src/cell/__tests__/cellTakeover.spec.ts
+++ b/packages/entry/src/cell/__tests__/cellTakeover.spec.ts
@@ -112,6 +112,21 @@
   for (const table of ['job', 'state']) assert.is(cluster.table.readRow(table, SERVICE, '0000000000000001'), undefined)
 })
 
+test('a successor starts waiting work of a team with a ceiling within 200 ms of taking the cell', async () => {
+  const cluster = createCellCluster({ planRun: () => ({ durationMs: 8000, how: 'done' }) })
+  const [team] = CLUSTER_CONFIG.teams
+  cluster.setConfig({ ...CLUSTER_CONFIG, teams: [{ ...team!, ceiling: { processors: 8, memoryMb: 16_384, accelerators: 0 } }] })
+  cluster.addWorker('w1')
+  const { holder, other } = splitByHolder(cluster, await startEntries(cluster, ['a', 'b']))
+  await submit(cluster, holder, '0000000000000001', 2)
+  await cluster.clock.runFor(1000)
+  holder.kill()
+  await submit(cluster, other, '0000000000000002', 4)
+  while (other.events.listFields('FT801').length === 0) await cluster.clock.runFor(10)
+  await cluster.clock.runFor(200)
+  assert.is(cluster.started.length, 6)
+})
+
 test('a successor that has not read the jobs yet gives up none of the claims on ceilings', async () => {
   const cluster = createCellCluster({ planRun: () => ({ durationMs: 20_000, how: 'done' }) })
   const [team] = CLUSTER_CONFIG.teams
--- a/packages/entry/src/cell/ceilingTask.ts
+++ b/packages/entry/src/cell/ceilingTask.ts
@@ -56,11 +56,13 @@
   let disposed = false
   let reviewedAtMs = clock.nowMs()
   let committedAtMs = -Infinity
+  let isWoken = false
 
   const listCeilings = (): Map<string, Resources> => new Map((options.readConfig()?.teams ?? []).map((team) => [team.name, team.ceiling]))
 
   const applyLimits = (pending: ClaimsRow | null): void => {
-    planner.setTeamLimits(computeClaimLimits(cell, epoch, current?.row ?? NO_CLAIMS, pending, listCeilings()))
+    const row = current?.row ?? NO_CLAIMS
+    planner.setTeamLimits(computeClaimLimits(cell, epoch, row, pending, listCeilings()), row.cells[cell]?.epoch === epoch)
   }
 
   const applyRow = (row: TableRow | undefined): void => {
@@ -117,7 +119,14 @@
   const loop = createSerialLoop({ clock, readPauseMs: () => CLAIM_PAUSE_MS, runStep })
   disposables.add(loop)
   return {
-    wake: () => { if (clock.nowMs() - committedAtMs >= CLAIM_COMMIT_MS) loop.wake() },
+    wake: () => {
+      if (isWoken) return
+      isWoken = true
+      clock.setTimer(Math.max(0, committedAtMs + CLAIM_COMMIT_MS - clock.nowMs()), () => {
+        isWoken = false
+        loop.wake()
+      })
+    },
     dispose: () => {
       disposed = true
       disposables.dispose()
--- a/packages/entry/src/cell/cellTerm.ts
+++ b/packages/entry/src/cell/cellTerm.ts
@@ -161,6 +161,7 @@
     events,
     onLoaded: () => {
       for (const listing of [...listings.values()]) applyListing(listing)
+      ceilings.wake()
     },
     onNews: () => commits.wake()
   }))
