A holder that the table refuses says so, and lost answers cost 0.25 s

The rank also counted the holder itself among those who could follow. A commit whose answer was lost stood still for 1.2 s. Ruled out: a shorter silence for all (a slow machine renews late, and each change of holder costs some 0.4 s). Change: after two failed commits and 250 ms a holder tells its peers; a peer whose own read of the table took less than 100 ms takes the cell when the row has been silent for 500 ms. The time limit of commits follows their usual time (eight times, 250 ms at least, doubled by each time-out), for callers' writes too, which now also end before the caller's deadline. Whether the table is suspect is judged in the product (tableHealth), no longer in the adapter; a refusal for the rate alone does not make it suspect, as before.

--- a/packages/core/src/schema/linkMessage.ts
+++ b/packages/core/src/schema/linkMessage.ts
@@ -217,6 +217,9 @@
 /** Tells the named successor that a cell was handed to it. */
 export const CellReleased = Schema.Struct({ type: Schema.Literal('cellReleased'), cell: Schema.String })
 
+/** The sender holds the cell and can't commit; who reaches the table may take it. */
+export const CellStuck = Schema.Struct({ type: Schema.Literal('cellStuck'), cell: Schema.String, epoch: Schema.Int })
+
 /** The sender is in a planned stop: nothing is handed to it any more. */
 export const EntryLeaving = Schema.Struct({ type: Schema.Literal('entryLeaving') })
 
@@ -243,6 +246,7 @@
   JobNews,
   JobUnsettled,
   CellReleased,
+  CellStuck,
   EntryLeaving
 ])
 export type LinkMessage = typeof LinkMessage.Type
--- a/packages/entry/src/cell/__tests__/cellTakeover.spec.ts
+++ b/packages/entry/src/cell/__tests__/cellTakeover.spec.ts
@@ -127,6 +127,42 @@
   assert.is(cluster.started.length, 6)
 })
 
+test('a holder that the table refuses alone is followed within 1 s', async () => {
+  const cluster = createCellCluster()
+  cluster.addWorker('w1')
+  const entries = await startEntries(cluster, ['a', 'b', 'c'])
+  for (const outage of ['busy', 'silent'] as const) {
+    const { holder } = splitByHolder(cluster, entries)
+    holder.faults.outage = outage
+    const sinceMs = cluster.clock.nowMs()
+    while (cluster.findHolder() === holder.name) await cluster.clock.runFor(10)
+    const tookMs = cluster.clock.nowMs() - sinceMs
+    assert.ok(tookMs <= 1000, `${outage}: ${tookMs} ms`)
+    holder.faults.outage = null
+    await cluster.clock.runFor(5000)
+  }
+})
+
+test('an answer of the table that is lost holds starts up by less than 0.6 s', async () => {
+  const cluster = createCellCluster()
+  cluster.addWorker('w1')
+  const { holder, other } = splitByHolder(cluster, await startEntries(cluster, ['a', 'b']))
+  for (let job = 0; job < 5; job++) {
+    const before = cluster.started.length
+    let lost = 0
+    holder.faults.loseWrite = () => {
+      lost++
+      return lost === 1 ? { afterMs: 5 } : null
+    }
+    await submit(cluster, other, `000000000000000${job}`, 1)
+    await cluster.clock.runFor(550)
+    assert.is(cluster.started.length, before + 1, `job ${job}`)
+    await cluster.clock.runFor(1500)
+    assert.is(cluster.findHolder(), holder.name)
+  }
+  checkNoTwins(cluster)
+})
+
 test('a successor that has not read the jobs yet gives up none of the claims on ceilings', async () => {
   const cluster = createCellCluster({ planRun: () => ({ durationMs: 20_000, how: 'done' }) })
   const [team] = CLUSTER_CONFIG.teams
--- a/packages/entry/src/cell/cellCommits.ts
+++ b/packages/entry/src/cell/cellCommits.ts
@@ -1,11 +1,12 @@
 /** Commits of one term: plans, stores what the plan changed together with the proof of holding, and only then gives the orders. */
 import { createDisposableStore, type CellPlanner, type Clock, type Disposable, type EventLog, type StartOrder } from '@fuchsiatally/core'
 import { createSerialLoop } from '../process/serialLoop.js'
-import { COMMIT_PAUSE_MS, HOLDER_OUTAGE_MS, MAX_COMMIT_BYTES, MAX_COMMIT_ROWS, PLAN_PAUSE_MS, RENEW_MS } from './constants.js'
+import { COMMIT_PAUSE_MS, HOLDER_OUTAGE_MS, MAX_COMMIT_BYTES, MAX_COMMIT_ROWS, PLAN_PAUSE_MS, REFUSED_PAUSE_MS, RENEW_MS, STUCK_AFTER_MS, STUCK_FAILURES } from './constants.js'
 import { runPlaced } from './events.js'
 import { formatRun } from './formatRun.js'
 import { CANCEL_SUFFIX, CELL_TABLE, HOLDER_KEY, JOB_TABLE, parseHolderRow, STATE_TABLE, type HolderRow } from './holderRow.js'
 import type { CellTable, CellTransaction } from './ports.js'
+import { createCallPatience } from './tableHealth.js'
 import type { WorkerContact } from './workerContact.js'
 
 /** Options of the commits. */
@@ -28,6 +29,8 @@
   readonly onCommitted: (jobs: readonly string[]) => void
   /** Ended jobs left the planner; their rows are deleted next. */
   readonly onForgotten: (jobs: readonly string[]) => void
+  /** The table does not take this entry's commits. */
+  readonly onStuck: () => void
   readonly onDeposed: () => void
 }
 
@@ -56,7 +59,10 @@
   let confirmed = { nowMs: clock.nowMs(), wallMs: clock.wallMs() }
   let pendingStarts: StartOrder[] = []
   let dropped: string[] = []
-  let failed = false
+  /** How the last commit failed. */
+  let failed: 'refused' | 'unknown' | null = null
+  const patience = createCallPatience()
+  let failures = 0
   let stopped = false
   let releasing = false
   let successor: string | null = null
@@ -91,12 +97,16 @@
 
   const commit = async (transaction: CellTransaction, renews: boolean): Promise<Outcome> => {
     const sent = { nowMs: clock.nowMs(), wallMs: clock.wallMs() }
-    const result = await table.commit(transaction)
+    const result = await table.commit(transaction, patience.readTimeoutMs())
     if (result.isErr()) {
+      failed = result.error.kind
+      if (failed === 'unknown') patience.recordTimeout()
       // A try that lands late must find another version of the holder's row than the one it was made for.
       if (result.error.kind === 'unknown') mustRenew = true
       return 'failed'
     }
+    failed = null
+    patience.recordAnswer(clock.nowMs() - sent.nowMs)
     if (result.value.kind === 'applied') {
       if (renews) {
         version = result.value.version
@@ -150,9 +160,9 @@
       writes.push({ table: CELL_TABLE, key: HOLDER_KEY, value: buildHolderRow() })
     }
     const outcome = await commit({ part: options.cell, checks: [{ table: CELL_TABLE, key: HOLDER_KEY, version }], writes, deletes }, renews)
-    failed = outcome === 'failed'
     if (stopped) return
     if (outcome === 'committed') {
+      failures = 0
       dropped = dropped.slice(deletes.length / 3)
       for (const contact of options.listContacts()) contact.finishCommit()
       sendStarts(jobs, ready)
@@ -160,12 +170,14 @@
       return
     }
     planner.addChangedJobs(jobs)
+    failures++
+    if (failures >= STUCK_FAILURES && clock.nowMs() - confirmed.nowMs >= STUCK_AFTER_MS) options.onStuck()
     if (outcome === 'deposed' || clock.nowMs() - confirmed.nowMs > HOLDER_OUTAGE_MS) endTerm()
   }
 
   const loop = createSerialLoop({
     clock,
-    readPauseMs: () => failed ? RENEW_MS / 2 : Math.min(PLAN_PAUSE_MS, Math.max(COMMIT_PAUSE_MS, RENEW_MS - (clock.nowMs() - renewedAtMs))),
+    readPauseMs: () => failed !== null ? (failed === 'refused' ? REFUSED_PAUSE_MS : COMMIT_PAUSE_MS) : Math.min(PLAN_PAUSE_MS, Math.max(COMMIT_PAUSE_MS, RENEW_MS - (clock.nowMs() - renewedAtMs))),
     runStep: () => {
       running = runStep()
       return running
@@ -174,7 +186,7 @@
   disposables.add(loop)
 
   return {
-    wake: () => { if (!failed) loop.wake() },
+    wake: () => { if (failed === null) loop.wake() },
     // A suspension stops the steady clock; the wall clock may jump. The larger age is the safe one.
     readConfirmedAgeMs: () => Math.max(clock.nowMs() - confirmed.nowMs, clock.wallMs() - confirmed.wallMs),
     release: async (next) => {
@@ -184,7 +196,7 @@
       successor = next
       for (let attempt = 0; attempt < RELEASE_TRIES; attempt++) {
         await runStep()
-        if (!failed || stopped) break
+        if (failed === null || stopped) break
       }
       stopped = true
     },
--- a/packages/entry/src/cell/cellEntry.ts
+++ b/packages/entry/src/cell/cellEntry.ts
@@ -10,6 +10,7 @@
 import { createJobDesk, type JobDesk } from './jobDesk.js'
 import type { AdviceClient, CellBounds, CellTable, CellWorkerClient, ListedWorker, PlatformRows } from './ports.js'
 import { WRITE_RETRY_MS } from './constants.js'
+import { createWatchedTable } from './tableHealth.js'
 import { failProcess } from '../process/failProcess.js'
 
 /** Options of an entry. */
@@ -44,7 +45,8 @@
 
 /** Starts an entry. */
 export function createCellEntry (options: CellEntryOptions): CellEntry {
-  const { self, table, mesh, clock, events, bounds } = options
+  const { self, mesh, clock, events, bounds } = options
+  const table = createWatchedTable(options.table, clock)
   const disposables = createDisposableStore()
   const terms = new Map<string, CellTerm>()
   const lostAtMs = new Map<string, number>()
@@ -53,7 +55,7 @@
   const leavingPeers = new Set<string>()
   let stopping = false
 
-  const config = disposables.add(createConfigWatch(options))
+  const config = disposables.add(createConfigWatch({ ...options, table }))
   const advice = disposables.add(createAdviceDesk({ ...options, client: options.adviceClient }))
 
   const recordLost = (cell: string, epoch: number): void => {
@@ -68,7 +70,15 @@
     if (row === null) return
     events.record(cellTaken, { cell, epoch: row.epoch })
     terms.set(cell, createCellTerm({
-      ...options, cell, row, version, advice, readConfig: config.readConfig, onDeposed: () => recordLost(cell, row.epoch)
+      ...options,
+      table,
+      cell,
+      row,
+      version,
+      advice,
+      readConfig: config.readConfig,
+      onDeposed: () => recordLost(cell, row.epoch),
+      onStuck: () => mesh.broadcastMessage({ type: 'cellStuck', cell, epoch: row.epoch })
     }))
   }
 
@@ -108,6 +118,7 @@
 
   mesh.onMessage('entryLeaving', (_message, from) => { leavingPeers.add(from.incarnation) })
   mesh.onMessage('cellReleased', () => cells.wake())
+  mesh.onMessage('cellStuck', (message, from) => cells.noteStuck(message.cell, message.epoch, from.incarnation))
 
   /**
    * Peers for the cells that a planned stop gives up: those with the fewest cells first, and among them the one that started last.
--- a/packages/entry/src/cell/cellTerm.ts
+++ b/packages/entry/src/cell/cellTerm.ts
@@ -29,6 +29,8 @@
   readonly advice: AdviceDesk
   readonly readConfig: () => CellConfig | null
   readonly createWorkerClient: (worker: ListedWorker) => CellWorkerClient
+  /** The table does not take this entry's commits, though it may take those of others. */
+  readonly onStuck: () => void
   readonly onDeposed: () => void
 }
 
@@ -205,6 +207,7 @@
       }
     },
     onForgotten: (ids) => { for (const id of ids) committed.delete(id) },
+    onStuck: options.onStuck,
     onDeposed: endTerm
   }))
 
--- a/packages/entry/src/cell/cellWatch.ts
+++ b/packages/entry/src/cell/cellWatch.ts
@@ -2,7 +2,7 @@
 import { createDisposableStore, type Clock, type Disposable, type EventLog } from '@fuchsiatally/core'
 import type { Peer, SessionView } from '../ports.js'
 import { createSerialLoop } from '../process/serialLoop.js'
-import { HOLDER_SILENCE_MS, MAX_RANK, RANK_STEP_MS, UNLINKED_SILENCE_MS, WATCH_MS } from './constants.js'
+import { HEALTHY_READ_MS, HOLDER_SILENCE_MS, MAX_RANK, RANK_STEP_MS, STUCK_SILENCE_MS, STUCK_WATCH_MS, UNLINKED_SILENCE_MS, WATCH_MS } from './constants.js'
 import { CELL_TABLE, CLAIMS_KEY, HOLDER_KEY, parseEntryRow, parseHolderRow, type EntryRow, type HolderRow } from './holderRow.js'
 import type { CellTable, TableRow } from './ports.js'
 import { computeRank } from './rank.js'
@@ -43,6 +43,8 @@
   readStartOrder: (incarnation: string) => number
   /** Cells that an incarnation holds, as the table shows it. */
   countCellsOf: (incarnation: string) => number
+  /** The holder says that the table does not take its commits. */
+  noteStuck: (cell: string, epoch: number, incarnation: string) => void
   /** Looks again at once. */
   wake: () => void
 }
@@ -52,6 +54,8 @@
   readonly changedAtMs: number
   /** Since when the holder's silence counts. */
   silentSinceMs: number
+  /** The holder said that the table does not take its commits. */
+  isStuck: boolean
 }
 
 /** Starts to follow the cells. */
@@ -64,6 +68,8 @@
   const known = new Set<string>()
   let version: number | null = null
   let lastReadMs = -Infinity
+  /** The last read was answered fast. */
+  let isHealthy = false
 
   const applyRow = (row: TableRow, nowMs: number): void => {
     if (row.key === CLAIMS_KEY) return
@@ -76,7 +82,7 @@
     if (row.key !== HOLDER_KEY) return
     const holder = row.deleted ? null : parseHolderRow(row, events)
     const view = { cell: row.part, row: holder, version: row.deleted ? 0 : row.version }
-    cells.set(row.part, { view, changedAtMs: nowMs, silentSinceMs: nowMs })
+    cells.set(row.part, { view, changedAtMs: nowMs, silentSinceMs: nowMs, isStuck: false })
     options.onHolder(view)
   }
 
@@ -127,12 +133,13 @@
     // After a lost answer or a conflict the next read shows the holder.
     if (result.isErr() || result.value.kind === 'conflict') return
     const view = { cell, row, version: result.value.version }
-    cells.set(cell, { view, changedAtMs: clock.nowMs(), silentSinceMs: clock.nowMs() })
+    cells.set(cell, { view, changedAtMs: clock.nowMs(), silentSinceMs: clock.nowMs(), isStuck: false })
     options.onHolder(view)
   }
 
   const isDue = (cell: string, seen: Seen | undefined, nowMs: number): boolean => {
-    const rank = computeRank(cell, self.entry, options.listPeers().map((peer) => peer.entry)) + 2 * options.countHeld()
+    const others = options.listPeers().filter((peer) => peer.incarnation !== seen?.view.row?.incarnation)
+    const rank = computeRank(cell, self.entry, others.map((peer) => peer.entry)) + 2 * options.countHeld()
     const waitMs = Math.min(MAX_RANK, rank) * RANK_STEP_MS
     if (seen === undefined || seen.view.row === null) return nowMs - startedAtMs >= waitMs
     const { row } = seen.view
@@ -142,7 +149,8 @@
     if (row.released && row.successor === undefined) return nowMs - seen.silentSinceMs >= waitMs
     // Without a link the holder has probably died; one that lives renews in the table all the same.
     const isLinked = options.listPeers().some((peer) => peer.incarnation === row.incarnation)
-    return nowMs - seen.silentSinceMs >= (isLinked ? HOLDER_SILENCE_MS : UNLINKED_SILENCE_MS) + waitMs
+    const silenceMs = isLinked ? HOLDER_SILENCE_MS : UNLINKED_SILENCE_MS
+    return nowMs - seen.silentSinceMs >= (seen.isStuck && isHealthy ? STUCK_SILENCE_MS : silenceMs) + waitMs
   }
 
   const startedAtMs = clock.nowMs()
@@ -152,12 +160,13 @@
     // After a gap in the view every holder gets the whole time again.
     if (askedAtMs - lastReadMs > HOLDER_SILENCE_MS / 2) for (const seen of cells.values()) seen.silentSinceMs = clock.nowMs()
     lastReadMs = clock.nowMs()
+    isHealthy = lastReadMs - askedAtMs <= HEALTHY_READ_MS
     for (const cell of options.listCells()) {
       const seen = cells.get(cell)
       if (options.mayTake(cell) && isDue(cell, seen, askedAtMs)) await takeCell(cell, seen)
     }
   }
-  const loop = createSerialLoop({ clock, readPauseMs: () => WATCH_MS, runStep })
+  const loop = createSerialLoop({ clock, readPauseMs: () => [...cells.values()].some((seen) => seen.isStuck) ? STUCK_WATCH_MS : WATCH_MS, runStep })
   disposables.add(loop)
 
   return {
@@ -175,6 +184,12 @@
       for (const { view } of cells.values()) if (view.row?.incarnation === incarnation) count++
       return count
     },
+    noteStuck: (cell, epoch, incarnation) => {
+      const seen = cells.get(cell)
+      if (seen?.view.row?.epoch !== epoch || seen.view.row.incarnation !== incarnation) return
+      seen.isStuck = true
+      loop.wake()
+    },
     wake: loop.wake,
     dispose: () => disposables.dispose()
   }
--- a/packages/entry/src/cell/constants.ts
+++ b/packages/entry/src/cell/constants.ts
@@ -50,6 +50,17 @@
  * reach have ended soon after.
  */
 export const EXTENSION_OUTAGE_MS = 8000
+/** Pause after a commit that the table refused, in milliseconds. */
+export const REFUSED_PAUSE_MS = 100
+/** Failed commits in a row, and time without a good one in milliseconds, after which a holder tells its peers that it is stuck. */
+export const STUCK_FAILURES = 2
+export const STUCK_AFTER_MS = 250
+/** Silence after which a holder that says it is stuck is replaced, in milliseconds: one renewal, and some for it to land late. */
+export const STUCK_SILENCE_MS = 500
+/** Interval at which entries look at the rows of the holders while one is stuck, in milliseconds. */
+export const STUCK_WATCH_MS = 100
+/** Time within which a peer's own read of the table must be answered before it follows a stuck holder, in milliseconds. */
+export const HEALTHY_READ_MS = 100
 /** Longest step of successor ranks that counts; beyond it entries wait equally long. */
 export const MAX_RANK = 5
 
--- a/packages/entry/src/cell/jobDesk.ts
+++ b/packages/entry/src/cell/jobDesk.ts
@@ -7,14 +7,15 @@
 import { ANSWER_MARGIN_MS, MAX_COUNT_AGE_MS, MAX_REMEMBERED_JOBS, WRITE_RETRY_MS } from './constants.js'
 import { cellJobAccepted, cellJobCancelled, cellJobRefused, cellJobUnsettled } from './events.js'
 import { CANCEL_SUFFIX, JOB_TABLE, parseJobRow, parseStateRow, STATE_TABLE } from './holderRow.js'
-import type { CellTable, CellTransaction, CommitResult } from './ports.js'
+import type { CellTransaction, CommitResult } from './ports.js'
+import { createCallPatience, type WatchedTable } from './tableHealth.js'
 
 /** Outcome of a caller's write. `unsettled`: its fate isn't known, no true answer can be given. */
 export type DeskOutcome = 'done' | 'unknownJob' | 'refused' | 'unsettled'
 
 /** Options of the desk. */
 export interface JobDeskOptions {
-  readonly table: CellTable
+  readonly table: WatchedTable
   readonly mesh: PeerMesh
   readonly cells: CellWatch
   readonly clock: Clock
@@ -75,6 +76,8 @@
   }
   mesh.onMessage('jobUnsettled', ({ job }) => recordUnsettled(job))
 
+  const patience = createCallPatience()
+
   /** Sends a write until its fate is known; the first answer of each try counts for all of them. */
   const settleWrite = async (
     transaction: CellTransaction, deadlineMs: number, onUnknown: () => void
@@ -83,9 +86,14 @@
     if (table.isSuspect()) return 'refused'
     let mayHaveApplied = false
     for (;;) {
-      const result = await table.commit(transaction)
-      if (result.isOk()) return result.value
+      const sentAtMs = clock.nowMs()
+      const result = await table.commit(transaction, Math.max(1, Math.min(patience.readTimeoutMs(), deadlineMs - ANSWER_MARGIN_MS - sentAtMs)))
+      if (result.isOk()) {
+        patience.recordAnswer(clock.nowMs() - sentAtMs)
+        return result.value
+      }
       if (result.error.kind === 'unknown') {
+        patience.recordTimeout()
         if (!mayHaveApplied) onUnknown()
         mayHaveApplied = true
       } else if (!mayHaveApplied) return 'refused'
--- a/packages/entry/src/cell/measured.ts
+++ b/packages/entry/src/cell/measured.ts
@@ -17,7 +17,7 @@
 export function createMeasuredTable (table: CellTable, clock: Clock, record: RecordWait): CellTable {
   return {
     ...table,
-    commit: (transaction) => measureCall('commit', clock, record, table.commit(transaction)),
+    commit: (transaction, timeoutMs) => measureCall('commit', clock, record, table.commit(transaction, timeoutMs)),
     readRange: (range) => measureCall('read', clock, record, table.readRange(range))
   }
 }
--- a/packages/entry/src/cell/ports.ts
+++ b/packages/entry/src/cell/ports.ts
@@ -7,6 +7,8 @@
   /** `refused`: nothing was done; `unknown`: it may have been carried out, or may still be. */
   readonly kind: 'refused' | 'unknown'
   readonly message: string
+  /** Refused for its rate alone: the service answers. */
+  readonly isOverload?: boolean
 }
 
 /** One row of the table. */
@@ -57,11 +59,10 @@
 
 /** The table that keeps what must last. */
 export interface CellTable {
-  commit: (transaction: CellTransaction) => Promise<Result<CommitResult, CallFailure>>
+  /** @param timeoutMs time after which the fate counts as unknown; default `TABLE_CALL_MS` */
+  commit: (transaction: CellTransaction, timeoutMs?: number) => Promise<Result<CommitResult, CallFailure>>
   /** Reads all rows of a range; `version` is the table's version at or before the read. */
   readRange: (range: TableRange) => Promise<Result<{ rows: readonly TableRow[], version: number }, CallFailure>>
-  /** Whether calls go without an answer at this moment: what is sent now would probably share their fate. */
-  isSuspect: () => boolean
   /** Waits up to `waitMs` for rows changed after `version`. */
   readChanges: (table: string, version: number, waitMs: number) => Promise<Result<TableChanges, CallFailure>>
 }
--- /dev/null
+++ b/packages/entry/src/cell/tableHealth.ts
@@ -0,0 +1,70 @@
+/** Watches the calls of the table: whether it answers this entry, and how long a commit may take. */
+import type { Clock } from '@fuchsiatally/core'
+import type { Result } from 'neverthrow'
+import { TABLE_CALL_MS } from './constants.js'
+import type { CallFailure, CellTable } from './ports.js'
+
+/** A table whose health is known. */
+export interface WatchedTable extends CellTable {
+  /** Whether calls go without an answer at this moment: what is sent now would probably share their fate. */
+  isSuspect: () => boolean
+}
+
+/** A call without a wait of its own that is unanswered for this long makes the table suspect, in milliseconds; slowed sixtyfold it takes 360. */
+const SUSPECT_MS = 500
+
+/** Wraps the calls of a table. */
+export function createWatchedTable (table: CellTable, clock: Clock): WatchedTable {
+  /** Times at which the calls that wait for an answer should have one. */
+  const pending = new Set<{ readonly dueAtMs: number }>()
+  let lastFailed = false
+
+  const watchCall = async <T>(waitMs: number, call: Promise<Result<T, CallFailure>>): Promise<Result<T, CallFailure>> => {
+    const mark = { dueAtMs: clock.nowMs() + waitMs + SUSPECT_MS }
+    pending.add(mark)
+    const result = await call
+    pending.delete(mark)
+    lastFailed = result.isErr() && result.error.isOverload !== true
+    return result
+  }
+
+  return {
+    commit: (transaction, timeoutMs) => watchCall(0, table.commit(transaction, timeoutMs)),
+    readRange: (range) => watchCall(0, table.readRange(range)),
+    readChanges: (name, version, waitMs) => watchCall(waitMs, table.readChanges(name, version, waitMs)),
+    isSuspect: () => {
+      if (lastFailed) return true
+      for (const { dueAtMs } of pending) if (clock.nowMs() > dueAtMs) return true
+      return false
+    }
+  }
+}
+
+/** Time limit of calls that follows how long they take. */
+export interface CallPatience {
+  /** Time limit of the next call, in milliseconds. */
+  readTimeoutMs: () => number
+  recordAnswer: (elapsedMs: number) => void
+  recordTimeout: () => void
+}
+
+/** Weight of the last answer in the mean. */
+const MEAN_WEIGHT = 0.2
+/** Multiple of the mean after which an answer counts as lost. */
+const PATIENCE_FACTOR = 8
+/** Shortest time limit, in milliseconds: twenty times a calm commit. */
+const LEAST_PATIENCE_MS = 250
+
+/** Creates a limit for a table that answers within some 20 ms; it doubles with each time-out, up to `TABLE_CALL_MS`. */
+export function createCallPatience (): CallPatience {
+  let meanMs = 0
+  let limitMs = LEAST_PATIENCE_MS
+  return {
+    readTimeoutMs: () => limitMs,
+    recordAnswer: (elapsedMs) => {
+      meanMs += MEAN_WEIGHT * (elapsedMs - meanMs)
+      limitMs = Math.min(TABLE_CALL_MS, Math.max(LEAST_PATIENCE_MS, PATIENCE_FACTOR * Math.max(meanMs, MEAN_WEIGHT * elapsedMs)))
+    },
+    recordTimeout: () => { limitMs = Math.min(TABLE_CALL_MS, 2 * limitMs) }
+  }
+}
--- a/packages/entry/src/testing/cellTableModel.ts
+++ b/packages/entry/src/testing/cellTableModel.ts
@@ -70,22 +70,21 @@
 
   const createClient = () => {
     const faults: TableFaults = { outage: null, loseWrite: () => null, readDelayMs: () => 0 }
-    const call = async <T> (run: () => T): Promise<Result<T, CallFailure>> => {
+    const call = async <T> (run: () => T, limitMs = timeoutMs): Promise<Result<T, CallFailure>> => {
       await wait(callMs)
       if (faults.outage === 'busy') return err({ kind: 'refused', message: 'busy' })
       if (faults.outage === 'silent') {
-        await wait(timeoutMs)
+        await wait(limitMs)
         return err({ kind: 'unknown', message: 'silent' })
       }
       return ok(run())
     }
     const table: CellTable = {
-      isSuspect: () => faults.outage !== null,
-      commit: async (transaction) => {
+      commit: async (transaction, limitMs = timeoutMs) => {
         const lost = faults.outage === null ? faults.loseWrite() : null
-        if (lost === null) return await call(() => apply(transaction))
+        if (lost === null) return await call(() => apply(transaction), limitMs)
         clock.setTimer(lost.afterMs, () => { apply(transaction) })
-        await wait(timeoutMs)
+        await wait(limitMs)
         return err({ kind: 'unknown', message: 'lost' })
       },
       readRange: async ({ table: name, part, from, to }) => {
