Table feeds stand once; a holder reads the worker list three times a second

The configuration and the list now share one feed (whole, then changes, whole again after lost history) instead of a copy each.

--- a/packages/entry/src/cell/configWatch.ts
+++ b/packages/entry/src/cell/configWatch.ts
@@ -4,6 +4,7 @@
 import { CLOCK_DOUBT_MS, CONFIG_WAIT_MS, EVIDENCE_SHARE, WRITE_RETRY_MS } from './constants.js'
 import { cellConfigInForce, cellConfigMalformed, tableLost, tableRegained } from './events.js'
 import type { CellBounds, CellTable, PlatformRows, TableRow } from './ports.js'
+import { createTableFeed } from './tableFeed.js'
 
 /** Options of the watch. */
 export interface ConfigWatchOptions {
@@ -29,7 +30,6 @@
   const maxAgeMs = options.bounds.revokeMs * EVIDENCE_SHARE
   const receivers: Array<(config: CellConfig) => void> = []
   let config: CellConfig | null = null
-  let version: number | null = null
   let evidence: { nowMs: number, wallMs: number } | null = null
   let reachable = true
 
@@ -52,25 +52,13 @@
     events.record(isReachable ? tableRegained : tableLost, { message })
   }
 
-  const readAll = async (): Promise<boolean> => {
-    const read = await table.readRange({ table: rows.configTable, part: '' })
-    recordReachable(read.isOk(), read.isErr() ? read.error.message : '')
-    if (read.isErr()) return false
-    for (const row of read.value.rows) applyRow(row)
-    version = read.value.version
-    return true
-  }
-
-  const readNews = async (): Promise<boolean> => {
-    if (version === null) return await readAll()
-    const read = await table.readChanges(rows.configTable, version, CONFIG_WAIT_MS)
-    recordReachable(read.isOk(), read.isErr() ? read.error.message : '')
-    if (read.isErr()) return false
-    if (read.value.kind === 'historyLost') return await readAll()
-    for (const row of read.value.rows) applyRow(row)
-    version = read.value.version
-    return true
-  }
+  const feed = createTableFeed({
+    table,
+    name: rows.configTable,
+    part: '',
+    applyRow,
+    onRead: (failure) => recordReachable(failure === null, failure?.message ?? '')
+  })
 
   const loop = createSerialLoop({
     clock,
@@ -78,7 +66,7 @@
     runStep: async () => {
       // What is read is at least as new as the moment at which the question was sent.
       const asked = { nowMs: clock.nowMs(), wallMs: clock.wallMs() }
-      if (await readNews()) evidence = asked
+      if (await feed.readNews(CONFIG_WAIT_MS)) evidence = asked
     }
   })
   disposables.add(loop)
--- a/packages/entry/src/cell/constants.ts
+++ b/packages/entry/src/cell/constants.ts
@@ -74,6 +74,8 @@
 export const CLOCK_DOUBT_MS = 300
 /** Interval at which a holder reads the job table for what nobody told it, in milliseconds. */
 export const JOB_READ_MS = 500
+/** Pause between two reads of the worker list, in milliseconds: its workers write some 20 times a second, and each read is paid for. */
+export const WORKER_READ_MS = 300
 /** Wait of a holder's read for changes of the worker list, in milliseconds. */
 export const WORKER_WAIT_MS = 1000
 /** Shortest time between two commits of a cell, in milliseconds; a part of the table takes 200 a second. */
--- a/packages/entry/src/cell/workerDirectory.ts
+++ b/packages/entry/src/cell/workerDirectory.ts
@@ -1,8 +1,9 @@
 /** Follows the platform's list of workers for one cell. */
 import { createDisposableStore, type Clock, type Disposable } from '@fuchsiatally/core'
 import { createSerialLoop } from '../process/serialLoop.js'
-import { WORKER_WAIT_MS, WRITE_RETRY_MS } from './constants.js'
+import { WORKER_READ_MS, WORKER_WAIT_MS, WRITE_RETRY_MS } from './constants.js'
 import type { CellTable, ListedWorker, PlatformRows, TableRow } from './ports.js'
+import { createTableFeed } from './tableFeed.js'
 
 /** Options of the directory. */
 export interface WorkerDirectoryOptions {
@@ -18,7 +19,6 @@
 export function createWorkerDirectory (options: WorkerDirectoryOptions): Disposable {
   const { table, rows, clock } = options
   const disposables = createDisposableStore()
-  let version: number | null = null
   let isReachable = true
   const listed = new Set<string>()
 
@@ -33,34 +33,25 @@
     options.onWorker(worker)
   }
 
-  const readAll = async (): Promise<boolean> => {
-    const read = await table.readRange({ table: rows.workerTable, part: '' })
-    if (read.isErr()) return false
-    const present = new Set(read.value.rows.map((row) => row.key))
-    for (const id of [...listed]) {
-      if (present.has(id)) continue
-      listed.delete(id)
-      options.onGone(id)
+  const feed = createTableFeed({
+    table,
+    name: rows.workerTable,
+    part: '',
+    applyRow,
+    onWhole: (present) => {
+      const keys = new Set(present.map((row) => row.key))
+      for (const id of [...listed]) {
+        if (keys.has(id)) continue
+        listed.delete(id)
+        options.onGone(id)
+      }
     }
-    for (const row of read.value.rows) applyRow(row)
-    version = read.value.version
-    return true
-  }
-
-  const readNews = async (): Promise<boolean> => {
-    if (version === null) return await readAll()
-    const read = await table.readChanges(rows.workerTable, version, WORKER_WAIT_MS)
-    if (read.isErr()) return false
-    if (read.value.kind === 'historyLost') return await readAll()
-    for (const row of read.value.rows) applyRow(row)
-    version = read.value.version
-    return true
-  }
+  })
 
   disposables.add(createSerialLoop({
     clock,
-    readPauseMs: () => isReachable ? 0 : WRITE_RETRY_MS,
-    runStep: async () => { isReachable = await readNews() }
+    readPauseMs: () => isReachable ? WORKER_READ_MS : WRITE_RETRY_MS,
+    runStep: async () => { isReachable = await feed.readNews(WORKER_WAIT_MS) }
   }))
   return { dispose: () => disposables.dispose() }
 }
