Entries that start look for their cells as soon as they know them

Change: the arrival of a configuration wakes the watch. A test holds the cell within 100 ms of the start (not met without the change).

--- a/packages/entry/src/cell/__tests__/cellTakeover.spec.ts
+++ b/packages/entry/src/cell/__tests__/cellTakeover.spec.ts
@@ -163,6 +163,17 @@
   checkNoTwins(cluster)
 })
 
+test('entries that were all killed hold their cell again within 100 ms of their start', async () => {
+  const cluster = createCellCluster()
+  cluster.addWorker('w1')
+  const entries = await startEntries(cluster, ['a', 'b', 'c'])
+  for (const entry of entries) entry.kill()
+  await cluster.clock.runFor(500)
+  const again = entries.map((entry) => cluster.addEntry(entry.name))
+  await cluster.clock.runFor(100)
+  assert.is(again.flatMap((entry) => entry.events.listFields('FT801')).length, 1)
+})
+
 test('a successor that has not read the jobs yet gives up none of the claims on ceilings', async () => {
   const cluster = createCellCluster({ planRun: () => ({ durationMs: 20_000, how: 'done' }) })
   const [team] = CLUSTER_CONFIG.teams
--- a/packages/entry/src/cell/cellEntry.ts
+++ b/packages/entry/src/cell/cellEntry.ts
@@ -107,7 +107,11 @@
     onHolder: handleHolder
   }))
 
-  config.onChange((next) => { for (const term of terms.values()) term.applyConfig(next) })
+  config.onChange((next) => {
+    for (const term of terms.values()) term.applyConfig(next)
+    // It may name cells that nobody holds; the first one does so to an entry that has just started.
+    cells.wake()
+  })
 
   const acceptNews = (cell: string, key: string, value: string): boolean => {
     const term = terms.get(cell)
