Two cells that change the row of claims at the same pace no longer starve one

After a conflict the next try waited 60 ms, as long as the other cell's pause between two changes, so that one lost to the other again and again. Nothing in the log said so. Ruled out: slow commits and lost answers (no try failed in those seconds), advice (asked only after the claims were known). Change: a change that met a conflict is planned anew from the row that the conflict shows and tried again at once, up to four times. Events FT855 and FT856 tell when a holder knows the ceilings and when the table did not take its claims. Test: with another cell whose change lands before each try that comes 60 ms after its last one, the claims are stored within 150 ms (never, before).

--- a/packages/entry/src/cell/ceilingTask.ts
+++ b/packages/entry/src/cell/ceilingTask.ts
@@ -4,7 +4,8 @@
   type CellConfig, type CellPlanner, type Clock, type Disposable, type EventLog, type Resources
 } from '@fuchsiatally/core'
 import { createSerialLoop } from '../process/serialLoop.js'
-import { CLAIM_COMMIT_MS, CLAIM_PAUSE_MS, CLAIM_REVIEW_MS } from './constants.js'
+import { CLAIM_COMMIT_MS, CLAIM_PAUSE_MS, CLAIM_REVIEW_MS, CLAIM_TRIES } from './constants.js'
+import { ceilingsKnown, claimsNotStored } from './events.js'
 import { CELL_TABLE, CLAIMS_KEY, createRowReader } from './holderRow.js'
 import type { CellTable, ListedWorker, TableRow } from './ports.js'
 
@@ -57,6 +58,9 @@
   let reviewedAtMs = clock.nowMs()
   let committedAtMs = -Infinity
   let isWoken = false
+  const startedAtMs = clock.nowMs()
+  let tries = 0
+  let isKnown = false
 
   const listCeilings = (): Map<string, Resources> => new Map((options.readConfig()?.teams ?? []).map((team) => [team.name, team.ceiling]))
 
@@ -82,7 +86,8 @@
     return true
   }
 
-  const commitRow = async (next: ClaimsRow, version: number): Promise<void> => {
+  /** Tells whether the row had changed meanwhile: the plan has to be made anew. */
+  const commitRow = async (next: ClaimsRow, version: number): Promise<boolean> => {
     applyLimits(next)
     committedAtMs = clock.nowMs()
     const result = await table.commit({
@@ -91,25 +96,43 @@
       writes: [{ table: CELL_TABLE, key: CLAIMS_KEY, value: JSON.stringify(next) }],
       deletes: []
     })
+    tries++
     if (result.isErr()) {
+      options.events.record(claimsNotStored, { cell, epoch, reason: result.error.message })
       // It may have been applied, or may still be: only a read tells, and until then the smaller claim counts.
       isOutdated = true
-      return
+      return false
+    }
+    if (result.value.kind === 'applied' && !isKnown) {
+      isKnown = true
+      options.events.record(ceilingsKnown, { cell, epoch, tries, waitedMs: Math.round(clock.nowMs() - startedAtMs) })
     }
     if (result.value.kind === 'applied') current = { row: next, version: result.value.version }
     else applyRow(result.value.rows.find((row) => row.key === CLAIMS_KEY && !row.deleted))
     applyLimits(null)
     options.onLimits()
+    return result.value.kind === 'conflict'
+  }
+
+  const planRow = (): { row: ClaimsRow, version: number } | null => {
+    if (current === null || disposed) return null
+    const share = computeShare(cell, options.listWorkers())
+    const row = planClaims({ cell, epoch, row: current.row, ceilings: listCeilings(), share, demand: planner.listTeamDemand() })
+    return row === null ? null : { row, version: current.version }
   }
 
   const runStep = async (): Promise<void> => {
     if (isOutdated && !await readRow()) return
     if (disposed || current === null || !options.isLoaded()) return
-    const next = planClaims({
-      cell, epoch, row: current.row, ceilings: listCeilings(), share: computeShare(cell, options.listWorkers()), demand: planner.listTeamDemand()
-    })
-    if (next !== null) await commitRow(next, current.version)
-    else applyLimits(null)
+    // Another cell that changes the row at the same pace would win each time if the next try waited.
+    for (let attempt = 0; attempt < CLAIM_TRIES; attempt++) {
+      const next = planRow()
+      if (next === null) {
+        applyLimits(null)
+        break
+      }
+      if (!await commitRow(next.row, next.version)) break
+    }
     if (clock.nowMs() - reviewedAtMs < CLAIM_REVIEW_MS) return
     reviewedAtMs = clock.nowMs()
     isOutdated = true
--- a/packages/entry/src/cell/constants.ts
+++ b/packages/entry/src/cell/constants.ts
@@ -97,6 +97,8 @@
 export const ADVICE_SLACK_MS = 800
 /** Pause between two reviews of a cell's claims on ceilings, in milliseconds; work that waits for one wakes it. */
 export const CLAIM_PAUSE_MS = 250
+/** Tries of one change of the claims, each at once after a conflict; a cell changes them every 60 ms at most, and a try takes 15. */
+export const CLAIM_TRIES = 4
 /** Interval at which the claims of the other cells are read anew, in milliseconds. */
 export const CLAIM_REVIEW_MS = 1000
 /** Shortest time between two changes of a cell's claims that waiting work asks for, in milliseconds; about four commits. */
