--- a/packages/entry/src/cell/cellWatch.ts
+++ b/packages/entry/src/cell/cellWatch.ts
@@ -2,7 +2,7 @@
 import { createDisposableStore, type Clock, type Disposable, type EventLog } from '@fuchsiatally/core'
 import type { Peer, SessionView } from '../ports.js'
 import { createSerialLoop } from '../process/serialLoop.js'
-import { HEALTHY_READ_MS, HOLDER_SILENCE_MS, MAX_RANK, RANK_STEP_MS, STUCK_SILENCE_MS, STUCK_WATCH_MS, UNLINKED_SILENCE_MS, WATCH_MS } from './constants.js'
+import { ALARMED_WATCH_MS, HEALTHY_READ_MS, HOLDER_SILENCE_MS, MAX_RANK, RANK_STEP_MS, RENEW_MS, STUCK_SILENCE_MS, UNLINKED_SILENCE_MS, WATCH_MS } from './constants.js'
 import { CELL_TABLE, CLAIMS_KEY, HOLDER_KEY, parseEntryRow, parseHolderRow, type EntryRow, type HolderRow } from './holderRow.js'
 import type { CellTable, TableRow } from './ports.js'
 import { computeRank } from './rank.js'
@@ -137,6 +137,19 @@
     options.onHolder(view)
   }
 
+  const isLinked = (row: HolderRow): boolean => {
+    return row.incarnation === self.incarnation || options.listPeers().some((peer) => peer.incarnation === row.incarnation)
+  }
+
+  /** Whether some holder may have to be replaced soon. */
+  const isAlarmed = (): boolean => {
+    for (const { view, isStuck, silentSinceMs } of cells.values()) {
+      if (isStuck || (view.row !== null && !isLinked(view.row))) return true
+      if (clock.nowMs() - silentSinceMs > 2 * RENEW_MS) return true
+    }
+    return false
+  }
+
   const isDue = (cell: string, seen: Seen | undefined, nowMs: number): boolean => {
     const others = options.listPeers().filter((peer) => peer.incarnation !== seen?.view.row?.incarnation)
     const rank = computeRank(cell, self.entry, others.map((peer) => peer.entry)) + 2 * options.countHeld()
@@ -148,9 +161,9 @@
     if (row.released && row.successor === self.incarnation) return true
     if (row.released && row.successor === undefined) return nowMs - seen.silentSinceMs >= waitMs
     // Without a link the holder has probably died; one that lives renews in the table all the same.
-    const isLinked = options.listPeers().some((peer) => peer.incarnation === row.incarnation)
-    const silenceMs = isLinked ? HOLDER_SILENCE_MS : UNLINKED_SILENCE_MS
-    return nowMs - seen.silentSinceMs >= (seen.isStuck && isHealthy ? STUCK_SILENCE_MS : silenceMs) + waitMs
+    if (!isHealthy) return nowMs - seen.silentSinceMs >= HOLDER_SILENCE_MS + waitMs
+    if (seen.isStuck) return nowMs - seen.silentSinceMs >= STUCK_SILENCE_MS + waitMs
+    return nowMs - seen.silentSinceMs >= (isLinked(row) ? HOLDER_SILENCE_MS : UNLINKED_SILENCE_MS) + waitMs
   }
 
   const startedAtMs = clock.nowMs()
@@ -166,7 +179,7 @@
       if (options.mayTake(cell) && isDue(cell, seen, askedAtMs)) await takeCell(cell, seen)
     }
   }
-  const loop = createSerialLoop({ clock, readPauseMs: () => [...cells.values()].some((seen) => seen.isStuck) ? STUCK_WATCH_MS : WATCH_MS, runStep })
+  const loop = createSerialLoop({ clock, readPauseMs: () => isAlarmed() ? ALARMED_WATCH_MS : WATCH_MS, runStep })
   disposables.add(loop)
 
   return {
--- a/packages/entry/src/cell/constants.ts
+++ b/packages/entry/src/cell/constants.ts
@@ -33,8 +33,8 @@
 export const WATCH_MS = 300
 /** A holder that has not renewed for this long is replaced, in milliseconds. */
 export const HOLDER_SILENCE_MS = 1300
-/** The same for a holder that no link reaches, in milliseconds: two renewals and one look at the rows. */
-export const UNLINKED_SILENCE_MS = 800
+/** The same for a holder that no link reaches, in milliseconds: one renewal, a commit that takes long, and one look at the rows. */
+export const UNLINKED_SILENCE_MS = 600
 /** Further silence that each rank of successor waits for, in milliseconds: one round of watching, so that ranks seldom meet. */
 export const RANK_STEP_MS = 350
 /** Time without a confirmed renewal after which a holder ends its term, in milliseconds: past the outages that the platform announces. */
@@ -57,9 +57,9 @@
 export const STUCK_AFTER_MS = 250
 /** Silence after which a holder that says it is stuck is replaced, in milliseconds: one renewal, and some for it to land late. */
 export const STUCK_SILENCE_MS = 500
-/** Interval at which entries look at the rows of the holders while one is stuck, in milliseconds. */
-export const STUCK_WATCH_MS = 100
-/** Time within which a peer's own read of the table must be answered before it follows a stuck holder, in milliseconds. */
+/** Interval at which entries look at the rows of the holders while one is stuck, has missed two renewals, or no link reaches it, in milliseconds. */
+export const ALARMED_WATCH_MS = 100
+/** Time within which a peer's own read of the table must be answered before it follows a holder that is stuck or unlinked, in milliseconds. */
 export const HEALTHY_READ_MS = 100
 /** Longest step of successor ranks that counts; beyond it entries wait equally long. */
 export const MAX_RANK = 5
