--- a/packages/entry/src/cell/cellEntry.ts
+++ b/packages/entry/src/cell/cellEntry.ts
@@ -46,7 +46,7 @@
 /** Starts an entry. */
 export function createCellEntry (options: CellEntryOptions): CellEntry {
   const { self, mesh, clock, events, bounds } = options
-  const table = createWatchedTable(options.table, clock)
+  const table = createWatchedTable(options.table, clock, events)
   const disposables = createDisposableStore()
   const terms = new Map<string, CellTerm>()
   const lostAtMs = new Map<string, number>()
--- a/packages/entry/src/cell/tableHealth.ts
+++ b/packages/entry/src/cell/tableHealth.ts
@@ -1,7 +1,8 @@
 /** Watches the calls of the table: whether it answers this entry, and how long a commit may take. */
-import type { Clock } from '@fuchsiatally/core'
+import type { Clock, EventLog } from '@fuchsiatally/core'
 import type { Result } from 'neverthrow'
 import { TABLE_CALL_MS } from './constants.js'
+import { tableFast, tableSlow } from './events.js'
 import type { CallFailure, CellTable } from './ports.js'
 
 /** A table whose health is known. */
@@ -13,11 +14,26 @@
 /** A call without a wait of its own that is unanswered for this long makes the table suspect, in milliseconds; slowed sixtyfold it takes 360. */
 const SUSPECT_MS = 500
 
+/** Weight of the last answer in the mean. */
+const MEAN_WEIGHT = 0.2
+/** Mean time of commits from which the table counts as slow, and below which it is fast again, in milliseconds; a calm one takes 13. */
+const SLOW_MS = 150
+const FAST_MS = 50
+
 /** Wraps the calls of a table. */
-export function createWatchedTable (table: CellTable, clock: Clock): WatchedTable {
+export function createWatchedTable (table: CellTable, clock: Clock, events: EventLog): WatchedTable {
   /** Times at which the calls that wait for an answer should have one. */
   const pending = new Set<{ readonly dueAtMs: number }>()
   let lastFailed = false
+  let commitMs = 0
+  let isSlow = false
+
+  const noteCommit = (elapsedMs: number): void => {
+    commitMs += MEAN_WEIGHT * (elapsedMs - commitMs)
+    if (isSlow ? commitMs > FAST_MS : commitMs < SLOW_MS) return
+    isSlow = !isSlow
+    events.record(isSlow ? tableSlow : tableFast, { commitMs: Math.round(commitMs) })
+  }
 
   const watchCall = async <T>(waitMs: number, call: Promise<Result<T, CallFailure>>): Promise<Result<T, CallFailure>> => {
     const mark = { dueAtMs: clock.nowMs() + waitMs + SUSPECT_MS }
@@ -29,7 +45,12 @@
   }
 
   return {
-    commit: (transaction, timeoutMs) => watchCall(0, table.commit(transaction, timeoutMs)),
+    commit: async (transaction, timeoutMs) => {
+      const sentAtMs = clock.nowMs()
+      const result = await watchCall(0, table.commit(transaction, timeoutMs))
+      if (result.isOk()) noteCommit(clock.nowMs() - sentAtMs)
+      return result
+    },
     readRange: (range) => watchCall(0, table.readRange(range)),
     readChanges: (name, version, waitMs) => watchCall(waitMs, table.readChanges(name, version, waitMs)),
     isSuspect: () => {
@@ -48,8 +69,6 @@
   recordTimeout: () => void
 }
 
-/** Weight of the last answer in the mean. */
-const MEAN_WEIGHT = 0.2
 /** Multiple of the mean after which an answer counts as lost. */
 const PATIENCE_FACTOR = 8
 /** Shortest time limit, in milliseconds: twenty times a calm commit. */
