--- a/packages/core/src/cell/__tests__/cellOracle.spec.ts
+++ b/packages/core/src/cell/__tests__/cellOracle.spec.ts
@@ -4,6 +4,7 @@
 import * as assert from 'uvu/assert'
 import type { Resources } from '../../schema/resources.js'
 import { resolveFuzzOptions } from '../../testing/fuzzOptions.js'
+import { createTestStep, createTestStepJob } from '../../testing/stepJobs.js'
 import { ACCEPTED_STATE, createCellPlanner, planClaims, computeClaimLimits, NO_CLAIMS, type ClaimsRow, type JobStep, type ListedEnd, type ListedRun, type RunName, type StartOrder, type StepJob } from '../index.js'
 
 const WORKERS = ['w1', 'w2', 'w3']
@@ -34,20 +35,16 @@
 type World = ReturnType<typeof createWorld>
 
 function buildStep (shape: { taskCount: number, processors: number, accelerators: number, gang: boolean, longRunning: boolean, savesWork: boolean, maxPerWorker: number }, index: number): JobStep {
-  return {
+  return createTestStep({
     taskCount: shape.taskCount,
     resources: { processors: shape.processors, memoryMb: 512, accelerators: shape.accelerators },
     estimateMs: 500,
     after: index === 0 ? [] : [index - 1],
     gang: shape.gang && !shape.longRunning,
-    tightlyCoupled: false,
     maxPerWorker: shape.gang ? 0 : shape.maxPerWorker,
-    speculative: false,
     longRunning: shape.longRunning,
-    targetMs: 0,
-    fills: false,
     savesWork: shape.savesWork
-  }
+  })
 }
 
 /** Workers that do as told, and everything that the rules speak of. */
@@ -168,16 +165,7 @@
     endRun,
     submit: (steps: JobStep[], priority: number, team: string): void => {
       const id = `job${specs.size}`
-      const spec: StepJob = {
-        team,
-        policy: { queue: 'q', service: 's', priority, maxAttempts: MAX_ATTEMPTS, stretch: 3, targetLatencyMs: 500 },
-        payload: '',
-        steps,
-        runCount: 0,
-        firstRunMs: 0,
-        intervalMs: 0,
-        acceptedAtMs: nowMs
-      }
+      const spec = createTestStepJob(steps, { priority, maxAttempts: MAX_ATTEMPTS, stretch: 3, targetLatencyMs: 500 }, { team, acceptedAtMs: nowMs })
       specs.set(id, spec)
       planner.addJob(id, spec, ACCEPTED_STATE, nowMs)
     },
--- a/packages/core/src/cell/__tests__/cellPlanner.spec.ts
+++ b/packages/core/src/cell/__tests__/cellPlanner.spec.ts
@@ -1,42 +1,11 @@
 /** Checks the planner of a cell on the patterns of load that it answers. */
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
-import { ACCEPTED_STATE, createCellPlanner, type CellPlanner, type JobStep, type ListedEnd, type StartOrder, type StepJob, type TryAsk } from '../index.js'
+import { createTestStep, createTestStepJob } from '../../testing/stepJobs.js'
+import { ACCEPTED_STATE, createCellPlanner, type CellPlanner, type ListedEnd, type StartOrder, type TryAsk } from '../index.js'
 
 const NOTHING: TryAsk = () => true
 
-function createStep (changes: Partial<JobStep> = {}): JobStep {
-  return {
-    taskCount: 1,
-    resources: { processors: 2, memoryMb: 1024, accelerators: 0 },
-    estimateMs: 1000,
-    after: [],
-    gang: false,
-    tightlyCoupled: false,
-    maxPerWorker: 0,
-    speculative: false,
-    longRunning: false,
-    targetMs: 0,
-    fills: false,
-    savesWork: false,
-    ...changes
-  }
-}
-
-function createJob (steps: JobStep[], policy: Partial<StepJob['policy']> = {}, changes: Partial<StepJob> = {}): StepJob {
-  return {
-    team: 'clubs',
-    policy: { queue: 'q', service: 'pages', priority: 1, maxAttempts: 2, stretch: 4, targetLatencyMs: 1000, ...policy },
-    payload: '',
-    steps,
-    runCount: 0,
-    firstRunMs: 0,
-    intervalMs: 0,
-    acceptedAtMs: 0,
-    ...changes
-  }
-}
-
 function createPlanner (workers: Readonly<Record<string, number>>, accelerators = 0): CellPlanner {
   const planner = createCellPlanner()
   for (const [id, processors] of Object.entries(workers)) {
@@ -60,7 +29,7 @@
 
 test('a step waits for all tasks of the steps before it', () => {
   const planner = createPlanner({ w1: 8 })
-  planner.addJob('j', createJob([createStep({ taskCount: 2 }), createStep({ after: [0] })]), ACCEPTED_STATE, 0)
+  planner.addJob('j', createTestStepJob([createTestStep({ taskCount: 2 }), createTestStep({ after: [0] })]), ACCEPTED_STATE, 0)
   const first = planner.decide(0, 0, NOTHING).starts
   assert.equal(first.map((order) => order.step), [0, 0])
   end(planner, first[0]!, 'done', 1, 10)
@@ -71,10 +40,10 @@
 
 test('work that can still meet its objective goes before late work, and that before hopeless work', () => {
   const planner = createPlanner({ w1: 2 })
-  const step = createStep({ estimateMs: 1000 })
-  planner.addJob('hopeless', createJob([step], { priority: 0 }, { acceptedAtMs: -60_000 }), ACCEPTED_STATE, 0)
-  planner.addJob('late', createJob([step], { priority: 0 }, { acceptedAtMs: -6000 }), ACCEPTED_STATE, 0)
-  planner.addJob('onTime', createJob([step], { priority: 2 }), ACCEPTED_STATE, 0)
+  const step = createTestStep({ estimateMs: 1000 })
+  planner.addJob('hopeless', createTestStepJob([step], { priority: 0 }, { acceptedAtMs: -60_000 }), ACCEPTED_STATE, 0)
+  planner.addJob('late', createTestStepJob([step], { priority: 0 }, { acceptedAtMs: -6000 }), ACCEPTED_STATE, 0)
+  planner.addJob('onTime', createTestStepJob([step], { priority: 2 }), ACCEPTED_STATE, 0)
   const order: string[] = []
   for (let round = 1; round <= 3; round++) {
     const [start] = planner.decide(round, 0, NOTHING).starts
@@ -87,10 +56,10 @@
 test('work is stopped for a ceiling only once the ceiling is settled', () => {
   const planner = createPlanner({ w1: 16 })
   const noRoom = new Map([['clubs', { processors: 4, memoryMb: 65_536, accelerators: 0 }]])
-  planner.addJob('slow', createJob([createStep({ taskCount: 2, savesWork: true })], { priority: 2 }), ACCEPTED_STATE, 0)
+  planner.addJob('slow', createTestStepJob([createTestStep({ taskCount: 2, savesWork: true })], { priority: 2 }), ACCEPTED_STATE, 0)
   settle(planner, planner.decide(0, 0, NOTHING).starts, 1)
   planner.setTeamLimits(noRoom, false)
-  planner.addJob('urgent', createJob([createStep()], { priority: 0 }), ACCEPTED_STATE, 10)
+  planner.addJob('urgent', createTestStepJob([createTestStep()], { priority: 0 }), ACCEPTED_STATE, 10)
   assert.equal(planner.decide(200, 200, NOTHING), { starts: [], stops: [] })
   assert.is(planner.listTeamDemand().get('clubs')?.blocked.processors, 2)
   planner.setTeamLimits(noRoom)
@@ -99,10 +68,10 @@
 
 test('an urgent step stops less urgent work that saves, and that work resumes from what it saved', () => {
   const planner = createPlanner({ w1: 4 })
-  planner.addJob('slow', createJob([createStep({ taskCount: 2, savesWork: true })], { priority: 2 }), ACCEPTED_STATE, 0)
+  planner.addJob('slow', createTestStepJob([createTestStep({ taskCount: 2, savesWork: true })], { priority: 2 }), ACCEPTED_STATE, 0)
   const slow = planner.decide(0, 0, NOTHING).starts
   settle(planner, slow, 1)
-  planner.addJob('urgent', createJob([createStep()], { priority: 0 }), ACCEPTED_STATE, 10)
+  planner.addJob('urgent', createTestStepJob([createTestStep()], { priority: 0 }), ACCEPTED_STATE, 10)
   assert.is(planner.decide(10, 10, NOTHING).stops.length, 0)
   const [stop] = planner.decide(200, 200, NOTHING).stops
   assert.is(stop?.reason, 'preempted')
@@ -117,19 +86,19 @@
 
 test('work that cannot save is not stopped for urgent work', () => {
   const planner = createPlanner({ w1: 2 })
-  planner.addJob('slow', createJob([createStep()], { priority: 2 }), ACCEPTED_STATE, 0)
+  planner.addJob('slow', createTestStepJob([createTestStep()], { priority: 2 }), ACCEPTED_STATE, 0)
   settle(planner, planner.decide(0, 0, NOTHING).starts, 1)
-  planner.addJob('urgent', createJob([createStep()], { priority: 0 }), ACCEPTED_STATE, 10)
+  planner.addJob('urgent', createTestStepJob([createTestStep()], { priority: 0 }), ACCEPTED_STATE, 10)
   assert.is(planner.decide(500, 500, NOTHING).stops.length, 0)
 })
 
 test('below its ceiling a team’s urgent tasks stop its own less urgent work, not that of others', () => {
   const planner = createPlanner({ w1: 16 })
   planner.setTeamLimits(new Map([['clubs', { processors: 4, memoryMb: Infinity, accelerators: Infinity }]]))
-  planner.addJob('own', createJob([createStep({ taskCount: 2, savesWork: true })], { priority: 2 }), ACCEPTED_STATE, 0)
-  planner.addJob('other', createJob([createStep({ taskCount: 2, savesWork: true })], { priority: 2 }, { team: 'schools' }), ACCEPTED_STATE, 0)
+  planner.addJob('own', createTestStepJob([createTestStep({ taskCount: 2, savesWork: true })], { priority: 2 }), ACCEPTED_STATE, 0)
+  planner.addJob('other', createTestStepJob([createTestStep({ taskCount: 2, savesWork: true })], { priority: 2 }, { team: 'schools' }), ACCEPTED_STATE, 0)
   settle(planner, planner.decide(0, 0, NOTHING).starts, 1)
-  planner.addJob('urgent', createJob([createStep()], { priority: 0 }), ACCEPTED_STATE, 10)
+  planner.addJob('urgent', createTestStepJob([createTestStep()], { priority: 0 }), ACCEPTED_STATE, 10)
   const { starts, stops } = planner.decide(300, 300, NOTHING)
   assert.is(starts.length, 0)
   assert.equal(stops.map((stop) => stop.job), ['own'])
@@ -137,12 +106,12 @@
 
 test('a large task is not kept waiting by small ones that come later', () => {
   const planner = createPlanner({ w1: 8 })
-  planner.addJob('small', createJob([createStep({ taskCount: 3 })], { priority: 2 }), ACCEPTED_STATE, 0)
+  planner.addJob('small', createTestStepJob([createTestStep({ taskCount: 3 })], { priority: 2 }), ACCEPTED_STATE, 0)
   const small = planner.decide(0, 0, NOTHING).starts
   settle(planner, small, 1)
-  planner.addJob('large', createJob([createStep({ resources: { processors: 8, memoryMb: 1024, accelerators: 0 } })], { priority: 1, targetLatencyMs: 60_000 }), ACCEPTED_STATE, 10)
+  planner.addJob('large', createTestStepJob([createTestStep({ resources: { processors: 8, memoryMb: 1024, accelerators: 0 } })], { priority: 1, targetLatencyMs: 60_000 }), ACCEPTED_STATE, 10)
   planner.decide(10, 10, NOTHING)
-  planner.addJob('later', createJob([createStep({ taskCount: 4 })], { priority: 2, targetLatencyMs: 60_000 }), ACCEPTED_STATE, 20)
+  planner.addJob('later', createTestStepJob([createTestStep({ taskCount: 4 })], { priority: 2, targetLatencyMs: 60_000 }), ACCEPTED_STATE, 20)
   for (const [index, order] of small.entries()) end(planner, order, 'done', index + 1, 1000 + index)
   assert.equal(planner.decide(1100, 1100, NOTHING).starts.map((order) => order.job), ['large'])
 })
@@ -150,8 +119,8 @@
 test('advice is asked only for room that no step of a higher rank means to use', () => {
   const planner = createPlanner({ w1: 2 })
   const advice = { decisionMs: 10, eachMs: 1, validityMs: 1500 }
-  planner.addJob('first', createJob([createStep()], { priority: 0, advice }), ACCEPTED_STATE, 0)
-  planner.addJob('second', createJob([createStep()], { priority: 1, advice }), ACCEPTED_STATE, 0)
+  planner.addJob('first', createTestStepJob([createTestStep()], { priority: 0, advice }), ACCEPTED_STATE, 0)
+  planner.addJob('second', createTestStepJob([createTestStep()], { priority: 1, advice }), ACCEPTED_STATE, 0)
   const asked: string[] = []
   planner.decide(0, 0, (question) => asked.push(question.step) > 0)
   assert.equal(asked, ['first.0.0'])
@@ -160,7 +129,7 @@
 test('a step runs only where it has a ticket, and asks again when that has ended', () => {
   const planner = createPlanner({ w1: 2, w2: 2 })
   const advice = { decisionMs: 10, eachMs: 1, validityMs: 1500 }
-  planner.addJob('j', createJob([createStep({ taskCount: 2 })], { priority: 0, advice }), ACCEPTED_STATE, 0)
+  planner.addJob('j', createTestStepJob([createTestStep({ taskCount: 2 })], { priority: 0, advice }), ACCEPTED_STATE, 0)
   const questions: Parameters<TryAsk>[0][] = []
   const ask: TryAsk = (question) => questions.push(question) > 0
   assert.is(planner.decide(0, 0, ask).starts.length, 0)
@@ -175,7 +144,7 @@
 
 test('a gang starts whole or not at all, and again as a whole after a member broke', () => {
   const planner = createPlanner({ w1: 4, w2: 2 })
-  planner.addJob('g', createJob([createStep({ taskCount: 4, gang: true })]), ACCEPTED_STATE, 0)
+  planner.addJob('g', createTestStepJob([createTestStep({ taskCount: 4, gang: true })]), ACCEPTED_STATE, 0)
   assert.is(planner.decide(0, 0, NOTHING).starts.length, 0)
   planner.setWorker({ id: 'w3', failureDomain: 'a', labels: [], capacity: { processors: 2, memoryMb: 65536, accelerators: 0 }, draining: false })
   planner.setHeld('w3', true)
@@ -193,7 +162,7 @@
 
 test('no more tasks of a step run on one worker than it allows', () => {
   const planner = createPlanner({ w1: 16, w2: 16 })
-  planner.addJob('j', createJob([createStep({ taskCount: 5, maxPerWorker: 2 })]), ACCEPTED_STATE, 0)
+  planner.addJob('j', createTestStepJob([createTestStep({ taskCount: 5, maxPerWorker: 2 })]), ACCEPTED_STATE, 0)
   const counts = new Map<string, number>()
   for (const { worker } of planner.decide(0, 0, NOTHING).starts) counts.set(worker, (counts.get(worker) ?? 0) + 1)
   assert.equal([...counts.values()], [2, 2])
@@ -201,13 +170,13 @@
 
 test('tasks run near their data, elsewhere only when there is no room', () => {
   const planner = createPlanner({ far: 16, w1: 4 })
-  planner.addJob('j', createJob([createStep({ taskCount: 3, dataRack: 'r1' })]), ACCEPTED_STATE, 0)
+  planner.addJob('j', createTestStepJob([createTestStep({ taskCount: 3, dataRack: 'r1' })]), ACCEPTED_STATE, 0)
   assert.equal(planner.decide(0, 0, NOTHING).starts.map((order) => order.worker).sort(), ['far', 'w1', 'w1'])
 })
 
 test('each occurrence of a recurring job starts when it is due, also beside the one before', () => {
   const planner = createPlanner({ w1: 16 })
-  planner.addJob('j', createJob([createStep()], {}, { runCount: 3, firstRunMs: 1000, intervalMs: 500 }), ACCEPTED_STATE, 0)
+  planner.addJob('j', createTestStepJob([createTestStep()], {}, { runCount: 3, firstRunMs: 1000, intervalMs: 500 }), ACCEPTED_STATE, 0)
   assert.is(planner.decide(0, 999, NOTHING).starts.length, 0)
   assert.equal(planner.decide(1, 1000, NOTHING).starts.map((order) => order.occurrence), [0])
   assert.equal(planner.decide(2, 2000, NOTHING).starts.map((order) => order.occurrence), [1, 2])
@@ -216,7 +185,7 @@
 
 test('a run that stands still is stopped and starts elsewhere, one that creeps is left', () => {
   const planner = createPlanner({ w1: 2, w2: 2 })
-  planner.addJob('j', createJob([createStep({ taskCount: 2 })]), ACCEPTED_STATE, 0)
+  planner.addJob('j', createTestStepJob([createTestStep({ taskCount: 2 })]), ACCEPTED_STATE, 0)
   const starts = planner.decide(0, 0, NOTHING).starts
   settle(planner, starts, 1)
   const [hung, slow] = starts
@@ -233,7 +202,7 @@
 
 test('a long-running task is restarted however it ends, without a limit', () => {
   const planner = createPlanner({ w1: 16 })
-  planner.addJob('j', createJob([createStep({ longRunning: true })], { maxAttempts: 1 }), ACCEPTED_STATE, 0)
+  planner.addJob('j', createTestStepJob([createTestStep({ longRunning: true })], { maxAttempts: 1 }), ACCEPTED_STATE, 0)
   for (let run = 1; run <= 5; run++) {
     const [start] = planner.decide(run * 10_000, 0, NOTHING).starts
     assert.is(start?.run, run)
@@ -244,12 +213,12 @@
 
 test('a successor takes the runs of the table for running until the worker’s list tells', () => {
   const before = createPlanner({ w1: 4 })
-  before.addJob('j', createJob([createStep({ taskCount: 2 })]), ACCEPTED_STATE, 0)
+  before.addJob('j', createTestStepJob([createTestStep({ taskCount: 2 })]), ACCEPTED_STATE, 0)
   before.decide(0, 0, NOTHING)
   const record = before.readRecord('j')!
   const planner = createPlanner({ w1: 4 })
   planner.setHeld('w1', false)
-  planner.addJob('j', createJob([createStep({ taskCount: 2 })]), record, 0)
+  planner.addJob('j', createTestStepJob([createTestStep({ taskCount: 2 })]), record, 0)
   assert.is(planner.decide(10, 10, NOTHING).starts.length, 0)
   planner.recordReport('w1', {
     askedAtMs: 20, running: [{ job: 'j', occurrence: 0, step: 0, index: 0, run: 1, saved: '', percent: 10, load: 0 }], ended: []
--- a/packages/entry/src/testing/cellCluster.ts
+++ b/packages/entry/src/testing/cellCluster.ts
@@ -2,6 +2,7 @@
 import type { CellConfig, Clock, Resources, StartOrder, StepJob } from '@fuchsiatally/core'
 import { createFakeClock, type FakeClock } from '@fuchsiatally/core/testing/fakeClock'
 import { createMemoryEventLog, type MemoryEventLog } from '@fuchsiatally/core/testing/memoryEventLog'
+import { createTestStep, createTestStepJob } from '@fuchsiatally/core/testing/stepJobs'
 import { createSeededRandom } from '@fuchsiatally/core/testing/seededRandom'
 import { ok } from 'neverthrow'
 import { createCellEntry, type CellEntry } from '../cell/cellEntry.js'
@@ -60,30 +61,10 @@
 
 /** A job of one step of like tasks. */
 export function createTestJob (clock: Clock, taskCount: number, changes: Partial<StepJob['steps'][number]> = {}): StepJob {
-  return {
-    team: 'clubs',
-    policy: { queue: 'proof', service: SERVICE, priority: 0, maxAttempts: 3, stretch: 2, targetLatencyMs: 500 },
-    payload: 'text',
-    steps: [{
-      taskCount,
-      resources: { processors: 1, memoryMb: 1024, accelerators: 0 },
-      estimateMs: 1000,
-      after: [],
-      gang: false,
-      tightlyCoupled: false,
-      maxPerWorker: 0,
-      speculative: false,
-      longRunning: false,
-      targetMs: 0,
-      fills: false,
-      savesWork: false,
-      ...changes
-    }],
-    runCount: 0,
-    firstRunMs: 0,
-    intervalMs: 0,
-    acceptedAtMs: clock.wallMs()
-  }
+  const step = createTestStep({ taskCount, resources: { processors: 1, memoryMb: 1024, accelerators: 0 }, ...changes })
+  return createTestStepJob([step], { queue: 'proof', service: SERVICE, priority: 0, maxAttempts: 3, stretch: 2, targetLatencyMs: 500 }, {
+    payload: 'text', acceptedAtMs: clock.wallMs()
+  })
 }
 
 const rows: PlatformRows = {
