--- a/packages/entry/src/cell/tableHealth.ts
+++ b/packages/entry/src/cell/tableHealth.ts
@@ -28,7 +28,7 @@
   let commitMs = 0
   let isSlow = false
 
-  const noteCommit = (elapsedMs: number): void => {
+  const recordCommit = (elapsedMs: number): void => {
     commitMs += MEAN_WEIGHT * (elapsedMs - commitMs)
     if (isSlow ? commitMs > FAST_MS : commitMs < SLOW_MS) return
     isSlow = !isSlow
@@ -48,7 +48,7 @@
     commit: async (transaction, timeoutMs) => {
       const sentAtMs = clock.nowMs()
       const result = await watchCall(0, table.commit(transaction, timeoutMs))
-      if (result.isOk()) noteCommit(clock.nowMs() - sentAtMs)
+      if (result.isOk()) recordCommit(clock.nowMs() - sentAtMs)
       return result
     },
     readRange: (range) => watchCall(0, table.readRange(range)),
