In a crowd, what a client account sends beyond its weight goes last

Change: a token bucket per account, by the order of acceptance, marks the jobs beyond its weight; they go behind the others while the waiting work of some priority takes the whole cell longer than its jobs can wait on average. With room for all nothing changes. The objective now counts advice on thirty workers for each step, as the users do. Ranking is a file of its own. Tests: a hot account's excess goes behind the others in a crowd, and waits behind nobody where there is room.

--- a/packages/core/src/cell/__tests__/cellPlanner.spec.ts
+++ b/packages/core/src/cell/__tests__/cellPlanner.spec.ts
@@ -53,6 +53,36 @@
   assert.equal(order, ['onTime', 'late', 'hopeless'])
 })
 
+test('one team sends many times its share: in a crowd the excess goes behind the jobs of the others', () => {
+  const planner = createPlanner({ w1: 4 })
+  const step = createTestStep({ taskCount: 2 })
+  const addJobs = (team: string, count: number, fromMs: number): void => {
+    for (let job = 0; job < count; job++) {
+      planner.addJob(`${team}${job}`, createTestStepJob([step], { priority: 0, teamJobsPerS: 3 }, { team, acceptedAtMs: fromMs + job }), ACCEPTED_STATE, 0)
+    }
+  }
+  addJobs('hot', 30, 0)
+  addJobs('calm', 3, 40)
+  const order: string[] = []
+  for (let round = 1; order.length < 6; round++) {
+    const { starts } = planner.decide(round, 0, NOTHING)
+    settle(planner, starts, round)
+    for (const start of starts) {
+      if (start.index === 0) order.push(start.job)
+      end(planner, start, 'done', 100 * round + starts.indexOf(start), round + 1, '', starts.slice(starts.indexOf(start)))
+    }
+  }
+  assert.equal(order.sort(), ['calm0', 'calm1', 'calm2', 'hot0', 'hot1', 'hot2'])
+})
+
+test('one team sends many times its share: with room for all its jobs wait behind nobody', () => {
+  const planner = createPlanner({ w1: 60 })
+  for (let job = 0; job < 30; job++) {
+    planner.addJob(`hot${job}`, createTestStepJob([createTestStep()], { teamJobsPerS: 3 }, { team: 'hot', acceptedAtMs: job }), ACCEPTED_STATE, 0)
+  }
+  assert.is(planner.decide(1, 40, NOTHING).starts.length, 30)
+})
+
 test('work is stopped for a ceiling only once the ceiling is settled', () => {
   const planner = createPlanner({ w1: 16 })
   const noRoom = new Map([['clubs', { processors: 4, memoryMb: 65_536, accelerators: 0 }]])
--- a/packages/core/src/cell/constants.ts
+++ b/packages/core/src/cell/constants.ts
@@ -1,9 +1,15 @@
 /** Figures of the cell planner. */
 
+/** Cores that an accelerator counts as; from the users' price of work. */
+export const ACCELERATOR_CORES = 8
+/** Waiting work of one priority that never counts as crowded, in milliseconds of the whole cell; about half of the shortest task. */
+export const MIN_CROWDED_MS = 300
 /** Latest multiple of a job's objective at which its end still earns something; from the users' rule of credit. */
 export const LATE_FACTOR = 3
 /** Milliseconds taken off an advice ticket's validity: one commit and one order must fit before it ends. */
 export const TICKET_MARGIN_MS = 150
+/** Workers whose advice the users count into a job's objective, for each step. */
+export const OBJECTIVE_ADVICE_WORKERS = 30
 /** Workers named in one call for advice; the advice service takes 100 at most, and each one named costs time. */
 export const ADVICE_WORKERS = 40
 /** Milliseconds during which a worker that refused a start gets no other one; about two polls of it. */
--- a/packages/core/src/cell/createCellPlanner.ts
+++ b/packages/core/src/cell/createCellPlanner.ts
@@ -5,17 +5,12 @@
 import { createJobBook } from './jobBook.js'
 import { listTasks, type CellTask } from './jobState.js'
 import type { CellDecisions, CellPlanner, StartOrder, TryAsk } from './plannerTypes.js'
-import { chooseAdviceWorkers, estimateRemainingMs, listStartable, mayBeSuitable, recordAdvice, recordAdviceFailed, type ReadFree, type StepRun } from './stepRun.js'
+import { chooseAdviceWorkers, listStartable, mayBeSuitable, recordAdvice, recordAdviceFailed, type ReadFree, type StepRun } from './stepRun.js'
 import { chooseCeilingVictims, reserveRoom } from './roomReserve.js'
 import { buildRunName, createRunAccounts } from './runAccounts.js'
+import { computeCores, rankRuns, type RankedRun } from './runRanking.js'
 import { placeTasks } from './stepPlacement.js'
 import { createTeamUse } from './teamUse.js'
-import { compareUrgency, computeUrgency, type Urgency } from './urgency.js'
-
-interface RankedRun {
-  readonly run: StepRun
-  readonly rank: Urgency
-}
 
 /** Creates a planner without jobs or workers. */
 export function createCellPlanner (): CellPlanner {
@@ -24,14 +19,10 @@
   const accounts = createRunAccounts(book, teams)
   const { workers, findStep } = accounts
 
-  const sortRuns = (nowMs: number, wallMs: number): RankedRun[] => {
-    const ranked: RankedRun[] = []
-    for (const run of book.listWaitingRuns()) {
-      const rank = computeUrgency(run.job.spec, run.occurrence.index, estimateRemainingMs(run), wallMs)
-      const isOverdue = run.step.longRunning && run.waitingSinceMs !== null && nowMs - run.waitingSinceMs > LASTING_HOLD_AFTER_MS
-      ranked.push({ run, rank: run.step.longRunning ? { ...rank, standing: 0, priority: isOverdue ? -1 : rank.priority } : rank })
-    }
-    return ranked.sort((a, b) => compareUrgency(a.rank, b.rank))
+  const readCapacityCores = (): number => {
+    let cores = 0
+    for (const worker of workers.values()) if (worker.held) cores += computeCores(worker.facts.capacity)
+    return cores
   }
 
   const startTask = (run: StepRun, task: CellTask, worker: CellWorker, number: number): StartOrder => {
@@ -157,7 +148,8 @@
       return subtractResources(computeFree(worker), taken)
     }
     let holding = 0
-    for (const ranked of sortRuns(nowMs, wallMs)) {
+    const ranking = rankRuns({ runs: book.listWaitingRuns(), capacityCores: readCapacityCores(), nowMs, wallMs })
+    for (const ranked of ranking) {
       const { run } = ranked
       const left = startRun(ranked, held, nowMs, starts)
       if (left.length === 0) continue
--- a/packages/core/src/cell/jobBook.ts
+++ b/packages/core/src/cell/jobBook.ts
@@ -3,6 +3,7 @@
 import type { RunName } from './plannerTypes.js'
 import type { StepJob } from './stepJob.js'
 import { createStepRun, type StepRun } from './stepRun.js'
+import { createTeamShare } from './teamShare.js'
 
 /** Jobs in memory. */
 export interface JobBook {
@@ -53,6 +54,7 @@
   const waiting = new Set<StepRun>()
   const timed = new Set<CellJob>()
   const changed = new Set<string>()
+  const share = createTeamShare()
 
   const openReadySteps = (job: CellJob, occurrence: Occurrence, nowMs: number): void => {
     if (isFinal(job.phase)) return
@@ -110,7 +112,9 @@
 
   return {
     addJob: (id, spec, record, nowMs) => {
-      const job = createCellJob(id, spec, record)
+      const { teamJobsPerS } = spec.policy
+      const isBeyondShare = teamJobsPerS !== undefined && share.recordJob(spec.team, teamJobsPerS, spec.acceptedAtMs)
+      const job = createCellJob(id, spec, record, isBeyondShare)
       jobs.set(id, job)
       if (isFinal(job.phase)) return job
       for (const occurrence of job.occurrences.values()) openReadySteps(job, occurrence, nowMs)
@@ -119,7 +123,7 @@
       return job
     },
     addEndedJob: (id, phase, endedAtMs) => {
-      jobs.set(id, { id, spec: FORGOTTEN_SPEC, phase, occurrences: new Map(), endedAtMs })
+      jobs.set(id, { id, spec: FORGOTTEN_SPEC, isBeyondShare: false, phase, occurrences: new Map(), endedAtMs })
     },
     findJob: (id) => jobs.get(id),
     findTask,
--- a/packages/core/src/cell/jobState.ts
+++ b/packages/core/src/cell/jobState.ts
@@ -50,6 +50,8 @@
 export interface CellJob {
   readonly id: string
   readonly spec: StepJob
+  /** Its team had sent as many jobs as it is owed. */
+  readonly isBeyondShare: boolean
   phase: JobPhase
   occurrences: Map<number, Occurrence>
   /** Wall clock of the end, in milliseconds since 1970; 0 before it. */
@@ -97,8 +99,8 @@
 }
 
 /** Restores a job from its rows. */
-export function createCellJob (id: string, spec: StepJob, record: JobStateRecord): CellJob {
-  const job: CellJob = { id, spec, phase: record.phase, occurrences: new Map(), endedAtMs: record.endedAtMs }
+export function createCellJob (id: string, spec: StepJob, record: JobStateRecord, isBeyondShare: boolean): CellJob {
+  const job: CellJob = { id, spec, isBeyondShare, phase: record.phase, occurrences: new Map(), endedAtMs: record.endedAtMs }
   for (const [index, steps] of record.occurrences) {
     const occurrence = createOccurrence(id, spec, index)
     for (const [stepIndex, rows] of steps.entries()) {
--- a/packages/core/src/cell/plannerTypes.ts
+++ b/packages/core/src/cell/plannerTypes.ts
@@ -98,6 +98,7 @@
   setTeamLimits: (limits: ReadonlyMap<string, Resources>, areSettled?: boolean) => void
   /** What each team runs here, and what waited for its ceiling in the last round of planning. */
   listTeamDemand: () => ReadonlyMap<string, TeamDemand>
+  /** Jobs of one team in the order of their acceptance, as far as it is known: what it sends beyond its share goes last while all is full. */
   addJob: (id: string, spec: StepJob, record: JobStateRecord, nowMs: number) => void
   /** Takes note of a job that has ended and holds nothing; its steps need not be known any more. */
   addEndedJob: (id: string, phase: JobPhase, endedAtMs: number) => void
--- a/packages/core/src/cell/roomReserve.ts
+++ b/packages/core/src/cell/roomReserve.ts
@@ -1,9 +1,9 @@
 /** Holds room for steps that found none, and chooses running tasks of less urgent work to make way for them. */
 import { addResources, hasRoomFor, NO_RESOURCES, subtractResources, type Resources } from '../schema/resources.js'
 import { canEverRun, computeFree, computeStepRoom, isOpen, type CellWorker } from './cellWorker.js'
-import { MAX_PREEMPTIONS } from './constants.js'
+import { ACCELERATOR_CORES, MAX_PREEMPTIONS } from './constants.js'
 import type { CellTask } from './jobState.js'
-import { ACCELERATOR_CORES, MEMORY_PER_CORE_MB } from './stepPlacement.js'
+import { MEMORY_PER_CORE_MB } from './stepPlacement.js'
 import type { JobStep } from './stepJob.js'
 import type { StepRun } from './stepRun.js'
 
--- a/packages/core/src/cell/stepJob.ts
+++ b/packages/core/src/cell/stepJob.ts
@@ -60,6 +60,8 @@
   /** The job's objective is `stretch` times its longest chain plus `targetLatencyMs`. */
   stretch: Duration,
   targetLatencyMs: Duration,
+  /** Jobs a second that the team is owed while all is full; no limit where absent. */
+  teamJobsPerS: Schema.optionalKey(Duration),
   advice: Schema.optionalKey(AdvicePolicy)
 })
 export type QueuePolicy = typeof QueuePolicy.Type
--- a/packages/core/src/cell/stepPlacement.ts
+++ b/packages/core/src/cell/stepPlacement.ts
@@ -1,5 +1,6 @@
 /** Chooses workers for the tasks of a step. */
 import { hasRoomFor, subtractResources, type Resources } from '../schema/resources.js'
+import { ACCELERATOR_CORES } from './constants.js'
 import { canEverRun, computeFree, isOpen, type CellWorker } from './cellWorker.js'
 import { hasTicket, type StepRun } from './stepRun.js'
 import type { CellTask } from './jobState.js'
@@ -57,8 +58,6 @@
   return left.accelerators * ACCELERATOR_CORES + Math.max(0, left.processors) + left.memoryMb / MEMORY_PER_CORE_MB
 }
 
-/** Cores that an accelerator counts as; from the users' price of work. */
-export const ACCELERATOR_CORES = 8
 /** Memory that weighs as much as a core: 64 GB on 16 cores. */
 export const MEMORY_PER_CORE_MB = 4096
 /** Weight of a worker far from the data against its fit; larger than any left-over room. */
--- a/packages/core/src/cell/urgency.ts
+++ b/packages/core/src/cell/urgency.ts
@@ -1,5 +1,6 @@
-/** Order in which waiting steps get room: on time before late before hopeless, then priority, then least slack. */
-import { LATE_FACTOR } from './constants.js'
+/** Order in which waiting steps get room: on time before late before hopeless, then priority, then least slack; in a crowd by share first. */
+import { LATE_FACTOR, OBJECTIVE_ADVICE_WORKERS } from './constants.js'
+import type { CellJob } from './jobState.js'
 import { computeChainMs, type StepJob } from './stepJob.js'
 
 /** Rank of a waiting step; compared field by field. */
@@ -10,12 +11,14 @@
   readonly priority: number
   /** Wall clock of the objective less the work that is left, in milliseconds since 1970. */
   readonly latestStartMs: number
+  /** Its team had sent as many jobs as it is owed before. */
+  readonly isBeyondShare: boolean
 }
 
 /** Time from acceptance, or from the due time of an occurrence, within which a job should end. */
 export function computeObjectiveMs (spec: StepJob): number {
   const { policy } = spec
-  const adviceMs = policy.advice === undefined ? 0 : policy.advice.decisionMs * spec.steps.length
+  const adviceMs = policy.advice === undefined ? 0 : (policy.advice.decisionMs + OBJECTIVE_ADVICE_WORKERS * policy.advice.eachMs) * spec.steps.length
   return policy.targetLatencyMs + policy.stretch * (computeChainMs(spec.steps) + adviceMs)
 }
 
@@ -25,7 +28,8 @@
 }
 
 /** Computes the rank of a step whose remaining chain, itself included, takes `remainingMs`. */
-export function computeUrgency (spec: StepJob, occurrence: number, remainingMs: number, wallMs: number): Urgency {
+export function computeUrgency (job: CellJob, occurrence: number, remainingMs: number, wallMs: number): Urgency {
+  const { spec } = job
   const dueMs = computeDueMs(spec, occurrence)
   const objectiveMs = computeObjectiveMs(spec)
   const latestStartMs = dueMs + objectiveMs - remainingMs
@@ -33,11 +37,20 @@
   return {
     standing: wallMs <= latestStartMs ? 0 : wallMs <= latestLateMs ? 1 : 2,
     priority: spec.policy.priority,
-    latestStartMs
+    latestStartMs,
+    isBeyondShare: job.isBeyondShare
   }
 }
 
-/** Orders two ranks; negative where `a` goes first. */
-export function compareUrgency (a: Urgency, b: Urgency): number {
+/**
+ * Orders two ranks; negative where `a` goes first.
+ *
+ * @param isCrowded there is not room enough for all to be in time: what a team sends beyond its share goes behind the work of others
+ */
+export function compareUrgency (a: Urgency, b: Urgency, isCrowded: boolean): number {
+  if (isCrowded) {
+    const byShare = Number(a.standing === 2) - Number(b.standing === 2) || Number(a.isBeyondShare) - Number(b.isBeyondShare)
+    if (byShare !== 0) return byShare
+  }
   return a.standing - b.standing || a.priority - b.priority || a.latestStartMs - b.latestStartMs
 }
--- a/packages/entry/src/cell/cellJobs.ts
+++ b/packages/entry/src/cell/cellJobs.ts
@@ -1,5 +1,5 @@
 /** Brings the accepted jobs of a cell into its planner: all of them first, then what is new. */
-import { ACCEPTED_STATE, createDisposableStore, isFinal, type CellPlanner, type Clock, type Disposable, type EventLog, type StepJob } from '@fuchsiatally/core'
+import { ACCEPTED_STATE, createDisposableStore, isFinal, type CellPlanner, type Clock, type Disposable, type EventLog, type JobStateRecord, type StepJob } from '@fuchsiatally/core'
 import { createSerialLoop } from '../process/serialLoop.js'
 import { JOB_READ_MS, WRITE_RETRY_MS } from './constants.js'
 import { cellLoaded } from './events.js'
@@ -61,6 +61,7 @@
     if (jobs === undefined || states === undefined || jobs.isErr() || states.isErr()) return false
     const records = new Map(states.value.rows.map((row) => [row.key, row]))
     const cancelled: string[] = []
+    const open: { readonly id: string, readonly spec: StepJob, readonly state: JobStateRecord }[] = []
     for (const row of jobs.value.rows) {
       if (row.key.endsWith(CANCEL_SUFFIX)) {
         cancelled.push(row.key.slice(0, -CANCEL_SUFFIX.length))
@@ -75,8 +76,11 @@
         continue
       }
       const spec = parseJobRow(row, events)
-      if (spec !== null) planner.addJob(row.key, spec, state, clock.nowMs())
+      if (spec !== null) open.push({ id: row.key, spec, state })
     }
+    // The planner tells what a team sends beyond its share by the order of acceptance.
+    open.sort((a, b) => a.spec.acceptedAtMs - b.spec.acceptedAtMs)
+    for (const { id, spec, state } of open) planner.addJob(id, spec, state, clock.nowMs())
     for (const id of cancelled) cancel(id)
     version = jobs.value.version
     if (!loaded) {
