--- a/packages/entry/src/cell/cellCommits.ts
+++ b/packages/entry/src/cell/cellCommits.ts
@@ -6,7 +6,6 @@
 import { formatRun } from './formatRun.js'
 import { CANCEL_SUFFIX, CELL_TABLE, HOLDER_KEY, JOB_TABLE, parseHolderRow, STATE_TABLE, type HolderRow } from './holderRow.js'
 import type { CellTable, CellTransaction } from './ports.js'
-import { createCallPatience } from './tableHealth.js'
 import type { WorkerContact } from './workerContact.js'
 
 /** Options of the commits. */
@@ -61,7 +60,6 @@
   let dropped: string[] = []
   /** How the last commit failed. */
   let failed: 'refused' | 'unknown' | null = null
-  const patience = createCallPatience()
   let failures = 0
   let stopped = false
   let releasing = false
@@ -97,16 +95,14 @@
 
   const commit = async (transaction: CellTransaction, renews: boolean): Promise<Outcome> => {
     const sent = { nowMs: clock.nowMs(), wallMs: clock.wallMs() }
-    const result = await table.commit(transaction, patience.readTimeoutMs())
+    const result = await table.commit(transaction)
     if (result.isErr()) {
       failed = result.error.kind
-      if (failed === 'unknown') patience.recordTimeout()
       // A try that lands late must find another version of the holder's row than the one it was made for.
       if (result.error.kind === 'unknown') mustRenew = true
       return 'failed'
     }
     failed = null
-    patience.recordAnswer(clock.nowMs() - sent.nowMs)
     if (result.value.kind === 'applied') {
       if (renews) {
         version = result.value.version
--- a/packages/entry/src/cell/jobDesk.ts
+++ b/packages/entry/src/cell/jobDesk.ts
@@ -8,7 +8,7 @@
 import { cellJobAccepted, cellJobCancelled, cellJobRefused, cellJobUnsettled } from './events.js'
 import { CANCEL_SUFFIX, JOB_TABLE, parseJobRow, parseStateRow, STATE_TABLE } from './holderRow.js'
 import type { CellTransaction, CommitResult } from './ports.js'
-import { createCallPatience, type WatchedTable } from './tableHealth.js'
+import type { WatchedTable } from './tableHealth.js'
 
 /** Outcome of a caller's write. `unsettled`: its fate isn't known, no true answer can be given. */
 export type DeskOutcome = 'done' | 'unknownJob' | 'refused' | 'unsettled'
@@ -76,8 +76,6 @@
   }
   mesh.onMessage('jobUnsettled', ({ job }) => recordUnsettled(job))
 
-  const patience = createCallPatience()
-
   /** Sends a write until its fate is known; the first answer of each try counts for all of them. */
   const settleWrite = async (
     transaction: CellTransaction, deadlineMs: number, onUnknown: () => void
@@ -86,14 +84,9 @@
     if (table.isSuspect()) return 'refused'
     let mayHaveApplied = false
     for (;;) {
-      const sentAtMs = clock.nowMs()
-      const result = await table.commit(transaction, Math.max(1, Math.min(patience.readTimeoutMs(), deadlineMs - ANSWER_MARGIN_MS - sentAtMs)))
-      if (result.isOk()) {
-        patience.recordAnswer(clock.nowMs() - sentAtMs)
-        return result.value
-      }
+      const result = await table.commit(transaction, Math.max(1, deadlineMs - ANSWER_MARGIN_MS - clock.nowMs()))
+      if (result.isOk()) return result.value
       if (result.error.kind === 'unknown') {
-        patience.recordTimeout()
         if (!mayHaveApplied) onUnknown()
         mayHaveApplied = true
       } else if (!mayHaveApplied) return 'refused'
--- a/packages/entry/src/cell/tableHealth.ts
+++ b/packages/entry/src/cell/tableHealth.ts
@@ -5,7 +5,7 @@
 import { tableFast, tableSlow } from './events.js'
 import type { CallFailure, CellTable } from './ports.js'
 
-/** A table whose health is known. */
+/** A table whose health is known. Commits without an answer count as lost after a time that follows how long commits take. */
 export interface WatchedTable extends CellTable {
   /** Whether calls go without an answer at this moment: what is sent now would probably share their fate. */
   isSuspect: () => boolean
@@ -24,6 +24,7 @@
 export function createWatchedTable (table: CellTable, clock: Clock, events: EventLog): WatchedTable {
   /** Times at which the calls that wait for an answer should have one. */
   const pending = new Set<{ readonly dueAtMs: number }>()
+  const patience = createCallPatience()
   let lastFailed = false
   let commitMs = 0
   let isSlow = false
@@ -45,10 +46,15 @@
   }
 
   return {
-    commit: async (transaction, timeoutMs) => {
+    commit: async (transaction, timeoutMs = TABLE_CALL_MS) => {
       const sentAtMs = clock.nowMs()
-      const result = await watchCall(0, table.commit(transaction, timeoutMs))
-      if (result.isOk()) recordCommit(clock.nowMs() - sentAtMs)
+      const limitMs = Math.min(timeoutMs, patience.readTimeoutMs())
+      const result = await watchCall(0, table.commit(transaction, limitMs))
+      const elapsedMs = clock.nowMs() - sentAtMs
+      if (result.isOk()) {
+        patience.recordAnswer(elapsedMs)
+        recordCommit(elapsedMs)
+      } else if (result.error.kind === 'unknown' && elapsedMs >= limitMs) patience.recordTimeout()
       return result
     },
     readRange: (range) => watchCall(0, table.readRange(range)),
