trace names what held a late job up; a holder logs 440 starts a second

Change: it lists lost workers, stops for others, failed and lapsed runs, starts and advice without an answer, advice that allows nobody, refusals before the acceptance, ceilings that were not known yet, a slow or silent table; without any of these, room or the team's ceiling, or the run that took long. The budget is 440 now (four times the starts a second of the two-year size); its test states that bound instead of 250.

--- a/packages/cli/src/trace/__tests__/traceJob.spec.ts
+++ b/packages/cli/src/trace/__tests__/traceJob.spec.ts
@@ -65,6 +65,44 @@
   assert.match(summarizeJob(JOB, parseAll({ a: buildFailures(true) })).cause, 'the workers are at fault')
 })
 
+test('what held a late job up is named: a worker that was lost, stops, advice that allows nobody', () => {
+  const trace = summarizeJob(JOB, parseAll({
+    a: [
+      buildLine(1, 'FT830', 'Job accepted', { job: JOB }),
+      buildLine(1.1, 'FT840', 'Placement advice received', { step: `${JOB}.0.0`, asked: 10, good: 0, waitedMs: 30 }),
+      buildLine(1.2, 'FT820', 'Run placed', { run: `${JOB}.0.0.0#1`, worker: 'w1' }),
+      buildLine(2, 'FT822', 'Order without an answer', { run: `${JOB}.0.0.0#1`, worker: 'w1' }),
+      buildLine(4, 'FT812', 'Worker lost with its runs', { worker: 'w1', reason: 'its lease has lapsed' }),
+      buildLine(4, 'FT812', 'Worker lost with its runs', { worker: 'w2', reason: 'its lease has lapsed' }),
+      buildLine(4.1, 'FT820', 'Run placed', { run: `${JOB}.0.0.0#2`, worker: 'w3' }),
+      buildLine(4.2, 'FT824', 'Run is being stopped', { run: `${JOB}.0.0.0#2`, worker: 'w3', reason: 'preempted' }),
+      buildLine(5, 'FT820', 'Run placed', { run: `${JOB}.0.0.0#3`, worker: 'w3' }),
+      buildLine(6, 'FT823', 'Run ended', { run: `${JOB}.0.0.0#3`, worker: 'w3', how: 'done' }),
+      buildLine(6.1, 'FT825', 'Job ended', { job: JOB, phase: 'completed' })
+    ]
+  }))
+  assert.equal(trace.reasons, [
+    'worker w1 was lost with its runs',
+    `none of the 10 workers asked about may run step ${JOB}.0.0`,
+    '1 run was stopped (preempted)',
+    '1 start had no answer'
+  ])
+})
+
+test('a wait without any other reason is put down to room, to advice, or to a run that took long', () => {
+  const build = (...ends: string[]) => summarizeJob(JOB, parseAll({ a: [buildLine(1, 'FT830', 'Job accepted', { job: JOB }), ...ends] })).reasons
+  assert.equal(build(buildLine(3, 'FT820', 'Run placed', { run: `${JOB}.0.0.0#1`, worker: 'w1' })), ['it waited for room, or below its team\'s ceiling'])
+  const advice = (waitedMs: number): string => buildLine(3, 'FT840', 'Placement advice received', { step: `${JOB}.0.0`, asked: 10, good: 3, waitedMs })
+  assert.equal(build(advice(1900)), ['the question for advice took 1900 ms'])
+  assert.equal(build(advice(30)), ['it waited for room, or below its team\'s ceiling, before advice was asked'])
+  assert.equal(build(
+    buildLine(1.1, 'FT820', 'Run placed', { run: `${JOB}.0.0.0#1`, worker: 'w1' }),
+    buildLine(1.2, 'FT820', 'Run placed', { run: `${JOB}.0.0.1#1`, worker: 'w2' }),
+    buildLine(1.3, 'FT823', 'Run ended', { run: `${JOB}.0.0.1#1`, worker: 'w2', how: 'done' }),
+    buildLine(4, 'FT823', 'Run ended', { run: `${JOB}.0.0.0#1`, worker: 'w1', how: 'done' })
+  ), [`run ${JOB}.0.0.0#1 took 2900 ms at worker w1`])
+})
+
 test('lines may carry the name of their process, and other output is left out', () => {
   const parsed = parseLog(`  1.5 frontend-a-1 ${buildLine(1, 'FT830', 'Job accepted', { job: JOB })}\nsomething else\n`, 'file')
   assert.is(parsed.lines[0]?.source, 'frontend-a-1')
--- a/packages/cli/src/trace/traceJob.ts
+++ b/packages/cli/src/trace/traceJob.ts
@@ -1,5 +1,7 @@
 /** Puts the lines of one job in causal order and names what became of it and what cost the most time. */
 import type { LogLine } from './logLines.js'
+import { ACCEPTED, JOB_ENDED, readJobId, REFUSED, RUN_ENDED, RUN_PLACED, UNSETTLED } from './traceEvents.js'
+import { listWaitReasons } from './waitReasons.js'
 
 /** A line with the time since the first one, on one time base. */
 export interface TracedLine extends LogLine {
@@ -13,30 +15,17 @@
   readonly outcome: 'completed' | 'failed' | 'cancelled' | 'refused' | 'unsettled' | 'open' | 'unknown'
   /** Cause in words, from the lines alone. */
   readonly cause: string
+  /** What held it up, as far as the logs show it. */
+  readonly reasons: readonly string[]
   /** Longest wait between two lines of the job. */
   readonly longestWait: { readonly ms: number, readonly before: string, readonly after: string } | null
 }
 
-const ACCEPTED = 'FT830'
-const REFUSED = 'FT831'
-const UNSETTLED = 'FT832'
-const RUN_PLACED = 'FT820'
-const RUN_ENDED = 'FT823'
-const JOB_ENDED = 'FT825'
-const CELL_TAKEN = 'FT801'
 /** Share of failed runs from which a worker counts as failing by itself. */
 const BAD_WORKER_SHARE = 0.5
 /** Runs of other jobs that a worker must have ended before it is judged. */
 const MIN_JUDGED_RUNS = 3
 
-function readJobId (line: LogLine): string | null {
-  for (const name of ['job', 'run', 'step']) {
-    const value = line.fields[name]
-    if (typeof value === 'string') return value.split('.')[0] ?? null
-  }
-  return null
-}
-
 /**
  * Offsets that bring the clocks of the sources together as far as this job needs it: what a process says of a job
  * comes after the job's acceptance at another one.
@@ -91,11 +80,10 @@
   return `${runs}; ${bad.join(', ')} fails most of what it runs, so the workers are at fault`
 }
 
-function explainWait (all: readonly LogLine[], wait: JobTrace['longestWait'], from: number, to: number): string {
+function describeWait (wait: JobTrace['longestWait'], reasons: readonly string[]): string {
   if (wait === null) return 'no wait'
-  const taken = all.filter((line) => line.event === CELL_TAKEN && line.timeMs >= from && line.timeMs <= to)
-  const holder = taken.length === 0 ? '' : `; meanwhile ${taken.map((line) => `${String(line.fields['cell'])} was taken by ${line.source} (epoch ${String(line.fields['epoch'])})`).join(', ')}`
-  return `longest wait ${Math.round(wait.ms)} ms, between "${wait.before}" and "${wait.after}"${holder}`
+  const because = reasons.length === 0 ? '' : `; ${reasons.join('; ')}`
+  return `longest wait ${Math.round(wait.ms)} ms, between "${wait.before}" and "${wait.after}"${because}`
 }
 
 /** Traces a job through the lines of all processes. */
@@ -107,16 +95,22 @@
   const lines = shifted.map(({ line, timeMs }): TracedLine => ({ ...line, sinceMs: timeMs - startMs }))
   let longestWait: JobTrace['longestWait'] = null
   let window = { from: startMs, to: startMs }
+  let waitEnd: LogLine | undefined
   for (const [index, line] of lines.entries()) {
     const previous = lines[index - 1]
     // Between placing and end a run works: that is no wait.
     if (previous === undefined || (previous.event === RUN_PLACED && line.event === RUN_ENDED)) continue
+    // Submissions that come again after the end are answered from what is known.
+    if (previous.event === JOB_ENDED) break
     const ms = line.sinceMs - previous.sinceMs
     if (longestWait !== null && ms <= longestWait.ms) continue
     longestWait = { ms, before: `${previous.event} ${previous.title}`, after: `${line.event} ${line.title}` }
     window = { from: startMs + previous.sinceMs, to: startMs + line.sinceMs }
+    waitEnd = line
   }
   const outcome = findOutcome(lines)
+  const life = { from: startMs, to: startMs + (lines.at(-1)?.sinceMs ?? 0) }
+  const reasons = listWaitReasons(all, own, life, window, waitEnd)
   const refusal = lines.findLast((line) => line.event === REFUSED)
   const cause = outcome === 'failed'
     ? explainFailure(all, lines, job)
@@ -124,6 +118,6 @@
       ? `refused: ${String(refusal?.fields['reason'])}`
       : outcome === 'unsettled'
         ? 'the write of the submission had no answer before the caller’s deadline'
-        : outcome === 'unknown' ? 'no line of these logs names the job' : explainWait(all, longestWait, window.from, window.to)
-  return { job, lines, outcome, cause, longestWait }
+        : outcome === 'unknown' ? 'no line of these logs names the job' : describeWait(longestWait, reasons)
+  return { job, lines, outcome, cause, longestWait, reasons }
 }
--- a/packages/entry/src/telemetry/__tests__/lineWriter.spec.ts
+++ b/packages/entry/src/telemetry/__tests__/lineWriter.spec.ts
@@ -35,7 +35,7 @@
   clock.advance(1500)
   log.record(cellJobRefused, { job: 'k' })
   const count = (event: string): number => lines.filter((line) => line.includes(`"event":"${event}"`)).length
-  assert.is(count('FT820'), 250)
+  assert.is(count('FT820'), 440)
   assert.is(count('FT831'), 2)
   const [summary] = lines.filter((line) => line.includes('"FT890"'))
   assert.match(summary ?? '', '"FT820":750')
--- a/packages/entry/src/telemetry/lineBudget.ts
+++ b/packages/entry/src/telemetry/lineBudget.ts
@@ -1,8 +1,8 @@
 /** Bounds the lines that one kind of event may write a second; what exceeds them is summed up. */
 import type { Clock } from '@fuchsiatally/core'
 
-/** Lines a second of one event; at two-year size 110 runs start a second, a burst doubles that. */
-const LINES_PER_S = 250
+/** Lines a second of one event; at two-year size 110 runs start a second, and a new holder starts four times as many. */
+const LINES_PER_S = 440
 const SECOND_MS = 1000
 
 /** Budget of all events. */
