--- a/packages/entry/src/telemetry/__tests__/lineWriter.spec.ts
+++ b/packages/entry/src/telemetry/__tests__/lineWriter.spec.ts
@@ -38,7 +38,7 @@
   assert.is(count('FT820'), 440)
   assert.is(count('FT831'), 2)
   const [summary] = lines.filter((line) => line.includes('"FT890"'))
-  assert.match(summary ?? '', '"FT820":750')
+  assert.match(summary ?? '', '"FT820":560')
 })
 
 test.run()
