--- a/packages/core/src/cell/__tests__/cellPlanner.spec.ts
+++ b/packages/core/src/cell/__tests__/cellPlanner.spec.ts
@@ -230,6 +230,21 @@
   assert.equal(planner.decide(4200, 0, NOTHING).starts.map((order) => order.worker), [slow!.worker])
 })
 
+test('a run of ten minutes, whose percent rarely moves, is not taken for one that stands still', () => {
+  const planner = createPlanner({ w1: 2 })
+  planner.addJob('j', createTestStepJob([createTestStep({ estimateMs: 600_000 })]), ACCEPTED_STATE, 0)
+  const starts = planner.decide(0, 0, NOTHING).starts
+  settle(planner, starts, 1)
+  const report = (atMs: number): void => {
+    planner.recordReport('w1', { askedAtMs: atMs, running: [{ ...starts[0]!, saved: '', percent: 3, load: 0 }], ended: [] }, atMs, 0)
+  }
+  report(1000)
+  report(20_000)
+  assert.equal(planner.decide(20_000, 0, NOTHING).stops, [])
+  report(40_000)
+  assert.is(planner.decide(40_000, 0, NOTHING).stops.length, 1)
+})
+
 test('a long-running task is restarted however it ends, without a limit', () => {
   const planner = createPlanner({ w1: 16 })
   planner.addJob('j', createTestStepJob([createTestStep({ longRunning: true })], { maxAttempts: 1 }), ACCEPTED_STATE, 0)
--- a/packages/core/src/cell/constants.ts
+++ b/packages/core/src/cell/constants.ts
@@ -24,6 +24,8 @@
 export const ADVICE_RETRY_MS = 250
 /** A run without progress for this long stands still, in milliseconds: lists come once a second, and one of them may be late. */
 export const STALL_MS = 1700
+/** Part of its declared run time for which a run may show no progress: workers tell it in whole percent, and estimates may be half of the time. */
+export const STALL_SHARE = 0.05
 /** A gang that has waited this long gets room held back for it, in milliseconds; a fifth of the shortest gang objective. */
 export const HOLD_AFTER_MS = 400
 /** A long-running task that has waited this long goes first and gets room held back; half of the 6 s that the users grant, less advice. */
--- a/packages/core/src/cell/createCellPlanner.ts
+++ b/packages/core/src/cell/createCellPlanner.ts
@@ -8,7 +8,7 @@
 import { chooseAdviceWorkers, listStartable, mayBeSuitable, recordAdvice, recordAdviceFailed, type ReadFree, type StepRun } from './stepRun.js'
 import { chooseCeilingVictims, reserveRoom } from './roomReserve.js'
 import { buildRunName, createRunAccounts } from './runAccounts.js'
-import { computeCores, rankRuns, type RankedRun } from './runRanking.js'
+import { computeCores, sortRuns, type RankedRun } from './runRanking.js'
 import { placeTasks } from './stepPlacement.js'
 import { createTeamUse } from './teamUse.js'
 
@@ -148,7 +148,7 @@
       return subtractResources(computeFree(worker), taken)
     }
     let holding = 0
-    const ranking = rankRuns({ runs: book.listWaitingRuns(), capacityCores: readCapacityCores(), nowMs, wallMs })
+    const ranking = sortRuns({ runs: book.listWaitingRuns(), capacityCores: readCapacityCores(), nowMs, wallMs })
     for (const ranked of ranking) {
       const { run } = ranked
       const left = startRun(ranked, held, nowMs, starts)
--- a/packages/core/src/cell/runAccounts.ts
+++ b/packages/core/src/cell/runAccounts.ts
@@ -1,6 +1,6 @@
 /** Runs of a cell at its workers: the room and ceilings they take, the stops they need, and what the workers' lists say of them. */
 import { addTaskTo, createCellWorker, recordEndAt, recordRefusalAt, removeTaskFrom, type CellWorker } from './cellWorker.js'
-import { STALL_MS } from './constants.js'
+import { STALL_MS, STALL_SHARE } from './constants.js'
 import type { JobBook } from './jobBook.js'
 import type { CellTask } from './jobState.js'
 import { listTasks } from './jobState.js'
@@ -162,7 +162,8 @@
     task.percent = percent
     const step = findStep(task)
     // Members of a gang wait for each other, fillers for idle processors, and long-running tasks have no end to come nearer to.
-    if (step.gang || step.fills || step.longRunning || task.stopping || nowMs - task.progressedAtMs < STALL_MS) return
+    if (step.gang || step.fills || step.longRunning || task.stopping) return
+    if (nowMs - task.progressedAtMs < Math.max(STALL_MS, STALL_SHARE * step.estimateMs)) return
     recordRefusalAt(worker, nowMs)
     scheduleStop(task, 'stalled')
   }
--- a/packages/core/src/cell/runRanking.ts
+++ b/packages/core/src/cell/runRanking.ts
@@ -32,7 +32,7 @@
   return processors + ACCELERATOR_CORES * accelerators
 }
 
-function rankRun (run: StepRun, options: RankingOptions): Urgency {
+function computeRunRank (run: StepRun, options: RankingOptions): Urgency {
   const rank = computeUrgency(run.job, run.occurrence.index, estimateRemainingMs(run), options.wallMs)
   if (!run.step.longRunning) return rank
   const isOverdue = run.waitingSinceMs !== null && options.nowMs - run.waitingSinceMs > LASTING_HOLD_AFTER_MS
@@ -58,8 +58,8 @@
 }
 
 /** Ranks the waiting steps, the first to get room first. */
-export function rankRuns (options: RankingOptions): RankedRun[] {
-  const ranked = options.runs.map((run): RankedRun => ({ run, rank: rankRun(run, options) }))
+export function sortRuns (options: RankingOptions): RankedRun[] {
+  const ranked = options.runs.map((run): RankedRun => ({ run, rank: computeRunRank(run, options) }))
   const crowded = isCrowded(ranked, options)
   return ranked.sort((a, b) => compareUrgency(a.rank, b.rank, crowded))
 }
