Accepted jobs are stored in parts of their own, and slow isn't silent

Cause: while the table is slow sixtyfold a part takes three transactions a second. An entry also took the table for silent as soon as one call took 500 ms, and refused submissions while it answered all others. Change: a job and its cancellation lie in one of eight parts of the cell, by the hash of the id; a job without a state is queued, so that accepting one writes one row and no state. A table is suspect only if nothing was answered since the call that fails or waits was sent. The two tests of forgetting now look into the part where the job lies, and see it there first.

--- a/packages/entry/src/cell/__tests__/cellEntry.spec.ts
+++ b/packages/entry/src/cell/__tests__/cellEntry.spec.ts
@@ -3,6 +3,7 @@
 import * as assert from 'uvu/assert'
 import { CLUSTER_CONFIG, createCellCluster, createTestJob, SERVICE } from '../../testing/cellCluster.js'
 import { checkNoTwins, readState, startEntries, submit } from '../../testing/cellClusterSteps.js'
+import { computeJobPart } from '../holderRow.js'
 
 const [QUEUE] = CLUSTER_CONFIG.queues
 
@@ -191,12 +192,35 @@
   const [entry] = await startEntries(cluster, ['a'])
   await submit(cluster, entry!, '0000000000000001', 1)
   await cluster.clock.runFor(3000)
-  assert.ok(cluster.table.readRow('state', SERVICE, '0000000000000001') !== undefined)
-  await cluster.clock.runFor(121_000)
-  for (const table of ['job', 'state']) assert.is(cluster.table.readRow(table, SERVICE, '0000000000000001'), undefined)
+  const readRows = () => [cluster.table.readRow('job', computeJobPart(SERVICE, '0000000000000001'), '0000000000000001'), cluster.table.readRow('state', SERVICE, '0000000000000001')]
+  assert.ok(readRows().every((row) => row !== undefined))
+  await cluster.clock.runFor(122_000)
+  assert.equal(readRows(), [undefined, undefined])
   assert.is(await readState(cluster, entry!, '0000000000000001'), 'unknownJob')
 })
 
+test('while the table is slow sixtyfold a burst of submissions is accepted and the holder keeps its cell', async () => {
+  let partMs = 6
+  const cluster = createCellCluster({ readPartMs: () => partMs, planRun: () => ({ durationMs: 300, how: 'done' }) })
+  cluster.addWorker('w1')
+  const [first, second] = await startEntries(cluster, ['a', 'b'])
+  const holder = cluster.findHolder()
+  partMs = 360
+  const outcomes: string[] = []
+  for (let job = 1; job <= 60; job++) {
+    const entry = job % 2 === 0 ? first! : second!
+    entry.entry.desk.submitJob(job.toString(16).padStart(16, '0'), createTestJob(cluster.clock, 1), cluster.clock.nowMs() + 3000)
+      .then((outcome) => { outcomes.push(outcome) }, () => {})
+    await cluster.clock.runFor(70)
+  }
+  await cluster.clock.runFor(3000)
+  assert.is(cluster.findHolder(), holder)
+  const count = (wanted: string): number => outcomes.filter((outcome) => outcome === wanted).length
+  // The first ones are sent twice, before the entries know how long a commit takes; who gets no answer asks again with the same id.
+  assert.is(count('refused'), 0)
+  assert.ok(count('done') >= 45, `${count('done')} of 60 accepted, ${count('unsettled')} without an answer`)
+})
+
 test('history that the table dropped is read anew', async () => {
   const cluster = createCellCluster()
   cluster.addWorker('w1')
--- a/packages/entry/src/cell/__tests__/cellTakeover.spec.ts
+++ b/packages/entry/src/cell/__tests__/cellTakeover.spec.ts
@@ -3,6 +3,7 @@
 import * as assert from 'uvu/assert'
 import { CLUSTER_CONFIG, createCellCluster, createTestJob, SERVICE, type ClusterEntry } from '../../testing/cellCluster.js'
 import { checkNoTwins, readState, splitByHolder, startEntries, submit } from '../../testing/cellClusterSteps.js'
+import { computeJobPart } from '../holderRow.js'
 
 const [QUEUE] = CLUSTER_CONFIG.queues
 
@@ -104,12 +105,14 @@
   const { holder, other } = splitByHolder(cluster, await startEntries(cluster, ['a', 'b']))
   await submit(cluster, holder, '0000000000000001', 2)
   await cluster.clock.runFor(2000)
+  assert.ok(cluster.table.readRow('job', computeJobPart(SERVICE, '0000000000000001'), '0000000000000001') !== undefined)
   holder.kill()
   await cluster.clock.runFor(4000)
   assert.is(cluster.findHolder(), other.name)
   assert.is(await readState(cluster, other, '0000000000000001'), 'completed')
   await cluster.clock.runFor(130_000)
-  for (const table of ['job', 'state']) assert.is(cluster.table.readRow(table, SERVICE, '0000000000000001'), undefined)
+  assert.is(cluster.table.readRow('job', computeJobPart(SERVICE, '0000000000000001'), '0000000000000001'), undefined)
+  assert.is(cluster.table.readRow('state', SERVICE, '0000000000000001'), undefined)
 })
 
 test('a successor starts waiting work of a team with a ceiling within 200 ms of taking the cell', async () => {
--- a/packages/entry/src/cell/cellCommits.ts
+++ b/packages/entry/src/cell/cellCommits.ts
@@ -4,7 +4,7 @@
 import { COMMIT_PAUSE_MS, HOLDER_OUTAGE_MS, MAX_COMMIT_BYTES, MAX_COMMIT_ROWS, PLAN_PAUSE_MS, REFUSED_PAUSE_MS, RENEW_MS, STUCK_AFTER_MS, STUCK_FAILURES } from './constants.js'
 import { runPlaced } from './events.js'
 import { formatRun } from './formatRun.js'
-import { CANCEL_SUFFIX, CELL_TABLE, HOLDER_KEY, JOB_TABLE, parseHolderRow, STATE_TABLE, type HolderRow } from './holderRow.js'
+import { CELL_TABLE, HOLDER_KEY, parseHolderRow, STATE_TABLE, type HolderRow } from './holderRow.js'
 import type { CellTable, CellTransaction } from './ports.js'
 import type { WorkerContact } from './workerContact.js'
 
@@ -26,7 +26,7 @@
   readonly plan: () => readonly StartOrder[]
   readonly startRun: (order: StartOrder) => void
   readonly onCommitted: (jobs: readonly string[]) => void
-  /** Ended jobs left the planner; their rows are deleted next. */
+  /** Ended jobs left the planner; their rows are to be deleted, and their states after them by `dropStates`. */
   readonly onForgotten: (jobs: readonly string[]) => void
   /** The table does not take this entry's commits. */
   readonly onStuck: () => void
@@ -36,6 +36,8 @@
 /** The running commits. */
 export interface CellCommits extends Disposable {
   wake: () => void
+  /** Deletes the states of jobs whose own rows are gone. */
+  dropStates: (jobs: readonly string[]) => void
   /** Age of the last proof that this entry holds the cell, in milliseconds. */
   readConfirmedAgeMs: () => number
   /** Gives the cell up: the last commit says so, and who is to follow. */
@@ -89,9 +91,7 @@
     return { jobs, writes }
   }
 
-  const listDropped = (room: number): CellTransaction['deletes'] => dropped.slice(0, Math.floor(room / 3)).flatMap((job) => [
-    { table: JOB_TABLE, key: job }, { table: JOB_TABLE, key: `${job}${CANCEL_SUFFIX}` }, { table: STATE_TABLE, key: job }
-  ])
+  const listDropped = (room: number): CellTransaction['deletes'] => dropped.slice(0, room).map((job) => ({ table: STATE_TABLE, key: job }))
 
   const commit = async (transaction: CellTransaction, renews: boolean): Promise<Outcome> => {
     const sent = { nowMs: clock.nowMs(), wallMs: clock.wallMs() }
@@ -141,7 +141,6 @@
     pendingStarts.push(...starts)
     const forgotten = planner.forgetEnded(clock.wallMs() - options.statusMs)
     if (forgotten.length > 0) options.onForgotten(forgotten)
-    dropped.push(...forgotten)
     const ready = pendingStarts.length
     const { jobs, writes } = takeChanges()
     const deletes = listDropped(MAX_COMMIT_ROWS - writes.length)
@@ -159,7 +158,7 @@
     if (stopped) return
     if (outcome === 'committed') {
       failures = 0
-      dropped = dropped.slice(deletes.length / 3)
+      dropped = dropped.slice(deletes.length)
       for (const contact of options.listContacts()) contact.finishCommit()
       sendStarts(jobs, ready)
       options.onCommitted(jobs)
@@ -183,6 +182,7 @@
 
   return {
     wake: () => { if (failed === null) loop.wake() },
+    dropStates: (jobs) => { dropped.push(...jobs) },
     // A suspension stops the steady clock; the wall clock may jump. The larger age is the safe one.
     readConfirmedAgeMs: () => Math.max(clock.nowMs() - confirmed.nowMs, clock.wallMs() - confirmed.wallMs),
     release: async (next) => {
--- a/packages/entry/src/cell/cellJobs.ts
+++ b/packages/entry/src/cell/cellJobs.ts
@@ -3,7 +3,7 @@
 import { createSerialLoop } from '../process/serialLoop.js'
 import { JOB_READ_MS, WRITE_RETRY_MS } from './constants.js'
 import { cellLoaded } from './events.js'
-import { CANCEL_SUFFIX, JOB_TABLE, parseJobRow, parseStateRow, STATE_TABLE } from './holderRow.js'
+import { CANCEL_SUFFIX, JOB_TABLE, listJobParts, parseJobRow, parseStateRow, STATE_TABLE } from './holderRow.js'
 import type { CellTable, TableRow } from './ports.js'
 
 /** Options of the reader. */
@@ -28,6 +28,7 @@
 export function createCellJobs (options: CellJobsOptions): CellJobs {
   const { cell, table, planner, clock, events } = options
   const disposables = createDisposableStore()
+  const jobParts = new Set(listJobParts(cell))
   let version: number | null = null
   let loaded = false
   let isReachable = true
@@ -46,7 +47,7 @@
   }
 
   const applyRow = (row: TableRow): void => {
-    if (row.part !== cell || row.deleted) return
+    if (row.deleted) return
     if (row.key.endsWith(CANCEL_SUFFIX)) {
       cancel(row.key.slice(0, -CANCEL_SUFFIX.length))
       return
@@ -55,20 +56,38 @@
     if (spec !== null) addJob(row.key, spec)
   }
 
+  /** States whose jobs an earlier term had deleted already: they are forgotten in their turn. */
+  const addLeftStates = (rows: Iterable<TableRow>): void => {
+    for (const row of rows) {
+      const state = parseStateRow(row, events)
+      if (state !== null && isFinal(state.phase) && !planner.hasJob(row.key)) planner.addEndedJob(row.key, state.phase, state.endedAtMs)
+    }
+  }
+
   const readAll = async (): Promise<boolean> => {
     // Nobody but this term writes states, so the two may be of different moments.
-    const [jobs, states] = await Promise.all([JOB_TABLE, STATE_TABLE].map((name) => table.readRange({ table: name, part: cell })))
-    if (jobs === undefined || states === undefined || jobs.isErr() || states.isErr()) return false
+    const [states, ...parts] = await Promise.all([
+      table.readRange({ table: STATE_TABLE, part: cell }), ...[...jobParts].map((part) => table.readRange({ table: JOB_TABLE, part }))
+    ])
+    if (states.isErr()) return false
+    const jobs: TableRow[] = []
+    let oldest = Infinity
+    for (const part of parts) {
+      if (part.isErr()) return false
+      jobs.push(...part.value.rows)
+      oldest = Math.min(oldest, part.value.version)
+    }
     const records = new Map(states.value.rows.map((row) => [row.key, row]))
     const cancelled: string[] = []
     const open: { readonly id: string, readonly spec: StepJob, readonly state: JobStateRecord }[] = []
-    for (const row of jobs.value.rows) {
+    for (const row of jobs) {
       if (row.key.endsWith(CANCEL_SUFFIX)) {
         cancelled.push(row.key.slice(0, -CANCEL_SUFFIX.length))
         continue
       }
       if (planner.hasJob(row.key)) continue
       const stateRow = records.get(row.key)
+      records.delete(row.key)
       const state = stateRow === undefined ? ACCEPTED_STATE : parseStateRow(stateRow, events)
       if (state === null) continue
       if (isFinal(state.phase) && state.occurrences.length === 0) {
@@ -78,14 +97,15 @@
       const spec = parseJobRow(row, events)
       if (spec !== null) open.push({ id: row.key, spec, state })
     }
+    addLeftStates(records.values())
     // The planner tells what a team sends beyond its share by the order of acceptance.
     open.sort((a, b) => a.spec.acceptedAtMs - b.spec.acceptedAtMs)
     for (const { id, spec, state } of open) planner.addJob(id, spec, state, clock.nowMs())
     for (const id of cancelled) cancel(id)
-    version = jobs.value.version
+    version = oldest
     if (!loaded) {
       loaded = true
-      events.record(cellLoaded, { cell, jobs: jobs.value.rows.length })
+      events.record(cellLoaded, { cell, jobs: jobs.length })
       options.onLoaded()
     }
     return true
@@ -96,8 +116,9 @@
     const read = await table.readChanges(JOB_TABLE, version, 0)
     if (read.isErr()) return false
     if (read.value.kind === 'historyLost') return await readAll()
-    for (const row of read.value.rows) applyRow(row)
-    if (read.value.rows.length > 0) options.onNews()
+    const news = read.value.rows.filter((row) => jobParts.has(row.part))
+    for (const row of news) applyRow(row)
+    if (news.length > 0) options.onNews()
     version = read.value.version
     return true
   }
@@ -112,7 +133,7 @@
     isLoaded: () => loaded,
     acceptNews: (key, value) => {
       if (!loaded) return
-      applyRow({ table: JOB_TABLE, part: cell, key, value, version: 0, deleted: false })
+      applyRow({ table: JOB_TABLE, part: '', key, value, version: 0, deleted: false })
       options.onNews()
     },
     dispose: () => disposables.dispose()
--- a/packages/entry/src/cell/cellTerm.ts
+++ b/packages/entry/src/cell/cellTerm.ts
@@ -10,6 +10,7 @@
 import { computeUnknownLeaseMs } from './leaseBounds.js'
 import { createCellJobs } from './cellJobs.js'
 import type { HolderRow } from './holderRow.js'
+import { createJobSweep } from './jobSweep.js'
 import { cellJobEnded, cellReleased, workerLapsed, workerLeaving } from './events.js'
 import type { CellBounds, CellTable, CellWorkerClient, ListedWorker, PlatformRows } from './ports.js'
 import { createWorkerContact, type WorkerContact } from './workerContact.js'
@@ -206,11 +207,16 @@
         committed.set(id, phase)
       }
     },
-    onForgotten: (ids) => { for (const id of ids) committed.delete(id) },
+    onForgotten: (ids) => {
+      for (const id of ids) committed.delete(id)
+      sweep.add(ids)
+    },
     onStuck: options.onStuck,
     onDeposed: endTerm
   }))
 
+  const sweep = disposables.add(createJobSweep({ cell, table: options.table, clock, onDeleted: commits.dropStates }))
+
   disposables.add(createWorkerDirectory({
     table: options.table, rows: options.rows, clock, onWorker: applyListing, onGone: recordGone
   }))
--- a/packages/entry/src/cell/constants.ts
+++ b/packages/entry/src/cell/constants.ts
@@ -81,6 +81,8 @@
 export const COMMIT_PAUSE_MS = 8
 /** Longest time between two rounds of planning, in milliseconds. */
 export const PLAN_PAUSE_MS = 200
+/** Pause between two deletions of forgotten jobs, in milliseconds; at two-year size a job ends every 20 s. */
+export const SWEEP_PAUSE_MS = 250
 /** Rows in one commit; the table takes 100 entries with the checks. */
 export const MAX_COMMIT_ROWS = 90
 /** Bytes of values in one commit; the table takes a megabyte, encoded. */
--- a/packages/entry/src/cell/holderRow.ts
+++ b/packages/entry/src/cell/holderRow.ts
@@ -1,5 +1,5 @@
 /** Rows that say who holds a cell, and which entries there are. */
-import { createDecoder, JobStateRecord, StepJob, type EventLog } from '@fuchsiatally/core'
+import { computeHash, createDecoder, JobStateRecord, StepJob, type EventLog } from '@fuchsiatally/core'
 import * as Schema from 'effect/Schema'
 import { cellRowMalformed } from './events.js'
 import type { TableRow } from './ports.js'
@@ -10,12 +10,28 @@
 export const HOLDER_KEY = 'holder'
 /** Key of the cells' claims on ceilings, in the empty part; no entry has such a name. */
 export const CLAIMS_KEY = '!claims'
-/** Tables of accepted jobs and of their states, both in the part of their cell. */
+/** Tables of accepted jobs, spread over parts of their own, and of their states, in the part of their cell. */
 export const JOB_TABLE = 'job'
 export const STATE_TABLE = 'state'
 /** Ends the key of a cancellation, which begins with the job's id. */
 export const CANCEL_SUFFIX = '!cancel'
 
+/**
+ * Parts over which the accepted jobs of a cell are spread. A part takes three transactions a second while the table is slow, and the
+ * callers' submissions must neither wait for each other nor hold the holder's commits up.
+ */
+const JOB_PARTS = 8
+
+/** Part of the table that keeps an accepted job and its cancellation. */
+export function computeJobPart (cell: string, job: string): string {
+  return `${cell}/${computeHash(job) % JOB_PARTS}`
+}
+
+/** All parts that keep accepted jobs of a cell. */
+export function listJobParts (cell: string): string[] {
+  return Array.from({ length: JOB_PARTS }, (_, index) => `${cell}/${index}`)
+}
+
 /** Row of a cell. */
 export const HolderRow = Schema.Struct({
   entry: Schema.String,
--- a/packages/entry/src/cell/jobDesk.ts
+++ b/packages/entry/src/cell/jobDesk.ts
@@ -6,7 +6,7 @@
 import type { CellWatch } from './cellWatch.js'
 import { ANSWER_MARGIN_MS, MAX_COUNT_AGE_MS, MAX_REMEMBERED_JOBS, WRITE_RETRY_MS } from './constants.js'
 import { cellJobAccepted, cellJobCancelled, cellJobRefused, cellJobUnsettled } from './events.js'
-import { CANCEL_SUFFIX, JOB_TABLE, parseJobRow, parseStateRow, STATE_TABLE } from './holderRow.js'
+import { CANCEL_SUFFIX, computeJobPart, JOB_TABLE, parseJobRow, parseStateRow, STATE_TABLE } from './holderRow.js'
 import type { CellTransaction, CommitResult } from './ports.js'
 import type { WatchedTable } from './tableHealth.js'
 
@@ -99,9 +99,9 @@
     const cell = job.policy.service
     const value = JSON.stringify(job)
     const result = await settleWrite({
-      part: cell,
+      part: computeJobPart(cell, id),
       checks: [{ table: JOB_TABLE, key: id, version: 0 }],
-      writes: [{ table: JOB_TABLE, key: id, value }, { table: STATE_TABLE, key: id, value: JSON.stringify(ACCEPTED_STATE) }],
+      writes: [{ table: JOB_TABLE, key: id, value }],
       deletes: []
     }, deadlineMs, () => {
       // The caller may give up and ask another entry before this one knows more.
@@ -126,18 +126,25 @@
     return 'done'
   }
 
-  const readRow = async (name: string, cell: string, key: string) => {
-    const read = await table.readRange({ table: name, part: cell, from: key, to: `${key}!` })
+  const readRow = async (name: string, part: string, key: string) => {
+    const read = await table.readRange({ table: name, part, from: key, to: `${key}!` })
     return read.map(({ rows }) => rows.find((row) => row.key === key))
   }
 
+  /** A job without a state: its holder has not begun with it, or there is no such job. */
+  const readUnplanned = async (id: string, cell: string): Promise<JobPhase | 'unknownJob' | 'refused'> => {
+    const row = await readRow(JOB_TABLE, computeJobPart(cell, id), id)
+    if (row.isErr()) return 'refused'
+    return row.value === undefined ? 'unknownJob' : ACCEPTED_STATE.phase
+  }
+
   const readState: JobDesk['readState'] = async (id, queue) => {
     const known = finals.get(id) ?? options.readCommittedPhase(queue.service, id)
     if (known !== null) return known
     if (table.isSuspect()) return 'refused'
     const row = await readRow(STATE_TABLE, queue.service, id)
     if (row.isErr()) return 'refused'
-    if (row.value === undefined) return 'unknownJob'
+    if (row.value === undefined) return await readUnplanned(id, queue.service)
     const state = parseStateRow(row.value, events)
     if (state === null) return 'refused'
     if (isFinal(state.phase)) recordFinal(id, state.phase)
@@ -145,12 +152,13 @@
   }
 
   const cancelJob: JobDesk['cancelJob'] = async (id, queue, _team, deadlineMs) => {
-    const row = await readRow(JOB_TABLE, queue.service, id)
+    const part = computeJobPart(queue.service, id)
+    const row = await readRow(JOB_TABLE, part, id)
     if (row.isErr()) return 'refused'
     if (row.value === undefined || parseJobRow(row.value, events) === null) return 'unknownJob'
     const key = `${id}${CANCEL_SUFFIX}`
     const result = await settleWrite({
-      part: queue.service,
+      part,
       checks: [{ table: JOB_TABLE, key, version: 0 }],
       writes: [{ table: JOB_TABLE, key, value: '{}' }],
       deletes: []
--- a/packages/entry/src/cell/tableHealth.ts
+++ b/packages/entry/src/cell/tableHealth.ts
@@ -22,8 +22,9 @@
 
 /** Wraps the calls of a table. */
 export function createWatchedTable (table: CellTable, clock: Clock, events: EventLog): WatchedTable {
-  /** Times at which the calls that wait for an answer should have one. */
-  const pending = new Set<{ readonly dueAtMs: number }>()
+  /** Calls that wait for an answer, and when they should have one. */
+  const pending = new Set<{ readonly sentAtMs: number, readonly dueAtMs: number }>()
+  let answeredAtMs = -Infinity
   const patience = createCallPatience()
   let lastFailed = false
   let commitMs = 0
@@ -37,11 +38,14 @@
   }
 
   const watchCall = async <T>(waitMs: number, call: Promise<Result<T, CallFailure>>): Promise<Result<T, CallFailure>> => {
-    const mark = { dueAtMs: clock.nowMs() + waitMs + SUSPECT_MS }
+    const mark = { sentAtMs: clock.nowMs(), dueAtMs: clock.nowMs() + waitMs + SUSPECT_MS }
     pending.add(mark)
     const result = await call
     pending.delete(mark)
-    lastFailed = result.isErr() && result.error.isOverload !== true
+    if (result.isOk() || result.error.isOverload === true) {
+      answeredAtMs = clock.nowMs()
+      lastFailed = false
+    } else if (answeredAtMs < mark.sentAtMs) lastFailed = true
     return result
   }
 
@@ -61,7 +65,8 @@
     readChanges: (name, version, waitMs) => watchCall(waitMs, table.readChanges(name, version, waitMs)),
     isSuspect: () => {
       if (lastFailed) return true
-      for (const { dueAtMs } of pending) if (clock.nowMs() > dueAtMs) return true
+      // A table that is slow, or that lost one answer, still answers other calls.
+      for (const { sentAtMs, dueAtMs } of pending) if (clock.nowMs() > dueAtMs && answeredAtMs < sentAtMs) return true
       return false
     }
   }
--- a/packages/entry/src/testing/cellCluster.ts
+++ b/packages/entry/src/testing/cellCluster.ts
@@ -41,6 +41,8 @@
 export interface CellClusterOptions {
   readonly planRun?: (order: StartOrder) => { readonly durationMs: number, readonly how: 'done' | 'failed' }
   readonly maxLeaseMs?: number
+  /** Time of one transaction in its part of the table, in milliseconds; default 0. */
+  readonly readPartMs?: () => number
 }
 
 /** The only service, which names the cell. */
@@ -82,7 +84,7 @@
 /** Creates a cluster without entries or workers. */
 export function createCellCluster (options: CellClusterOptions = {}): CellCluster {
   const clock = createFakeClock()
-  const table = createCellTableModel({ clock })
+  const table = createCellTableModel({ clock, ...(options.readPartMs === undefined ? {} : { readPartMs: options.readPartMs }) })
   const mesh = createFakeMesh({ clock })
   const workers = new Map<string, CellWorkerModel>()
   const started: StartedRun[] = []
--- a/packages/entry/src/testing/cellTableModel.ts
+++ b/packages/entry/src/testing/cellTableModel.ts
@@ -30,6 +30,8 @@
   readonly clock: Clock
   /** Time of one call, in milliseconds; default 5. */
   readonly callMs?: number
+  /** Time of one transaction in its part, which takes one after the other, in milliseconds; default 0. */
+  readonly readPartMs?: () => number
   /** Time after which a silent call fails, in milliseconds; default 1200. */
   readonly timeoutMs?: number
 }
@@ -41,6 +43,8 @@
   const timeoutMs = options.timeoutMs ?? 1200
   const rows = new Map<string, TableRow>()
   const watchers = new Set<() => void>()
+  /** Time at which each part has done what it took so far. */
+  const freeAtMs = new Map<string, number>()
   let version = 0
   let historyFrom = 0
 
@@ -79,10 +83,25 @@
       }
       return ok(run())
     }
+    /** Waits for the part's turn; what is given up lands all the same. */
+    const takeTurn = async (transaction: CellTransaction, limitMs: number): Promise<Result<CommitResult, CallFailure>> => {
+      const partMs = options.readPartMs?.() ?? 0
+      if (partMs === 0 || faults.outage !== null) return await call(() => apply(transaction), limitMs)
+      const doneAtMs = Math.max(freeAtMs.get(transaction.part) ?? 0, clock.nowMs()) + partMs
+      freeAtMs.set(transaction.part, doneAtMs)
+      const waitMs = doneAtMs - clock.nowMs()
+      if (waitMs <= limitMs) {
+        await wait(waitMs)
+        return ok(apply(transaction))
+      }
+      clock.setTimer(waitMs, () => { apply(transaction) })
+      await wait(limitMs)
+      return err({ kind: 'unknown', message: 'too slow' })
+    }
     const table: CellTable = {
       commit: async (transaction, limitMs = timeoutMs) => {
         const lost = faults.outage === null ? faults.loseWrite() : null
-        if (lost === null) return await call(() => apply(transaction), limitMs)
+        if (lost === null) return await takeTurn(transaction, limitMs)
         clock.setTimer(lost.afterMs, () => { apply(transaction) })
         await wait(limitMs)
         return err({ kind: 'unknown', message: 'lost' })
