--- a/packages/core/src/cell/__tests__/cellPlanner.spec.ts
+++ b/packages/core/src/cell/__tests__/cellPlanner.spec.ts
@@ -53,7 +53,7 @@
   assert.equal(order, ['onTime', 'late', 'hopeless'])
 })
 
-test('one team sends many times its share: in a crowd the excess goes behind the jobs of the others', () => {
+test('one team sends many times its share: under overload the excess goes behind the jobs of the others', () => {
   const planner = createPlanner({ w1: 4 })
   const step = createTestStep({ taskCount: 2 })
   const addJobs = (team: string, count: number, fromMs: number): void => {
--- a/packages/core/src/cell/constants.ts
+++ b/packages/core/src/cell/constants.ts
@@ -2,8 +2,8 @@
 
 /** Cores that an accelerator counts as; from the users' price of work. */
 export const ACCELERATOR_CORES = 8
-/** Waiting work of one priority that never counts as crowded, in milliseconds of the whole cell; about half of the shortest task. */
-export const MIN_CROWDED_MS = 300
+/** Waiting work of one priority that never counts as overload, in milliseconds of the whole cell; about half of the shortest task. */
+export const MIN_OVERLOAD_MS = 300
 /** Latest multiple of a job's objective at which its end still earns something; from the users' rule of credit. */
 export const LATE_FACTOR = 3
 /** Milliseconds taken off an advice ticket's validity: one commit and one order must fit before it ends. */
--- a/packages/core/src/cell/runRanking.ts
+++ b/packages/core/src/cell/runRanking.ts
@@ -1,6 +1,6 @@
 /** Ranks the waiting steps of a cell. */
 import type { Resources } from '../schema/resources.js'
-import { ACCELERATOR_CORES, LASTING_HOLD_AFTER_MS, MIN_CROWDED_MS } from './constants.js'
+import { ACCELERATOR_CORES, LASTING_HOLD_AFTER_MS, MIN_OVERLOAD_MS } from './constants.js'
 import { estimateRemainingMs, listStartable, type StepRun } from './stepRun.js'
 import { compareUrgency, computeUrgency, type Urgency } from './urgency.js'
 
@@ -40,7 +40,7 @@
 }
 
 /** Whether the waiting work of some priority takes the whole cell longer than its jobs can wait. */
-function isCrowded (ranked: readonly RankedRun[], options: RankingOptions): boolean {
+function isOverloaded (ranked: readonly RankedRun[], options: RankingOptions): boolean {
   if (options.capacityCores === 0) return false
   const backlogs = new Map<number, Backlog>()
   for (const { run, rank } of ranked) {
@@ -52,7 +52,7 @@
     backlogs.set(rank.priority, backlog)
   }
   for (const { runs, work, slackMs } of backlogs.values()) {
-    if (work / options.capacityCores > Math.max(MIN_CROWDED_MS, slackMs / runs)) return true
+    if (work / options.capacityCores > Math.max(MIN_OVERLOAD_MS, slackMs / runs)) return true
   }
   return false
 }
@@ -60,6 +60,6 @@
 /** Ranks the waiting steps, the first to get room first. */
 export function sortRuns (options: RankingOptions): RankedRun[] {
   const ranked = options.runs.map((run): RankedRun => ({ run, rank: computeRunRank(run, options) }))
-  const crowded = isCrowded(ranked, options)
-  return ranked.sort((a, b) => compareUrgency(a.rank, b.rank, crowded))
+  const overloaded = isOverloaded(ranked, options)
+  return ranked.sort((a, b) => compareUrgency(a.rank, b.rank, overloaded))
 }
--- a/packages/core/src/cell/urgency.ts
+++ b/packages/core/src/cell/urgency.ts
@@ -1,4 +1,4 @@
-/** Order in which waiting steps get room: on time before late before hopeless, then priority, then least slack; in a crowd by share first. */
+/** Order in which waiting steps get room: on time before late before hopeless, then priority, then least slack; under overload by share first. */
 import { LATE_FACTOR, OBJECTIVE_ADVICE_WORKERS } from './constants.js'
 import type { CellJob } from './jobState.js'
 import { computeChainMs, type StepJob } from './stepJob.js'
@@ -45,10 +45,10 @@
 /**
  * Orders two ranks; negative where `a` goes first.
  *
- * @param isCrowded there is not room enough for all to be in time: what a team sends beyond its share goes behind the work of others
+ * @param isOverloaded there is not room enough for all to be in time: what a team sends beyond its share goes behind the work of others
  */
-export function compareUrgency (a: Urgency, b: Urgency, isCrowded: boolean): number {
-  if (isCrowded) {
+export function compareUrgency (a: Urgency, b: Urgency, isOverloaded: boolean): number {
+  if (isOverloaded) {
     const byShare = Number(a.standing === 2) - Number(b.standing === 2) || Number(a.isBeyondShare) - Number(b.isBeyondShare)
     if (byShare !== 0) return byShare
   }
--- a/packages/entry/src/cell/adviceDesk.ts
+++ b/packages/entry/src/cell/adviceDesk.ts
@@ -35,7 +35,7 @@
 }
 
 /** A question on its way through the servers. */
-interface Errand {
+interface RoutedQuestion {
   readonly question: AdviceQuestion
   readonly startedAtMs: number
   /** Servers that declined it. */
@@ -97,7 +97,7 @@
     return Math.max(ownMs, (busyUntilMs.get(server) ?? -Infinity) - clock.nowMs())
   }
 
-  const chooseServer = ({ question, declined }: Errand): { server: string, queuedMs: number } | null => {
+  const chooseServer = ({ question, declined }: RoutedQuestion): { server: string, queuedMs: number } | null => {
     const isLong = question.costMs > LONG_CALL_MS
     let best: { server: string, queuedMs: number } | null = null
     for (const server of listServers(isLong)) {
@@ -109,8 +109,8 @@
     return best
   }
 
-  const sendQuestion = (server: string, errand: Errand, mostQueuedMs: number, onOutcome: (outcome: AdviceOutcome) => void): void => {
-    const { question } = errand
+  const sendQuestion = (server: string, routed: RoutedQuestion, mostQueuedMs: number, onOutcome: (outcome: AdviceOutcome) => void): void => {
+    const { question } = routed
     const exchange = options.random.nextId()
     const patienceMs = mostQueuedMs + question.costMs + (question.costMs > LONG_CALL_MS ? ADVICE_SLACK_MS : SHORT_SLACK_MS)
     const settle = (outcome: AdviceOutcome): void => {
@@ -130,15 +130,15 @@
   }
 
   /** Asks the best server; one that declines is followed by the next. Tells whether there was one to ask. */
-  const runErrand = (errand: Errand, onAnswer: (good: ReadonlyMap<string, string> | null) => void): boolean => {
-    const { question, declined } = errand
-    const chosen = declined.size < MAX_DECLINES ? chooseServer(errand) : null
+  const askServers = (routed: RoutedQuestion, onAnswer: (good: ReadonlyMap<string, string> | null) => void): boolean => {
+    const { question, declined } = routed
+    const chosen = declined.size < MAX_DECLINES ? chooseServer(routed) : null
     if (chosen === null) return false
     const { server } = chosen
     // What this entry knows of already is no reason to decline.
     const mostQueuedMs = chosen.queuedMs + (declined.size + 1 < MAX_DECLINES ? SHORT_WAIT_MS : MAX_ADVICE_WAIT_MS)
-    sendQuestion(server, errand, mostQueuedMs, (outcome) => {
-      const waitedMs = Math.round(clock.nowMs() - errand.startedAtMs)
+    sendQuestion(server, routed, mostQueuedMs, (outcome) => {
+      const waitedMs = Math.round(clock.nowMs() - routed.startedAtMs)
       if (outcome.kind === 'advice') {
         events.record(adviceAnswered, { step: question.step, asked: question.workers.length, good: outcome.good.size, waitedMs })
         onAnswer(outcome.good)
@@ -147,7 +147,7 @@
       if (outcome.kind === 'declined') {
         declined.add(server)
         busyUntilMs.set(server, clock.nowMs() + outcome.queuedMs)
-        if (!disposed && runErrand(errand, onAnswer)) return
+        if (!disposed && askServers(routed, onAnswer)) return
       } else failedAtMs.set(server, clock.nowMs())
       events.record(adviceMissing, { step: question.step, server, waitedMs, reason: outcome.kind === 'declined' ? 'all servers are busy' : 'no answer in time' })
       onAnswer(null)
@@ -163,7 +163,7 @@
   })
 
   return {
-    tryAsk: (question, onAnswer) => runErrand({ question, startedAtMs: clock.nowMs(), declined: new Set() }, onAnswer),
+    tryAsk: (question, onAnswer) => askServers({ question, startedAtMs: clock.nowMs(), declined: new Set() }, onAnswer),
     dispose: () => {
       disposed = true
       for (const question of [...asked.values()]) question.settle({ kind: 'failed' })
