--- a/packages/core/src/cell/createCellPlanner.ts
+++ b/packages/core/src/cell/createCellPlanner.ts
@@ -209,7 +209,7 @@
       if (job === undefined || !book.endJob(job, 'cancelled', wallMs)) return
       accounts.stopJob(id, 'cancelled')
     },
-    hasJob: (id) => book.findJob(id) !== undefined,
+    hasJob: book.hasJob,
     recordReport: accounts.recordReport,
     recordSettled: (name, worker, nowMs) => {
       const task = book.findTask(name)
@@ -242,7 +242,7 @@
     isChanged: book.isChanged,
     addChangedJobs: (jobs) => { for (const job of jobs) book.markChanged(job) },
     readRecord: book.readRecord,
-    readPhase: (id) => book.findJob(id)?.phase ?? null,
+    readPhase: book.readPhase,
     countWaiting: book.countWaiting,
     forgetEnded: book.forgetEnded
   }
--- a/packages/core/src/cell/jobBook.ts
+++ b/packages/core/src/cell/jobBook.ts
@@ -9,7 +9,10 @@
 export interface JobBook {
   addJob: (id: string, spec: StepJob, record: JobStateRecord, nowMs: number) => CellJob
   addEndedJob: (id: string, phase: JobPhase, endedAtMs: number) => void
+  /** `undefined` for a job that is unknown, or that ended before this term. */
   findJob: (id: string) => CellJob | undefined
+  hasJob: (id: string) => boolean
+  readPhase: (id: string) => JobPhase | null
   findTask: (name: RunName) => CellTask | undefined
   findRun: (task: CellTask) => StepRun | undefined
   findRunByKey: (key: string) => StepRun | undefined
@@ -35,21 +38,11 @@
   forgetEnded: (wallMs: number) => string[]
 }
 
-/** Stands for what a job was that ended in an earlier term. */
-const FORGOTTEN_SPEC: StepJob = {
-  team: '',
-  policy: { queue: '', service: '', priority: 0, maxAttempts: 1, stretch: 0, targetLatencyMs: 0 },
-  payload: '',
-  steps: [],
-  runCount: 0,
-  firstRunMs: 0,
-  intervalMs: 0,
-  acceptedAtMs: 0
-}
-
 /** Creates an empty book. */
 export function createJobBook (): JobBook {
   const jobs = new Map<string, CellJob>()
+  /** Jobs that ended in earlier terms: nothing but their end is known of them. */
+  const endedBefore = new Map<string, { readonly phase: JobPhase, readonly endedAtMs: number }>()
   const runs = new Map<string, StepRun>()
   const waiting = new Set<StepRun>()
   const timed = new Set<CellJob>()
@@ -122,9 +115,9 @@
       else if (job.occurrences.size === 0) addOccurrence(job, 0, nowMs)
       return job
     },
-    addEndedJob: (id, phase, endedAtMs) => {
-      jobs.set(id, { id, spec: FORGOTTEN_SPEC, isBeyondShare: false, phase, occurrences: new Map(), endedAtMs })
-    },
+    addEndedJob: (id, phase, endedAtMs) => { endedBefore.set(id, { phase, endedAtMs }) },
+    hasJob: (id) => jobs.has(id) || endedBefore.has(id),
+    readPhase: (id) => jobs.get(id)?.phase ?? endedBefore.get(id)?.phase ?? null,
     findJob: (id) => jobs.get(id),
     findTask,
     findRun,
@@ -202,6 +195,11 @@
         changed.delete(job.id)
         forgotten.push(job.id)
       }
+      for (const [id, { endedAtMs }] of endedBefore) {
+        if (endedAtMs >= wallMs) continue
+        endedBefore.delete(id)
+        forgotten.push(id)
+      }
       return forgotten
     }
   }
--- a/packages/entry/src/cell/ceilingTask.ts
+++ b/packages/entry/src/cell/ceilingTask.ts
@@ -60,13 +60,14 @@
   let isWoken = false
   const startedAtMs = clock.nowMs()
   let tries = 0
-  let isKnown = false
 
   const listCeilings = (): Map<string, Resources> => new Map((options.readConfig()?.teams ?? []).map((team) => [team.name, team.ceiling]))
 
+  /** Whether the table has claims of this term. */
+  const isKnown = (): boolean => current?.row.cells[cell]?.epoch === epoch
+
   const applyLimits = (pending: ClaimsRow | null): void => {
-    const row = current?.row ?? NO_CLAIMS
-    planner.setTeamLimits(computeClaimLimits(cell, epoch, row, pending, listCeilings()), row.cells[cell]?.epoch === epoch)
+    planner.setTeamLimits(computeClaimLimits(cell, epoch, current?.row ?? NO_CLAIMS, pending, listCeilings()), isKnown())
   }
 
   const applyRow = (row: TableRow | undefined): void => {
@@ -103,12 +104,10 @@
       isOutdated = true
       return false
     }
-    if (result.value.kind === 'applied' && !isKnown) {
-      isKnown = true
-      options.events.record(ceilingsKnown, { cell, epoch, tries, waitedMs: Math.round(clock.nowMs() - startedAtMs) })
-    }
+    const wasKnown = isKnown()
     if (result.value.kind === 'applied') current = { row: next, version: result.value.version }
     else applyRow(result.value.rows.find((row) => row.key === CLAIMS_KEY && !row.deleted))
+    if (!wasKnown && isKnown()) options.events.record(ceilingsKnown, { cell, epoch, tries, waitedMs: Math.round(clock.nowMs() - startedAtMs) })
     applyLimits(null)
     options.onLimits()
     return result.value.kind === 'conflict'
