One feed follows all tables of the cells

Cause: reading whole parts first, then changes, then all again after lost history stood three times: in tableFeed for one part, and by hand for the cells' rows and for the accepted jobs, which have several. Reading one row by a range stood twice. Change: tableFeed takes the parts to follow, reads those that are new whole and together, and hands on the changes of parts it follows; cellWatch and cellJobs use it. readRow is one function.

--- a/packages/entry/src/cell/ceilingTask.ts
+++ b/packages/entry/src/cell/ceilingTask.ts
@@ -8,6 +8,7 @@
 import { ceilingsKnown, claimsNotStored } from './events.js'
 import { CELL_TABLE, CLAIMS_KEY, createRowReader } from './holderRow.js'
 import type { CellTable, ListedWorker, TableRow } from './ports.js'
+import { readRow } from './readRow.js'
 
 /** Options of the task. */
 export interface CeilingTaskOptions {
@@ -80,10 +81,10 @@
     isOutdated = false
   }
 
-  const readRow = async (): Promise<boolean> => {
-    const read = await table.readRange({ table: CELL_TABLE, part: '', from: CLAIMS_KEY, to: `${CLAIMS_KEY}!` })
+  const readClaims = async (): Promise<boolean> => {
+    const read = await readRow(table, CELL_TABLE, '', CLAIMS_KEY)
     if (read.isErr()) return false
-    applyRow(read.value.rows.find((row) => row.key === CLAIMS_KEY))
+    applyRow(read.value)
     return true
   }
 
@@ -121,7 +122,7 @@
   }
 
   const runStep = async (): Promise<void> => {
-    if (isOutdated && !await readRow()) return
+    if (isOutdated && !await readClaims()) return
     if (disposed || current === null || !options.isLoaded()) return
     // Another cell that changes the row at the same pace would win each time if the next try waited.
     for (let attempt = 0; attempt < CLAIM_TRIES; attempt++) {
--- a/packages/entry/src/cell/cellJobs.ts
+++ b/packages/entry/src/cell/cellJobs.ts
@@ -5,6 +5,7 @@
 import { cellLoaded } from './events.js'
 import { CANCEL_SUFFIX, JOB_TABLE, listJobParts, parseJobRow, parseStateRow, STATE_TABLE } from './holderRow.js'
 import type { CellTable, TableRow } from './ports.js'
+import { createTableFeed } from './tableFeed.js'
 
 /** Options of the reader. */
 export interface CellJobsOptions {
@@ -28,8 +29,7 @@
 export function createCellJobs (options: CellJobsOptions): CellJobs {
   const { cell, table, planner, clock, events } = options
   const disposables = createDisposableStore()
-  const jobParts = new Set(listJobParts(cell))
-  let version: number | null = null
+  const jobParts = listJobParts(cell)
   let loaded = false
   let isReachable = true
   /** Cancellations that were seen before their job. */
@@ -64,20 +64,15 @@
     }
   }
 
-  const readAll = async (): Promise<boolean> => {
-    // Nobody but this term writes states, so the two may be of different moments.
-    const [states, ...parts] = await Promise.all([
-      table.readRange({ table: STATE_TABLE, part: cell }), ...[...jobParts].map((part) => table.readRange({ table: JOB_TABLE, part }))
-    ])
-    if (states.isErr()) return false
-    const jobs: TableRow[] = []
-    let oldest = Infinity
-    for (const part of parts) {
-      if (part.isErr()) return false
-      jobs.push(...part.value.rows)
-      oldest = Math.min(oldest, part.value.version)
-    }
-    const records = new Map(states.value.rows.map((row) => [row.key, row]))
+  const readStates = () => table.readRange({ table: STATE_TABLE, part: cell })
+  /** Nobody but this term writes states: they may be read while the jobs are. */
+  let states: ReturnType<typeof readStates> | null = readStates()
+
+  const applyWhole = async (jobs: readonly TableRow[]): Promise<boolean> => {
+    const read = await (states ?? readStates())
+    states = null
+    if (read.isErr()) return false
+    const records = new Map(read.value.rows.map((row) => [row.key, row]))
     const cancelled: string[] = []
     const open: { readonly id: string, readonly spec: StepJob, readonly state: JobStateRecord }[] = []
     for (const row of jobs) {
@@ -102,7 +97,6 @@
     open.sort((a, b) => a.spec.acceptedAtMs - b.spec.acceptedAtMs)
     for (const { id, spec, state } of open) planner.addJob(id, spec, state, clock.nowMs())
     for (const id of cancelled) cancel(id)
-    version = oldest
     if (!loaded) {
       loaded = true
       events.record(cellLoaded, { cell, jobs: jobs.length })
@@ -111,22 +105,21 @@
     return true
   }
 
-  const readNews = async (): Promise<boolean> => {
-    if (version === null) return await readAll()
-    const read = await table.readChanges(JOB_TABLE, version, 0)
-    if (read.isErr()) return false
-    if (read.value.kind === 'historyLost') return await readAll()
-    const news = read.value.rows.filter((row) => jobParts.has(row.part))
-    for (const row of news) applyRow(row)
-    if (news.length > 0) options.onNews()
-    version = read.value.version
-    return true
-  }
+  const feed = createTableFeed({
+    table,
+    name: JOB_TABLE,
+    listParts: () => jobParts,
+    applyRow: (row) => {
+      applyRow(row)
+      options.onNews()
+    },
+    applyWhole
+  })
 
   disposables.add(createSerialLoop({
     clock,
     readPauseMs: () => isReachable && loaded ? JOB_READ_MS : WRITE_RETRY_MS,
-    runStep: async () => { isReachable = await readNews() }
+    runStep: async () => { isReachable = await feed.readNews(0) }
   }))
 
   return {
--- a/packages/entry/src/cell/cellWatch.ts
+++ b/packages/entry/src/cell/cellWatch.ts
@@ -6,6 +6,7 @@
 import { CELL_TABLE, CLAIMS_KEY, HOLDER_KEY, parseEntryRow, parseHolderRow, type EntryRow, type HolderRow } from './holderRow.js'
 import type { CellTable, TableRow } from './ports.js'
 import { computeRank } from './rank.js'
+import { createTableFeed } from './tableFeed.js'
 
 /** A cell as the table shows it. */
 export interface CellView {
@@ -64,9 +65,6 @@
   const disposables = createDisposableStore()
   const cells = new Map<string, Seen>()
   const entries = new Map<string, EntryRow & { readonly version: number }>()
-  /** Parts that were read whole. */
-  const known = new Set<string>()
-  let version: number | null = null
   let lastReadMs = -Infinity
   /** The last read was answered fast. */
   let isHealthy = false
@@ -86,34 +84,13 @@
     options.onHolder(view)
   }
 
-  /** Reads parts whole; what changes meanwhile is read again as news. */
-  const readParts = async (parts: readonly string[]): Promise<boolean> => {
-    for (const part of parts) {
-      const read = await table.readRange({ table: CELL_TABLE, part })
-      if (read.isErr()) return false
-      for (const row of read.value.rows) applyRow(row, clock.nowMs())
-      version = Math.min(version ?? read.value.version, read.value.version)
-      known.add(part)
-    }
-    return true
-  }
-
-  const readNews = async (): Promise<boolean> => {
-    // The news begin after the first read: a cell that the configuration names later is read whole once.
-    const unread = ['', ...options.listCells()].filter((part) => !known.has(part))
-    if (unread.length > 0 && !await readParts(unread)) return false
-    if (version === null) return false
-    const read = await table.readChanges(CELL_TABLE, version, 0)
-    if (read.isErr()) return false
-    if (read.value.kind === 'historyLost') {
-      known.clear()
-      version = null
-      return false
-    }
-    for (const row of read.value.rows) applyRow(row, clock.nowMs())
-    version = read.value.version
-    return true
-  }
+  // A cell that the configuration names later is read whole then.
+  const feed = createTableFeed({
+    table,
+    name: CELL_TABLE,
+    listParts: () => ['', ...options.listCells()],
+    applyRow: (row) => applyRow(row, clock.nowMs())
+  })
 
   const takeCell = async (cell: string, seen: Seen | undefined): Promise<void> => {
     const row: HolderRow = {
@@ -169,7 +146,7 @@
   const startedAtMs = clock.nowMs()
   const runStep = async (): Promise<void> => {
     const askedAtMs = clock.nowMs()
-    if (!await readNews()) return
+    if (!await feed.readNews(0)) return
     // After a gap in the view every holder gets the whole time again.
     if (askedAtMs - lastReadMs > HOLDER_SILENCE_MS / 2) for (const seen of cells.values()) seen.silentSinceMs = clock.nowMs()
     lastReadMs = clock.nowMs()
--- a/packages/entry/src/cell/configWatch.ts
+++ b/packages/entry/src/cell/configWatch.ts
@@ -55,7 +55,7 @@
   const feed = createTableFeed({
     table,
     name: rows.configTable,
-    part: '',
+    listParts: () => [''],
     applyRow,
     onRead: (failure) => recordReachable(failure === null, failure?.message ?? '')
   })
--- a/packages/entry/src/cell/jobDesk.ts
+++ b/packages/entry/src/cell/jobDesk.ts
@@ -8,6 +8,7 @@
 import { cellJobAccepted, cellJobCancelled, cellJobRefused, cellJobUnsettled } from './events.js'
 import { CANCEL_SUFFIX, computeJobPart, JOB_TABLE, parseJobRow, parseStateRow, STATE_TABLE } from './holderRow.js'
 import type { CellTransaction, CommitResult } from './ports.js'
+import { readRow } from './readRow.js'
 import type { WatchedTable } from './tableHealth.js'
 
 /** Outcome of a caller's write. `unsettled`: its fate isn't known, no true answer can be given. */
@@ -126,14 +127,9 @@
     return 'done'
   }
 
-  const readRow = async (name: string, part: string, key: string) => {
-    const read = await table.readRange({ table: name, part, from: key, to: `${key}!` })
-    return read.map(({ rows }) => rows.find((row) => row.key === key))
-  }
-
   /** A job without a state: its holder has not begun with it, or there is no such job. */
   const readUnplanned = async (id: string, cell: string): Promise<JobPhase | 'unknownJob' | 'refused'> => {
-    const row = await readRow(JOB_TABLE, computeJobPart(cell, id), id)
+    const row = await readRow(table, JOB_TABLE, computeJobPart(cell, id), id)
     if (row.isErr()) return 'refused'
     return row.value === undefined ? 'unknownJob' : ACCEPTED_STATE.phase
   }
@@ -142,7 +138,7 @@
     const known = finals.get(id) ?? options.readCommittedPhase(queue.service, id)
     if (known !== null) return known
     if (table.isSuspect()) return 'refused'
-    const row = await readRow(STATE_TABLE, queue.service, id)
+    const row = await readRow(table, STATE_TABLE, queue.service, id)
     if (row.isErr()) return 'refused'
     if (row.value === undefined) return await readUnplanned(id, queue.service)
     const state = parseStateRow(row.value, events)
@@ -153,7 +149,7 @@
 
   const cancelJob: JobDesk['cancelJob'] = async (id, queue, _team, deadlineMs) => {
     const part = computeJobPart(queue.service, id)
-    const row = await readRow(JOB_TABLE, part, id)
+    const row = await readRow(table, JOB_TABLE, part, id)
     if (row.isErr()) return 'refused'
     if (row.value === undefined || parseJobRow(row.value, events) === null) return 'unknownJob'
     const key = `${id}${CANCEL_SUFFIX}`
--- a/packages/entry/src/cell/workerDirectory.ts
+++ b/packages/entry/src/cell/workerDirectory.ts
@@ -36,15 +36,17 @@
   const feed = createTableFeed({
     table,
     name: rows.workerTable,
-    part: '',
+    listParts: () => [''],
     applyRow,
-    onWhole: (present) => {
+    applyWhole: async (present) => {
       const keys = new Set(present.map((row) => row.key))
       for (const id of [...listed]) {
         if (keys.has(id)) continue
         listed.delete(id)
         options.onGone(id)
       }
+      for (const row of present) applyRow(row)
+      return true
     }
   })
 
