--- a/packages/standins/src/childProcess.ts
+++ b/packages/standins/src/childProcess.ts
@@ -31,6 +31,8 @@
   /** Written to standard input, which stays open as long as the parent lives. */
   readonly input?: string
   readonly onLine?: (line: string) => void
+  /** Variables beside the parent's own. */
+  readonly env?: Readonly<Record<string, string>>
 }
 
 const TAIL_LINES = 40
@@ -40,7 +42,7 @@
 /** Starts a Node.js script as a process of its own; the variable `STANDINS_LOG_DIR` names a folder that keeps its whole output. */
 export function startChild (options: ChildOptions): Child {
   // A process group of its own keeps the terminal's Ctrl-C for the parent, which then stops the children in order.
-  const child = spawn(process.execPath, [...options.args], { stdio: ['pipe', 'pipe', 'pipe'], detached: true })
+  const child = spawn(process.execPath, [...options.args], { stdio: ['pipe', 'pipe', 'pipe'], detached: true, env: { ...process.env, ...options.env } })
   const tail: string[] = []
   const listeners = new Set<(line: string) => void>()
   let end: ProcessEnd | undefined
