--- a/packages/entry/src/cell/__tests__/cellEntry.spec.ts
+++ b/packages/entry/src/cell/__tests__/cellEntry.spec.ts
@@ -169,7 +169,7 @@
   cluster.addWorker('w1')
   const [a, b] = await startEntries(cluster, ['a', 'b'])
   await submit(cluster, a!, '0000000000000001', 2)
-  const outcome = b!.entry.desk.cancelJob('0000000000000001', QUEUE!, null, cluster.clock.nowMs() + 3000)
+  const outcome = b!.entry.desk.cancelJob('0000000000000001', QUEUE!, cluster.clock.nowMs() + 3000)
   await cluster.clock.runFor(1000)
   assert.is(await outcome, 'done')
   assert.is(await readState(cluster, b!, '0000000000000001'), 'cancelled')
--- a/packages/entry/src/cell/cellEntry.ts
+++ b/packages/entry/src/cell/cellEntry.ts
@@ -144,7 +144,6 @@
     cells,
     clock,
     events,
-    readConfig: config.readConfig,
     acceptNews,
     readCommittedPhase: (cell, job) => terms.get(cell)?.readCommittedPhase(job) ?? null
   })
--- a/packages/entry/src/cell/jobDesk.ts
+++ b/packages/entry/src/cell/jobDesk.ts
@@ -1,6 +1,6 @@
 /** Takes jobs, tells their state and cancels them, at any entry. */
 import {
-  ACCEPTED_STATE, isFinal, type CellConfig, type Clock, type EventLog, type JobPhase, type QueueConfig, type StepJob
+  ACCEPTED_STATE, isFinal, type Clock, type EventLog, type JobPhase, type QueueConfig, type StepJob
 } from '@fuchsiatally/core'
 import type { PeerMesh } from '../ports.js'
 import type { CellWatch } from './cellWatch.js'
@@ -21,7 +21,6 @@
   readonly cells: CellWatch
   readonly clock: Clock
   readonly events: EventLog
-  readonly readConfig: () => CellConfig | null
   /** Passes a row on to the term that this entry holds; `false` if it holds none of that cell. */
   readonly acceptNews: (cell: string, key: string, value: string) => boolean
   /** Committed phase of a job, if this entry holds its cell and knows it. */
@@ -31,8 +30,8 @@
 /** The desk of one entry. */
 export interface JobDesk {
   submitJob: (id: string, job: StepJob, deadlineMs: number) => Promise<DeskOutcome>
-  readState: (id: string, queue: QueueConfig, team: string | null) => Promise<JobPhase | 'unknownJob' | 'refused'>
-  cancelJob: (id: string, queue: QueueConfig, team: string | null, deadlineMs: number) => Promise<DeskOutcome>
+  readState: (id: string, queue: QueueConfig) => Promise<JobPhase | 'unknownJob' | 'refused'>
+  cancelJob: (id: string, queue: QueueConfig, deadlineMs: number) => Promise<DeskOutcome>
   /** Accepted jobs of which nothing has started, or `null` if nothing is known of the cell. */
   countWaiting: (queue: QueueConfig) => number | null
 }
@@ -147,7 +146,7 @@
     return state.phase
   }
 
-  const cancelJob: JobDesk['cancelJob'] = async (id, queue, _team, deadlineMs) => {
+  const cancelJob: JobDesk['cancelJob'] = async (id, queue, deadlineMs) => {
     const part = computeJobPart(queue.service, id)
     const row = await readRow(table, JOB_TABLE, part, id)
     if (row.isErr()) return 'refused'
--- a/packages/entry/src/testing/cellClusterSteps.ts
+++ b/packages/entry/src/testing/cellClusterSteps.ts
@@ -13,7 +13,7 @@
 
 /** Reads a job's state at an entry. */
 export async function readState (cluster: CellCluster, entry: ClusterEntry, id: string): Promise<string> {
-  const state = entry.entry.desk.readState(id, QUEUE!, null)
+  const state = entry.entry.desk.readState(id, QUEUE!)
   await cluster.clock.runFor(20)
   return await state
 }
