Tests wait and set up in one place

Five tests of cells began with the same six lines (a worker whose first runs hang); startStuckRuns has them.

--- a/packages/entry/src/cell/__tests__/cellEntry.spec.ts
+++ b/packages/entry/src/cell/__tests__/cellEntry.spec.ts
@@ -2,7 +2,7 @@
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
 import { CLUSTER_CONFIG, createCellCluster, createTestJob, SERVICE } from '../../testing/cellCluster.js'
-import { checkNoTwins, readState, startEntries, submit } from '../../testing/cellClusterSteps.js'
+import { checkNoTwins, readState, startEntries, startStuckRuns, submit } from '../../testing/cellClusterSteps.js'
 import { computeJobPart } from '../holderRow.js'
 
 const [QUEUE] = CLUSTER_CONFIG.queues
@@ -19,24 +19,16 @@
 })
 
 test('tasks of a worker that falls silent run elsewhere once its lease has ended', async () => {
-  const cluster = createCellCluster({ planRun: (order) => ({ durationMs: order.run === 1 ? 60_000 : 500, how: 'done' }) })
-  const first = cluster.addWorker('w1')
-  const [entry] = await startEntries(cluster, ['a'])
-  await submit(cluster, entry!, '0000000000000001', 2)
-  await cluster.clock.runFor(500)
+  const { cluster, worker: first, entry } = await startStuckRuns()
   first.faults.cut = true
   cluster.addWorker('w2')
   await cluster.clock.runFor(14_000)
-  assert.is(await readState(cluster, entry!, '0000000000000001'), 'completed')
+  assert.is(await readState(cluster, entry, '0000000000000001'), 'completed')
   checkNoTwins(cluster)
 })
 
 test('work of a worker that is cut off begins elsewhere within 6 s where workers would grant leases of 10 s', async () => {
-  const cluster = createCellCluster({ maxLeaseMs: 10_000, planRun: (order) => ({ durationMs: order.run === 1 ? 60_000 : 500, how: 'done' }) })
-  const first = cluster.addWorker('w1')
-  const [entry] = await startEntries(cluster, ['a'])
-  await submit(cluster, entry!, '0000000000000001', 2)
-  await cluster.clock.runFor(500)
+  const { cluster, worker: first } = await startStuckRuns({ maxLeaseMs: 10_000 })
   first.faults.cut = true
   cluster.addWorker('w2')
   await cluster.clock.runFor(6000)
@@ -62,16 +54,12 @@
 })
 
 test('starts and polls without an answer do not put off the time at which a worker counts as lost', async () => {
-  const cluster = createCellCluster({ planRun: (order) => ({ durationMs: order.run === 1 ? 60_000 : 300, how: 'done' }) })
-  const cut = cluster.addWorker('w1')
-  const [entry] = await startEntries(cluster, ['a'])
-  await submit(cluster, entry!, '0000000000000001', 2)
-  await cluster.clock.runFor(300)
+  const { cluster, worker: cut, entry } = await startStuckRuns()
   cut.faults.cut = true
   const cutAtMs = cluster.clock.nowMs()
-  await submit(cluster, entry!, '0000000000000002', 1)
+  await submit(cluster, entry, '0000000000000002', 1)
   cluster.addWorker('w2')
-  while (entry!.events.listFields('FT812').length === 0) await cluster.clock.runFor(10)
+  while (entry.events.listFields('FT812').length === 0) await cluster.clock.runFor(10)
   // A lease of 3 s on a clock that may be 2% slow, and the margin of 0.2 s.
   const lostAfterMs = cluster.clock.nowMs() - cutAtMs
   assert.ok(lostAfterMs <= 3400, `lost after ${lostAfterMs} ms`)
@@ -99,14 +87,10 @@
 })
 
 test('a worker that starts anew has its tasks run again at once', async () => {
-  const cluster = createCellCluster({ planRun: (order) => ({ durationMs: order.run === 1 ? 60_000 : 500, how: 'done' }) })
-  const worker = cluster.addWorker('w1')
-  const [entry] = await startEntries(cluster, ['a'])
-  await submit(cluster, entry!, '0000000000000001', 2)
-  await cluster.clock.runFor(500)
+  const { cluster, worker, entry } = await startStuckRuns()
   worker.restart()
   await cluster.clock.runFor(3000)
-  assert.is(await readState(cluster, entry!, '0000000000000001'), 'completed')
+  assert.is(await readState(cluster, entry, '0000000000000001'), 'completed')
   checkNoTwins(cluster)
 })
 
--- a/packages/entry/src/cell/__tests__/cellTakeover.spec.ts
+++ b/packages/entry/src/cell/__tests__/cellTakeover.spec.ts
@@ -2,7 +2,7 @@
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
 import { CLUSTER_CONFIG, createCellCluster, createTestJob, SERVICE, type ClusterEntry } from '../../testing/cellCluster.js'
-import { checkNoTwins, readState, splitByHolder, startEntries, submit } from '../../testing/cellClusterSteps.js'
+import { checkNoTwins, readState, splitByHolder, startEntries, startStuckRuns, submit } from '../../testing/cellClusterSteps.js'
 import { computeJobPart } from '../holderRow.js'
 
 const [QUEUE] = CLUSTER_CONFIG.queues
@@ -213,14 +213,10 @@
 })
 
 test('tasks of a worker that a successor never saw run elsewhere after every lease', async () => {
-  const cluster = createCellCluster({ planRun: (order) => ({ durationMs: order.run === 1 ? 60_000 : 500, how: 'done' }) })
-  const first = cluster.addWorker('w1')
-  const [holder] = await startEntries(cluster, ['a'])
-  await submit(cluster, holder!, '0000000000000001', 2)
-  await cluster.clock.runFor(500)
+  const { cluster, worker: first, entry: holder } = await startStuckRuns()
   first.faults.cut = true
   cluster.table.deleteRow('servers', 'w1')
-  holder!.kill()
+  holder.kill()
   cluster.addWorker('w2')
   const next = cluster.addEntry('b')
   await cluster.clock.runFor(18_000)
--- a/packages/entry/src/testing/cellClusterSteps.ts
+++ b/packages/entry/src/testing/cellClusterSteps.ts
@@ -1,6 +1,7 @@
 /** Steps that tests of cells share. */
 import * as assert from 'uvu/assert'
-import { CLUSTER_CONFIG, createTestJob, type CellCluster, type ClusterEntry } from './cellCluster.js'
+import { CLUSTER_CONFIG, createCellCluster, createTestJob, type CellCluster, type CellClusterOptions, type ClusterEntry } from './cellCluster.js'
+import type { CellWorkerModel } from './cellWorkerModel.js'
 
 const [QUEUE] = CLUSTER_CONFIG.queues
 
@@ -42,3 +43,14 @@
   if (holder === undefined || other === undefined) throw new Error('no entry holds the cell')
   return { holder, other }
 }
+
+/** Two tasks that hang on the only worker of an entry; their second runs end after half a second. */
+export async function startStuckRuns (options: CellClusterOptions = {}): Promise<{ cluster: CellCluster, worker: CellWorkerModel, entry: ClusterEntry }> {
+  const cluster = createCellCluster({ ...options, planRun: (order) => ({ durationMs: order.run === 1 ? 60_000 : 500, how: 'done' }) })
+  const worker = cluster.addWorker('w1')
+  const [entry] = await startEntries(cluster, ['a'])
+  if (entry === undefined) throw new Error('no entry was started')
+  await submit(cluster, entry, '0000000000000001', 2)
+  await cluster.clock.runFor(500)
+  return { cluster, worker, entry }
+}
--- a/packages/entry/src/testing/cellTableModel.ts
+++ b/packages/entry/src/testing/cellTableModel.ts
@@ -2,6 +2,7 @@
 import type { Clock } from '@fuchsiatally/core'
 import { err, ok, type Result } from 'neverthrow'
 import type { CallFailure, CellTable, CellTransaction, CommitResult, TableRow } from '../cell/ports.js'
+import { createLongPoll } from './longPoll.js'
 
 /** What goes wrong with the next calls of one client. */
 export interface TableFaults {
@@ -42,7 +43,7 @@
   const callMs = options.callMs ?? 5
   const timeoutMs = options.timeoutMs ?? 1200
   const rows = new Map<string, TableRow>()
-  const watchers = new Set<() => void>()
+  const poll = createLongPoll(clock)
   /** Time at which each part has done what it took so far. */
   const freeAtMs = new Map<string, number>()
   let version = 0
@@ -52,7 +53,6 @@
   const setRow = (table: string, part: string, key: string, value: string, deleted: boolean): void => {
     rows.set(formatKey(table, part, key), { table, part, key, value, version, deleted })
   }
-  const wakeWatchers = (): void => { for (const wake of [...watchers]) wake() }
   const wait = (ms: number): Promise<void> => new Promise((resolve) => { clock.setTimer(ms, resolve) })
   const readVersion = (table: string, part: string, key: string): number => {
     const row = rows.get(formatKey(table, part, key))
@@ -68,7 +68,7 @@
     version++
     for (const { table, key, value } of transaction.writes) setRow(table, part, key, value, false)
     for (const { table, key } of transaction.deletes) setRow(table, part, key, '', true)
-    wakeWatchers()
+    poll.wake()
     return { kind: 'applied', version }
   }
 
@@ -115,19 +115,8 @@
         })
       },
       readChanges: async (name, after, waitMs) => {
-        const endMs = clock.nowMs() + waitMs
         const listChanges = () => [...rows.values()].filter((row) => row.table === name && row.version > after).sort((a, b) => a.version - b.version)
-        while (listChanges().length === 0 && clock.nowMs() < endMs && faults.outage === null) {
-          await new Promise<void>((resolve) => {
-            const finish = (): void => {
-              watchers.delete(finish)
-              timer.dispose()
-              resolve()
-            }
-            const timer = clock.setTimer(endMs - clock.nowMs(), finish)
-            watchers.add(finish)
-          })
-        }
+        await poll.waitUntil(() => listChanges().length > 0 || faults.outage !== null, waitMs)
         return await call(() => after < historyFrom ? { kind: 'historyLost' as const } : { kind: 'changes' as const, rows: listChanges(), version })
       }
     }
@@ -139,12 +128,12 @@
     writeRow: (table, key, value) => {
       version++
       setRow(table, '', key, JSON.stringify(value), false)
-      wakeWatchers()
+      poll.wake()
     },
     deleteRow: (table, key) => {
       version++
       setRow(table, '', key, '', true)
-      wakeWatchers()
+      poll.wake()
     },
     readRow: (table, part, key) => {
       const row = rows.get(formatKey(table, part, key))
--- a/packages/entry/src/testing/cellWorkerModel.ts
+++ b/packages/entry/src/testing/cellWorkerModel.ts
@@ -3,6 +3,7 @@
 import { err, ok, type Result } from 'neverthrow'
 import type { CallFailure, CellWorkerClient, ListedWorker } from '../cell/ports.js'
 import { formatRun } from '../cell/formatRun.js'
+import { createLongPoll } from './longPoll.js'
 
 /** A run that began, for the test's judgement. */
 export interface StartedRun extends RunName {
@@ -61,7 +62,7 @@
   /** Highest run of each task that was stopped or ended here. */
   let barred = new Map<string, number>()
   let life = 0
-  const waiters = new Set<() => void>()
+  const poll = createLongPoll(clock)
 
   const readClock = (): number => clock.nowMs() - startMs
   const wait = (ms: number): Promise<void> => new Promise((resolve) => { clock.setTimer(ms, resolve) })
@@ -77,7 +78,7 @@
     const { record } = run
     ended.push({ job: record.job, occurrence: record.occurrence, step: record.step, index: record.index, run: record.run, number: lastEnd, how, saved: '' })
     barred.set(formatTask(record), Math.max(barred.get(formatTask(record)) ?? 0, record.run))
-    for (const wake of [...waiters]) wake()
+    poll.wake()
   }
 
   const checkLease = (): void => {
@@ -134,18 +135,7 @@
 
   const createClient = (): CellWorkerClient => ({
     renewLease: async (request) => {
-      const endMs = clock.nowMs() + request.waitMs
-      while (ended.length === 0 && clock.nowMs() < endMs && !faults.cut) {
-        await new Promise<void>((resolve) => {
-          const finish = (): void => {
-            waiters.delete(finish)
-            timer.dispose()
-            resolve()
-          }
-          const timer = clock.setTimer(endMs - clock.nowMs(), finish)
-          waiters.add(finish)
-        })
-      }
+      await poll.waitUntil(() => ended.length > 0 || faults.cut, request.waitMs)
       return await call(() => {
         if (request.epoch < epoch) return { kind: 'deposed' as const }
         epoch = request.epoch
