Log the load of a partition's holder: time by part, event loop delay, backlog

The logs could not tell the hypotheses of the incident apart: an order without a response looked alike whether the worker was silent or the holder read the response late, and nothing said what a holder's second went into. FT859 states each second the time of planning, encoding rows and applying reports, their longest calls, the longest delay of a timer and the backlog; FT822 states the time after which the order was given up. The fake clock can block, so that timers run late in tests.

--- a/packages/core/src/partition/createPartitionPlanner.ts
+++ b/packages/core/src/partition/createPartitionPlanner.ts
@@ -244,6 +244,10 @@
     readRecord: registry.readRecord,
     readPhase: registry.readPhase,
     countWaiting: registry.countWaiting,
+    countBacklog: () => {
+      const waiting = registry.listWaitingInstances()
+      return { steps: waiting.length, tasks: waiting.reduce((sum, instance) => sum + listStartable(instance).length, 0) }
+    },
     removeEnded: registry.removeEnded
   }
 }
--- a/packages/core/src/partition/plannerTypes.ts
+++ b/packages/core/src/partition/plannerTypes.ts
@@ -129,6 +129,8 @@
   readPhase: (id: string) => JobPhase | null
   /** Number of one-off jobs of which no task has started, by queue. */
   countWaiting: () => ReadonlyMap<string, number>
+  /** Counts the steps and tasks that wait for capacity. */
+  countBacklog: () => { steps: number, tasks: number }
   /** Removes jobs that ended before `wallMs`; returns their ids. */
   removeEnded: (wallMs: number) => string[]
 }
--- a/packages/core/src/testing/fakeClock.ts
+++ b/packages/core/src/testing/fakeClock.ts
@@ -10,6 +10,8 @@
   runFor: (ms: number) => Promise<void>
   /** Runs pending promise callbacks without moving time. */
   settle: () => Promise<void>
+  /** Moves time forward without running timers, as a callback that blocks the event loop does; the timers that became due run late. */
+  block: (ms: number) => void
   /** Number of pending timers. */
   countTimers: () => number
 }
@@ -63,17 +65,18 @@
     wallMs: () => startWallMs + nowMs - startMs,
     setTimer,
     settle,
+    block: (ms) => { nowMs += ms },
     countTimers: () => timers.length,
     advance: (ms) => {
       const endMs = nowMs + ms
       while (runNext(endMs));
-      nowMs = endMs
+      nowMs = Math.max(nowMs, endMs)
     },
     runFor: async (ms) => {
       const endMs = nowMs + ms
       await settle()
       while (runNext(endMs)) await settle()
-      nowMs = endMs
+      nowMs = Math.max(nowMs, endMs)
       await settle()
     }
   }
--- a/packages/entry/src/partition/constants.ts
+++ b/packages/entry/src/partition/constants.ts
@@ -89,6 +89,11 @@
 /** Most bytes of values in one commit; the table accepts one megabyte, encoded. */
 export const MAX_COMMIT_BYTES = 500_000
 
+/** Interval at which a holder logs its load, in milliseconds. */
+export const LOAD_REPORT_INTERVAL_MS = 1000
+/** Interval of the timer that measures the delay of the event loop, in milliseconds; a tenth of the interval of the reports. */
+export const LOOP_PROBE_INTERVAL_MS = 100
+
 /** Pause between two attempts of a write, in milliseconds. */
 export const WRITE_RETRY_MS = 100
 /** Time before a caller's deadline at which a write of unknown outcome is abandoned, in milliseconds. */
--- a/packages/entry/src/partition/events.ts
+++ b/packages/entry/src/partition/events.ts
@@ -30,6 +30,7 @@
 export const tableFast = defineEvent('FT858', 'info', 'Table is fast again', 'Commits take their usual time.')
 export const claimsStored = defineEvent('FT855', 'info', 'Ceiling claims stored', 'The partition\'s claims on the teams\' ceilings are in the table: work of teams with a ceiling may start.')
 export const claimsNotStored = defineEvent('FT856', 'warn', 'Ceiling claims not stored', 'The write failed or its outcome is unknown; until it succeeds the smaller claim counts.')
+export const holderLoadMeasured = defineEvent('FT859', 'info', 'Load of the holder', 'Processor time by part of the work and the longest delay of the event loop since the last such line; with a long delay, responses arrive on time but are read late.')
 export const entryStarted = defineEvent('FT860', 'info', 'Entry started', 'The entry can hold partitions.')
 export const entryStopping = defineEvent('FT861', 'info', 'Entry is stopping', 'Its partitions are handed over and open requests are answered.')
 export const entryStopped = defineEvent('FT862', 'info', 'Entry stopped', 'All partitions were handed over and all requests answered.')
--- a/packages/entry/src/partition/partitionCommits.ts
+++ b/packages/entry/src/partition/partitionCommits.ts
@@ -3,6 +3,7 @@
 import { createSerialLoop } from '../process/serialLoop.js'
 import { COMMIT_PAUSE_MS, MAX_UNCONFIRMED_TERM_MS, MAX_COMMIT_BYTES, MAX_COMMIT_ROWS, MAX_PLAN_PAUSE_MS, REFUSED_COMMIT_PAUSE_MS, RENEWAL_INTERVAL_MS, STUCK_AFTER_MS, STUCK_FAILURE_COUNT } from './constants.js'
 import { runPlaced } from './events.js'
+import type { HolderLoad } from './holderLoad.js'
 import { formatRun } from './formatRun.js'
 import { PARTITION_TABLE, HOLDER_KEY, parseHolderRow, STATE_TABLE, type HolderRow } from './partitionRows.js'
 import type { PartitionTable, TableTransaction } from './ports.js'
@@ -17,6 +18,7 @@
   readonly planner: PartitionPlanner
   readonly clock: Clock
   readonly events: EventLog
+  readonly load: HolderLoad
   readonly statusMs: number
   /** Whether all accepted jobs are in the planner; until then the queue counts of the previous holder are retained. */
   readonly isLoaded: () => boolean
@@ -136,13 +138,13 @@
 
   const runStep = async (): Promise<void> => {
     if (stopped) return
-    const starts = releasing ? [] : options.plan()
+    const starts = releasing ? [] : options.load.measurePart('plan', options.plan)
     for (const order of starts) options.events.record(runPlaced, { run: formatRun(order), worker: order.worker, resumed: order.saved !== '' })
     pendingStarts.push(...starts)
     const expiredJobs = planner.removeEnded(clock.wallMs() - options.statusMs)
     if (expiredJobs.length > 0) options.onJobsExpired(expiredJobs)
     const readyCount = pendingStarts.length
-    const { jobs, writes } = takeChanges()
+    const { jobs, writes } = options.load.measurePart('encode', takeChanges)
     const deletes = listStateDeletes(MAX_COMMIT_ROWS - writes.length)
     for (const controller of options.listControllers()) controller.beginCommit()
     const renews = mustRenew || releasing || clock.nowMs() - renewedAtMs >= RENEWAL_INTERVAL_MS
--- a/packages/entry/src/partition/partitionTerm.ts
+++ b/packages/entry/src/partition/partitionTerm.ts
@@ -10,6 +10,7 @@
 import { computePriorLeaseBoundMs } from './leaseBounds.js'
 import { createPartitionJobs } from './partitionJobs.js'
 import type { HolderRow } from './partitionRows.js'
+import { createHolderLoad } from './holderLoad.js'
 import { createJobCleanup } from './jobCleanup.js'
 import { jobEnded, partitionReleased, workerLost, workerLeaving } from './events.js'
 import type { PartitionBounds, PartitionTable, PartitionWorkerClient, ListedWorker, PlatformRows } from './ports.js'
@@ -57,6 +58,7 @@
   const { partition, row, clock, events, advice } = options
   const disposables = createDisposableStore()
   const planner = createPartitionPlanner()
+  const load = disposables.add(createHolderLoad({ partition, epoch: row.epoch, clock, events, readBacklog: planner.countBacklog }))
   const managedWorkers = new Map<string, ManagedWorker>()
   const listings = new Map<string, ListedWorker>()
   const committedPhases = new Map<string, JobPhase>()
@@ -85,6 +87,7 @@
       planner,
       clock,
       events,
+      load,
       mayExtend: () => commits.readConfirmedAgeMs() < MAX_UNCONFIRMED_EXTENSION_MS,
       onChange: () => commits.wake(),
       onDeposed: endTerm
@@ -189,6 +192,7 @@
     planner,
     clock,
     events,
+    load,
     statusMs: options.bounds.statusMs,
     isLoaded: () => jobs.isLoaded(),
     listControllers: () => [...managedWorkers.values()].map((member) => member.controller),
--- a/packages/entry/src/partition/partitionWorkerController.ts
+++ b/packages/entry/src/partition/partitionWorkerController.ts
@@ -5,6 +5,7 @@
 } from './constants.js'
 import { computeLeaseMs, computePriorLeaseBoundMs } from './leaseBounds.js'
 import { runEnded, runRefused, runStopping, orderInDoubt, workerReachable, workerLost, workerUnresponsive } from './events.js'
+import type { HolderLoad } from './holderLoad.js'
 import { formatRun } from './formatRun.js'
 import type { PartitionWorkerClient, LeaseResponse } from './ports.js'
 import { failProcess } from '../process/failProcess.js'
@@ -17,6 +18,7 @@
   readonly planner: PartitionPlanner
   readonly clock: Clock
   readonly events: EventLog
+  readonly load: HolderLoad
   /** Whether this holder was confirmed recently enough to extend leases. */
   readonly mayExtend: () => boolean
   /** A report or the outcome of an order changed the planner. */
@@ -182,7 +184,8 @@
       return
     }
     const isFirst = clockSample === null
-    applyResponse(result.value, sentAtMs)
+    const response = result.value
+    options.load.measurePart('report', () => applyResponse(response, sentAtMs))
     if (!isFirst && pendingEnds.length > 0) await waitForCommit(COMMIT_WAIT_MS)
   }
 
@@ -204,12 +207,13 @@
       if (lease === null || nowMs === null || disposed) break
       if (lease - nowMs < MIN_START_LEASE_MS || stopping.has(name)) break
       leaseUntilMs = Math.max(leaseUntilMs, lease)
+      const sentAtMs = clock.nowMs()
       const result = await client.startRun(order, epoch, lease, timeoutMs)
       if (disposed) return
       if (result.isErr()) {
         setSuspect()
         if (result.error.kind === 'unknown') isOutcomeKnown = false
-        events.record(orderInDoubt, { run: name, worker, attempt, message: result.error.message })
+        events.record(orderInDoubt, { run: name, worker, attempt, elapsedMs: Math.round(clock.nowMs() - sentAtMs), message: result.error.message })
         continue
       }
       if (result.value.kind === 'deposed') {
