--- a/packages/entry/src/partition/holderLoad.ts
+++ b/packages/entry/src/partition/holderLoad.ts
@@ -44,7 +44,7 @@
   let reportedAtMs = clock.nowMs()
   let timer: Disposable
 
-  const report = (nowMs: number): void => {
+  const recordTotals = (nowMs: number): void => {
     const fields: Record<string, number> = {}
     for (const [part, { count, totalMs, longestMs }] of totals) {
       fields[`${part}Count`] = count
@@ -71,7 +71,7 @@
     timer = clock.setTimer(LOOP_PROBE_INTERVAL_MS, () => {
       const nowMs = clock.nowMs()
       longestLoopDelayMs = Math.max(longestLoopDelayMs, nowMs - dueAtMs)
-      if (nowMs - reportedAtMs >= LOAD_REPORT_INTERVAL_MS) report(nowMs)
+      if (nowMs - reportedAtMs >= LOAD_REPORT_INTERVAL_MS) recordTotals(nowMs)
       scheduleProbe()
     })
   }
