State a job's objective where its acceptance is logged

Whether a job ended late could not be told from the logs: the objective follows from queue, estimates and advice, none of which a line named. FT830 now has objectiveMs.

--- a/packages/entry/src/partition/jobApi.ts
+++ b/packages/entry/src/partition/jobApi.ts
@@ -1,6 +1,6 @@
 /** Submits jobs, reads their state and cancels them; works at any entry, whether or not it holds the partition. */
 import {
-  ACCEPTED_STATE, isFinal, type Clock, type EventLog, type JobPhase, type QueueConfig, type StepJob
+  ACCEPTED_STATE, computeObjectiveMs, isFinal, type Clock, type EventLog, type JobPhase, type QueueConfig, type StepJob
 } from '@fuchsiatally/core'
 import type { PeerMesh } from '../ports.js'
 import type { PartitionWatch } from './partitionWatch.js'
@@ -45,7 +45,7 @@
     if (step.targetMs > 0) flags.add('target')
     if (step.savesWork) flags.add('savesWork')
   }
-  return { service: job.policy.service, priority: job.policy.priority, tasks: job.steps.map((step) => step.taskCount), flags: [...flags], runCount: job.runCount }
+  return { service: job.policy.service, priority: job.policy.priority, tasks: job.steps.map((step) => step.taskCount), flags: [...flags], runCount: job.runCount, objectiveMs: Math.round(computeObjectiveMs(job)) }
 }
 
 export function createJobApi (options: JobApiOptions): JobApi {
