Read arrived input before a request of the pooled client times out

What callers saw: with a late event loop, requests to workers and to the table ended with "no response within 200 ms" although the response lay in the socket buffer. Each such timeout closed the connection and all idle ones of the address, and the order was sent again and then barred by a stop. Cause: the event loop runs due timers before it reads sockets. After a callback that blocks past the timeout, the timer won against a response that had arrived in time. Ruled out: a slow server. In the new test the response is certainly written before the loop is unblocked (the server is a thread of its own, and the test waits for it synchronously). Change: createResponseTimer. When it expires, one poll phase runs (Clock.runAfterPoll) before the timeout is declared. A timeout whose last check was late as well is marked isOwnDelay, and closes only its own connection: it is no evidence against the idle ones. A timeout with a loop that is on time closes them as before (existing test). Not covered: a loop that is blocked before the request is sent but on time when the timer expires; the server then had less than the timeout to respond.

--- a/packages/core/src/clock.ts
+++ b/packages/core/src/clock.ts
@@ -13,6 +13,8 @@
   wallMs: () => number
   /** Runs `action` once after `delayMs`, unless disposed first. */
   setTimer: (delayMs: number, action: () => void) => Disposable
+  /** Runs `action` once after the event loop has read input that has already arrived, unless disposed first; timers run before that. */
+  runAfterPoll: (action: () => void) => Disposable
 }
 
 /** Source of random numbers and identifiers. */
--- a/packages/core/src/testing/fakeClock.ts
+++ b/packages/core/src/testing/fakeClock.ts
@@ -64,6 +64,7 @@
     nowMs: () => nowMs,
     wallMs: () => startWallMs + nowMs - startMs,
     setTimer,
+    runAfterPoll: (action) => setTimer(0, action),
     settle,
     block: (ms) => { nowMs += ms },
     countTimers: () => timers.length,
--- a/packages/core/src/testing/systemClock.ts
+++ b/packages/core/src/testing/systemClock.ts
@@ -14,6 +14,10 @@
     setTimer: (delayMs, action) => {
       const timer = setTimeout(action, Math.max(0, delayMs))
       return { dispose: () => clearTimeout(timer) }
+    },
+    runAfterPoll: (action) => {
+      const immediate = setImmediate(action)
+      return { dispose: () => { clearImmediate(immediate) } }
     }
   }
 }
--- /dev/null
+++ b/packages/core/src/testing/threadServer.ts
@@ -0,0 +1,72 @@
+/** HTTP server in a thread of its own, which responds while the event loop of the test is blocked. */
+import { once } from 'node:events'
+import { Worker } from 'node:worker_threads'
+
+/** A server that holds each response back until the test lets it go. */
+export interface ThreadServer {
+  readonly port: number
+  /** Waits until the server has read this number of requests. */
+  waitForRequests: (count: number) => Promise<void>
+  /** Lets one response go, blocks the event loop until it is written, and then for `blockMs` more. */
+  releaseAndBlock: (blockMs: number) => void
+  /** Number of connections that were opened. */
+  countConnections: () => number
+  close: () => Promise<void>
+}
+
+/** Indexes of the shared counters. */
+const READ = 0
+const RELEASED = 1
+const WRITTEN = 2
+const CONNECTIONS = 3
+const PORT = 4
+const COUNTERS = 5
+
+const SERVER_SOURCE = `
+const { createServer } = require('node:http')
+const { workerData } = require('node:worker_threads')
+const { counters, body } = workerData
+const add = (index) => { Atomics.add(counters, index, 1); Atomics.notify(counters, index) }
+let answered = 0
+const server = createServer((request, response) => {
+  request.resume()
+  request.on('end', () => {
+    add(${READ})
+    answered += 1
+    while (Atomics.load(counters, ${RELEASED}) < answered) Atomics.wait(counters, ${RELEASED}, Atomics.load(counters, ${RELEASED}))
+    response.end(body, () => add(${WRITTEN}))
+  })
+})
+server.on('connection', () => add(${CONNECTIONS}))
+server.listen(0, '127.0.0.1', () => {
+  Atomics.store(counters, ${PORT}, server.address().port)
+  require('node:worker_threads').parentPort.postMessage('listening')
+})
+`
+
+/** Starts the server; all its responses have the same body. */
+export async function startThreadServer (body: string): Promise<ThreadServer> {
+  const counters = new Int32Array(new SharedArrayBuffer(COUNTERS * Int32Array.BYTES_PER_ELEMENT))
+  const thread = new Worker(SERVER_SOURCE, { eval: true, workerData: { counters, body } })
+  await once(thread, 'message')
+  return {
+    port: Atomics.load(counters, PORT),
+    waitForRequests: async (count) => {
+      while (Atomics.load(counters, READ) < count) await new Promise((resolve) => { setImmediate(resolve) })
+    },
+    releaseAndBlock: (blockMs) => {
+      const written = Atomics.load(counters, WRITTEN)
+      Atomics.add(counters, RELEASED, 1)
+      Atomics.notify(counters, RELEASED)
+      while (Atomics.load(counters, WRITTEN) === written) Atomics.wait(counters, WRITTEN, written)
+      const untilMs = performance.now() + blockMs
+      while (performance.now() < untilMs);
+    },
+    countConnections: () => Atomics.load(counters, CONNECTIONS),
+    close: async () => {
+      Atomics.store(counters, RELEASED, 2 ** 30)
+      Atomics.notify(counters, RELEASED)
+      await thread.terminate()
+    }
+  }
+}
--- a/packages/entry/src/testing/fakeProcess.ts
+++ b/packages/entry/src/testing/fakeProcess.ts
@@ -46,22 +46,24 @@
     await waitForOpen(inbound)
     return result
   }
+  const scheduleWhenOpen = (schedule: (action: () => void) => Disposable, action: () => void): Disposable => {
+    let disposed = false
+    const scheduled = schedule(() => runWhenOpen(inbound, () => {
+      if (!disposed) action()
+    }))
+    return {
+      dispose: () => {
+        disposed = true
+        scheduled.dispose()
+      }
+    }
+  }
   return {
     clock: {
       nowMs: base.nowMs,
       wallMs: base.wallMs,
-      setTimer: (delayMs, action) => {
-        let disposed = false
-        const timer = base.setTimer(delayMs, () => runWhenOpen(inbound, () => {
-          if (!disposed) action()
-        }))
-        return {
-          dispose: () => {
-            disposed = true
-            timer.dispose()
-          }
-        }
-      }
+      setTimer: (delayMs, action) => scheduleWhenOpen((run) => base.setTimer(delayMs, run), action),
+      runAfterPoll: (action) => scheduleWhenOpen(base.runAfterPoll, action)
     },
     wrapPlatform: (client) => ({
       transact: (transaction) => callRemote(() => client.transact(transaction)),
--- a/packages/table/src/httpConnections.ts
+++ b/packages/table/src/httpConnections.ts
@@ -1,6 +1,6 @@
 /** HTTP requests over pooled keep-alive connections, with a timeout and a maximum response size. */
 import { Agent, type ClientRequest, type IncomingMessage, request } from 'node:http'
-import type { Clock, Disposable } from '@fuchsiatally/core'
+import { type Clock, createResponseTimer, type Disposable, type ResponseTimer } from '@fuchsiatally/core'
 import { err, ok, type Result } from 'neverthrow'
 import { IDLE_CONNECTION_TIMEOUT_MS, MAX_CONNECTIONS } from './constants.js'
 import type { PlatformFailure } from './platformClient.js'
@@ -35,7 +35,7 @@
   /** `host:port` of the platform. */
   readonly address: string
   readonly clock: Clock
-  /** Called when a request timed out and its connection was closed. */
+  /** Called when a request timed out although the event loop was on time; its connection and the idle ones were closed. */
   readonly onUnresponsive: () => void
   /** Maximum concurrent connections; default `MAX_CONNECTIONS`. */
   readonly maxConnections?: number
@@ -69,16 +69,21 @@
         timer.dispose()
         resolve(result)
       }
-      const timer = options.clock.setTimer(httpRequest.timeoutMs, () => {
-        finish(err({ kind: 'timeout', message: `no response within ${httpRequest.timeoutMs} ms` }))
-        clientRequest.destroy()
-        closeIdleConnections()
-        options.onUnresponsive()
+      const timer = createResponseTimer({
+        clock: options.clock,
+        timeoutMs: httpRequest.timeoutMs,
+        onTimeout: (isOwnDelay) => {
+          finish(err(createTimeoutFailure(httpRequest.timeoutMs, isOwnDelay)))
+          clientRequest.destroy()
+          if (isOwnDelay) return
+          closeIdleConnections()
+          options.onUnresponsive()
+        }
       })
       clientRequest.on('error', (error: NodeJS.ErrnoException) => {
         finish(err({ kind: 'unavailable', message: error.message, ...(error.code === 'ECONNREFUSED' ? { notSent: true as const } : {}) }))
       })
-      clientRequest.on('response', (response) => collectResponse(clientRequest, response, httpRequest.maxAnswerBytes, finish))
+      clientRequest.on('response', (response) => collectResponse(clientRequest, response, httpRequest.maxAnswerBytes, timer, finish))
       clientRequest.end(httpRequest.body)
     })
   }
@@ -100,13 +105,20 @@
   }
 }
 
+function createTimeoutFailure (timeoutMs: number, isOwnDelay: boolean): PlatformFailure {
+  if (!isOwnDelay) return { kind: 'timeout', message: `no response within ${timeoutMs} ms` }
+  return { kind: 'timeout', message: `no response within ${timeoutMs} ms, and the event loop was late`, isOwnDelay }
+}
+
 function collectResponse (
-  clientRequest: ClientRequest, response: IncomingMessage, maxBytes: number,
+  clientRequest: ClientRequest, response: IncomingMessage, maxBytes: number, timer: ResponseTimer,
   finish: (result: Result<HttpResponse, PlatformFailure>) => void
 ): void {
   const chunks: Buffer[] = []
   let size = 0
+  timer.recordProgress()
   response.on('data', (chunk: Buffer) => {
+    timer.recordProgress()
     size += chunk.length
     chunks.push(chunk)
     if (size <= maxBytes) return
--- a/packages/table/src/platformClient.ts
+++ b/packages/table/src/platformClient.ts
@@ -8,6 +8,8 @@
   readonly message: string
   /** The connection was refused, so the request was never sent. */
   readonly notSent?: true
+  /** The event loop of this process was late, so that the timeout says nothing about the platform. */
+  readonly isOwnDelay?: true
 }
 
 /** Definite outcome of a transaction. */
