Read arrived input before a call to a worker times out

What callers saw: on an entry with a late event loop, lease renewals and orders ended with "no response within 1000 ms" although the report had arrived, and every connection to that worker was replaced. Cause: the same as in the pooled client: timers run before sockets are read. Change: the calls use createResponseTimer; connections are replaced only after a timeout with an event loop that was on time. The new test failed before: kind "timeout", "no response within 200 ms" instead of the report.

--- a/packages/entry/src/ports.ts
+++ b/packages/entry/src/ports.ts
@@ -9,6 +9,8 @@
 export interface WorkerFailure {
   readonly kind: 'unreachable' | 'timeout' | 'malformed'
   readonly message: string
+  /** The event loop of this process was late, so that the timeout says nothing about the worker. */
+  readonly isOwnDelay?: true
 }
 
 /** `POST /lease` was refused because the worker has seen a higher epoch. */
--- a/packages/entry/src/vm/__tests__/httpWorkerClient.spec.ts
+++ b/packages/entry/src/vm/__tests__/httpWorkerClient.spec.ts
@@ -3,6 +3,7 @@
 import type { AddressInfo } from 'node:net'
 import type { LeaseReport } from '@fuchsiatally/core'
 import { createMemoryEventLog } from '@fuchsiatally/core/testing/memoryEventLog'
+import { startThreadServer } from '@fuchsiatally/core/testing/threadServer'
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
 import { createSystemClock } from '../../process/systemClock.js'
@@ -111,4 +112,19 @@
   assert.equal(events, ['FT335'])
 })
 
+// Guards against a late owner that takes its own delay for the silence of a worker.
+test('a report that arrives in time is delivered although the event loop is blocked past the timeout', async () => {
+  const server = await startThreadServer(JSON.stringify(REPORT))
+  const log = createMemoryEventLog()
+  const client = createHttpWorkerClient(`127.0.0.1:${server.port}`, { clock: createSystemClock(), log, timeoutMs: 200 })
+  const call = client.renewLease(LEASE)
+  await server.waitForRequests(1)
+  server.releaseAndBlock(400)
+  const report = await call
+  client.dispose()
+  await server.close()
+  assert.equal(report.isOk() ? report.value : report.error, REPORT)
+  assert.equal(log.recorded, [])
+})
+
 test.run()
--- a/packages/entry/src/vm/httpWorkerClient.ts
+++ b/packages/entry/src/vm/httpWorkerClient.ts
@@ -1,8 +1,8 @@
 /** HTTP client of a worker's lease and task interface. */
 import { Agent, request as sendHttp } from 'node:http'
 import type { IncomingMessage } from 'node:http'
-import { CommandReport, createDecoder, FullLeaseResponse, UnchangedLeaseResponse } from '@fuchsiatally/core'
-import type { Clock, DecodeError, Disposable, EventLog, LeaseReport } from '@fuchsiatally/core'
+import { CommandReport, createDecoder, createResponseTimer, FullLeaseResponse, UnchangedLeaseResponse } from '@fuchsiatally/core'
+import type { Clock, DecodeError, Disposable, EventLog, LeaseReport, ResponseTimer } from '@fuchsiatally/core'
 import * as Schema from 'effect/Schema'
 import { err, ok } from 'neverthrow'
 import type { Result } from 'neverthrow'
@@ -38,7 +38,7 @@
 const decodeStale = createDecoder(Schema.Struct({ epoch: Schema.Int }))
 
 /**
- * Creates the client of a worker; all its connections are replaced after a call times out.
+ * Creates the client of a worker; all its connections are replaced after a call times out although the event loop was on time.
  *
  * @param address `host:port`
  */
@@ -79,7 +79,7 @@
     const usedAgent = agent
     const response = await sendCall({ agent: usedAgent, host, port, path, body: JSON.stringify(command), timeoutMs, maxBytes, clock: options.clock })
     if (response.isOk()) isUnresponsive = false
-    else if (response.error.kind === 'timeout') replaceAgent(usedAgent)
+    else if (response.error.kind === 'timeout' && response.error.isOwnDelay !== true) replaceAgent(usedAgent)
     return response
   }
   const sendCommand = async (path: string, command: unknown): Promise<Result<CommandReport, WorkerFailure>> =>
@@ -134,23 +134,29 @@
       if (outcome.isErr()) request.destroy()
       resolve(outcome)
     }
-    const timer = call.clock.setTimer(call.timeoutMs, () => {
-      settle(fail('timeout', `no response within ${call.timeoutMs} ms`))
+    const timer = createResponseTimer({
+      clock: call.clock,
+      timeoutMs: call.timeoutMs,
+      onTimeout: (isOwnDelay) => {
+        settle(err({ kind: 'timeout', message: `no response within ${call.timeoutMs} ms`, ...(isOwnDelay ? { isOwnDelay } : {}) }))
+      }
     })
     request.on('error', (error) => settle(fail('unreachable', error.message)))
-    request.on('response', (response) => readResponse(response, call.maxBytes, settle))
+    request.on('response', (response) => readResponse(response, call.maxBytes, timer, settle))
     request.end(call.body)
   })
 }
 
 function readResponse (
-  response: IncomingMessage, maxBytes: number, settle: (outcome: Result<WorkerResponse, WorkerFailure>) => void
+  response: IncomingMessage, maxBytes: number, timer: ResponseTimer, settle: (outcome: Result<WorkerResponse, WorkerFailure>) => void
 ): void {
   const chunks: Buffer[] = []
   let bytes = 0
+  timer.recordProgress()
   response.on('error', (error) => settle(fail('unreachable', error.message)))
   response.on('aborted', () => settle(fail('unreachable', 'connection closed before the response was complete')))
   response.on('data', (chunk: Buffer) => {
+    timer.recordProgress()
     bytes += chunk.length
     if (bytes > maxBytes) settle(fail('malformed', `response exceeds the limit of ${maxBytes} bytes`))
     else chunks.push(chunk)
