Keep the other calls to a worker when one of them times out

What callers saw: after one call to a worker without a response, every other call in progress to it failed with "socket hang up", lease renewals included. Cause: the whole agent was destroyed, with the connections in use. The reason for replacing connections (a middlebox that dropped their state) concerns idle ones; those in use have timeouts of their own. Change: the connection that timed out and the idle ones are closed; the agent stays. The new test failed before: kind "unreachable", "socket hang up" for the second call.

--- a/packages/entry/src/vm/__tests__/httpWorkerClient.spec.ts
+++ b/packages/entry/src/vm/__tests__/httpWorkerClient.spec.ts
@@ -2,6 +2,7 @@
 import { createServer, type RequestListener, type Server } from 'node:http'
 import type { AddressInfo } from 'node:net'
 import type { LeaseReport } from '@fuchsiatally/core'
+import { createFakeClock } from '@fuchsiatally/core/testing/fakeClock'
 import { createMemoryEventLog } from '@fuchsiatally/core/testing/memoryEventLog'
 import { startThreadServer } from '@fuchsiatally/core/testing/threadServer'
 import { test } from 'uvu'
@@ -127,4 +128,29 @@
   assert.equal(log.recorded, [])
 })
 
+// Guards against one unanswered call that aborts the other calls in progress at the same worker.
+test('a timeout leaves the other calls in progress to the worker alone', async () => {
+  const clock = createFakeClock()
+  const responses: Array<Parameters<RequestListener>[1]> = []
+  const server = createServer((request, response) => { request.resume().on('end', () => { responses.push(response) }) })
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
+  const client = createHttpWorkerClient(`127.0.0.1:${(server.address() as AddressInfo).port}`, { clock, log: createMemoryEventLog(), timeoutMs: 300 })
+  const waitForCalls = async (count: number): Promise<void> => {
+    while (responses.length < count) await new Promise((resolve) => { setImmediate(resolve) })
+  }
+  const silent = client.renewLease(LEASE)
+  await waitForCalls(1)
+  clock.advance(200)
+  const answered = client.renewLease(LEASE)
+  await waitForCalls(2)
+  clock.advance(100)
+  assert.is((await silent)._unsafeUnwrapErr().kind, 'timeout')
+  responses[1]!.end(JSON.stringify(REPORT))
+  const report = await answered
+  client.dispose()
+  server.closeAllConnections()
+  await new Promise((resolve) => server.close(resolve))
+  assert.equal(report.isOk() ? report.value : report.error, REPORT)
+})
+
 test.run()
--- a/packages/entry/src/vm/events.ts
+++ b/packages/entry/src/vm/events.ts
@@ -41,4 +41,4 @@
 export const desiredIgnored = defineEvent('FT334', 'debug', 'Desired set ignored',
   'The worker is not owned here, or the set was computed for another worker epoch, by a deposed scheduler, or arrived late; `fault` names which.')
 export const workerClientReplaced = defineEvent('FT335', 'info', 'Connections to a worker replaced',
-  'A call timed out, so all connections to the worker were closed. Recorded once until the worker responds again.')
+  'A call timed out, so its connection and all idle ones to the worker were closed. Recorded once until the worker responds again.')
--- a/packages/entry/src/vm/httpWorkerClient.ts
+++ b/packages/entry/src/vm/httpWorkerClient.ts
@@ -38,7 +38,7 @@
 const decodeStale = createDecoder(Schema.Struct({ epoch: Schema.Int }))
 
 /**
- * Creates the client of a worker; all its connections are replaced after a call times out although the event loop was on time.
+ * Creates the client of a worker; after a call times out although the event loop was on time, its connection and all idle ones are closed.
  *
  * @param address `host:port`
  */
@@ -48,8 +48,7 @@
   const timeoutMs = options.timeoutMs ?? WORKER_CALL_TIMEOUT_MS
   const maxBytes = options.maxBytes ?? MAX_REPORT_BYTES
   const { host, port } = parseAddress(address)
-  const createAgent = (): Agent => new Agent({ keepAlive: true, maxSockets: MAX_CONNECTIONS, maxFreeSockets: 2 })
-  let agent = createAgent()
+  const agent = new Agent({ keepAlive: true, maxSockets: MAX_CONNECTIONS, maxFreeSockets: 2 })
   let isUnresponsive = false
   let disposed = false
   let lastFullResponse: FullLeaseResponse | null = null
@@ -65,21 +64,21 @@
     })
   }
 
-  const replaceAgent = (usedAgent: Agent): void => {
-    if (usedAgent !== agent || disposed) return
+  const closeIdleConnections = (): void => {
+    if (disposed) return
     // A middlebox such as a NAT may have dropped the state of all idle connections.
-    agent = createAgent()
-    usedAgent.destroy()
+    for (const sockets of Object.values(agent.freeSockets)) {
+      for (const socket of sockets ?? []) socket.destroy()
+    }
     // Logged once while the worker does not respond, not at each call.
     if (!isUnresponsive) options.log.record(workerClientReplaced, { address })
     isUnresponsive = true
   }
   const callWorker = async (path: string, command: unknown): Promise<Result<WorkerResponse, WorkerFailure>> => {
     if (disposed) return err({ kind: 'unreachable', message: 'worker client is closed' })
-    const usedAgent = agent
-    const response = await sendCall({ agent: usedAgent, host, port, path, body: JSON.stringify(command), timeoutMs, maxBytes, clock: options.clock })
+    const response = await sendCall({ agent, host, port, path, body: JSON.stringify(command), timeoutMs, maxBytes, clock: options.clock })
     if (response.isOk()) isUnresponsive = false
-    else if (response.error.kind === 'timeout' && response.error.isOwnDelay !== true) replaceAgent(usedAgent)
+    else if (response.error.kind === 'timeout' && response.error.isOwnDelay !== true) closeIdleConnections()
     return response
   }
   const sendCommand = async (path: string, command: unknown): Promise<Result<CommandReport, WorkerFailure>> =>
