--- a/packages/entry/src/vm/httpWorkerClient.ts
+++ b/packages/entry/src/vm/httpWorkerClient.ts
@@ -1,8 +1,8 @@
 /** HTTP client of a worker's lease and task interface. */
 import { Agent, request as sendHttp } from 'node:http'
 import type { IncomingMessage } from 'node:http'
-import { CommandReport, createDecoder, FullLeaseResponse, UnchangedLeaseResponse } from '@fuchsiatally/core'
-import type { Clock, DecodeError, Disposable, EventLog, LeaseReport } from '@fuchsiatally/core'
+import { CommandReport, createDecoder, createResponseTimer, FullLeaseResponse, UnchangedLeaseResponse } from '@fuchsiatally/core'
+import type { Clock, DecodeError, Disposable, EventLog, LeaseReport, ResponseTimer } from '@fuchsiatally/core'
 import * as Schema from 'effect/Schema'
 import { err, ok } from 'neverthrow'
 import type { Result } from 'neverthrow'
@@ -38,7 +38,7 @@
 const decodeStale = createDecoder(Schema.Struct({ epoch: Schema.Int }))
 
 /**
- * Creates the client of a worker; all its connections are replaced after a call times out.
+ * Creates the client of a worker; after a call times out although the event loop was on time, its connection and all idle ones are closed.
  *
  * @param address `host:port`
  */
@@ -48,8 +48,7 @@
   const timeoutMs = options.timeoutMs ?? WORKER_CALL_TIMEOUT_MS
   const maxBytes = options.maxBytes ?? MAX_REPORT_BYTES
   const { host, port } = parseAddress(address)
-  const createAgent = (): Agent => new Agent({ keepAlive: true, maxSockets: MAX_CONNECTIONS, maxFreeSockets: 2 })
-  let agent = createAgent()
+  const agent = new Agent({ keepAlive: true, maxSockets: MAX_CONNECTIONS, maxFreeSockets: 2 })
   let isUnresponsive = false
   let disposed = false
   let lastFullResponse: FullLeaseResponse | null = null
@@ -65,21 +64,21 @@
     })
   }
 
-  const replaceAgent = (usedAgent: Agent): void => {
-    if (usedAgent !== agent || disposed) return
+  const closeIdleConnections = (): void => {
+    if (disposed) return
     // A middlebox such as a NAT may have dropped the state of all idle connections.
-    agent = createAgent()
-    usedAgent.destroy()
+    for (const sockets of Object.values(agent.freeSockets)) {
+      for (const socket of sockets ?? []) socket.destroy()
+    }
     // Logged once while the worker does not respond, not at each call.
     if (!isUnresponsive) options.log.record(workerClientReplaced, { address })
     isUnresponsive = true
   }
   const callWorker = async (path: string, command: unknown): Promise<Result<WorkerResponse, WorkerFailure>> => {
     if (disposed) return err({ kind: 'unreachable', message: 'worker client is closed' })
-    const usedAgent = agent
-    const response = await sendCall({ agent: usedAgent, host, port, path, body: JSON.stringify(command), timeoutMs, maxBytes, clock: options.clock })
+    const response = await sendCall({ agent, host, port, path, body: JSON.stringify(command), timeoutMs, maxBytes, clock: options.clock })
     if (response.isOk()) isUnresponsive = false
-    else if (response.error.kind === 'timeout') replaceAgent(usedAgent)
+    else if (response.error.kind === 'timeout' && response.error.isOwnDelay !== true) closeIdleConnections()
     return response
   }
   const sendCommand = async (path: string, command: unknown): Promise<Result<CommandReport, WorkerFailure>> =>
@@ -134,23 +133,29 @@
       if (outcome.isErr()) request.destroy()
       resolve(outcome)
     }
-    const timer = call.clock.setTimer(call.timeoutMs, () => {
-      settle(fail('timeout', `no response within ${call.timeoutMs} ms`))
+    const timer = createResponseTimer({
+      clock: call.clock,
+      timeoutMs: call.timeoutMs,
+      onTimeout: (isOwnDelay) => {
+        settle(err({ kind: 'timeout', message: `no response within ${call.timeoutMs} ms`, ...(isOwnDelay ? { isOwnDelay } : {}) }))
+      }
     })
     request.on('error', (error) => settle(fail('unreachable', error.message)))
-    request.on('response', (response) => readResponse(response, call.maxBytes, settle))
+    request.on('response', (response) => readResponse(response, call.maxBytes, timer, settle))
     request.end(call.body)
   })
 }
 
 function readResponse (
-  response: IncomingMessage, maxBytes: number, settle: (outcome: Result<WorkerResponse, WorkerFailure>) => void
+  response: IncomingMessage, maxBytes: number, timer: ResponseTimer, settle: (outcome: Result<WorkerResponse, WorkerFailure>) => void
 ): void {
   const chunks: Buffer[] = []
   let bytes = 0
+  timer.recordProgress()
   response.on('error', (error) => settle(fail('unreachable', error.message)))
   response.on('aborted', () => settle(fail('unreachable', 'connection closed before the response was complete')))
   response.on('data', (chunk: Buffer) => {
+    timer.recordProgress()
     bytes += chunk.length
     if (bytes > maxBytes) settle(fail('malformed', `response exceeds the limit of ${maxBytes} bytes`))
     else chunks.push(chunk)
