State each entry's processor capacity in the table

Callers saw LOST and SHORT on large sites; there the partition of 176 workers is held by an entry of 0.324 of a core although entries with 1.35 exist. No entry knows the capacity of another, so none can prefer it.

The row is not a field of the entry row: decoders reject unknown fields, so entries of earlier versions would drop the whole entry row and open no link during an upgrade. It lies in a part of its own, which they never read. An entry without such a row counts as one core.

--- a/packages/entry/src/partition/partitionEntry.ts
+++ b/packages/entry/src/partition/partitionEntry.ts
@@ -6,7 +6,7 @@
 import { createPartitionWatch, type PartitionView } from './partitionWatch.js'
 import { createConfigWatch } from './configWatch.js'
 import { partitionLost, partitionAcquired, entryStarted, entryStopping } from './events.js'
-import { PARTITION_TABLE, type EntryRow } from './partitionRows.js'
+import { CAPACITY_PART, PARTITION_TABLE, type CapacityRow, type EntryRow } from './partitionRows.js'
 import { createJobApi, type JobApi } from './jobApi.js'
 import type { AdviceClient, PartitionBounds, PartitionTable, PartitionWorkerClient, ListedWorker, PlatformRows } from './ports.js'
 import { WRITE_RETRY_MS } from './constants.js'
@@ -17,6 +17,8 @@
   readonly self: Peer
   /** `host:port` of the link listener. */
   readonly linkAddress: string
+  /** Processor capacity of this entry, in cores. */
+  readonly cores: number
   readonly table: PartitionTable
   readonly rows: PlatformRows
   readonly bounds: PartitionBounds
@@ -146,16 +148,16 @@
     readCommittedPhase: (partition, job) => terms.get(partition)?.readCommittedPhase(job) ?? null
   })
 
-  const registerSelf = async (): Promise<void> => {
-    const row: EntryRow = { incarnation: self.incarnation, failureDomain: self.failureDomain, linkAddress: options.linkAddress }
+  const storeOwnRow = async (part: string, row: EntryRow | CapacityRow): Promise<void> => {
     for (;;) {
-      const result = await table.commit({ part: '', checks: [], writes: [{ table: PARTITION_TABLE, key: self.entry, value: JSON.stringify(row) }], deletes: [] })
+      const result = await table.commit({ part, checks: [], writes: [{ table: PARTITION_TABLE, key: self.entry, value: JSON.stringify(row) }], deletes: [] })
       if (result.isOk() || stopping) return
       await new Promise<void>((resolve) => { clock.setTimer(WRITE_RETRY_MS, resolve) })
     }
   }
-  registerSelf().catch(failProcess)
-  events.record(entryStarted, { ...self, linkAddress: options.linkAddress })
+  storeOwnRow(CAPACITY_PART, { cores: options.cores }).catch(failProcess)
+  storeOwnRow('', { incarnation: self.incarnation, failureDomain: self.failureDomain, linkAddress: options.linkAddress }).catch(failProcess)
+  events.record(entryStarted, { ...self, linkAddress: options.linkAddress, cores: options.cores })
 
   return {
     jobs,
--- a/packages/entry/src/partition/partitionRows.ts
+++ b/packages/entry/src/partition/partitionRows.ts
@@ -10,6 +10,13 @@
 export const HOLDER_KEY = 'holder'
 /** Key of all partitions' claims on ceilings, in the empty part; no entry has such a name. */
 export const CLAIMS_KEY = '!claims'
+/**
+ * Part of the entries' capacity rows, keyed by entry. They are separate from the entry rows because entries of earlier versions reject
+ * entry rows with unknown fields; such entries never read this part.
+ */
+export const CAPACITY_PART = '!capacity'
+/** Processor capacity of an entry without a capacity row, in cores. */
+export const DEFAULT_CORES = 1
 /** Tables of accepted jobs, sharded over parts of their own, and of job states, in the part of their partition. */
 export const JOB_TABLE = 'job'
 export const STATE_TABLE = 'state'
@@ -56,6 +63,13 @@
 })
 export type EntryRow = typeof EntryRow.Type
 
+/** Capacity row of an entry. */
+export const CapacityRow = Schema.Struct({
+  /** Processor capacity, in cores. */
+  cores: Schema.Finite.check(Schema.isGreaterThan(0))
+})
+export type CapacityRow = typeof CapacityRow.Type
+
 /** Creates a reader that decodes rows; a malformed row is logged and read as `null`. */
 export function createRowReader<S extends Schema.ConstraintDecoder<unknown, never>> (schema: S): (row: TableRow, events: EventLog) => S['Type'] | null {
   const decode = createDecoder(schema)
@@ -77,6 +91,8 @@
 export const parseHolderRow = createRowReader(HolderRow)
 /** Decodes the row of an entry. */
 export const parseEntryRow = createRowReader(EntryRow)
+/** Decodes the capacity row of an entry. */
+export const parseCapacityRow = createRowReader(CapacityRow)
 /** Decodes the row of an accepted job. */
 export const parseJobRow = createRowReader(StepJob)
 /** Decodes the row of a job's state. */
--- a/packages/entry/src/testing/partitionCluster.ts
+++ b/packages/entry/src/testing/partitionCluster.ts
@@ -30,7 +30,8 @@
   readonly workers: Map<string, PartitionWorkerModel>
   /** Every run that started at any worker. */
   readonly started: StartedRun[]
-  addEntry: (name: string) => ClusterEntry
+  /** @param cores processor capacity; default 1 */
+  addEntry: (name: string, cores?: number) => ClusterEntry
   addWorker: (id: string, capacity?: Resources) => PartitionWorkerModel
   setConfig: (config: ClusterConfig) => void
   /** Returns the entry that the table names as the holder of the partition. */
@@ -91,7 +92,7 @@
   let incarnationCount = 0
   table.writeRow('op', 'config', encodeConfig(CLUSTER_CONFIG))
 
-  const addEntry = (name: string): ClusterEntry => {
+  const addEntry = (name: string, cores = 1): ClusterEntry => {
     incarnationCount++
     const incarnation = `${name}-${incarnationCount}`
     const peerMesh: FakePeerMesh = mesh.addEntry({ entry: name, incarnation, failureDomain: 'a' })
@@ -100,6 +101,7 @@
     const entry = createPartitionEntry({
       self: peerMesh.self,
       linkAddress: '127.0.0.1:1',
+      cores,
       table: client,
       rows,
       bounds: { maxLeaseMs: options.maxLeaseMs ?? 6000, revokeMs: 5000, statusMs: 120_000, turnMs: 3000 },
