Rank successors of a holder by processor capacity

Cause: the order of successors was plain rendezvous hashing over names.

Change: candidates are ranked by the capacity that they have for one more partition (cores divided by the partitions held and one, in classes of a factor of two), within a class by rendezvous hashing as before. This also replaces the rule that an entry's own partitions add two ranks each: an entry with one partition comes after its idle equals, and still before entries of a quarter of its size. All inputs but an observer's own count are rows and links, so observers with equal views have the same order. The wait of a rank, and the highest one, stay as they were.

--- a/packages/entry/src/partition/__tests__/holderCapacity.spec.ts
+++ b/packages/entry/src/partition/__tests__/holderCapacity.spec.ts
@@ -2,8 +2,23 @@
 import { createMemoryEventLog } from '@fuchsiatally/core/testing/memoryEventLog'
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
-import { createPartitionCluster } from '../../testing/partitionCluster.js'
+import { createPartitionCluster, type ClusterEntry, type PartitionCluster } from '../../testing/partitionCluster.js'
+import { splitByHolder } from '../../testing/partitionClusterSteps.js'
 import { parseCapacityRow } from '../partitionRows.js'
+import { computeSuccessorRank } from '../rendezvousRank.js'
+
+const SMALL_CORES = 0.324
+const LARGE_CORES = 1.35
+const SERVICES = ['pages', 'covers', 'bindings', 'stitching']
+
+/** Starts small entries `s0`, `s1`, ... and large entries `l0`, `l1`, ... at the same time. */
+async function startMixedEntries (cluster: PartitionCluster, smallCount: number, largeCount: number): Promise<ClusterEntry[]> {
+  const entries: ClusterEntry[] = []
+  for (let index = 0; index < smallCount; index++) entries.push(cluster.addEntry(`s${index}`, SMALL_CORES))
+  for (let index = 0; index < largeCount; index++) entries.push(cluster.addEntry(`l${index}`, LARGE_CORES))
+  await cluster.clock.runFor(3000)
+  return entries
+}
 
 // Guards against entries of earlier versions that reject a row with the capacity and open no link to its entry.
 test('each entry states its capacity outside its entry row, which earlier versions decode', async () => {
@@ -23,4 +38,35 @@
   assert.is(events.listFields('FT854').length, 6)
 })
 
+test('successors are ordered by capacity, then by hash, and each held partition lowers the priority', () => {
+  const candidates = [
+    { entry: 's0', cores: SMALL_CORES, held: 0 }, { entry: 's1', cores: 0.33, held: 0 }, { entry: 's2', cores: SMALL_CORES, held: 1 },
+    { entry: 'l0', cores: LARGE_CORES, held: 0 }, { entry: 'l1', cores: 1.3, held: 0 }, { entry: 'l2', cores: LARGE_CORES, held: 1 }
+  ]
+  const orders = SERVICES.map((service) => {
+    const ranks = candidates.map((own) => computeSuccessorRank(service, own, candidates))
+    const order = candidates.map((candidate, index) => ({ entry: candidate.entry, rank: ranks[index]! })).sort((a, b) => a.rank - b.rank)
+    assert.equal(order.map(({ rank }) => rank), [0, 1, 2, 3, 4, 5])
+    return order.map(({ entry }) => entry)
+  })
+  for (const order of orders) {
+    assert.equal(order.slice(0, 2).sort(), ['l0', 'l1'])
+    assert.is(order[2], 'l2')
+    assert.equal(order.slice(3, 5).sort(), ['s0', 's1'])
+    assert.is(order[5], 's2')
+  }
+  assert.ok(new Set(orders.map((order) => order[0])).size === 2)
+})
+
+// Guards against a partition that the next small entry in hash order takes over while larger ones are idle.
+test('a killed holder is succeeded by a large entry as long as one is left', async () => {
+  const cluster = createPartitionCluster()
+  const entries = await startMixedEntries(cluster, 12, 5)
+  for (let round = 0; round < 4; round++) {
+    splitByHolder(cluster, entries).holder.kill()
+    await cluster.clock.runFor(4000)
+    assert.match(cluster.findHolder() ?? '', /^l/, `round ${round}`)
+  }
+})
+
 test.run()
--- a/packages/entry/src/partition/partitionEntry.ts
+++ b/packages/entry/src/partition/partitionEntry.ts
@@ -98,6 +98,7 @@
 
   const partitions = disposables.add(createPartitionWatch({
     self,
+    cores: options.cores,
     table,
     clock,
     events,
--- a/packages/entry/src/partition/partitionWatch.ts
+++ b/packages/entry/src/partition/partitionWatch.ts
@@ -3,9 +3,9 @@
 import type { Peer, SessionView } from '../ports.js'
 import { createSerialLoop } from '../process/serialLoop.js'
 import { SUSPECT_WATCH_INTERVAL_MS, MAX_HEALTHY_READ_MS, HOLDER_TIMEOUT_MS, MAX_SUCCESSOR_RANK, SUCCESSOR_RANK_DELAY_MS, RENEWAL_INTERVAL_MS, STUCK_HOLDER_TIMEOUT_MS, UNLINKED_HOLDER_TIMEOUT_MS, WATCH_INTERVAL_MS } from './constants.js'
-import { PARTITION_TABLE, CLAIMS_KEY, HOLDER_KEY, parseEntryRow, parseHolderRow, type EntryRow, type HolderRow } from './partitionRows.js'
+import { CAPACITY_PART, DEFAULT_CORES, PARTITION_TABLE, CLAIMS_KEY, HOLDER_KEY, parseCapacityRow, parseEntryRow, parseHolderRow, type EntryRow, type HolderRow } from './partitionRows.js'
 import type { PartitionTable, TableRow } from './ports.js'
-import { computeRank } from './rendezvousRank.js'
+import { computeSuccessorRank } from './rendezvousRank.js'
 import { createTableFeed } from './tableFeed.js'
 
 /** Holder of a partition as stored in the table. */
@@ -18,6 +18,8 @@
 
 export interface PartitionWatchOptions {
   readonly self: Peer
+  /** Processor capacity of this entry, in cores. */
+  readonly cores: number
   readonly table: PartitionTable
   readonly clock: Clock
   readonly events: EventLog
@@ -41,6 +43,8 @@
   listSessions: () => readonly SessionView[]
   /** Position in the order of starts: higher for entries that started later; 0 if the table has no row of the incarnation. */
   readStartOrder: (incarnation: string) => number
+  /** Processor capacity of an entry, in cores. */
+  readCores: (entry: string) => number
   /** Number of partitions that an incarnation holds according to the table. */
   countPartitionsOf: (incarnation: string) => number
   /** Records the report of a holder that the table does not accept its commits. */
@@ -63,12 +67,20 @@
   const disposables = createDisposableStore()
   const partitions = new Map<string, ObservedPartition>()
   const entries = new Map<string, EntryRow & { readonly version: number }>()
+  /** Processor capacity by entry, in cores. */
+  const capacities = new Map<string, number>()
   let lastReadMs = -Infinity
   /** Whether the last read was answered within `MAX_HEALTHY_READ_MS`. */
   let isTableHealthy = false
 
   const applyRow = (row: TableRow, nowMs: number): void => {
     if (row.key === CLAIMS_KEY) return
+    if (row.part === CAPACITY_PART) {
+      const capacity = row.deleted ? null : parseCapacityRow(row, events)
+      if (capacity === null) capacities.delete(row.key)
+      else capacities.set(row.key, capacity.cores)
+      return
+    }
     if (row.part === '') {
       const entry = row.deleted ? null : parseEntryRow(row, events)
       if (entry === null) entries.delete(row.key)
@@ -86,7 +98,7 @@
   const feed = createTableFeed({
     table,
     name: PARTITION_TABLE,
-    listParts: () => ['', ...options.listPartitions()],
+    listParts: () => ['', CAPACITY_PART, ...options.listPartitions()],
     applyRow: (row) => applyRow(row, clock.nowMs())
   })
 
@@ -125,11 +137,23 @@
     return false
   }
 
+  const readCores = (entry: string): number => capacities.get(entry) ?? DEFAULT_CORES
+
+  const countPartitionsOf = (incarnation: string): number => {
+    let count = 0
+    for (const { view } of partitions.values()) if (view.row?.incarnation === incarnation) count++
+    return count
+  }
+
+  /** Rank of this entry among the successors of a partition's holder. */
+  const computeOwnRank = (partition: string, holder: HolderRow | null): number => {
+    const own = { entry: self.entry, cores: options.cores, held: options.countHeld() }
+    const others = options.listPeers().filter((peer) => peer.incarnation !== holder?.incarnation)
+    return computeSuccessorRank(partition, own, others.map(({ entry, incarnation }) => ({ entry, cores: readCores(entry), held: countPartitionsOf(incarnation) })))
+  }
+
   const isTakeoverDue = (partition: string, observed: ObservedPartition | undefined, nowMs: number): boolean => {
-    const others = options.listPeers().filter((peer) => peer.incarnation !== observed?.view.row?.incarnation)
-    const rank = computeRank(partition, self.entry, others.map((peer) => peer.entry)) + 2 * options.countHeld()
-    // Each partition that this entry holds already lowers its priority by two ranks, so that partitions are spread over the entries.
-    const waitMs = Math.min(MAX_SUCCESSOR_RANK, rank) * SUCCESSOR_RANK_DELAY_MS
+    const waitMs = Math.min(MAX_SUCCESSOR_RANK, computeOwnRank(partition, observed?.view.row ?? null)) * SUCCESSOR_RANK_DELAY_MS
     if (observed === undefined || observed.view.row === null) return nowMs - startedAtMs >= waitMs
     const { row } = observed.view
     if (row.incarnation === self.incarnation) return false
@@ -169,11 +193,8 @@
       for (const entry of entries.values()) if (entry.incarnation === incarnation) return entry.version
       return 0
     },
-    countPartitionsOf: (incarnation) => {
-      let count = 0
-      for (const { view } of partitions.values()) if (view.row?.incarnation === incarnation) count++
-      return count
-    },
+    readCores,
+    countPartitionsOf,
     recordStuck: (partition, epoch, incarnation) => {
       const observed = partitions.get(partition)
       if (observed?.view.row?.epoch !== epoch || observed.view.row.incarnation !== incarnation) return
