Planner: search workers once per task size and round, not once per waiting task

Callers saw accepted work lost and too little served on large sites (LOST, SHORT). One cause that was suspected: a planning round costs workers times waiting steps times tasks. With full workers, each task of each waiting urgent step evaluated every worker with all its tasks, and each step built candidates of every worker although none had room.

Change, without a change of decisions: - A round keeps the free resources of the schedulable workers in a search tree, so that a step for which no worker has room costs one comparison, and any other step looks only at workers with room. - Reservations share one search among all steps of equal task size, priority and label: a tournament tree over the cost at each worker. A worker is evaluated again only after something was placed, reserved or preempted there. - The tasks of a step fill the best workers in order of their score. A worker that takes a task stays the best fit, so one sort replaces a scan per task. - A task refers to its step and priority instead of looking them up by job.

New tests bound the evaluations of a round by 16 for each worker, task and waiting step.

--- /dev/null
+++ b/packages/core/src/partition/__tests__/planningCost.spec.ts
@@ -0,0 +1,86 @@
+/** Bounds the work of one planning round by deterministic counts, not by time. */
+import { test } from 'uvu'
+import * as assert from 'uvu/assert'
+import { createTestStep, createTestStepJob } from '../../testing/stepJobs.js'
+import { ACCEPTED_STATE, createPartitionPlanner, type AdviceQuery, type PartitionPlanner, type StepJob } from '../index.js'
+
+/** Evaluations of a round for each worker, task and waiting step. */
+const MAX_EVALUATIONS_PER_ITEM = 16
+const CORES = 16
+const TASKS_PER_WORKER = 4
+const TASKS_PER_STEP = 10
+const ADVICE = { decisionMs: 19, eachMs: 0.27, validityMs: 1500 }
+
+interface Scenario {
+  readonly workers: number
+  readonly steps: number
+  /** Processors of the urgent tasks of a step. */
+  readonly readSize: (step: number) => number
+  readonly policy?: Partial<StepJob['policy']>
+}
+
+/** Creates a planner whose workers are full of preemptible tasks. */
+function createFullPlanner (workers: number): PartitionPlanner {
+  const planner = createPartitionPlanner()
+  for (let index = 0; index < workers; index++) {
+    planner.setWorker({ id: `w${index}`, failureDomain: `d${index % 4}`, labels: ['kind', `r${index % 20}`], capacity: { processors: CORES, memoryMb: 65_536, accelerators: 0 }, draining: false })
+    planner.setSynced(`w${index}`, true)
+  }
+  const step = createTestStep({ taskCount: TASKS_PER_WORKER, resources: { processors: CORES / TASKS_PER_WORKER, memoryMb: 1024, accelerators: 0 }, savesWork: true })
+  for (let job = 0; job < workers; job++) planner.addJob(`slow${job}`, createTestStepJob([step], { priority: 2 }, { team: 'slow' }), ACCEPTED_STATE, 0)
+  let started = 0
+  for (let round = 0; started < workers * TASKS_PER_WORKER; round++) {
+    assert.ok(round < workers, 'the workers were not filled')
+    for (const order of planner.decide(0, 0, () => true).starts) {
+      planner.recordStartConfirmed(order, order.worker, 1)
+      started++
+    }
+  }
+  return planner
+}
+
+function addUrgentSteps (planner: PartitionPlanner, { steps, readSize, policy }: Scenario): void {
+  for (let step = 0; step < steps; step++) {
+    const resources = { processors: readSize(step), memoryMb: 1024, accelerators: 0 }
+    planner.addJob(`urgent${step}`, createTestStepJob([createTestStep({ taskCount: TASKS_PER_STEP, resources })], { priority: 0, ...policy }, { acceptedAtMs: step / 100 }), ACCEPTED_STATE, 10)
+  }
+}
+
+/** Runs rounds while all urgent steps wait; returns the largest count of evaluations. */
+function measureRounds (scenario: Scenario): number {
+  const planner = createFullPlanner(scenario.workers)
+  addUrgentSteps(planner, scenario)
+  let most = 0
+  for (let round = 0; round < 5; round++) {
+    const queries: AdviceQuery[] = []
+    const atMs = 200 + 8 * round
+    planner.decide(atMs, atMs, (query) => queries.push(query) > 0)
+    most = Math.max(most, planner.countEvaluations())
+    for (const query of queries) planner.recordAdvice(query, new Map(query.workers.filter((_, index) => index % 10 < 7).map((worker) => [worker, 'ticket'])), atMs)
+  }
+  return most
+}
+
+function checkBound (name: string, options: Omit<Scenario, 'workers' | 'steps'>): void {
+  const failures: string[] = []
+  for (const workers of [176, 990]) {
+    for (const steps of [10, 40, 160]) {
+      const items = workers + workers * TASKS_PER_WORKER + steps + steps * TASKS_PER_STEP
+      const count = measureRounds({ workers, steps, ...options })
+      if (count > MAX_EVALUATIONS_PER_ITEM * items) failures.push(`${workers} workers, ${steps} steps: ${count} > ${MAX_EVALUATIONS_PER_ITEM * items}`)
+    }
+  }
+  assert.equal(failures, [], name)
+}
+
+// Guards against planning rounds that cost workers x waiting steps x tasks, by which the holder of a full partition falls behind (LOST, SHORT).
+test('a round at full workers costs workers plus tasks plus waiting urgent steps', () => {
+  checkBound('equal sizes', { readSize: () => 2.7 })
+})
+
+// Guards against the same cost for steps that have to ask for advice.
+test('a round at full workers costs workers plus tasks plus waiting urgent steps that need advice', () => {
+  checkBound('with advice', { readSize: () => 2.7, policy: { advice: ADVICE } })
+})
+
+test.run()
--- a/packages/core/src/partition/capacityReservation.ts
+++ b/packages/core/src/partition/capacityReservation.ts
@@ -1,42 +1,66 @@
 /** Reserves capacity for steps that could not be placed, and selects lower-priority tasks to preempt for them. */
 import { addResources, hasRoomFor, NO_RESOURCES, subtractResources, type Resources } from '../schema/resources.js'
-import { computeFree, computeTaskResources, isSchedulable, type PartitionWorker } from './partitionWorker.js'
+import { canEverRun, computeFree, computeTaskResources, type PartitionWorker } from './partitionWorker.js'
 import { ACCELERATOR_CORES, MAX_PREEMPTIONS } from './constants.js'
 import type { Task } from './jobState.js'
+import { createMinimumTree, type MinimumTree } from './minimumTree.js'
+import type { PlanningRound } from './planningRound.js'
 import { MEMORY_PER_CORE_MB } from './stepPlacement.js'
-import type { JobStep } from './stepJob.js'
-import { mayBeSuitable, type StepInstance } from './stepInstance.js'
+import type { StepInstance } from './stepInstance.js'
 
-/** Properties of a running task that decide whether it may be preempted. */
-export interface TaskInfo {
-  readonly step: JobStep
-  readonly priority: number
-}
-
-/** Options of `reserveCapacity`. */
-export interface ReservationOptions {
+/** A step that could not be placed. */
+export interface ReservationRequest {
   readonly instance: StepInstance
   /** Tasks of the step that could not be placed. */
   readonly tasks: readonly Task[]
-  readonly workers: Iterable<PartitionWorker>
-  /** Resources reserved so far, by worker; new reservations are added. */
-  readonly reserved: Map<string, Resources>
-  readonly readTaskInfo: (task: Task) => TaskInfo
   /** Whether lower-priority tasks may be preempted. */
   readonly mayPreempt: boolean
-  readonly nowMs: number
+}
+
+/** Reservations of one planning round. */
+export interface CapacityReservations {
+  /**
+   * Reserves capacity for each task at the suitable worker with the lowest cost.
+   *
+   * @returns tasks to preempt; none for a gang that would still not fit
+   */
+  reserve: (request: ReservationRequest) => Task[]
+}
+
+interface PreemptibleTask {
+  readonly task: Task
+  readonly resources: Resources
+  readonly size: number
+}
+
+/** Tasks at a worker as they were at the start of the round. */
+interface WorkerTasks {
+  /** Resources that will be released by stops in progress. */
+  readonly stopping: Resources
+  /** Smallest first. */
+  readonly preemptible: readonly PreemptibleTask[]
 }
 
 interface ReservationCandidate {
-  readonly worker: PartitionWorker
-  readonly preempted: readonly Task[]
-  /** Size of the tasks to preempt, in cores; `WAIT_COST` plus the missing cores if the reservation has to wait. */
+  readonly preempted: readonly PreemptibleTask[]
+  /** Size of the tasks to preempt, in cores; `WAIT_COST` plus the missing cores if the reservation has to wait; infinite without capacity. */
   readonly cost: number
 }
 
+/** Candidates for tasks of one size and priority, shared by all steps with such tasks. */
+interface CandidateSearch {
+  readonly request: ReservationRequest
+  readonly candidates: ReservationCandidate[]
+  readonly costs: MinimumTree
+  /** Number of changes of the round that the candidates include. */
+  changesSeen: number
+}
+
 /** Base cost of a reservation that waits for running tasks to complete; any that frees capacity by preemption is preferred. */
 const WAIT_COST = 1e6
 
+const NO_CANDIDATE: ReservationCandidate = { preempted: [], cost: Infinity }
+
 function computeShortfall (left: Resources): number {
   return Math.max(0, -left.processors) + Math.max(0, -left.accelerators) * ACCELERATOR_CORES + Math.max(0, -left.memoryMb) / MEMORY_PER_CORE_MB
 }
@@ -46,82 +70,148 @@
 }
 
 /** Only tasks that resume from a checkpoint are preempted, except gang members and long-running tasks, and each at most `MAX_PREEMPTIONS` times. */
-function mayBePreempted (task: Task, info: TaskInfo, priority: number): boolean {
+function mayBePreempted (task: Task, priority: number): boolean {
   if (task.phase !== 'placed' || task.stopping || task.confirmedAtMs === null || task.preemptions >= MAX_PREEMPTIONS) return false
-  return info.priority > priority && info.step.savesWork && !info.step.gang && !info.step.longRunning
+  const { definition } = task
+  return task.priority > priority && definition.savesWork && !definition.gang && !definition.longRunning
 }
 
-function chooseTasksToPreempt (options: ReservationOptions, worker: PartitionWorker, left: Resources, alreadyChosen: ReadonlySet<Task>): Task[] | null {
-  const { priority } = options.instance.job.spec.policy
-  const candidates: { task: Task, resources: Resources }[] = []
+function collectTasks (worker: PartitionWorker): WorkerTasks {
+  let stopping = NO_RESOURCES
+  const preemptible: PreemptibleTask[] = []
   for (const task of worker.tasks) {
-    const info = options.readTaskInfo(task)
-    if (!alreadyChosen.has(task) && mayBePreempted(task, info, priority)) candidates.push({ task, resources: computeTaskResources(info.step) })
+    const resources = computeTaskResources(task.definition)
+    if (task.stopping) stopping = addResources(stopping, resources)
+    else if (mayBePreempted(task, -Infinity)) preemptible.push({ task, resources, size: computeSize(resources) })
   }
-  candidates.sort((a, b) => computeSize(a.resources) - computeSize(b.resources))
+  preemptible.sort((a, b) => a.size - b.size)
+  return { stopping, preemptible }
+}
+
+/** Chooses the smallest task that makes up for the shortfall of `left`, else as few as possible; `null` if all together don't. */
+function chooseTasksToPreempt (candidates: readonly PreemptibleTask[], left: Resources): PreemptibleTask[] | null {
   const enough = candidates.find(({ resources }) => computeShortfall(addResources(left, resources)) === 0)
-  if (enough !== undefined) return [enough.task]
-  const preempted: Task[] = []
+  if (enough !== undefined) return [enough]
+  const preempted: PreemptibleTask[] = []
   let remaining = left
-  for (const { task, resources } of candidates.reverse()) {
-    preempted.push(task)
-    remaining = addResources(remaining, resources)
+  for (let index = candidates.length - 1; index >= 0; index--) {
+    const candidate = candidates[index]!
+    preempted.push(candidate)
+    remaining = addResources(remaining, candidate.resources)
     if (computeShortfall(remaining) === 0) return preempted
   }
   return null
 }
 
-/** Resources that will be released by stops in progress. */
-function sumStopping (options: ReservationOptions, worker: PartitionWorker, alreadyChosen: ReadonlySet<Task>): Resources {
-  let sum = NO_RESOURCES
-  for (const task of worker.tasks) {
-    if (task.stopping || alreadyChosen.has(task)) sum = addResources(sum, computeTaskResources(options.readTaskInfo(task).step))
+function buildSearchKey ({ instance, mayPreempt }: ReservationRequest): string {
+  const { processors, memoryMb, accelerators } = instance.taskResources
+  return `${instance.job.spec.policy.priority} ${mayPreempt} ${processors} ${memoryMb} ${accelerators} ${instance.step.requiredLabel ?? ''}`
+}
+
+/** Creates the reservations of a round. */
+export function createCapacityReservations (round: PlanningRound): CapacityReservations {
+  const searches = new Map<string, CandidateSearch>()
+  const tasksByWorker = new Map<number, WorkerTasks>()
+  /** Tasks chosen for preemption by the request being served, by worker. */
+  const chosen = new Map<number, PreemptibleTask[]>()
+
+  const readTasks = (index: number): WorkerTasks => {
+    const known = tasksByWorker.get(index)
+    if (known !== undefined) return known
+    const worker = round.workers[index]!
+    round.addEvaluations(worker.tasks.size)
+    const tasks = collectTasks(worker)
+    tasksByWorker.set(index, tasks)
+    return tasks
+  }
+
+  const buildCandidate = ({ instance, mayPreempt }: ReservationRequest, index: number): ReservationCandidate => {
+    round.addEvaluations(1)
+    const worker = round.workers[index]!
+    if (!canEverRun(worker, instance.step)) return NO_CANDIDATE
+    const claimed = addResources(round.readReserved(index), instance.taskResources)
+    if (!hasRoomFor(worker.info.capacity, claimed)) return NO_CANDIDATE
+    const { stopping, preemptible } = readTasks(index)
+    const chosenHere = chosen.get(index) ?? []
+    let left = subtractResources(addResources(computeFree(worker), stopping), claimed)
+    for (const { resources } of chosenHere) left = addResources(left, resources)
+    const shortfall = computeShortfall(left)
+    if (shortfall === 0) return { preempted: [], cost: 0 }
+    const wait = { preempted: [], cost: WAIT_COST + shortfall }
+    if (!mayPreempt) return wait
+    round.addEvaluations(preemptible.length)
+    const { priority } = instance.job.spec.policy
+    const preempted = chooseTasksToPreempt(preemptible.filter((candidate) => mayBePreempted(candidate.task, priority) && !chosenHere.includes(candidate)), left)
+    return preempted === null ? wait : { preempted, cost: preempted.reduce((sum, { size }) => sum + size, 0) }
+  }
+
+  const findSearch = (request: ReservationRequest): CandidateSearch => {
+    const key = buildSearchKey(request)
+    const known = searches.get(key)
+    if (known !== undefined) return known
+    const candidates = round.workers.map((_, index) => buildCandidate(request, index))
+    const search = { request, candidates, costs: createMinimumTree(candidates.map(({ cost }) => cost)), changesSeen: round.changes.length }
+    searches.set(key, search)
+    return search
   }
-  return sum
-}
-
-function buildCandidate (options: ReservationOptions, worker: PartitionWorker, alreadyChosen: ReadonlySet<Task>): ReservationCandidate | null {
-  const claimed = addResources(options.reserved.get(worker.info.id) ?? NO_RESOURCES, options.instance.taskResources)
-  if (!hasRoomFor(worker.info.capacity, claimed)) return null
-  const left = subtractResources(addResources(computeFree(worker), sumStopping(options, worker, alreadyChosen)), claimed)
-  const shortfall = computeShortfall(left)
-  if (shortfall === 0) return { worker, preempted: [], cost: 0 }
-  const preempted = options.mayPreempt ? chooseTasksToPreempt(options, worker, left, alreadyChosen) : null
-  if (preempted === null) return { worker, preempted: [], cost: WAIT_COST + shortfall }
-  return { worker, preempted, cost: preempted.reduce((sum, task) => sum + computeSize(computeTaskResources(options.readTaskInfo(task).step)), 0) }
-}
-
-/**
- * Reserves capacity for each task at the suitable worker with the lowest cost.
- *
- * @returns tasks to preempt; none for a gang that would still not fit
- */
-export function reserveCapacity (options: ReservationOptions): Task[] {
-  const { instance, reserved, nowMs } = options
-  const allowed: PartitionWorker[] = []
-  for (const worker of options.workers) if (isSchedulable(worker, nowMs) && mayBeSuitable(instance, worker)) allowed.push(worker)
-  const counts = new Map<string, number>()
-  for (const task of instance.tasks) if (task.worker !== '') counts.set(task.worker, (counts.get(task.worker) ?? 0) + 1)
-  const preempted = new Set<Task>()
-  let isComplete = true
-  for (let index = 0; index < options.tasks.length; index++) {
-    let best: ReservationCandidate | null = null
-    for (const worker of allowed) {
-      if (instance.step.maxPerWorker > 0 && (counts.get(worker.info.id) ?? 0) >= instance.step.maxPerWorker) continue
-      const candidate = buildCandidate(options, worker, preempted)
-      if (candidate !== null && (best === null || candidate.cost < best.cost)) best = candidate
+
+  /** Evaluates the workers again that have changed since the last call. */
+  const updateSearch = (search: CandidateSearch): void => {
+    if (search.changesSeen === round.changes.length) return
+    for (const index of new Set(round.changes.slice(search.changesSeen))) {
+      const candidate = buildCandidate(search.request, index)
+      search.candidates[index] = candidate
+      search.costs.set(index, candidate.cost)
+    }
+    search.changesSeen = round.changes.length
+  }
+
+  const reserve = (request: ReservationRequest): Task[] => {
+    const { instance } = request
+    const { maxPerWorker, gang } = instance.step
+    const search = findSearch(request)
+    const { costs } = search
+    const excluded = new Set<number>()
+    const counts = new Map<string, number>()
+    if (maxPerWorker > 0) for (const task of instance.tasks) if (task.worker !== '') counts.set(task.worker, (counts.get(task.worker) ?? 0) + 1)
+
+    const mayUse = ({ info: { id } }: PartitionWorker): boolean => {
+      return !instance.unsuitable.has(id) && (maxPerWorker === 0 || (counts.get(id) ?? 0) < maxPerWorker)
+    }
+    const findBest = (): number => {
+      updateSearch(search)
+      for (let index = costs.findMinimum(); index >= 0; index = costs.findMinimum()) {
+        if (mayUse(round.workers[index]!)) return index
+        round.addEvaluations(1)
+        excluded.add(index)
+        costs.set(index, Infinity)
+      }
+      return -1
     }
-    if (best === null) {
-      isComplete = false
-      break
+
+    const preempted: Task[] = []
+    let isComplete = true
+    for (let count = 0; count < request.tasks.length; count++) {
+      const index = findBest()
+      if (index < 0) {
+        isComplete = false
+        break
+      }
+      const best = search.candidates[index]!
+      if (best.cost >= WAIT_COST) isComplete = false
+      for (const { task } of best.preempted) preempted.push(task)
+      if (best.preempted.length > 0) chosen.set(index, [...chosen.get(index) ?? [], ...best.preempted])
+      const { id } = round.workers[index]!.info
+      counts.set(id, (counts.get(id) ?? 0) + 1)
+      round.reserve(index, instance.taskResources)
     }
-    const { id } = best.worker.info
-    if (best.cost >= WAIT_COST) isComplete = false
-    for (const task of best.preempted) preempted.add(task)
-    counts.set(id, (counts.get(id) ?? 0) + 1)
-    reserved.set(id, addResources(reserved.get(id) ?? NO_RESOURCES, instance.taskResources))
+    for (const index of excluded) costs.set(index, search.candidates[index]!.cost)
+    for (const index of chosen.keys()) round.recordChange(index)
+    chosen.clear()
+    return gang && !isComplete ? [] : preempted
   }
-  return instance.step.gang && !isComplete ? [] : [...preempted]
+
+  return { reserve }
 }
 
 /** Options of `chooseCeilingPreemptions`. */
@@ -132,24 +222,23 @@
   readonly shortfall: Resources
   /** The team's allocated tasks. */
   readonly tasks: Iterable<Task>
-  readonly readTaskInfo: (task: Task) => TaskInfo
 }
 
 /** Chooses lower-priority tasks of a team to preempt so that its urgent tasks fit its limit. */
 export function chooseCeilingPreemptions (options: CeilingPreemptionOptions): Task[] {
   let left = subtractResources(NO_RESOURCES, options.shortfall)
-  const candidates: { task: Task, info: TaskInfo }[] = []
+  const candidates: Task[] = []
   for (const task of options.tasks) {
-    const info = options.readTaskInfo(task)
-    if (task.stopping) left = addResources(left, info.step.resources)
-    else if (mayBePreempted(task, info, options.priority)) candidates.push({ task, info })
+    if (task.stopping) left = addResources(left, task.definition.resources)
+    else if (mayBePreempted(task, options.priority)) candidates.push(task)
   }
-  candidates.sort((a, b) => b.info.priority - a.info.priority || a.task.percent - b.task.percent)
+  candidates.sort((a, b) => b.priority - a.priority || a.percent - b.percent)
   const preempted: Task[] = []
-  for (const { task, info } of candidates) {
+  for (const task of candidates) {
+    const { resources } = task.definition
     if (computeShortfall(left) === 0) break
-    if (!canReduceShortfall(left, info.step.resources)) continue
-    left = addResources(left, info.step.resources)
+    if (!canReduceShortfall(left, resources)) continue
+    left = addResources(left, resources)
     preempted.push(task)
   }
   return preempted
--- a/packages/core/src/partition/createPartitionPlanner.ts
+++ b/packages/core/src/partition/createPartitionPlanner.ts
@@ -1,15 +1,16 @@
 /** Scheduler of one partition: places tasks on workers from jobs, worker reports and placement advice. */
-import { addResources, hasRoomFor, computeTotal, NO_RESOURCES, subtractResources, type Resources } from '../schema/resources.js'
+import { hasRoomFor, computeTotal, subtractResources } from '../schema/resources.js'
 import { RESERVE_AFTER_MS, LONG_RUNNING_RESERVE_AFTER_MS, MAX_RESERVING_STEPS, PREEMPT_AFTER_MS } from './constants.js'
-import { canEverRun, computeFree, isSchedulable, startWorkerBackoff, type PartitionWorker } from './partitionWorker.js'
+import { canEverRun, startWorkerBackoff, type PartitionWorker } from './partitionWorker.js'
 import { createJobRegistry } from './jobRegistry.js'
 import { listTasks, type Task } from './jobState.js'
 import type { PlannerDecisions, PartitionPlanner, StartOrder, TrySendQuery } from './plannerTypes.js'
-import { chooseAdviceWorkers, listStartable, mayBeSuitable, recordAdvice, recordAdviceFailed, type ReadFree, type StepInstance } from './stepInstance.js'
-import { chooseCeilingPreemptions, reserveCapacity } from './capacityReservation.js'
+import { chooseAdviceWorkers, listStartable, mayBeSuitable, recordAdvice, recordAdviceFailed, type StepInstance } from './stepInstance.js'
+import { chooseCeilingPreemptions, createCapacityReservations } from './capacityReservation.js'
 import { buildRunName, createRunTracker } from './runTracker.js'
 import { computeCores, sortInstances, type RankedInstance } from './instanceRanking.js'
 import { placeTasks } from './stepPlacement.js'
+import { createPlanningRound, type PlanningRound } from './planningRound.js'
 import { createTeamUsage } from './teamUsage.js'
 
 /** Creates a planner without jobs or workers. */
@@ -17,7 +18,8 @@
   const teams = createTeamUsage()
   const registry = createJobRegistry()
   const tracker = createRunTracker(registry, teams)
-  const { workers, findStep } = tracker
+  const { workers } = tracker
+  let evaluations = 0
 
   const readCapacityCores = (): number => {
     let cores = 0
@@ -56,7 +58,7 @@
     teams.addBlocked(team, need)
     if (ranked.rank.priority > 0 || !teams.areLimitsFinal() || !mayPreempt(ranked, nowMs)) return
     const shortfall = subtractResources(need, teams.readFree(team))
-    stopForPreemption(chooseCeilingPreemptions({ priority: ranked.rank.priority, shortfall, tasks: listTeamTasks(team), readTaskInfo }))
+    stopForPreemption(chooseCeilingPreemptions({ priority: ranked.rank.priority, shortfall, tasks: listTeamTasks(team) }))
   }
 
   function * listTeamTasks (team: string): Generator<Task> {
@@ -66,27 +68,28 @@
   }
 
   /** Starts the tasks of a step that fit the capacity and the team's limit; returns those that wait for capacity. */
-  const startStep = (ranked: RankedInstance, reserved: ReadonlyMap<string, Resources>, nowMs: number, starts: StartOrder[]): Task[] => {
+  const startStep = (ranked: RankedInstance, round: PlanningRound, starts: StartOrder[]): Task[] => {
     const { instance } = ranked
     const startable = listStartable(instance)
     const { team } = instance.job.spec
     // A gang is charged as a whole: all members start or none.
     const need = instance.step.gang ? computeTotal(instance.step.resources, instance.tasks.length) : instance.step.resources
     if (!teams.mayAdd(team, need)) {
-      handleCeilingWait(ranked, startable.length, nowMs)
+      handleCeilingWait(ranked, startable.length, round.nowMs)
       return []
     }
-    const placements = placeTasks(instance, startable, workers.values(), reserved, nowMs)
+    const placements = placeTasks(instance, startable, round)
     const gangRun = instance.step.gang ? Math.max(0, ...instance.tasks.map((task) => task.run)) + 1 : 0
     const placed = new Set<Task>()
     for (const { task, worker } of placements) {
       if (!instance.step.gang && !teams.mayAdd(team, need)) break
-      starts.push(startTask(instance, task, worker, instance.step.gang ? gangRun : task.run + 1))
+      starts.push(startTask(instance, task, round.workers[worker]!, instance.step.gang ? gangRun : task.run + 1))
+      round.updateFree(worker)
       placed.add(task)
     }
     if (placed.size > 0) registry.recordStarted(instance)
     if (placed.size === placements.length) return startable.filter((task) => !placed.has(task))
-    handleCeilingWait(ranked, startable.length - placed.size, nowMs)
+    handleCeilingWait(ranked, startable.length - placed.size, round.nowMs)
     return []
   }
 
@@ -107,30 +110,26 @@
     return rank.deadlineClass < 2 && instance.waitingSinceMs !== null && nowMs - instance.waitingSinceMs > PREEMPT_AFTER_MS
   }
 
-  const readTaskInfo = (task: Task) => ({ step: findStep(task), priority: registry.findJob(task.job)?.spec.policy.priority ?? 0 })
-
-  const reserveForStep = (ranked: RankedInstance, tasks: readonly Task[], reserved: Map<string, Resources>, nowMs: number): void => {
-    const preempts = mayPreempt(ranked, nowMs)
-    stopForPreemption(reserveCapacity({ instance: ranked.instance, tasks, workers: workers.values(), reserved, readTaskInfo, mayPreempt: preempts, nowMs }))
-  }
-
   /** Sends an advice query if the response can be used now; returns whether a query is pending. */
-  const sendAdviceQuery = (instance: StepInstance, readFree: ReadFree, trySend: TrySendQuery, nowMs: number): boolean => {
+  const sendAdviceQuery = (instance: StepInstance, round: PlanningRound, trySend: TrySendQuery): boolean => {
     const { advice } = instance.job.spec.policy
     if (advice === undefined || instance.isAdvicePending) return instance.isAdvicePending
-    const selected = chooseAdviceWorkers(instance, workers.values(), readFree, nowMs)
+    const selected = chooseAdviceWorkers(instance, round)
     if (selected.length === 0) return false
     instance.isAdvicePending = trySend({ step: instance.key, workers: selected, costMs: advice.decisionMs + advice.eachMs * selected.length })
     return instance.isAdvicePending
   }
 
-  /** Adds the capacity that a step will use once it has advice to `reservations`, so that lower-ranked steps don't query advice for the same capacity. */
-  const reserveAdvisedCapacity = (instance: StepInstance, tasks: readonly Task[], reservations: Map<string, Resources>, readFree: ReadFree, nowMs: number): void => {
+  /** Reserves the capacity that a step will use once it has advice, so that lower-ranked steps don't query advice for it. */
+  const reserveAdvisedCapacity = (instance: StepInstance, tasks: readonly Task[], round: PlanningRound): void => {
+    // While a ticket is being renewed, its capacity stays reserved.
+    const reserve = instance.tickets.size > 0 ? round.reserve : round.reserveForAdvice
+    const need = instance.taskResources
     let left = tasks.length
-    for (const worker of workers.values()) {
-      if (!isSchedulable(worker, nowMs) || !mayBeSuitable(instance, worker)) continue
-      while (left > 0 && hasRoomFor(readFree(worker), instance.taskResources)) {
-        reservations.set(worker.info.id, addResources(reservations.get(worker.info.id) ?? NO_RESOURCES, instance.taskResources))
+    for (let index = round.findUnclaimedFitting(need, 0); index >= 0; index = round.findUnclaimedFitting(need, index + 1)) {
+      if (!mayBeSuitable(instance, round.workers[index]!)) continue
+      while (left > 0 && hasRoomFor(round.readUnclaimed(index), need)) {
+        reserve(index, need)
         left--
       }
       if (left === 0) return
@@ -140,26 +139,22 @@
   const decide = (nowMs: number, wallMs: number, trySend: TrySendQuery): PlannerDecisions => {
     registry.addDueOccurrences(wallMs, nowMs)
     const starts: StartOrder[] = []
-    const reserved = new Map<string, Resources>()
-    const awaitingAdvice = new Map<string, Resources>()
     teams.startRound()
-    const readFree: ReadFree = (worker) => {
-      const taken = addResources(reserved.get(worker.info.id) ?? NO_RESOURCES, awaitingAdvice.get(worker.info.id) ?? NO_RESOURCES)
-      return subtractResources(computeFree(worker), taken)
-    }
+    const round = createPlanningRound(workers.values(), nowMs)
+    const reservations = createCapacityReservations(round)
     let reservingCount = 0
     const ranking = sortInstances({ instances: registry.listWaitingInstances(), capacityCores: readCapacityCores(), nowMs, wallMs })
     for (const ranked of ranking) {
       const { instance } = ranked
-      const left = startStep(ranked, reserved, nowMs, starts)
+      const left = startStep(ranked, round, starts)
       if (left.length === 0) continue
-      // While a ticket is being renewed, its capacity stays reserved.
-      if (sendAdviceQuery(instance, readFree, trySend, nowMs)) reserveAdvisedCapacity(instance, left, instance.tickets.size > 0 ? reserved : awaitingAdvice, readFree, nowMs)
+      if (sendAdviceQuery(instance, round, trySend)) reserveAdvisedCapacity(instance, left, round)
       const reserves = mayReserve(instance, nowMs)
       if (reserves && reservingCount < MAX_RESERVING_STEPS) reservingCount++
       else if (reserves || ranked.rank.priority > 0 || !mayPreempt(ranked, nowMs)) continue
-      reserveForStep(ranked, left, reserved, nowMs)
+      stopForPreemption(reservations.reserve({ instance, tasks: left, mayPreempt: mayPreempt(ranked, nowMs) }))
     }
+    evaluations = round.countEvaluations()
     return { starts, stops: tracker.takeStops() }
   }
 
@@ -238,6 +233,7 @@
       if (instance !== undefined) recordAdviceFailed(instance, nowMs)
     },
     decide,
+    countEvaluations: () => evaluations,
     takeChangedJobs: registry.takeChanged,
     isChanged: registry.isChanged,
     addChangedJobs: (jobs) => { for (const job of jobs) registry.markChanged(job) },
--- a/packages/core/src/partition/jobState.ts
+++ b/packages/core/src/partition/jobState.ts
@@ -1,6 +1,6 @@
 /** State of an accepted job, in memory and as stored in the table. */
 import * as Schema from 'effect/Schema'
-import type { StepJob } from './stepJob.js'
+import type { JobStep, StepJob } from './stepJob.js'
 
 /** Phase of a job as reported to callers. */
 export const JobPhase = Schema.Literals(['queued', 'running', 'completed', 'failed', 'cancelled'])
@@ -17,6 +17,10 @@
   readonly occurrence: number
   readonly step: number
   readonly index: number
+  /** The step as submitted. */
+  readonly definition: JobStep
+  /** Priority of the job's queue, 0 first. */
+  readonly priority: number
   /** Serves user requests under a latency target. */
   readonly isServing: boolean
   phase: TaskPhase
@@ -83,6 +87,8 @@
     occurrence: index,
     step: stepIndex,
     index: taskIndex,
+    definition: step,
+    priority: spec.policy.priority,
     isServing: step.targetMs > 0,
     phase: 'waiting',
     run: 0,
--- a/packages/core/src/partition/plannerTypes.ts
+++ b/packages/core/src/partition/plannerTypes.ts
@@ -121,6 +121,8 @@
   recordAdviceFailed: (query: AdviceQuery, nowMs: number) => void
   /** @param trySend called for steps in order of rank */
   decide: (nowMs: number, wallMs: number, trySend: TrySendQuery) => PlannerDecisions
+  /** Counts the evaluations of workers and tasks in the last planning round. */
+  countEvaluations: () => number
   /** Removes and returns up to `maxCount` jobs whose state differs from the table. */
   takeChangedJobs: (maxCount: number) => string[]
   isChanged: (job: string) => boolean
--- a/packages/core/src/partition/stepInstance.ts
+++ b/packages/core/src/partition/stepInstance.ts
@@ -1,7 +1,8 @@
 /** Ready steps: a step of one occurrence whose dependencies are complete, with its placement advice. */
 import { ADVICE_RETRY_MS, MAX_ADVICE_WORKERS, TICKET_MARGIN_MS } from './constants.js'
-import { canEverRun, computeTaskResources, isSchedulable, type PartitionWorker } from './partitionWorker.js'
-import { hasRoomFor, type Resources } from '../schema/resources.js'
+import { canEverRun, computeTaskResources, type PartitionWorker } from './partitionWorker.js'
+import type { PlanningRound } from './planningRound.js'
+import type { Resources } from '../schema/resources.js'
 import type { Job, Task, Occurrence } from './jobState.js'
 import type { AdvicePolicy, JobStep } from './stepJob.js'
 
@@ -71,25 +72,24 @@
   return canEverRun(worker, instance.step) && !instance.unsuitable.has(worker.info.id)
 }
 
-/** Reads the free resources at a worker, less those reserved for waiting steps of a higher rank. */
-export type ReadFree = (worker: PartitionWorker) => Resources
-
 /**
  * Chooses the workers of the next advice query; none if no query is due.
  * The first query covers many workers because a worker's suitability never changes; later ones renew tickets where there is capacity.
  * No query is sent while no worker has capacity: the ticket would expire unused.
  */
-export function chooseAdviceWorkers (instance: StepInstance, workers: Iterable<PartitionWorker>, readFree: ReadFree, nowMs: number): string[] {
+export function chooseAdviceWorkers (instance: StepInstance, round: PlanningRound): string[] {
+  const { workers, nowMs } = round
   if (instance.job.spec.policy.advice === undefined || instance.isAdvicePending || nowMs < instance.nextAdviceMs) return []
-  const candidates: PartitionWorker[] = []
-  for (const worker of workers) if (isSchedulable(worker, nowMs) && mayBeSuitable(instance, worker)) candidates.push(worker)
-  const withCapacity = candidates.filter((worker) => hasRoomFor(readFree(worker), instance.taskResources))
+  const isSuitable = (index: number): boolean => mayBeSuitable(instance, workers[index]!)
+  const withCapacity = round.listUnclaimedFitting(instance.taskResources).filter(isSuitable)
   if (withCapacity.length === 0) return []
   const isFirst = instance.tickets.size === 0 && instance.unsuitable.size === 0
-  if (!isFirst && withCapacity.some((worker) => hasTicket(instance, worker.info.id, nowMs + TICKET_MARGIN_MS))) return []
-  const selected = isFirst || instance.step.gang ? candidates : withCapacity
-  selected.sort((a, b) => readFree(b).processors - readFree(a).processors)
-  return selected.slice(0, MAX_ADVICE_WORKERS).map((worker) => worker.info.id)
+  if (!isFirst && withCapacity.some((index) => hasTicket(instance, workers[index]!.info.id, nowMs + TICKET_MARGIN_MS))) return []
+  const asksAll = isFirst || instance.step.gang
+  if (asksAll) round.addEvaluations(workers.length)
+  const selected = asksAll ? [...workers.keys()].filter(isSuitable) : withCapacity
+  selected.sort((a, b) => round.readUnclaimed(b).processors - round.readUnclaimed(a).processors)
+  return selected.slice(0, MAX_ADVICE_WORKERS).map((index) => workers[index]!.info.id)
 }
 
 /** Records the response to an advice query about `workers`; those without a ticket are unsuitable. */
--- a/packages/core/src/partition/stepPlacement.ts
+++ b/packages/core/src/partition/stepPlacement.ts
@@ -1,41 +1,48 @@
 /** Places the tasks of a step on workers. */
 import { hasRoomFor, subtractResources, type Resources } from '../schema/resources.js'
 import { ACCELERATOR_CORES } from './constants.js'
-import { canEverRun, computeFree, isSchedulable, type PartitionWorker } from './partitionWorker.js'
+import { canEverRun, type PartitionWorker } from './partitionWorker.js'
+import type { PlanningRound } from './planningRound.js'
 import { hasTicket, type StepInstance } from './stepInstance.js'
 import type { Task } from './jobState.js'
 
-/** Resources reserved for waiting steps of a higher rank, by worker. */
-export type ReservedResources = ReadonlyMap<string, Resources>
-
 /** A task and the worker chosen for it. */
 export interface Placement {
   readonly task: Task
-  readonly worker: PartitionWorker
+  /** Index of the worker in the planning round. */
+  readonly worker: number
 }
 
 interface Candidate {
   readonly worker: PartitionWorker
-  free: Resources
-  /** Tasks of the step already at the worker; counted only if `maxPerWorker` limits them. */
-  stepTasks: number
+  readonly index: number
+  readonly free: Resources
+  /** Number of the step's tasks that the worker may take in addition. */
+  readonly allowed: number
   readonly isDataLocal: boolean
 }
 
-function buildCandidates (instance: StepInstance, workers: Iterable<PartitionWorker>, reserved: ReservedResources, nowMs: number): Candidate[] {
+function countTasksByWorker (instance: StepInstance): Map<string, number> {
+  const counts = new Map<string, number>()
+  for (const { worker } of instance.tasks) if (worker !== '') counts.set(worker, (counts.get(worker) ?? 0) + 1)
+  return counts
+}
+
+function buildCandidates (instance: StepInstance, round: PlanningRound): Candidate[] {
+  const { maxPerWorker, dataRack } = instance.step
+  // Most steps that wait for advice have no ticket at all.
+  if (instance.job.spec.policy.advice !== undefined && instance.tickets.size === 0) return []
+  const fitting = round.listFitting(instance.taskResources)
+  round.addEvaluations(fitting.length)
+  if (fitting.length === 0) return []
+  const counts = maxPerWorker > 0 ? countTasksByWorker(instance) : null
   const candidates: Candidate[] = []
-  for (const worker of workers) {
-    if (!isSchedulable(worker, nowMs) || !canEverRun(worker, instance.step) || !hasTicket(instance, worker.info.id, nowMs)) continue
-    if (isAvoidedByFiller(instance, worker)) continue
-    const reservation = reserved.get(worker.info.id)
-    const free = computeFree(worker)
-    const candidate = {
-      worker,
-      free: reservation === undefined ? free : subtractResources(free, reservation),
-      stepTasks: instance.step.maxPerWorker > 0 ? instance.tasks.filter((task) => task.worker === worker.info.id).length : 0,
-      isDataLocal: instance.step.dataRack === undefined || worker.info.labels.includes(instance.step.dataRack)
-    }
-    if (canTakeTask(instance, candidate)) candidates.push(candidate)
+  for (const index of fitting) {
+    const worker = round.workers[index]!
+    const { id, labels } = worker.info
+    if (!canEverRun(worker, instance.step) || !hasTicket(instance, id, round.nowMs) || isAvoidedByFiller(instance, worker)) continue
+    const allowed = counts === null ? Infinity : maxPerWorker - (counts.get(id) ?? 0)
+    if (allowed > 0) candidates.push({ worker, index, free: round.readFree(index), allowed, isDataLocal: dataRack === undefined || labels.includes(dataRack) })
   }
   return candidates
 }
@@ -47,15 +54,11 @@
   return false
 }
 
-function canTakeTask (instance: StepInstance, candidate: Candidate): boolean {
-  if (instance.step.maxPerWorker > 0 && candidate.stepTasks >= instance.step.maxPerWorker) return false
-  return hasRoomFor(candidate.free, instance.taskResources)
-}
-
 /** Best fit: computes what is left after placing the task, with accelerators weighted most, so that workers stay free for large tasks. */
-function computeLeftover (instance: StepInstance, candidate: Candidate): number {
+function computeScore (instance: StepInstance, candidate: Candidate): number {
   const left = subtractResources(candidate.free, instance.taskResources)
-  return left.accelerators * ACCELERATOR_CORES + Math.max(0, left.processors) + left.memoryMb / MEMORY_PER_CORE_MB
+  const leftover = left.accelerators * ACCELERATOR_CORES + Math.max(0, left.processors) + left.memoryMb / MEMORY_PER_CORE_MB
+  return leftover + (candidate.isDataLocal ? 0 : REMOTE_DATA_PENALTY)
 }
 
 /** Memory that weighs as much as one core, in MB: 64 GB on 16 cores. */
@@ -63,27 +66,19 @@
 /** Penalty for a worker outside the rack of the data; larger than any leftover capacity. */
 const REMOTE_DATA_PENALTY = 1e6
 
-function chooseCandidate (instance: StepInstance, candidates: readonly Candidate[]): Candidate | null {
-  let best: Candidate | null = null
-  let bestScore = Infinity
-  for (const candidate of candidates) {
-    if (!canTakeTask(instance, candidate)) continue
-    const score = computeLeftover(instance, candidate) + (candidate.isDataLocal ? 0 : REMOTE_DATA_PENALTY)
-    if (score >= bestScore) continue
-    best = candidate
-    bestScore = score
-  }
-  return best
-}
-
+/** Fills the workers one after the other by score: a worker that takes a task remains the best fit for the next. */
 function placeAll (instance: StepInstance, tasks: readonly Task[], candidates: readonly Candidate[]): Placement[] {
   const placements: Placement[] = []
-  for (const task of tasks) {
-    const chosen = chooseCandidate(instance, candidates)
-    if (chosen === null) break
-    chosen.free = subtractResources(chosen.free, instance.taskResources)
-    chosen.stepTasks++
-    placements.push({ task, worker: chosen.worker })
+  const scored = candidates.map((candidate) => ({ candidate, score: computeScore(instance, candidate) }))
+  scored.sort((a, b) => a.score - b.score)
+  for (const { candidate: { index, free, allowed } } of scored) {
+    let left = free
+    for (let count = 0; count < allowed && hasRoomFor(left, instance.taskResources); count++) {
+      const task = tasks[placements.length]
+      if (task === undefined) return placements
+      left = subtractResources(left, instance.taskResources)
+      placements.push({ task, worker: index })
+    }
   }
   return placements
 }
@@ -99,18 +94,13 @@
   return [...racks.values()]
 }
 
-/**
- * Places as many of the tasks as fit; a gang all or none, a tightly coupled step in one rack if possible.
- *
- * @param reserved resources that these tasks must not use
- */
-export function placeTasks (
-  instance: StepInstance, tasks: readonly Task[], workers: Iterable<PartitionWorker>, reserved: ReservedResources, nowMs: number
-): Placement[] {
+/** Places as many of the tasks as fit; a gang all or none, a tightly coupled step in one rack if possible. */
+export function placeTasks (instance: StepInstance, tasks: readonly Task[], round: PlanningRound): Placement[] {
   if (tasks.length === 0) return []
-  const candidates = buildCandidates(instance, workers, reserved, nowMs)
+  const candidates = buildCandidates(instance, round)
+  if (candidates.length === 0) return []
   if (instance.step.tightlyCoupled) {
-    for (const rack of collectByRack(candidates.map((candidate) => ({ ...candidate })))) {
+    for (const rack of collectByRack(candidates)) {
       const placements = placeAll(instance, tasks, rack)
       if (placements.length === tasks.length) return placements
     }
