Planner: fewer updates and allocations in a planning round

Reservations updated two search trees for each task, although most workers change several times between two searches, and ranking computed the objective of each waiting job and listed its tasks anew in every round.

The trees are updated before a search, for the workers that changed. The objective is computed once a job; tasks are counted instead of listed.

--- a/packages/core/src/partition/capacityReservation.ts
+++ b/packages/core/src/partition/capacityReservation.ts
@@ -157,8 +157,10 @@
 
   /** Evaluates the workers again that have changed since the last call. */
   const updateSearch = (search: CandidateSearch): void => {
-    if (search.changesSeen === round.changes.length) return
-    for (const index of new Set(round.changes.slice(search.changesSeen))) {
+    const unseen = round.changes.length - search.changesSeen
+    if (unseen === 0) return
+    const changed = round.changes.slice(search.changesSeen)
+    for (const index of unseen > 1 ? new Set(changed) : changed) {
       const candidate = buildCandidate(search.request, index)
       search.candidates[index] = candidate
       search.costs.set(index, candidate.cost)
--- a/packages/core/src/partition/createPartitionPlanner.ts
+++ b/packages/core/src/partition/createPartitionPlanner.ts
@@ -5,7 +5,7 @@
 import { createJobRegistry } from './jobRegistry.js'
 import { listTasks, type Task } from './jobState.js'
 import type { PlannerDecisions, PartitionPlanner, StartOrder, TrySendQuery } from './plannerTypes.js'
-import { chooseAdviceWorkers, listStartable, mayBeSuitable, recordAdvice, recordAdviceFailed, type StepInstance } from './stepInstance.js'
+import { chooseAdviceWorkers, countStartable, listStartable, mayBeSuitable, recordAdvice, recordAdviceFailed, type StepInstance } from './stepInstance.js'
 import { chooseCeilingPreemptions, createCapacityReservations } from './capacityReservation.js'
 import { buildRunName, createRunTracker } from './runTracker.js'
 import { computeCores, sortInstances, type RankedInstance } from './instanceRanking.js'
@@ -242,7 +242,7 @@
     countWaiting: registry.countWaiting,
     countBacklog: () => {
       const waiting = registry.listWaitingInstances()
-      return { steps: waiting.length, tasks: waiting.reduce((sum, instance) => sum + listStartable(instance).length, 0) }
+      return { steps: waiting.length, tasks: waiting.reduce((sum, instance) => sum + countStartable(instance), 0) }
     },
     removeEnded: registry.removeEnded
   }
--- a/packages/core/src/partition/instanceRanking.ts
+++ b/packages/core/src/partition/instanceRanking.ts
@@ -1,7 +1,7 @@
 /** Ranks the waiting steps of a partition. */
 import type { Resources } from '../schema/resources.js'
 import { ACCELERATOR_CORES, LONG_RUNNING_RESERVE_AFTER_MS, MIN_OVERLOAD_BACKLOG_MS } from './constants.js'
-import { estimateRemainingMs, listStartable, type StepInstance } from './stepInstance.js'
+import { countStartable, estimateRemainingMs, type StepInstance } from './stepInstance.js'
 import { compareRanks, computeRank, type Rank } from './rank.js'
 
 /** A waiting step and its rank. */
@@ -48,7 +48,7 @@
     if (instance.step.longRunning || instance.step.fills || rank.deadlineClass === 2) continue
     const backlog = backlogs.get(rank.priority) ?? { instances: 0, work: 0, slackMs: 0 }
     backlog.instances++
-    backlog.work += listStartable(instance).length * computeCores(instance.step.resources) * instance.step.estimateMs
+    backlog.work += countStartable(instance) * computeCores(instance.step.resources) * instance.step.estimateMs
     backlog.slackMs += Math.max(0, rank.latestStartMs - options.wallMs)
     backlogs.set(rank.priority, backlog)
   }
--- a/packages/core/src/partition/jobState.ts
+++ b/packages/core/src/partition/jobState.ts
@@ -1,6 +1,6 @@
 /** State of an accepted job, in memory and as stored in the table. */
 import * as Schema from 'effect/Schema'
-import type { JobStep, StepJob } from './stepJob.js'
+import { computeObjectiveMs, type JobStep, type StepJob } from './stepJob.js'
 
 /** Phase of a job as reported to callers. */
 export const JobPhase = Schema.Literals(['queued', 'running', 'completed', 'failed', 'cancelled'])
@@ -56,6 +56,8 @@
   readonly spec: StepJob
   /** The team exceeded its guaranteed job rate when it submitted this job. */
   readonly isOverRate: boolean
+  /** Time within which the job should end, counted from acceptance or from the due time of an occurrence. */
+  readonly objectiveMs: number
   phase: JobPhase
   occurrences: Map<number, Occurrence>
   /** Wall clock of the end, in milliseconds since 1970; 0 before it. */
@@ -106,7 +108,7 @@
 
 /** Restores a job from its rows. */
 export function createJob (id: string, spec: StepJob, record: JobStateRecord, isOverRate: boolean): Job {
-  const job: Job = { id, spec, isOverRate, phase: record.phase, occurrences: new Map(), endedAtMs: record.endedAtMs }
+  const job: Job = { id, spec, isOverRate, objectiveMs: computeObjectiveMs(spec), phase: record.phase, occurrences: new Map(), endedAtMs: record.endedAtMs }
   for (const [index, steps] of record.occurrences) {
     const occurrence = createOccurrence(id, spec, index)
     for (const [stepIndex, rows] of steps.entries()) {
--- a/packages/core/src/partition/planningRound.ts
+++ b/packages/core/src/partition/planningRound.ts
@@ -48,22 +48,31 @@
   const awaitingAdvice = new Map<number, Resources>()
   const freeTree = createResourceTree(free, recordVisit)
   const unclaimedTree = createResourceTree(free, recordVisit)
+  /** Workers whose amounts are outdated in the trees: most change several times between two searches. */
+  const outdated = new Set<number>()
   const changes: number[] = []
   const readReserved = (index: number): Resources => reserved.get(index) ?? NO_RESOURCES
 
-  const updateUnclaimed = (index: number): void => {
-    const taken = addResources(readReserved(index), awaitingAdvice.get(index) ?? NO_RESOURCES)
-    const left = subtractResources(computeFree(workers[index]!), taken)
-    unclaimed[index] = left
-    unclaimedTree.set(index, left)
+  const updateWorker = (index: number): void => {
+    const freeHere = computeFree(workers[index]!)
+    const reservedHere = readReserved(index)
+    const awaitingHere = awaitingAdvice.get(index)
+    free[index] = subtractResources(freeHere, reservedHere)
+    unclaimed[index] = awaitingHere === undefined ? free[index] : subtractResources(freeHere, addResources(reservedHere, awaitingHere))
+    outdated.add(index)
+  }
+
+  const updateTrees = (): void => {
+    for (const index of outdated) {
+      freeTree.set(index, free[index]!)
+      unclaimedTree.set(index, unclaimed[index]!)
+    }
+    outdated.clear()
   }
 
   const updateFree = (index: number): void => {
-    const left = subtractResources(computeFree(workers[index]!), readReserved(index))
-    free[index] = left
-    freeTree.set(index, left)
+    updateWorker(index)
     changes.push(index)
-    updateUnclaimed(index)
   }
 
   return {
@@ -76,16 +85,25 @@
     },
     reserveForAdvice: (index, amount) => {
       awaitingAdvice.set(index, addResources(awaitingAdvice.get(index) ?? NO_RESOURCES, amount))
-      updateUnclaimed(index)
+      updateWorker(index)
     },
     changes,
     recordChange: (index) => { changes.push(index) },
     updateFree,
     readFree: (index) => free[index]!,
-    listFitting: freeTree.listFitting,
+    listFitting: (need) => {
+      updateTrees()
+      return freeTree.listFitting(need)
+    },
     readUnclaimed: (index) => unclaimed[index]!,
-    listUnclaimedFitting: unclaimedTree.listFitting,
-    findUnclaimedFitting: unclaimedTree.findFitting,
+    listUnclaimedFitting: (need) => {
+      updateTrees()
+      return unclaimedTree.listFitting(need)
+    },
+    findUnclaimedFitting: (need, from) => {
+      updateTrees()
+      return unclaimedTree.findFitting(need, from)
+    },
     addEvaluations: (count) => { evaluations += count },
     countEvaluations: () => evaluations
   }
--- a/packages/core/src/partition/rank.ts
+++ b/packages/core/src/partition/rank.ts
@@ -1,7 +1,7 @@
 /** Scheduling order of waiting steps: by deadline class, then priority, then least slack; under overload, jobs within their team's guaranteed rate go first. */
-import { LATE_DEADLINE_FACTOR, OBJECTIVE_ADVICE_WORKERS } from './constants.js'
+import { LATE_DEADLINE_FACTOR } from './constants.js'
 import type { Job } from './jobState.js'
-import { computeCriticalPathMs, type StepJob } from './stepJob.js'
+import type { StepJob } from './stepJob.js'
 
 /** Rank of a waiting step, compared field by field. */
 export interface Rank {
@@ -15,13 +15,6 @@
   readonly isOverRate: boolean
 }
 
-/** Computes the time within which a job should end, counted from acceptance or from the due time of an occurrence. */
-export function computeObjectiveMs (spec: StepJob): number {
-  const { policy } = spec
-  const adviceMs = policy.advice === undefined ? 0 : (policy.advice.decisionMs + OBJECTIVE_ADVICE_WORKERS * policy.advice.eachMs) * spec.steps.length
-  return policy.targetLatencyMs + policy.stretch * (computeCriticalPathMs(spec.steps) + adviceMs)
-}
-
 /** Computes the wall-clock time from which the objective of an occurrence is counted. */
 export function computeDueMs (spec: StepJob, occurrence: number): number {
   return spec.runCount === 0 ? spec.acceptedAtMs : spec.firstRunMs + occurrence * spec.intervalMs
@@ -29,9 +22,8 @@
 
 /** Computes the rank of a step whose remaining critical path, itself included, takes `remainingMs`. */
 export function computeRank (job: Job, occurrence: number, remainingMs: number, wallMs: number): Rank {
-  const { spec } = job
+  const { spec, objectiveMs } = job
   const dueMs = computeDueMs(spec, occurrence)
-  const objectiveMs = computeObjectiveMs(spec)
   const latestStartMs = dueMs + objectiveMs - remainingMs
   const latestLateStartMs = dueMs + LATE_DEADLINE_FACTOR * objectiveMs - remainingMs
   return {
--- a/packages/core/src/partition/stepInstance.ts
+++ b/packages/core/src/partition/stepInstance.ts
@@ -60,6 +60,13 @@
   return waiting.length === instance.tasks.length ? waiting : []
 }
 
+/** Counts the tasks that may start now. */
+export function countStartable (instance: StepInstance): number {
+  let count = 0
+  for (const task of instance.tasks) if (task.phase === 'waiting' && task.worker === '') count++
+  return instance.step.gang && count < instance.tasks.length ? 0 : count
+}
+
 /** Tells whether the step may run at a worker: it has a valid ticket, or its queue requires none. */
 export function hasTicket (instance: StepInstance, worker: string, nowMs: number): boolean {
   if (instance.job.spec.policy.advice === undefined) return true
--- a/packages/core/src/partition/stepJob.ts
+++ b/packages/core/src/partition/stepJob.ts
@@ -1,6 +1,7 @@
 /** Jobs of steps, as submitted by callers and stored in the table. */
 import * as Schema from 'effect/Schema'
 import { Resources } from '../schema/resources.js'
+import { OBJECTIVE_ADVICE_WORKERS } from './constants.js'
 
 const NonNegative = Schema.Int.check(Schema.isGreaterThanOrEqualTo(0))
 const Positive = Schema.Int.check(Schema.isGreaterThanOrEqualTo(1))
@@ -107,3 +108,10 @@
   }
   return Math.max(0, ...endsAt)
 }
+
+/** Computes the time within which a job should end, counted from acceptance or from the due time of an occurrence. */
+export function computeObjectiveMs (spec: StepJob): number {
+  const { policy } = spec
+  const adviceMs = policy.advice === undefined ? 0 : (policy.advice.decisionMs + OBJECTIVE_ADVICE_WORKERS * policy.advice.eachMs) * spec.steps.length
+  return policy.targetLatencyMs + policy.stretch * (computeCriticalPathMs(spec.steps) + adviceMs)
+}
