Wait for the larger entries at the start of a cluster

Callers saw LOST and SHORT on large sites; there the partition of 176 workers goes to one of the smallest entries 15 s before the traffic.

Cause: an entry that has just started knows no other, so its rank is 0 and it takes a partition without a holder with its first read of the rows: the earliest entry wins. A partition that a later configuration adds had the same fault: the wait of a rank counted from the entry's start, so that all entries raced for it at once.

Change: a partition without a holder is taken 700 ms after an entry's start at the earliest (300 ms between the starts, 300 ms between two reads, and a margin) or when its vacancy is first seen, whichever is later, plus the wait of the rank. An entry that sees the row of a larger one has the highest rank there, so that the larger ones need no head start. The sum, at most 2.45 s and one read, stays below the targets of takeoverTimes.spec.

Failed before: holderCapacity.spec "at the start of a cluster different large entries take the partitions" (lead of 100 ms: s2,s7,s4,s0) and "a partition that the configuration adds later is taken over by a large entry" (covers).

--- a/packages/entry/src/partition/__tests__/holderCapacity.spec.ts
+++ b/packages/entry/src/partition/__tests__/holderCapacity.spec.ts
@@ -2,7 +2,7 @@
 import { createMemoryEventLog } from '@fuchsiatally/core/testing/memoryEventLog'
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
-import { createPartitionCluster, type ClusterEntry, type PartitionCluster } from '../../testing/partitionCluster.js'
+import { CLUSTER_CONFIG, createPartitionCluster, type ClusterEntry, type PartitionCluster } from '../../testing/partitionCluster.js'
 import { splitByHolder } from '../../testing/partitionClusterSteps.js'
 import { parseCapacityRow } from '../partitionRows.js'
 import { computeSuccessorRank } from '../rendezvousRank.js'
@@ -11,6 +11,15 @@
 const LARGE_CORES = 1.35
 const SERVICES = ['pages', 'covers', 'bindings', 'stitching']
 
+/** Longest time until a partition has a holder, median and maximum, in milliseconds; the targets of takeoverTimes.spec.ts. */
+const MEDIAN_TAKEOVER_MS = 1500
+const MAX_TAKEOVER_MS = 3000
+
+function findHolderOf (cluster: PartitionCluster, partition: string): string | null {
+  const row = cluster.table.readRow('cell', partition, 'holder')
+  return row === undefined ? null : (JSON.parse(row.value) as { entry: string }).entry
+}
+
 /** Starts small entries `s0`, `s1`, ... and large entries `l0`, `l1`, ... at the same time. */
 async function startMixedEntries (cluster: PartitionCluster, smallCount: number, largeCount: number): Promise<ClusterEntry[]> {
   const entries: ClusterEntry[] = []
@@ -69,4 +78,44 @@
   }
 })
 
+// Guards against a small entry that takes a partition at the start of a cluster because it started a little earlier than the large ones.
+test('at the start of a cluster different large entries take the partitions, although the small ones start up to 0.3 s earlier', async () => {
+  for (const leadMs of [0, 100, 200, 300]) {
+    const cluster = createPartitionCluster()
+    cluster.setConfig({ ...CLUSTER_CONFIG, services: SERVICES })
+    for (let index = 0; index < 12; index++) cluster.addEntry(`s${index}`, SMALL_CORES)
+    await cluster.clock.runFor(leadMs)
+    for (let index = 0; index < 5; index++) cluster.addEntry(`l${index}`, LARGE_CORES)
+    await cluster.clock.runFor(MAX_TAKEOVER_MS)
+    const holders = SERVICES.map((service) => findHolderOf(cluster, service) ?? '')
+    for (const holder of holders) assert.match(holder, /^l/, `${leadMs} ms: ${holders.join()}`)
+    assert.is(new Set(holders).size, SERVICES.length)
+  }
+})
+
+// Guards against a partition without a holder for which small entries wait beyond the stated targets.
+test('small entries alone take a partition within 1.5 s of their start, and within 3 s if the large ones do not', async () => {
+  const alone = createPartitionCluster()
+  for (let index = 0; index < 12; index++) alone.addEntry(`s${index}`, SMALL_CORES)
+  await alone.clock.runFor(MEDIAN_TAKEOVER_MS)
+  assert.match(alone.findHolder() ?? '', /^s/)
+
+  const cluster = createPartitionCluster()
+  for (let index = 0; index < 12; index++) cluster.addEntry(`s${index}`, SMALL_CORES)
+  const large = [cluster.addEntry('l0', LARGE_CORES), cluster.addEntry('l1', LARGE_CORES)]
+  await cluster.clock.runFor(100)
+  for (const entry of large) entry.faults.outage = 'busy'
+  await cluster.clock.runFor(MAX_TAKEOVER_MS - 100)
+  assert.match(cluster.findHolder() ?? '', /^s/)
+})
+
+// Guards against a race of all entries for a partition that a later configuration adds.
+test('a partition that the configuration adds later is taken over by a large entry', async () => {
+  const cluster = createPartitionCluster()
+  await startMixedEntries(cluster, 12, 5)
+  cluster.setConfig({ ...CLUSTER_CONFIG, version: 2, services: SERVICES })
+  await cluster.clock.runFor(MAX_TAKEOVER_MS)
+  for (const service of SERVICES) assert.match(findHolderOf(cluster, service) ?? '', /^l/, service)
+})
+
 test.run()
--- a/packages/entry/src/partition/constants.ts
+++ b/packages/entry/src/partition/constants.ts
@@ -64,6 +64,12 @@
 /** Highest successor rank that adds to the delay; entries of higher rank wait equally long. */
 export const MAX_SUCCESSOR_RANK = 5
 
+/**
+ * Time after its start before which an entry takes no partition that never had a holder, in milliseconds: entries start within 300 ms of
+ * each other, and one that starts last is seen with the next read of the rows.
+ */
+export const START_SETTLE_MS = 700
+
 /** Timeout of a table call, in milliseconds; a table that is slowed down sixtyfold responds after 360 ms. */
 export const TABLE_TIMEOUT_MS = 1200
 /** Wait of a long poll of the configuration, in milliseconds; a quarter of the time for which a revoked key may still be accepted. */
--- a/packages/entry/src/partition/partitionWatch.ts
+++ b/packages/entry/src/partition/partitionWatch.ts
@@ -2,10 +2,10 @@
 import { createDisposableStore, type Clock, type Disposable, type EventLog } from '@fuchsiatally/core'
 import type { Peer, SessionView } from '../ports.js'
 import { createSerialLoop } from '../process/serialLoop.js'
-import { SUSPECT_WATCH_INTERVAL_MS, MAX_HEALTHY_READ_MS, HOLDER_TIMEOUT_MS, MAX_SUCCESSOR_RANK, SUCCESSOR_RANK_DELAY_MS, RENEWAL_INTERVAL_MS, STUCK_HOLDER_TIMEOUT_MS, UNLINKED_HOLDER_TIMEOUT_MS, WATCH_INTERVAL_MS } from './constants.js'
+import { SUSPECT_WATCH_INTERVAL_MS, MAX_HEALTHY_READ_MS, HOLDER_TIMEOUT_MS, MAX_SUCCESSOR_RANK, START_SETTLE_MS, SUCCESSOR_RANK_DELAY_MS, RENEWAL_INTERVAL_MS, STUCK_HOLDER_TIMEOUT_MS, UNLINKED_HOLDER_TIMEOUT_MS, WATCH_INTERVAL_MS } from './constants.js'
 import { CAPACITY_PART, DEFAULT_CORES, PARTITION_TABLE, CLAIMS_KEY, HOLDER_KEY, parseCapacityRow, parseEntryRow, parseHolderRow, type EntryRow, type HolderRow } from './partitionRows.js'
 import type { PartitionTable, TableRow } from './ports.js'
-import { computeSuccessorRank } from './rendezvousRank.js'
+import { computeSuccessorRank, hasLargerCandidate, type Candidate } from './rendezvousRank.js'
 import { createTableFeed } from './tableFeed.js'
 
 /** Holder of a partition as stored in the table. */
@@ -66,9 +66,12 @@
   const { self, table, clock, events } = options
   const disposables = createDisposableStore()
   const partitions = new Map<string, ObservedPartition>()
+  const startedAtMs = clock.nowMs()
   const entries = new Map<string, EntryRow & { readonly version: number }>()
   /** Processor capacity by entry, in cores. */
   const capacities = new Map<string, number>()
+  /** Time at which this entry first saw that a partition has no holder. */
+  const vacantSinceMs = new Map<string, number>()
   let lastReadMs = -Infinity
   /** Whether the last read was answered within `MAX_HEALTHY_READ_MS`. */
   let isTableHealthy = false
@@ -90,6 +93,7 @@
     if (row.key !== HOLDER_KEY) return
     const holder = row.deleted ? null : parseHolderRow(row, events)
     const view = { partition: row.part, row: holder, version: row.deleted ? 0 : row.version }
+    vacantSinceMs.delete(row.part)
     partitions.set(row.part, { view, changedAtMs: nowMs, timeoutStartedAtMs: nowMs, isStuck: false })
     options.onHolder(view)
   }
@@ -145,16 +149,26 @@
     return count
   }
 
-  /** Rank of this entry among the successors of a partition's holder. */
+  const buildCandidate = (entry: string, incarnation: string): Candidate => ({ entry, cores: readCores(entry), held: countPartitionsOf(incarnation) })
+
+  /** Rank of this entry among the successors of a partition's holder, or among all entries if there is none. */
   const computeOwnRank = (partition: string, holder: HolderRow | null): number => {
     const own = { entry: self.entry, cores: options.cores, held: options.countHeld() }
+    // Larger entries that have just started have a row before they have a link.
+    if (holder === null && hasLargerCandidate(own, [...entries].map(([entry, { incarnation }]) => buildCandidate(entry, incarnation)))) return MAX_SUCCESSOR_RANK
     const others = options.listPeers().filter((peer) => peer.incarnation !== holder?.incarnation)
-    return computeSuccessorRank(partition, own, others.map(({ entry, incarnation }) => ({ entry, cores: readCores(entry), held: countPartitionsOf(incarnation) })))
+    return Math.min(MAX_SUCCESSOR_RANK, computeSuccessorRank(partition, own, others.map(({ entry, incarnation }) => buildCandidate(entry, incarnation))))
+  }
+
+  const readVacantSinceMs = (partition: string, nowMs: number): number => {
+    const sinceMs = vacantSinceMs.get(partition) ?? nowMs
+    vacantSinceMs.set(partition, sinceMs)
+    return Math.max(sinceMs, startedAtMs + START_SETTLE_MS)
   }
 
   const isTakeoverDue = (partition: string, observed: ObservedPartition | undefined, nowMs: number): boolean => {
-    const waitMs = Math.min(MAX_SUCCESSOR_RANK, computeOwnRank(partition, observed?.view.row ?? null)) * SUCCESSOR_RANK_DELAY_MS
-    if (observed === undefined || observed.view.row === null) return nowMs - startedAtMs >= waitMs
+    const waitMs = computeOwnRank(partition, observed?.view.row ?? null) * SUCCESSOR_RANK_DELAY_MS
+    if (observed === undefined || observed.view.row === null) return nowMs - readVacantSinceMs(partition, nowMs) >= waitMs
     const { row } = observed.view
     if (row.incarnation === self.incarnation) return false
     if (row.entry === self.entry) return true
@@ -167,7 +181,6 @@
     return nowMs - observed.timeoutStartedAtMs >= (isLinked(row) ? HOLDER_TIMEOUT_MS : UNLINKED_HOLDER_TIMEOUT_MS) + waitMs
   }
 
-  const startedAtMs = clock.nowMs()
   const runStep = async (): Promise<void> => {
     const sentAtMs = clock.nowMs()
     if (!await feed.readUpdates(0)) return
--- a/packages/entry/src/partition/rendezvousRank.ts
+++ b/packages/entry/src/partition/rendezvousRank.ts
@@ -37,6 +37,12 @@
   return rank
 }
 
+/** Whether one of `others` comes before `own` because of its capacity, whatever the key. */
+export function hasLargerCandidate (own: Candidate, others: readonly Candidate[]): boolean {
+  const ownClass = computeShareClass(own)
+  return others.some((other) => computeShareClass(other) > ownClass)
+}
+
 /** Sorts entries by descending weight; hashes each entry once. */
 export function sortByRank<T extends { readonly entry: string }> (key: string, entries: readonly T[]): T[] {
   return entries.map((entry) => ({ entry, weight: computeWeight(key, entry.entry) })).sort((a, b) => b.weight - a.weight).map(({ entry }) => entry)
