Hand partitions over to large entries in a graceful shutdown

Callers saw LOST and SHORT on large sites. In a rolling restart a large holder handed its partition to whichever peer had started last, in most cases a small one.

Cause: the choice of successors knew partitions and the order of starts only. Change: among the peers with the fewest partitions the largest class of capacity comes first, and within it the one that started last.

Failed before: holderCapacity.spec "a graceful shutdown hands the partition over to a large entry, and among those to the one that started last" (s9, expected l9). The test of rolling restarts among equal entries passes as before.

--- a/packages/entry/src/partition/__tests__/holderCapacity.spec.ts
+++ b/packages/entry/src/partition/__tests__/holderCapacity.spec.ts
@@ -118,4 +118,17 @@
   for (const service of SERVICES) assert.match(findHolderOf(cluster, service) ?? '', /^l/, service)
 })
 
+// Guards against a graceful shutdown that moves the partition from a large entry to a small one.
+test('a graceful shutdown hands the partition over to a large entry, and among those to the one that started last', async () => {
+  const cluster = createPartitionCluster()
+  const entries = await startMixedEntries(cluster, 3, 3)
+  const latest = cluster.addEntry('l9', LARGE_CORES)
+  cluster.addEntry('s9', SMALL_CORES)
+  await cluster.clock.runFor(1000)
+  const released = splitByHolder(cluster, entries).holder.entry.release()
+  await cluster.clock.runFor(300)
+  await released
+  assert.is(cluster.findHolder(), latest.name)
+})
+
 test.run()
--- a/packages/entry/src/partition/partitionEntry.ts
+++ b/packages/entry/src/partition/partitionEntry.ts
@@ -10,6 +10,7 @@
 import { createJobApi, type JobApi } from './jobApi.js'
 import type { AdviceClient, PartitionBounds, PartitionTable, PartitionWorkerClient, ListedWorker, PlatformRows } from './ports.js'
 import { WRITE_RETRY_MS } from './constants.js'
+import { computeCapacityClass } from './rendezvousRank.js'
 import { createMonitoredTable } from './tableHealth.js'
 import { failProcess } from '../process/failProcess.js'
 
@@ -128,14 +129,17 @@
   mesh.onMessage('cellStuck', (message, from) => partitions.recordStuck(message.cell, message.epoch, from.incarnation))
 
   /**
-   * Successors for the partitions released in a graceful shutdown: peers with the fewest partitions first, and among them those that started
-   * last. In a rolling restart, an entry that has just started is not the next one to stop.
+   * Successors for the partitions released in a graceful shutdown: peers with the fewest partitions first, among them those of the largest
+   * capacity, and then those that started last. In a rolling restart, an entry that has just started is not the next one to stop.
    */
   const chooseSuccessors = (count: number): (string | null)[] => {
     const peers = mesh.listPeers().filter((peer) => !leavingPeers.has(peer.incarnation)).map((peer) => ({
-      incarnation: peer.incarnation, held: partitions.countPartitionsOf(peer.incarnation), startOrder: partitions.readStartOrder(peer.incarnation)
+      incarnation: peer.incarnation,
+      held: partitions.countPartitionsOf(peer.incarnation),
+      capacityClass: computeCapacityClass(partitions.readCores(peer.entry)),
+      startOrder: partitions.readStartOrder(peer.incarnation)
     }))
-    peers.sort((a, b) => a.held - b.held || b.startOrder - a.startOrder)
+    peers.sort((a, b) => a.held - b.held || b.capacityClass - a.capacityClass || b.startOrder - a.startOrder)
     return Array.from({ length: count }, (_, index) => peers[index % Math.max(1, peers.length)]?.incarnation ?? null)
   }
 
