Hand a partition over to a large entry that came back

Callers saw LOST and SHORT on large sites. Once a small entry holds the partition of 176 workers, as after a power loss of the large ones, nothing moves it back: only a failure or a shutdown changes the holder.

Change: once a second a holder looks for a peer with a link, at least twice its capacity and no partition, that has been up for 5 s, and releases one partition to it, named as the successor, as in a graceful shutdown. The term has to be 5 s old and older than turnMs and the margin, so that a successor that held it before may take it again. Capacity only grows with each hand-over, so that a partition never goes back and forth.

Two rules of released rows changed with it. If the named successor doesn't take the partition, others may after 600 ms; before, after 1.3 s while the link was up.

Failed before: partitionHandover.spec "a partition is handed over once to a large entry that came back, without a job lost or run twice" and "the partitions of one small entry are handed over to different large entries" (holder matches no large one). With the hand-over alone "a holder takes its partition back if it has no other peer" failed (1 takeover, expected 2).

--- a/packages/entry/src/partition/constants.ts
+++ b/packages/entry/src/partition/constants.ts
@@ -34,6 +34,8 @@
 export const HOLDER_TIMEOUT_MS = 1300
 /** Timeout of a holder without a link to this entry, in milliseconds: covers one renewal, a slow commit and one read of the rows. */
 export const UNLINKED_HOLDER_TIMEOUT_MS = 600
+/** Time after a release in which only the named successor takes the partition over, in milliseconds: one read of the rows and one commit. */
+export const RELEASED_TIMEOUT_MS = 600
 /** Additional delay for each rank of successor, in milliseconds: one watch interval, so that successors rarely compete. */
 export const SUCCESSOR_RANK_DELAY_MS = 350
 /** Time without a confirmed renewal after which a holder ends its term, in milliseconds: longer than the outages that the platform announces. */
@@ -70,6 +72,15 @@
  */
 export const START_SETTLE_MS = 700
 
+/** Interval at which a holder looks for a larger entry to hand a partition over to, in milliseconds. */
+export const HANDOVER_CHECK_INTERVAL_MS = 1000
+/** Shortest term that ends with a planned hand-over, in milliseconds: long enough to load the jobs and reach the workers before they move again. */
+export const MIN_HANDOVER_TERM_MS = 5000
+/** Time for which an entry must have been up before a partition is handed over to it, in milliseconds. */
+export const MIN_PEER_UPTIME_MS = 5000
+/** Least ratio between the capacities of the successor and the holder in a planned hand-over. */
+export const MIN_HANDOVER_CAPACITY_RATIO = 2
+
 /** Timeout of a table call, in milliseconds; a table that is slowed down sixtyfold responds after 360 ms. */
 export const TABLE_TIMEOUT_MS = 1200
 /** Wait of a long poll of the configuration, in milliseconds; a quarter of the time for which a revoked key may still be accepted. */
--- a/packages/entry/src/partition/events.ts
+++ b/packages/entry/src/partition/events.ts
@@ -3,7 +3,8 @@
 
 export const partitionAcquired = defineEvent('FT801', 'info', 'Partition taken over', 'This entry now holds the partition and schedules it; workers accept orders of its epoch.')
 export const partitionLost = defineEvent('FT802', 'warn', 'Partition lost', 'Another entry holds the partition, or the table did not confirm in time that this one does; runs continue under their leases.')
-export const partitionReleased = defineEvent('FT803', 'info', 'Partition released', 'Graceful shutdown: another entry takes the partition over at once.')
+export const partitionReleased = defineEvent('FT803', 'info', 'Partition released', 'Graceful shutdown or planned hand-over: the successor takes the partition over at once.')
+export const partitionHandedOver = defineEvent('FT805', 'info', 'Partition is handed over', 'The named peer is idle and has at least twice the processor capacity of this entry.')
 export const partitionLoaded = defineEvent('FT804', 'info', 'Partition loaded', 'All accepted jobs of the partition are in memory; scheduling begins.')
 export const workerReachable = defineEvent('FT810', 'info', 'Worker reachable', 'The worker responded under this epoch; runs may be placed on it.')
 export const workerUnresponsive = defineEvent('FT811', 'warn', 'Worker unresponsive', 'No new runs are placed on it; its runs count as running until its lease has certainly expired.')
--- a/packages/entry/src/partition/partitionEntry.ts
+++ b/packages/entry/src/partition/partitionEntry.ts
@@ -2,14 +2,15 @@
 import { createDisposableStore, type ClusterConfig, type Clock, type Disposable, type EventLog, type Random } from '@fuchsiatally/core'
 import type { Peer, PeerMesh, SessionView } from '../ports.js'
 import { createAdviceRouter } from './adviceRouter.js'
+import { createPartitionHandover } from './partitionHandover.js'
 import { createPartitionTerm, type PartitionTerm } from './partitionTerm.js'
 import { createPartitionWatch, type PartitionView } from './partitionWatch.js'
 import { createConfigWatch } from './configWatch.js'
-import { partitionLost, partitionAcquired, entryStarted, entryStopping } from './events.js'
+import { partitionHandedOver, partitionLost, partitionAcquired, entryStarted, entryStopping } from './events.js'
 import { CAPACITY_PART, PARTITION_TABLE, type CapacityRow, type EntryRow } from './partitionRows.js'
 import { createJobApi, type JobApi } from './jobApi.js'
 import type { AdviceClient, PartitionBounds, PartitionTable, PartitionWorkerClient, ListedWorker, PlatformRows } from './ports.js'
-import { WRITE_RETRY_MS } from './constants.js'
+import { MIN_HANDOVER_TERM_MS, WRITE_RETRY_MS } from './constants.js'
 import { computeCapacityClass } from './rendezvousRank.js'
 import { createMonitoredTable } from './tableHealth.js'
 import { failProcess } from '../process/failProcess.js'
@@ -55,14 +56,20 @@
   const endedTerms = new Set<string>()
   const leavingPeers = new Set<string>()
   let stopping = false
+  /** Planned hand-over in progress. */
+  let currentHandover: Promise<void> = Promise.resolve()
 
   const config = disposables.add(createConfigWatch({ ...options, table }))
   const advice = disposables.add(createAdviceRouter({ ...options, client: options.adviceClient }))
 
-  const recordLost = (partition: string, epoch: number): void => {
+  const removeTerm = (partition: string, epoch: number): void => {
     terms.delete(partition)
     lostAtMs.set(partition, clock.nowMs())
     endedTerms.add(`${partition}/${epoch}`)
+  }
+
+  const recordLost = (partition: string, epoch: number): void => {
+    removeTerm(partition, epoch)
     events.record(partitionLost, { cell: partition, epoch })
   }
 
@@ -128,12 +135,47 @@
   mesh.onMessage('cellChanged', () => partitions.readNow())
   mesh.onMessage('cellStuck', (message, from) => partitions.recordStuck(message.cell, message.epoch, from.incarnation))
 
+  const listStayingPeers = (): Peer[] => mesh.listPeers().filter((peer) => !leavingPeers.has(peer.incarnation))
+
+  const releaseTo = async (partition: string, term: PartitionTerm, successor: string | null): Promise<void> => {
+    await term.release(successor)
+    if (successor !== null) mesh.sendMessage(successor, { type: 'cellChanged', cell: partition })
+  }
+
+  const handOver = async (partition: string, successor: Peer): Promise<void> => {
+    const term = terms.get(partition)
+    if (term === undefined) return
+    events.record(partitionHandedOver, {
+      cell: partition,
+      epoch: term.epoch,
+      successor: successor.entry,
+      cores: options.cores,
+      successorCores: partitions.readCores(successor.entry),
+      termAgeMs: Math.round(partitions.readTermAgeMs(partition))
+    })
+    removeTerm(partition, term.epoch)
+    currentHandover = releaseTo(partition, term, successor.incarnation)
+    await currentHandover
+  }
+
+  disposables.add(createPartitionHandover({
+    cores: options.cores,
+    clock,
+    // A successor that lost the partition just before this term may not take it over yet.
+    minTermMs: Math.max(MIN_HANDOVER_TERM_MS, bounds.turnMs + REACQUIRE_MARGIN_MS),
+    partitions,
+    listPeers: listStayingPeers,
+    listHeld: () => [...terms.keys()],
+    mayHandOver: () => !stopping && !table.isSuspect(),
+    handOver
+  }))
+
   /**
    * Successors for the partitions released in a graceful shutdown: peers with the fewest partitions first, among them those of the largest
    * capacity, and then those that started last. In a rolling restart, an entry that has just started is not the next one to stop.
    */
   const chooseSuccessors = (count: number): (string | null)[] => {
-    const peers = mesh.listPeers().filter((peer) => !leavingPeers.has(peer.incarnation)).map((peer) => ({
+    const peers = listStayingPeers().map((peer) => ({
       incarnation: peer.incarnation,
       held: partitions.countPartitionsOf(peer.incarnation),
       capacityClass: computeCapacityClass(partitions.readCores(peer.entry)),
@@ -178,11 +220,7 @@
       const held = [...terms]
       terms.clear()
       const successors = chooseSuccessors(held.length)
-      await Promise.all(held.map(async ([partition, term], index) => {
-        const successor = successors[index] ?? null
-        await term.release(successor)
-        if (successor !== null) mesh.sendMessage(successor, { type: 'cellChanged', cell: partition })
-      }))
+      await Promise.all([currentHandover, ...held.map(([partition, term], index) => releaseTo(partition, term, successors[index] ?? null))])
     },
     dispose: () => {
       disposables.dispose()
--- a/packages/entry/src/partition/partitionWatch.ts
+++ b/packages/entry/src/partition/partitionWatch.ts
@@ -2,7 +2,7 @@
 import { createDisposableStore, type Clock, type Disposable, type EventLog } from '@fuchsiatally/core'
 import type { Peer, SessionView } from '../ports.js'
 import { createSerialLoop } from '../process/serialLoop.js'
-import { SUSPECT_WATCH_INTERVAL_MS, MAX_HEALTHY_READ_MS, HOLDER_TIMEOUT_MS, MAX_SUCCESSOR_RANK, START_SETTLE_MS, SUCCESSOR_RANK_DELAY_MS, RENEWAL_INTERVAL_MS, STUCK_HOLDER_TIMEOUT_MS, UNLINKED_HOLDER_TIMEOUT_MS, WATCH_INTERVAL_MS } from './constants.js'
+import { SUSPECT_WATCH_INTERVAL_MS, MAX_HEALTHY_READ_MS, HOLDER_TIMEOUT_MS, MAX_SUCCESSOR_RANK, START_SETTLE_MS, SUCCESSOR_RANK_DELAY_MS, RENEWAL_INTERVAL_MS, STUCK_HOLDER_TIMEOUT_MS, RELEASED_TIMEOUT_MS, UNLINKED_HOLDER_TIMEOUT_MS, WATCH_INTERVAL_MS } from './constants.js'
 import { CAPACITY_PART, DEFAULT_CORES, PARTITION_TABLE, CLAIMS_KEY, HOLDER_KEY, parseCapacityRow, parseEntryRow, parseHolderRow, type EntryRow, type HolderRow } from './partitionRows.js'
 import type { PartitionTable, TableRow } from './ports.js'
 import { computeSuccessorRank, hasLargerCandidate, type Candidate } from './rendezvousRank.js'
@@ -43,9 +43,13 @@
   listSessions: () => readonly SessionView[]
   /** Position in the order of starts: higher for entries that started later; 0 if the table has no row of the incarnation. */
   readStartOrder: (incarnation: string) => number
+  /** Time since this entry first saw the current epoch of a partition, in milliseconds. */
+  readTermAgeMs: (partition: string) => number
+  /** Time since this entry first saw the row of an incarnation, in milliseconds; 0 if there is none. */
+  readUptimeMs: (incarnation: string) => number
   /** Processor capacity of an entry, in cores. */
   readCores: (entry: string) => number
-  /** Number of partitions that an incarnation holds according to the table. */
+  /** Number of partitions that an incarnation holds, or was named the successor for, according to the table. */
   countPartitionsOf: (incarnation: string) => number
   /** Records the report of a holder that the table does not accept its commits. */
   recordStuck: (partition: string, epoch: number, incarnation: string) => void
@@ -56,6 +60,8 @@
 interface ObservedPartition {
   view: PartitionView
   readonly changedAtMs: number
+  /** Time at which this entry first saw the epoch. */
+  readonly termSeenAtMs: number
   /** Time from which the holder's timeout counts: its last renewal seen here, or the end of a gap between reads. */
   timeoutStartedAtMs: number
   /** Whether the holder reported that the table does not accept its commits. */
@@ -67,7 +73,7 @@
   const disposables = createDisposableStore()
   const partitions = new Map<string, ObservedPartition>()
   const startedAtMs = clock.nowMs()
-  const entries = new Map<string, EntryRow & { readonly version: number }>()
+  const entries = new Map<string, EntryRow & { readonly version: number, readonly seenAtMs: number }>()
   /** Processor capacity by entry, in cores. */
   const capacities = new Map<string, number>()
   /** Time at which this entry first saw that a partition has no holder. */
@@ -76,6 +82,12 @@
   /** Whether the last read was answered within `MAX_HEALTHY_READ_MS`. */
   let isTableHealthy = false
 
+  const recordView = (view: PartitionView, nowMs: number): void => {
+    const previous = partitions.get(view.partition)
+    const termSeenAtMs = previous !== undefined && previous.view.row?.epoch === view.row?.epoch ? previous.termSeenAtMs : nowMs
+    partitions.set(view.partition, { view, changedAtMs: nowMs, termSeenAtMs, timeoutStartedAtMs: nowMs, isStuck: false })
+  }
+
   const applyRow = (row: TableRow, nowMs: number): void => {
     if (row.key === CLAIMS_KEY) return
     if (row.part === CAPACITY_PART) {
@@ -87,14 +99,14 @@
     if (row.part === '') {
       const entry = row.deleted ? null : parseEntryRow(row, events)
       if (entry === null) entries.delete(row.key)
-      else entries.set(row.key, { ...entry, version: row.version })
+      else entries.set(row.key, { ...entry, version: row.version, seenAtMs: clock.nowMs() })
       return
     }
     if (row.key !== HOLDER_KEY) return
     const holder = row.deleted ? null : parseHolderRow(row, events)
     const view = { partition: row.part, row: holder, version: row.deleted ? 0 : row.version }
     vacantSinceMs.delete(row.part)
-    partitions.set(row.part, { view, changedAtMs: nowMs, timeoutStartedAtMs: nowMs, isStuck: false })
+    recordView(view, nowMs)
     options.onHolder(view)
   }
 
@@ -124,7 +136,7 @@
     // After a lost response or a conflict, the next read shows the holder.
     if (result.isErr() || result.value.kind === 'conflict') return
     const view = { partition, row, version: result.value.version }
-    partitions.set(partition, { view, changedAtMs: clock.nowMs(), timeoutStartedAtMs: clock.nowMs(), isStuck: false })
+    recordView(view, clock.nowMs())
     options.onHolder(view)
   }
 
@@ -145,7 +157,7 @@
 
   const countPartitionsOf = (incarnation: string): number => {
     let count = 0
-    for (const { view } of partitions.values()) if (view.row?.incarnation === incarnation) count++
+    for (const { view: { row } } of partitions.values()) if (row !== null && (row.released ? row.successor : row.incarnation) === incarnation) count++
     return count
   }
 
@@ -170,10 +182,12 @@
     const waitMs = computeOwnRank(partition, observed?.view.row ?? null) * SUCCESSOR_RANK_DELAY_MS
     if (observed === undefined || observed.view.row === null) return nowMs - readVacantSinceMs(partition, nowMs) >= waitMs
     const { row } = observed.view
+    if (row.released) {
+      if (row.successor === self.incarnation) return true
+      return nowMs - observed.timeoutStartedAtMs >= (row.successor === undefined ? 0 : RELEASED_TIMEOUT_MS) + waitMs
+    }
     if (row.incarnation === self.incarnation) return false
     if (row.entry === self.entry) return true
-    if (row.released && row.successor === self.incarnation) return true
-    if (row.released && row.successor === undefined) return nowMs - observed.timeoutStartedAtMs >= waitMs
     // The shorter timeouts require a table that responds quickly: with a slow one, the renewals of a live holder may arrive late.
     if (!isTableHealthy) return nowMs - observed.timeoutStartedAtMs >= HOLDER_TIMEOUT_MS + waitMs
     if (observed.isStuck) return nowMs - observed.timeoutStartedAtMs >= STUCK_HOLDER_TIMEOUT_MS + waitMs
@@ -206,6 +220,11 @@
       for (const entry of entries.values()) if (entry.incarnation === incarnation) return entry.version
       return 0
     },
+    readTermAgeMs: (partition) => clock.nowMs() - (partitions.get(partition)?.termSeenAtMs ?? clock.nowMs()),
+    readUptimeMs: (incarnation) => {
+      for (const entry of entries.values()) if (entry.incarnation === incarnation) return clock.nowMs() - entry.seenAtMs
+      return 0
+    },
     readCores,
     countPartitionsOf,
     recordStuck: (partition, epoch, incarnation) => {
