Bound the share of the event loop that planning rounds take

What callers saw: LOST and SHORT on large sites. The holder of a partition with 176 workers planned without a pause while steps waited, and lease calls, start orders and the renewal of its row waited behind each round.

Cause: each report, advice answer and job woke the commit loop, which planned at once. The pause between rounds did not depend on what a round cost, and a renewal that was due waited for the round.

Ruled out: a cheaper planner alone; whatever a round costs, rounds that follow each other at once leave no time for the rest.

Change: after a round planning pauses for three times its duration, at most 1 s (longer rounds take a larger share, but an urgent task must start in 2 s). Between rounds changed jobs are still committed, at most every 50 ms. A renewal that is due, or becomes due during a long round, is committed first. Entries take a planner for tests; the test cluster can charge the holder for its work, so that its event loop is late.

--- a/packages/entry/src/partition/constants.ts
+++ b/packages/entry/src/partition/constants.ts
@@ -80,6 +80,14 @@
 export const WORKER_POLL_WAIT_MS = 1000
 /** Shortest interval between two commits of a partition, in milliseconds; a part of the table accepts 200 commits a second. */
 export const COMMIT_PAUSE_MS = 8
+/** Largest share of the event loop that planning rounds take; the rest is for lease calls, orders and callers. */
+export const MAX_PLAN_SHARE = 0.25
+/** Longest pause after a planning round, in milliseconds; half of the time within which an urgent task starts. */
+export const MAX_PACING_PAUSE_MS = 1000
+/** Duration of a planning round from which a due renewal of the holder row is committed before the round, in milliseconds. */
+export const LONG_ROUND_MS = 50
+/** Pause before a commit without a planning round, in milliseconds: each commit costs processor time. */
+export const COMMIT_ONLY_PAUSE_MS = 50
 /** Longest interval between two planning rounds, in milliseconds. */
 export const MAX_PLAN_PAUSE_MS = 200
 /** Pause between two deletions of jobs past their retention, in milliseconds; at the load projected for two years ahead, a job ends every 20 s. */
--- a/packages/entry/src/partition/partitionCommits.ts
+++ b/packages/entry/src/partition/partitionCommits.ts
@@ -1,10 +1,11 @@
 /** Commit loop of a term: plans, commits the changes fenced by the holder row, and sends the orders only after the commit. */
 import { createDisposableStore, type PartitionPlanner, type Clock, type Disposable, type EventLog, type StartOrder } from '@fuchsiatally/core'
 import { createSerialLoop } from '../process/serialLoop.js'
-import { COMMIT_PAUSE_MS, MAX_UNCONFIRMED_TERM_MS, MAX_COMMIT_BYTES, MAX_COMMIT_ROWS, MAX_PLAN_PAUSE_MS, REFUSED_COMMIT_PAUSE_MS, RENEWAL_INTERVAL_MS, STUCK_AFTER_MS, STUCK_FAILURE_COUNT } from './constants.js'
+import { COMMIT_ONLY_PAUSE_MS, COMMIT_PAUSE_MS, LONG_ROUND_MS, MAX_UNCONFIRMED_TERM_MS, MAX_COMMIT_BYTES, MAX_COMMIT_ROWS, MAX_PLAN_PAUSE_MS, REFUSED_COMMIT_PAUSE_MS, RENEWAL_INTERVAL_MS, STUCK_AFTER_MS, STUCK_FAILURE_COUNT } from './constants.js'
 import { runPlaced } from './events.js'
 import type { HolderLoad } from './holderLoad.js'
 import { formatRun } from './formatRun.js'
+import type { PlanPacer } from './planPacer.js'
 import { PARTITION_TABLE, HOLDER_KEY, parseHolderRow, STATE_TABLE, type HolderRow } from './partitionRows.js'
 import type { PartitionTable, TableTransaction } from './ports.js'
 import type { PartitionWorkerController } from './partitionWorkerController.js'
@@ -23,6 +24,7 @@
   /** Whether all accepted jobs are in the planner; until then the queue counts of the previous holder are retained. */
   readonly isLoaded: () => boolean
   readonly listControllers: () => Iterable<PartitionWorkerController>
+  readonly pacer: PlanPacer
   /** Plans one round: issues the orders that need no commit and returns the starts. */
   readonly plan: () => readonly StartOrder[]
   readonly startRun: (order: StartOrder) => void
@@ -36,7 +38,7 @@
 
 /** The running commit loop. */
 export interface PartitionCommits extends Disposable {
-  /** Plans and commits without waiting for the end of the pause, unless the last commit failed. */
+  /** Plans and commits as soon as the pacing of the planning rounds allows, unless the last commit failed. */
   wake: () => void
   /** Deletes the states of jobs whose own rows have been deleted. */
   deleteStates: (jobs: readonly string[]) => void
@@ -52,7 +54,7 @@
 type CommitOutcome = 'committed' | 'failed' | 'deposed'
 
 export function createPartitionCommits (options: PartitionCommitsOptions): PartitionCommits {
-  const { planner, clock, table } = options
+  const { planner, clock, table, pacer } = options
   const disposables = createDisposableStore()
   let version = options.version
   let renewals = options.row.renewals
@@ -61,6 +63,11 @@
   let confirmedAt = { nowMs: clock.nowMs(), wallMs: clock.wallMs() }
   let pendingStarts: StartOrder[] = []
   let statesToDelete: string[] = []
+  let isPlanRequested = false
+  /** Whether the last step postponed its planning round until the holder row was renewed. */
+  let postponedPlan = false
+  /** Whether the last commit left changed jobs for the next one. */
+  let hasMoreChanges = false
   /** Kind of failure of the last commit; `null` after a success. */
   let lastFailure: 'refused' | 'unknown' | null = null
   let failures = 0
@@ -73,16 +80,34 @@
     ...options.row, ...(successor === null ? {} : { successor }), renewals, released: releasing, waiting: options.isLoaded() ? [...planner.countWaiting()] : options.row.waiting
   })
 
+  /** A renewal that is due, or becomes due during a long planning round, goes before the round, at most in every other step. */
+  const mustPostponePlan = (): boolean => {
+    const roundMs = pacer.readLastRoundMs()
+    return !postponedPlan && roundMs >= LONG_ROUND_MS && clock.nowMs() - renewedAtMs + roundMs >= RENEWAL_INTERVAL_MS
+  }
+
+  const planRound = (): void => {
+    isPlanRequested = false
+    const starts = options.load.measurePart('plan', options.plan)
+    for (const order of starts) options.events.record(runPlaced, { run: formatRun(order), worker: order.worker, resumed: order.saved !== '' })
+    pendingStarts.push(...starts)
+    const expiredJobs = planner.removeEnded(clock.wallMs() - options.statusMs)
+    if (expiredJobs.length > 0) options.onJobsExpired(expiredJobs)
+  }
+
   const takeChanges = (): { jobs: string[], writes: TableTransaction['writes'][number][] } => {
     const jobs: string[] = []
     const writes: TableTransaction['writes'][number][] = []
     let bytes = 0
-    for (const job of planner.takeChangedJobs(MAX_COMMIT_ROWS)) {
+    const taken = planner.takeChangedJobs(MAX_COMMIT_ROWS)
+    hasMoreChanges = taken.length === MAX_COMMIT_ROWS
+    for (const job of taken) {
       const record = planner.readRecord(job)
       if (record === null) continue
       const value = JSON.stringify(record)
       if (bytes > 0 && bytes + value.length > MAX_COMMIT_BYTES) {
         planner.addChangedJobs([job])
+        hasMoreChanges = true
         continue
       }
       bytes += value.length
@@ -138,16 +163,13 @@
 
   const runStep = async (): Promise<void> => {
     if (stopped) return
-    const starts = releasing ? [] : options.load.measurePart('plan', options.plan)
-    for (const order of starts) options.events.record(runPlaced, { run: formatRun(order), worker: order.worker, resumed: order.saved !== '' })
-    pendingStarts.push(...starts)
-    const expiredJobs = planner.removeEnded(clock.wallMs() - options.statusMs)
-    if (expiredJobs.length > 0) options.onJobsExpired(expiredJobs)
+    postponedPlan = !releasing && mustPostponePlan()
+    if (!releasing && !postponedPlan && pacer.readDelayMs() === 0) pacer.runRound(planRound)
     const readyCount = pendingStarts.length
     const { jobs, writes } = options.load.measurePart('encode', takeChanges)
     const deletes = listStateDeletes(MAX_COMMIT_ROWS - writes.length)
     for (const controller of options.listControllers()) controller.beginCommit()
-    const renews = mustRenew || releasing || clock.nowMs() - renewedAtMs >= RENEWAL_INTERVAL_MS
+    const renews = mustRenew || releasing || postponedPlan || clock.nowMs() - renewedAtMs >= RENEWAL_INTERVAL_MS
     if (writes.length === 0 && deletes.length === 0 && !renews) {
       for (const controller of options.listControllers()) controller.finishCommit()
       return
@@ -172,18 +194,30 @@
     if (outcome === 'deposed' || clock.nowMs() - confirmedAt.nowMs > MAX_UNCONFIRMED_TERM_MS) endTerm()
   }
 
+  const readPauseMs = (): number => {
+    if (lastFailure !== null) return lastFailure === 'refused' ? REFUSED_COMMIT_PAUSE_MS : COMMIT_PAUSE_MS
+    if (postponedPlan || hasMoreChanges) return COMMIT_PAUSE_MS
+    if (isPlanRequested) return Math.min(COMMIT_ONLY_PAUSE_MS, pacer.readDelayMs())
+    return Math.min(MAX_PLAN_PAUSE_MS, Math.max(COMMIT_PAUSE_MS, RENEWAL_INTERVAL_MS - (clock.nowMs() - renewedAtMs)))
+  }
+
+  let isStepRunning = false
   const loop = createSerialLoop({
     clock,
-    readPauseMs: () => lastFailure !== null ? (lastFailure === 'refused' ? REFUSED_COMMIT_PAUSE_MS : COMMIT_PAUSE_MS) : Math.min(MAX_PLAN_PAUSE_MS, Math.max(COMMIT_PAUSE_MS, RENEWAL_INTERVAL_MS - (clock.nowMs() - renewedAtMs))),
+    readPauseMs,
     runStep: () => {
-      currentStep = runStep()
+      isStepRunning = true
+      currentStep = runStep().finally(() => { isStepRunning = false })
       return currentStep
     }
   })
   disposables.add(loop)
 
   return {
-    wake: () => { if (lastFailure === null) loop.wake() },
+    wake: () => {
+      isPlanRequested = true
+      if (lastFailure === null && !isStepRunning && pacer.readDelayMs() === 0) loop.wake()
+    },
     deleteStates: (jobs) => { statesToDelete.push(...jobs) },
     // A suspension stops the monotonic clock, and the wall clock may jump: the larger of the two ages is the safe bound.
     readConfirmedAgeMs: () => Math.max(clock.nowMs() - confirmedAt.nowMs, clock.wallMs() - confirmedAt.wallMs),
--- a/packages/entry/src/partition/partitionEntry.ts
+++ b/packages/entry/src/partition/partitionEntry.ts
@@ -1,5 +1,5 @@
 /** An entry: follows the configuration, takes over and schedules partitions, and serves callers. */
-import { createDisposableStore, type ClusterConfig, type Clock, type Disposable, type EventLog, type Random } from '@fuchsiatally/core'
+import { createDisposableStore, type ClusterConfig, type Clock, type Disposable, type EventLog, type PartitionPlanner, type Random } from '@fuchsiatally/core'
 import type { Peer, PeerMesh, SessionView } from '../ports.js'
 import { createAdviceRouter } from './adviceRouter.js'
 import { createPartitionTerm, type PartitionTerm } from './partitionTerm.js'
@@ -25,6 +25,8 @@
   readonly createWorkerClient: (worker: ListedWorker) => PartitionWorkerClient
   readonly clock: Clock
   readonly random: Random
+  /** Replaces the planner of each term in tests. */
+  readonly createPlanner?: () => PartitionPlanner
   readonly events: EventLog
 }
 
--- a/packages/entry/src/partition/partitionTerm.ts
+++ b/packages/entry/src/partition/partitionTerm.ts
@@ -1,7 +1,7 @@
 /** One term of a partition's holder: connects its jobs, workers, advice and commits. */
 import {
   createPartitionPlanner, createDisposableStore, isFinal,
-  type ClusterConfig, type Clock, type Disposable, type EventLog, type JobPhase, type StartOrder, type TrySendQuery
+  type ClusterConfig, type Clock, type Disposable, type EventLog, type JobPhase, type PartitionPlanner, type StartOrder, type TrySendQuery
 } from '@fuchsiatally/core'
 import type { AdviceRouter } from './adviceRouter.js'
 import { createCeilingClaims } from './ceilingClaims.js'
@@ -15,6 +15,7 @@
 import { jobEnded, partitionReleased, workerLost, workerLeaving } from './events.js'
 import type { PartitionBounds, PartitionTable, PartitionWorkerClient, ListedWorker, PlatformRows } from './ports.js'
 import { createPartitionWorkerController, type PartitionWorkerController } from './partitionWorkerController.js'
+import { createPlanPacer } from './planPacer.js'
 import { createWorkerDirectory } from './workerDirectory.js'
 
 export interface PartitionTermOptions {
@@ -30,6 +31,7 @@
   readonly advice: AdviceRouter
   readonly readConfig: () => ClusterConfig | null
   readonly createWorkerClient: (worker: ListedWorker) => PartitionWorkerClient
+  readonly createPlanner?: () => PartitionPlanner
   /** The table does not accept this entry's commits, although it may accept those of others. */
   readonly onStuck: () => void
   readonly onDeposed: () => void
@@ -57,7 +59,7 @@
 export function createPartitionTerm (options: PartitionTermOptions): PartitionTerm {
   const { partition, row, clock, events, advice } = options
   const disposables = createDisposableStore()
-  const planner = createPartitionPlanner()
+  const planner = (options.createPlanner ?? createPartitionPlanner)()
   const load = disposables.add(createHolderLoad({ partition, epoch: row.epoch, clock, events, readBacklog: planner.countBacklog }))
   const managedWorkers = new Map<string, ManagedWorker>()
   const listings = new Map<string, ListedWorker>()
@@ -196,6 +198,7 @@
     statusMs: options.bounds.statusMs,
     isLoaded: () => jobs.isLoaded(),
     listControllers: () => [...managedWorkers.values()].map((member) => member.controller),
+    pacer: createPlanPacer(clock),
     plan,
     startRun: (order) => {
       const member = managedWorkers.get(order.worker)
--- a/packages/entry/src/testing/partitionCluster.ts
+++ b/packages/entry/src/testing/partitionCluster.ts
@@ -1,5 +1,5 @@
 /** In-memory entries, workers and table of a partition, under one fake clock. */
-import type { ClusterConfig, Clock, Resources, StartOrder, StepJob } from '@fuchsiatally/core'
+import { createPartitionPlanner, type ClusterConfig, type Clock, type Resources, type StartOrder, type StepJob } from '@fuchsiatally/core'
 import { createFakeClock, type FakeClock } from '@fuchsiatally/core/testing/fakeClock'
 import { createMemoryEventLog, type MemoryEventLog } from '@fuchsiatally/core/testing/memoryEventLog'
 import { createTestStep, createTestStepJob } from '@fuchsiatally/core/testing/stepJobs'
@@ -9,6 +9,7 @@
 import type { ListedWorker, PlatformRows, TableRow } from '../partition/ports.js'
 import { createPartitionTableModel, type PartitionTableModel, type TableFaults } from './partitionTableModel.js'
 import { createPartitionWorkerModel, type PartitionWorkerModel, type StartedRun } from './partitionWorkerModel.js'
+import { createChargedPlanner, createChargedWorkerClient, type HolderCosts } from './chargedHolder.js'
 import { createFakeMesh, type FakeMesh, type FakePeerMesh } from './fakeMesh.js'
 
 /** One entry of the cluster. */
@@ -43,6 +44,8 @@
   readonly maxLeaseMs?: number
   /** Called for each transaction; returns its duration in its part of the table, in milliseconds; default 0. */
   readonly readTransactionMs?: () => number
+  /** Processor time charged to the holder; default none. All processes share the clock, so it suits clusters with one entry. */
+  readonly holderCosts?: HolderCosts
 }
 
 /** The only service, after which the partition is named. */
@@ -86,6 +89,7 @@
   const clock = createFakeClock()
   const table = createPartitionTableModel({ clock, ...(options.readTransactionMs === undefined ? {} : { readTransactionMs: options.readTransactionMs }) })
   const mesh = createFakeMesh({ clock })
+  const { holderCosts } = options
   const workers = new Map<string, PartitionWorkerModel>()
   const started: StartedRun[] = []
   let incarnationCount = 0
@@ -108,11 +112,12 @@
       createWorkerClient: (worker) => {
         const model = workers.get(worker.id)
         if (model === undefined) throw new Error(`no worker ${worker.id}`)
-        return model.createClient()
+        return holderCosts === undefined ? model.createClient() : createChargedWorkerClient(model.createClient(), clock, holderCosts)
       },
       clock,
       random: createSeededRandom(incarnationCount),
-      events
+      events,
+      ...(holderCosts === undefined ? {} : { createPlanner: () => createChargedPlanner(createPartitionPlanner(), clock, holderCosts) })
     })
     return {
       name,
