Bound the start orders in flight

What callers saw: LOST on large sites. A planning round can place hundreds of tasks; their start orders were sent in one go, and lease calls were read after the last of them.

Cause: each committed start was sent at once, without a bound.

Change: a window of 32 orders per term; the others wait in order. An order whose lease ran out while it waited is not sent and its task is placed again; one that a stop overtook is dropped.

--- a/packages/entry/src/partition/constants.ts
+++ b/packages/entry/src/partition/constants.ts
@@ -88,6 +88,8 @@
 export const LONG_ROUND_MS = 50
 /** Pause before a commit without a planning round, in milliseconds: each commit costs processor time. */
 export const COMMIT_ONLY_PAUSE_MS = 50
+/** Most start orders in flight; an answered start takes 5 ms. */
+export const MAX_STARTS_IN_FLIGHT = 32
 /** Longest interval between two planning rounds, in milliseconds. */
 export const MAX_PLAN_PAUSE_MS = 200
 /** Pause between two deletions of jobs past their retention, in milliseconds; at the load projected for two years ahead, a job ends every 20 s. */
--- a/packages/entry/src/partition/partitionTerm.ts
+++ b/packages/entry/src/partition/partitionTerm.ts
@@ -6,7 +6,7 @@
 import type { AdviceRouter } from './adviceRouter.js'
 import { createCeilingClaims } from './ceilingClaims.js'
 import { createPartitionCommits } from './partitionCommits.js'
-import { MAX_UNCONFIRMED_EXTENSION_MS } from './constants.js'
+import { MAX_STARTS_IN_FLIGHT, MAX_UNCONFIRMED_EXTENSION_MS } from './constants.js'
 import { computePriorLeaseBoundMs } from './leaseBounds.js'
 import { createPartitionJobs } from './partitionJobs.js'
 import type { HolderRow } from './partitionRows.js'
@@ -16,6 +16,7 @@
 import type { PartitionBounds, PartitionTable, PartitionWorkerClient, ListedWorker, PlatformRows } from './ports.js'
 import { createPartitionWorkerController, type PartitionWorkerController } from './partitionWorkerController.js'
 import { createPlanPacer } from './planPacer.js'
+import { createStartWindow } from './startWindow.js'
 import { createWorkerDirectory } from './workerDirectory.js'
 
 export interface PartitionTermOptions {
@@ -61,6 +62,7 @@
   const disposables = createDisposableStore()
   const planner = (options.createPlanner ?? createPartitionPlanner)()
   const load = disposables.add(createHolderLoad({ partition, epoch: row.epoch, clock, events, readBacklog: planner.countBacklog }))
+  const startWindow = createStartWindow(MAX_STARTS_IN_FLIGHT)
   const managedWorkers = new Map<string, ManagedWorker>()
   const listings = new Map<string, ListedWorker>()
   const committedPhases = new Map<string, JobPhase>()
@@ -90,6 +92,7 @@
       clock,
       events,
       load,
+      startWindow,
       mayExtend: () => commits.readConfirmedAgeMs() < MAX_UNCONFIRMED_EXTENSION_MS,
       onChange: () => commits.wake(),
       onDeposed: endTerm
--- a/packages/entry/src/partition/partitionWorkerController.ts
+++ b/packages/entry/src/partition/partitionWorkerController.ts
@@ -8,6 +8,7 @@
 import type { HolderLoad } from './holderLoad.js'
 import { formatRun } from './formatRun.js'
 import type { PartitionWorkerClient, LeaseResponse } from './ports.js'
+import type { StartWindow } from './startWindow.js'
 import { failProcess } from '../process/failProcess.js'
 
 export interface PartitionWorkerControllerOptions {
@@ -19,6 +20,8 @@
   readonly clock: Clock
   readonly events: EventLog
   readonly load: HolderLoad
+  /** Shared by the controllers of a term. */
+  readonly startWindow: StartWindow
   /** Whether this holder was confirmed recently enough to extend leases. */
   readonly mayExtend: () => boolean
   /** A report or the outcome of an order changed the planner. */
@@ -46,7 +49,7 @@
 
 /** Starts the controller; it runs until disposed. */
 export function createPartitionWorkerController (options: PartitionWorkerControllerOptions): PartitionWorkerController {
-  const { worker, client, epoch, planner, clock, events } = options
+  const { worker, client, epoch, planner, clock, events, startWindow } = options
   const disposables = createDisposableStore()
   const createdAtMs = clock.nowMs()
   const inDoubt = new Map<string, RunName>()
@@ -199,16 +202,23 @@
   const sendStart = async (order: StartOrder): Promise<void> => {
     const name = formatRun(order)
     inDoubt.set(name, order)
+    await startWindow.waitForSlot()
     let isOutcomeKnown = true
     // After a failed call the lease is not extended: the lease of an unreachable worker has to expire.
     const lease = failures === 0 ? computeLeaseExpiry() : leaseUntilMs
     for (const [attempt, timeoutMs] of START_ATTEMPT_TIMEOUTS_MS.entries()) {
       const nowMs = readWorkerClock()
-      if (lease === null || nowMs === null || disposed) break
-      if (lease - nowMs < MIN_START_LEASE_MS || stopping.has(name)) break
+      // A stop that was answered while the order waited for its slot has settled the outcome.
+      const isSettled = !inDoubt.has(name)
+      if (isSettled || lease === null || nowMs === null || disposed || lease - nowMs < MIN_START_LEASE_MS || stopping.has(name)) {
+        if (attempt === 0) startWindow.releaseSlot()
+        if (isSettled) return
+        break
+      }
       leaseUntilMs = Math.max(leaseUntilMs, lease)
       const sentAtMs = clock.nowMs()
       const result = await client.startRun(order, epoch, lease, timeoutMs)
+      if (attempt === 0) startWindow.releaseSlot()
       if (disposed) return
       if (result.isErr()) {
         setSuspect()
