Don't take a holder's own delay for silent workers

What callers saw: LOST on large sites: runs of lasting tasks lapsed at workers that were sound and reachable, and were never started again.

Cause: a call that got no response in time counted as the worker's failure even if the holder itself had been late and the response lay unread. A worker with a missed renewal gets no extension and, after two, no starts. An overloaded holder so cut itself off from all its workers: in the reproduction all 44 turned unresponsive and were lost, and a lapsed lasting task had no worker left to start at. Its rank and its state in the planner were right.

Ruled out, by reading: an end that is not acknowledged, the rank of lasting tasks (they go first after 1.5 s) and refused starts don't keep a task waiting. Advice tickets were not part of the reproduction.

Change: the load measurement tells whether the event loop was late during a call. Up to three such calls in a row are repeated at once, with an extension and without marking the worker as suspect; a fourth counts as before, so a silent worker is still lost after a bounded time. A late holder grants leases of up to 6 s, never beyond the time that successors assume for it. A start order whose timer ran late gets another attempt, and a report that lists the run settles the order.

--- a/packages/entry/src/partition/constants.ts
+++ b/packages/entry/src/partition/constants.ts
@@ -99,6 +99,14 @@
 /** Most bytes of values in one commit; the table accepts one megabyte, encoded. */
 export const MAX_COMMIT_BYTES = 500_000
 
+/** Delay of the event loop from which this process counts as late, in milliseconds: a missing response then says nothing about its worker. */
+export const LATE_LOOP_MS = 150
+/** Time for which the process counts as late after such a delay, in milliseconds; the longest wait of a lease call and its timeout. */
+export const LATE_MEMORY_MS = 1700
+/** Consecutive calls to a worker without a response that are attributed to the delay of this process; more count as the worker's failure. */
+export const MAX_EXCUSED_CALLS = 3
+/** Longest lease that a late holder grants, in milliseconds, if workers accept it and the holder was confirmed recently. */
+export const MAX_LATE_LEASE_MS = 6000
 /** Interval at which a holder logs its load, in milliseconds. */
 export const LOAD_REPORT_INTERVAL_MS = 1000
 /** Interval of the timer that measures the delay of the event loop, in milliseconds; a tenth of the interval of the reports. */
--- a/packages/entry/src/partition/leaseBounds.ts
+++ b/packages/entry/src/partition/leaseBounds.ts
@@ -1,11 +1,21 @@
 /** Duration of leases, and an upper bound on leases granted by earlier holders. */
-import { MAX_CLOCK_DRIFT, MAX_UNCONFIRMED_EXTENSION_MS, MAX_GRANTED_LEASE_MS, LEASE_MARGIN_MS } from './constants.js'
+import { MAX_CLOCK_DRIFT, MAX_LATE_LEASE_MS, MAX_UNCONFIRMED_EXTENSION_MS, MAX_GRANTED_LEASE_MS, LEASE_MARGIN_MS } from './constants.js'
 
 /** Duration of the leases that holders grant, in milliseconds; workers cap it at their own limit. */
 export function computeLeaseMs (maxLeaseMs: number): number {
   return Math.min(maxLeaseMs, MAX_GRANTED_LEASE_MS)
 }
 
+/**
+ * Duration of the leases that a late holder grants, in milliseconds: longer, but expired by the time that successors assume for the
+ * leases of a holder that was last confirmed `confirmedAgeMs` ago.
+ */
+export function computeLateLeaseMs (maxLeaseMs: number, confirmedAgeMs: number): number {
+  const shortestMs = computeLeaseMs(maxLeaseMs)
+  const boundMs = shortestMs + (MAX_UNCONFIRMED_EXTENSION_MS - confirmedAgeMs) / (1 + MAX_CLOCK_DRIFT)
+  return Math.max(shortestMs, Math.min(maxLeaseMs, MAX_LATE_LEASE_MS, boundMs))
+}
+
 /** Time from the start of a term after which every lease of an earlier holder has expired, in milliseconds. */
 export function computePriorLeaseBoundMs (maxLeaseMs: number): number {
   return MAX_UNCONFIRMED_EXTENSION_MS + computeLeaseMs(maxLeaseMs) * (1 + MAX_CLOCK_DRIFT) + LEASE_MARGIN_MS
--- a/packages/entry/src/partition/partitionTerm.ts
+++ b/packages/entry/src/partition/partitionTerm.ts
@@ -7,7 +7,7 @@
 import { createCeilingClaims } from './ceilingClaims.js'
 import { createPartitionCommits } from './partitionCommits.js'
 import { MAX_STARTS_IN_FLIGHT, MAX_UNCONFIRMED_EXTENSION_MS } from './constants.js'
-import { computePriorLeaseBoundMs } from './leaseBounds.js'
+import { computeLateLeaseMs, computeLeaseMs, computePriorLeaseBoundMs } from './leaseBounds.js'
 import { createPartitionJobs } from './partitionJobs.js'
 import type { HolderRow } from './partitionRows.js'
 import { createHolderLoad } from './holderLoad.js'
@@ -82,6 +82,12 @@
     options.onDeposed()
   }
 
+  const computeGrantMs = (): number | null => {
+    const confirmedAgeMs = commits.readConfirmedAgeMs()
+    if (confirmedAgeMs >= MAX_UNCONFIRMED_EXTENSION_MS) return null
+    return load.isLate() ? computeLateLeaseMs(options.bounds.maxLeaseMs, confirmedAgeMs) : computeLeaseMs(options.bounds.maxLeaseMs)
+  }
+
   const addWorker = (listing: ListedWorker): void => {
     const controller = createPartitionWorkerController({
       worker: listing.id,
@@ -93,7 +99,7 @@
       events,
       load,
       startWindow,
-      mayExtend: () => commits.readConfirmedAgeMs() < MAX_UNCONFIRMED_EXTENSION_MS,
+      computeGrantMs,
       onChange: () => commits.wake(),
       onDeposed: endTerm
     })
--- a/packages/entry/src/partition/partitionWorkerController.ts
+++ b/packages/entry/src/partition/partitionWorkerController.ts
@@ -1,13 +1,13 @@
 /** Controls one worker on behalf of a partition's holder: renews its lease, applies its run reports and sends it orders. */
 import { createDisposableStore, type PartitionPlanner, type Clock, type Disposable, type EventLog, type RunName, type StartOrder, type StopOrder } from '@fuchsiatally/core'
 import {
-  MAX_CLOCK_DRIFT, COMMIT_WAIT_MS, LEASE_MARGIN_MS, LEASE_RETRY_MS, LEASE_WAIT_MS, MIN_START_LEASE_MS, START_ATTEMPT_TIMEOUTS_MS, SUSPECT_PAUSE_MS, UNEXTENDED_LEASE_WAIT_MS
+  MAX_CLOCK_DRIFT, COMMIT_WAIT_MS, LEASE_MARGIN_MS, LEASE_RETRY_MS, LEASE_WAIT_MS, MAX_EXCUSED_CALLS, MIN_START_LEASE_MS, START_ATTEMPT_TIMEOUTS_MS, SUSPECT_PAUSE_MS, UNEXTENDED_LEASE_WAIT_MS
 } from './constants.js'
-import { computeLeaseMs, computePriorLeaseBoundMs } from './leaseBounds.js'
+import { computePriorLeaseBoundMs } from './leaseBounds.js'
 import { runEnded, runRefused, runStopping, orderInDoubt, workerReachable, workerLost, workerUnresponsive } from './events.js'
 import type { HolderLoad } from './holderLoad.js'
 import { formatRun } from './formatRun.js'
-import type { PartitionWorkerClient, LeaseResponse } from './ports.js'
+import type { CallFailure, PartitionWorkerClient, LeaseResponse } from './ports.js'
 import type { StartWindow } from './startWindow.js'
 import { failProcess } from '../process/failProcess.js'
 
@@ -22,8 +22,8 @@
   readonly load: HolderLoad
   /** Shared by the controllers of a term. */
   readonly startWindow: StartWindow
-  /** Whether this holder was confirmed recently enough to extend leases. */
-  readonly mayExtend: () => boolean
+  /** Duration of a lease granted now, in milliseconds; `null` if this holder was not confirmed recently enough to extend leases. */
+  readonly computeGrantMs: () => number | null
   /** A report or the outcome of an order changed the planner. */
   readonly onChange: () => void
   /** The worker has accepted a higher epoch. */
@@ -72,6 +72,8 @@
   let pendingEnds: PendingEnd[] = []
   let resolveCommitWait: (() => void) | null = null
   let failures = 0
+  /** Consecutive lease calls without a response that this process's own delay explains. */
+  let excusedCalls = 0
 
   const waitForCommit = (delayMs: number): Promise<void> => new Promise((resolve) => {
     const timer = clock.setTimer(delayMs, resolve)
@@ -90,7 +92,8 @@
 
   const computeLeaseExpiry = (): number | null => {
     const nowMs = readWorkerClock()
-    return nowMs === null ? null : Math.floor(nowMs + computeLeaseMs(options.maxLeaseMs))
+    const grantMs = options.computeGrantMs()
+    return nowMs === null || grantMs === null ? null : Math.floor(nowMs + grantMs)
   }
 
   const endTerm = (): void => {
@@ -99,6 +102,9 @@
     options.onDeposed()
   }
 
+  /** Whether a call may lack a response only because this process was late: the response may have arrived unread. */
+  const isOwnDelay = (failure: CallFailure, sentAtMs: number): boolean => failure.kind === 'unknown' && options.load.wasLateSince(sentAtMs)
+
   const setSuspect = (): void => planner.setSuspect(worker, clock.nowMs() + SUSPECT_PAUSE_MS)
 
   const recordMissedRenewal = (reason: string): void => {
@@ -145,7 +151,7 @@
     }
     bornAtMs = response.bornAtMs
     clockSample = { clockMs: response.clockMs, receivedAtMs: nowMs }
-    failures = 0
+    failures = excusedCalls = 0
     planner.setSuspect(worker, 0)
     isLost = false
     const ended = response.ended.filter((end) => end.number > lastReportedEnd)
@@ -156,6 +162,7 @@
     }
     const strays = planner.recordReport(worker, { requestedAtMs: sentAtMs, running: response.running, ended }, nowMs, clock.wallMs())
     for (const stray of strays) stopRun(stray)
+    for (const run of response.running) inDoubt.delete(formatRun(run))
     if (!isReachable) {
       isReachable = true
       planner.setSynced(worker, true)
@@ -168,14 +175,18 @@
   const renewLease = async (): Promise<void> => {
     const sentAtMs = clock.nowMs()
     // A worker that did not respond gets no extension: otherwise the expiry of its lease could be deferred forever.
-    const lease = failures === 0 && options.mayExtend() ? computeLeaseExpiry() : null
+    const lease = failures === 0 ? computeLeaseExpiry() : null
     if (lease !== null) leaseUntilMs = Math.max(leaseUntilMs, lease)
     const longestMs = lease === null || !wasExtended ? UNEXTENDED_LEASE_WAIT_MS : LEASE_WAIT_MS
     wasExtended = lease !== null
     // Does not wait after a failed call, so that an unresponsive worker is detected quickly.
-    const waitMs = isReachable && failures === 0 && pendingEnds.length === 0 ? longestMs : 0
+    const waitMs = isReachable && failures === 0 && excusedCalls === 0 && pendingEnds.length === 0 ? longestMs : 0
     const result = await client.renewLease({ epoch, acknowledgedEnd, leaseUntilMs: lease, waitMs })
     if (disposed) return
+    if (result.isErr() && isOwnDelay(result.error, sentAtMs) && excusedCalls < MAX_EXCUSED_CALLS) {
+      excusedCalls++
+      return
+    }
     if (result.isErr() || result.value.kind === 'otherWorker') {
       recordMissedRenewal(result.isErr() ? result.error.message : 'another worker responds at its address')
       if (failures === 1) watchExpiry()
@@ -206,9 +217,11 @@
     let isOutcomeKnown = true
     // After a failed call the lease is not extended: the lease of an unreachable worker has to expire.
     const lease = failures === 0 ? computeLeaseExpiry() : leaseUntilMs
-    for (const [attempt, timeoutMs] of START_ATTEMPT_TIMEOUTS_MS.entries()) {
+    const timeouts = [...START_ATTEMPT_TIMEOUTS_MS]
+    let excusedAttempts = 0
+    for (const [attempt, timeoutMs] of timeouts.entries()) {
       const nowMs = readWorkerClock()
-      // A stop that was answered while the order waited for its slot has settled the outcome.
+      // A report or an acknowledged stop has settled the outcome.
       const isSettled = !inDoubt.has(name)
       if (isSettled || lease === null || nowMs === null || disposed || lease - nowMs < MIN_START_LEASE_MS || stopping.has(name)) {
         if (attempt === 0) startWindow.releaseSlot()
@@ -221,7 +234,10 @@
       if (attempt === 0) startWindow.releaseSlot()
       if (disposed) return
       if (result.isErr()) {
-        setSuspect()
+        if (isOwnDelay(result.error, sentAtMs) && excusedAttempts < MAX_EXCUSED_CALLS) {
+          excusedAttempts++
+          timeouts.push(timeoutMs)
+        } else setSuspect()
         if (result.error.kind === 'unknown') isOutcomeKnown = false
         events.record(orderInDoubt, { run: name, worker, attempt, elapsedMs: Math.round(clock.nowMs() - sentAtMs), message: result.error.message })
         continue
