--- a/packages/entry/src/partition/constants.ts
+++ b/packages/entry/src/partition/constants.ts
@@ -97,6 +97,16 @@
 export const WORKER_POLL_WAIT_MS = 1000
 /** Shortest interval between two commits of a partition, in milliseconds; a part of the table accepts 200 commits a second. */
 export const COMMIT_PAUSE_MS = 8
+/** Largest share of the event loop that planning rounds take; the rest is for lease calls, orders and callers. */
+export const MAX_PLAN_SHARE = 0.25
+/** Longest pause after a planning round, in milliseconds; half of the time within which an urgent task starts. */
+export const MAX_PACING_PAUSE_MS = 1000
+/** Duration of a planning round from which a due renewal of the holder row is committed before the round, in milliseconds. */
+export const LONG_ROUND_MS = 50
+/** Pause before a commit without a planning round, in milliseconds: each commit costs processor time. */
+export const COMMIT_ONLY_PAUSE_MS = 50
+/** Most start orders in flight; an answered start takes 5 ms. */
+export const MAX_STARTS_IN_FLIGHT = 32
 /** Longest interval between two planning rounds, in milliseconds. */
 export const MAX_PLAN_PAUSE_MS = 200
 /** Pause between two deletions of jobs past their retention, in milliseconds; at the load projected for two years ahead, a job ends every 20 s. */
@@ -106,6 +116,14 @@
 /** Most bytes of values in one commit; the table accepts one megabyte, encoded. */
 export const MAX_COMMIT_BYTES = 500_000
 
+/** Delay of the event loop from which this process counts as late, in milliseconds: a missing response then says nothing about its worker. */
+export const LATE_LOOP_MS = 150
+/** Time for which the process counts as late after such a delay, in milliseconds; the longest wait of a lease call and its timeout. */
+export const LATE_MEMORY_MS = 1700
+/** Consecutive calls to a worker without a response that are attributed to the delay of this process; more count as the worker's failure. */
+export const MAX_EXCUSED_CALLS = 3
+/** Longest lease that a late holder grants, in milliseconds, if workers accept it and the holder was confirmed recently. */
+export const MAX_LATE_LEASE_MS = 6000
 /** Interval at which a holder logs its load, in milliseconds. */
 export const LOAD_REPORT_INTERVAL_MS = 1000
 /** Interval of the timer that measures the delay of the event loop, in milliseconds; a tenth of the interval of the reports. */
--- a/packages/entry/src/partition/partitionTerm.ts
+++ b/packages/entry/src/partition/partitionTerm.ts
@@ -1,13 +1,13 @@
 /** One term of a partition's holder: connects its jobs, workers, advice and commits. */
 import {
   createPartitionPlanner, createDisposableStore, isFinal,
-  type ClusterConfig, type Clock, type Disposable, type EventLog, type JobPhase, type StartOrder, type TrySendQuery
+  type ClusterConfig, type Clock, type Disposable, type EventLog, type JobPhase, type PartitionPlanner, type StartOrder, type TrySendQuery
 } from '@fuchsiatally/core'
 import type { AdviceRouter } from './adviceRouter.js'
 import { createCeilingClaims } from './ceilingClaims.js'
 import { createPartitionCommits } from './partitionCommits.js'
-import { MAX_UNCONFIRMED_EXTENSION_MS } from './constants.js'
-import { computePriorLeaseBoundMs } from './leaseBounds.js'
+import { MAX_STARTS_IN_FLIGHT, MAX_UNCONFIRMED_EXTENSION_MS } from './constants.js'
+import { computeLateLeaseMs, computeLeaseMs, computePriorLeaseBoundMs } from './leaseBounds.js'
 import { createPartitionJobs } from './partitionJobs.js'
 import type { HolderRow } from './partitionRows.js'
 import { createHolderLoad } from './holderLoad.js'
@@ -15,6 +15,8 @@
 import { jobEnded, partitionReleased, workerLost, workerLeaving } from './events.js'
 import type { PartitionBounds, PartitionTable, PartitionWorkerClient, ListedWorker, PlatformRows } from './ports.js'
 import { createPartitionWorkerController, type PartitionWorkerController } from './partitionWorkerController.js'
+import { createPlanPacer } from './planPacer.js'
+import { createStartWindow } from './startWindow.js'
 import { createWorkerDirectory } from './workerDirectory.js'
 
 export interface PartitionTermOptions {
@@ -30,6 +32,7 @@
   readonly advice: AdviceRouter
   readonly readConfig: () => ClusterConfig | null
   readonly createWorkerClient: (worker: ListedWorker) => PartitionWorkerClient
+  readonly createPlanner?: () => PartitionPlanner
   /** The table does not accept this entry's commits, although it may accept those of others. */
   readonly onStuck: () => void
   readonly onDeposed: () => void
@@ -57,8 +60,9 @@
 export function createPartitionTerm (options: PartitionTermOptions): PartitionTerm {
   const { partition, row, clock, events, advice } = options
   const disposables = createDisposableStore()
-  const planner = createPartitionPlanner()
+  const planner = (options.createPlanner ?? createPartitionPlanner)()
   const load = disposables.add(createHolderLoad({ partition, epoch: row.epoch, clock, events, readBacklog: planner.countBacklog }))
+  const startWindow = createStartWindow(MAX_STARTS_IN_FLIGHT)
   const managedWorkers = new Map<string, ManagedWorker>()
   const listings = new Map<string, ListedWorker>()
   const committedPhases = new Map<string, JobPhase>()
@@ -78,6 +82,12 @@
     options.onDeposed()
   }
 
+  const computeGrantMs = (): number | null => {
+    const confirmedAgeMs = commits.readConfirmedAgeMs()
+    if (confirmedAgeMs >= MAX_UNCONFIRMED_EXTENSION_MS) return null
+    return load.isLate() ? computeLateLeaseMs(options.bounds.maxLeaseMs, confirmedAgeMs) : computeLeaseMs(options.bounds.maxLeaseMs)
+  }
+
   const addWorker = (listing: ListedWorker): void => {
     const controller = createPartitionWorkerController({
       worker: listing.id,
@@ -88,7 +98,8 @@
       clock,
       events,
       load,
-      mayExtend: () => commits.readConfirmedAgeMs() < MAX_UNCONFIRMED_EXTENSION_MS,
+      startWindow,
+      computeGrantMs,
       onChange: () => commits.wake(),
       onDeposed: endTerm
     })
@@ -196,6 +207,7 @@
     statusMs: options.bounds.statusMs,
     isLoaded: () => jobs.isLoaded(),
     listControllers: () => [...managedWorkers.values()].map((member) => member.controller),
+    pacer: createPlanPacer(clock),
     plan,
     startRun: (order) => {
       const member = managedWorkers.get(order.worker)
