Planner: bound the work of a round, and give deferred steps their turn

Callers saw LOST and SHORT on large sites. A planning round had no bound: each waiting step was tried and searched for in every round, however late the round was already. Steps of different sizes cannot share a search, so that their rounds still cost workers times steps.

Change: in order of rank, steps are placed until the round has made 128 evaluations for each worker and waiting step, and searched for reservations and preemption until 8 (never less than 10000, about a millisecond). The others are deferred; in each round the four that were deferred longest are evaluated whatever the work. A step of the team's limit that is deferred still counts as the team's demand.

Decisions change only where the bound is reached: a deferred step of higher rank may lose room to a step that has its turn, and an urgent step may preempt some rounds later.

Tests, before this change or without the part named: - different sizes at full workers failed with 176 workers, 160 steps: 86386 > 42240 990 workers, 160 steps: 750226 > 107360 - without turns, an urgent step behind 400 that are searched for in vain preempts nothing, and a step behind 400 gangs that don't fit does not start where there is room (expected 'slow' and 'last', got none)

--- a/packages/core/src/partition/__tests__/planningCost.spec.ts
+++ b/packages/core/src/partition/__tests__/planningCost.spec.ts
@@ -2,7 +2,7 @@
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
 import { createTestStep, createTestStepJob } from '../../testing/stepJobs.js'
-import { ACCEPTED_STATE, createPartitionPlanner, type AdviceQuery, type PartitionPlanner, type StepJob } from '../index.js'
+import { ACCEPTED_STATE, createPartitionPlanner, type AdviceQuery, type JobStep, type PartitionPlanner, type StepJob } from '../index.js'
 
 /** Evaluations of a round for each worker, task and waiting step. */
 const MAX_EVALUATIONS_PER_ITEM = 16
@@ -83,4 +83,66 @@
   checkBound('with advice', { readSize: () => 2.7, policy: { advice: ADVICE } })
 })
 
+// Guards against the same cost where no two steps can share a search.
+test('a round at full workers costs workers plus tasks plus waiting urgent steps of different sizes', () => {
+  checkBound('different sizes', { readSize: (step) => 2 + step / 1000 })
+})
+
+/** Evaluations of a round for each worker and waiting step, if the steps can't start. */
+const MAX_VAIN_EVALUATIONS_PER_ITEM = 256
+const BLOCKED_STEPS = 400
+const WORKERS = 176
+/** Rounds within which each of the blocked steps, and the one behind them, must have been evaluated. */
+const MAX_TURN_ROUNDS = 120
+
+/** Creates a planner of which one worker is in the rack `open`, and the others in the rack `closed`. */
+function createTwoRacks (): PartitionPlanner {
+  const planner = createPartitionPlanner()
+  for (let index = 0; index < WORKERS; index++) {
+    const labels = ['kind', index === 0 ? 'open' : 'closed']
+    planner.setWorker({ id: `w${index}`, failureDomain: 'd', labels, capacity: { processors: CORES, memoryMb: 65_536, accelerators: 0 }, draining: false })
+    planner.setSynced(`w${index}`, true)
+  }
+  return planner
+}
+
+/** Adds blocked steps of different sizes, and behind them a step that needs the rack `open`. */
+function addBehindBlocked (planner: PartitionPlanner, blocked: JobStep, priority: number): void {
+  const policy = { priority, targetLatencyMs: 10_000 }
+  for (let step = 0; step < BLOCKED_STEPS; step++) {
+    const resources = { ...blocked.resources, processors: blocked.resources.processors + step / 1000 }
+    planner.addJob(`blocked${step}`, createTestStepJob([{ ...blocked, resources }], policy, { acceptedAtMs: step / 100 }), ACCEPTED_STATE, 10)
+  }
+  planner.addJob('last', createTestStepJob([createTestStep({ requiredLabel: 'open' })], policy, { acceptedAtMs: 9 }), ACCEPTED_STATE, 10)
+}
+
+/** Runs rounds until one gives orders; returns the jobs that were started or stopped. */
+function runUntilOrders (planner: PartitionPlanner): string[] {
+  for (let round = 0; round < MAX_TURN_ROUNDS; round++) {
+    const { starts, stops } = planner.decide(200 + round, 200 + round, () => true)
+    assert.ok(planner.countEvaluations() <= MAX_VAIN_EVALUATIONS_PER_ITEM * (WORKERS + BLOCKED_STEPS), `a round of ${planner.countEvaluations()} evaluations`)
+    const orders = [...starts, ...stops].map((order) => order.job)
+    if (orders.length > 0) return orders
+  }
+  return []
+}
+
+// Guards against an urgent step that never preempts anything because the steps of a higher rank use up the work of each round.
+test('an urgent step preempts, although many steps of a higher rank are searched for in vain', () => {
+  const planner = createTwoRacks()
+  const large = { processors: CORES, memoryMb: 1024, accelerators: 0 }
+  planner.addJob('slow', createTestStepJob([createTestStep({ resources: large, requiredLabel: 'open', savesWork: true })], { priority: 2 }), ACCEPTED_STATE, 0)
+  planner.addJob('firm', createTestStepJob([createTestStep({ taskCount: WORKERS - 1, resources: large, requiredLabel: 'closed' })], { priority: 2 }), ACCEPTED_STATE, 0)
+  for (const order of planner.decide(0, 0, () => true).starts) planner.recordStartConfirmed(order, order.worker, 1)
+  addBehindBlocked(planner, createTestStep({ taskCount: TASKS_PER_STEP, resources: { processors: 2, memoryMb: 1024, accelerators: 0 }, requiredLabel: 'closed', maxPerWorker: 1 }), 0)
+  assert.equal(runUntilOrders(planner), ['slow'])
+})
+
+// Guards against a step that never starts where there is room because the steps of a higher rank use up the work of each round.
+test('a step starts, although many gangs of a higher rank are tried in vain', () => {
+  const planner = createTwoRacks()
+  addBehindBlocked(planner, createTestStep({ taskCount: 2 * WORKERS, resources: { processors: 9, memoryMb: 1024, accelerators: 0 }, requiredLabel: 'closed', gang: true }), 1)
+  assert.equal(runUntilOrders(planner), ['last'])
+})
+
 test.run()
--- a/packages/core/src/partition/createPartitionPlanner.ts
+++ b/packages/core/src/partition/createPartitionPlanner.ts
@@ -11,6 +11,7 @@
 import { computeCores, sortInstances, type RankedInstance } from './instanceRanking.js'
 import { placeTasks } from './stepPlacement.js'
 import { createPlanningRound, type PlanningRound } from './planningRound.js'
+import { createRoundBudget } from './roundBudget.js'
 import { createTeamUsage } from './teamUsage.js'
 
 /** Creates a planner without jobs or workers. */
@@ -19,6 +20,7 @@
   const registry = createJobRegistry()
   const tracker = createRunTracker(registry, teams)
   const { workers } = tracker
+  const budget = createRoundBudget()
   let evaluations = 0
 
   const readCapacityCores = (): number => {
@@ -67,14 +69,22 @@
     }
   }
 
+  /** Whether the team's limit leaves no room for a task of the step; a gang is charged as a whole: all members start or none. */
+  const isAtCeiling = ({ step, tasks, job }: StepInstance): boolean => {
+    return !teams.mayAdd(job.spec.team, step.gang ? computeTotal(step.resources, tasks.length) : step.resources)
+  }
+
+  /** Leaves a step out of this round; what its team's limit blocks still counts as the team's demand. */
+  const handleDeferral = (instance: StepInstance): void => {
+    if (isAtCeiling(instance)) teams.addBlocked(instance.job.spec.team, computeTotal(instance.step.resources, countStartable(instance)))
+  }
+
   /** Starts the tasks of a step that fit the capacity and the team's limit; returns those that wait for capacity. */
   const startStep = (ranked: RankedInstance, round: PlanningRound, starts: StartOrder[]): Task[] => {
     const { instance } = ranked
     const startable = listStartable(instance)
     const { team } = instance.job.spec
-    // A gang is charged as a whole: all members start or none.
-    const need = instance.step.gang ? computeTotal(instance.step.resources, instance.tasks.length) : instance.step.resources
-    if (!teams.mayAdd(team, need)) {
+    if (isAtCeiling(instance)) {
       handleCeilingWait(ranked, startable.length, round.nowMs)
       return []
     }
@@ -82,7 +92,7 @@
     const gangRun = instance.step.gang ? Math.max(0, ...instance.tasks.map((task) => task.run)) + 1 : 0
     const placed = new Set<Task>()
     for (const { task, worker } of placements) {
-      if (!instance.step.gang && !teams.mayAdd(team, need)) break
+      if (!instance.step.gang && !teams.mayAdd(team, instance.step.resources)) break
       starts.push(startTask(instance, task, round.workers[worker]!, instance.step.gang ? gangRun : task.run + 1))
       round.updateFree(worker)
       placed.add(task)
@@ -144,14 +154,20 @@
     const reservations = createCapacityReservations(round)
     let reservingCount = 0
     const ranking = sortInstances({ instances: registry.listWaitingInstances(), capacityCores: readCapacityCores(), nowMs, wallMs })
+    budget.startRound(round, ranking.length)
     for (const ranked of ranking) {
       const { instance } = ranked
+      if (!budget.mayPlace(instance)) {
+        handleDeferral(instance)
+        continue
+      }
       const left = startStep(ranked, round, starts)
       if (left.length === 0) continue
       if (sendAdviceQuery(instance, round, trySend)) reserveAdvisedCapacity(instance, left, round)
       const reserves = mayReserve(instance, nowMs)
       if (reserves && reservingCount < MAX_RESERVING_STEPS) reservingCount++
       else if (reserves || ranked.rank.priority > 0 || !mayPreempt(ranked, nowMs)) continue
+      if (!budget.mayReserve(instance)) continue
       stopForPreemption(reservations.reserve({ instance, tasks: left, mayPreempt: mayPreempt(ranked, nowMs) }))
     }
     evaluations = round.countEvaluations()
--- a/packages/core/src/partition/jobRegistry.ts
+++ b/packages/core/src/partition/jobRegistry.ts
@@ -84,6 +84,7 @@
         const instance = instances.get(key)
         if (instance === undefined) continue
         instances.delete(key)
+        instance.waitingSinceMs = null
         waiting.delete(instance)
       }
     }
