Planner: collect a team's tasks once a round, not once per step at its ceiling

Callers saw LOST and SHORT on large sites; this is the same class of cost in another place. Each urgent step that only its team's ceiling blocks walked the tasks of all workers to find those of its team, and sorted them.

The tasks are grouped by team once a round, when first needed, and sorted once for each team and priority; searches count towards the round's budget.

--- a/packages/core/src/partition/__tests__/planningCost.spec.ts
+++ b/packages/core/src/partition/__tests__/planningCost.spec.ts
@@ -17,6 +17,8 @@
   /** Processors of the urgent tasks of a step. */
   readonly readSize: (step: number) => number
   readonly policy?: Partial<StepJob['policy']>
+  /** The urgent steps are of the team that fills the workers, and only its ceiling blocks them. */
+  readonly isAtCeiling?: boolean
 }
 
 /** Creates a planner whose workers are full of preemptible tasks. */
@@ -39,16 +41,17 @@
   return planner
 }
 
-function addUrgentSteps (planner: PartitionPlanner, { steps, readSize, policy }: Scenario): void {
+function addUrgentSteps (planner: PartitionPlanner, { steps, readSize, policy, isAtCeiling }: Scenario): void {
   for (let step = 0; step < steps; step++) {
     const resources = { processors: readSize(step), memoryMb: 1024, accelerators: 0 }
-    planner.addJob(`urgent${step}`, createTestStepJob([createTestStep({ taskCount: TASKS_PER_STEP, resources })], { priority: 0, ...policy }, { acceptedAtMs: step / 100 }), ACCEPTED_STATE, 10)
+    planner.addJob(`urgent${step}`, createTestStepJob([createTestStep({ taskCount: TASKS_PER_STEP, resources })], { priority: 0, ...policy }, { team: isAtCeiling === true ? 'slow' : 'urgent', acceptedAtMs: step / 100 }), ACCEPTED_STATE, 10)
   }
 }
 
 /** Runs rounds while all urgent steps wait; returns the largest count of evaluations. */
 function measureRounds (scenario: Scenario): number {
   const planner = createFullPlanner(scenario.workers)
+  if (scenario.isAtCeiling === true) planner.setTeamLimits(new Map([['slow', { processors: scenario.workers * CORES, memoryMb: Infinity, accelerators: Infinity }]]))
   addUrgentSteps(planner, scenario)
   let most = 0
   for (let round = 0; round < 5; round++) {
@@ -88,6 +91,11 @@
   checkBound('different sizes', { readSize: (step) => 2 + step / 1000 })
 })
 
+// Guards against the same cost where only the ceiling of their team blocks the steps.
+test('a round costs workers plus tasks plus waiting urgent steps that their team’s ceiling blocks', () => {
+  checkBound('at the ceiling', { readSize: () => 2.7, isAtCeiling: true })
+})
+
 /** Evaluations of a round for each worker and waiting step, if the steps can't start. */
 const MAX_VAIN_EVALUATIONS_PER_ITEM = 256
 const BLOCKED_STEPS = 400
--- a/packages/core/src/partition/capacityReservation.ts
+++ b/packages/core/src/partition/capacityReservation.ts
@@ -1,11 +1,10 @@
 /** Reserves capacity for steps that could not be placed, and selects lower-priority tasks to preempt for them. */
 import { addResources, hasRoomFor, NO_RESOURCES, subtractResources, type Resources } from '../schema/resources.js'
 import { canEverRun, computeFree, computeTaskResources, type PartitionWorker } from './partitionWorker.js'
-import { ACCELERATOR_CORES, MAX_PREEMPTIONS } from './constants.js'
 import type { Task } from './jobState.js'
 import { createMinimumTree, type MinimumTree } from './minimumTree.js'
 import type { PlanningRound } from './planningRound.js'
-import { MEMORY_PER_CORE_MB } from './stepPlacement.js'
+import { computeShortfall, computeSize, mayBePreempted } from './preemption.js'
 import type { StepInstance } from './stepInstance.js'
 
 /** A step that could not be placed. */
@@ -61,21 +60,6 @@
 
 const NO_CANDIDATE: ReservationCandidate = { preempted: [], cost: Infinity }
 
-function computeShortfall (left: Resources): number {
-  return Math.max(0, -left.processors) + Math.max(0, -left.accelerators) * ACCELERATOR_CORES + Math.max(0, -left.memoryMb) / MEMORY_PER_CORE_MB
-}
-
-function computeSize (resources: Resources): number {
-  return resources.processors + resources.accelerators * ACCELERATOR_CORES + resources.memoryMb / MEMORY_PER_CORE_MB
-}
-
-/** Only tasks that resume from a checkpoint are preempted, except gang members and long-running tasks, and each at most `MAX_PREEMPTIONS` times. */
-function mayBePreempted (task: Task, priority: number): boolean {
-  if (task.phase !== 'placed' || task.stopping || task.confirmedAtMs === null || task.preemptions >= MAX_PREEMPTIONS) return false
-  const { definition } = task
-  return task.priority > priority && definition.savesWork && !definition.gang && !definition.longRunning
-}
-
 function collectTasks (worker: PartitionWorker): WorkerTasks {
   let stopping = NO_RESOURCES
   const preemptible: PreemptibleTask[] = []
@@ -215,38 +199,3 @@
 
   return { reserve }
 }
-
-/** Options of `chooseCeilingPreemptions`. */
-export interface CeilingPreemptionOptions {
-  /** Priority of the waiting tasks. */
-  readonly priority: number
-  /** Resources by which the waiting tasks exceed the team's limit; components of 0 or less need no preemption. */
-  readonly shortfall: Resources
-  /** The team's allocated tasks. */
-  readonly tasks: Iterable<Task>
-}
-
-/** Chooses lower-priority tasks of a team to preempt so that its urgent tasks fit its limit. */
-export function chooseCeilingPreemptions (options: CeilingPreemptionOptions): Task[] {
-  let left = subtractResources(NO_RESOURCES, options.shortfall)
-  const candidates: Task[] = []
-  for (const task of options.tasks) {
-    if (task.stopping) left = addResources(left, task.definition.resources)
-    else if (mayBePreempted(task, options.priority)) candidates.push(task)
-  }
-  candidates.sort((a, b) => b.priority - a.priority || a.percent - b.percent)
-  const preempted: Task[] = []
-  for (const task of candidates) {
-    const { resources } = task.definition
-    if (computeShortfall(left) === 0) break
-    if (!canReduceShortfall(left, resources)) continue
-    left = addResources(left, resources)
-    preempted.push(task)
-  }
-  return preempted
-}
-
-/** Whether an amount reduces the shortfall in any component; negative components of `left` are missing. */
-function canReduceShortfall (left: Resources, amount: Resources): boolean {
-  return (left.processors < 0 && amount.processors > 0) || (left.memoryMb < 0 && amount.memoryMb > 0) || (left.accelerators < 0 && amount.accelerators > 0)
-}
--- a/packages/core/src/partition/createPartitionPlanner.ts
+++ b/packages/core/src/partition/createPartitionPlanner.ts
@@ -6,7 +6,8 @@
 import { listTasks, type Task } from './jobState.js'
 import type { PlannerDecisions, PartitionPlanner, StartOrder, TrySendQuery } from './plannerTypes.js'
 import { chooseAdviceWorkers, countStartable, listStartable, mayBeSuitable, recordAdvice, recordAdviceFailed, type StepInstance } from './stepInstance.js'
-import { chooseCeilingPreemptions, createCapacityReservations } from './capacityReservation.js'
+import { createCapacityReservations } from './capacityReservation.js'
+import { createCeilingPreemptions, type CeilingPreemptions } from './ceilingPreemption.js'
 import { buildRunName, createRunTracker } from './runTracker.js'
 import { computeCores, sortInstances, type RankedInstance } from './instanceRanking.js'
 import { placeTasks } from './stepPlacement.js'
@@ -14,6 +15,11 @@
 import { createRoundBudget } from './roundBudget.js'
 import { createTeamUsage } from './teamUsage.js'
 
+interface RoundParts {
+  readonly round: PlanningRound
+  readonly ceilings: CeilingPreemptions
+}
+
 /** Creates a planner without jobs or workers. */
 export function createPartitionPlanner (): PartitionPlanner {
   const teams = createTeamUsage()
@@ -53,20 +59,14 @@
   }
 
   /** Handles tasks that only their team's limit blocks: for the most urgent priority, lower-priority tasks of the team are preempted. */
-  const handleCeilingWait = (ranked: RankedInstance, count: number, nowMs: number): void => {
+  const handleCeilingWait = (ranked: RankedInstance, count: number, { round, ceilings }: RoundParts): void => {
     if (count === 0) return
-    const { team } = ranked.instance.job.spec
-    const need = computeTotal(ranked.instance.step.resources, count)
+    const { instance, rank } = ranked
+    const { team } = instance.job.spec
+    const need = computeTotal(instance.step.resources, count)
     teams.addBlocked(team, need)
-    if (ranked.rank.priority > 0 || !teams.areLimitsFinal() || !mayPreempt(ranked, nowMs)) return
-    const shortfall = subtractResources(need, teams.readFree(team))
-    stopForPreemption(chooseCeilingPreemptions({ priority: ranked.rank.priority, shortfall, tasks: listTeamTasks(team) }))
-  }
-
-  function * listTeamTasks (team: string): Generator<Task> {
-    for (const worker of workers.values()) {
-      for (const task of worker.tasks) if (registry.findJob(task.job)?.spec.team === team) yield task
-    }
+    if (rank.priority > 0 || !teams.areLimitsFinal() || !mayPreempt(ranked, round.nowMs) || !budget.mayReserve(instance)) return
+    stopForPreemption(ceilings.choose(team, rank.priority, subtractResources(need, teams.readFree(team))))
   }
 
   /** Whether the team's limit leaves no room for a task of the step; a gang is charged as a whole: all members start or none. */
@@ -80,12 +80,13 @@
   }
 
   /** Starts the tasks of a step that fit the capacity and the team's limit; returns those that wait for capacity. */
-  const startStep = (ranked: RankedInstance, round: PlanningRound, starts: StartOrder[]): Task[] => {
+  const startStep = (ranked: RankedInstance, parts: RoundParts, starts: StartOrder[]): Task[] => {
     const { instance } = ranked
+    const { round } = parts
     const startable = listStartable(instance)
     const { team } = instance.job.spec
     if (isAtCeiling(instance)) {
-      handleCeilingWait(ranked, startable.length, round.nowMs)
+      handleCeilingWait(ranked, startable.length, parts)
       return []
     }
     const placements = placeTasks(instance, startable, round)
@@ -99,7 +100,7 @@
     }
     if (placed.size > 0) registry.recordStarted(instance)
     if (placed.size === placements.length) return startable.filter((task) => !placed.has(task))
-    handleCeilingWait(ranked, startable.length - placed.size, round.nowMs)
+    handleCeilingWait(ranked, startable.length - placed.size, parts)
     return []
   }
 
@@ -152,6 +153,7 @@
     teams.startRound()
     const round = createPlanningRound(workers.values(), nowMs)
     const reservations = createCapacityReservations(round)
+    const parts = { round, ceilings: createCeilingPreemptions(workers.values(), round) }
     let reservingCount = 0
     const ranking = sortInstances({ instances: registry.listWaitingInstances(), capacityCores: readCapacityCores(), nowMs, wallMs })
     budget.startRound(round, ranking.length)
@@ -161,7 +163,7 @@
         handleDeferral(instance)
         continue
       }
-      const left = startStep(ranked, round, starts)
+      const left = startStep(ranked, parts, starts)
       if (left.length === 0) continue
       if (sendAdviceQuery(instance, round, trySend)) reserveAdvisedCapacity(instance, left, round)
       const reserves = mayReserve(instance, nowMs)
--- a/packages/core/src/partition/jobState.ts
+++ b/packages/core/src/partition/jobState.ts
@@ -19,6 +19,7 @@
   readonly index: number
   /** The step as submitted. */
   readonly definition: JobStep
+  readonly team: string
   /** Priority of the job's queue, 0 first. */
   readonly priority: number
   /** Serves user requests under a latency target. */
@@ -90,6 +91,7 @@
     step: stepIndex,
     index: taskIndex,
     definition: step,
+    team: spec.team,
     priority: spec.policy.priority,
     isServing: step.targetMs > 0,
     phase: 'waiting',
--- a/packages/core/src/partition/planningRound.ts
+++ b/packages/core/src/partition/planningRound.ts
@@ -16,6 +16,8 @@
   /** Workers whose free resources or tasks have changed in this round, in order of the changes. */
   readonly changes: readonly number[]
   recordChange: (index: number) => void
+  /** Records a change by the worker's id. */
+  recordTaskChange: (worker: string) => void
   /** Brings the free resources of a worker up to date after a task was started. */
   updateFree: (index: number) => void
   /** Free resources less those reserved. */
@@ -51,6 +53,7 @@
   /** Workers whose amounts are outdated in the trees: most change several times between two searches. */
   const outdated = new Set<number>()
   const changes: number[] = []
+  let indexes: Map<string, number> | null = null
   const readReserved = (index: number): Resources => reserved.get(index) ?? NO_RESOURCES
 
   const updateWorker = (index: number): void => {
@@ -89,6 +92,11 @@
     },
     changes,
     recordChange: (index) => { changes.push(index) },
+    recordTaskChange: (worker) => {
+      indexes ??= new Map(workers.map(({ info }, index) => [info.id, index]))
+      const index = indexes.get(worker)
+      if (index !== undefined) changes.push(index)
+    },
     updateFree,
     readFree: (index) => free[index]!,
     listFitting: (need) => {
