--- a/packages/core/src/partition/createPartitionPlanner.ts
+++ b/packages/core/src/partition/createPartitionPlanner.ts
@@ -6,19 +6,27 @@
 import { listTasks, type Task } from './jobState.js'
 import type { PlannerDecisions, PartitionPlanner, StartOrder, TrySendQuery } from './plannerTypes.js'
 import { chooseAdviceWorkers, countStartable, listStartable, mayBeSuitable, recordAdvice, recordAdviceFailed, type StepInstance } from './stepInstance.js'
-import { chooseCeilingPreemptions, createCapacityReservations } from './capacityReservation.js'
+import { createCapacityReservations } from './capacityReservation.js'
+import { createCeilingPreemptions, type CeilingPreemptions } from './ceilingPreemption.js'
 import { buildRunName, createRunTracker } from './runTracker.js'
 import { computeCores, sortInstances, type RankedInstance } from './instanceRanking.js'
 import { placeTasks } from './stepPlacement.js'
 import { createPlanningRound, type PlanningRound } from './planningRound.js'
+import { createRoundBudget } from './roundBudget.js'
 import { createTeamUsage } from './teamUsage.js'
 
+interface RoundParts {
+  readonly round: PlanningRound
+  readonly ceilings: CeilingPreemptions
+}
+
 /** Creates a planner without jobs or workers. */
 export function createPartitionPlanner (): PartitionPlanner {
   const teams = createTeamUsage()
   const registry = createJobRegistry()
   const tracker = createRunTracker(registry, teams)
   const { workers } = tracker
+  const budget = createRoundBudget()
   let evaluations = 0
 
   const readCapacityCores = (): number => {
@@ -51,45 +59,48 @@
   }
 
   /** Handles tasks that only their team's limit blocks: for the most urgent priority, lower-priority tasks of the team are preempted. */
-  const handleCeilingWait = (ranked: RankedInstance, count: number, nowMs: number): void => {
+  const handleCeilingWait = (ranked: RankedInstance, count: number, { round, ceilings }: RoundParts): void => {
     if (count === 0) return
-    const { team } = ranked.instance.job.spec
-    const need = computeTotal(ranked.instance.step.resources, count)
+    const { instance, rank } = ranked
+    const { team } = instance.job.spec
+    const need = computeTotal(instance.step.resources, count)
     teams.addBlocked(team, need)
-    if (ranked.rank.priority > 0 || !teams.areLimitsFinal() || !mayPreempt(ranked, nowMs)) return
-    const shortfall = subtractResources(need, teams.readFree(team))
-    stopForPreemption(chooseCeilingPreemptions({ priority: ranked.rank.priority, shortfall, tasks: listTeamTasks(team) }))
+    if (rank.priority > 0 || !teams.areLimitsFinal() || !mayPreempt(ranked, round.nowMs) || !budget.mayReserve(instance)) return
+    stopForPreemption(ceilings.choose(team, rank.priority, subtractResources(need, teams.readFree(team))))
   }
 
-  function * listTeamTasks (team: string): Generator<Task> {
-    for (const worker of workers.values()) {
-      for (const task of worker.tasks) if (registry.findJob(task.job)?.spec.team === team) yield task
-    }
+  /** Whether the team's limit leaves no room for a task of the step; a gang is charged as a whole: all members start or none. */
+  const isAtCeiling = ({ step, tasks, job }: StepInstance): boolean => {
+    return !teams.mayAdd(job.spec.team, step.gang ? computeTotal(step.resources, tasks.length) : step.resources)
+  }
+
+  /** Leaves a step out of this round; what its team's limit blocks still counts as the team's demand. */
+  const handleDeferral = (instance: StepInstance): void => {
+    if (isAtCeiling(instance)) teams.addBlocked(instance.job.spec.team, computeTotal(instance.step.resources, countStartable(instance)))
   }
 
   /** Starts the tasks of a step that fit the capacity and the team's limit; returns those that wait for capacity. */
-  const startStep = (ranked: RankedInstance, round: PlanningRound, starts: StartOrder[]): Task[] => {
+  const startStep = (ranked: RankedInstance, parts: RoundParts, starts: StartOrder[]): Task[] => {
     const { instance } = ranked
+    const { round } = parts
     const startable = listStartable(instance)
     const { team } = instance.job.spec
-    // A gang is charged as a whole: all members start or none.
-    const need = instance.step.gang ? computeTotal(instance.step.resources, instance.tasks.length) : instance.step.resources
-    if (!teams.mayAdd(team, need)) {
-      handleCeilingWait(ranked, startable.length, round.nowMs)
+    if (isAtCeiling(instance)) {
+      handleCeilingWait(ranked, startable.length, parts)
       return []
     }
     const placements = placeTasks(instance, startable, round)
     const gangRun = instance.step.gang ? Math.max(0, ...instance.tasks.map((task) => task.run)) + 1 : 0
     const placed = new Set<Task>()
     for (const { task, worker } of placements) {
-      if (!instance.step.gang && !teams.mayAdd(team, need)) break
+      if (!instance.step.gang && !teams.mayAdd(team, instance.step.resources)) break
       starts.push(startTask(instance, task, round.workers[worker]!, instance.step.gang ? gangRun : task.run + 1))
       round.updateFree(worker)
       placed.add(task)
     }
     if (placed.size > 0) registry.recordStarted(instance)
     if (placed.size === placements.length) return startable.filter((task) => !placed.has(task))
-    handleCeilingWait(ranked, startable.length - placed.size, round.nowMs)
+    handleCeilingWait(ranked, startable.length - placed.size, parts)
     return []
   }
 
@@ -142,16 +153,23 @@
     teams.startRound()
     const round = createPlanningRound(workers.values(), nowMs)
     const reservations = createCapacityReservations(round)
+    const parts = { round, ceilings: createCeilingPreemptions(workers.values(), round) }
     let reservingCount = 0
     const ranking = sortInstances({ instances: registry.listWaitingInstances(), capacityCores: readCapacityCores(), nowMs, wallMs })
+    budget.startRound(round, ranking.length)
     for (const ranked of ranking) {
       const { instance } = ranked
-      const left = startStep(ranked, round, starts)
+      if (!budget.mayPlace(instance)) {
+        handleDeferral(instance)
+        continue
+      }
+      const left = startStep(ranked, parts, starts)
       if (left.length === 0) continue
       if (sendAdviceQuery(instance, round, trySend)) reserveAdvisedCapacity(instance, left, round)
       const reserves = mayReserve(instance, nowMs)
       if (reserves && reservingCount < MAX_RESERVING_STEPS) reservingCount++
       else if (reserves || ranked.rank.priority > 0 || !mayPreempt(ranked, nowMs)) continue
+      if (!budget.mayReserve(instance)) continue
       stopForPreemption(reservations.reserve({ instance, tasks: left, mayPreempt: mayPreempt(ranked, nowMs) }))
     }
     evaluations = round.countEvaluations()
