Read arrived input before an exchange with an endpoint times out

What callers saw: at an owner with a late event loop, a request ended as unknown ("the exchange with the endpoint timed out") although the endpoint's response had arrived, or was refused ("the connection to the endpoint timed out") although the connection stood. Cause: as in the other clients, timers run before sockets are read. Change: both timers are response timers; the idle connections of the address are closed only after a timeout with an event loop that was on time (existing test). Not covered: an exchange that is given up with a loop that is late at every check still counts as a failure of its endpoint at the balancer, which has no neutral result.

--- a/packages/core/src/testing/threadServer.ts
+++ b/packages/core/src/testing/threadServer.ts
@@ -7,8 +7,12 @@
   readonly port: number
   /** Waits until the server has read this number of requests. */
   waitForRequests: (count: number) => Promise<void>
+  /** Lets one response go. */
+  release: () => void
   /** Lets one response go, blocks the event loop until it is written, and then for `blockMs` more. */
   releaseAndBlock: (blockMs: number) => void
+  /** Blocks the event loop until the server has accepted this number of connections, and then for `blockMs` more. */
+  acceptAndBlock: (count: number, blockMs: number) => void
   /** Number of connections that were opened. */
   countConnections: () => number
   close: () => Promise<void>
@@ -44,24 +48,34 @@
 })
 `
 
+/** Blocks the event loop until the counter has reached a value, and then for `blockMs` more. */
+function blockUntilReached (counters: Int32Array, index: number, value: number, blockMs: number): void {
+  for (let current = Atomics.load(counters, index); current < value; current = Atomics.load(counters, index)) Atomics.wait(counters, index, current)
+  const untilMs = performance.now() + blockMs
+  while (performance.now() < untilMs);
+}
+
 /** Starts the server; all its responses have the same body. */
 export async function startThreadServer (body: string): Promise<ThreadServer> {
   const counters = new Int32Array(new SharedArrayBuffer(COUNTERS * Int32Array.BYTES_PER_ELEMENT))
   const thread = new Worker(SERVER_SOURCE, { eval: true, workerData: { counters, body } })
   await once(thread, 'message')
+  const release = (): void => {
+    Atomics.add(counters, RELEASED, 1)
+    Atomics.notify(counters, RELEASED)
+  }
   return {
     port: Atomics.load(counters, PORT),
     waitForRequests: async (count) => {
       while (Atomics.load(counters, READ) < count) await new Promise((resolve) => { setImmediate(resolve) })
     },
+    release,
     releaseAndBlock: (blockMs) => {
       const written = Atomics.load(counters, WRITTEN)
-      Atomics.add(counters, RELEASED, 1)
-      Atomics.notify(counters, RELEASED)
-      while (Atomics.load(counters, WRITTEN) === written) Atomics.wait(counters, WRITTEN, written)
-      const untilMs = performance.now() + blockMs
-      while (performance.now() < untilMs);
+      release()
+      blockUntilReached(counters, WRITTEN, written + 1, blockMs)
     },
+    acceptAndBlock: (count, blockMs) => blockUntilReached(counters, CONNECTIONS, count, blockMs),
     countConnections: () => Atomics.load(counters, CONNECTIONS),
     close: async () => {
       Atomics.store(counters, RELEASED, 2 ** 30)
--- a/packages/entry/src/request/__tests__/httpEndpointClient.spec.ts
+++ b/packages/entry/src/request/__tests__/httpEndpointClient.spec.ts
@@ -7,6 +7,7 @@
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
 import { resolveFuzzOptions } from '@fuchsiatally/core/testing/fuzzOptions'
+import { startThreadServer } from '@fuchsiatally/core/testing/threadServer'
 import type { EndpointClient, ExchangeResult } from '../../ports.js'
 import { createSystemClock } from '../../process/systemClock.js'
 import { createHttpEndpointClient } from '../httpEndpointClient.js'
@@ -148,6 +149,34 @@
   endpoint.close()
 })
 
+// Guards against a late owner that takes its own delay for the silence of an endpoint: a request that may have run counts as unanswered.
+test('a response that arrives in time is relayed although the event loop is blocked past the timeout', async () => {
+  const server = await startThreadServer('hello')
+  const client = createHttpEndpointClient({ clock: createSystemClock() })
+  const exchange = client.sendExchange(`127.0.0.1:${server.port}`, createRequest(), 200, 100_000, 64)
+  await server.waitForRequests(1)
+  server.releaseAndBlock(400)
+  const result = await exchange
+  client.dispose()
+  await server.close()
+  assert.is(readBody(result), 'hello')
+})
+
+// Guards against a late owner that refuses requests because it has not yet read that its connection was opened.
+test('a connection that is opened in time counts as opened although the event loop is blocked past the timeout', async () => {
+  const server = await startThreadServer('hello')
+  const client = createHttpEndpointClient({ clock: createSystemClock(), connectTimeoutMs: 100 })
+  const exchange = client.sendExchange(`127.0.0.1:${server.port}`, createRequest(), 60_000, 100_000, 64)
+  // The connection is requested in the next tick.
+  await new Promise((resolve) => { process.nextTick(resolve) })
+  server.acceptAndBlock(1, 300)
+  server.release()
+  const result = await exchange
+  client.dispose()
+  await server.close()
+  assert.is(readBody(result), 'hello')
+})
+
 test('data after a response is never taken for the response to the next request', async () => {
   const endpoint = await createEndpoint((socket, body, index) => {
     socket.write(formatResponse(`${index}:${body}`))
--- a/packages/entry/src/request/httpEndpointClient.ts
+++ b/packages/entry/src/request/httpEndpointClient.ts
@@ -1,6 +1,6 @@
 /** Sends requests to endpoints over HTTP/1.1; only a complete response counts as answered. */
 import { request as sendHttpRequest, type ClientRequest, type IncomingMessage } from 'node:http'
-import type { Clock, ServiceRequest } from '@fuchsiatally/core'
+import { type Clock, createResponseTimer, type ResponseTimer, type ServiceRequest } from '@fuchsiatally/core'
 import { SET_COOKIE_SEPARATOR } from '../http/route.js'
 import type { EndpointClient, ExchangeResult } from '../ports.js'
 import { CONNECT_TIMEOUT_MS, MAX_IDLE_MS, MAX_IDLE_NON_IDEMPOTENT_MS } from './constants.js'
@@ -72,9 +72,10 @@
 }
 
 /** Reads the response body up to its size limit and checks that it is complete. */
-function readResponse (response: IncomingMessage, exchange: Exchange, destroy: () => void): void {
+function readResponse (response: IncomingMessage, exchange: Exchange, timer: ResponseTimer, destroy: () => void): void {
   const chunks: Buffer[] = []
   let bytes = 0
+  timer.recordProgress()
   const fail = (reason: string, final: boolean): void => {
     exchange.resolve({ kind: 'broken', reason, ...(final ? { final } : {}) })
     destroy()
@@ -82,6 +83,7 @@
   const fault = explainInvalidHead(response, exchange)
   if (fault !== undefined) return fail(fault, false)
   response.on('data', (chunk: Buffer) => {
+    timer.recordProgress()
     bytes += chunk.byteLength
     if (bytes > exchange.maxBodyBytes) return fail(`the response body exceeds ${exchange.maxBodyBytes} bytes`, true)
     chunks.push(chunk)
@@ -118,10 +120,14 @@
   /** Tracks whether the connection has been established; before that, nothing can have been sent. */
   const watchConnection = (outgoing: ClientRequest, exchange: Exchange): { mayHaveSent: () => boolean, dispose: () => void } => {
     let connected = false
-    const timer = clock.setTimer(connectTimeoutMs, () => {
-      if (connected) return
-      exchange.resolve({ kind: 'refused', reason: 'the connection to the endpoint timed out' })
-      outgoing.destroy()
+    const timer = createResponseTimer({
+      clock,
+      timeoutMs: connectTimeoutMs,
+      onTimeout: () => {
+        if (connected) return
+        exchange.resolve({ kind: 'refused', reason: 'the connection to the endpoint timed out' })
+        outgoing.destroy()
+      }
     })
     outgoing.on('socket', (socket) => {
       if (!socket.connecting) connected = true
@@ -138,12 +144,16 @@
       exchange.resolve({ kind: connection.mayHaveSent() ? 'broken' : 'refused', reason })
       destroy()
     }
-    const timer = clock.setTimer(timeoutMs, () => {
-      // The cause of the timeout may also affect the idle connections to the same address.
-      connectionPool.removeIdleConnections(connectionPool.getName({ host, port: Number(port) }), -1)
-      fail('the exchange with the endpoint timed out')
+    const timer = createResponseTimer({
+      clock,
+      timeoutMs,
+      onTimeout: (isOwnDelay) => {
+        // The cause of the timeout may also affect the idle connections to the same address.
+        if (!isOwnDelay) connectionPool.removeIdleConnections(connectionPool.getName({ host, port: Number(port) }), -1)
+        fail('the exchange with the endpoint timed out')
+      }
     })
-    outgoing.on('response', (response) => readResponse(response, exchange, destroy))
+    outgoing.on('response', (response) => readResponse(response, exchange, timer, destroy))
     outgoing.on('error', (error) => fail(`the connection to the endpoint failed: ${error.message}`))
     outgoing.on('close', () => {
       timer.dispose()
