Don't count a commit against the table that a late entry gave up itself

What callers saw: an entry with a late event loop called the table suspect and refused submissions, and doubled the timeout of its commits. Cause: a timeout counted as the table's silence, whoever was late. Change: a call failure carries isOwnDelay when the event loop was late at every check of the timeout; such a commit neither doubles the timeout nor makes the table suspect. The new test failed before: second commit sent with a timeout of 500 ms instead of 250.

--- a/packages/entry/src/partition/__tests__/tableHealth.spec.ts
+++ b/packages/entry/src/partition/__tests__/tableHealth.spec.ts
@@ -1,6 +1,7 @@
 /** Health checks and adaptive timeouts of table calls. */
 import { createFakeClock } from '@fuchsiatally/core/testing/fakeClock'
 import { createMemoryEventLog } from '@fuchsiatally/core/testing/memoryEventLog'
+import { err } from 'neverthrow'
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
 import { createPartitionTableModel } from '../../testing/partitionTableModel.js'
@@ -68,6 +69,25 @@
   assert.equal(times, [255, 505, 1005, 1205])
 })
 
+// Guards against a late entry that counts its own delay against the table: it would refuse submissions and wait longer for commits.
+test('a commit that was given up because the event loop was late says nothing about the table', async () => {
+  const clock = createFakeClock()
+  const { table: raw } = createPartitionTableModel({ clock }).createClient()
+  const limits: Array<number | undefined> = []
+  const table = createMonitoredTable({
+    ...raw,
+    commit: async (_, timeoutMs) => {
+      limits.push(timeoutMs)
+      clock.block(500)
+      return err({ kind: 'unknown', message: 'timeout', isOwnDelay: true })
+    }
+  }, clock, createMemoryEventLog())
+  await table.commit(WRITE)
+  await table.commit(WRITE)
+  assert.equal(limits, [250, 250])
+  assert.not(table.isSuspect())
+})
+
 test('the timeout of commits adapts to their duration and doubles each time it expires', () => {
   const timeout = createAdaptiveTimeout()
   assert.is(timeout.readMs(), 250)
--- a/packages/entry/src/partition/ports.ts
+++ b/packages/entry/src/partition/ports.ts
@@ -9,6 +9,8 @@
   readonly message: string
   /** Whether the call was refused by a rate limit only: the service itself is available. */
   readonly isOverload?: boolean
+  /** The event loop of this process was late, so that a missing response says nothing about the other side. */
+  readonly isOwnDelay?: true
 }
 
 /** One row of the table. */
--- a/packages/entry/src/partition/tableHealth.ts
+++ b/packages/entry/src/partition/tableHealth.ts
@@ -45,7 +45,7 @@
     if (result.isOk() || result.error.isOverload === true) {
       answeredAtMs = clock.nowMs()
       lastFailed = false
-    } else if (answeredAtMs < pendingCall.sentAtMs) lastFailed = true
+    } else if (result.error.isOwnDelay !== true && answeredAtMs < pendingCall.sentAtMs) lastFailed = true
     return result
   }
 
@@ -58,7 +58,7 @@
       if (result.isOk()) {
         commitTimeout.recordDuration(elapsedMs)
         recordCommit(elapsedMs)
-      } else if (result.error.kind === 'unknown' && elapsedMs >= limitMs) commitTimeout.recordTimeout()
+      } else if (result.error.kind === 'unknown' && result.error.isOwnDelay !== true && elapsedMs >= limitMs) commitTimeout.recordTimeout()
       return result
     },
     readRange: (range) => watchCall(0, table.readRange(range)),
