Don't report a holder as stuck because its event loop was blocked

Callers saw LOST and SHORT on large sites; the partition of 176 workers changed hands five times in 14 s while its holders were alive and busy.

Cause: a holder whose event loop is blocked for longer than a commit's timeout (250 ms) runs the timer before it reads the response that has arrived. It takes the applied commit for one of unknown outcome; if that was a renewal, the next commit conflicts with it, and the two failures make it report itself as stuck. A peer that saw no renewal for 500 ms then takes the partition over, some milliseconds before the third commit. Ruled out: a blocked loop without a renewal in progress (no report, no takeover).

Change: a monitor measures the delay of the event loop; a holder whose loop was late by more than 100 ms in the last second sends no report.

The cluster of the tests can block the loop of one process: due timers run first, then responses and messages.

--- /dev/null
+++ b/packages/entry/src/partition/__tests__/lateHolder.spec.ts
@@ -0,0 +1,69 @@
+/** Holders whose event loop is blocked at times: busy, but alive. */
+import { createSeededRandom } from '@fuchsiatally/core/testing/seededRandom'
+import { test } from 'uvu'
+import * as assert from 'uvu/assert'
+import { createPartitionCluster, createTestJob, type ClusterEntry, type PartitionCluster } from '../../testing/partitionCluster.js'
+import { checkNoConcurrentRuns, splitByHolder, startEntries } from '../../testing/partitionClusterSteps.js'
+import { RENEWAL_INTERVAL_MS } from '../constants.js'
+import { HOLDER_KEY } from '../partitionRows.js'
+
+/** Shortest and longest time for which the event loop of the holder is blocked, in milliseconds; one renewal interval more is below the full timeout. */
+const MIN_BLOCK_MS = 300
+const MAX_BLOCK_MS = 800
+const SEEDS = 5
+const ROUNDS = 10
+const SUBMIT_INTERVAL_MS = 20
+
+/** Blocks the holder's event loop at times while jobs arrive; returns how many takeovers followed. */
+async function countTakeovers (seed: number, cluster: PartitionCluster, entries: readonly ClusterEntry[]): Promise<number> {
+  const random = createSeededRandom(seed)
+  const { holder, other } = splitByHolder(cluster, entries)
+  const countAll = (): number => entries.flatMap((entry) => entry.events.listFields('FT801')).length
+  const before = countAll()
+  let job = seed * 1000
+  const runJobs = async (ms: number): Promise<void> => {
+    const endMs = cluster.clock.nowMs() + ms
+    while (cluster.clock.nowMs() < endMs) {
+      job++
+      other.entry.jobs.submitJob(job.toString(16).padStart(16, '0'), createTestJob(cluster.clock, 1), cluster.clock.nowMs() + 3000).catch(() => {})
+      await cluster.clock.runFor(SUBMIT_INTERVAL_MS)
+    }
+  }
+  for (let round = 0; round < ROUNDS; round++) {
+    await runJobs(500 + random.nextFloat() * 500)
+    const blockMs = MIN_BLOCK_MS + random.nextFloat() * (MAX_BLOCK_MS - MIN_BLOCK_MS)
+    // In half of the rounds a renewal is in progress; its timer runs before its response is read.
+    let isArmed = round % 2 === 1
+    if (!isArmed) holder.block(blockMs)
+    holder.faults.loseWrite = ({ writes }) => {
+      if (isArmed && writes.some((write) => write.key === HOLDER_KEY)) {
+        holder.block(blockMs)
+        isArmed = false
+      }
+      return null
+    }
+    await runJobs(blockMs + RENEWAL_INTERVAL_MS)
+  }
+  await runJobs(2000)
+  checkNoConcurrentRuns(cluster)
+  return countAll() - before
+}
+
+async function startCluster (): Promise<{ cluster: PartitionCluster, entries: ClusterEntry[] }> {
+  const cluster = createPartitionCluster({ planRun: () => ({ durationMs: 30, how: 'done' }) })
+  cluster.addWorker('w1')
+  cluster.addWorker('w2')
+  return { cluster, entries: await startEntries(cluster, ['a', 'b', 'c', 'd']) }
+}
+
+// Guards against a busy holder that reports itself as stuck because its timers run before the responses that have arrived are read.
+test('a holder whose event loop is blocked for up to 0.8 s keeps its partition', async () => {
+  const takeovers: number[] = []
+  for (let seed = 1; seed <= SEEDS; seed++) {
+    const { cluster, entries } = await startCluster()
+    takeovers.push(await countTakeovers(seed, cluster, entries))
+  }
+  assert.equal(takeovers, takeovers.map(() => 0))
+})
+
+test.run()
--- a/packages/entry/src/partition/constants.ts
+++ b/packages/entry/src/partition/constants.ts
@@ -110,6 +110,10 @@
 export const LOAD_REPORT_INTERVAL_MS = 1000
 /** Interval of the timer that measures the delay of the event loop, in milliseconds; a tenth of the interval of the reports. */
 export const LOOP_PROBE_INTERVAL_MS = 100
+/** Delay of the event loop above which timers may run before responses that have arrived are read, in milliseconds; below the shortest timeout of a call. */
+export const MAX_LOOP_DELAY_MS = 100
+/** Time after such a delay in which a holder doesn't report that it is stuck, in milliseconds: two failed commits and their retries. */
+export const LATE_LOOP_MEMORY_MS = 1000
 
 /** Pause between two attempts of a write, in milliseconds. */
 export const WRITE_RETRY_MS = 100
--- a/packages/entry/src/partition/partitionEntry.ts
+++ b/packages/entry/src/partition/partitionEntry.ts
@@ -3,6 +3,7 @@
 import type { Peer, PeerMesh, SessionView } from '../ports.js'
 import { createAdviceRouter } from './adviceRouter.js'
 import { createPartitionHandover } from './partitionHandover.js'
+import { createLoopMonitor } from './loopMonitor.js'
 import { createPartitionTerm, type PartitionTerm } from './partitionTerm.js'
 import { createPartitionWatch, type PartitionView } from './partitionWatch.js'
 import { createConfigWatch } from './configWatch.js'
@@ -59,6 +60,7 @@
   /** Planned hand-over in progress. */
   let currentHandover: Promise<void> = Promise.resolve()
 
+  const loop = disposables.add(createLoopMonitor(clock))
   const config = disposables.add(createConfigWatch({ ...options, table }))
   const advice = disposables.add(createAdviceRouter({ ...options, client: options.adviceClient }))
 
@@ -88,7 +90,9 @@
       advice,
       readConfig: config.readConfig,
       onDeposed: () => recordLost(partition, row.epoch),
-      onStuck: () => mesh.broadcastMessage({ type: 'cellStuck', cell: partition, epoch: row.epoch })
+      onStuck: () => {
+        if (!loop.isLate()) mesh.broadcastMessage({ type: 'cellStuck', cell: partition, epoch: row.epoch })
+      }
     }))
   }
 
--- a/packages/entry/src/testing/partitionCluster.ts
+++ b/packages/entry/src/testing/partitionCluster.ts
@@ -7,6 +7,7 @@
 import { ok } from 'neverthrow'
 import { createPartitionEntry, type PartitionEntry } from '../partition/partitionEntry.js'
 import type { ListedWorker, PlatformRows, TableRow } from '../partition/ports.js'
+import { createLateProcess } from './lateProcess.js'
 import { createPartitionTableModel, type PartitionTableModel, type TableFaults } from './partitionTableModel.js'
 import { createPartitionWorkerModel, type PartitionWorkerModel, type StartedRun } from './partitionWorkerModel.js'
 import { createFakeMesh, type FakeMesh, type FakePeerMesh } from './fakeMesh.js'
@@ -18,6 +19,8 @@
   readonly entry: PartitionEntry
   readonly faults: TableFaults
   readonly events: MemoryEventLog
+  /** Blocks the event loop of this process alone. */
+  block: (ms: number) => void
   /** Kills the process without a shutdown. */
   kill: () => void
 }
@@ -97,22 +100,23 @@
     const incarnation = `${name}-${incarnationCount}`
     const peerMesh: FakePeerMesh = mesh.addEntry({ entry: name, incarnation, failureDomain: 'a' })
     const { table: client, faults } = table.createClient()
+    const process = createLateProcess(clock)
     const events = createMemoryEventLog()
     const entry = createPartitionEntry({
       self: peerMesh.self,
       linkAddress: '127.0.0.1:1',
       cores,
-      table: client,
+      table: process.wrapTable(client),
       rows,
       bounds: { maxLeaseMs: options.maxLeaseMs ?? 6000, revokeMs: 5000, statusMs: 120_000, turnMs: 3000 },
-      mesh: peerMesh,
+      mesh: process.wrapMesh(peerMesh),
       adviceClient: { requestAdvice: async () => ok(new Map()) },
       createWorkerClient: (worker) => {
         const model = workers.get(worker.id)
         if (model === undefined) throw new Error(`no worker ${worker.id}`)
-        return model.createClient()
+        return process.wrapWorkerClient(model.createClient())
       },
-      clock,
+      clock: process.clock,
       random: createSeededRandom(incarnationCount),
       events
     })
@@ -122,6 +126,7 @@
       entry,
       faults,
       events,
+      block: process.block,
       kill: () => {
         // A killed process sends nothing; calls from timers that still fire must have no effect.
         faults.outage = 'silent'
--- a/packages/entry/src/testing/partitionTableModel.ts
+++ b/packages/entry/src/testing/partitionTableModel.ts
@@ -9,7 +9,7 @@
   /** No call has an effect. `silent`: calls time out, so their outcome is unknown; `busy`: calls are refused, so the caller knows that nothing was applied. */
   outage: 'silent' | 'busy' | null
   /** Called for each write: `null`, or the response is lost and the write is applied after `afterMs`. */
-  loseWrite: () => { readonly afterMs: number } | null
+  loseWrite: (transaction: TableTransaction) => { readonly afterMs: number } | null
   /** Additional delay of range reads by table, in milliseconds. */
   readDelayMs: (table: string) => number
 }
@@ -100,7 +100,7 @@
     }
     const table: PartitionTable = {
       commit: async (transaction, callTimeoutMs = timeoutMs) => {
-        const lost = faults.outage === null ? faults.loseWrite() : null
+        const lost = faults.outage === null ? faults.loseWrite(transaction) : null
         if (lost === null) return await commitInOrder(transaction, callTimeoutMs)
         clock.setTimer(lost.afterMs, () => { apply(transaction) })
         await wait(callTimeoutMs)
