Keep a late holder that outlived its link

Callers saw LOST and SHORT on large sites; the partition of 176 workers changed hands five times in 14 s while its holders were alive and busy.

Cause: an entry without a link to the holder replaces it after 600 ms without a renewal, however long the holder has renewed without that link. A holder renews every 400 ms, so that a delay of 200 ms was enough, and one entry of many without a link was enough.

Change: a lost link is evidence of a failure only as long as no renewal followed it. Renewals seen in the first 500 ms after the loss may have been written before it and don't count. A holder that outlived its link has the full timeout of 1.3 s.

Not covered: a holder that is blocked for more than 0.2 s at the moment at which it loses the link; that looks like a killed one.

--- a/packages/entry/src/partition/__tests__/lateHolder.spec.ts
+++ b/packages/entry/src/partition/__tests__/lateHolder.spec.ts
@@ -66,4 +66,17 @@
   assert.equal(takeovers, takeovers.map(() => 0))
 })
 
+// Guards against a busy holder that is replaced by the one entry that has no link to it.
+test('a holder whose event loop is blocked for up to 0.8 s keeps its partition although an entry has no link to it', async () => {
+  const takeovers: number[] = []
+  for (let seed = 1; seed <= SEEDS; seed++) {
+    const { cluster, entries } = await startCluster()
+    const { holder } = splitByHolder(cluster, entries)
+    for (const entry of entries) if (entry !== holder) cluster.mesh.setCut(holder.incarnation, entry.incarnation)
+    await cluster.clock.runFor(4000)
+    takeovers.push(await countTakeovers(seed, cluster, entries))
+  }
+  assert.equal(takeovers, takeovers.map(() => 0))
+})
+
 test.run()
--- a/packages/entry/src/partition/constants.ts
+++ b/packages/entry/src/partition/constants.ts
@@ -34,6 +34,11 @@
 export const HOLDER_TIMEOUT_MS = 1300
 /** Timeout of a holder without a link to this entry, in milliseconds: covers one renewal, a slow commit and one read of the rows. */
 export const UNLINKED_HOLDER_TIMEOUT_MS = 600
+/**
+ * Time after the loss of a link from which renewals show that the holder outlived the link, in milliseconds: one read of the rows and a slow
+ * commit after its last moment.
+ */
+export const LINK_LOSS_GRACE_MS = 500
 /** Time after a release in which only the named successor takes the partition over, in milliseconds: one read of the rows and one commit. */
 export const RELEASED_TIMEOUT_MS = 600
 /** Additional delay for each rank of successor, in milliseconds: one watch interval, so that successors rarely compete. */
--- a/packages/entry/src/partition/partitionWatch.ts
+++ b/packages/entry/src/partition/partitionWatch.ts
@@ -2,7 +2,7 @@
 import { createDisposableStore, type Clock, type Disposable, type EventLog } from '@fuchsiatally/core'
 import type { Peer, SessionView } from '../ports.js'
 import { createSerialLoop } from '../process/serialLoop.js'
-import { SUSPECT_WATCH_INTERVAL_MS, MAX_HEALTHY_READ_MS, HOLDER_TIMEOUT_MS, MAX_SUCCESSOR_RANK, START_SETTLE_MS, SUCCESSOR_RANK_DELAY_MS, RENEWAL_INTERVAL_MS, STUCK_HOLDER_TIMEOUT_MS, RELEASED_TIMEOUT_MS, UNLINKED_HOLDER_TIMEOUT_MS, WATCH_INTERVAL_MS } from './constants.js'
+import { LINK_LOSS_GRACE_MS, SUSPECT_WATCH_INTERVAL_MS, MAX_HEALTHY_READ_MS, HOLDER_TIMEOUT_MS, MAX_SUCCESSOR_RANK, START_SETTLE_MS, SUCCESSOR_RANK_DELAY_MS, RENEWAL_INTERVAL_MS, STUCK_HOLDER_TIMEOUT_MS, RELEASED_TIMEOUT_MS, UNLINKED_HOLDER_TIMEOUT_MS, WATCH_INTERVAL_MS } from './constants.js'
 import { CAPACITY_PART, DEFAULT_CORES, PARTITION_TABLE, CLAIMS_KEY, HOLDER_KEY, parseCapacityRow, parseEntryRow, parseHolderRow, type EntryRow, type HolderRow } from './partitionRows.js'
 import type { PartitionTable, TableRow } from './ports.js'
 import { computeSuccessorRank, hasLargerCandidate, type Candidate } from './rendezvousRank.js'
@@ -78,6 +78,8 @@
   const capacities = new Map<string, number>()
   /** Time at which this entry first saw that a partition has no holder. */
   const vacantSinceMs = new Map<string, number>()
+  /** Time at which this entry first saw that it has no link to a holder, by incarnation. */
+  const unlinkedSinceMs = new Map<string, number>()
   let lastReadMs = -Infinity
   /** Whether the last read was answered within `MAX_HEALTHY_READ_MS`. */
   let isTableHealthy = false
@@ -144,6 +146,20 @@
     return row.incarnation === self.incarnation || options.listPeers().some((peer) => peer.incarnation === row.incarnation)
   }
 
+  const updateUnlinkedHolders = (nowMs: number): void => {
+    const previous = new Map(unlinkedSinceMs)
+    unlinkedSinceMs.clear()
+    for (const { view: { row } } of partitions.values()) {
+      if (row !== null && !isLinked(row)) unlinkedSinceMs.set(row.incarnation, previous.get(row.incarnation) ?? nowMs)
+    }
+  }
+
+  /** Whether the loss of the link to a holder may mean its end: it has not renewed its row since. */
+  const isLinkLossRecent = ({ view: { row }, changedAtMs }: ObservedPartition): boolean => {
+    const sinceMs = row === null ? undefined : unlinkedSinceMs.get(row.incarnation)
+    return sinceMs !== undefined && changedAtMs - sinceMs < LINK_LOSS_GRACE_MS
+  }
+
   /** Whether a holder may have to be replaced soon. */
   const hasSuspectHolder = (): boolean => {
     for (const { view, isStuck, timeoutStartedAtMs } of partitions.values()) {
@@ -191,8 +207,7 @@
     // The shorter timeouts require a table that responds quickly: with a slow one, the renewals of a live holder may arrive late.
     if (!isTableHealthy) return nowMs - observed.timeoutStartedAtMs >= HOLDER_TIMEOUT_MS + waitMs
     if (observed.isStuck) return nowMs - observed.timeoutStartedAtMs >= STUCK_HOLDER_TIMEOUT_MS + waitMs
-    // A holder without a link has probably failed; if it is alive, it still renews its row in the table.
-    return nowMs - observed.timeoutStartedAtMs >= (isLinked(row) ? HOLDER_TIMEOUT_MS : UNLINKED_HOLDER_TIMEOUT_MS) + waitMs
+    return nowMs - observed.timeoutStartedAtMs >= (isLinkLossRecent(observed) ? UNLINKED_HOLDER_TIMEOUT_MS : HOLDER_TIMEOUT_MS) + waitMs
   }
 
   const runStep = async (): Promise<void> => {
@@ -201,6 +216,7 @@
     // After a gap between reads, in which renewals were not observed, the timeout of every holder starts over.
     if (sentAtMs - lastReadMs > HOLDER_TIMEOUT_MS / 2) for (const observed of partitions.values()) observed.timeoutStartedAtMs = clock.nowMs()
     lastReadMs = clock.nowMs()
+    updateUnlinkedHolders(lastReadMs)
     isTableHealthy = lastReadMs - sentAtMs <= MAX_HEALTHY_READ_MS
     for (const partition of options.listPartitions()) {
       const observed = partitions.get(partition)
