--- a/packages/entry/src/partition/constants.ts
+++ b/packages/entry/src/partition/constants.ts
@@ -34,6 +34,11 @@
 export const HOLDER_TIMEOUT_MS = 1300
 /** Timeout of a holder without a link to this entry, in milliseconds: covers one renewal, a slow commit and one read of the rows. */
 export const UNLINKED_HOLDER_TIMEOUT_MS = 600
+/**
+ * Time after the loss of a link from which renewals show that the holder outlived the link, in milliseconds: one read of the rows and a slow
+ * commit after its last moment.
+ */
+export const LINK_LOSS_GRACE_MS = 500
 /** Time after a release in which only the named successor takes the partition over, in milliseconds: one read of the rows and one commit. */
 export const RELEASED_TIMEOUT_MS = 600
 /** Additional delay for each rank of successor, in milliseconds: one watch interval, so that successors rarely compete. */
@@ -128,6 +133,10 @@
 export const LOAD_REPORT_INTERVAL_MS = 1000
 /** Interval of the timer that measures the delay of the event loop, in milliseconds; a tenth of the interval of the reports. */
 export const LOOP_PROBE_INTERVAL_MS = 100
+/** Delay of the event loop above which timers may run before responses that have arrived are read, in milliseconds; below the shortest timeout of a call. */
+export const MAX_LOOP_DELAY_MS = 100
+/** Time after such a delay in which a holder doesn't report that it is stuck, in milliseconds: two failed commits and their retries. */
+export const LATE_LOOP_MEMORY_MS = 1000
 
 /** Pause between two attempts of a write, in milliseconds. */
 export const WRITE_RETRY_MS = 100
