--- a/packages/entry/src/partition/holderLoad.ts
+++ b/packages/entry/src/partition/holderLoad.ts
@@ -27,7 +27,7 @@
   /** Runs a synchronous part of the work and adds its duration. */
   measurePart: <T>(part: LoadPart, run: () => T) => T
   /** Whether the event loop was late at a monotonic time or after it. */
-  wasLateSince: (sinceMs: number) => boolean
+  hasBeenLateSince: (sinceMs: number) => boolean
   /** Whether the event loop was late within the last `LATE_MEMORY_MS`. */
   isLate: () => boolean
 }
@@ -77,7 +77,7 @@
     if (nowMs - probeDueAtMs >= LATE_LOOP_MS) lateAtMs = nowMs
   }
 
-  const wasLateSince = (sinceMs: number): boolean => {
+  const hasBeenLateSince = (sinceMs: number): boolean => {
     // The probe itself may be overdue.
     checkLateness(clock.nowMs())
     return lateAtMs >= sinceMs
@@ -110,8 +110,8 @@
         }
       }
     },
-    wasLateSince,
-    isLate: () => wasLateSince(clock.nowMs() - LATE_MEMORY_MS),
+    hasBeenLateSince,
+    isLate: () => hasBeenLateSince(clock.nowMs() - LATE_MEMORY_MS),
     dispose: () => timer.dispose()
   }
 }
--- a/packages/entry/src/partition/partitionCommits.ts
+++ b/packages/entry/src/partition/partitionCommits.ts
@@ -81,7 +81,7 @@
   })
 
   /** A renewal that is due, or becomes due during a long planning round, goes before the round, at most in every other step. */
-  const mustPostponePlan = (): boolean => {
+  const isRenewalFirst = (): boolean => {
     const roundMs = pacer.readLastRoundMs()
     return !postponedPlan && roundMs >= LONG_ROUND_MS && clock.nowMs() - renewedAtMs + roundMs >= RENEWAL_INTERVAL_MS
   }
@@ -163,7 +163,7 @@
 
   const runStep = async (): Promise<void> => {
     if (stopped) return
-    postponedPlan = !releasing && mustPostponePlan()
+    postponedPlan = !releasing && isRenewalFirst()
     if (!releasing && !postponedPlan && pacer.readDelayMs() === 0) pacer.runRound(planRound)
     const readyCount = pendingStarts.length
     const { jobs, writes } = options.load.measurePart('encode', takeChanges)
--- a/packages/entry/src/partition/partitionWorkerController.ts
+++ b/packages/entry/src/partition/partitionWorkerController.ts
@@ -103,7 +103,7 @@
   }
 
   /** Whether a call may lack a response only because this process was late: the response may have arrived unread. */
-  const isOwnDelay = (failure: CallFailure, sentAtMs: number): boolean => failure.kind === 'unknown' && options.load.wasLateSince(sentAtMs)
+  const isOwnDelay = (failure: CallFailure, sentAtMs: number): boolean => failure.kind === 'unknown' && options.load.hasBeenLateSince(sentAtMs)
 
   const setSuspect = (): void => planner.setSuspect(worker, clock.nowMs() + SUSPECT_PAUSE_MS)
 
