Refuse jobs that an overloaded holder cannot start in time

What callers saw: SHORT on large sites. Jobs went on being accepted that were not started, and the backlog kept each planning round long after the burst had passed.

Cause: a holder did not know that it was overloaded, so nothing bounded its backlog, and the cost of a round grows with the backlog.

Ruled out: pacing alone.

Entries answer 503 with a Retry-After of 1 to 10 s, before anything is written, to jobs whose objective does not allow that wait; if a queue of lower priority causes most of a backlog that makes a more urgent one late, only that queue is refused. A job that may already be stored (in doubt, known, or in the table) is never refused this way, and accepted jobs are kept. The other entries read the row at once when an overload begins or ends. If the row has not been renewed for 2 s, nothing is refused.

--- a/packages/core/src/partition/rank.ts
+++ b/packages/core/src/partition/rank.ts
@@ -22,6 +22,11 @@
   return policy.targetLatencyMs + policy.stretch * (computeCriticalPathMs(spec.steps) + adviceMs)
 }
 
+/** Computes how long a job may wait for its first start and still meet its objective, in milliseconds. */
+export function computeStartSlackMs (spec: StepJob): number {
+  return Math.max(0, computeObjectiveMs(spec) - computeCriticalPathMs(spec.steps))
+}
+
 /** Computes the wall-clock time from which the objective of an occurrence is counted. */
 export function computeDueMs (spec: StepJob, occurrence: number): number {
   return spec.runCount === 0 ? spec.acceptedAtMs : spec.firstRunMs + occurrence * spec.intervalMs
--- a/packages/entry/src/partition/partitionEntry.ts
+++ b/packages/entry/src/partition/partitionEntry.ts
@@ -80,6 +80,7 @@
       advice,
       readConfig: config.readConfig,
       onDeposed: () => recordLost(partition, row.epoch),
+      onOverloadStored: () => mesh.broadcastMessage({ type: 'cellChanged', cell: partition }),
       onStuck: () => mesh.broadcastMessage({ type: 'cellStuck', cell: partition, epoch: row.epoch })
     }))
   }
