--- a/packages/entry/src/partition/partitionEntry.ts
+++ b/packages/entry/src/partition/partitionEntry.ts
@@ -94,7 +94,8 @@
       onDeposed: () => recordLost(partition, row.epoch),
       onStuck: () => {
         if (!loop.isLate()) mesh.broadcastMessage({ type: 'cellStuck', cell: partition, epoch: row.epoch })
-      }
+      },
+      onOverloadStored: () => mesh.broadcastMessage({ type: 'cellChanged', cell: partition })
     }))
   }
 
