--- a/packages/core/src/partition/jobRegistry.ts
+++ b/packages/core/src/partition/jobRegistry.ts
@@ -3,6 +3,7 @@
 import type { RunName } from './plannerTypes.js'
 import type { StepJob } from './stepJob.js'
 import { createStepInstance, type StepInstance } from './stepInstance.js'
+import { createEndedJobs } from './endedJobs.js'
 import { createJobRateMeter } from './jobRateMeter.js'
 
 /** Jobs of one partition. */
@@ -42,12 +43,32 @@
 export function createJobRegistry (): JobRegistry {
   const jobs = new Map<string, Job>()
   /** Jobs that ended in earlier terms; only their final phase is known. */
-  const endedInEarlierTerms = new Map<string, { readonly phase: JobPhase, readonly endedAtMs: number }>()
+  const endedInEarlierTerms = new Map<string, JobPhase>()
   const instances = new Map<string, StepInstance>()
   const waiting = new Set<StepInstance>()
   const recurring = new Set<Job>()
   const changed = new Set<string>()
   const rateMeter = createJobRateMeter()
+  const ended = createEndedJobs()
+  /** Jobs due for removal that still occupy resources at a worker. */
+  let unreleased: string[] = []
+  /** Number of one-off jobs of which no task has started, by queue. */
+  const waitingJobs = new Map<string, number>()
+
+  /** Keeps the counts of waiting jobs; `change` is 1 or -1. */
+  const countJob = (job: Job, change: number): void => {
+    if (job.phase !== 'queued' || job.spec.runCount > 0) return
+    const { queue } = job.spec.policy
+    const count = (waitingJobs.get(queue) ?? 0) + change
+    if (count > 0) waitingJobs.set(queue, count)
+    else waitingJobs.delete(queue)
+  }
+
+  const setPhase = (job: Job, phase: JobPhase): void => {
+    countJob(job, -1)
+    job.phase = phase
+    countJob(job, 1)
+  }
 
   const openReadySteps = (job: Job, occurrence: Occurrence, nowMs: number): void => {
     if (isFinal(job.phase)) return
@@ -93,8 +114,9 @@
 
   const endJob = (job: Job, phase: JobPhase, wallMs: number): boolean => {
     if (isFinal(job.phase)) return false
-    job.phase = phase
+    setPhase(job, phase)
     job.endedAtMs = wallMs
+    ended.add(job.id, wallMs)
     closeSteps(job)
     changed.add(job.id)
     return true
@@ -110,15 +132,22 @@
       const isOverRate = teamJobsPerS !== undefined && rateMeter.recordJob(spec.team, teamJobsPerS, spec.acceptedAtMs)
       const job = createJob(id, spec, record, isOverRate)
       jobs.set(id, job)
-      if (isFinal(job.phase)) return job
+      countJob(job, 1)
+      if (isFinal(job.phase)) {
+        ended.add(id, job.endedAtMs)
+        return job
+      }
       for (const occurrence of job.occurrences.values()) openReadySteps(job, occurrence, nowMs)
       if (spec.runCount > 0) recurring.add(job)
       else if (job.occurrences.size === 0) addOccurrence(job, 0, nowMs)
       return job
     },
-    addEndedJob: (id, phase, endedAtMs) => { endedInEarlierTerms.set(id, { phase, endedAtMs }) },
+    addEndedJob: (id, phase, endedAtMs) => {
+      endedInEarlierTerms.set(id, phase)
+      ended.add(id, endedAtMs)
+    },
     hasJob: (id) => jobs.has(id) || endedInEarlierTerms.has(id),
-    readPhase: (id) => jobs.get(id)?.phase ?? endedInEarlierTerms.get(id)?.phase ?? null,
+    readPhase: (id) => jobs.get(id)?.phase ?? endedInEarlierTerms.get(id) ?? null,
     findJob: (id) => jobs.get(id),
     findTask,
     findStepInstance,
@@ -144,7 +173,7 @@
       waiting.add(instance)
     },
     recordStarted: (instance) => {
-      if (instance.job.phase === 'queued') instance.job.phase = 'running'
+      if (instance.job.phase === 'queued') setPhase(instance.job, 'running')
       changed.add(instance.job.id)
       if (instance.tasks.some((task) => task.phase === 'waiting')) return
       instance.waitingSinceMs = null
@@ -179,26 +208,20 @@
       const job = jobs.get(id)
       return job === undefined ? null : buildStateRecord(job)
     },
-    countWaiting: () => {
-      const counts = new Map<string, number>()
-      for (const job of jobs.values()) {
-        if (job.phase !== 'queued' || job.spec.runCount > 0) continue
-        const { queue } = job.spec.policy
-        counts.set(queue, (counts.get(queue) ?? 0) + 1)
-      }
-      return counts
-    },
+    countWaiting: () => waitingJobs,
     removeEnded: (wallMs) => {
       const removed: string[] = []
-      for (const job of jobs.values()) {
-        if (!isFinal(job.phase) || job.endedAtMs >= wallMs || hasAllocatedTask(job)) continue
-        jobs.delete(job.id)
-        changed.delete(job.id)
-        removed.push(job.id)
-      }
-      for (const [id, { endedAtMs }] of endedInEarlierTerms) {
-        if (endedAtMs >= wallMs) continue
+      const due = [...unreleased, ...ended.takeBefore(wallMs)]
+      unreleased = []
+      for (const id of due) {
+        const job = jobs.get(id)
+        if (job !== undefined && hasAllocatedTask(job)) {
+          unreleased.push(id)
+          continue
+        }
+        jobs.delete(id)
         endedInEarlierTerms.delete(id)
+        changed.delete(id)
         removed.push(id)
       }
       return removed
