Planner: look up large tasks in an index of capacity, not in all workers each round

Same class of cost: whether a step's tasks need more than half of every suitable worker, and so may reserve capacity, was found out by walking all workers, for each step that waits and in each round.

The capacities are kept in a search tree for each required label, rebuilt when a worker's capacity or labels change.

--- a/packages/core/src/partition/__tests__/planningCost.spec.ts
+++ b/packages/core/src/partition/__tests__/planningCost.spec.ts
@@ -19,6 +19,8 @@
   readonly policy?: Partial<StepJob['policy']>
   /** The urgent steps are of the team that fills the workers, and only its ceiling blocks them. */
   readonly isAtCeiling?: boolean
+  /** Time of the first round; 200 ms if absent. */
+  readonly fromMs?: number
 }
 
 /** Creates a planner whose workers are full of preemptible tasks. */
@@ -56,7 +58,7 @@
   let most = 0
   for (let round = 0; round < 5; round++) {
     const queries: AdviceQuery[] = []
-    const atMs = 200 + 8 * round
+    const atMs = (scenario.fromMs ?? 200) + 8 * round
     planner.decide(atMs, atMs, (query) => queries.push(query) > 0)
     most = Math.max(most, planner.countEvaluations())
     for (const query of queries) planner.recordAdvice(query, new Map(query.workers.filter((_, index) => index % 10 < 7).map((worker) => [worker, 'ticket'])), atMs)
@@ -96,6 +98,11 @@
   checkBound('at the ceiling', { readSize: () => 2.7, isAtCeiling: true })
 })
 
+// Guards against the same cost of finding out, in each round anew, which steps are too large to start without a reservation.
+test('a round at full workers costs workers plus tasks plus waiting steps of large tasks', () => {
+  checkBound('large tasks', { readSize: () => 9, policy: { priority: 1, targetLatencyMs: 10_000 }, fromMs: 1000 })
+})
+
 /** Evaluations of a round for each worker and waiting step, if the steps can't start. */
 const MAX_VAIN_EVALUATIONS_PER_ITEM = 256
 const BLOCKED_STEPS = 400
--- a/packages/core/src/partition/createPartitionPlanner.ts
+++ b/packages/core/src/partition/createPartitionPlanner.ts
@@ -1,7 +1,8 @@
 /** Scheduler of one partition: places tasks on workers from jobs, worker reports and placement advice. */
 import { hasRoomFor, computeTotal, subtractResources } from '../schema/resources.js'
 import { RESERVE_AFTER_MS, LONG_RUNNING_RESERVE_AFTER_MS, MAX_RESERVING_STEPS, PREEMPT_AFTER_MS } from './constants.js'
-import { canEverRun, startWorkerBackoff, type PartitionWorker } from './partitionWorker.js'
+import { startWorkerBackoff, type PartitionWorker } from './partitionWorker.js'
+import { createCapacityIndex } from './capacityIndex.js'
 import { createJobRegistry } from './jobRegistry.js'
 import { listTasks, type Task } from './jobState.js'
 import type { PlannerDecisions, PartitionPlanner, StartOrder, TrySendQuery } from './plannerTypes.js'
@@ -27,7 +28,9 @@
   const tracker = createRunTracker(registry, teams)
   const { workers } = tracker
   const budget = createRoundBudget()
+  /** Evaluations of the last round. */
   let evaluations = 0
+  const capacityIndex = createCapacityIndex(workers, () => { evaluations++ })
 
   const readCapacityCores = (): number => {
     let cores = 0
@@ -105,11 +108,7 @@
   }
 
   /** Tells whether a task needs more than half of the capacity of every suitable worker; without a reservation, small tasks would starve it. */
-  const isLarge = (instance: StepInstance): boolean => {
-    const twice = computeTotal(instance.taskResources, 2)
-    for (const worker of workers.values()) if (canEverRun(worker, instance.step) && hasRoomFor(worker.info.capacity, twice)) return false
-    return true
-  }
+  const isLarge = ({ taskResources, step }: StepInstance): boolean => !capacityIndex.hasWorkerFor(computeTotal(taskResources, 2), step.requiredLabel)
 
   const mayReserve = (instance: StepInstance, nowMs: number): boolean => {
     if (instance.waitingSinceMs === null) return false
@@ -149,6 +148,7 @@
 
   const decide = (nowMs: number, wallMs: number, trySend: TrySendQuery): PlannerDecisions => {
     registry.addDueOccurrences(wallMs, nowMs)
+    evaluations = 0
     const starts: StartOrder[] = []
     teams.startRound()
     const round = createPlanningRound(workers.values(), nowMs)
@@ -172,12 +172,15 @@
       if (!budget.mayReserve(instance)) continue
       stopForPreemption(reservations.reserve({ instance, tasks: left, mayPreempt: mayPreempt(ranked, nowMs) }))
     }
-    evaluations = round.countEvaluations()
+    evaluations += round.countEvaluations()
     return { starts, stops: tracker.takeStops() }
   }
 
   return {
-    setWorker: (info) => { tracker.resolveWorker(info.id).info = info },
+    setWorker: (info) => {
+      capacityIndex.recordChange(workers.get(info.id)?.info, info)
+      tracker.resolveWorker(info.id).info = info
+    },
     setSynced: (id, synced) => {
       const worker = workers.get(id)
       if (worker !== undefined) worker.synced = synced
@@ -200,7 +203,10 @@
         instance.unsuitable.delete(id)
       }
     },
-    removeWorker: tracker.removeWorker,
+    removeWorker: (id) => {
+      capacityIndex.recordChange(workers.get(id)?.info, undefined)
+      tracker.removeWorker(id)
+    },
     listWorkers: () => [...workers.keys()],
     hasRuns: (id) => (workers.get(id)?.tasks.size ?? 0) > 0,
     setTeamLimits: (limits, areFinal = true) => teams.setLimits(limits, areFinal),
