Planner: skip reservations without capacity, create the advice tree when needed

Each reservation set up its counts and sets before it found that no worker had capacity left, and each round created the search tree for advice queries even if no step queries advice.

--- a/packages/core/src/partition/capacityReservation.ts
+++ b/packages/core/src/partition/capacityReservation.ts
@@ -5,7 +5,7 @@
 import { createMinimumTree, type MinimumTree } from './minimumTree.js'
 import type { PlanningRound } from './planningRound.js'
 import { computeShortfall, computeSize, mayBePreempted } from './preemption.js'
-import type { StepInstance } from './stepInstance.js'
+import { countTasksByWorker, type StepInstance } from './stepInstance.js'
 
 /** A step that could not be placed. */
 export interface ReservationRequest {
@@ -152,33 +152,33 @@
     search.changesSeen = round.changes.length
   }
 
+  /** Finds the worker with the lowest cost that the step may use; those that it may not use are passed over and added to `excluded`. */
+  const findBest = ({ costs }: CandidateSearch, mayUse: (worker: PartitionWorker) => boolean, excluded: number[]): number => {
+    for (let index = costs.findMinimum(); index >= 0; index = costs.findMinimum()) {
+      if (mayUse(round.workers[index]!)) return index
+      round.addEvaluations(1)
+      excluded.push(index)
+      costs.set(index, Infinity)
+    }
+    return -1
+  }
+
   const reserve = (request: ReservationRequest): Task[] => {
     const { instance } = request
     const { maxPerWorker, gang } = instance.step
     const search = findSearch(request)
-    const { costs } = search
-    const excluded = new Set<number>()
-    const counts = new Map<string, number>()
-    if (maxPerWorker > 0) for (const task of instance.tasks) if (task.worker !== '') counts.set(task.worker, (counts.get(task.worker) ?? 0) + 1)
-
+    updateSearch(search)
+    if (search.costs.findMinimum() < 0) return []
+    const counts = maxPerWorker > 0 ? countTasksByWorker(instance) : null
     const mayUse = ({ info: { id } }: PartitionWorker): boolean => {
-      return !instance.unsuitable.has(id) && (maxPerWorker === 0 || (counts.get(id) ?? 0) < maxPerWorker)
-    }
-    const findBest = (): number => {
-      updateSearch(search)
-      for (let index = costs.findMinimum(); index >= 0; index = costs.findMinimum()) {
-        if (mayUse(round.workers[index]!)) return index
-        round.addEvaluations(1)
-        excluded.add(index)
-        costs.set(index, Infinity)
-      }
-      return -1
+      return !instance.unsuitable.has(id) && (counts === null || (counts.get(id) ?? 0) < maxPerWorker)
     }
-
+    const excluded: number[] = []
     const preempted: Task[] = []
     let isComplete = true
     for (let count = 0; count < request.tasks.length; count++) {
-      const index = findBest()
+      updateSearch(search)
+      const index = findBest(search, mayUse, excluded)
       if (index < 0) {
         isComplete = false
         break
@@ -187,11 +187,13 @@
       if (best.cost >= WAIT_COST) isComplete = false
       for (const { task } of best.preempted) preempted.push(task)
       if (best.preempted.length > 0) chosen.set(index, [...chosen.get(index) ?? [], ...best.preempted])
-      const { id } = round.workers[index]!.info
-      counts.set(id, (counts.get(id) ?? 0) + 1)
+      if (counts !== null) {
+        const { id } = round.workers[index]!.info
+        counts.set(id, (counts.get(id) ?? 0) + 1)
+      }
       round.reserve(index, instance.taskResources)
     }
-    for (const index of excluded) costs.set(index, search.candidates[index]!.cost)
+    for (const index of excluded) search.costs.set(index, search.candidates[index]!.cost)
     for (const index of chosen.keys()) round.recordChange(index)
     chosen.clear()
     return gang && !isComplete ? [] : preempted
--- a/packages/core/src/partition/planningRound.ts
+++ b/packages/core/src/partition/planningRound.ts
@@ -1,7 +1,7 @@
 /** Capacity of the schedulable workers during one planning round, net of what is reserved in it. */
 import { addResources, NO_RESOURCES, subtractResources, type Resources } from '../schema/resources.js'
 import { computeFree, isSchedulable, type PartitionWorker } from './partitionWorker.js'
-import { createResourceTree } from './resourceTree.js'
+import { createResourceTree, type ResourceTree } from './resourceTree.js'
 
 /** Capacity in one planning round; workers go by their index in `workers`. */
 export interface PlanningRound {
@@ -49,7 +49,8 @@
   const reserved = new Map<number, Resources>()
   const awaitingAdvice = new Map<number, Resources>()
   const freeTree = createResourceTree(free, recordVisit)
-  const unclaimedTree = createResourceTree(free, recordVisit)
+  /** Created when first searched: many rounds send no advice query. */
+  let unclaimedTree: ResourceTree | null = null
   /** Workers whose amounts are outdated in the trees: most change several times between two searches. */
   const outdated = new Set<number>()
   const changes: number[] = []
@@ -68,11 +69,17 @@
   const updateTrees = (): void => {
     for (const index of outdated) {
       freeTree.set(index, free[index]!)
-      unclaimedTree.set(index, unclaimed[index]!)
+      unclaimedTree?.set(index, unclaimed[index]!)
     }
     outdated.clear()
   }
 
+  const readUnclaimedTree = (): ResourceTree => {
+    updateTrees()
+    unclaimedTree ??= createResourceTree(unclaimed, recordVisit)
+    return unclaimedTree
+  }
+
   const updateFree = (index: number): void => {
     updateWorker(index)
     changes.push(index)
@@ -104,14 +111,8 @@
       return freeTree.listFitting(need)
     },
     readUnclaimed: (index) => unclaimed[index]!,
-    listUnclaimedFitting: (need) => {
-      updateTrees()
-      return unclaimedTree.listFitting(need)
-    },
-    findUnclaimedFitting: (need, from) => {
-      updateTrees()
-      return unclaimedTree.findFitting(need, from)
-    },
+    listUnclaimedFitting: (need) => readUnclaimedTree().listFitting(need),
+    findUnclaimedFitting: (need, from) => readUnclaimedTree().findFitting(need, from),
     addEvaluations: (count) => { evaluations += count },
     countEvaluations: () => evaluations
   }
--- a/packages/core/src/partition/stepInstance.ts
+++ b/packages/core/src/partition/stepInstance.ts
@@ -67,6 +67,13 @@
   return instance.step.gang && count < instance.tasks.length ? 0 : count
 }
 
+/** Counts the step's tasks that occupy resources, by worker. */
+export function countTasksByWorker (instance: StepInstance): Map<string, number> {
+  const counts = new Map<string, number>()
+  for (const { worker } of instance.tasks) if (worker !== '') counts.set(worker, (counts.get(worker) ?? 0) + 1)
+  return counts
+}
+
 /** Tells whether the step may run at a worker: it has a valid ticket, or its queue requires none. */
 export function hasTicket (instance: StepInstance, worker: string, nowMs: number): boolean {
   if (instance.job.spec.policy.advice === undefined) return true
--- a/packages/core/src/partition/stepPlacement.ts
+++ b/packages/core/src/partition/stepPlacement.ts
@@ -3,7 +3,7 @@
 import { ACCELERATOR_CORES } from './constants.js'
 import { canEverRun, type PartitionWorker } from './partitionWorker.js'
 import type { PlanningRound } from './planningRound.js'
-import { hasTicket, type StepInstance } from './stepInstance.js'
+import { countTasksByWorker, hasTicket, type StepInstance } from './stepInstance.js'
 import type { Task } from './jobState.js'
 
 /** A task and the worker chosen for it. */
@@ -22,12 +22,6 @@
   readonly isDataLocal: boolean
 }
 
-function countTasksByWorker (instance: StepInstance): Map<string, number> {
-  const counts = new Map<string, number>()
-  for (const { worker } of instance.tasks) if (worker !== '') counts.set(worker, (counts.get(worker) ?? 0) + 1)
-  return counts
-}
-
 function buildCandidates (instance: StepInstance, round: PlanningRound): Candidate[] {
   const { maxPerWorker, dataRack } = instance.step
   // Most steps that wait for advice have no ticket at all.
