Call the table suspect only after arrived responses were read

What callers saw: an entry refused submissions as "table suspect" after its event loop had been blocked for half a second, with the responses of the table waiting unread. Cause: overdue calls were found by comparing times when the question was asked. Change: a response timer marks a call as overdue.

--- a/packages/entry/src/partition/__tests__/tableHealth.spec.ts
+++ b/packages/entry/src/partition/__tests__/tableHealth.spec.ts
@@ -88,6 +88,29 @@
   assert.not(table.isSuspect())
 })
 
+// Guards against a late entry that refuses submissions because it has not yet read the table's responses.
+test('a table is not suspect while its responses wait for a late event loop', async () => {
+  const clock = createFakeClock()
+  const { table: raw, faults } = createPartitionTableModel({ clock }).createClient()
+  const table = createMonitoredTable(raw, clock, createMemoryEventLog())
+  const answered = table.readRange({ table: 't', part: 'p' })
+  await clock.settle()
+  clock.block(2000)
+  assert.not(table.isSuspect())
+  await clock.runFor(20)
+  assert.ok((await answered).isOk())
+  assert.not(table.isSuspect())
+  faults.outage = 'silent'
+  const lost = table.readRange({ table: 't', part: 'p' })
+  await clock.settle()
+  clock.block(600)
+  assert.not(table.isSuspect())
+  await clock.runFor(200)
+  assert.ok(table.isSuspect())
+  await clock.runFor(2000)
+  assert.ok((await lost).isErr())
+})
+
 test('the timeout of commits adapts to their duration and doubles each time it expires', () => {
   const timeout = createAdaptiveTimeout()
   assert.is(timeout.readMs(), 250)
--- a/packages/entry/src/partition/tableHealth.ts
+++ b/packages/entry/src/partition/tableHealth.ts
@@ -1,5 +1,5 @@
 /** Monitors table calls: whether the table responds to this entry, and how long commits take. */
-import type { Clock, EventLog } from '@fuchsiatally/core'
+import { type Clock, createResponseTimer, type EventLog } from '@fuchsiatally/core'
 import type { Result } from 'neverthrow'
 import { TABLE_TIMEOUT_MS } from './constants.js'
 import { tableFast, tableSlow } from './events.js'
@@ -22,8 +22,8 @@
 
 /** Wraps a table with health monitoring. */
 export function createMonitoredTable (table: PartitionTable, clock: Clock, events: EventLog): MonitoredTable {
-  /** Unanswered calls with the time by which a response is due. */
-  const pending = new Set<{ readonly sentAtMs: number, readonly dueAtMs: number }>()
+  /** Times at which unanswered calls were sent whose response is overdue. */
+  const overdue = new Set<{ readonly sentAtMs: number }>()
   let answeredAtMs = -Infinity
   const commitTimeout = createAdaptiveTimeout()
   let lastFailed = false
@@ -38,10 +38,15 @@
   }
 
   const watchCall = async <T>(waitMs: number, call: Promise<Result<T, CallFailure>>): Promise<Result<T, CallFailure>> => {
-    const pendingCall = { sentAtMs: clock.nowMs(), dueAtMs: clock.nowMs() + waitMs + SUSPECT_AFTER_MS }
-    pending.add(pendingCall)
+    const pendingCall = { sentAtMs: clock.nowMs() }
+    const timer = createResponseTimer({
+      clock,
+      timeoutMs: waitMs + SUSPECT_AFTER_MS,
+      onTimeout: (isOwnDelay) => { if (!isOwnDelay) overdue.add(pendingCall) }
+    })
     const result = await call
-    pending.delete(pendingCall)
+    timer.dispose()
+    overdue.delete(pendingCall)
     if (result.isOk() || result.error.isOverload === true) {
       answeredAtMs = clock.nowMs()
       lastFailed = false
@@ -66,7 +71,7 @@
     isSuspect: () => {
       if (lastFailed) return true
       // An overdue call counts only if no call has been answered since it was sent: a table that is slow or lost one response responds to others.
-      for (const { sentAtMs, dueAtMs } of pending) if (clock.nowMs() > dueAtMs && answeredAtMs < sentAtMs) return true
+      for (const { sentAtMs } of overdue) if (answeredAtMs < sentAtMs) return true
       return false
     }
   }
