Accept a link whose hello waits for a late event loop

What callers saw: after its event loop was blocked for 3 s, an entry refused new links ("no hello before the timeout") whose hello had arrived. Cause: the timer of the hello ran before the socket was read. Ruled out: established links; they are closed only at the second check in a row, and input is read between two checks. Change: the hello has a response timer.

--- a/packages/entry/src/link/linkConnection.ts
+++ b/packages/entry/src/link/linkConnection.ts
@@ -1,6 +1,6 @@
 /** One TCP connection to a peer: hello exchange, framing and size limits. Owns its socket. */
 import type { Socket } from 'node:net'
-import type { Clock, LinkMessage } from '@fuchsiatally/core'
+import { type Clock, createResponseTimer, type LinkMessage } from '@fuchsiatally/core'
 import type { Peer } from '../ports.js'
 import { HELLO_TIMEOUT_MS, MAX_HELLO_BYTES } from './constants.js'
 import { createFrameReader, decodeFrame, encodeFrame } from './frameCodec.js'
@@ -57,8 +57,10 @@
     socket.destroy()
     options.onClose(reason, connection)
   }
-  const helloTimer = clock.setTimer(HELLO_TIMEOUT_MS, () => {
-    close({ kind: 'helloRefused', message: 'no hello before the timeout' })
+  const helloTimer = createResponseTimer({
+    clock,
+    timeoutMs: HELLO_TIMEOUT_MS,
+    onTimeout: () => close({ kind: 'helloRefused', message: 'no hello before the timeout' })
   })
   const handleHello = (message: LinkMessage): void => {
     if (message.type !== 'hello') {
