Deliver tickets that wait for a late event loop

What callers saw: at a holder with a late event loop, an advice request failed with "no response in time" although the tickets had arrived, and its server was avoided for 3 s. Cause: the timer of the request ran before the reply was read. Change: the request has a response timer. Left as it is: the advice queue declines a call that its requester no longer waits for; that time passes at the requester, whoever is late.

--- a/packages/entry/src/partition/__tests__/adviceRouter.spec.ts
+++ b/packages/entry/src/partition/__tests__/adviceRouter.spec.ts
@@ -114,4 +114,30 @@
   assert.equal(entry!.calls, ['short1'])
 })
 
+// Guards against a late holder that discards tickets which have arrived, and avoids the server that sent them.
+test('tickets that wait for a late event loop are delivered', async () => {
+  const clock = createFakeClock()
+  const links = createFakeMesh({ clock }).addEntry({ entry: 'e0', incarnation: 'e0.1', failureDomain: 'a' })
+  let resolveAdvice = (): void => { throw new Error('the service was not called') }
+  const router = createAdviceRouter({
+    self: links.self,
+    client: { requestAdvice: () => new Promise((resolve) => { resolveAdvice = () => resolve(ok(new Map([['w1', 'ticket']]))) }) },
+    mesh: links,
+    clock,
+    random: createSeededRandom(1),
+    events: createMemoryEventLog()
+  })
+  const received: Array<ReadonlyMap<string, string> | null> = []
+  const submit = (): boolean => router.trySubmit({ step: 'short', workers: ['w1'], costMs: SHORT_MS }, (tickets) => { received.push(tickets) })
+  assert.ok(submit())
+  await clock.runFor(0)
+  clock.block(5000)
+  // Read in the poll phase, after the timers that are due.
+  clock.setTimer(0, () => resolveAdvice())
+  await clock.runFor(1000)
+  assert.equal(received, [new Map([['w1', 'ticket']])])
+  assert.ok(submit())
+  router.dispose()
+})
+
 test.run()
--- a/packages/entry/src/partition/adviceRouter.ts
+++ b/packages/entry/src/partition/adviceRouter.ts
@@ -2,7 +2,7 @@
  * Routes advice requests to the entries, which are the servers here: each calls the advice service for itself and its peers, one call at a
  * time. Requests are balanced by their expected duration.
  */
-import { type AdviceQuery, type Clock, type Disposable, type EventLog, type Random } from '@fuchsiatally/core'
+import { type AdviceQuery, type Clock, createResponseTimer, type Disposable, type EventLog, type Random } from '@fuchsiatally/core'
 import type { Peer, PeerMesh } from '../ports.js'
 import { createAdviceQueue, type AdviceOutcome } from './adviceQueue.js'
 import { ADVICE_TIMEOUT_MARGIN_MS } from './constants.js'
@@ -116,7 +116,7 @@
       timer.dispose()
       onOutcome(outcome)
     }
-    const timer = clock.setTimer(timeoutMs, () => finish({ kind: 'failed' }))
+    const timer = createResponseTimer({ clock, timeoutMs, onTimeout: () => finish({ kind: 'failed' }) })
     pendingRequests.set(exchange, { server, costMs: request.costMs, finish })
     const { step, workers, costMs } = request
     if (server === options.self.incarnation) {
