Give a new holder the full timeout

Callers saw LOST and SHORT on large sites; the partition of 176 workers changed hands five times in 14 s, each time to an entry that was then busy with loading it.

Cause: the short timeouts (600 ms without a link, 500 ms after a report) hold from the first moment of a term, in which its holder loads the jobs, reaches all workers and may not have been linked by all its peers yet.

Change: until an entry has seen renewals of a term for 2 s, only the full timeout of 1.3 s counts for it.

Failed before: lateHolder.spec "a successor that is blocked for 0.8 s right after its takeover keeps the partition although its links are lost" (b holds it, expected d).

--- a/packages/entry/src/partition/__tests__/lateHolder.spec.ts
+++ b/packages/entry/src/partition/__tests__/lateHolder.spec.ts
@@ -10,6 +10,8 @@
 /** Shortest and longest time for which the event loop of the holder is blocked, in milliseconds; one renewal interval more is below the full timeout. */
 const MIN_BLOCK_MS = 300
 const MAX_BLOCK_MS = 800
+/** Longest time until a lost holder is replaced, in milliseconds; the target of takeoverTimes.spec.ts. */
+const MAX_TAKEOVER_MS = 3000
 const SEEDS = 5
 const ROUNDS = 10
 const SUBMIT_INTERVAL_MS = 20
@@ -79,4 +81,31 @@
   assert.equal(takeovers, takeovers.map(() => 0))
 })
 
+// Guards against a partition that changes hands again and again because each new holder is busy with loading it.
+test('a successor that is blocked for 0.8 s right after its takeover keeps the partition although its links are lost', async () => {
+  const { cluster, entries } = await startCluster()
+  const { holder } = splitByHolder(cluster, entries)
+  const rest = entries.filter((entry) => entry !== holder)
+  holder.kill()
+  while (cluster.findHolder() === holder.name) await cluster.clock.runFor(10)
+  const successor = rest.find((entry) => entry.name === cluster.findHolder())!
+  await cluster.clock.runFor(300)
+  for (const entry of rest) if (entry !== successor) cluster.mesh.closeLink(successor.incarnation, entry.incarnation)
+  successor.block(MAX_BLOCK_MS)
+  await cluster.clock.runFor(5000)
+  assert.is(cluster.findHolder(), successor.name)
+  checkNoConcurrentRuns(cluster)
+})
+
+test('a successor that is killed right after its takeover is replaced within 3 s', async () => {
+  const { cluster, entries } = await startCluster()
+  const { holder } = splitByHolder(cluster, entries)
+  holder.kill()
+  while (cluster.findHolder() === holder.name) await cluster.clock.runFor(10)
+  const successor = entries.find((entry) => entry.name === cluster.findHolder())!
+  successor.kill()
+  await cluster.clock.runFor(MAX_TAKEOVER_MS)
+  assert.is.not(cluster.findHolder(), successor.name)
+})
+
 test.run()
--- a/packages/entry/src/partition/constants.ts
+++ b/packages/entry/src/partition/constants.ts
@@ -34,6 +34,8 @@
 export const HOLDER_TIMEOUT_MS = 1300
 /** Timeout of a holder without a link to this entry, in milliseconds: covers one renewal, a slow commit and one read of the rows. */
 export const UNLINKED_HOLDER_TIMEOUT_MS = 600
+/** Age of a term up to which only the full timeout counts, in milliseconds: its holder loads the jobs, reaches its workers and is linked by its peers. */
+export const YOUNG_TERM_MS = 2000
 /**
  * Time after the loss of a link from which renewals show that the holder outlived the link, in milliseconds: one read of the rows and a slow
  * commit after its last moment.
--- a/packages/entry/src/partition/partitionWatch.ts
+++ b/packages/entry/src/partition/partitionWatch.ts
@@ -2,7 +2,7 @@
 import { createDisposableStore, type Clock, type Disposable, type EventLog } from '@fuchsiatally/core'
 import type { Peer, SessionView } from '../ports.js'
 import { createSerialLoop } from '../process/serialLoop.js'
-import { LINK_LOSS_GRACE_MS, SUSPECT_WATCH_INTERVAL_MS, MAX_HEALTHY_READ_MS, HOLDER_TIMEOUT_MS, MAX_SUCCESSOR_RANK, START_SETTLE_MS, SUCCESSOR_RANK_DELAY_MS, RENEWAL_INTERVAL_MS, STUCK_HOLDER_TIMEOUT_MS, RELEASED_TIMEOUT_MS, UNLINKED_HOLDER_TIMEOUT_MS, WATCH_INTERVAL_MS } from './constants.js'
+import { LINK_LOSS_GRACE_MS, SUSPECT_WATCH_INTERVAL_MS, MAX_HEALTHY_READ_MS, HOLDER_TIMEOUT_MS, MAX_SUCCESSOR_RANK, START_SETTLE_MS, SUCCESSOR_RANK_DELAY_MS, RENEWAL_INTERVAL_MS, STUCK_HOLDER_TIMEOUT_MS, RELEASED_TIMEOUT_MS, UNLINKED_HOLDER_TIMEOUT_MS, WATCH_INTERVAL_MS, YOUNG_TERM_MS } from './constants.js'
 import { CAPACITY_PART, DEFAULT_CORES, PARTITION_TABLE, CLAIMS_KEY, HOLDER_KEY, parseCapacityRow, parseEntryRow, parseHolderRow, type EntryRow, type HolderRow } from './partitionRows.js'
 import type { PartitionTable, TableRow } from './ports.js'
 import { computeSuccessorRank, hasLargerCandidate, type Candidate } from './rendezvousRank.js'
@@ -205,7 +205,7 @@
     if (row.incarnation === self.incarnation) return false
     if (row.entry === self.entry) return true
     // The shorter timeouts require a table that responds quickly: with a slow one, the renewals of a live holder may arrive late.
-    if (!isTableHealthy) return nowMs - observed.timeoutStartedAtMs >= HOLDER_TIMEOUT_MS + waitMs
+    if (!isTableHealthy || observed.changedAtMs - observed.termSeenAtMs < YOUNG_TERM_MS) return nowMs - observed.timeoutStartedAtMs >= HOLDER_TIMEOUT_MS + waitMs
     if (observed.isStuck) return nowMs - observed.timeoutStartedAtMs >= STUCK_HOLDER_TIMEOUT_MS + waitMs
     return nowMs - observed.timeoutStartedAtMs >= (isLinkLossRecent(observed) ? UNLINKED_HOLDER_TIMEOUT_MS : HOLDER_TIMEOUT_MS) + waitMs
   }
--- a/packages/entry/src/testing/fakeMesh.ts
+++ b/packages/entry/src/testing/fakeMesh.ts
@@ -23,6 +23,8 @@
   setCut: (a: string, b: string) => void
   /** Removes a cut and reopens the link. */
   removeCut: (a: string, b: string) => void
+  /** Closes a link: messages in flight are lost; both ends see it down and don't reopen it. */
+  closeLink: (a: string, b: string) => void
   /** Resets a link: messages in flight are lost; both ends see it down and immediately up again. */
   resetLink: (a: string, b: string) => void
   /** Changes the delay of messages sent from now on. */
@@ -121,6 +123,7 @@
 
   return {
     addEntry,
+    closeLink,
     setCut: (a, b) => {
       const pair = formatPair(a, b)
       cuts.add(pair)
