Log why an entry takes a partition over, and why one lost it

Callers saw LOST and SHORT on large sites; the partition of 176 workers changed hands five times in 14 s, and the logs (FT801, FT802) didn't tell which rule had replaced which holder.

Change: FT806 before each attempt names the reason (noHolder, restarted, successor, released, silent, unlinked, stuck) and its inputs: the previous holder, whether it is linked, age of the last renewal and of the term, own rank and cores. FT802 names the reason (a later holder in the table, or the end of the own term), the holder, the age of the last renewal and whether the own event loop was blocked in the last second.

Failed before: lateHolder.spec "the log names the reason and the inputs of a takeover and of a loss" (no such event).

--- a/packages/entry/src/partition/__tests__/lateHolder.spec.ts
+++ b/packages/entry/src/partition/__tests__/lateHolder.spec.ts
@@ -108,4 +108,41 @@
   assert.is.not(cluster.findHolder(), successor.name)
 })
 
+// Guards against takeovers of which the log tells neither the reason nor the inputs.
+test('the log names the reason and the inputs of a takeover and of a loss', async () => {
+  const listReasons = (entries: readonly ClusterEntry[], epoch: number): unknown[] => {
+    return entries.flatMap((entry) => entry.events.listFields('FT806')).filter((fields) => fields['epoch'] === epoch).map((fields) => fields['why'])
+  }
+  const killed = await startCluster()
+  assert.equal(listReasons(killed.entries, 1), ['noHolder'])
+  const first = splitByHolder(killed.cluster, killed.entries)
+  first.holder.kill()
+  await killed.cluster.clock.runFor(MAX_TAKEOVER_MS)
+  const second = splitByHolder(killed.cluster, killed.entries).holder
+  const [fields] = second.events.listFields('FT806')
+  assert.equal({ ...fields, renewalAgeMs: 0, termAgeMs: 0, rank: 0 }, {
+    cell: 'pages', epoch: 2, why: 'unlinked', rank: 0, cores: 1, holder: first.holder.name, isLinked: false, renewalAgeMs: 0, termAgeMs: 0
+  })
+  assert.ok(Number(fields?.['renewalAgeMs']) >= 600)
+  const released = second.entry.release()
+  await killed.cluster.clock.runFor(MAX_TAKEOVER_MS)
+  await released
+  assert.equal(listReasons(killed.entries, 3), ['successor'])
+
+  for (const [outage, why] of [['busy', 'stuck'], ['silent', 'silent']] as const) {
+    const { cluster, entries } = await startCluster()
+    const { holder } = splitByHolder(cluster, entries)
+    if (outage === 'silent') for (const entry of entries) if (entry !== holder) cluster.mesh.setCut(holder.incarnation, entry.incarnation)
+    holder.faults.outage = outage
+    await cluster.clock.runFor(MAX_TAKEOVER_MS)
+    assert.equal(listReasons(entries, 2), [why])
+    holder.faults.outage = null
+    await cluster.clock.runFor(MAX_TAKEOVER_MS)
+    const lost = holder.events.listFields('FT802')
+    assert.is(lost.length, 1)
+    assert.ok(lost[0]?.['reason'] === 'succeeded' || lost[0]?.['reason'] === 'termEnded')
+    assert.is(lost[0]?.['loopLate'], false)
+  }
+})
+
 test.run()
--- a/packages/entry/src/partition/events.ts
+++ b/packages/entry/src/partition/events.ts
@@ -2,7 +2,8 @@
 import { defineEvent } from '@fuchsiatally/core'
 
 export const partitionAcquired = defineEvent('FT801', 'info', 'Partition taken over', 'This entry now holds the partition and schedules it; workers accept orders of its epoch.')
-export const partitionLost = defineEvent('FT802', 'warn', 'Partition lost', 'Another entry holds the partition, or the table did not confirm in time that this one does; runs continue under their leases.')
+export const takeoverDecided = defineEvent('FT806', 'info', 'Takeover decided', 'This entry tries to take the partition over from `holder`; FT801 follows if it does. `why`: `noHolder`, `restarted` (held by an earlier process of this entry), `successor` (named by the holder), `released`, `silent` (full timeout), `unlinked` or `stuck` (shorter timeouts); `renewalAgeMs` and `termAgeMs` count from what this entry saw.')
+export const partitionLost = defineEvent('FT802', 'warn', 'Partition lost', 'Another entry holds the partition, or the table did not confirm in time that this one does; runs continue under their leases. `reason`: `succeeded` (a later holder is in the table) or `termEnded` (a commit or a worker refused the epoch, or none was confirmed in time); `loopLate`: whether the event loop of this entry was blocked in the last second.')
 export const partitionReleased = defineEvent('FT803', 'info', 'Partition released', 'Graceful shutdown or planned hand-over: the successor takes the partition over at once.')
 export const partitionHandedOver = defineEvent('FT805', 'info', 'Partition is handed over', 'The named peer is idle and has at least twice the processor capacity of this entry.')
 export const partitionLoaded = defineEvent('FT804', 'info', 'Partition loaded', 'All accepted jobs of the partition are in memory; scheduling begins.')
--- a/packages/entry/src/partition/partitionEntry.ts
+++ b/packages/entry/src/partition/partitionEntry.ts
@@ -70,9 +70,16 @@
     endedTerms.add(`${partition}/${epoch}`)
   }
 
-  const recordLost = (partition: string, epoch: number): void => {
+  const recordLost = (partition: string, epoch: number, reason: 'succeeded' | 'termEnded'): void => {
     removeTerm(partition, epoch)
-    events.record(partitionLost, { cell: partition, epoch })
+    events.record(partitionLost, {
+      cell: partition,
+      epoch,
+      reason,
+      holder: partitions.readPartition(partition)?.row?.entry ?? null,
+      renewalAgeMs: Math.round(partitions.readPartitionAgeMs(partition)),
+      loopLate: loop.isLate()
+    })
   }
 
   const startTerm = (view: PartitionView): void => {
@@ -89,7 +96,7 @@
       version,
       advice,
       readConfig: config.readConfig,
-      onDeposed: () => recordLost(partition, row.epoch),
+      onDeposed: () => recordLost(partition, row.epoch, 'termEnded'),
       onStuck: () => {
         if (!loop.isLate()) mesh.broadcastMessage({ type: 'cellStuck', cell: partition, epoch: row.epoch })
       }
@@ -105,7 +112,7 @@
     }
     if (term === undefined || (row !== null && row.epoch <= term.epoch)) return
     term.dispose()
-    recordLost(partition, term.epoch)
+    recordLost(partition, term.epoch, 'succeeded')
   }
 
   const partitions = disposables.add(createPartitionWatch({
--- a/packages/entry/src/partition/partitionWatch.ts
+++ b/packages/entry/src/partition/partitionWatch.ts
@@ -3,6 +3,7 @@
 import type { Peer, SessionView } from '../ports.js'
 import { createSerialLoop } from '../process/serialLoop.js'
 import { LINK_LOSS_GRACE_MS, SUSPECT_WATCH_INTERVAL_MS, MAX_HEALTHY_READ_MS, HOLDER_TIMEOUT_MS, MAX_SUCCESSOR_RANK, START_SETTLE_MS, SUCCESSOR_RANK_DELAY_MS, RENEWAL_INTERVAL_MS, STUCK_HOLDER_TIMEOUT_MS, RELEASED_TIMEOUT_MS, UNLINKED_HOLDER_TIMEOUT_MS, WATCH_INTERVAL_MS, YOUNG_TERM_MS } from './constants.js'
+import { takeoverDecided } from './events.js'
 import { CAPACITY_PART, DEFAULT_CORES, PARTITION_TABLE, CLAIMS_KEY, HOLDER_KEY, parseCapacityRow, parseEntryRow, parseHolderRow, type EntryRow, type HolderRow } from './partitionRows.js'
 import type { PartitionTable, TableRow } from './ports.js'
 import { computeSuccessorRank, hasLargerCandidate, type Candidate } from './rendezvousRank.js'
@@ -57,6 +58,19 @@
   readNow: () => void
 }
 
+/**
+ * `noHolder`: nobody ever held the partition; `restarted`: its holder was an earlier process of this entry; `successor`: the holder named
+ * this entry; `released`: nobody was named, or the successor did not take it; `silent`, `unlinked`, `stuck`: no renewal within the full
+ * timeout, or within the shorter one for a holder whose link is down or that reported itself as stuck.
+ */
+type TakeoverReason = 'noHolder' | 'restarted' | 'successor' | 'released' | 'silent' | 'unlinked' | 'stuck'
+
+interface Takeover {
+  readonly why: TakeoverReason
+  /** Rank of this entry among the successors. */
+  readonly rank: number
+}
+
 interface ObservedPartition {
   view: PartitionView
   readonly changedAtMs: number
@@ -120,7 +134,7 @@
     applyRow: (row) => applyRow(row, clock.nowMs())
   })
 
-  const takeOverPartition = async (partition: string, observed: ObservedPartition | undefined): Promise<void> => {
+  const takeOverPartition = async (partition: string, observed: ObservedPartition | undefined, { why, rank }: Takeover): Promise<void> => {
     const row: HolderRow = {
       entry: self.entry,
       incarnation: self.incarnation,
@@ -129,6 +143,18 @@
       renewals: 0,
       waiting: [...observed?.view.row?.waiting ?? []]
     }
+    const previous = observed?.view.row ?? null
+    events.record(takeoverDecided, {
+      cell: partition,
+      epoch: row.epoch,
+      why,
+      rank,
+      cores: options.cores,
+      holder: previous?.entry ?? null,
+      isLinked: previous !== null && isLinked(previous),
+      renewalAgeMs: observed === undefined ? null : Math.round(clock.nowMs() - observed.changedAtMs),
+      termAgeMs: observed === undefined ? null : Math.round(clock.nowMs() - observed.termSeenAtMs)
+    })
     const result = await table.commit({
       part: partition,
       checks: [{ table: PARTITION_TABLE, key: HOLDER_KEY, version: observed?.view.version ?? 0 }],
@@ -194,20 +220,28 @@
     return Math.max(sinceMs, startedAtMs + START_SETTLE_MS)
   }
 
-  const isTakeoverDue = (partition: string, observed: ObservedPartition | undefined, nowMs: number): boolean => {
-    const waitMs = computeOwnRank(partition, observed?.view.row ?? null) * SUCCESSOR_RANK_DELAY_MS
-    if (observed === undefined || observed.view.row === null) return nowMs - readVacantSinceMs(partition, nowMs) >= waitMs
-    const { row } = observed.view
-    if (row.released) {
-      if (row.successor === self.incarnation) return true
-      return nowMs - observed.timeoutStartedAtMs >= (row.successor === undefined ? 0 : RELEASED_TIMEOUT_MS) + waitMs
-    }
-    if (row.incarnation === self.incarnation) return false
-    if (row.entry === self.entry) return true
+  /** Timeout of a holder, and what it is based on. */
+  const chooseTimeout = (observed: ObservedPartition, row: HolderRow): { why: TakeoverReason, timeoutMs: number } => {
+    if (row.released) return { why: 'released', timeoutMs: row.successor === undefined ? 0 : RELEASED_TIMEOUT_MS }
     // The shorter timeouts require a table that responds quickly: with a slow one, the renewals of a live holder may arrive late.
-    if (!isTableHealthy || observed.changedAtMs - observed.termSeenAtMs < YOUNG_TERM_MS) return nowMs - observed.timeoutStartedAtMs >= HOLDER_TIMEOUT_MS + waitMs
-    if (observed.isStuck) return nowMs - observed.timeoutStartedAtMs >= STUCK_HOLDER_TIMEOUT_MS + waitMs
-    return nowMs - observed.timeoutStartedAtMs >= (isLinkLossRecent(observed) ? UNLINKED_HOLDER_TIMEOUT_MS : HOLDER_TIMEOUT_MS) + waitMs
+    if (isTableHealthy && observed.changedAtMs - observed.termSeenAtMs >= YOUNG_TERM_MS) {
+      if (observed.isStuck) return { why: 'stuck', timeoutMs: STUCK_HOLDER_TIMEOUT_MS }
+      if (isLinkLossRecent(observed)) return { why: 'unlinked', timeoutMs: UNLINKED_HOLDER_TIMEOUT_MS }
+    }
+    return { why: 'silent', timeoutMs: HOLDER_TIMEOUT_MS }
+  }
+
+  /** Decides whether this entry takes a partition over now; `null` if not. */
+  const decideTakeover = (partition: string, observed: ObservedPartition | undefined, nowMs: number): Takeover | null => {
+    const row = observed?.view.row ?? null
+    if (row !== null && !row.released && row.incarnation === self.incarnation) return null
+    const rank = computeOwnRank(partition, row)
+    const waitMs = rank * SUCCESSOR_RANK_DELAY_MS
+    if (observed === undefined || row === null) return nowMs - readVacantSinceMs(partition, nowMs) >= waitMs ? { why: 'noHolder', rank } : null
+    if (row.released && row.successor === self.incarnation) return { why: 'successor', rank }
+    if (!row.released && row.entry === self.entry) return { why: 'restarted', rank }
+    const { why, timeoutMs } = chooseTimeout(observed, row)
+    return nowMs - observed.timeoutStartedAtMs >= timeoutMs + waitMs ? { why, rank } : null
   }
 
   const runStep = async (): Promise<void> => {
@@ -220,7 +254,8 @@
     isTableHealthy = lastReadMs - sentAtMs <= MAX_HEALTHY_READ_MS
     for (const partition of options.listPartitions()) {
       const observed = partitions.get(partition)
-      if (options.mayTakeOver(partition) && isTakeoverDue(partition, observed, sentAtMs)) await takeOverPartition(partition, observed)
+      const takeover = options.mayTakeOver(partition) ? decideTakeover(partition, observed, sentAtMs) : null
+      if (takeover !== null) await takeOverPartition(partition, observed, takeover)
     }
   }
   const loop = createSerialLoop({ clock, readPauseMs: () => hasSuspectHolder() ? SUSPECT_WATCH_INTERVAL_MS : WATCH_INTERVAL_MS, runStep })
