--- a/packages/entry/src/partition/__tests__/lateHolder.spec.ts
+++ b/packages/entry/src/partition/__tests__/lateHolder.spec.ts
@@ -10,6 +10,8 @@
 /** Shortest and longest time for which the event loop of the holder is blocked, in milliseconds; one renewal interval more is below the full timeout. */
 const MIN_BLOCK_MS = 300
 const MAX_BLOCK_MS = 800
+/** Longest time until a lost holder is replaced, in milliseconds; the target of takeoverTimes.spec.ts. */
+const MAX_TAKEOVER_MS = 3000
 const SEEDS = 5
 const ROUNDS = 10
 const SUBMIT_INTERVAL_MS = 20
@@ -79,4 +81,68 @@
   assert.equal(takeovers, takeovers.map(() => 0))
 })
 
+// Guards against a partition that changes hands again and again because each new holder is busy with loading it.
+test('a successor that is blocked for 0.8 s right after its takeover keeps the partition although its links are lost', async () => {
+  const { cluster, entries } = await startCluster()
+  const { holder } = splitByHolder(cluster, entries)
+  const rest = entries.filter((entry) => entry !== holder)
+  holder.kill()
+  while (cluster.findHolder() === holder.name) await cluster.clock.runFor(10)
+  const successor = rest.find((entry) => entry.name === cluster.findHolder())!
+  await cluster.clock.runFor(300)
+  for (const entry of rest) if (entry !== successor) cluster.mesh.closeLink(successor.incarnation, entry.incarnation)
+  successor.block(MAX_BLOCK_MS)
+  await cluster.clock.runFor(5000)
+  assert.is(cluster.findHolder(), successor.name)
+  checkNoConcurrentRuns(cluster)
+})
+
+test('a successor that is killed right after its takeover is replaced within 3 s', async () => {
+  const { cluster, entries } = await startCluster()
+  const { holder } = splitByHolder(cluster, entries)
+  holder.kill()
+  while (cluster.findHolder() === holder.name) await cluster.clock.runFor(10)
+  const successor = entries.find((entry) => entry.name === cluster.findHolder())!
+  successor.kill()
+  await cluster.clock.runFor(MAX_TAKEOVER_MS)
+  assert.is.not(cluster.findHolder(), successor.name)
+})
+
+// Guards against takeovers of which the log tells neither the reason nor the inputs.
+test('the log names the reason and the inputs of a takeover and of a loss', async () => {
+  const listReasons = (entries: readonly ClusterEntry[], epoch: number): unknown[] => {
+    return entries.flatMap((entry) => entry.events.listFields('FT806')).filter((fields) => fields['epoch'] === epoch).map((fields) => fields['why'])
+  }
+  const killed = await startCluster()
+  assert.equal(listReasons(killed.entries, 1), ['noHolder'])
+  const first = splitByHolder(killed.cluster, killed.entries)
+  first.holder.kill()
+  await killed.cluster.clock.runFor(MAX_TAKEOVER_MS)
+  const second = splitByHolder(killed.cluster, killed.entries).holder
+  const [fields] = second.events.listFields('FT806')
+  assert.equal({ ...fields, renewalAgeMs: 0, termAgeMs: 0, rank: 0 }, {
+    cell: 'pages', epoch: 2, why: 'unlinked', rank: 0, cores: 1, holder: first.holder.name, isLinked: false, renewalAgeMs: 0, termAgeMs: 0
+  })
+  assert.ok(Number(fields?.['renewalAgeMs']) >= 600)
+  const released = second.entry.release()
+  await killed.cluster.clock.runFor(MAX_TAKEOVER_MS)
+  await released
+  assert.equal(listReasons(killed.entries, 3), ['successor'])
+
+  for (const [outage, why] of [['busy', 'stuck'], ['silent', 'silent']] as const) {
+    const { cluster, entries } = await startCluster()
+    const { holder } = splitByHolder(cluster, entries)
+    if (outage === 'silent') for (const entry of entries) if (entry !== holder) cluster.mesh.setCut(holder.incarnation, entry.incarnation)
+    holder.faults.outage = outage
+    await cluster.clock.runFor(MAX_TAKEOVER_MS)
+    assert.equal(listReasons(entries, 2), [why])
+    holder.faults.outage = null
+    await cluster.clock.runFor(MAX_TAKEOVER_MS)
+    const lost = holder.events.listFields('FT802')
+    assert.is(lost.length, 1)
+    assert.ok(lost[0]?.['reason'] === 'succeeded' || lost[0]?.['reason'] === 'termEnded')
+    assert.is(lost[0]?.['loopLate'], false)
+  }
+})
+
 test.run()
