Revert the refusal of jobs by an overloaded holder

A review of the sequences found that entries of the version before can't decode a row with the new field, see no holder and take the partition with epoch 1; that a refusal, read before the write of an earlier attempt is applied, isn't certain to be true; that jobs due much later and queues held back by one team's ceiling were refused as well; and that an outage of the table looked like an overload.

--- a/packages/core/src/partition/stepJob.ts
+++ b/packages/core/src/partition/stepJob.ts
@@ -115,8 +115,3 @@
   const adviceMs = policy.advice === undefined ? 0 : (policy.advice.decisionMs + OBJECTIVE_ADVICE_WORKERS * policy.advice.eachMs) * spec.steps.length
   return policy.targetLatencyMs + policy.stretch * (computeCriticalPathMs(spec.steps) + adviceMs)
 }
-
-/** Computes how long a job may wait for its first start and still meet its objective, in milliseconds. */
-export function computeStartSlackMs (spec: StepJob): number {
-  return Math.max(0, computeObjectiveMs(spec) - computeCriticalPathMs(spec.steps))
-}
--- a/packages/entry/src/partition/constants.ts
+++ b/packages/entry/src/partition/constants.ts
@@ -131,25 +131,6 @@
 export const MAX_EXCUSED_CALLS = 3
 /** Longest lease that a late holder grants, in milliseconds, if workers accept it and the holder was confirmed recently. */
 export const MAX_LATE_LEASE_MS = 6000
-/** Interval at which a holder reviews whether it is overloaded, in milliseconds; half of its renewal interval. */
-export const OVERLOAD_REVIEW_INTERVAL_MS = 200
-/** Delay of the event loop from which a holder is overloaded, in milliseconds. */
-export const OVERLOAD_LOOP_DELAY_MS = 500
-/** Duration of a planning round from which a holder is overloaded, in milliseconds: with its pause, half of the time within which an urgent task starts. */
-export const OVERLOAD_ROUND_MS = 250
-/** Time since the last complete round, while steps wait, from which a holder is overloaded, in milliseconds. */
-export const OVERLOAD_ROUND_AGE_MS = 2000
-/** Share of these values below which an overload ends. */
-export const OVERLOAD_END_SHARE = 0.5
-/** Time below that share after which an overload ends, in milliseconds: two planning rounds with their pauses. */
-export const OVERLOAD_END_AFTER_MS = 2000
-/** Time over which the rate of starts of a queue is measured, in milliseconds. */
-export const START_RATE_WINDOW_MS = 3000
-/** Longest wait that is estimated for a queue, in milliseconds. */
-export const MAX_QUEUE_WAIT_MS = 60_000
-/** Bounds of `retry-after` of a refusal by an overloaded partition, in seconds. */
-export const MIN_OVERLOAD_RETRY_S = 1
-export const MAX_OVERLOAD_RETRY_S = 10
 /** Interval at which a holder logs its load, in milliseconds. */
 export const LOAD_REPORT_INTERVAL_MS = 1000
 /** Interval of the timer that measures the delay of the event loop, in milliseconds; a tenth of the interval of the reports. */
--- a/packages/entry/src/partition/events.ts
+++ b/packages/entry/src/partition/events.ts
@@ -37,6 +37,4 @@
 export const entryStopping = defineEvent('FT861', 'info', 'Entry is stopping', 'Its partitions are handed over and open requests are answered.')
 export const entryStopped = defineEvent('FT862', 'info', 'Entry stopped', 'All partitions were handed over and all requests answered.')
 export const settingsReloaded = defineEvent('FT863', 'info', 'Settings reloaded', 'The settings were read again after SIGHUP.')
-export const holderOverloaded = defineEvent('FT865', 'warn', 'Holder overloaded', 'The holder cannot keep up with its work: new jobs that could not start in time are refused, accepted ones are kept.')
-export const holderRecovered = defineEvent('FT866', 'info', 'Holder no longer overloaded', 'No job is refused because of the load of the holder.')
 export const settingsMalformed = defineEvent('FT864', 'error', 'Settings rejected', 'The message names the field; the previous settings stay in force.')
--- a/packages/entry/src/partition/holderLoad.ts
+++ b/packages/entry/src/partition/holderLoad.ts
@@ -28,8 +28,6 @@
   measurePart: <T>(part: LoadPart, run: () => T) => T
   /** Whether the event loop was late at a monotonic time or after it. */
   hasBeenLateSince: (sinceMs: number) => boolean
-  /** Removes and returns the longest delay of the event loop since the last call, in milliseconds. */
-  takeLoopDelayMs: () => number
   /** Whether the event loop was late within the last `LATE_MEMORY_MS`. */
   isLate: () => boolean
 }
@@ -48,8 +46,6 @@
   let totals = createTotals()
   let longestLoopDelayMs = 0
   let reportedAtMs = clock.nowMs()
-  /** Longest delay since the last call of `takeLoopDelayMs`. */
-  let untakenDelayMs = 0
   /** Time of the last probe, or of a query, that found the event loop late. */
   let lateAtMs = -Infinity
   let probeDueAtMs = 0
@@ -78,7 +74,6 @@
   }
 
   const checkLateness = (nowMs: number): void => {
-    untakenDelayMs = Math.max(untakenDelayMs, nowMs - probeDueAtMs)
     if (nowMs - probeDueAtMs >= LATE_LOOP_MS) lateAtMs = nowMs
   }
 
@@ -116,12 +111,6 @@
       }
     },
     hasBeenLateSince,
-    takeLoopDelayMs: () => {
-      checkLateness(clock.nowMs())
-      const delayMs = untakenDelayMs
-      untakenDelayMs = 0
-      return delayMs
-    },
     isLate: () => hasBeenLateSince(clock.nowMs() - LATE_MEMORY_MS),
     dispose: () => timer.dispose()
   }
--- a/packages/entry/src/partition/jobApi.ts
+++ b/packages/entry/src/partition/jobApi.ts
@@ -1,12 +1,12 @@
 /** Submits jobs, reads their state and cancels them; works at any entry, whether or not it holds the partition. */
 import {
-  ACCEPTED_STATE, computeObjectiveMs, computeStartSlackMs, isFinal, type Clock, type EventLog, type JobPhase, type QueueConfig, type StepJob
+  ACCEPTED_STATE, computeObjectiveMs, isFinal, type Clock, type EventLog, type JobPhase, type QueueConfig, type StepJob
 } from '@fuchsiatally/core'
 import type { PeerMesh } from '../ports.js'
 import type { PartitionWatch } from './partitionWatch.js'
-import { RESPONSE_MARGIN_MS, MAX_OVERLOAD_RETRY_S, MAX_QUEUE_COUNT_AGE_MS, MAX_REMEMBERED_JOBS, MIN_OVERLOAD_RETRY_S, WRITE_RETRY_MS } from './constants.js'
+import { RESPONSE_MARGIN_MS, MAX_QUEUE_COUNT_AGE_MS, MAX_REMEMBERED_JOBS, WRITE_RETRY_MS } from './constants.js'
 import { jobAccepted, jobCancelled, jobRefused, submissionInDoubt } from './events.js'
-import { CANCEL_SUFFIX, computeJobPart, JOB_TABLE, parseJobRow, parseStateRow, STATE_TABLE, type OverloadedQueue } from './partitionRows.js'
+import { CANCEL_SUFFIX, computeJobPart, JOB_TABLE, parseJobRow, parseStateRow, STATE_TABLE } from './partitionRows.js'
 import type { TableTransaction, CommitResult } from './ports.js'
 import { readRow } from './readRow.js'
 import type { MonitoredTable } from './tableHealth.js'
@@ -28,10 +28,7 @@
 
 /** Job API of one entry. */
 export interface JobApi {
-  /** `overloaded`: the job could not start in time; nothing was written. */
-  submitJob: (id: string, job: StepJob, deadlineMs: number) => Promise<WriteOutcome | 'overloaded'>
-  /** Time after which a job that was refused as `overloaded` may be accepted, in seconds. */
-  estimateRetryAfterS: (queue: QueueConfig) => number
+  submitJob: (id: string, job: StepJob, deadlineMs: number) => Promise<WriteOutcome>
   readPhase: (id: string, queue: QueueConfig) => Promise<JobPhase | 'unknownJob' | 'refused'>
   cancelJob: (id: string, queue: QueueConfig, deadlineMs: number) => Promise<WriteOutcome>
   /** Number of accepted jobs without a started task, or `null` if the partition's state is unknown. */
@@ -96,32 +93,8 @@
     }
   }
 
-  const findOverloadedQueue = (partition: string, queue: string): OverloadedQueue | undefined => {
-    if (options.partitions.readPartitionAgeMs(partition) > MAX_QUEUE_COUNT_AGE_MS) return undefined
-    return options.partitions.readPartition(partition)?.row?.overload?.find((candidate) => candidate.queue === queue)
-  }
-
-  /** Estimated wait for the start of a new job that an overloaded holder could not start in time, in milliseconds; otherwise `null`. */
-  const findOverloadWaitMs = (job: StepJob): number | null => {
-    const overloaded = findOverloadedQueue(job.policy.service, job.policy.queue)
-    return overloaded !== undefined && (overloaded.yields || overloaded.waitMs > computeStartSlackMs(job)) ? overloaded.waitMs : null
-  }
-
-  /** Whether a job may have been stored by an earlier submission. */
-  const mayBeStored = async (id: string, partition: string): Promise<boolean> => {
-    if (inDoubt.has(id) || finalPhases.has(id) || options.readCommittedPhase(partition, id) !== null) return true
-    if (table.isSuspect()) return true
-    const row = await readRow(table, JOB_TABLE, computeJobPart(partition, id), id)
-    return row.isErr() || row.value !== undefined || inDoubt.has(id)
-  }
-
-  const submitJob: JobApi['submitJob'] = async (id, job, deadlineMs) => {
+  const submitJob = async (id: string, job: StepJob, deadlineMs: number): Promise<WriteOutcome> => {
     const partition = job.policy.service
-    const waitMs = findOverloadWaitMs(job)
-    if (waitMs !== null && !await mayBeStored(id, partition)) {
-      events.record(jobRefused, { job: id, team: job.team, queue: job.policy.queue, reason: 'the holder is overloaded', waitMs })
-      return 'overloaded'
-    }
     const value = JSON.stringify(job)
     const result = await commitWithRetry({
       part: computeJobPart(partition, id),
@@ -193,10 +166,6 @@
     submitJob,
     readPhase,
     cancelJob,
-    estimateRetryAfterS: (queue) => {
-      const waitMs = findOverloadedQueue(queue.service, queue.name)?.waitMs ?? 0
-      return Math.min(MAX_OVERLOAD_RETRY_S, Math.max(MIN_OVERLOAD_RETRY_S, Math.ceil(waitMs / 1000)))
-    },
     countWaiting: (queue) => {
       const row = options.partitions.readPartition(queue.service)?.row
       if (row === null || row === undefined || options.partitions.readPartitionAgeMs(queue.service) > MAX_QUEUE_COUNT_AGE_MS) return null
--- a/packages/entry/src/partition/partitionCommits.ts
+++ b/packages/entry/src/partition/partitionCommits.ts
@@ -6,7 +6,7 @@
 import type { HolderLoad } from './holderLoad.js'
 import { formatRun } from './formatRun.js'
 import type { PlanPacer } from './planPacer.js'
-import { PARTITION_TABLE, HOLDER_KEY, parseHolderRow, STATE_TABLE, type HolderRow, type OverloadedQueue } from './partitionRows.js'
+import { PARTITION_TABLE, HOLDER_KEY, parseHolderRow, STATE_TABLE, type HolderRow } from './partitionRows.js'
 import type { PartitionTable, TableTransaction } from './ports.js'
 import type { PartitionWorkerController } from './partitionWorkerController.js'
 
@@ -24,10 +24,6 @@
   /** Whether all accepted jobs are in the planner; until then the queue counts of the previous holder are retained. */
   readonly isLoaded: () => boolean
   readonly listControllers: () => Iterable<PartitionWorkerController>
-  /** Queues with a backlog while this holder is overloaded, otherwise `null`. */
-  readonly readOverload: () => readonly OverloadedQueue[] | null
-  /** The row that states the begin or end of an overload is in the table. */
-  readonly onOverloadStored: () => void
   readonly pacer: PlanPacer
   /** Plans one round: issues the orders that need no commit and returns the starts. */
   readonly plan: () => readonly StartOrder[]
@@ -44,8 +40,6 @@
 export interface PartitionCommits extends Disposable {
   /** Plans and commits as soon as the pacing of the planning rounds allows, unless the last commit failed. */
   wake: () => void
-  /** Renews the holder row with the next commit, before the next planning round. */
-  renewNow: () => void
   /** Deletes the states of jobs whose own rows have been deleted. */
   deleteStates: (jobs: readonly string[]) => void
   /** Time since the last applied commit was sent, in milliseconds; each applied commit confirms that this entry holds the partition. */
@@ -65,9 +59,6 @@
   let version = options.version
   let renewals = options.row.renewals
   let mustRenew = true
-  /** Number of calls of `renewNow`: one that comes during a commit is not satisfied by it. */
-  let renewalRequests = 0
-  let isOverloadStored = false
   let renewedAtMs = -Infinity
   let confirmedAt = { nowMs: clock.nowMs(), wallMs: clock.wallMs() }
   let pendingStarts: StartOrder[] = []
@@ -85,24 +76,14 @@
   let successor: string | null = null
   let currentStep: Promise<void> = Promise.resolve()
 
-  const buildHolderRow = (): string => {
-    // The previous holder's overload is not this one's.
-    const { overload: _previous, ...row } = options.row
-    const overload = options.readOverload()
-    return JSON.stringify({
-      ...row,
-      ...(successor === null ? {} : { successor }),
-      ...(overload === null ? {} : { overload }),
-      renewals,
-      released: releasing,
-      waiting: options.isLoaded() ? [...planner.countWaiting()] : options.row.waiting
-    })
-  }
+  const buildHolderRow = (): string => JSON.stringify({
+    ...options.row, ...(successor === null ? {} : { successor }), renewals, released: releasing, waiting: options.isLoaded() ? [...planner.countWaiting()] : options.row.waiting
+  })
 
   /** A renewal that is due, or becomes due during a long planning round, goes before the round, at most in every other step. */
   const isRenewalFirst = (): boolean => {
     const roundMs = pacer.readLastRoundMs()
-    return !postponedPlan && roundMs >= LONG_ROUND_MS && (mustRenew || clock.nowMs() - renewedAtMs + roundMs >= RENEWAL_INTERVAL_MS)
+    return !postponedPlan && roundMs >= LONG_ROUND_MS && clock.nowMs() - renewedAtMs + roundMs >= RENEWAL_INTERVAL_MS
   }
 
   const planRound = (): void => {
@@ -139,7 +120,6 @@
   const listStateDeletes = (room: number): TableTransaction['deletes'] => statesToDelete.slice(0, room).map((job) => ({ table: STATE_TABLE, key: job }))
 
   const commit = async (transaction: TableTransaction, renews: boolean): Promise<CommitOutcome> => {
-    const requests = renewalRequests
     const sentAt = { nowMs: clock.nowMs(), wallMs: clock.wallMs() }
     const result = await table.commit(transaction)
     if (result.isErr()) {
@@ -153,7 +133,7 @@
       if (renews) {
         version = result.value.version
         renewedAtMs = sentAt.nowMs
-        mustRenew = renewalRequests !== requests
+        mustRenew = false
       }
       confirmedAt = sentAt
       return 'committed'
@@ -198,15 +178,10 @@
       renewals++
       writes.push({ table: PARTITION_TABLE, key: HOLDER_KEY, value: buildHolderRow() })
     }
-    const isOverloaded = options.readOverload() !== null
     const outcome = await commit({ part: options.partition, checks: [{ table: PARTITION_TABLE, key: HOLDER_KEY, version }], writes, deletes }, renews)
     if (stopped) return
     if (outcome === 'committed') {
       failures = 0
-      if (renews && isOverloaded !== isOverloadStored) {
-        isOverloadStored = isOverloaded
-        options.onOverloadStored()
-      }
       statesToDelete = statesToDelete.slice(deletes.length)
       for (const controller of options.listControllers()) controller.finishCommit()
       sendStarts(jobs, readyCount)
@@ -221,7 +196,7 @@
 
   const readPauseMs = (): number => {
     if (lastFailure !== null) return lastFailure === 'refused' ? REFUSED_COMMIT_PAUSE_MS : COMMIT_PAUSE_MS
-    if (postponedPlan || hasMoreChanges || mustRenew) return COMMIT_PAUSE_MS
+    if (postponedPlan || hasMoreChanges) return COMMIT_PAUSE_MS
     if (isPlanRequested) return Math.min(COMMIT_ONLY_PAUSE_MS, pacer.readDelayMs())
     return Math.min(MAX_PLAN_PAUSE_MS, Math.max(COMMIT_PAUSE_MS, RENEWAL_INTERVAL_MS - (clock.nowMs() - renewedAtMs)))
   }
@@ -243,11 +218,6 @@
       isPlanRequested = true
       if (lastFailure === null && !isStepRunning && pacer.readDelayMs() === 0) loop.wake()
     },
-    renewNow: () => {
-      renewalRequests++
-      mustRenew = true
-      if (lastFailure === null && !isStepRunning) loop.wake()
-    },
     deleteStates: (jobs) => { statesToDelete.push(...jobs) },
     // A suspension stops the monotonic clock, and the wall clock may jump: the larger of the two ages is the safe bound.
     readConfirmedAgeMs: () => Math.max(clock.nowMs() - confirmedAt.nowMs, clock.wallMs() - confirmedAt.wallMs),
--- a/packages/entry/src/partition/partitionEntry.ts
+++ b/packages/entry/src/partition/partitionEntry.ts
@@ -101,8 +101,7 @@
       onDeposed: () => recordLost(partition, row.epoch, 'termEnded'),
       onStuck: () => {
         if (!loop.isLate()) mesh.broadcastMessage({ type: 'cellStuck', cell: partition, epoch: row.epoch })
-      },
-      onOverloadStored: () => mesh.broadcastMessage({ type: 'cellChanged', cell: partition })
+      }
     }))
   }
 
--- a/packages/entry/src/partition/partitionJobs.ts
+++ b/packages/entry/src/partition/partitionJobs.ts
@@ -13,8 +13,6 @@
   readonly planner: PartitionPlanner
   readonly clock: Clock
   readonly events: EventLog
-  /** A job was added of which no task has started. */
-  readonly onJob: (id: string, spec: StepJob) => void
   readonly onLoaded: () => void
   readonly onChange: () => void
 }
@@ -43,7 +41,6 @@
   const addJob = (id: string, spec: StepJob): void => {
     if (planner.hasJob(id)) return
     planner.addJob(id, spec, ACCEPTED_STATE, clock.nowMs())
-    options.onJob(id, spec)
     if (earlyCancellations.delete(id)) cancel(id)
   }
 
@@ -96,10 +93,7 @@
     addOrphanedStates(stateRows.values())
     // The planner needs the order of acceptance to determine which submissions of a team exceed its rate.
     unfinished.sort((a, b) => a.spec.acceptedAtMs - b.spec.acceptedAtMs)
-    for (const { id, spec, state } of unfinished) {
-      planner.addJob(id, spec, state, clock.nowMs())
-      if (state.phase === 'queued') options.onJob(id, spec)
-    }
+    for (const { id, spec, state } of unfinished) planner.addJob(id, spec, state, clock.nowMs())
     for (const id of cancelled) cancel(id)
     if (!loaded) {
       loaded = true
--- a/packages/entry/src/partition/partitionRows.ts
+++ b/packages/entry/src/partition/partitionRows.ts
@@ -39,16 +39,6 @@
   return Array.from({ length: JOB_PARTS }, (_, index) => `${partition}/${index}`)
 }
 
-/** Queue with a backlog at an overloaded holder. */
-export const OverloadedQueue = Schema.Struct({
-  queue: Schema.String,
-  /** Estimated wait of a job that is accepted now, in milliseconds. */
-  waitMs: Schema.Finite,
-  /** All new jobs of the queue are refused, in favour of more urgent ones. */
-  yields: Schema.Boolean
-})
-export type OverloadedQueue = typeof OverloadedQueue.Type
-
 /** Holder row of a partition. */
 export const HolderRow = Schema.Struct({
   entry: Schema.String,
@@ -61,9 +51,7 @@
   successor: Schema.optionalKey(Schema.String),
   renewals: Schema.Int,
   /** Number of accepted jobs without a started task, by queue. */
-  waiting: Schema.Array(Schema.Tuple([Schema.String, Schema.Int])),
-  /** Present while the holder is overloaded. */
-  overload: Schema.optionalKey(Schema.Array(OverloadedQueue))
+  waiting: Schema.Array(Schema.Tuple([Schema.String, Schema.Int]))
 })
 export type HolderRow = typeof HolderRow.Type
 
--- a/packages/entry/src/partition/partitionTerm.ts
+++ b/packages/entry/src/partition/partitionTerm.ts
@@ -15,9 +15,7 @@
 import { jobEnded, partitionReleased, workerLost, workerLeaving } from './events.js'
 import type { PartitionBounds, PartitionTable, PartitionWorkerClient, ListedWorker, PlatformRows } from './ports.js'
 import { createPartitionWorkerController, type PartitionWorkerController } from './partitionWorkerController.js'
-import { createHolderOverload } from './holderOverload.js'
 import { createPlanPacer } from './planPacer.js'
-import { createQueueWaits } from './queueWaits.js'
 import { createStartWindow } from './startWindow.js'
 import { createWorkerDirectory } from './workerDirectory.js'
 
@@ -35,8 +33,6 @@
   readonly readConfig: () => ClusterConfig | null
   readonly createWorkerClient: (worker: ListedWorker) => PartitionWorkerClient
   readonly createPlanner?: () => PartitionPlanner
-  /** The holder row states the begin or end of an overload. */
-  readonly onOverloadStored: () => void
   /** The table does not accept this entry's commits, although it may accept those of others. */
   readonly onStuck: () => void
   readonly onDeposed: () => void
@@ -66,21 +62,6 @@
   const disposables = createDisposableStore()
   const planner = (options.createPlanner ?? createPartitionPlanner)()
   const load = disposables.add(createHolderLoad({ partition, epoch: row.epoch, clock, events, readBacklog: planner.countBacklog }))
-  const pacer = createPlanPacer(clock)
-  const queueWaits = createQueueWaits({ clock, readPhase: planner.readPhase })
-  const overload = disposables.add(createHolderOverload({
-    partition,
-    epoch: row.epoch,
-    clock,
-    events,
-    readInputs: () => ({
-      loopDelayMs: load.takeLoopDelayMs(),
-      roundMs: pacer.readLastRoundMs(),
-      roundAgeMs: jobs.isLoaded() && planner.countBacklog().steps > 0 ? clock.nowMs() - Math.max(startedAtMs, pacer.readLastRoundEndMs()) : 0
-    }),
-    listQueueWaits: queueWaits.update,
-    onChange: () => commits.renewNow()
-  }))
   const startWindow = createStartWindow(MAX_STARTS_IN_FLIGHT)
   const managedWorkers = new Map<string, ManagedWorker>()
   const listings = new Map<string, ListedWorker>()
@@ -194,7 +175,6 @@
     planner,
     clock,
     events,
-    onJob: queueWaits.addJob,
     onLoaded: () => {
       for (const listing of [...listings.values()]) applyListing(listing)
       ceilings.scheduleReview()
@@ -227,9 +207,7 @@
     statusMs: options.bounds.statusMs,
     isLoaded: () => jobs.isLoaded(),
     listControllers: () => [...managedWorkers.values()].map((member) => member.controller),
-    readOverload: overload.readQueues,
-    onOverloadStored: options.onOverloadStored,
-    pacer,
+    pacer: createPlanPacer(clock),
     plan,
     startRun: (order) => {
       const member = managedWorkers.get(order.worker)
--- a/packages/entry/src/partition/planPacer.ts
+++ b/packages/entry/src/partition/planPacer.ts
@@ -8,26 +8,22 @@
   readDelayMs: () => number
   /** Duration of the last round, in milliseconds. */
   readLastRoundMs: () => number
-  /** Monotonic time at which the last round ended; `-Infinity` before the first. */
-  readLastRoundEndMs: () => number
   /** Runs a round and starts the pause after it. */
   runRound: <T>(run: () => T) => T
 }
 
 export function createPlanPacer (clock: Clock): PlanPacer {
   let lastRoundMs = 0
-  let lastRoundEndMs = -Infinity
   let nextRoundAtMs = -Infinity
   return {
     readDelayMs: () => Math.max(0, nextRoundAtMs - clock.nowMs()),
     readLastRoundMs: () => lastRoundMs,
-    readLastRoundEndMs: () => lastRoundEndMs,
     runRound: (run) => {
       const startedAtMs = clock.nowMs()
       const result = run()
-      lastRoundEndMs = clock.nowMs()
-      lastRoundMs = lastRoundEndMs - startedAtMs
-      nextRoundAtMs = lastRoundEndMs + Math.min(MAX_PACING_PAUSE_MS, lastRoundMs * (1 / MAX_PLAN_SHARE - 1))
+      const endedAtMs = clock.nowMs()
+      lastRoundMs = endedAtMs - startedAtMs
+      nextRoundAtMs = endedAtMs + Math.min(MAX_PACING_PAUSE_MS, lastRoundMs * (1 / MAX_PLAN_SHARE - 1))
       return result
     }
   }
