Name the move of a partition by a verb of docs/verbs.md

pages.spec "every function begins with a verb of docs/verbs.md" failed since on partitionEntry.ts: handOver. The function is movePartition now.

--- a/packages/entry/src/partition/partitionEntry.ts
+++ b/packages/entry/src/partition/partitionEntry.ts
@@ -153,7 +153,7 @@
     if (successor !== null) mesh.sendMessage(successor, { type: 'cellChanged', cell: partition })
   }
 
-  const handOver = async (partition: string, successor: Peer): Promise<void> => {
+  const movePartition = async (partition: string, successor: Peer): Promise<void> => {
     const term = terms.get(partition)
     if (term === undefined) return
     events.record(partitionHandedOver, {
@@ -178,7 +178,7 @@
     listPeers: listStayingPeers,
     listHeld: () => [...terms.keys()],
     mayHandOver: () => !stopping && !table.isSuspect(),
-    handOver
+    movePartition
   }))
 
   /**
--- a/packages/entry/src/partition/partitionHandover.ts
+++ b/packages/entry/src/partition/partitionHandover.ts
@@ -18,7 +18,7 @@
   readonly listHeld: () => readonly string[]
   /** Whether a hand-over would succeed at present. */
   readonly mayHandOver: () => boolean
-  readonly handOver: (partition: string, successor: Peer) => Promise<void>
+  readonly movePartition: (partition: string, successor: Peer) => Promise<void>
 }
 
 /** Starts the reviews; at most one partition is handed over at a time. */
@@ -46,7 +46,7 @@
         if (partitions.readTermAgeMs(partition) < options.minTermMs) continue
         const successor = chooseSuccessor(partition)
         if (successor === null) continue
-        await options.handOver(partition, successor)
+        await options.movePartition(partition, successor)
         return
       }
     }
