Planner: pick workers by a tournament instead of a sort

A step that could be placed sorted all workers with room, though its tasks mostly fit on a few of them.

--- a/packages/core/src/partition/stepPlacement.ts
+++ b/packages/core/src/partition/stepPlacement.ts
@@ -5,6 +5,7 @@
 import type { PlanningRound } from './planningRound.js'
 import { countTasksByWorker, hasTicket, type StepInstance } from './stepInstance.js'
 import type { Task } from './jobState.js'
+import { createMinimumTree } from './minimumTree.js'
 
 /** A task and the worker chosen for it. */
 export interface Placement {
@@ -63,9 +64,9 @@
 /** Fills the workers one after the other by score: a worker that takes a task remains the best fit for the next. */
 function placeAll (instance: StepInstance, tasks: readonly Task[], candidates: readonly Candidate[]): Placement[] {
   const placements: Placement[] = []
-  const scored = candidates.map((candidate) => ({ candidate, score: computeScore(instance, candidate) }))
-  scored.sort((a, b) => a.score - b.score)
-  for (const { candidate: { index, free, allowed } } of scored) {
+  const scores = createMinimumTree(candidates.map((candidate) => computeScore(instance, candidate)))
+  for (let best = scores.findMinimum(); best >= 0; best = scores.findMinimum()) {
+    const { index, free, allowed } = candidates[best]!
     let left = free
     for (let count = 0; count < allowed && hasRoomFor(left, instance.taskResources); count++) {
       const task = tasks[placements.length]
@@ -73,6 +74,7 @@
       left = subtractResources(left, instance.taskResources)
       placements.push({ task, worker: index })
     }
+    scores.set(best, Infinity)
   }
   return placements
 }
