Reserve room in the log buffer for warnings and load summaries

What operators saw: under overload 2,155 lines of the busy partition's holder were dropped, among them warnings and all lines on its load (FT859). Cause: the buffer of 256 KiB took lines in order of arrival, whatever they said. Change: lines of level info and debug may fill three quarters of the buffer; the rest is kept for warnings, errors and FT859. Nothing waits for the reader, as before. The new test failed before: 411 lines dropped where only the 400 of normal priority may be. The test of the full buffer passes the priority that may fill all of it; its bounds are the same.

--- a/packages/entry/src/telemetry/__tests__/lineWriter.spec.ts
+++ b/packages/entry/src/telemetry/__tests__/lineWriter.spec.ts
@@ -5,7 +5,7 @@
 import { createFakeClock } from '@fuchsiatally/core/testing/fakeClock'
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
-import { jobRefused, runPlaced } from '../../partition/events.js'
+import { holderLoadMeasured, jobRefused, runPlaced, tableSlow } from '../../partition/events.js'
 import { createEventLog } from '../eventLog.js'
 import { createLineWriter, type LineWriter } from '../lineWriter.js'
 
@@ -14,7 +14,7 @@
   const fd = openSync(join(folder, 'log'), 'w')
   const writer = createLineWriter({ fd, maxBufferedBytes: 1000 })
   // All within one turn of the event loop, as with a reader that is blocked.
-  for (let line = 0; line < 500; line++) writer.writeLine(`line ${line}`)
+  for (let line = 0; line < 500; line++) writer.writeLine(`line ${line}`, 'high')
   await new Promise((resolve) => { setTimeout(resolve, 100) })
   writer.dispose()
   const dropped = writer.takeDropped()
@@ -25,6 +25,28 @@
   assert.is(written + dropped, 500)
 })
 
+// Guards against an overloaded entry whose log lacks the warnings and load lines that explain the overload.
+test('warnings and load summaries have room in a buffer that is full of other lines', async () => {
+  const folder = mkdtempSync(join(tmpdir(), 'fuchsiatally-log-'))
+  const fd = openSync(join(folder, 'log'), 'w')
+  const writer = createLineWriter({ fd, maxBufferedBytes: 40_000 })
+  const log = createEventLog({ clock: createFakeClock(), level: 'info', format: 'json', writer })
+  // All within one turn of the event loop, so that nothing is written in between.
+  for (let run = 0; run < 400; run++) log.record(runPlaced, { run: `j.0.0.${run}#1` })
+  for (let count = 0; count < 10; count++) log.record(tableSlow, { commitMs: 200 + count })
+  log.record(holderLoadMeasured, { cell: 'p', loopDelayMs: 900 })
+  writer.dispose()
+  const dropped = writer.takeDropped()
+  const lines = readFileSync(join(folder, 'log'), 'utf8').trimEnd().split('\n')
+  closeSync(fd)
+  rmSync(folder, { recursive: true })
+  const count = (event: string): number => lines.filter((line) => line.includes(`"event":"${event}"`)).length
+  assert.ok(count(runPlaced.id) > 0 && count(runPlaced.id) < 400)
+  assert.is(count(runPlaced.id) + dropped, 400)
+  assert.is(count(tableSlow.id), 10)
+  assert.is(count(holderLoadMeasured.id), 1)
+})
+
 test('a flood of one event is limited and summarized, other events are not suppressed', () => {
   const clock = createFakeClock()
   const lines: string[] = []
--- a/packages/entry/src/telemetry/eventLog.ts
+++ b/packages/entry/src/telemetry/eventLog.ts
@@ -1,6 +1,7 @@
 /** Log of numbered events, written to the console, a bounded in-memory buffer and followers. */
 import type { Clock, Disposable, EventDefinition, EventFields, EventLevel, EventLog } from '@fuchsiatally/core'
 import { createConsola, type ConsolaReporter } from 'consola'
+import { holderLoadMeasured } from '../partition/events.js'
 import { logLinesMissing } from './events.js'
 import { createLogRateLimiter } from './logRateLimiter.js'
 import { createLineWriter, type LineWriter } from './lineWriter.js'
@@ -41,9 +42,19 @@
 const SUMMARY_INTERVAL_MS = 1000
 const CONSOLA_LEVEL_ALL = 5
 
+/** Whether the line explains an overload, or a failure that it causes. */
+function isHighPriority (record: EventRecord): boolean {
+  return LEVEL_SEVERITY[record.level] >= LEVEL_SEVERITY.warn || record.event === holderLoadMeasured.id
+}
+
 /** Creates a reporter that drops lines rather than block: Consola's own reporters write synchronously to a pipe. */
 function createJsonReporter (writer: LineWriter): ConsolaReporter {
-  return { log: (entry) => { writer.writeLine(JSON.stringify(entry.args[0])) } }
+  return {
+    log: (entry) => {
+      const record: EventRecord = entry.args[0]
+      writer.writeLine(JSON.stringify(record), isHighPriority(record) ? 'high' : 'normal')
+    }
+  }
 }
 
 /** Formats a record for a terminal. */
--- a/packages/entry/src/telemetry/lineWriter.ts
+++ b/packages/entry/src/telemetry/lineWriter.ts
@@ -2,9 +2,12 @@
 import type { Disposable } from '@fuchsiatally/core'
 import sonic from 'sonic-boom'
 
+/** `high`: lines that explain an overload; they have reserved room in the buffer. */
+export type LinePriority = 'normal' | 'high'
+
 /** Non-blocking writer of lines. */
 export interface LineWriter extends Disposable {
-  writeLine: (line: string) => void
+  writeLine: (line: string, priority: LinePriority) => void
   /** Returns the number of lines dropped since the last call because the reader was too slow, and resets it. */
   takeDropped: () => number
 }
@@ -18,19 +21,29 @@
 
 const STDOUT_FD = 1
 const DEFAULT_MAX_BUFFERED_BYTES = 262_144
+/** Share of the buffer that lines of normal priority may fill. */
+const NORMAL_PRIORITY_SHARE = 0.75
 
-/** Creates the writer; lines that exceed the buffer are dropped and counted. */
+/** Creates the writer; lines that exceed the buffer, or the share of their priority, are dropped and counted. */
 export function createLineWriter (options: LineWriterOptions = {}): LineWriter {
-  const output = new sonic.SonicBoom({ fd: options.fd ?? STDOUT_FD, sync: false, maxLength: options.maxBufferedBytes ?? DEFAULT_MAX_BUFFERED_BYTES })
+  const output = new sonic.SonicBoom({ fd: options.fd ?? STDOUT_FD, sync: false })
+  const maxBytes = options.maxBufferedBytes ?? DEFAULT_MAX_BUFFERED_BYTES
+  let bufferedBytes = 0
   let dropped = 0
   let isBroken = false
-  output.on('drop', () => { dropped++ })
+  output.on('write', (writtenBytes: number) => { bufferedBytes -= writtenBytes })
   // A reader that closes the pipe must not crash the process; lines that cannot be written count as dropped.
   output.on('error', () => { isBroken = true })
   return {
-    writeLine: (line) => {
-      if (isBroken) dropped++
-      else output.write(`${line}\n`)
+    writeLine: (line, priority) => {
+      const text = `${line}\n`
+      const bytes = Buffer.byteLength(text)
+      if (isBroken || bufferedBytes + bytes > (priority === 'high' ? maxBytes : NORMAL_PRIORITY_SHARE * maxBytes)) {
+        dropped++
+        return
+      }
+      bufferedBytes += bytes
+      output.write(text)
     },
     takeDropped: () => {
       const taken = dropped
@@ -38,7 +51,9 @@
       return taken
     },
     dispose: () => {
-      if (!isBroken) output.flushSync()
+      if (isBroken) return
+      output.flushSync()
+      bufferedBytes = 0
     }
   }
 }
