Write the whole log buffer at once

What operators saw: the log of a late holder was written 9 s and more late, and lines were dropped, though its reader was fast. Cause: SonicBoom writes 16 KiB at a time, and the next write starts in a later turn of the event loop: at 10 turns a second the log got some 160 KB/s, whatever its reader took. Ruled out: a larger maxWrite of SonicBoom; at 256 KiB 1,000 lines in one turn cost 91 and 301 ms, because the growing string is flattened for each line. Change: the writer queues lines and hands all of them over when the last write has ended.

--- a/packages/entry/src/telemetry/__tests__/lineWriter.spec.ts
+++ b/packages/entry/src/telemetry/__tests__/lineWriter.spec.ts
@@ -47,6 +47,26 @@
   assert.is(count(holderLoadMeasured.id), 1)
 })
 
+// Guards against a log that falls behind, and drops lines, because each turn of a late event loop writes only a small part of the buffer.
+test('a full buffer is written within a few turns of the event loop', async () => {
+  const folder = mkdtempSync(join(tmpdir(), 'fuchsiatally-log-'))
+  const fd = openSync(join(folder, 'log'), 'w')
+  const writer = createLineWriter({ fd })
+  const line = 'x'.repeat(199)
+  for (let count = 0; count < 1000; count++) writer.writeLine(line, 'high')
+  const sleepCell = new Int32Array(new SharedArrayBuffer(Int32Array.BYTES_PER_ELEMENT))
+  for (let turn = 0; turn < 8; turn++) {
+    await new Promise((resolve) => { setImmediate(resolve) })
+    // Gives the thread that writes the file time between two turns.
+    Atomics.wait(sleepCell, 0, 0, 50)
+  }
+  const writtenBytes = readFileSync(join(folder, 'log')).byteLength
+  writer.dispose()
+  closeSync(fd)
+  rmSync(folder, { recursive: true })
+  assert.is(writtenBytes, 200_000)
+})
+
 test('a flood of one event is limited and summarized, other events are not suppressed', () => {
   const clock = createFakeClock()
   const lines: string[] = []
--- a/packages/entry/src/telemetry/lineWriter.ts
+++ b/packages/entry/src/telemetry/lineWriter.ts
@@ -31,7 +31,19 @@
   let bufferedBytes = 0
   let dropped = 0
   let isBroken = false
+  let queued: string[] = []
+  let isWriting = false
+
+  /** Writes all queued lines at once: a write ends only at the next turn of the event loop, and a late loop has few turns. */
+  const writeQueued = (): void => {
+    isWriting = queued.length > 0
+    if (!isWriting) return
+    const text = queued.join('')
+    queued = []
+    output.write(text)
+  }
   output.on('write', (writtenBytes: number) => { bufferedBytes -= writtenBytes })
+  output.on('drain', writeQueued)
   // A reader that closes the pipe must not crash the process; lines that cannot be written count as dropped.
   output.on('error', () => { isBroken = true })
   return {
@@ -43,7 +55,8 @@
         return
       }
       bufferedBytes += bytes
-      output.write(text)
+      queued.push(text)
+      if (!isWriting) writeQueued()
     },
     takeDropped: () => {
       const taken = dropped
@@ -52,6 +65,7 @@
     },
     dispose: () => {
       if (isBroken) return
+      writeQueued()
       output.flushSync()
       bufferedBytes = 0
     }
