Deliver a forwarded outcome that waits for a late event loop

What callers saw: at an ingress with a late event loop, a forwarded request ended as unknown ("no reply from the owner before the deadline") although its outcome had arrived. Cause: the timer of the deadline ran before the link's socket was read.

--- a/packages/entry/src/request/forwarder.ts
+++ b/packages/entry/src/request/forwarder.ts
@@ -1,6 +1,6 @@
 /** Ingress side of forwarded requests: exchanges over links, each resolved exactly once. */
 import {
-  createDisposableStore, startInterval,
+  createDisposableStore, createResponseTimer, startInterval,
   type Clock, type Disposable, type EventLog, type Random, type RequestOutcome, type ServiceRequest
 } from '@fuchsiatally/core'
 import type { Peer, PeerMesh, Sessions } from '../ports.js'
@@ -110,8 +110,10 @@
       const item = { ...forwarded, finish }
       pending.set(exchange, item)
       if (!sendPending(exchange, item)) return finish(createNotRunOutcome('no link to the owner', 0))
-      scope.add(clock.setTimer(Math.max(0, deadlineMs - clock.nowMs()), () => {
-        cancel(createUnknownOutcome('no reply from the owner before the deadline'))
+      scope.add(createResponseTimer({
+        clock,
+        timeoutMs: Math.max(0, deadlineMs - clock.nowMs()),
+        onTimeout: () => cancel(createUnknownOutcome('no reply from the owner before the deadline'))
       }))
       if (signal === undefined) return
       const onAbort = (): void => cancel(createUnknownOutcome('the caller disconnected'))
