Write repeated log lines as often as they are recorded

Consola withholds the seventh and further equal lines of a second and counts them nowhere, so that FT890 knew nothing of them. Its throttle is off; the rate limiter bounds lines and counts what it withholds. Test: ten equal lines; 6 were written before.

--- a/packages/entry/src/telemetry/__tests__/lineWriter.spec.ts
+++ b/packages/entry/src/telemetry/__tests__/lineWriter.spec.ts
@@ -83,4 +83,13 @@
   assert.match(summary ?? '', '"FT820":560')
 })
 
+// Guards against repeated lines that are withheld without being counted.
+test('equal lines are written as often as they are recorded', () => {
+  const lines: string[] = []
+  const writer: LineWriter = { writeLine: (line) => { lines.push(line) }, takeDropped: () => 0, dispose: () => {} }
+  const log = createEventLog({ clock: createFakeClock(), level: 'info', format: 'json', writer })
+  for (let count = 0; count < 10; count++) log.record(jobRefused, { job: '0000000000000001' })
+  assert.is(lines.length, 10)
+})
+
 test.run()
--- a/packages/entry/src/telemetry/eventLog.ts
+++ b/packages/entry/src/telemetry/eventLog.ts
@@ -41,6 +41,8 @@
 /** Interval of the summaries of missing lines, in milliseconds. */
 const SUMMARY_INTERVAL_MS = 1000
 const CONSOLA_LEVEL_ALL = 5
+/** Consola withholds repeated lines without counting them; the rate limiter counts what it withholds. */
+const NO_THROTTLE = 0
 
 /** Whether the line explains an overload, or a failure that it causes. */
 function isHighPriority (record: EventRecord): boolean {
@@ -71,7 +73,7 @@
   const rateLimiter = createLogRateLimiter(options.clock)
   const reporters = options.format === 'json' ? { reporters: [createJsonReporter(writer)] } : {}
   let summarizedAtMs = options.clock.nowMs()
-  const output = createConsola({ level: CONSOLA_LEVEL_ALL, ...reporters })
+  const output = createConsola({ level: CONSOLA_LEVEL_ALL, throttle: NO_THROTTLE, ...reporters })
 
   const createRecord = (event: EventDefinition, fields: EventFields): EventRecord => ({
     time: new Date(options.clock.wallMs()).toISOString(), event: event.id, level: event.level, title: event.title, fields
