Keep the best estimate of a worker's clock when a response is read late

What callers saw: leases of a late holder were shorter than granted by the holder's own delay: a lease meant for 3 s lasted 1 s after a response that was read 2 s late, so runs could be lost although their worker responded.

Cause: each response replaced the sample of the worker's clock by its reading and the time at which it was processed. Both the old and the new sample give a lower bound of the clock; the new one is lower by the delay of the reading.

Ruled out: using the time at which the call was sent. That is an upper bound, with which leases could outlast their grant.

Change: the sample that gives the higher lower bound is kept. It is dropped on a restart of the worker, and when a reading is below the bound at the time its call was sent: the clock then stood still, as in a suspension of the VM. The assumed expiry of a lease is unchanged in kind: a lower bound of the clock never gives a time before the expiry.

Tests: workerLease.spec.ts. "a response that is read 2 s late does not shorten the next lease by 2 s" failed before with "lease of 1000 ms" (granted: 3000). "no lease is longer than granted, also after a restart of the worker and after its clock stood still" passes before and after; without the check of the contradicted sample it fails with "lease of 7999 ms".

Conclusion: the length of a lease no longer depends on the delay of the holder.

--- a/packages/entry/src/partition/partitionWorkerController.ts
+++ b/packages/entry/src/partition/partitionWorkerController.ts
@@ -58,7 +58,7 @@
   let isReachable = false
   let isLost = false
   let bornAtMs: number | null = null
-  /** Last reading of the worker's clock and the time at which it was received. */
+  /** Reading of the worker's clock that gives the highest lower bound now, and the time at which it was received. */
   let clockSample: { clockMs: number, receivedAtMs: number } | null = null
   let leaseUntilMs = -Infinity
   /** Whether the last lease call requested an extension. */
@@ -85,9 +85,17 @@
   const waitFor = (delayMs: number): Promise<void> => new Promise((resolve) => { clock.setTimer(delayMs, resolve) })
 
   /** Lower bound of the worker's clock: the clock may run slow, and a suspension of this process is not counted. */
-  const readWorkerClock = (): number | null => {
+  const readWorkerClock = (atMs = clock.nowMs()): number | null => {
     if (clockSample === null) return null
-    return clockSample.clockMs + (clock.nowMs() - clockSample.receivedAtMs) * (1 - MAX_CLOCK_DRIFT)
+    return clockSample.clockMs + (atMs - clockSample.receivedAtMs) * (1 - MAX_CLOCK_DRIFT)
+  }
+
+  /** A response that is read late gives a bound that is too low by its delay: the earlier sample is kept if it gives a higher one. */
+  const recordClock = (clockMs: number, sentAtMs: number): void => {
+    const nowMs = clock.nowMs()
+    // The reading was taken after the call was sent; a lower one shows that the clock stood still, as in a suspension of the worker's VM.
+    const isContradicted = clockMs < (readWorkerClock(sentAtMs) ?? Infinity)
+    if (isContradicted || clockMs >= (readWorkerClock(nowMs) ?? -Infinity)) clockSample = { clockMs, receivedAtMs: nowMs }
   }
 
   const computeLeaseExpiry = (): number | null => {
@@ -147,10 +155,11 @@
       lastReportedEnd = acknowledgedEnd = committingEnd = 0
       pendingEnds = []
       leaseUntilMs = -Infinity
+      clockSample = null
       recordWorkerLost('the worker restarted')
     }
     bornAtMs = response.bornAtMs
-    clockSample = { clockMs: response.clockMs, receivedAtMs: nowMs }
+    recordClock(response.clockMs, sentAtMs)
     failures = excusedCalls = 0
     planner.setSuspect(worker, 0)
     isLost = false
