Don't hand a partition over to an entry that has just failed to take one

What callers saw: while the platform refuses the commits of a large entry that is linked, its partition moves again and again: a small holder releases it to that entry, another takes it 600 ms later, and after 5 s names the same entry. Cause: nothing remembers a failed hand-over; the check before a hand-over looks only at the holder's own access to the table. Ruled out: a check of the successor's health over the link; an entry doesn't know that it cannot commit before it tries. Change: an incarnation that lost a term without a release, or did not take a partition released to it, is no successor of a planned hand-over for 15 s. Graceful shutdowns choose their successors as before. An entry whose reads miss a release counts the releasing entry as failed as well; that only defers a planned hand-over to it.

--- a/packages/entry/src/partition/__tests__/partitionHandover.spec.ts
+++ b/packages/entry/src/partition/__tests__/partitionHandover.spec.ts
@@ -114,6 +114,24 @@
   assert.not(row.released)
 })
 
+// Guards against repeated hand-overs to a linked entry whose commits the table refuses: each leaves the partition without a holder for 600 ms.
+test('a successor that could not take a partition over is not named again during a table outage of 9 s', async () => {
+  const cluster = createPartitionCluster()
+  const entries = await startSmallEntries(cluster, 4)
+  const large = cluster.addEntry('l0', LARGE_CORES)
+  const countHandovers = (): number => entries.flatMap((entry) => entry.events.listFields('FT805')).length
+  await cluster.clock.runFor(1000)
+  large.faults.outage = 'busy'
+  for (let passedMs = 0; passedMs < SETTLED_MS && countHandovers() === 0; passedMs += 50) await cluster.clock.runFor(50)
+  await cluster.clock.runFor(9000)
+  assert.is(countHandovers(), 1)
+  assert.match(cluster.findHolder() ?? '', /^s/)
+  large.faults.outage = null
+  await cluster.clock.runFor(15_000)
+  assert.is(countHandovers(), 2)
+  assert.is(cluster.findHolder(), 'l0')
+})
+
 test('a holder takes its partition back if it has no other peer than the named successor, and that one cannot take it', async () => {
   const cluster = createPartitionCluster()
   const [small] = await startSmallEntries(cluster, 1)
--- a/packages/entry/src/partition/constants.ts
+++ b/packages/entry/src/partition/constants.ts
@@ -85,6 +85,11 @@
 export const MIN_HANDOVER_TERM_MS = 5000
 /** Time for which an entry must have been up before a partition is handed over to it, in milliseconds. */
 export const MIN_PEER_UPTIME_MS = 5000
+/**
+ * Time for which an entry that lost a partition without a release, or did not take one released to it, is no successor of a planned
+ * hand-over, in milliseconds: longer than the outages that the platform announces.
+ */
+export const FAILED_HOLDER_PAUSE_MS = 15_000
 /** Least ratio between the capacities of the successor and the holder in a planned hand-over. */
 export const MIN_HANDOVER_CAPACITY_RATIO = 2
 
--- a/packages/entry/src/partition/partitionHandover.ts
+++ b/packages/entry/src/partition/partitionHandover.ts
@@ -12,7 +12,7 @@
   readonly clock: Clock
   /** Shortest term that ends with a hand-over, in milliseconds. */
   readonly minTermMs: number
-  readonly partitions: Pick<PartitionWatch, 'countPartitionsOf' | 'readCores' | 'readTermAgeMs' | 'readUptimeMs'>
+  readonly partitions: Pick<PartitionWatch, 'countPartitionsOf' | 'hasFailedRecently' | 'readCores' | 'readTermAgeMs' | 'readUptimeMs'>
   /** Peers with a live link that are not leaving. */
   readonly listPeers: () => readonly Peer[]
   readonly listHeld: () => readonly string[]
@@ -27,7 +27,7 @@
 
   /** A larger class alone would not do: two capacities on either side of its bound may be nearly equal. */
   const isLargerAndIdle = (peer: Peer): boolean => {
-    return partitions.readCores(peer.entry) >= MIN_HANDOVER_CAPACITY_RATIO * options.cores &&
+    return !partitions.hasFailedRecently(peer.incarnation) && partitions.readCores(peer.entry) >= MIN_HANDOVER_CAPACITY_RATIO * options.cores &&
       partitions.countPartitionsOf(peer.incarnation) === 0 && partitions.readUptimeMs(peer.incarnation) >= MIN_PEER_UPTIME_MS
   }
 
--- a/packages/entry/src/partition/partitionWatch.ts
+++ b/packages/entry/src/partition/partitionWatch.ts
@@ -2,7 +2,7 @@
 import { createDisposableStore, type Clock, type Disposable, type EventLog } from '@fuchsiatally/core'
 import type { Peer, SessionView } from '../ports.js'
 import { createSerialLoop } from '../process/serialLoop.js'
-import { LINK_LOSS_GRACE_MS, SUSPECT_WATCH_INTERVAL_MS, MAX_HEALTHY_READ_MS, HOLDER_TIMEOUT_MS, MAX_SUCCESSOR_RANK, START_SETTLE_MS, SUCCESSOR_RANK_DELAY_MS, RENEWAL_INTERVAL_MS, STUCK_HOLDER_TIMEOUT_MS, RELEASED_TIMEOUT_MS, UNLINKED_HOLDER_TIMEOUT_MS, WATCH_INTERVAL_MS, YOUNG_TERM_MS } from './constants.js'
+import { FAILED_HOLDER_PAUSE_MS, LINK_LOSS_GRACE_MS, SUSPECT_WATCH_INTERVAL_MS, MAX_HEALTHY_READ_MS, HOLDER_TIMEOUT_MS, MAX_SUCCESSOR_RANK, START_SETTLE_MS, SUCCESSOR_RANK_DELAY_MS, RENEWAL_INTERVAL_MS, STUCK_HOLDER_TIMEOUT_MS, RELEASED_TIMEOUT_MS, UNLINKED_HOLDER_TIMEOUT_MS, WATCH_INTERVAL_MS, YOUNG_TERM_MS } from './constants.js'
 import { takeoverDecided } from './events.js'
 import { CAPACITY_PART, DEFAULT_CORES, PARTITION_TABLE, CLAIMS_KEY, HOLDER_KEY, parseCapacityRow, parseEntryRow, parseHolderRow, type EntryRow, type HolderRow } from './partitionRows.js'
 import type { PartitionTable, TableRow } from './ports.js'
@@ -52,6 +52,8 @@
   readCores: (entry: string) => number
   /** Number of partitions that an incarnation holds, or was named the successor for, according to the table. */
   countPartitionsOf: (incarnation: string) => number
+  /** Whether an incarnation recently lost a partition without a release, or did not take one that was released to it. */
+  hasFailedRecently: (incarnation: string) => boolean
   /** Records the report of a holder that the table does not accept its commits. */
   recordStuck: (partition: string, epoch: number, incarnation: string) => void
   /** Reads the rows at once. */
@@ -94,12 +96,23 @@
   const vacantSinceMs = new Map<string, number>()
   /** Time at which this entry first saw that it has no link to a holder, by incarnation. */
   const unlinkedSinceMs = new Map<string, number>()
+  /** Time of the last lost term or failed hand-over, by incarnation. */
+  const failedAtMs = new Map<string, number>()
   let lastReadMs = -Infinity
   /** Whether the last read was answered within `MAX_HEALTHY_READ_MS`. */
   let isTableHealthy = false
 
+  /** Records the previous holder, or its named successor, if another entry took the partition over; a release between two reads isn't seen. */
+  const recordFailedHolder = (previous: HolderRow | null, next: HolderRow | null, nowMs: number): void => {
+    if (previous === null || next === null || next.epoch <= previous.epoch) return
+    for (const [incarnation, failedMs] of failedAtMs) if (nowMs - failedMs >= FAILED_HOLDER_PAUSE_MS) failedAtMs.delete(incarnation)
+    const expected = previous.released ? previous.successor : previous.incarnation
+    if (expected !== undefined && expected !== next.incarnation) failedAtMs.set(expected, nowMs)
+  }
+
   const recordView = (view: PartitionView, nowMs: number): void => {
     const previous = partitions.get(view.partition)
+    recordFailedHolder(previous?.view.row ?? null, view.row, nowMs)
     const termSeenAtMs = previous !== undefined && previous.view.row?.epoch === view.row?.epoch ? previous.termSeenAtMs : nowMs
     partitions.set(view.partition, { view, changedAtMs: nowMs, termSeenAtMs, timeoutStartedAtMs: nowMs, isStuck: false })
   }
@@ -278,6 +291,7 @@
     },
     readCores,
     countPartitionsOf,
+    hasFailedRecently: (incarnation) => clock.nowMs() - (failedAtMs.get(incarnation) ?? -Infinity) < FAILED_HOLDER_PAUSE_MS,
     recordStuck: (partition, epoch, incarnation) => {
       const observed = partitions.get(partition)
       if (observed?.view.row?.epoch !== epoch || observed.view.row.incarnation !== incarnation) return
