End an idle pause of the commit loop with the pause of the pacing

What callers saw: work that arrived while the pacing held the next planning round back waited up to 200 ms although the pacing allowed a round after 10 ms.

Cause: a request during the pacing delay only set a flag. The pause of the loop, computed while nothing was requested, ran to its end.

Ruled out: a new pause for each request. Requests every 10 ms would push the end of the pause back each time.

The pause is never longer than before, and the pacing itself is unchanged.

Test: partitionCommits.spec.ts, "a request during the pause of the pacing is planned when that pause ends", failed before with "rounds of 5 ms: the next one after 190 ms" (pacing: 15).

Conclusion: a request waits for the pacing, not for the idle pause.

--- a/packages/entry/src/partition/__tests__/partitionCommits.spec.ts
+++ b/packages/entry/src/partition/__tests__/partitionCommits.spec.ts
@@ -17,13 +17,14 @@
 const MAX_PLANNING_SHARE = 0.25
 const COMMIT_MS = 5
 
-/** Starts a commit loop whose planning rounds block the event loop for `roundMs`; work requests a round every 10 ms. */
-const createCommits = (roundMs: number) => {
+/** Starts a commit loop whose planning rounds block the event loop for `roundMs`. */
+const createQuietCommits = (roundMs: number) => {
   const clock = createFakeClock()
   const events = createMemoryEventLog()
   const planner = createPartitionPlanner()
   const renewedAtMs: number[] = []
   const committedJobs: { readonly job: string, readonly atMs: number }[] = []
+  const roundsAtMs: number[] = []
   let planMs = 0
   let version = 1
   const table: PartitionTable = {
@@ -53,6 +54,7 @@
     pacer: createPlanPacer(clock),
     listControllers: () => [],
     plan: () => {
+      roundsAtMs.push(clock.nowMs())
       clock.block(roundMs)
       planMs += roundMs
       return []
@@ -63,12 +65,18 @@
     onStuck: () => {},
     onDeposed: () => {}
   })
+  return { clock, planner, commits, renewedAtMs, committedJobs, roundsAtMs, readPlanMs: () => planMs }
+}
+
+/** Like `createQuietCommits`; work requests a round every 10 ms. */
+const createCommits = (roundMs: number) => {
+  const running = createQuietCommits(roundMs)
   const requestRound = (): void => {
-    commits.wake()
-    clock.setTimer(10, requestRound)
+    running.commits.wake()
+    running.clock.setTimer(10, requestRound)
   }
   requestRound()
-  return { clock, planner, renewedAtMs, committedJobs, readPlanMs: () => planMs }
+  return running
 }
 
 // Guards against planning that takes the whole event loop: lease calls waited behind rounds that followed each other at once.
@@ -105,4 +113,21 @@
   assert.ok(delayMs <= 400, `committed after ${delayMs} ms`)
 })
 
+// Guards against work that waits for the longest pause of an idle loop although the pacing would allow a round much earlier.
+test('a request during the pause of the pacing is planned when that pause ends', async () => {
+  for (const roundMs of [5, 10, 30]) {
+    const { clock, commits, roundsAtMs } = createQuietCommits(roundMs)
+    await clock.runFor(1000)
+    const rounds = roundsAtMs.length
+    while (roundsAtMs.length === rounds) await clock.runFor(1)
+    const endedAtMs = roundsAtMs.at(-1)! + roundMs
+    // The commit of the round is finished and the loop sleeps.
+    await clock.runFor(endedAtMs + COMMIT_MS + 2 - clock.nowMs())
+    commits.wake()
+    await clock.runFor(1000)
+    const pauseMs = roundsAtMs[rounds + 1]! - endedAtMs
+    assert.ok(pauseMs <= roundMs * (1 / MAX_PLANNING_SHARE - 1) + COMMIT_MS, `rounds of ${roundMs} ms: the next one after ${pauseMs} ms`)
+  }
+})
+
 test.run()
--- a/packages/entry/src/partition/partitionCommits.ts
+++ b/packages/entry/src/partition/partitionCommits.ts
@@ -202,21 +202,29 @@
   }
 
   let isStepRunning = false
+  /** Ends the current pause of the loop early. */
+  let wakeTimer: Disposable | null = null
   const loop = createSerialLoop({
     clock,
     readPauseMs,
     runStep: () => {
       isStepRunning = true
+      wakeTimer?.dispose()
+      wakeTimer = null
       currentStep = runStep().finally(() => { isStepRunning = false })
       return currentStep
     }
   })
   disposables.add(loop)
+  disposables.add({ dispose: () => wakeTimer?.dispose() })
 
   return {
     wake: () => {
       isPlanRequested = true
-      if (lastFailure === null && !isStepRunning && pacer.readDelayMs() === 0) loop.wake()
+      if (lastFailure !== null || isStepRunning || stopped) return
+      const delayMs = pacer.readDelayMs()
+      if (delayMs === 0) loop.wake()
+      else wakeTimer ??= clock.setTimer(Math.min(COMMIT_ONLY_PAUSE_MS, delayMs), () => loop.wake())
     },
     deleteStates: (jobs) => { statesToDelete.push(...jobs) },
     // A suspension stops the monotonic clock, and the wall clock may jump: the larger of the two ages is the safe bound.
