Excuse a silent worker only for failures marked as the holder's own delay

What callers saw: up to three calls to a worker that had gone silent were excused if the holder's event loop had been late for a moment during each: in the test the worker was reported after four calls instead of two. Start orders were excused by the same rule, and repeated; this is read from the code.

Cause: a call without a response was excused if the loop was late at any time since it was sent. The response timer already reads arrived responses after a late check, and marks a timeout as own delay only if the loop was late up to its last check; the controller ignored this mark.

Ruled out: keeping the monitor for failures without the mark. A timeout without it was declared after an on-time check, so the silence is the worker's; other failures are refusals, connection errors or malformed responses.

Change: the controller excuses marked failures only. `hasBeenLateSince` has no caller left and is removed. The charged holder of the tests marks a response that it leaves unread, as the production client does, and no longer replaces a failure of the worker's own by its timeout.

Test: workerLease.spec.ts, "a delay of the holder excuses only the failures that are marked as its own delay", failed before: unresponsive after 4 calls where 2 were expected. With the mark it still takes 2 + 3 excused calls.

Conclusion: lateness of the holder hides no silence of a worker.

--- a/packages/entry/src/partition/__tests__/workerLease.spec.ts
+++ b/packages/entry/src/partition/__tests__/workerLease.spec.ts
@@ -1,11 +1,11 @@
-/** Leases that a holder grants to one worker. */
+/** Leases that a holder grants to one worker, and the excuses for calls without a response. */
 import { createPartitionPlanner } from '@fuchsiatally/core'
 import { createFakeClock } from '@fuchsiatally/core/testing/fakeClock'
 import { createMemoryEventLog } from '@fuchsiatally/core/testing/memoryEventLog'
-import { ok, type Result } from 'neverthrow'
+import { err, ok, type Result } from 'neverthrow'
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
-import { MAX_CLOCK_DRIFT, MAX_GRANTED_LEASE_MS } from '../constants.js'
+import { MAX_CLOCK_DRIFT, MAX_EXCUSED_CALLS, MAX_GRANTED_LEASE_MS } from '../constants.js'
 import { createHolderLoad } from '../holderLoad.js'
 import { createPartitionWorkerController } from '../partitionWorkerController.js'
 import type { CallFailure, LeaseResponse } from '../ports.js'
@@ -90,4 +90,27 @@
   assert.ok(longestMs <= MAX_GRANTED_LEASE_MS, `lease of ${longestMs} ms`)
 })
 
+/** Answers no call after the first second, while the event loop is late by 200 ms in each; returns the calls until the worker counts as unresponsive. */
+const countCallsUntilUnresponsive = async (failure: CallFailure): Promise<number> => {
+  let isSilent = false
+  let calls = 0
+  const { clock, events, controller } = startController((response) => {
+    if (!isSilent) return ok(response)
+    calls++
+    clock.block(200)
+    return err(failure)
+  })
+  await clock.runFor(1000)
+  isSilent = true
+  for (let step = 0; step < 1000 && events.listFields('FT811').length === 0; step++) await clock.runFor(10)
+  controller.dispose()
+  return calls
+}
+
+// Guards against a silent worker that is excused because the holder's event loop was late for a moment during the call.
+test('a delay of the holder excuses only the failures that are marked as its own delay', async () => {
+  assert.is(await countCallsUntilUnresponsive({ kind: 'unknown', message: 'no response' }), 2)
+  assert.is(await countCallsUntilUnresponsive({ kind: 'unknown', message: 'no response', isOwnDelay: true }), 2 + MAX_EXCUSED_CALLS)
+})
+
 test.run()
--- a/packages/entry/src/partition/holderLoad.ts
+++ b/packages/entry/src/partition/holderLoad.ts
@@ -26,8 +26,6 @@
 export interface HolderLoad extends Disposable {
   /** Runs a synchronous part of the work and adds its duration. */
   measurePart: <T>(part: LoadPart, run: () => T) => T
-  /** Whether the event loop was late at a monotonic time or after it. */
-  hasBeenLateSince: (sinceMs: number) => boolean
   /** Whether the event loop was late within the last `LATE_MEMORY_MS`. */
   isLate: () => boolean
 }
@@ -77,10 +75,10 @@
     if (nowMs - probeDueAtMs >= LATE_LOOP_MS) lateAtMs = nowMs
   }
 
-  const hasBeenLateSince = (sinceMs: number): boolean => {
+  const isLate = (): boolean => {
     // The probe itself may be overdue.
     checkLateness(clock.nowMs())
-    return lateAtMs >= sinceMs
+    return lateAtMs >= clock.nowMs() - LATE_MEMORY_MS
   }
 
   const scheduleProbe = (): void => {
@@ -110,8 +108,7 @@
         }
       }
     },
-    hasBeenLateSince,
-    isLate: () => hasBeenLateSince(clock.nowMs() - LATE_MEMORY_MS),
+    isLate,
     dispose: () => timer.dispose()
   }
 }
--- a/packages/entry/src/partition/partitionWorkerController.ts
+++ b/packages/entry/src/partition/partitionWorkerController.ts
@@ -7,7 +7,7 @@
 import { runEnded, runRefused, runStopping, orderInDoubt, workerReachable, workerLost, workerUnresponsive } from './events.js'
 import type { HolderLoad } from './holderLoad.js'
 import { formatRun } from './formatRun.js'
-import type { CallFailure, PartitionWorkerClient, LeaseResponse } from './ports.js'
+import type { PartitionWorkerClient, LeaseResponse } from './ports.js'
 import type { StartWindow } from './startWindow.js'
 import { failProcess } from '../process/failProcess.js'
 
@@ -110,9 +110,6 @@
     options.onDeposed()
   }
 
-  /** Whether a call may lack a response only because this process was late: the response may have arrived unread. */
-  const isOwnDelay = (failure: CallFailure, sentAtMs: number): boolean => failure.kind === 'unknown' && options.load.hasBeenLateSince(sentAtMs)
-
   const setSuspect = (): void => planner.setSuspect(worker, clock.nowMs() + SUSPECT_PAUSE_MS)
 
   const recordMissedRenewal = (reason: string): void => {
@@ -192,7 +189,7 @@
     const waitMs = isReachable && failures === 0 && excusedCalls === 0 && pendingEnds.length === 0 ? longestMs : 0
     const result = await client.renewLease({ epoch, acknowledgedEnd, leaseUntilMs: lease, waitMs })
     if (disposed) return
-    if (result.isErr() && isOwnDelay(result.error, sentAtMs) && excusedCalls < MAX_EXCUSED_CALLS) {
+    if (result.isErr() && result.error.isOwnDelay === true && excusedCalls < MAX_EXCUSED_CALLS) {
       excusedCalls++
       return
     }
@@ -243,7 +240,7 @@
       if (attempt === 0) startWindow.releaseSlot()
       if (disposed) return
       if (result.isErr()) {
-        if (isOwnDelay(result.error, sentAtMs) && excusedAttempts < MAX_EXCUSED_CALLS) {
+        if (result.error.isOwnDelay === true && excusedAttempts < MAX_EXCUSED_CALLS) {
           excusedAttempts++
           timeouts.push(timeoutMs)
         } else setSuspect()
--- a/packages/entry/src/testing/chargedHolder.ts
+++ b/packages/entry/src/testing/chargedHolder.ts
@@ -35,7 +35,8 @@
     const sentAtMs = clock.nowMs()
     clock.block(costMs)
     const result = await call()
-    return clock.nowMs() - sentAtMs <= timeoutMs ? result : err({ kind: 'unknown', message: `no response in ${timeoutMs} ms` })
+    const isUnread = result.isOk() && clock.nowMs() - sentAtMs > timeoutMs
+    return isUnread ? err({ kind: 'unknown', message: `no response in ${timeoutMs} ms`, isOwnDelay: true }) : result
   }
   return {
     renewLease: (request) => callCharged(() => client.renewLease(request), costs.leaseMs, request.waitMs + LEASE_TIMEOUT_MARGIN_MS),
