Count a term as confirmed from when its takeover was sent

What callers saw: nothing yet; found by a review. A process that is paused while its takeover commit is answered reads the response late, and could then extend leases beyond what its successor assumes. Cause: until its first applied commit, a term counted as confirmed from its construction, not from when the takeover was sent. Ruled out: the monotonic clock alone; a suspension stops it. Change: the view of a holder row carries the time, by both clocks, at which the takeover commit, or the read that showed the row, was sent; the term counts from it. The response to a takeover that is older than the timeout of a holder is dropped; the next read shows who holds the partition.

--- a/packages/entry/src/partition/__tests__/partitionCommits.spec.ts
+++ b/packages/entry/src/partition/__tests__/partitionCommits.spec.ts
@@ -18,7 +18,7 @@
 const COMMIT_MS = 5
 
 /** Starts a commit loop whose planning rounds block the event loop for `roundMs`; work requests a round every 10 ms. */
-const createCommits = (roundMs: number) => {
+const createCommits = (roundMs: number, confirmedAgeMs = 0) => {
   const clock = createFakeClock()
   const events = createMemoryEventLog()
   const planner = createPartitionPlanner()
@@ -43,6 +43,7 @@
     partition: SERVICE,
     row: { entry: 'a', incarnation: 'a-1', epoch: 1, released: false, renewals: 0, waiting: [] },
     version,
+    confirmedAt: { nowMs: clock.nowMs(), wallMs: clock.wallMs() - confirmedAgeMs },
     table,
     planner,
     clock,
@@ -68,7 +69,7 @@
     clock.setTimer(10, requestRound)
   }
   requestRound()
-  return { clock, planner, renewedAtMs, committedJobs, readPlanMs: () => planMs }
+  return { clock, planner, renewedAtMs, committedJobs, readPlanMs: () => planMs, readConfirmedAgeMs: commits.readConfirmedAgeMs }
 }
 
 // Guards against planning that takes the whole event loop: lease calls waited behind rounds that followed each other at once.
@@ -105,4 +106,12 @@
   assert.ok(delayMs <= 400, `committed after ${delayMs} ms`)
 })
 
+// Guards against leases that a holder extends beyond what its successor assumes, because the process was paused between its takeover and its term.
+test('until its first applied commit a term counts as confirmed when its takeover was sent', async () => {
+  const { clock, readConfirmedAgeMs } = createCommits(0, 5000)
+  assert.is(readConfirmedAgeMs(), 5000)
+  await clock.runFor(2 * COMMIT_MS)
+  assert.ok(readConfirmedAgeMs() <= 2 * COMMIT_MS)
+})
+
 test.run()
--- /dev/null
+++ b/packages/entry/src/partition/__tests__/partitionWatch.spec.ts
@@ -0,0 +1,77 @@
+/** Takeover decisions of one entry against a table whose rows and responses the test controls. */
+import { createFakeClock } from '@fuchsiatally/core/testing/fakeClock'
+import { createMemoryEventLog } from '@fuchsiatally/core/testing/memoryEventLog'
+import { test } from 'uvu'
+import * as assert from 'uvu/assert'
+import { createPartitionTableModel } from '../../testing/partitionTableModel.js'
+import type { Peer } from '../../ports.js'
+import { HOLDER_TIMEOUT_MS } from '../constants.js'
+import { createPartitionWatch, type PartitionView } from '../partitionWatch.js'
+import { HOLDER_KEY, PARTITION_TABLE } from '../partitionRows.js'
+
+const PARTITION = 'pages'
+
+/** Starts the watch of entry `a`; each of its commits suspends the process for `suspensionMs`, which stops its monotonic clock. */
+const createWatch = (suspensionMs = 0) => {
+  const fakeClock = createFakeClock()
+  let suspendedMs = 0
+  const clock = { ...fakeClock, wallMs: () => fakeClock.wallMs() + suspendedMs }
+  const model = createPartitionTableModel({ clock: fakeClock })
+  const events = createMemoryEventLog()
+  const views: PartitionView[] = []
+  const commitWallMs: number[] = []
+  const peers: Peer[] = []
+  const { table } = model.createClient()
+  /** Writes the holder row as another entry does. */
+  const storeRow = async (row: unknown): Promise<void> => {
+    const stored = model.createClient().table.commit({
+      part: PARTITION, checks: [], writes: [{ table: PARTITION_TABLE, key: HOLDER_KEY, value: JSON.stringify(row) }], deletes: []
+    })
+    await fakeClock.runFor(10)
+    await stored
+  }
+  const startWatch = () => createPartitionWatch({
+    self: { entry: 'a', incarnation: 'a-1', failureDomain: 'a' },
+    cores: 1,
+    table: {
+      ...table,
+      commit: async (transaction) => {
+        commitWallMs.push(clock.wallMs())
+        const result = await table.commit(transaction)
+        suspendedMs += suspensionMs
+        return result
+      }
+    },
+    clock,
+    events,
+    listPartitions: () => [PARTITION],
+    listPeers: () => peers,
+    countHeld: () => 0,
+    mayTakeOver: () => true,
+    onHolder: (view) => { views.push(view) }
+  })
+  return { clock: fakeClock, events, views, commitWallMs, peers, storeRow, startWatch }
+}
+
+// Guards against leases that a paused entry extends beyond what its successor assumes, because its term counts from the late response.
+test('a takeover is confirmed from the time at which its commit was sent', async () => {
+  const { clock, views, commitWallMs, startWatch } = createWatch(HOLDER_TIMEOUT_MS - 100)
+  const watch = startWatch()
+  await clock.runFor(2000)
+  assert.is(views[0]?.row?.incarnation, 'a-1')
+  assert.is(views[0]?.confirmedAt.wallMs, commitWallMs[0])
+  watch.dispose()
+})
+
+// Guards against a term that starts although another entry may have taken the partition over during the pause.
+test('the response to a takeover that is older than the timeout of a holder is dropped, and the next read shows the holder', async () => {
+  const { clock, views, commitWallMs, startWatch } = createWatch(HOLDER_TIMEOUT_MS + 100)
+  const watch = startWatch()
+  await clock.runFor(2000)
+  assert.is(commitWallMs.length, 1)
+  assert.is(views[0]?.row?.incarnation, 'a-1')
+  assert.ok(views[0]!.confirmedAt.wallMs > commitWallMs[0]! + HOLDER_TIMEOUT_MS, 'not confirmed by a later read')
+  watch.dispose()
+})
+
+test.run()
--- a/packages/entry/src/partition/partitionCommits.ts
+++ b/packages/entry/src/partition/partitionCommits.ts
@@ -7,7 +7,7 @@
 import { formatRun } from './formatRun.js'
 import type { PlanPacer } from './planPacer.js'
 import { PARTITION_TABLE, HOLDER_KEY, parseHolderRow, STATE_TABLE, type HolderRow } from './partitionRows.js'
-import type { PartitionTable, TableTransaction } from './ports.js'
+import type { ClockReading, PartitionTable, TableTransaction } from './ports.js'
 import type { PartitionWorkerController } from './partitionWorkerController.js'
 
 export interface PartitionCommitsOptions {
@@ -15,6 +15,8 @@
   readonly row: HolderRow
   /** Version of the holder row. */
   readonly version: number
+  /** Time at which the takeover, or the read that found the holder row, was sent. */
+  readonly confirmedAt: ClockReading
   readonly table: PartitionTable
   readonly planner: PartitionPlanner
   readonly clock: Clock
@@ -60,7 +62,7 @@
   let renewals = options.row.renewals
   let mustRenew = true
   let renewedAtMs = -Infinity
-  let confirmedAt = { nowMs: clock.nowMs(), wallMs: clock.wallMs() }
+  let { confirmedAt } = options
   let pendingStarts: StartOrder[] = []
   let statesToDelete: string[] = []
   let isPlanRequested = false
--- a/packages/entry/src/partition/partitionEntry.ts
+++ b/packages/entry/src/partition/partitionEntry.ts
@@ -85,7 +85,7 @@
   }
 
   const startTerm = (view: PartitionView): void => {
-    const { partition, row, version } = view
+    const { partition, row, version, confirmedAt } = view
     if (row === null) return
     events.record(partitionAcquired, { cell: partition, epoch: row.epoch })
     // Peers that know the new holder push the jobs that they accept to it.
@@ -96,6 +96,7 @@
       partition,
       row,
       version,
+      confirmedAt,
       advice,
       readConfig: config.readConfig,
       onDeposed: () => recordLost(partition, row.epoch, 'termEnded'),
--- a/packages/entry/src/partition/partitionTerm.ts
+++ b/packages/entry/src/partition/partitionTerm.ts
@@ -13,7 +13,7 @@
 import { createHolderLoad } from './holderLoad.js'
 import { createJobCleanup } from './jobCleanup.js'
 import { jobEnded, partitionReleased, workerLost, workerLeaving } from './events.js'
-import type { PartitionBounds, PartitionTable, PartitionWorkerClient, ListedWorker, PlatformRows } from './ports.js'
+import type { ClockReading, PartitionBounds, PartitionTable, PartitionWorkerClient, ListedWorker, PlatformRows } from './ports.js'
 import { createPartitionWorkerController, type PartitionWorkerController } from './partitionWorkerController.js'
 import { createPlanPacer } from './planPacer.js'
 import { createStartWindow } from './startWindow.js'
@@ -24,6 +24,8 @@
   readonly partition: string
   readonly row: HolderRow
   readonly version: number
+  /** Time from which the term counts as confirmed. */
+  readonly confirmedAt: ClockReading
   readonly table: PartitionTable
   readonly rows: PlatformRows
   readonly bounds: PartitionBounds
@@ -199,6 +201,7 @@
     partition,
     row,
     version: options.version,
+    confirmedAt: options.confirmedAt,
     table: options.table,
     planner,
     clock,
--- a/packages/entry/src/partition/partitionWatch.ts
+++ b/packages/entry/src/partition/partitionWatch.ts
@@ -5,7 +5,7 @@
 import { FAILED_HOLDER_PAUSE_MS, LINK_LOSS_GRACE_MS, SUSPECT_WATCH_INTERVAL_MS, MAX_HEALTHY_READ_MS, HOLDER_TIMEOUT_MS, MAX_SUCCESSOR_RANK, START_SETTLE_MS, SUCCESSOR_RANK_DELAY_MS, RENEWAL_INTERVAL_MS, STUCK_HOLDER_TIMEOUT_MS, RELEASED_TIMEOUT_MS, UNLINKED_HOLDER_TIMEOUT_MS, WATCH_INTERVAL_MS, YOUNG_TERM_MS } from './constants.js'
 import { takeoverDecided } from './events.js'
 import { CAPACITY_PART, DEFAULT_CORES, PARTITION_TABLE, CLAIMS_KEY, HOLDER_KEY, parseCapacityRow, parseEntryRow, parseHolderRow, type EntryRow, type HolderRow } from './partitionRows.js'
-import type { PartitionTable, TableRow } from './ports.js'
+import type { ClockReading, PartitionTable, TableRow } from './ports.js'
 import { computeSuccessorRank, hasLargerCandidate, type Candidate } from './rendezvousRank.js'
 import { createTableFeed } from './tableFeed.js'
 
@@ -15,6 +15,8 @@
   readonly row: HolderRow | null
   /** Version of the holder row; 0 if there is none. */
   readonly version: number
+  /** Time at which the takeover commit or the read that showed the row was sent. */
+  readonly confirmedAt: ClockReading
 }
 
 export interface PartitionWatchOptions {
@@ -98,6 +100,9 @@
   const unlinkedSinceMs = new Map<string, number>()
   /** Time of the last lost term or failed hand-over, by incarnation. */
   const failedAtMs = new Map<string, number>()
+  const readClocks = (): ClockReading => ({ nowMs: clock.nowMs(), wallMs: clock.wallMs() })
+  /** Time at which the last read was sent. */
+  let readSentAt = readClocks()
   let lastReadMs = -Infinity
   /** Whether the last read was answered within `MAX_HEALTHY_READ_MS`. */
   let isTableHealthy = false
@@ -133,7 +138,7 @@
     }
     if (row.key !== HOLDER_KEY) return
     const holder = row.deleted ? null : parseHolderRow(row, events)
-    const view = { partition: row.part, row: holder, version: row.deleted ? 0 : row.version }
+    const view = { partition: row.part, row: holder, version: row.deleted ? 0 : row.version, confirmedAt: readSentAt }
     vacantSinceMs.delete(row.part)
     recordView(view, nowMs)
     options.onHolder(view)
@@ -168,6 +173,7 @@
       renewalAgeMs: observed === undefined ? null : Math.round(clock.nowMs() - observed.changedAtMs),
       termAgeMs: observed === undefined ? null : Math.round(clock.nowMs() - observed.termSeenAtMs)
     })
+    const confirmedAt = readClocks()
     const result = await table.commit({
       part: partition,
       checks: [{ table: PARTITION_TABLE, key: HOLDER_KEY, version: observed?.view.version ?? 0 }],
@@ -176,7 +182,9 @@
     })
     // After a lost response or a conflict, the next read shows the holder.
     if (result.isErr() || result.value.kind === 'conflict') return
-    const view = { partition, row, version: result.value.version }
+    // After a pause of this process, another entry may hold the partition by now.
+    if (Math.max(clock.nowMs() - confirmedAt.nowMs, clock.wallMs() - confirmedAt.wallMs) > HOLDER_TIMEOUT_MS) return
+    const view = { partition, row, version: result.value.version, confirmedAt }
     recordView(view, clock.nowMs())
     options.onHolder(view)
   }
@@ -258,7 +266,8 @@
   }
 
   const runStep = async (): Promise<void> => {
-    const sentAtMs = clock.nowMs()
+    readSentAt = readClocks()
+    const sentAtMs = readSentAt.nowMs
     if (!await feed.readUpdates(0)) return
     // After a gap between reads, in which renewals were not observed, the timeout of every holder starts over.
     if (sentAtMs - lastReadMs > HOLDER_TIMEOUT_MS / 2) for (const observed of partitions.values()) observed.timeoutStartedAtMs = clock.nowMs()
--- a/packages/entry/src/partition/ports.ts
+++ b/packages/entry/src/partition/ports.ts
@@ -133,6 +133,12 @@
   decodeConfig: (row: TableRow) => ClusterConfig | null
 }
 
+/** Reading of both clocks: a suspension stops the monotonic clock, and the wall clock may jump. */
+export interface ClockReading {
+  readonly nowMs: number
+  readonly wallMs: number
+}
+
 /** Time bounds stated by the platform. */
 export interface PartitionBounds {
   /** Longest lease that a worker accepts, in milliseconds. */
