Don't take a partition over whose holder row cannot be decoded

What callers saw: nothing yet; found by a review. After a change of the holder row's schema, an entry of the earlier version takes a held partition with epoch 1, below the fence of its workers. Cause: a row that can't be decoded (unknown fields are rejected) was read as "no holder". Change: such a row names an unknown holder; this entry doesn't take the partition over until it reads a row that it can decode. FT854 is logged as before. If nobody can decode the row, the partition stays with no holder until the row is replaced. The new test failed before: one takeover commit instead of none. After: 3 of 3 of the spec. Specs of partition and telemetry: 94 passed, 0 failed; takeoverTimes.spec unchanged.

--- a/packages/entry/src/partition/__tests__/partitionWatch.spec.ts
+++ b/packages/entry/src/partition/__tests__/partitionWatch.spec.ts
@@ -10,6 +10,8 @@
 import { HOLDER_KEY, PARTITION_TABLE } from '../partitionRows.js'
 
 const PARTITION = 'pages'
+/** Longer than every timeout of a holder and the delays of all ranks of successors, in milliseconds. */
+const SETTLED_MS = 5000
 
 /** Starts the watch of entry `a`; each of its commits suspends the process for `suspensionMs`, which stops its monotonic clock. */
 const createWatch = (suspensionMs = 0) => {
@@ -74,4 +76,20 @@
   watch.dispose()
 })
 
+// Guards against a partition that is taken with epoch 1, which its workers refuse, because a later version wrote the holder row.
+test('a partition whose holder row cannot be decoded is not taken over', async () => {
+  const { clock, events, views, commitWallMs, storeRow, startWatch } = createWatch()
+  const row = { entry: 'b', incarnation: 'b-1', epoch: 7, released: false, renewals: 0, waiting: [] }
+  await storeRow({ ...row, unknownField: 1 })
+  const watch = startWatch()
+  await clock.runFor(SETTLED_MS)
+  assert.equal(commitWallMs, [])
+  assert.ok(events.listFields('FT854').length > 0)
+  await storeRow(row)
+  await clock.runFor(SETTLED_MS)
+  assert.is(views.at(-1)?.row?.incarnation, 'a-1')
+  assert.is(views.at(-1)?.row?.epoch, 8)
+  watch.dispose()
+})
+
 test.run()
--- a/packages/entry/src/partition/partitionWatch.ts
+++ b/packages/entry/src/partition/partitionWatch.ts
@@ -12,6 +12,7 @@
 /** Holder of a partition as stored in the table. */
 export interface PartitionView {
   readonly partition: string
+  /** `null` if there is none (version 0) or it can't be decoded. */
   readonly row: HolderRow | null
   /** Version of the holder row; 0 if there is none. */
   readonly version: number
@@ -255,6 +256,8 @@
   /** Decides whether this entry takes a partition over now; `null` if not. */
   const decideTakeover = (partition: string, observed: ObservedPartition | undefined, nowMs: number): Takeover | null => {
     const row = observed?.view.row ?? null
+    // A row that can't be decoded names a holder of unknown epoch.
+    if (observed !== undefined && row === null && observed.view.version > 0) return null
     if (row !== null && !row.released && row.incarnation === self.incarnation) return null
     const rank = computeOwnRank(partition, row)
     const waitMs = rank * SUCCESSOR_RANK_DELAY_MS
