--- a/packages/entry/src/partition/__tests__/partitionCommits.spec.ts
+++ b/packages/entry/src/partition/__tests__/partitionCommits.spec.ts
@@ -18,7 +18,7 @@
 const COMMIT_MS = 5
 
 /** Starts a commit loop whose planning rounds block the event loop for `roundMs`. */
-const createQuietCommits = (roundMs: number) => {
+const createQuietCommits = (roundMs: number, confirmedAgeMs = 0) => {
   const clock = createFakeClock()
   const events = createMemoryEventLog()
   const planner = createPartitionPlanner()
@@ -44,6 +44,7 @@
     partition: SERVICE,
     row: { entry: 'a', incarnation: 'a-1', epoch: 1, released: false, renewals: 0, waiting: [] },
     version,
+    confirmedAt: { nowMs: clock.nowMs(), wallMs: clock.wallMs() - confirmedAgeMs },
     table,
     planner,
     clock,
@@ -65,12 +66,12 @@
     onStuck: () => {},
     onDeposed: () => {}
   })
-  return { clock, planner, commits, renewedAtMs, committedJobs, roundsAtMs, readPlanMs: () => planMs }
+  return { clock, planner, commits, renewedAtMs, committedJobs, roundsAtMs, readPlanMs: () => planMs, readConfirmedAgeMs: commits.readConfirmedAgeMs }
 }
 
 /** Like `createQuietCommits`; work requests a round every 10 ms. */
-const createCommits = (roundMs: number) => {
-  const running = createQuietCommits(roundMs)
+const createCommits = (roundMs: number, confirmedAgeMs = 0) => {
+  const running = createQuietCommits(roundMs, confirmedAgeMs)
   const requestRound = (): void => {
     running.commits.wake()
     running.clock.setTimer(10, requestRound)
@@ -130,4 +131,12 @@
   }
 })
 
+// Guards against leases that a holder extends beyond what its successor assumes, because the process was paused between its takeover and its term.
+test('until its first applied commit a term counts as confirmed when its takeover was sent', async () => {
+  const { clock, readConfirmedAgeMs } = createCommits(0, 5000)
+  assert.is(readConfirmedAgeMs(), 5000)
+  await clock.runFor(2 * COMMIT_MS)
+  assert.ok(readConfirmedAgeMs() <= 2 * COMMIT_MS)
+})
+
 test.run()
