One monitor of the event loop's delay for terms and stuck reports

Whether this process was late lately was told by two monitors with thresholds of 150 and 100 ms. The term now asks the entry's monitor; the measurement of a holder's load only measures. Longer leases begin at a delay of 100 ms instead of 150.

--- a/packages/entry/src/partition/constants.ts
+++ b/packages/entry/src/partition/constants.ts
@@ -128,10 +128,8 @@
 /** Most bytes of values in one commit; the table accepts one megabyte, encoded. */
 export const MAX_COMMIT_BYTES = 500_000
 
-/** Delay of the event loop from which this process counts as late, in milliseconds: a missing response then says nothing about its worker. */
-export const LATE_LOOP_MS = 150
-/** Time for which the process counts as late after such a delay, in milliseconds; the longest wait of a lease call and its timeout. */
-export const LATE_MEMORY_MS = 1700
+/** Time after a late event loop in which a holder grants longer leases, in milliseconds; the longest wait of a lease call and its timeout. */
+export const LATE_LEASE_MEMORY_MS = 1700
 /** Consecutive calls to a worker without a response that are attributed to the delay of this process; more count as the worker's failure. */
 export const MAX_EXCUSED_CALLS = 3
 /** Longest lease that a late holder grants, in milliseconds, if workers accept it and the holder was confirmed recently. */
@@ -143,7 +141,7 @@
 /** Delay of the event loop above which timers may run before responses that have arrived are read, in milliseconds; below the shortest timeout of a call. */
 export const MAX_LOOP_DELAY_MS = 100
 /** Time after such a delay in which a holder doesn't report that it is stuck, in milliseconds: two failed commits and their retries. */
-export const LATE_LOOP_MEMORY_MS = 1000
+export const STUCK_REPORT_MEMORY_MS = 1000
 
 /** Pause between two attempts of a write, in milliseconds. */
 export const WRITE_RETRY_MS = 100
--- a/packages/entry/src/partition/holderLoad.ts
+++ b/packages/entry/src/partition/holderLoad.ts
@@ -1,6 +1,6 @@
 /** Measures the load of a partition's holder: processor time by part of its work, delay of the event loop, and backlog. */
 import type { Clock, Disposable, EventLog } from '@fuchsiatally/core'
-import { LATE_LOOP_MS, LATE_MEMORY_MS, LOAD_REPORT_INTERVAL_MS, LOOP_PROBE_INTERVAL_MS } from './constants.js'
+import { LOAD_REPORT_INTERVAL_MS, LOOP_PROBE_INTERVAL_MS } from './constants.js'
 import { holderLoadMeasured } from './events.js'
 
 /** `plan`: planning rounds; `encode`: rows of changed jobs; `report`: workers' reports. */
@@ -26,8 +26,6 @@
 export interface HolderLoad extends Disposable {
   /** Runs a synchronous part of the work and adds its duration. */
   measurePart: <T>(part: LoadPart, run: () => T) => T
-  /** Whether the event loop was late within the last `LATE_MEMORY_MS`. */
-  isLate: () => boolean
 }
 
 interface PartTotals {
@@ -44,9 +42,6 @@
   let totals = createTotals()
   let longestLoopDelayMs = 0
   let reportedAtMs = clock.nowMs()
-  /** Time of the last probe, or of a query, that found the event loop late. */
-  let lateAtMs = -Infinity
-  let probeDueAtMs = 0
   let timer: Disposable
 
   const recordTotals = (nowMs: number): void => {
@@ -71,22 +66,11 @@
     reportedAtMs = nowMs
   }
 
-  const checkLateness = (nowMs: number): void => {
-    if (nowMs - probeDueAtMs >= LATE_LOOP_MS) lateAtMs = nowMs
-  }
-
-  const isLate = (): boolean => {
-    // The probe itself may be overdue.
-    checkLateness(clock.nowMs())
-    return lateAtMs >= clock.nowMs() - LATE_MEMORY_MS
-  }
-
   const scheduleProbe = (): void => {
-    probeDueAtMs = clock.nowMs() + LOOP_PROBE_INTERVAL_MS
+    const dueAtMs = clock.nowMs() + LOOP_PROBE_INTERVAL_MS
     timer = clock.setTimer(LOOP_PROBE_INTERVAL_MS, () => {
       const nowMs = clock.nowMs()
-      longestLoopDelayMs = Math.max(longestLoopDelayMs, nowMs - probeDueAtMs)
-      checkLateness(nowMs)
+      longestLoopDelayMs = Math.max(longestLoopDelayMs, nowMs - dueAtMs)
       if (nowMs - reportedAtMs >= LOAD_REPORT_INTERVAL_MS) recordTotals(nowMs)
       scheduleProbe()
     })
@@ -108,7 +92,6 @@
         }
       }
     },
-    isLate,
     dispose: () => timer.dispose()
   }
 }
--- a/packages/entry/src/partition/loopMonitor.ts
+++ b/packages/entry/src/partition/loopMonitor.ts
@@ -1,10 +1,11 @@
 /** Tells whether the event loop of this process was blocked lately, so that its own timeouts say nothing about others. */
 import type { Clock, Disposable } from '@fuchsiatally/core'
-import { LATE_LOOP_MEMORY_MS, LOOP_PROBE_INTERVAL_MS, MAX_LOOP_DELAY_MS } from './constants.js'
+import { LOOP_PROBE_INTERVAL_MS, MAX_LOOP_DELAY_MS } from './constants.js'
 
 /** Monitor of the event loop. */
 export interface LoopMonitor extends Disposable {
-  isLate: () => boolean
+  /** Whether the event loop was late within the last `memoryMs`. */
+  isLate: (memoryMs: number) => boolean
 }
 
 /** Starts the monitor. */
@@ -27,10 +28,10 @@
   scheduleProbe()
 
   return {
-    isLate: () => {
+    isLate: (memoryMs) => {
       // Other timers may run before an overdue probe.
       recordDelay()
-      return clock.nowMs() - lateAtMs <= LATE_LOOP_MEMORY_MS
+      return clock.nowMs() - lateAtMs <= memoryMs
     },
     dispose: () => timer.dispose()
   }
--- a/packages/entry/src/partition/partitionEntry.ts
+++ b/packages/entry/src/partition/partitionEntry.ts
@@ -11,7 +11,7 @@
 import { CAPACITY_PART, PARTITION_TABLE, type CapacityRow, type EntryRow } from './partitionRows.js'
 import { createJobApi, type JobApi } from './jobApi.js'
 import type { AdviceClient, PartitionBounds, PartitionTable, PartitionWorkerClient, ListedWorker, PlatformRows } from './ports.js'
-import { MIN_HANDOVER_TERM_MS, WRITE_RETRY_MS } from './constants.js'
+import { MIN_HANDOVER_TERM_MS, STUCK_REPORT_MEMORY_MS, WRITE_RETRY_MS } from './constants.js'
 import { computeCapacityClass } from './rendezvousRank.js'
 import { createMonitoredTable } from './tableHealth.js'
 import { failProcess } from '../process/failProcess.js'
@@ -80,7 +80,7 @@
       reason,
       holder: partitions.readPartition(partition)?.row?.entry ?? null,
       renewalAgeMs: Math.round(partitions.readPartitionAgeMs(partition)),
-      loopLate: loop.isLate()
+      loopLate: loop.isLate(STUCK_REPORT_MEMORY_MS)
     })
   }
 
@@ -98,10 +98,11 @@
       version,
       confirmedAt,
       advice,
+      loop,
       readConfig: config.readConfig,
       onDeposed: () => recordLost(partition, row.epoch, 'termEnded'),
       onStuck: () => {
-        if (!loop.isLate()) mesh.broadcastMessage({ type: 'cellStuck', cell: partition, epoch: row.epoch })
+        if (!loop.isLate(STUCK_REPORT_MEMORY_MS)) mesh.broadcastMessage({ type: 'cellStuck', cell: partition, epoch: row.epoch })
       }
     }))
   }
--- a/packages/entry/src/partition/partitionTerm.ts
+++ b/packages/entry/src/partition/partitionTerm.ts
@@ -6,11 +6,12 @@
 import type { AdviceRouter } from './adviceRouter.js'
 import { createCeilingClaims } from './ceilingClaims.js'
 import { createPartitionCommits } from './partitionCommits.js'
-import { MAX_STARTS_IN_FLIGHT, MAX_UNCONFIRMED_EXTENSION_MS } from './constants.js'
+import { LATE_LEASE_MEMORY_MS, MAX_STARTS_IN_FLIGHT, MAX_UNCONFIRMED_EXTENSION_MS } from './constants.js'
 import { computeLateLeaseMs, computeLeaseMs, computePriorLeaseBoundMs } from './leaseBounds.js'
 import { createPartitionJobs } from './partitionJobs.js'
 import type { HolderRow } from './partitionRows.js'
 import { createHolderLoad } from './holderLoad.js'
+import type { LoopMonitor } from './loopMonitor.js'
 import { createJobCleanup } from './jobCleanup.js'
 import { jobEnded, partitionReleased, workerLost, workerLeaving } from './events.js'
 import type { ClockReading, PartitionBounds, PartitionTable, PartitionWorkerClient, ListedWorker, PlatformRows } from './ports.js'
@@ -30,6 +31,8 @@
   readonly rows: PlatformRows
   readonly bounds: PartitionBounds
   readonly clock: Clock
+  /** Event loop of this process. */
+  readonly loop: LoopMonitor
   readonly events: EventLog
   readonly advice: AdviceRouter
   readonly readConfig: () => ClusterConfig | null
@@ -87,7 +90,7 @@
   const computeGrantMs = (): number | null => {
     const confirmedAgeMs = commits.readConfirmedAgeMs()
     if (confirmedAgeMs >= MAX_UNCONFIRMED_EXTENSION_MS) return null
-    return load.isLate() ? computeLateLeaseMs(options.bounds.maxLeaseMs, confirmedAgeMs) : computeLeaseMs(options.bounds.maxLeaseMs)
+    return options.loop.isLate(LATE_LEASE_MEMORY_MS) ? computeLateLeaseMs(options.bounds.maxLeaseMs, confirmedAgeMs) : computeLeaseMs(options.bounds.maxLeaseMs)
   }
 
   const addWorker = (listing: ListedWorker): void => {
