--- a/packages/entry/src/partition/__tests__/holderOverload.spec.ts
+++ b/packages/entry/src/partition/__tests__/holderOverload.spec.ts
@@ -67,6 +67,13 @@
   return { cluster, entry, jobs, burstEndMs }
 }
 
+/** Time from the submission until all tasks have started, in milliseconds; infinite if one has not. */
+function computeStartWaitMs (cluster: PartitionCluster, job: SubmittedJob): number {
+  const startedAtMs = new Map<number, number>()
+  for (const run of cluster.started) if (run.job === job.id && !startedAtMs.has(run.index)) startedAtMs.set(run.index, run.startedAtMs)
+  return startedAtMs.size < job.tasks ? Infinity : Math.max(...startedAtMs.values()) - job.submittedAtMs
+}
+
 // Guards against LOST: leases of running tasks lapsed because the holder was busy planning and took its delay for silent workers.
 test('no lease lapses while a burst overloads the holder', async () => {
   for (const maxLeaseMs of [3000, 6000]) {
@@ -157,4 +164,16 @@
   checkNoConcurrentRuns(cluster)
 })
 
+// Guards against SHORT: an overload that feeds itself, so that no task starts in time long after the burst has passed.
+test('urgent tasks start in time again within 15 s after a burst that overloaded the holder', async () => {
+  const { cluster, jobs, burstEndMs } = await playBurst(6000)
+  for (const job of jobs) {
+    assert.is(job.outcome, 'done', job.id)
+    assert.ok(computeStartWaitMs(cluster, job) < Infinity, `${job.id} was accepted and never started`)
+  }
+  for (const job of jobs.filter(({ submittedAtMs }) => submittedAtMs >= burstEndMs + RECOVERY_MS)) {
+    assert.ok(computeStartWaitMs(cluster, job) <= MAX_START_WAIT_MS, `${job.id} waited ${computeStartWaitMs(cluster, job)} ms`)
+  }
+})
+
 test.run()
