--- a/packages/entry/src/partition/startWindow.ts
+++ b/packages/entry/src/partition/startWindow.ts
@@ -5,8 +5,6 @@
   /** Waits until fewer orders than the limit are in flight; `releaseSlot` must be called once afterwards. */
   waitForSlot: () => Promise<void>
   releaseSlot: () => void
-  /** Number of orders that wait. */
-  countQueued: () => number
 }
 
 /** @param limit most orders in flight */
@@ -26,7 +24,6 @@
       const next = queue.shift()
       if (next === undefined) inFlight--
       else next()
-    },
-    countQueued: () => queue.length
+    }
   }
 }
