Stop runs whose stop was due before their worker had a controller

Cause: a planning round hands each stop out once and marks the task as stopping. If the worker has no controller at that time, as when a new holder has read the jobs but not yet the list of workers, the stop is dropped; if the controller is replaced, as when the address changes, its retries end with it. The new holder then renews the lease of a run that nobody stops again. Change: the planner keeps the stops it handed out until their runs end, and a new controller sends those of its worker. Tests: both of cancelledRuns.spec failed before; the runs went on.

--- a/packages/core/src/partition/createPartitionPlanner.ts
+++ b/packages/core/src/partition/createPartitionPlanner.ts
@@ -258,6 +258,7 @@
     },
     decide,
     countEvaluations: () => evaluations,
+    listOrderedStops: tracker.listOrderedStops,
     takeChangedJobs: registry.takeChanged,
     isChanged: registry.isChanged,
     addChangedJobs: (jobs) => { for (const job of jobs) registry.markChanged(job) },
--- a/packages/core/src/partition/plannerTypes.ts
+++ b/packages/core/src/partition/plannerTypes.ts
@@ -123,6 +123,8 @@
   decide: (nowMs: number, wallMs: number, trySend: TrySendQuery) => PlannerDecisions
   /** Counts the evaluations of workers and tasks in the last planning round. */
   countEvaluations: () => number
+  /** Stops of earlier rounds at a worker whose runs have not ended yet, for a controller that was created after they were ordered. */
+  listOrderedStops: (worker: string) => readonly StopOrder[]
   /** Removes and returns up to `maxCount` jobs whose state differs from the table. */
   takeChangedJobs: (maxCount: number) => string[]
   isChanged: (job: string) => boolean
--- a/packages/core/src/partition/runTracker.ts
+++ b/packages/core/src/partition/runTracker.ts
@@ -22,6 +22,8 @@
   stopJob: (id: string, reason: StopOrder['reason']) => void
   /** Stops scheduled since the last call. */
   takeStops: () => StopOrder[]
+  /** Stops at a worker that were taken and whose runs have not ended yet. */
+  listOrderedStops: (worker: string) => StopOrder[]
   recordReport: (worker: string, report: WorkerReport, nowMs: number, wallMs: number) => StopOrder[]
 }
 
@@ -34,6 +36,7 @@
 export function createRunTracker (registry: JobRegistry, teams: TeamUsage): RunTracker {
   const workers = new Map<string, PartitionWorker>()
   const toStop = new Map<Task, StopOrder['reason']>()
+  const orderedStops = new Map<Task, StopOrder['reason']>()
 
   const findStep = (task: Task) => {
     const step = registry.findJob(task.job)?.spec.steps[task.step]
@@ -51,6 +54,7 @@
 
   const releaseResources = (task: Task): void => {
     toStop.delete(task)
+    orderedStops.delete(task)
     const worker = workers.get(task.worker)
     if (worker !== undefined && worker.tasks.has(task)) {
       const step = findStep(task)
@@ -209,11 +213,20 @@
       const stops: StopOrder[] = []
       for (const [task, reason] of toStop) {
         task.stopping = true
+        orderedStops.set(task, reason)
         stops.push({ ...buildRunName(task), worker: task.worker, reason })
       }
       toStop.clear()
       return stops
     },
+    listOrderedStops: (worker) => {
+      const stops: StopOrder[] = []
+      for (const task of workers.get(worker)?.tasks ?? []) {
+        const reason = orderedStops.get(task)
+        if (reason !== undefined) stops.push({ ...buildRunName(task), worker, reason })
+      }
+      return stops
+    },
     recordReport
   }
 }
--- a/packages/entry/src/partition/partitionTerm.ts
+++ b/packages/entry/src/partition/partitionTerm.ts
@@ -109,6 +109,7 @@
       onDeposed: endTerm
     })
     managedWorkers.set(listing.id, { listing, controller, isUnlisted: false })
+    for (const stop of planner.listOrderedStops(listing.id)) controller.stopRun(stop)
   }
 
   const applyListing = (listing: ListedWorker): void => {
