Retry a refused takeover once per watch interval, not at each stuck report

A holder repeats its report with each failed commit, and each report made every entry read the rows and try again: write calls at the time when the table can least serve them.

--- a/packages/entry/src/partition/__tests__/partitionWatch.spec.ts
+++ b/packages/entry/src/partition/__tests__/partitionWatch.spec.ts
@@ -1,11 +1,12 @@
 /** Takeover decisions of one entry against a table whose rows and responses the test controls. */
 import { createFakeClock } from '@fuchsiatally/core/testing/fakeClock'
 import { createMemoryEventLog } from '@fuchsiatally/core/testing/memoryEventLog'
+import { err } from 'neverthrow'
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
 import { createPartitionTableModel } from '../../testing/partitionTableModel.js'
 import type { Peer } from '../../ports.js'
-import { HOLDER_TIMEOUT_MS } from '../constants.js'
+import { HOLDER_TIMEOUT_MS, SUSPECT_WATCH_INTERVAL_MS } from '../constants.js'
 import { createPartitionWatch, type PartitionView } from '../partitionWatch.js'
 import { HOLDER_KEY, PARTITION_TABLE } from '../partitionRows.js'
 
@@ -17,6 +18,7 @@
 const createWatch = (suspensionMs = 0) => {
   const fakeClock = createFakeClock()
   let suspendedMs = 0
+  let isRefusing = false
   const clock = { ...fakeClock, wallMs: () => fakeClock.wallMs() + suspendedMs }
   const model = createPartitionTableModel({ clock: fakeClock })
   const events = createMemoryEventLog()
@@ -39,6 +41,7 @@
       ...table,
       commit: async (transaction) => {
         commitWallMs.push(clock.wallMs())
+        if (isRefusing) return err({ kind: 'refused', message: 'status 503' })
         const result = await table.commit(transaction)
         suspendedMs += suspensionMs
         return result
@@ -52,7 +55,7 @@
     mayTakeOver: () => true,
     onHolder: (view) => { views.push(view) }
   })
-  return { clock: fakeClock, events, views, commitWallMs, peers, storeRow, startWatch }
+  return { clock: fakeClock, events, views, commitWallMs, peers, storeRow, startWatch, refuseCommits: () => { isRefusing = true } }
 }
 
 // Guards against leases that a paused entry extends beyond what its successor assumes, because its term counts from the late response.
@@ -92,4 +95,24 @@
   watch.dispose()
 })
 
+// Guards against takeover attempts without a pause: each report of a stuck holder led to another commit while the table refused them.
+test('while the table refuses a takeover it is tried again once per watch interval, however often the holder reports that it is stuck', async () => {
+  const { clock, commitWallMs, storeRow, startWatch, refuseCommits } = createWatch()
+  const row = { entry: 'b', incarnation: 'b-1', epoch: 7, released: false, renewals: 0, waiting: [] }
+  await storeRow(row)
+  const watch = startWatch()
+  for (let renewals = 1; renewals <= 10; renewals++) {
+    await storeRow({ ...row, renewals })
+    await clock.runFor(300)
+  }
+  refuseCommits()
+  for (let elapsedMs = 0; elapsedMs < SETTLED_MS; elapsedMs += 25) {
+    watch.recordStuck(PARTITION, 7, 'b-1')
+    await clock.runFor(25)
+  }
+  const limit = SETTLED_MS / SUSPECT_WATCH_INTERVAL_MS
+  assert.ok(commitWallMs.length > 0 && commitWallMs.length <= limit, `${commitWallMs.length} takeover commits in ${SETTLED_MS} ms`)
+  watch.dispose()
+})
+
 test.run()
--- a/packages/entry/src/partition/partitionWatch.ts
+++ b/packages/entry/src/partition/partitionWatch.ts
@@ -307,6 +307,8 @@
     recordStuck: (partition, epoch, incarnation) => {
       const observed = partitions.get(partition)
       if (observed?.view.row?.epoch !== epoch || observed.view.row.incarnation !== incarnation) return
+      // A holder repeats its report with each failed commit; only the first one is news.
+      if (observed.isStuck) return
       observed.isStuck = true
       loop.wake()
     },
