--- a/packages/core/src/partition/__tests__/planningCost.spec.ts
+++ b/packages/core/src/partition/__tests__/planningCost.spec.ts
@@ -160,4 +160,23 @@
   assert.equal(runUntilOrders(planner), ['last'])
 })
 
+// Guards against a new holder's rounds that compose, for each waiting step anew, queries which a saturated advice service doesn't take.
+test('a round composes no advice queries while the service takes none', () => {
+  const steps = 40
+  const planner = createPartitionPlanner()
+  for (let index = 0; index < WORKERS; index++) {
+    planner.setWorker({ id: `w${index}`, failureDomain: 'd', labels: ['kind', 'r'], capacity: { processors: CORES, memoryMb: 65_536, accelerators: 0 }, draining: false })
+    planner.setSynced(`w${index}`, true)
+  }
+  addUrgentSteps(planner, { workers: WORKERS, steps, readSize: () => 2.7, policy: { advice: ADVICE } })
+  let asked = 0
+  planner.decide(20, 20, () => { throw new Error('a query was composed') }, (costMs) => {
+    asked++
+    assert.is(costMs, ADVICE.decisionMs + ADVICE.eachMs)
+    return false
+  })
+  assert.is(asked, steps)
+  assert.ok(planner.countEvaluations() <= 4 * (WORKERS + steps), `${planner.countEvaluations()} evaluations`)
+})
+
 test.run()
--- a/packages/core/src/partition/createPartitionPlanner.ts
+++ b/packages/core/src/partition/createPartitionPlanner.ts
@@ -5,7 +5,7 @@
 import { createCapacityIndex } from './capacityIndex.js'
 import { createJobRegistry } from './jobRegistry.js'
 import { listTasks, type Task } from './jobState.js'
-import type { PlannerDecisions, PartitionPlanner, StartOrder, TrySendQuery } from './plannerTypes.js'
+import type { CanSendQuery, PlannerDecisions, PartitionPlanner, StartOrder, TrySendQuery } from './plannerTypes.js'
 import { chooseAdviceWorkers, countStartable, listStartable, mayBeSuitable, recordAdvice, recordAdviceFailed, type StepInstance } from './stepInstance.js'
 import { createCapacityReservations } from './capacityReservation.js'
 import { createCeilingPreemptions, type CeilingPreemptions } from './ceilingPreemption.js'
@@ -16,6 +16,12 @@
 import { createRoundBudget } from './roundBudget.js'
 import { createTeamUsage } from './teamUsage.js'
 
+/** Access to the advice service. */
+interface AdviceAccess {
+  readonly trySend: TrySendQuery
+  readonly canSend: CanSendQuery
+}
+
 interface RoundParts {
   readonly round: PlanningRound
   readonly ceilings: CeilingPreemptions
@@ -121,9 +127,11 @@
   }
 
   /** Sends an advice query if the response can be used now; returns whether a query is pending. */
-  const sendAdviceQuery = (instance: StepInstance, round: PlanningRound, trySend: TrySendQuery): boolean => {
+  const sendAdviceQuery = (instance: StepInstance, round: PlanningRound, { trySend, canSend }: AdviceAccess): boolean => {
     const { advice } = instance.job.spec.policy
     if (advice === undefined || instance.isAdvicePending) return instance.isAdvicePending
+    // Choosing the workers looks at all of them.
+    if (!canSend(advice.decisionMs + advice.eachMs)) return false
     const selected = chooseAdviceWorkers(instance, round)
     if (selected.length === 0) return false
     instance.isAdvicePending = trySend({ step: instance.key, workers: selected, costMs: advice.decisionMs + advice.eachMs * selected.length })
@@ -146,7 +154,7 @@
     }
   }
 
-  const decide = (nowMs: number, wallMs: number, trySend: TrySendQuery): PlannerDecisions => {
+  const decide = (nowMs: number, wallMs: number, trySend: TrySendQuery, canSend: CanSendQuery = () => true): PlannerDecisions => {
     registry.addDueOccurrences(wallMs, nowMs)
     evaluations = 0
     const starts: StartOrder[] = []
@@ -165,7 +173,7 @@
       }
       const left = startStep(ranked, parts, starts)
       if (left.length === 0) continue
-      if (sendAdviceQuery(instance, round, trySend)) reserveAdvisedCapacity(instance, left, round)
+      if (sendAdviceQuery(instance, round, { trySend, canSend })) reserveAdvisedCapacity(instance, left, round)
       const reserves = mayReserve(instance, nowMs)
       if (reserves && reservingCount < MAX_RESERVING_STEPS) reservingCount++
       else if (reserves || ranked.rank.priority > 0 || !mayPreempt(ranked, nowMs)) continue
--- a/packages/core/src/partition/plannerTypes.ts
+++ b/packages/core/src/partition/plannerTypes.ts
@@ -86,6 +86,9 @@
 /** Sends a query to the advice service; returns `false` if the service is saturated. */
 export type TrySendQuery = (query: AdviceQuery) => boolean
 
+/** Whether the advice service would take a query of an estimated service time in milliseconds now; if so, it would take any shorter one. */
+export type CanSendQuery = (costMs: number) => boolean
+
 /** Schedules one partition; without I/O, with in-memory state only. */
 export interface PartitionPlanner {
   /** Adds or updates a worker. A new worker receives no tasks until it is marked as synced. */
@@ -119,8 +122,11 @@
   isAllocatedAt: (run: RunName, worker: string) => boolean
   recordAdvice: (query: AdviceQuery, tickets: ReadonlyMap<string, string>, nowMs: number) => void
   recordAdviceFailed: (query: AdviceQuery, nowMs: number) => void
-  /** @param trySend called for steps in order of rank */
-  decide: (nowMs: number, wallMs: number, trySend: TrySendQuery) => PlannerDecisions
+  /**
+   * @param trySend called for steps in order of rank
+   * @param canSend asked before a query is composed; default: always
+   */
+  decide: (nowMs: number, wallMs: number, trySend: TrySendQuery, canSend?: CanSendQuery) => PlannerDecisions
   /** Counts the evaluations of workers and tasks in the last planning round. */
   countEvaluations: () => number
   /** Stops of earlier rounds at a worker whose runs have not ended yet, for a controller that was created after they were ordered. */
--- a/packages/entry/src/partition/__tests__/adviceRouter.spec.ts
+++ b/packages/entry/src/partition/__tests__/adviceRouter.spec.ts
@@ -114,6 +114,56 @@
   assert.ok(short.longestMs < 2 * SHORT_MS, `${short.longestMs} ms, the service takes ${SHORT_MS}`)
 })
 
+// Guards against a new holder that ranks all entries for each of its requests, by which its planning rounds become too long (SHORT).
+test('requests of one moment rank the servers once', async () => {
+  const clock = createFakeClock()
+  const links = createFakeMesh({ clock })
+  const entries = Array.from({ length: 97 }, (_, index) => links.addEntry({ entry: `e${index}`, incarnation: `e${index}.1`, failureDomain: 'a' }))
+  await clock.runFor(100)
+  let listings = 0
+  const own = entries[3]!
+  const router = createAdviceRouter({
+    self: own.self,
+    client: { requestAdvice: () => new Promise(() => {}) },
+    mesh: {
+      ...own,
+      listPeers: () => {
+        listings++
+        return own.listPeers()
+      }
+    },
+    clock,
+    random: createSeededRandom(1),
+    events: createMemoryEventLog()
+  })
+  for (let request = 0; request < 50; request++) assert.ok(router.trySubmit({ step: `s${request}`, workers: ['w1'], costMs: SHORT_MS }, () => {}))
+  assert.is(listings, 1)
+  entries[5]!.dispose()
+  for (let request = 0; request < 50; request++) assert.ok(router.trySubmit({ step: `t${request}`, workers: ['w1'], costMs: SHORT_MS }, () => {}))
+  assert.is(listings, 2)
+  router.dispose()
+})
+
+test('a server that declines or fails is asked again later, and none is asked beyond the longest queue', async () => {
+  const clock = createFakeClock()
+  const entries = createEntries(clock, 3)
+  await clock.runFor(100)
+  const waits: WaitStats = { answered: 0, failed: 0, longestMs: 0, slow: 0 }
+  const [first] = entries
+  for (const entry of entries) entry.slowness = Infinity
+  let accepted = 0
+  while (first!.router.canSubmit(SHORT_MS) && accepted < 1000) {
+    submitRequest(clock, first!, `short${accepted}`, waits)
+    accepted++
+  }
+  assert.ok(accepted > 0 && accepted < 1000, `${accepted} requests`)
+  assert.not.ok(first!.router.trySubmit({ step: 'short', workers: ['w1'], costMs: SHORT_MS }, () => {}))
+  await clock.runFor(10_000)
+  assert.is(waits.failed, accepted)
+  for (const entry of entries) entry.slowness = 1
+  assert.ok(first!.router.canSubmit(SHORT_MS))
+})
+
 test('a request that has timed out at its requester is not sent to the service', async () => {
   const clock = createFakeClock()
   const [entry] = createEntries(clock, 1)
--- a/packages/entry/src/partition/partitionTerm.ts
+++ b/packages/entry/src/partition/partitionTerm.ts
@@ -169,7 +169,7 @@
     if (!jobs.isLoaded()) return []
     removeUnlistedWorkers()
     removeNeverListedWorkers()
-    const decisions = planner.decide(clock.nowMs(), clock.wallMs(), tryRequestAdvice)
+    const decisions = planner.decide(clock.nowMs(), clock.wallMs(), tryRequestAdvice, advice.canSubmit)
     for (const { blocked } of planner.listTeamDemand().values()) if (blocked.memoryMb > 0) ceilings.scheduleReview()
     for (const stop of decisions.stops) managedWorkers.get(stop.worker)?.controller.stopRun(stop)
     return decisions.starts
