Refuse submissions that could not be read back from the table

Found by reading: the caller's interface checked types, but not that counts are whole and amounts not negative, while every reader of the stored row does. A job with 1.5 tasks was answered 2xx, and no holder could decode its row: it was logged as malformed and never ran, its state `queued` for ever. Change: the built job is decoded by the schema of the row before it is accepted; the caller gets 400 with the name of the field. Test: nine such submissions, all accepted before (callAdmission.spec).

--- a/packages/core/src/partition/submission.ts
+++ b/packages/core/src/partition/submission.ts
@@ -1,7 +1,8 @@
 /** Builds jobs from submissions under the configuration in force. */
-import { err, ok, type Result } from 'neverthrow'
+import { err, type Result } from 'neverthrow'
+import { createDecoder } from '../schema/decode.js'
 import type { QueueConfig, TeamConfig } from './clusterConfig.js'
-import { checkStepJob, type JobStep, type StepJob } from './stepJob.js'
+import { checkStepJob, StepJob, type JobStep } from './stepJob.js'
 
 /** A job as submitted by a caller. */
 export interface Submission {
@@ -12,15 +13,17 @@
   readonly intervalMs: number
 }
 
+const decodeStepJob = createDecoder(StepJob)
+
 /**
- * Builds the job of a submission; the error names the invalid field.
+ * Builds the job of a submission; the error names the invalid field. A job that is built can be read back from the table.
  *
  * @param team `null` for an unauthenticated caller of a public queue
  */
 export function buildStepJob (submission: Submission, queue: QueueConfig, team: TeamConfig | null, acceptedAtMs: number): Result<StepJob, string> {
   const fault = checkStepJob(submission.steps)
   if (fault !== null) return err(fault)
-  return ok({
+  return decodeStepJob({
     ...submission,
     team: team?.name ?? '',
     policy: {
@@ -34,5 +37,5 @@
       ...(queue.advice === null ? {} : { advice: queue.advice })
     },
     acceptedAtMs
-  })
+  }).mapErr((error) => error.message)
 }
--- a/packages/entry/src/partition/__tests__/callAdmission.spec.ts
+++ b/packages/entry/src/partition/__tests__/callAdmission.spec.ts
@@ -52,6 +52,27 @@
   assert.match(buildStepJob({ ...submission, steps: [] }, OPEN!, null, 5)._unsafeUnwrapErr(), 'steps')
 })
 
+// Guards against jobs that are accepted and never run because no entry can decode their rows.
+test('a submission that could not be read back from the table is an error that names the field', () => {
+  const submission = { payload: 'text', steps: [createTestStep()], runCount: 0, firstRunMs: 0, intervalMs: 0 }
+  const cases: [Partial<typeof submission>, string][] = [
+    [{ steps: [createTestStep({ taskCount: 1.5 })] }, 'taskCount'],
+    [{ steps: [createTestStep({ taskCount: -1 })] }, 'taskCount'],
+    [{ steps: [createTestStep({ maxPerWorker: 0.5 })] }, 'maxPerWorker'],
+    [{ steps: [createTestStep({ estimateMs: -1 })] }, 'estimateMs'],
+    [{ steps: [createTestStep(), createTestStep({ after: [0.5] })] }, 'after'],
+    [{ steps: [createTestStep(), createTestStep({ after: [-1] })] }, 'after'],
+    [{ steps: [createTestStep({ resources: { processors: -1, memoryMb: 1, accelerators: 0 } })] }, 'processors'],
+    [{ runCount: 0.5 }, 'runCount'],
+    [{ runCount: 2, intervalMs: -1 }, 'intervalMs']
+  ]
+  for (const [part, field] of cases) {
+    const built = buildStepJob({ ...submission, ...part }, OPEN!, null, 5)
+    assert.ok(built.isErr(), field)
+    assert.match(built._unsafeUnwrapErr(), field)
+  }
+})
+
 test('a graceful shutdown serves callers that still arrive after its partitions are handed over', async () => {
   const clock = createFakeClock()
   const events = createMemoryEventLog()
