Graceful shutdown: end each connection with its next response

Cause: a stopping entry kept its callers' connections open until the end and then closed the idle ones, under requests that were on their way. Change: from the start of a shutdown each response carries `Connection: close`. Not mended: what is left waits in the listener's queue when it closes, which the kernel resets; clients behind a balancer are gone by then. The entry stays listed. Ruled out: half-closing idle connections, a request that crosses the FIN has no answer either. Test: responses of a closing server end their connection (httpServer.spec); the method is new, and all responses were `keep-alive` before.

--- a/packages/entry/src/http/__tests__/httpServer.spec.ts
+++ b/packages/entry/src/http/__tests__/httpServer.spec.ts
@@ -82,6 +82,17 @@
   await server.stop()
 })
 
+// Guards against requests that are reset because they were sent on a kept connection just as a graceful shutdown closed it.
+test('each response of a server that is closing ends its connection, and new connections are still served', async () => {
+  const server = await startServer()
+  const readConnection = async (): Promise<string | null> => (await fetch(`http://${server.address}/cookies`)).headers.get('connection')
+  assert.is(await readConnection(), 'keep-alive')
+  server.beginClosing()
+  assert.is(await readConnection(), 'close')
+  assert.is(await readConnection(), 'close')
+  await server.stop()
+})
+
 test('a graceful shutdown completes requests in flight and refuses new connections', async () => {
   const server = await startServer()
   const answer = sendRequest(server, 'GET', '/wait')
--- a/packages/entry/src/http/httpServer.ts
+++ b/packages/entry/src/http/httpServer.ts
@@ -36,6 +36,8 @@
   setExtraRoutes: (routes: readonly Route[]) => void
   /** Number of requests whose response is not sent completely yet. */
   countInFlight: () => number
+  /** Closes each connection after its next response, so that few are left for `stop` to close under a request that is on its way. */
+  beginClosing: () => void
   /** Accepts no new connections, completes the requests in flight, then closes. */
   stop: () => Promise<void>
 }
@@ -149,6 +151,7 @@
     address,
     setExtraRoutes: (routes) => { findRoute = createRouter([...options.routes, ...routes]) },
     countInFlight: () => inFlight,
+    beginClosing: () => { closing = true },
     stop: () => {
       closing = true
       server.closeIdleConnections()
--- a/packages/entry/src/partition/__tests__/callAdmission.spec.ts
+++ b/packages/entry/src/partition/__tests__/callAdmission.spec.ts
@@ -79,17 +79,17 @@
   const done: string[] = []
   const stopped = runPartitionShutdown({
     entry: { release: async () => { done.push('released') } },
-    callers: { stop: async () => { done.push('closed') } },
+    callers: { beginClosing: () => { done.push('closing') }, stop: async () => { done.push('closed') } },
     name: 'a',
     lingerMs: 3000,
     clock,
     events
   })
   await clock.runFor(2900)
-  assert.equal(done, ['released'])
+  assert.equal(done, ['closing', 'released'])
   await clock.runFor(200)
   await stopped
-  assert.equal(done, ['released', 'closed'])
+  assert.equal(done, ['closing', 'released', 'closed'])
   assert.equal(events.listFields('FT862'), [{ entry: 'a' }])
 })
 
--- a/packages/entry/src/partition/partitionShutdown.ts
+++ b/packages/entry/src/partition/partitionShutdown.ts
@@ -6,7 +6,7 @@
 
 export interface PartitionShutdownOptions {
   readonly entry: Pick<PartitionEntry, 'release'>
-  readonly callers: Pick<HttpServer, 'stop'>
+  readonly callers: Pick<HttpServer, 'beginClosing' | 'stop'>
   readonly name: string
   /** Shortest time for which callers are served after the start of the shutdown, in milliseconds. */
   readonly lingerMs: number
@@ -17,6 +17,7 @@
 /** Runs the shutdown; all open requests have been answered when it returns. */
 export async function runPartitionShutdown (options: PartitionShutdownOptions): Promise<void> {
   const lingered = new Promise<void>((resolve) => { options.clock.setTimer(options.lingerMs, resolve) })
+  options.callers.beginClosing()
   await options.entry.release()
   await lingered
   await options.callers.stop()
--- a/packages/entry/src/process/gracefulShutdown.ts
+++ b/packages/entry/src/process/gracefulShutdown.ts
@@ -62,6 +62,7 @@
   const { entry, server, events } = options
   events.record(processStopping, { entry: options.name, inFlight: server.countInFlight() })
   const deadlineMs = performance.now() + options.shutdownMs
+  server.beginClosing()
   const drained = await waitUntilDone(entry.drain(), deadlineMs)
   const answered = await waitForResponses(server, deadlineMs)
   if (!drained || !answered) events.record(shutdownTimedOut, { inFlight: server.countInFlight() })
