Read the configuration at once when it is stale; suspended entries in tests

Looked for after the operators' report of a paused process that acts on an expired permission. A process can now be suspended in tests (its monotonic clock stands still): a holder with committed orders in its window, for 0.4 to 14 s, started nothing twice, lost and gave up nothing; an entry accepted no key by the configuration of before the suspension. Both held without a change. Found by the same test: after a suspension the entry refused callers with keys for up to a second more, since the read that makes the configuration fresh was a long poll that waits for a change. The same after an outage of the table. Change: while the configuration is stale, the read does not wait. Test: fresh within 400 ms after a suspension of 0.4 to 14 s (suspendedEntry.spec, not fresh before).

--- a/packages/entry/src/partition/configWatch.ts
+++ b/packages/entry/src/partition/configWatch.ts
@@ -58,26 +58,29 @@
     onRead: (failure) => recordTableReachable(failure === null, failure?.message ?? '')
   })
 
+  const isFresh = (): boolean => {
+    if (confirmedAt === null) return false
+    const ageMs = clock.nowMs() - confirmedAt.nowMs
+    // A suspension stops the monotonic clock but not the wall clock; if the two diverge, the configuration counts as stale.
+    const wallAgeMs = clock.wallMs() - confirmedAt.wallMs
+    return ageMs <= maxAgeMs && Math.abs(wallAgeMs - ageMs) <= MAX_CLOCK_DIVERGENCE_MS
+  }
+
   const loop = createSerialLoop({
     clock,
     readPauseMs: () => wasTableReachable ? 0 : WRITE_RETRY_MS,
     runStep: async () => {
       // The result of a read is at least as recent as the time at which the read was sent.
       const sentAt = { nowMs: clock.nowMs(), wallMs: clock.wallMs() }
-      if (await feed.readUpdates(CONFIG_POLL_WAIT_MS)) confirmedAt = sentAt
+      // Callers are refused while the configuration is stale: after a suspension or an outage the first read does not wait for a change.
+      if (await feed.readUpdates(isFresh() ? CONFIG_POLL_WAIT_MS : 0)) confirmedAt = sentAt
     }
   })
   disposables.add(loop)
 
   return {
     readConfig: () => config,
-    isFresh: () => {
-      if (confirmedAt === null) return false
-      const ageMs = clock.nowMs() - confirmedAt.nowMs
-      // A suspension stops the monotonic clock but not the wall clock; if the two diverge, the configuration counts as stale.
-      const wallAgeMs = clock.wallMs() - confirmedAt.wallMs
-      return ageMs <= maxAgeMs && Math.abs(wallAgeMs - ageMs) <= MAX_CLOCK_DIVERGENCE_MS
-    },
+    isFresh,
     onChange: (receive) => { receivers.push(receive) },
     dispose: () => disposables.dispose()
   }
--- a/packages/entry/src/testing/partitionCluster.ts
+++ b/packages/entry/src/testing/partitionCluster.ts
@@ -22,6 +22,8 @@
   readonly events: MemoryEventLog
   /** Blocks the event loop of this process alone. */
   block: (ms: number) => void
+  /** Suspends this process: its monotonic clock stands still. */
+  suspend: (ms: number) => void
   /** Kills the process without a shutdown. */
   kill: () => void
 }
@@ -133,6 +135,7 @@
       faults,
       events,
       block: process.block,
+      suspend: process.suspend,
       kill: () => {
         // A killed process sends nothing; calls from timers that still fire must have no effect.
         faults.outage = 'silent'
