--- a/packages/core/src/schema/linkMessage.ts
+++ b/packages/core/src/schema/linkMessage.ts
@@ -223,28 +223,6 @@
 /** The sender is shutting down gracefully and accepts no more work. */
 export const EntryLeaving = Schema.Struct({ type: Schema.Literal('entryLeaving') })
 
-/** Asks a peer to serve a call that the platform's table does not let the sender serve. */
-export const CallRequest = Schema.Struct({
-  type: Schema.Literal('callRequest'),
-  exchange: Schema.String,
-  method: Schema.String,
-  path: Schema.String,
-  /** Headers of the caller by lower-case name. */
-  headers: Schema.Record(Schema.String, Schema.String),
-  body: Schema.instanceOf(Uint8Array)
-})
-export type CallRequest = typeof CallRequest.Type
-
-/** Response to a `callRequest`. */
-export const CallReply = Schema.Struct({
-  type: Schema.Literal('callReply'),
-  exchange: Schema.String,
-  status: Schema.Int,
-  headers: Schema.Record(Schema.String, Schema.String),
-  body: Schema.instanceOf(Uint8Array)
-})
-export type CallReply = typeof CallReply.Type
-
 /** Union of all messages on a link. */
 export const LinkMessage = Schema.Union([
   Hello,
@@ -269,8 +247,6 @@
   JobUnsettled,
   CellChanged,
   CellStuck,
-  EntryLeaving,
-  CallRequest,
-  CallReply
+  EntryLeaving
 ])
 export type LinkMessage = typeof LinkMessage.Type
--- a/packages/entry/src/http/route.ts
+++ b/packages/entry/src/http/route.ts
@@ -51,7 +51,7 @@
   readonly members?: Readonly<Record<string, unknown>>
 }
 
-export function createJsonResponse (status: number, value: unknown): HttpResponse & { readonly body: Uint8Array } {
+export function createJsonResponse (status: number, value: unknown): HttpResponse {
   return { status, headers: { 'content-type': 'application/json' }, body: Buffer.from(JSON.stringify(value)) }
 }
 
--- a/packages/entry/src/partition/constants.ts
+++ b/packages/entry/src/partition/constants.ts
@@ -149,15 +149,6 @@
 export const RESPONSE_MARGIN_MS = 150
 /** `retry-after` of a refusal while the table is unavailable, in seconds. */
 export const TABLE_RETRY_AFTER_S = 1
-/** Most peers that are asked to serve a call; with a third of the entries cut off from the table, 3 of 100 calls find none. */
-export const MAX_RELAY_TRIES = 3
-/** Timeout of a relayed call, in milliseconds: a commit takes 15 ms, with a slow table 360 ms. */
-export const RELAY_TIMEOUT_MS = 800
-/** Time for which a peer that could not serve a call is not asked again, in milliseconds. */
-export const RELAY_AVOID_MS = 1000
-/** Most calls of peers that an entry serves at a time; further ones are refused. */
-export const MAX_RELAYED_CALLS = 128
-
 /** Time beyond the expected wait after which an advice request times out, in milliseconds. */
 export const ADVICE_TIMEOUT_MARGIN_MS = 800
 /** Pause between two reviews of a partition's claims on ceilings, in milliseconds; blocked work triggers a review earlier. */
--- a/packages/entry/src/partition/partitionEntry.ts
+++ b/packages/entry/src/partition/partitionEntry.ts
@@ -2,7 +2,6 @@
 import { createDisposableStore, type ClusterConfig, type Clock, type Disposable, type EventLog, type PartitionPlanner, type Random } from '@fuchsiatally/core'
 import type { Peer, PeerMesh, SessionView } from '../ports.js'
 import { createAdviceRouter } from './adviceRouter.js'
-import { createCallRelay, type CallRelay } from './callRelay.js'
 import { createPartitionHandover } from './partitionHandover.js'
 import { createLoopMonitor } from './loopMonitor.js'
 import { createPartitionTerm, type PartitionTerm } from './partitionTerm.js'
@@ -39,8 +38,6 @@
 /** A running entry. */
 export interface PartitionEntry extends Disposable {
   readonly jobs: JobApi
-  /** Relays callers' calls to peers while the table does not serve this entry. */
-  readonly relay: CallRelay
   readConfig: () => ClusterConfig | null
   /** Whether the configuration is recent enough to authenticate keys. */
   isConfigFresh: () => boolean
@@ -67,7 +64,6 @@
 
   const loop = disposables.add(createLoopMonitor(clock))
   const config = disposables.add(createConfigWatch({ ...options, table }))
-  const relay = disposables.add(createCallRelay(options))
   const advice = disposables.add(createAdviceRouter({ ...options, client: options.adviceClient }))
 
   const removeTerm = (partition: string, epoch: number): void => {
@@ -227,7 +223,6 @@
 
   return {
     jobs,
-    relay,
     readConfig: config.readConfig,
     isConfigFresh: config.isFresh,
     isReady: () => !stopping && config.readConfig() !== null && config.isFresh() && !table.isSuspect(),
