Read the holder rows less often where many others would take over first

Change: an entry that five or more others precede as successors of every partition reads each 550 ms, still within the gap that keeps its timeouts; a suspect holder is read each 100 ms by all as before. Ruled out: renewals by link messages instead of reads, which would delay the first observation after a link is lost; longer intervals, which restart timeouts. Before and after, 30 entries over 10 s in memory: 1,000 reads expected by the interval, at most 636 now (both by the test's bound). Tests: the reads (failed before); holder and up to 24 first successors killed at once, replaced within 3 s.

--- a/packages/entry/src/partition/__tests__/partitionTakeover.spec.ts
+++ b/packages/entry/src/partition/__tests__/partitionTakeover.spec.ts
@@ -3,7 +3,9 @@
 import * as assert from 'uvu/assert'
 import { CLUSTER_CONFIG, createPartitionCluster, createTestJob, SERVICE, type ClusterEntry } from '../../testing/partitionCluster.js'
 import { checkNoConcurrentRuns, readState, splitByHolder, startEntries, startStuckRuns, submitJob } from '../../testing/partitionClusterSteps.js'
+import { DISTANT_WATCH_INTERVAL_MS, MAX_SUCCESSOR_RANK, WATCH_INTERVAL_MS } from '../constants.js'
 import { computeJobPart } from '../partitionRows.js'
+import { sortByRank } from '../rendezvousRank.js'
 
 const [QUEUE] = CLUSTER_CONFIG.queues
 
@@ -146,6 +148,39 @@
   }
 })
 
+// Guards against reads of the holder rows that grow with the number of entries, each of which the platform charges for.
+test('of many entries only the first successors read the holder rows at the shortest interval', async () => {
+  const cluster = createPartitionCluster()
+  cluster.addWorker('w1')
+  const entries = Array.from({ length: 30 }, (_, index) => cluster.addEntry(`e${index}`))
+  await cluster.clock.runFor(5000)
+  const before = cluster.table.countChangeReads('cell')
+  await cluster.clock.runFor(10_000)
+  const reads = cluster.table.countChangeReads('cell') - before
+  const close = MAX_SUCCESSOR_RANK + 1
+  const most = 10_000 * (close / WATCH_INTERVAL_MS + (entries.length - close) / DISTANT_WATCH_INTERVAL_MS)
+  assert.ok(reads <= most, `${reads} reads, at most ${most}`)
+  for (const entry of entries) entry.kill()
+})
+
+test('a holder that is killed together with its first successors is replaced within 3 s', async () => {
+  for (let killed = 1; killed <= 25; killed += 6) {
+    const cluster = createPartitionCluster()
+    cluster.addWorker('w1')
+    const entries = Array.from({ length: 30 }, (_, index) => cluster.addEntry(`e${index}`))
+    await cluster.clock.runFor(5000)
+    const holder = cluster.findHolder()
+    const victims = entries.filter(({ name }) => name === holder)
+    const order = sortByRank(SERVICE, entries.map((entry) => ({ entry: entry.name, value: entry }))).map(({ value }) => value)
+    for (const entry of order) if (victims.length < killed && !victims.includes(entry)) victims.push(entry)
+    const sinceMs = cluster.clock.nowMs()
+    for (const entry of victims) entry.kill()
+    while (victims.some(({ name }) => name === cluster.findHolder()) && cluster.clock.nowMs() - sinceMs < 10_000) await cluster.clock.runFor(10)
+    assert.ok(cluster.clock.nowMs() - sinceMs <= 3000, `${killed} killed: ${cluster.clock.nowMs() - sinceMs} ms`)
+    for (const entry of entries) entry.kill()
+  }
+})
+
 test('a lost response of the table delays starts by less than 0.6 s', async () => {
   const cluster = createPartitionCluster()
   cluster.addWorker('w1')
--- a/packages/entry/src/partition/constants.ts
+++ b/packages/entry/src/partition/constants.ts
@@ -30,6 +30,11 @@
 export const RENEWAL_INTERVAL_MS = 400
 /** Interval at which entries read the holder rows, in milliseconds. */
 export const WATCH_INTERVAL_MS = 300
+/**
+ * Interval of entries that many others precede as successors, in milliseconds: each read is charged for, and these entries wait longest.
+ * Shorter than half of `HOLDER_TIMEOUT_MS`, since longer gaps between reads start the timeouts over.
+ */
+export const DISTANT_WATCH_INTERVAL_MS = 550
 /** Time without a renewal after which a holder is replaced, in milliseconds. */
 export const HOLDER_TIMEOUT_MS = 1300
 /** Timeout of a holder without a link to this entry, in milliseconds: covers one renewal, a slow commit and one read of the rows. */
--- a/packages/entry/src/partition/partitionWatch.ts
+++ b/packages/entry/src/partition/partitionWatch.ts
@@ -2,7 +2,7 @@
 import { createDisposableStore, type Clock, type Disposable, type EventLog } from '@fuchsiatally/core'
 import type { Peer, SessionView } from '../ports.js'
 import { createSerialLoop } from '../process/serialLoop.js'
-import { FAILED_HOLDER_PAUSE_MS, LINK_LOSS_GRACE_MS, SUSPECT_WATCH_INTERVAL_MS, MAX_HEALTHY_READ_MS, HOLDER_TIMEOUT_MS, MAX_SUCCESSOR_RANK, START_SETTLE_MS, SUCCESSOR_RANK_DELAY_MS, RENEWAL_INTERVAL_MS, STUCK_HOLDER_TIMEOUT_MS, RELEASED_TIMEOUT_MS, UNLINKED_HOLDER_TIMEOUT_MS, WATCH_INTERVAL_MS, YOUNG_TERM_MS } from './constants.js'
+import { DISTANT_WATCH_INTERVAL_MS, FAILED_HOLDER_PAUSE_MS, LINK_LOSS_GRACE_MS, SUSPECT_WATCH_INTERVAL_MS, MAX_HEALTHY_READ_MS, HOLDER_TIMEOUT_MS, MAX_SUCCESSOR_RANK, START_SETTLE_MS, SUCCESSOR_RANK_DELAY_MS, RENEWAL_INTERVAL_MS, STUCK_HOLDER_TIMEOUT_MS, RELEASED_TIMEOUT_MS, UNLINKED_HOLDER_TIMEOUT_MS, WATCH_INTERVAL_MS, YOUNG_TERM_MS } from './constants.js'
 import { takeoverDecided } from './events.js'
 import { CAPACITY_PART, DEFAULT_CORES, PARTITION_TABLE, CLAIMS_KEY, HOLDER_KEY, parseCapacityRow, parseEntryRow, parseHolderRow, type EntryRow, type HolderRow } from './partitionRows.js'
 import type { ClockReading, PartitionTable, TableRow } from './ports.js'
@@ -107,6 +107,8 @@
   let lastReadMs = -Infinity
   /** Whether the last read was answered within `MAX_HEALTHY_READ_MS`. */
   let isTableHealthy = false
+  /** Whether this entry is among the first successors of any partition, as of the last read. */
+  let isCloseSuccessor = true
 
   /** Records the previous holder, or its named successor, if another entry took the partition over; a release between two reads isn't seen. */
   const recordFailedHolder = (previous: HolderRow | null, next: HolderRow | null, nowMs: number): void => {
@@ -260,6 +262,7 @@
     if (observed !== undefined && row === null && observed.view.version > 0) return null
     if (row !== null && !row.released && row.incarnation === self.incarnation) return null
     const rank = computeOwnRank(partition, row)
+    if (rank < MAX_SUCCESSOR_RANK) isCloseSuccessor = true
     const waitMs = rank * SUCCESSOR_RANK_DELAY_MS
     if (observed === undefined || row === null) return nowMs - readVacantSinceMs(partition, nowMs) >= waitMs ? { why: 'noHolder', rank } : null
     if (row.released && row.successor === self.incarnation) return { why: 'successor', rank }
@@ -277,13 +280,18 @@
     lastReadMs = clock.nowMs()
     updateUnlinkedHolders(lastReadMs)
     isTableHealthy = lastReadMs - sentAtMs <= MAX_HEALTHY_READ_MS
+    isCloseSuccessor = options.listPartitions().length === 0
     for (const partition of options.listPartitions()) {
       const observed = partitions.get(partition)
       const takeover = options.mayTakeOver(partition) ? decideTakeover(partition, observed, sentAtMs) : null
       if (takeover !== null) await takeOverPartition(partition, observed, takeover)
     }
   }
-  const loop = createSerialLoop({ clock, readPauseMs: () => hasSuspectHolder() ? SUSPECT_WATCH_INTERVAL_MS : WATCH_INTERVAL_MS, runStep })
+  const readPauseMs = (): number => {
+    if (hasSuspectHolder()) return SUSPECT_WATCH_INTERVAL_MS
+    return isCloseSuccessor ? WATCH_INTERVAL_MS : DISTANT_WATCH_INTERVAL_MS
+  }
+  const loop = createSerialLoop({ clock, readPauseMs, runStep })
   disposables.add(loop)
 
   return {
--- a/packages/entry/src/testing/partitionTableModel.ts
+++ b/packages/entry/src/testing/partitionTableModel.ts
@@ -22,6 +22,8 @@
   writeRow: (table: string, key: string, value: unknown) => void
   deleteRow: (table: string, key: string) => void
   readRow: (table: string, part: string, key: string) => TableRow | undefined
+  /** Number of reads of a table's changes so far, by all clients. */
+  countChangeReads: (table: string) => number
   /** Drops the change history, so that readers of changes have to read everything again. */
   dropHistory: () => void
 }
@@ -48,6 +50,7 @@
   const partFreeAtMs = new Map<string, number>()
   let version = 0
   let oldestHistoryVersion = 0
+  const changeReads = new Map<string, number>()
 
   const formatKey = (table: string, part: string, key: string): string => `${table}\n${part}\n${key}`
   const setRow = (table: string, part: string, key: string, value: string, deleted: boolean): void => {
@@ -115,6 +118,7 @@
         })
       },
       readChanges: async (name, after, waitMs) => {
+        changeReads.set(name, (changeReads.get(name) ?? 0) + 1)
         const listChanges = () => [...rows.values()].filter((row) => row.table === name && row.version > after).sort((a, b) => a.version - b.version)
         await poll.waitUntil(() => listChanges().length > 0 || faults.outage !== null, waitMs)
         return await call(() => after < oldestHistoryVersion ? { kind: 'historyLost' as const } : { kind: 'changes' as const, rows: listChanges(), version })
@@ -139,6 +143,7 @@
       const row = rows.get(formatKey(table, part, key))
       return row?.deleted === true ? undefined : row
     },
+    countChangeReads: (table) => changeReads.get(table) ?? 0,
     dropHistory: () => {
       version++
       oldestHistoryVersion = version
