--- a/packages/entry/src/http/httpServer.ts
+++ b/packages/entry/src/http/httpServer.ts
@@ -4,6 +4,7 @@
 import { Readable } from 'node:stream'
 import { pipeline } from 'node:stream/promises'
 import type { EventLog } from '@fuchsiatally/core'
+import { handleListenerErrors } from '../process/listenerErrors.js'
 import { readBody, type BodyError } from './body.js'
 import { serverListening, routeFailed } from './events.js'
 import { createProblemResponse, SET_COOKIE_SEPARATOR, type HttpRequest, type HttpResponse, type Route } from './route.js'
@@ -145,6 +146,7 @@
   await bindServer(server, options.host, options.port)
   const { port } = server.address() as AddressInfo
   const address = `${options.host}:${port}`
+  handleListenerErrors(server, options.log, address)
   options.log.record(serverListening, { address })
 
   return {
--- a/packages/entry/src/link/peerMesh.ts
+++ b/packages/entry/src/link/peerMesh.ts
@@ -6,6 +6,7 @@
 import { err, ok } from 'neverthrow'
 import type { Result } from 'neverthrow'
 import type { Peer, PeerMesh, SessionView } from '../ports.js'
+import { handleListenerErrors } from '../process/listenerErrors.js'
 import {
   DIAL_CHECK_INTERVAL_MS, HEARTBEAT_INTERVAL_MS, HEARTBEAT_JITTER, LINK_CHECK_INTERVAL_MS, LINK_TIMEOUT_MS, MAX_FRAME_BYTES,
   MAX_PENDING_CONNECTIONS, MAX_SEND_BUFFER_BYTES
@@ -205,13 +206,17 @@
     start: () => new Promise((resolve) => {
       const listener = createServer(acceptSocket)
       server = listener
-      listener.once('error', (error) => {
+      const failListening = (error: Error): void => {
         log.record(linkListenFailed, { message: error.message })
         resolve(err({ kind: 'listenFailed', message: error.message }))
-      })
+      }
+      listener.once('error', failListening)
       listener.listen({ host: options.host, port: options.port ?? 0 }, () => {
+        const address = formatAddress(listener.address() as AddressInfo)
+        listener.removeListener('error', failListening)
+        handleListenerErrors(listener, log, address)
         startTimers()
-        resolve(ok(formatAddress(listener.address() as AddressInfo)))
+        resolve(ok(address))
       })
     }),
     stop: async () => {
