Table relay: function names by the verbs of docs/verbs.md

pages.spec failed on makeCall, serveCall, askPeer and relayCall; now callTable, answerCall, callPeer and callPeers.

--- a/packages/entry/src/partition/tableRelay.ts
+++ b/packages/entry/src/partition/tableRelay.ts
@@ -48,7 +48,7 @@
 }
 
 /** Makes a call of a peer. */
-async function makeCall (table: PartitionTable, call: RelayedCall): Promise<RelayedResult> {
+async function callTable (table: PartitionTable, call: RelayedCall): Promise<RelayedResult> {
   if (call.kind === 'commit') {
     const result = await table.commit(call.transaction)
     return result.isErr() ? toRelayedFailure(result.error) : result.value.kind === 'applied' ? result.value : { kind: 'conflict', rows: [...result.value.rows] }
@@ -74,19 +74,19 @@
   let isRelaying = false
   let probe: Disposable | null = null
 
-  const serveCall = async (call: RelayedCall): Promise<RelayedResult> => {
+  const answerCall = async (call: RelayedCall): Promise<RelayedResult> => {
     // A call that would probably fail here is refused before it is sent, so that its sender may ask another peer.
     if (direct.isSuspect() || inProgress >= MAX_RELAYED_CALLS) return { kind: 'refused', message: 'this entry is not served either, or is busy' }
     inProgress++
     try {
-      return await makeCall(direct, call)
+      return await callTable(direct, call)
     } finally {
       inProgress--
     }
   }
 
   mesh.onMessage('tableRequest', ({ exchange, call }, from) => {
-    serveCall(call).then((result) => { mesh.sendMessage(from.incarnation, { type: 'tableReply', exchange, result }) }, failProcess)
+    answerCall(call).then((result) => { mesh.sendMessage(from.incarnation, { type: 'tableReply', exchange, result }) }, failProcess)
   })
 
   mesh.onMessage('tableReply', ({ exchange, result }, from) => {
@@ -114,7 +114,7 @@
   }
 
   /** Resolves to `notSent`, to the result, or to `null` if the peer did not respond. */
-  const askPeer = (peer: Peer, call: RelayedCall, timeoutMs: number): Promise<RelayedResult | 'notSent' | null> => new Promise((resolve) => {
+  const callPeer = (peer: Peer, call: RelayedCall, timeoutMs: number): Promise<RelayedResult | 'notSent' | null> => new Promise((resolve) => {
     const exchange = random.nextId()
     if (!mesh.sendMessage(peer.incarnation, { type: 'tableRequest', exchange, call })) {
       resolve('notSent')
@@ -149,11 +149,11 @@
   disposables.add({ dispose: () => probe?.dispose() })
 
   /** Asks peers one after the other; `null` if none of them executed the call. */
-  const relayCall = async (call: RelayedCall, timeoutMs: number): Promise<Result<RelayedResult, CallFailure> | null> => {
+  const callPeers = async (call: RelayedCall, timeoutMs: number): Promise<Result<RelayedResult, CallFailure> | null> => {
     scheduleProbe()
     let isUnknown = false
     for (const peer of listCandidates()) {
-      const result = await askPeer(peer, call, timeoutMs)
+      const result = await callPeer(peer, call, timeoutMs)
       if (result !== null && result !== 'notSent' && result.kind !== 'refused') {
         setRelaying(true)
         return result.kind === 'unknown' ? err(toFailure(result)) : ok(result)
@@ -181,7 +181,7 @@
       if (result.isOk() || result.error.kind === 'unknown' || result.error.isOverload === true || !mayRelay()) return result
       failure = result.error
     }
-    const relayed = await relayCall(call, timeoutMs)
+    const relayed = await callPeers(call, timeoutMs)
     if (relayed === null) return err(failure)
     if (relayed.isErr()) return err(relayed.error)
     const value = toResult(relayed.value)
