Relayed table calls: larger peers first

Change: within a failure domain the largest peers are asked first. Test: five calls all go to the large peer of the zone (at random before).

--- a/packages/entry/src/partition/__tests__/tableRelay.spec.ts
+++ b/packages/entry/src/partition/__tests__/tableRelay.spec.ts
@@ -94,7 +94,7 @@
 
 const TRANSACTION: TableTransaction = { part: 'p', checks: [], writes: [], deletes: [] }
 
-function createEntries (clock: FakeClock, domains: readonly string[]): Entry[] {
+function createEntries (clock: FakeClock, domains: readonly string[], cores: readonly number[] = []): Entry[] {
   const mesh = createFakeMesh({ clock })
   return domains.map((failureDomain, index) => {
     const links = mesh.addEntry({ entry: `e${index}`, incarnation: `e${index}.1`, failureDomain })
@@ -112,7 +112,7 @@
       readRange: async () => await answer({ rows: [], version: 3 }),
       readChanges: async () => await answer({ kind: 'historyLost' as const })
     }
-    entry.table = createRelayedTable({ self: links.self, mesh: links, direct: createMonitoredTable(table, clock, events), clock, random: createSeededRandom(index), events })
+    entry.table = createRelayedTable({ self: links.self, mesh: links, direct: createMonitoredTable(table, clock, events), readCores: (name) => cores[Number(name.slice(1))] ?? 1, clock, random: createSeededRandom(index), events })
     return entry as Entry
   })
 }
@@ -139,6 +139,17 @@
   entries[0]!.table.dispose()
 })
 
+// Guards against a holder whose commits wait for the processors of small entries.
+test('of the peers of a failure domain the largest are asked first', async () => {
+  const clock = createFakeClock()
+  const entries = createEntries(clock, ['a', 'a', 'a', 'b', 'a'], [1.35, 0.324, 1.35, 2.7, 0.324])
+  await clock.runFor(100)
+  entries[0]!.fault = 'refused'
+  for (let call = 0; call < 5; call++) assert.is(await commitFrom(clock, entries[0]!), 'applied')
+  assert.equal(entries.slice(1).map(({ commits }) => commits), [0, 5, 0, 0])
+  entries[0]!.table.dispose()
+})
+
 test('peers that are turned away as well are passed over and not asked again for a second', async () => {
   const clock = createFakeClock()
   const entries = createEntries(clock, ['a', 'a', 'a', 'b'])
--- a/packages/entry/src/partition/partitionEntry.ts
+++ b/packages/entry/src/partition/partitionEntry.ts
@@ -14,7 +14,7 @@
 import { MIN_HANDOVER_TERM_MS, STUCK_REPORT_MEMORY_MS, WRITE_RETRY_MS } from './constants.js'
 import { computeCapacityClass } from './rendezvousRank.js'
 import { createMonitoredTable } from './tableHealth.js'
-import { createRelayedTable } from './tableRelay.js'
+import { createRelayedTable, type RelayedTable } from './tableRelay.js'
 import { failProcess } from '../process/failProcess.js'
 
 export interface PartitionEntryOptions {
@@ -53,7 +53,9 @@
 export function createPartitionEntry (options: PartitionEntryOptions): PartitionEntry {
   const { self, mesh, clock, events, bounds } = options
   const disposables = createDisposableStore()
-  const table = disposables.add(createRelayedTable({ ...options, direct: createMonitoredTable(options.table, clock, events) }))
+  const table: RelayedTable = disposables.add(createRelayedTable({
+    ...options, direct: createMonitoredTable(options.table, clock, events), readCores: (entry): number => partitions.readCores(entry)
+  }))
   const terms = new Map<string, PartitionTerm>()
   const lostAtMs = new Map<string, number>()
   /** Terms that ended at this entry, as `partition/epoch`: a stale holder row must not restart one. */
--- a/packages/entry/src/partition/tableRelay.ts
+++ b/packages/entry/src/partition/tableRelay.ts
@@ -10,6 +10,7 @@
 import { tableDirect, tableRelayed } from './events.js'
 import { PARTITION_TABLE } from './partitionRows.js'
 import type { CallFailure, CommitResult, PartitionTable, TableChanges, TableRow } from './ports.js'
+import { computeCapacityClass } from './rendezvousRank.js'
 import type { MonitoredTable } from './tableHealth.js'
 
 type RelayedCall = TableRequest['call']
@@ -20,6 +21,8 @@
   readonly mesh: PeerMesh
   /** The table as this entry reaches it directly. */
   readonly direct: MonitoredTable
+  /** Processor capacity of an entry, in cores. */
+  readonly readCores: (entry: string) => number
   readonly clock: Clock
   readonly random: Random
   readonly events: EventLog
@@ -102,13 +105,18 @@
 
   const mayRelay = (): boolean => clock.nowMs() >= pausedUntilMs && mesh.listPeers().length > 0
 
-  /** Peers in the order in which they are asked: those of the same failure domain first, at random among equals. */
+  /** Peers in the order in which they are asked: those of the same failure domain first, larger ones before smaller ones, at random among equals. */
   const listCandidates = (): Peer[] => {
     const nowMs = clock.nowMs()
     return mesh.listPeers()
       .filter(({ incarnation }) => (avoidUntilMs.get(incarnation) ?? -Infinity) <= nowMs)
-      .map((peer) => ({ peer, order: random.nextFloat() + (peer.failureDomain === self.failureDomain ? 0 : 1) }))
-      .sort((a, b) => a.order - b.order)
+      .map((peer) => ({
+        peer,
+        distance: peer.failureDomain === self.failureDomain ? 0 : 1,
+        capacityClass: computeCapacityClass(options.readCores(peer.entry)),
+        order: random.nextFloat()
+      }))
+      .sort((a, b) => a.distance - b.distance || b.capacityClass - a.capacityClass || a.order - b.order)
       .slice(0, MAX_RELAY_TRIES)
       .map(({ peer }) => peer)
   }
