Claims on ceilings: adopted at once by a new term, never changed by an earlier one

Two causes in one place, each with its test. A fault found while the second was written (the operators' report of a paused process that acts on an expired permission): a holder that was suspended, or deposed without knowing, writes its claims with its old epoch over those of its successor as soon as its review comes round, as the compare-and-set only checks the version of the common row, which it has just read. The successor's starts then stop, and another partition may claim what the successor's runs use (QUOTA). Change: claims of a later term are left alone. Test: failed before, the claims of epoch 4 were replaced by those of epoch 3. Change: a new term adopts the stored claims as they are, by their epoch alone, in its first step and while the jobs are read; they are lowered or raised only once the jobs are loaded, as before. Test: adopted within 50 ms while nothing is loaded (never before).

--- a/packages/core/src/partition/ceilingClaims.ts
+++ b/packages/core/src/partition/ceilingClaims.ts
@@ -99,9 +99,10 @@
   return [processors, memoryMb, accelerators]
 }
 
-/** Computes the next row, or `null` if no change is needed. */
+/** Computes the next row, or `null` if no change is needed, or the claims are of a later term. */
 export function planClaims (options: ClaimPlanOptions): ClaimsRow | null {
   const { partition, epoch, row } = options
+  if ((row.cells[partition]?.epoch ?? 0) > epoch) return null
   const claims: Record<string, Amounts> = {}
   const wanted: string[] = []
   for (const [team, ceiling] of options.ceilings) {
@@ -115,6 +116,16 @@
   return { cells: { ...row.cells, [partition]: section } }
 }
 
+/**
+ * Computes the row in which a new term has adopted the partition's claims as they are, so that the previous holder can no longer change
+ * them; `null` if there are none, or they are of this term already.
+ */
+export function adoptClaims (partition: string, epoch: number, row: ClaimsRow): ClaimsRow | null {
+  const section = row.cells[partition]
+  if (section === undefined || section.epoch >= epoch) return null
+  return { cells: { ...row.cells, [partition]: { ...section, epoch } } }
+}
+
 /** Component-wise minimum of two amounts. */
 function computeMinimum (a: Resources, b: Resources): Resources {
   return {
--- a/packages/entry/src/partition/__tests__/ceilingClaims.spec.ts
+++ b/packages/entry/src/partition/__tests__/ceilingClaims.spec.ts
@@ -50,4 +50,53 @@
   claims.dispose()
 })
 
+/** Creates claims of one client account whose ceiling is 8 cores, and 6 of them claimed here in epoch 4. */
+function createStoredClaims () {
+  const clock = createFakeClock()
+  const model = createPartitionTableModel({ clock })
+  const events = createMemoryEventLog()
+  const [team] = CLUSTER_CONFIG.teams
+  const section = { epoch: 4, claims: { clubs: [6, 1024, 0] as const }, wanted: ['clubs'] }
+  model.writeRow('cell', '!claims', { cells: { [SERVICE]: section, other: { epoch: 2, claims: { clubs: [1, 0, 0] as const }, wanted: [] } } })
+  return {
+    clock,
+    events,
+    section,
+    readSection: (): unknown => (JSON.parse(model.readRow('cell', '', '!claims')!.value) as ClaimsRow).cells[SERVICE],
+    startClaims: (epoch: number, isLoaded: boolean) => createCeilingClaims({
+      partition: SERVICE,
+      epoch,
+      table: model.createClient().table,
+      planner: createPartitionPlanner(),
+      clock,
+      events,
+      readConfig: () => ({ ...CLUSTER_CONFIG, teams: [{ ...team!, ceiling: { processors: 8, memoryMb: 16_384, accelerators: 0 } }] }),
+      listWorkers: () => [],
+      isLoaded: () => isLoaded,
+      onLimits: () => {}
+    })
+  }
+}
+
+// Guards against a holder that was suspended, and writes its claims over those of its successor when it wakes up (QUOTA).
+test('a holder of an earlier term does not change the claims of a later one', async () => {
+  const { clock, section, readSection, startClaims } = createStoredClaims()
+  const deposed = startClaims(3, true)
+  await clock.runFor(3000)
+  assert.equal(readSection(), section)
+  deposed.dispose()
+})
+
+// Guards against a new holder whose waiting work stands until its claims are written, in the busiest moment of its term and in competition.
+test('a new term adopts the claims of the last one before it has read the jobs', async () => {
+  const { clock, events, section, readSection, startClaims } = createStoredClaims()
+  const claims = startClaims(5, false)
+  await clock.runFor(50)
+  assert.equal(readSection(), { ...section, epoch: 5 })
+  assert.is(events.listFields('FT855').length, 1)
+  await clock.runFor(2000)
+  assert.equal(readSection(), { ...section, epoch: 5 })
+  claims.dispose()
+})
+
 test.run()
--- a/packages/entry/src/partition/ceilingClaims.ts
+++ b/packages/entry/src/partition/ceilingClaims.ts
@@ -1,6 +1,6 @@
 /** Keeps a partition's claims on the teams' ceilings in line with its demand. */
 import {
-  addResources, computeClaimLimits, ClaimsRow, createDisposableStore, NO_CLAIMS, NO_RESOURCES, planClaims,
+  addResources, adoptClaims, computeClaimLimits, ClaimsRow, createDisposableStore, NO_CLAIMS, NO_RESOURCES, planClaims,
   type ClusterConfig, type PartitionPlanner, type Clock, type Disposable, type EventLog, type Resources
 } from '@fuchsiatally/core'
 import { createSerialLoop } from '../process/serialLoop.js'
@@ -19,7 +19,7 @@
   readonly events: EventLog
   readonly readConfig: () => ClusterConfig | null
   readonly listWorkers: () => readonly ListedWorker[]
-  /** Whether the planner knows every run; until then no claim may be lowered. */
+  /** Whether the planner knows every run; until then the claims of earlier terms are adopted as they are. */
   readonly isLoaded: () => boolean
   /** Runs after the planner's limits have been updated. */
   readonly onLimits: () => void
@@ -115,6 +115,10 @@
 
   const planRow = (): { row: ClaimsRow, version: number } | null => {
     if (current === null || disposed) return null
+    if (!options.isLoaded()) {
+      const adopted = adoptClaims(partition, epoch, current.row)
+      return adopted === null ? null : { row: adopted, version: current.version }
+    }
     const share = computeShare(partition, options.listWorkers())
     const row = planClaims({ partition, epoch, row: current.row, ceilings: listCeilings(), share, demand: planner.listTeamDemand() })
     return row === null ? null : { row, version: current.version }
@@ -122,7 +126,7 @@
 
   const runStep = async (): Promise<void> => {
     if (isStale && !await readClaims()) return
-    if (disposed || current === null || !options.isLoaded()) return
+    if (disposed || current === null) return
     // Retries at once: with a pause, another partition that updates the row at the same rate could win every time.
     for (let attempt = 0; attempt < MAX_CLAIM_ATTEMPTS; attempt++) {
       const next = planRow()
