A table that refuses all calls by a rate limit counts as turning this entry away

A rate limit counted as a sign that the table is there, so that such an entry stayed ready and refused its callers all the time, its calls were not relayed, and a holder was replaced. Change: three calls and 150 ms of nothing but refusals by a rate limit make the table suspect for this entry, as other refusals do; a limit that all share lets some calls through and changes nothing.

--- a/packages/entry/src/partition/__tests__/tableHealth.spec.ts
+++ b/packages/entry/src/partition/__tests__/tableHealth.spec.ts
@@ -54,6 +54,27 @@
   assert.not(table.isSuspect())
 })
 
+// Guards against an entry that refuses its callers for seconds, and tells the load balancer nothing, because its table refuses it by a rate limit.
+test('a table that refuses all calls by a rate limit is suspect, one that lets some through is not', async () => {
+  const clock = createFakeClock()
+  const { table: raw, faults } = createPartitionTableModel({ clock }).createClient()
+  const table = createMonitoredTable(raw, clock, createMemoryEventLog())
+  const read = async (outage: typeof faults.outage): Promise<void> => {
+    faults.outage = outage
+    const done = table.readRange({ table: 't', part: 'p' })
+    await clock.runFor(50)
+    await done
+  }
+  for (const outage of ['limited', 'limited', null, 'limited', 'limited', 'limited', null] as const) {
+    await read(outage)
+    assert.not(table.isSuspect())
+  }
+  for (let call = 0; call < 5; call++) await read('limited')
+  assert.ok(table.isSuspect())
+  await read(null)
+  assert.not(table.isSuspect())
+})
+
 test('unanswered commits time out earlier than other calls, and later after each timeout', async () => {
   const clock = createFakeClock()
   const { table: raw, faults } = createPartitionTableModel({ clock }).createClient()
--- a/packages/entry/src/partition/__tests__/tableRelay.spec.ts
+++ b/packages/entry/src/partition/__tests__/tableRelay.spec.ts
@@ -13,7 +13,7 @@
 import { createMonitoredTable } from '../tableHealth.js'
 import { createRelayedTable, type RelayedTable } from '../tableRelay.js'
 
-const OUTAGES = ['busy', 'silent'] as const
+const OUTAGES = ['busy', 'silent', 'limited'] as const
 /** A caller's start may be this much late, in milliseconds: as after a lost response of the table. */
 const MAX_DELAY_MS = 600
 
--- a/packages/entry/src/partition/tableHealth.ts
+++ b/packages/entry/src/partition/tableHealth.ts
@@ -14,6 +14,13 @@
 /** Time without a response, beyond the wait of the call, after which the table is suspect, in milliseconds; slowed down sixtyfold it responds after 360 ms. */
 const SUSPECT_AFTER_MS = 500
 
+/**
+ * Number of calls, and time in milliseconds, that a rate limit must have refused without exception for the table to be suspect: a limit that
+ * all entries share lets some calls through, while a table that turns this entry away refuses all.
+ */
+const LIMITED_CALL_COUNT = 3
+const LIMITED_AFTER_MS = 150
+
 /** Weight of the last sample in the moving average. */
 const EWMA_WEIGHT = 0.2
 /** Mean commit time from which the table counts as slow, and below which as fast again, in milliseconds; it is 13 under normal load. */
@@ -27,6 +34,9 @@
   let answeredAtMs = -Infinity
   const commitTimeout = createAdaptiveTimeout()
   let lastFailed = false
+  /** Calls refused by a rate limit since the last one that was not, and the time of the first. */
+  let limitedCalls = 0
+  let limitedSinceMs = 0
   let meanCommitMs = 0
   let isSlow = false
 
@@ -37,6 +47,15 @@
     events.record(isSlow ? tableSlow : tableFast, { commitMs: Math.round(meanCommitMs) })
   }
 
+  const recordLimit = (isLimited: boolean): void => {
+    if (!isLimited) {
+      limitedCalls = 0
+      return
+    }
+    if (limitedCalls === 0) limitedSinceMs = clock.nowMs()
+    limitedCalls++
+  }
+
   const watchCall = async <T>(waitMs: number, call: Promise<Result<T, CallFailure>>): Promise<Result<T, CallFailure>> => {
     const pendingCall = { sentAtMs: clock.nowMs() }
     const timer = createResponseTimer({
@@ -47,6 +66,7 @@
     const result = await call
     timer.dispose()
     overdue.delete(pendingCall)
+    recordLimit(result.isErr() && result.error.isOverload === true)
     if (result.isOk() || result.error.isOverload === true) {
       answeredAtMs = clock.nowMs()
       lastFailed = false
@@ -73,6 +93,7 @@
     readChanges: (name, version, waitMs) => watchCall(waitMs, table.readChanges(name, version, waitMs)),
     isSuspect: () => {
       if (lastFailed) return true
+      if (limitedCalls >= LIMITED_CALL_COUNT && clock.nowMs() - limitedSinceMs >= LIMITED_AFTER_MS) return true
       // An overdue call counts only if no call has been answered since it was sent: a table that is slow or lost one response responds to others.
       for (const { sentAtMs } of overdue) if (answeredAtMs < sentAtMs) return true
       return false
--- a/packages/entry/src/testing/partitionTableModel.ts
+++ b/packages/entry/src/testing/partitionTableModel.ts
@@ -6,8 +6,8 @@
 
 /** Faults of the calls of one client. */
 export interface TableFaults {
-  /** No call has an effect. `silent`: calls time out, so their outcome is unknown; `busy`: calls are refused, so the caller knows that nothing was applied. */
-  outage: 'silent' | 'busy' | null
+  /** No call has an effect. `silent`: calls time out, so their outcome is unknown; `busy`: calls are refused, so the caller knows that nothing was applied; `limited`: the same, by a rate limit. */
+  outage: 'silent' | 'busy' | 'limited' | null
   /** Called for each write: `null`, or the response is lost and the write is applied after `afterMs`. */
   loseWrite: (transaction: TableTransaction) => { readonly afterMs: number } | null
   /** Additional delay of range reads by table, in milliseconds. */
@@ -80,6 +80,7 @@
     const call = async <T> (run: () => T, callTimeoutMs = timeoutMs): Promise<Result<T, CallFailure>> => {
       await wait(callMs)
       if (faults.outage === 'busy') return err({ kind: 'refused', message: 'busy' })
+      if (faults.outage === 'limited') return err({ kind: 'refused', message: 'rate limit', isOverload: true })
       if (faults.outage === 'silent') {
         await wait(callTimeoutMs)
         return err({ kind: 'unknown', message: 'no response' })
