--- a/packages/core/src/partition/ceilingClaims.ts
+++ b/packages/core/src/partition/ceilingClaims.ts
@@ -120,7 +120,7 @@
  * Computes the row in which a new term has adopted the partition's claims as they are, so that the previous holder can no longer change
  * them; `null` if there are none, or they are of this term already.
  */
-export function adoptClaims (partition: string, epoch: number, row: ClaimsRow): ClaimsRow | null {
+export function takeOverClaims (partition: string, epoch: number, row: ClaimsRow): ClaimsRow | null {
   const section = row.cells[partition]
   if (section === undefined || section.epoch >= epoch) return null
   return { cells: { ...row.cells, [partition]: { ...section, epoch } } }
--- a/packages/entry/src/partition/ceilingClaims.ts
+++ b/packages/entry/src/partition/ceilingClaims.ts
@@ -1,6 +1,6 @@
 /** Keeps a partition's claims on the teams' ceilings in line with its demand. */
 import {
-  addResources, adoptClaims, computeClaimLimits, ClaimsRow, createDisposableStore, NO_CLAIMS, NO_RESOURCES, planClaims,
+  addResources, computeClaimLimits, ClaimsRow, createDisposableStore, NO_CLAIMS, NO_RESOURCES, planClaims, takeOverClaims,
   type ClusterConfig, type PartitionPlanner, type Clock, type Disposable, type EventLog, type Resources
 } from '@fuchsiatally/core'
 import { createSerialLoop } from '../process/serialLoop.js'
@@ -116,7 +116,7 @@
   const planRow = (): { row: ClaimsRow, version: number } | null => {
     if (current === null || disposed) return null
     if (!options.isLoaded()) {
-      const adopted = adoptClaims(partition, epoch, current.row)
+      const adopted = takeOverClaims(partition, epoch, current.row)
       return adopted === null ? null : { row: adopted, version: current.version }
     }
     const share = computeShare(partition, options.listWorkers())
