Planner: a gang that does not fit the workers with tickets asks for others at once

Cause: while any worker with capacity has a valid ticket no query is due, which is right for tasks that start one by one and wrong for a gang, of which a part may fit. Change: a gang whose tickets leave no room for all of its tasks asks for workers without a valid ticket, if with all workers that it may still use it would fit; one that would fit nowhere asks as rarely as before, so that advice is not used up. Ruled out: asking for 100 workers at once, which takes 1.2 s a call with this class's advice; several queries at a time for one step. Tests: 30 tasks on 245 workers of which each third is allowed, started within 0.1 s (not within 1.5 s before); 300 tasks that fit nowhere ask once.

--- a/packages/core/src/partition/__tests__/partitionPlanner.spec.ts
+++ b/packages/core/src/partition/__tests__/partitionPlanner.spec.ts
@@ -2,7 +2,7 @@
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
 import { createTestStep, createTestStepJob } from '../../testing/stepJobs.js'
-import { ACCEPTED_STATE, createPartitionPlanner, type PartitionPlanner, type ListedEnd, type StartOrder, type TrySendQuery } from '../index.js'
+import { ACCEPTED_STATE, createPartitionPlanner, type AdviceQuery, type PartitionPlanner, type ListedEnd, type StartOrder, type TrySendQuery } from '../index.js'
 
 const ACCEPT_REQUEST: TrySendQuery = () => true
 
@@ -156,6 +156,43 @@
   assert.equal(queriedSteps, ['first.0.0'])
 })
 
+/** Rounds of 10 ms with an advice service that allows each third worker; returns the queries and the time of the first start, or `null`. */
+function runWithAdvice (planner: PartitionPlanner, untilMs: number): { queries: string[][], startedAtMs: number | null } {
+  const queries: string[][] = []
+  for (let nowMs = 0; nowMs <= untilMs; nowMs += 10) {
+    const sent: AdviceQuery[] = []
+    const { starts } = planner.decide(nowMs, nowMs, (query) => sent.push(query) > 0)
+    for (const query of sent) {
+      queries.push([...query.workers])
+      planner.recordAdvice(query, new Map(query.workers.filter((worker) => Number(worker.slice(1)) % 3 === 0).map((worker) => [worker, 'ticket'])), nowMs)
+    }
+    if (starts.length > 0) return { queries, startedAtMs: nowMs }
+  }
+  return { queries, startedAtMs: null }
+}
+
+function createUniformPlanner (count: number, processors: number): PartitionPlanner {
+  return createPlanner(Object.fromEntries(Array.from({ length: count }, (_, index) => [`w${index}`, processors])))
+}
+
+// Guards against gangs that wait, one validity of their tickets after the other, while workers that nobody asked for have room.
+test('a gang that does not fit the workers with tickets asks for others at once', () => {
+  const advice = { decisionMs: 10, eachMs: 1, validityMs: 2000 }
+  const planner = createUniformPlanner(245, 2)
+  planner.addJob('gang', createTestStepJob([createTestStep({ taskCount: 30, gang: true })], { priority: 1, advice }), ACCEPTED_STATE, 0)
+  const { queries, startedAtMs } = runWithAdvice(planner, 1500)
+  assert.ok(startedAtMs !== null && startedAtMs <= 100, `started at ${startedAtMs}`)
+  assert.is(new Set(queries.flat()).size, queries.flat().length, 'a worker with a valid ticket was asked for again')
+  assert.ok(queries.length >= 2 && queries.length <= 3, `${queries.length} queries`)
+})
+
+test('a gang that would not fit with all workers either asks for no others while its tickets are valid', () => {
+  const advice = { decisionMs: 10, eachMs: 1, validityMs: 2000 }
+  const planner = createUniformPlanner(245, 2)
+  planner.addJob('gang', createTestStepJob([createTestStep({ taskCount: 300, gang: true, resources: { processors: 2, memoryMb: 64, accelerators: 0 } })], { priority: 1, advice }), ACCEPTED_STATE, 0)
+  assert.is(runWithAdvice(planner, 1500).queries.length, 1)
+})
+
 test('a step runs only where it has a ticket, and queries advice again after it expires', () => {
   const planner = createPlanner({ w1: 2, w2: 2 })
   const advice = { decisionMs: 10, eachMs: 1, validityMs: 1500 }
--- a/packages/core/src/partition/stepInstance.ts
+++ b/packages/core/src/partition/stepInstance.ts
@@ -2,7 +2,7 @@
 import { ADVICE_RETRY_MS, MAX_ADVICE_WORKERS, TICKET_MARGIN_MS } from './constants.js'
 import { canEverRun, computeTaskResources, type PartitionWorker } from './partitionWorker.js'
 import type { PlanningRound } from './planningRound.js'
-import type { Resources } from '../schema/resources.js'
+import { hasRoomFor, subtractResources, type Resources } from '../schema/resources.js'
 import type { Job, Task, Occurrence } from './jobState.js'
 import type { AdvicePolicy, JobStep } from './stepJob.js'
 
@@ -86,9 +86,32 @@
   return canEverRun(worker, instance.step) && !instance.unsuitable.has(worker.info.id)
 }
 
+/** Counts the tasks of a step that workers could take now, up to `needed`. */
+function countRoom (instance: StepInstance, indexes: readonly number[], needed: number, round: PlanningRound): number {
+  const { taskResources, step } = instance
+  const most = step.maxPerWorker > 0 ? step.maxPerWorker : Infinity
+  let count = 0
+  for (const index of indexes) {
+    if (count >= needed) break
+    let left = round.readUnclaimed(index)
+    for (let here = 0; here < most && count < needed && hasRoomFor(left, taskResources); here++) {
+      left = subtractResources(left, taskResources)
+      count++
+    }
+  }
+  return count
+}
+
+/** Whether a gang that its tickets leave no room for may fit if further workers are asked for. */
+function mayFitWithMore (instance: StepInstance, ticketed: readonly number[], withCapacity: readonly number[], round: PlanningRound): boolean {
+  const needed = instance.tasks.length
+  return countRoom(instance, ticketed, needed, round) < needed && countRoom(instance, withCapacity, needed, round) === needed
+}
+
 /**
  * Chooses the workers of the next advice query; none if no query is due.
- * The first query covers many workers because a worker's suitability never changes; later ones renew tickets where there is capacity.
+ * The first query covers many workers because a worker's suitability never changes; later ones renew tickets where there is capacity. While
+ * tickets are valid, only a gang asks for further workers: it starts as a whole, and a part of it may fit the workers asked for so far.
  * No query is sent while no worker has capacity: the ticket would expire unused.
  */
 export function chooseAdviceWorkers (instance: StepInstance, round: PlanningRound): string[] {
@@ -98,10 +121,13 @@
   const withCapacity = round.listUnclaimedFitting(instance.taskResources).filter(isSuitable)
   if (withCapacity.length === 0) return []
   const isFirst = instance.tickets.size === 0 && instance.unsuitable.size === 0
-  if (!isFirst && withCapacity.some((index) => hasTicket(instance, workers[index]!.info.id, nowMs + TICKET_MARGIN_MS))) return []
-  const asksAll = isFirst || instance.step.gang
+  const hasValidTicket = (index: number): boolean => hasTicket(instance, workers[index]!.info.id, nowMs + TICKET_MARGIN_MS)
+  const ticketed = withCapacity.filter(hasValidTicket)
+  const { gang } = instance.step
+  if (ticketed.length > 0 && !(gang && mayFitWithMore(instance, ticketed, withCapacity, round))) return []
+  const asksAll = isFirst || gang
   if (asksAll) round.addEvaluations(workers.length)
-  const selected = asksAll ? [...workers.keys()].filter(isSuitable) : withCapacity
+  const selected = (asksAll ? [...workers.keys()].filter(isSuitable) : withCapacity).filter((index) => !hasValidTicket(index))
   selected.sort((a, b) => round.readUnclaimed(b).processors - round.readUnclaimed(a).processors)
   return selected.slice(0, MAX_ADVICE_WORKERS).map((index) => workers[index]!.info.id)
 }
