--- a/packages/core/src/partition/createPartitionPlanner.ts
+++ b/packages/core/src/partition/createPartitionPlanner.ts
@@ -5,7 +5,7 @@
 import { createCapacityIndex } from './capacityIndex.js'
 import { createJobRegistry } from './jobRegistry.js'
 import { listTasks, type Task } from './jobState.js'
-import type { CanSendQuery, PlannerDecisions, PartitionPlanner, StartOrder, TrySendQuery } from './plannerTypes.js'
+import type { CanSendQuery, PlannerDecisions, PartitionPlanner, RunName, StartOrder, TrySendQuery } from './plannerTypes.js'
 import { chooseAdviceWorkers, countStartable, listStartable, mayBeSuitable, recordAdvice, recordAdviceFailed, type StepInstance } from './stepInstance.js'
 import { createCapacityReservations } from './capacityReservation.js'
 import { createCeilingPreemptions, type CeilingPreemptions } from './ceilingPreemption.js'
@@ -199,17 +199,21 @@
     },
     recordWorkerLost: (id, nowMs, isInDoubt) => {
       const worker = workers.get(id)
-      if (worker === undefined) return
+      if (worker === undefined) return []
       worker.synced = false
       worker.strayRuns = 0
+      const released: RunName[] = []
       for (const task of [...worker.tasks]) {
-        if (isInDoubt?.(buildRunName(task)) === true) continue
+        const run = buildRunName(task)
+        if (isInDoubt?.(run) === true) continue
+        released.push(run)
         tracker.releaseTask(task, nowMs)
       }
       for (const instance of registry.listStepInstances()) {
         instance.tickets.delete(id)
         instance.unsuitable.delete(id)
       }
+      return released
     },
     removeWorker: (id) => {
       capacityIndex.recordChange(workers.get(id)?.info, undefined)
--- a/packages/core/src/partition/plannerTypes.ts
+++ b/packages/core/src/partition/plannerTypes.ts
@@ -97,8 +97,8 @@
   setSynced: (worker: string, synced: boolean) => void
   /** Pauses starts at an unresponsive worker until a monotonic time in milliseconds; 0 lifts the pause. */
   setSuspect: (worker: string, untilMs: number) => void
-  /** Releases all runs of a lost worker, except for those whose start is still in doubt. */
-  recordWorkerLost: (worker: string, nowMs: number, isInDoubt?: (run: RunName) => boolean) => void
+  /** Releases all runs of a lost worker, except for those whose start is still in doubt; returns those released. */
+  recordWorkerLost: (worker: string, nowMs: number, isInDoubt?: (run: RunName) => boolean) => readonly RunName[]
   /** Removes a lost worker. */
   removeWorker: (worker: string) => void
   listWorkers: () => readonly string[]
--- a/packages/entry/src/partition/__tests__/workerLease.spec.ts
+++ b/packages/entry/src/partition/__tests__/workerLease.spec.ts
@@ -31,6 +31,7 @@
   const load = createHolderLoad({ partition: 'pages', epoch: 1, clock, events, readBacklog: () => ({ steps: 0, tasks: 0 }) })
   const controller = createPartitionWorkerController({
     worker: WORKER,
+    address: `${WORKER}:1`,
     client: {
       renewLease: async ({ leaseUntilMs }) => {
         if (leaseUntilMs !== null) grants.push({ atMs: clock.nowMs(), lengthMs: leaseUntilMs - readClock() })
--- a/packages/entry/src/partition/partitionTerm.ts
+++ b/packages/entry/src/partition/partitionTerm.ts
@@ -6,8 +6,9 @@
 import type { AdviceRouter } from './adviceRouter.js'
 import { createCeilingClaims } from './ceilingClaims.js'
 import { createPartitionCommits } from './partitionCommits.js'
-import { LATE_LEASE_MEMORY_MS, MAX_STARTS_IN_FLIGHT, MAX_UNCONFIRMED_EXTENSION_MS } from './constants.js'
+import { LATE_LEASE_MEMORY_MS, MAX_LOGGED_RUNS, MAX_STARTS_IN_FLIGHT, MAX_UNCONFIRMED_EXTENSION_MS } from './constants.js'
 import { computeLateLeaseMs, computeLeaseMs, computePriorLeaseBoundMs } from './leaseBounds.js'
+import { formatRun } from './formatRun.js'
 import { createPartitionJobs } from './partitionJobs.js'
 import type { HolderRow } from './partitionRows.js'
 import { createHolderLoad } from './holderLoad.js'
@@ -96,6 +97,7 @@
   const addWorker = (listing: ListedWorker): void => {
     const controller = createPartitionWorkerController({
       worker: listing.id,
+      address: listing.address,
       client: options.createWorkerClient(listing),
       epoch: row.epoch,
       maxLeaseMs: options.bounds.maxLeaseMs,
@@ -143,8 +145,14 @@
     if (clock.nowMs() - startedAtMs < computePriorLeaseBoundMs(options.bounds.maxLeaseMs)) return
     for (const id of planner.listWorkers()) {
       if (managedWorkers.has(id)) continue
-      events.record(workerLost, { worker: id, reason: 'not listed in this term, and all its leases have expired' })
-      planner.recordWorkerLost(id, clock.nowMs())
+      const runs = planner.recordWorkerLost(id, clock.nowMs())
+      events.record(workerLost, {
+        worker: id,
+        reason: 'not listed in this term, and all its leases have expired',
+        cause: 'unlisted',
+        runs: runs.slice(0, MAX_LOGGED_RUNS).map(formatRun),
+        runCount: runs.length
+      })
       planner.removeWorker(id)
     }
   }
--- a/packages/entry/src/partition/partitionWorkerController.ts
+++ b/packages/entry/src/partition/partitionWorkerController.ts
@@ -1,7 +1,7 @@
 /** Controls one worker on behalf of a partition's holder: renews its lease, applies its run reports and sends it orders. */
 import { createDisposableStore, type PartitionPlanner, type Clock, type Disposable, type EventLog, type RunName, type StartOrder, type StopOrder } from '@fuchsiatally/core'
 import {
-  MAX_CLOCK_DRIFT, COMMIT_WAIT_MS, LEASE_MARGIN_MS, LEASE_RETRY_MS, LEASE_WAIT_MS, MAX_EXCUSED_CALLS, MIN_START_LEASE_MS, START_ATTEMPT_TIMEOUTS_MS, SUSPECT_PAUSE_MS, UNEXTENDED_LEASE_WAIT_MS
+  MAX_CLOCK_DRIFT, COMMIT_WAIT_MS, LEASE_MARGIN_MS, LEASE_RETRY_MS, LEASE_WAIT_MS, MAX_EXCUSED_CALLS, MAX_LOGGED_RUNS, MIN_START_LEASE_MS, START_ATTEMPT_TIMEOUTS_MS, SUSPECT_PAUSE_MS, UNEXTENDED_LEASE_WAIT_MS
 } from './constants.js'
 import { computePriorLeaseBoundMs } from './leaseBounds.js'
 import { runEnded, runRefused, runStopping, orderInDoubt, workerReachable, workerLost, workerUnresponsive } from './events.js'
@@ -13,6 +13,8 @@
 
 export interface PartitionWorkerControllerOptions {
   readonly worker: string
+  /** `host:port` of the worker. */
+  readonly address: string
   readonly client: PartitionWorkerClient
   readonly epoch: number
   readonly maxLeaseMs: number
@@ -42,6 +44,9 @@
   isQuiescent: () => boolean
 }
 
+/** What the calls to a worker showed when it was lost: its address refuses or closes connections, another worker responds there, or it restarted. */
+type LossCause = 'silent' | 'refused' | 'closed' | 'replaced' | 'restarted'
+
 interface PendingEnd {
   readonly number: number
   readonly job: string
@@ -72,6 +77,10 @@
   let pendingEnds: PendingEnd[] = []
   let resolveCommitWait: (() => void) | null = null
   let failures = 0
+  /** Time of the first of the consecutive failures. */
+  let failedAtMs = 0
+  /** How the last call failed. */
+  let lastFailure: LossCause = 'silent'
   /** Consecutive lease calls without a response that this process's own delay explains. */
   let excusedCalls = 0
 
@@ -112,8 +121,10 @@
 
   const setSuspect = (): void => planner.setSuspect(worker, clock.nowMs() + SUSPECT_PAUSE_MS)
 
-  const recordMissedRenewal = (reason: string): void => {
+  const recordMissedRenewal = (reason: string, cause: LossCause): void => {
+    if (failures === 0) failedAtMs = clock.nowMs()
     failures++
+    lastFailure = cause
     setSuspect()
     if (!isReachable || failures < 2) return
     isReachable = false
@@ -122,11 +133,19 @@
     options.onChange()
   }
 
-  const recordWorkerLost = (reason: string): void => {
+  const recordWorkerLost = (reason: string, cause: LossCause): void => {
     isLost = true
     isReachable = false
-    planner.recordWorkerLost(worker, clock.nowMs(), (run) => inDoubt.has(formatRun(run)))
-    events.record(workerLost, { worker, reason, unsettled: inDoubt.size })
+    const runs = planner.recordWorkerLost(worker, clock.nowMs(), (run) => inDoubt.has(formatRun(run)))
+    events.record(workerLost, {
+      worker,
+      reason,
+      cause,
+      failingMs: failures === 0 ? 0 : Math.round(clock.nowMs() - failedAtMs),
+      runs: runs.slice(0, MAX_LOGGED_RUNS).map(formatRun),
+      runCount: runs.length,
+      unsettled: inDoubt.size
+    })
     options.onChange()
   }
 
@@ -142,7 +161,7 @@
   const watchExpiry = (): void => {
     if (disposed || isLost || failures === 0) return
     const delayMs = computeExpiryDelayMs()
-    if (delayMs < 0) recordWorkerLost('its lease has expired')
+    if (delayMs < 0) recordWorkerLost('its lease has expired', lastFailure)
     else clock.setTimer(delayMs + 1, watchExpiry)
   }
 
@@ -153,7 +172,7 @@
       pendingEnds = []
       leaseUntilMs = -Infinity
       clockSample = null
-      recordWorkerLost('the worker restarted')
+      recordWorkerLost('the worker restarted', 'restarted')
     }
     bornAtMs = response.bornAtMs
     recordClock(response.clockMs, sentAtMs)
@@ -172,7 +191,7 @@
     if (!isReachable) {
       isReachable = true
       planner.setSynced(worker, true)
-      events.record(workerReachable, { worker, epoch, running: response.running.length, ended: ended.length })
+      events.record(workerReachable, { worker, address: options.address, bornAtMs: response.bornAtMs, epoch, running: response.running.length, ended: ended.length })
       options.onChange()
     }
     if (ended.length > 0) options.onChange()
@@ -194,7 +213,8 @@
       return
     }
     if (result.isErr() || result.value.kind === 'otherWorker') {
-      recordMissedRenewal(result.isErr() ? result.error.message : 'another worker responds at its address')
+      if (result.isErr()) recordMissedRenewal(result.error.message, result.error.connection ?? 'silent')
+      else recordMissedRenewal('another worker responds at its address', 'replaced')
       if (failures === 1) watchExpiry()
       await waitFor(LEASE_RETRY_MS)
       return
--- a/packages/entry/src/partition/ports.ts
+++ b/packages/entry/src/partition/ports.ts
@@ -11,6 +11,8 @@
   readonly isOverload?: boolean
   /** The event loop of this process was late, so that a missing response says nothing about the other side. */
   readonly isOwnDelay?: true
+  /** How the connection failed: nothing listens at the address, or it was closed before the response. Absent if there was no response in time. */
+  readonly connection?: 'refused' | 'closed'
 }
 
 /** One row of the table. */
