--- a/packages/entry/src/testing/partitionCluster.ts
+++ b/packages/entry/src/testing/partitionCluster.ts
@@ -10,7 +10,7 @@
 import type { PeerMesh } from '../ports.js'
 import { createLateProcess } from './lateProcess.js'
 import { createPartitionTableModel, type PartitionTableModel, type TableFaults } from './partitionTableModel.js'
-import { createPartitionWorkerModel, type PartitionWorkerModel, type StartedRun } from './partitionWorkerModel.js'
+import { createPartitionWorkerModel, type PartitionWorkerModel, type PlannedRun, type StartedRun } from './partitionWorkerModel.js'
 import { createChargedPlanner, createChargedWorkerClient, type HolderCosts } from './chargedHolder.js'
 import { createFakeMesh, type FakeMesh, type FakePeerMesh } from './fakeMesh.js'
 
@@ -39,7 +39,9 @@
   readonly started: StartedRun[]
   /** @param cores processor capacity; default 1 */
   addEntry: (name: string, cores?: number) => ClusterEntry
-  addWorker: (id: string, capacity?: Resources) => PartitionWorkerModel
+  addWorker: (id: string, capacity?: Resources, rack?: string) => PartitionWorkerModel
+  /** Crashes a worker; it comes back under another id at the same address, and its old row expires. */
+  crashWorker: (id: string) => void
   setConfig: (config: ClusterConfig) => void
   /** Returns the entry that the table names as the holder of the partition. */
   findHolder: () => string | null
@@ -47,7 +49,7 @@
 
 /** Options of a cluster. */
 export interface PartitionClusterOptions {
-  readonly planRun?: (order: StartOrder) => { readonly durationMs: number, readonly how: 'done' | 'failed' }
+  readonly planRun?: (order: StartOrder) => PlannedRun
   readonly maxLeaseMs?: number
   /** Called for each transaction; returns its duration in its part of the table, in milliseconds; default 0. */
   readonly readTransactionMs?: () => number
@@ -59,6 +61,10 @@
 
 /** The only service, after which the partition is named. */
 export const SERVICE = 'pages'
+/** Time for which a crashed worker is down, in milliseconds. */
+const CRASH_DOWN_MS = 3200
+/** Time after a crash at which the worker's row expires, in milliseconds. */
+const ROW_EXPIRY_MS = 4000
 const CAPACITY: Resources = { processors: 8, memoryMb: 16384, accelerators: 0 }
 
 /** Configuration with one open queue. */
@@ -106,6 +112,7 @@
   const workers = new Map<string, PartitionWorkerModel>()
   const started: StartedRun[] = []
   let incarnationCount = 0
+  let crashCount = 0
   table.writeRow('op', 'config', encodeConfig(CLUSTER_CONFIG))
 
   const addEntry = (name: string, cores = 1): ClusterEntry => {
@@ -152,6 +159,28 @@
     }
   }
 
+  const addWorker = (id: string, listing: ListedWorker): PartitionWorkerModel => {
+    const model = createPartitionWorkerModel({
+      listing, clock, started, planRun: options.planRun ?? (() => ({ durationMs: 1000, how: 'done' })), onCrash: () => crashWorker(id)
+    })
+    workers.set(id, model)
+    table.writeRow('servers', id, listing)
+    return model
+  }
+
+  const crashWorker = (id: string): void => {
+    const model = workers.get(id)
+    if (model === undefined) throw new Error(`no worker ${id}`)
+    model.crash()
+    clock.setTimer(CRASH_DOWN_MS, () => {
+      model.setReplaced()
+      crashCount++
+      const nextId = `${id.split('+')[0]}+${crashCount}`
+      addWorker(nextId, { ...model.listing, id: nextId })
+    })
+    clock.setTimer(ROW_EXPIRY_MS, () => table.deleteRow('servers', id))
+  }
+
   return {
     clock,
     table,
@@ -159,15 +188,10 @@
     workers,
     started,
     addEntry,
-    addWorker: (id, capacity = CAPACITY) => {
-      const listing: ListedWorker = { id, service: SERVICE, address: `${id}:1`, failureDomain: 'a', labels: ['kind', 'rack'], capacity, draining: false }
-      const model = createPartitionWorkerModel({
-        listing, clock, started, planRun: options.planRun ?? (() => ({ durationMs: 1000, how: 'done' }))
-      })
-      workers.set(id, model)
-      table.writeRow('servers', id, listing)
-      return model
+    addWorker: (id, capacity = CAPACITY, rack = 'rack') => {
+      return addWorker(id, { id, service: SERVICE, address: `${id}:1`, failureDomain: 'a', labels: ['kind', rack], capacity, draining: false })
     },
+    crashWorker,
     setConfig: (config) => table.writeRow('op', 'config', encodeConfig(config)),
     findHolder: () => {
       const row = table.readRow('cell', SERVICE, 'holder')
--- a/packages/entry/src/testing/partitionWorkerModel.ts
+++ b/packages/entry/src/testing/partitionWorkerModel.ts
@@ -4,7 +4,7 @@
  */
 import type { Clock, ListedEnd, RunName, StartOrder } from '@fuchsiatally/core'
 import { err, ok, type Result } from 'neverthrow'
-import type { CallFailure, PartitionWorkerClient, ListedWorker } from '../partition/ports.js'
+import type { CallFailure, PartitionWorkerClient, ListedWorker, OtherWorker } from '../partition/ports.js'
 import { formatRun } from '../partition/formatRun.js'
 import { createLongPoll } from './longPoll.js'
 
@@ -13,13 +13,16 @@
   readonly worker: string
   readonly startedAtMs: number
   endedAtMs: number | null
-  how: ListedEnd['how'] | null
+  /** `lost`: the worker crashed. */
+  how: ListedEnd['how'] | 'lost' | null
 }
 
 /** Faults of a worker. */
 export interface PartitionWorkerFaults {
   /** Calls and responses are lost. */
   cut: boolean
+  /** Connections are refused, as after a crash or behind some cuts. */
+  refuses: boolean
   /** Called for each call, lease renewals included: `null`, or the call times out at the caller and takes effect after `afterMs`. */
   delayCall: () => { readonly afterMs: number } | null
 }
@@ -31,6 +34,17 @@
   createClient: () => PartitionWorkerClient
   /** Ends all runs and clears all state, as a restart of the process does. */
   restart: () => void
+  /** Ends all runs; from now on connections are refused. */
+  crash: () => void
+  /** Another worker responds at the address from now on. */
+  setReplaced: () => void
+}
+
+/** Course of a run. */
+export interface PlannedRun {
+  readonly durationMs: number
+  /** `crash`: the run crashes its worker. */
+  readonly how: 'done' | 'failed' | 'crash'
 }
 
 /** Options of a worker model. */
@@ -38,7 +52,9 @@
   readonly listing: ListedWorker
   readonly clock: Clock
   /** Plans the duration of a run, in milliseconds, and its result. */
-  readonly planRun: (order: StartOrder) => { readonly durationMs: number, readonly how: 'done' | 'failed' }
+  readonly planRun: (order: StartOrder) => PlannedRun
+  /** Called when a run crashes the worker. */
+  readonly onCrash: () => void
   readonly started: StartedRun[]
 }
 
@@ -54,7 +70,7 @@
 /** Creates a worker without runs. */
 export function createPartitionWorkerModel (options: PartitionWorkerModelOptions): PartitionWorkerModel {
   const { clock, listing, started } = options
-  const faults: PartitionWorkerFaults = { cut: false, delayCall: () => null }
+  const faults: PartitionWorkerFaults = { cut: false, refuses: false, delayCall: () => null }
   let bornAtMs = clock.wallMs()
   let startMs = clock.nowMs()
   let epoch = 0
@@ -65,6 +81,7 @@
   /** Highest run of each task that ended or was stopped on this worker; it and earlier ones may not start again. */
   let tombstones = new Map<string, number>()
   let incarnation = 0
+  let isReplaced = false
   const poll = createLongPoll(clock)
 
   const readClock = (): number => clock.nowMs() - startMs
@@ -110,7 +127,11 @@
     const { durationMs, how } = options.planRun(order)
     activeRuns.set(name, { record, durationMs })
     const startIncarnation = incarnation
-    clock.setTimer(durationMs, () => { if (startIncarnation === incarnation) endRun(name, how) })
+    clock.setTimer(durationMs, () => {
+      if (startIncarnation !== incarnation || !activeRuns.has(name)) return
+      if (how === 'crash') options.onCrash()
+      else endRun(name, how)
+    })
     return { kind: 'started' as const, clockMs: readClock() }
   }
 
@@ -123,8 +144,10 @@
     return { kind: 'answered' as const }
   }
 
-  const call = async <T> (run: () => T, timeoutMs = CALL_TIMEOUT_MS): Promise<Result<T, CallFailure>> => {
+  const call = async <T> (run: () => T, timeoutMs = CALL_TIMEOUT_MS): Promise<Result<T | OtherWorker, CallFailure>> => {
     await wait(NETWORK_DELAY_MS)
+    if (faults.refuses) return err({ kind: 'refused', message: 'connect ECONNREFUSED', connection: 'refused' })
+    if (isReplaced) return ok({ kind: 'otherWorker' })
     const delayed = faults.cut ? null : faults.delayCall()
     if (delayed !== null) clock.setTimer(delayed.afterMs, run)
     if (faults.cut || delayed !== null) {
@@ -138,7 +161,7 @@
 
   const createClient = (): PartitionWorkerClient => ({
     renewLease: async (request) => {
-      await poll.waitUntil(() => ended.length > 0 || faults.cut, request.waitMs)
+      await poll.waitUntil(() => ended.length > 0 || faults.cut || faults.refuses || isReplaced, request.waitMs)
       return await call(() => {
         if (request.epoch < epoch) return { kind: 'deposed' as const }
         epoch = request.epoch
@@ -155,17 +178,30 @@
     dispose: () => {}
   })
 
+  const loseRuns = (how: 'lapsed' | 'lost'): void => {
+    for (const run of activeRuns.values()) {
+      run.record.endedAtMs = clock.nowMs()
+      run.record.how = how
+    }
+    activeRuns = new Map()
+    incarnation++
+  }
+
   return {
     listing,
     faults,
     createClient,
+    crash: () => {
+      loseRuns('lost')
+      faults.refuses = true
+      poll.notify()
+    },
+    setReplaced: () => {
+      faults.refuses = false
+      isReplaced = true
+    },
     restart: () => {
-      for (const run of activeRuns.values()) {
-        run.record.endedAtMs = clock.nowMs()
-        run.record.how = 'lapsed'
-      }
-      incarnation++
-      activeRuns = new Map()
+      loseRuns('lapsed')
       ended = []
       tombstones = new Map()
       epoch = lastEnd = leaseUntilMs = 0
