--- a/packages/core/src/partition/__tests__/endedJobs.spec.ts
+++ b/packages/core/src/partition/__tests__/endedJobs.spec.ts
@@ -30,7 +30,7 @@
   planner.cancelJob('j', 10)
   assert.equal(planner.removeEnded(1000), [])
   assert.is(planner.readPhase('j'), 'cancelled')
-  planner.recordWorkerLost('w1', 20)
+  planner.recordWorkerLost('w1', { kind: 'silent', failedAtMs: 20, nowMs: 20, wallMs: 20 })
   assert.equal(planner.removeEnded(1000), ['j'])
 })
 
@@ -45,7 +45,7 @@
   planner.setSynced('w1', true)
   planner.decide(0, 0, () => true)
   assert.equal(count(), [['q', 1], ['other', 1]])
-  planner.recordWorkerLost('w1', 5)
+  planner.recordWorkerLost('w1', { kind: 'silent', failedAtMs: 5, nowMs: 5, wallMs: 5 })
   assert.equal(count(), [['q', 1], ['other', 1]])
   planner.cancelJob('b', 10)
   planner.cancelJob('b', 11)
--- a/packages/core/src/partition/__tests__/partitionOracle.spec.ts
+++ b/packages/core/src/partition/__tests__/partitionOracle.spec.ts
@@ -181,7 +181,7 @@
         for (const member of listGang(order)) finish(member, 'broken')
       }
       ended.set(worker, [])
-      planner.recordWorkerLost(worker, nowMs)
+      planner.recordWorkerLost(worker, { kind: 'crashed', failedAtMs: nowMs, nowMs, wallMs: nowMs })
       planner.setSynced(worker, true)
     },
     setDraining: (worker: string, isDraining: boolean): void => {
--- a/packages/core/src/partition/constants.ts
+++ b/packages/core/src/partition/constants.ts
@@ -26,6 +26,26 @@
 export const STALL_TIMEOUT_MS = 1700
 /** Fraction of the estimated run time without progress before a run counts as stalled: progress is in whole percent, estimates may be half the actual time. */
 export const STALL_FRACTION = 0.05
+/** Time after its confirmed start within which a task is the likely cause of a crash of its worker, in milliseconds. */
+export const RECENT_START_MS = 150
+/** Crashes of a task that ran apart from others after which it is given up. */
+export const CRASH_PROOFS_TO_GIVE_UP = 2
+/** Time for which a task that would be given up waits until the crash of its worker is proven, in milliseconds; workers are back after some three seconds, leases expire about then. */
+export const VERDICT_WAIT_MS = 1500
+/** Time for which a lost worker may still turn out to have crashed or to have been cut off only, in milliseconds. */
+export const MAX_LOSS_AGE_MS = 30_000
+/** Time within which failures of a common cause are noticed, in milliseconds: connections break at once, silence is noticed by timeouts. */
+export const ABRUPT_FAILURE_WINDOW_MS = 150
+export const SILENT_FAILURE_WINDOW_MS = 1500
+/** Share of the workers that may be set apart for suspected tasks at a time, the same as a share of the room that is free, and the least number of them. */
+export const MAX_ISOLATED_SHARE = 1 / 6
+export const MAX_ISOLATED_FREE_SHARE = 1 / 2
+export const MIN_ISOLATED_WORKERS = 1
+/** Longest time for which a worker is held without a suspected task, in milliseconds. */
+export const MAX_HOLD_MS = 6000
+/** Run time after which other tasks may join a suspected one, in milliseconds, and the same after several crashes. */
+export const PROBATION_MS = 5000
+export const LONG_PROBATION_MS = 12_000
 /** Wait after which capacity is reserved for a gang, in milliseconds; a fifth of the shortest gang objective. */
 export const RESERVE_AFTER_MS = 400
 /** Wait in milliseconds after which a long-running task is scheduled first and gets a reservation; half of the 6 s that users allow, less the time for advice. */
--- /dev/null
+++ b/packages/core/src/partition/crashEvidence.ts
@@ -0,0 +1,157 @@
+/**
+ * Attributes lost workers to the tasks that ran there. Pattern: poison pill, one task that crashes each worker that starts it.
+ *
+ * A crash casts suspicion on each task at the worker, most on those that had just started. Suspected tasks run apart from others
+ * (`isolation.ts`), and only crashes of such runs count as proof, so that no task is given up for a crash that a neighbour caused.
+ */
+import { CRASH_PROOFS_TO_GIVE_UP, MAX_LOSS_AGE_MS, RECENT_START_MS, VERDICT_WAIT_MS } from './constants.js'
+import type { Task } from './jobState.js'
+import type { FailureHistory } from './failureHistory.js'
+import type { PartitionWorker } from './partitionWorker.js'
+import type { WorkerLoss } from './plannerTypes.js'
+
+/** Suspicion from which a task runs apart from the tasks of other steps. */
+export const SUSPICION_LIMIT = 2
+/** Suspicion that a crash casts on a task that had just started, and on one that had run for longer. */
+const RECENT_START_SUSPICION = 2
+const LONG_RUN_SUSPICION = 1
+
+/** Tasks whose crash counts have changed. */
+export interface CrashVerdict {
+  readonly counted: readonly Task[]
+  /** Tasks that crash their workers beyond doubt. */
+  readonly proven: readonly Task[]
+}
+
+/** Evidence of one partition. */
+export interface CrashEvidence {
+  /** Records the loss of a worker with the tasks that it still had. */
+  recordLoss: (worker: PartitionWorker, loss: WorkerLoss) => CrashVerdict
+  /** Records that a lost worker has crashed: another one responds at its address. */
+  recordReplaced: (worker: string, nowMs: number) => CrashVerdict
+  /** Withdraws what was counted for a lost worker that had only been cut off. */
+  recordSurvived: (worker: string) => readonly Task[]
+}
+
+/** One task at a lost worker. */
+interface Charge {
+  readonly task: Task
+  readonly suspicion: number
+  readonly ageMs: number
+  /** Had run for too long to be the cause of a crash right after the start of another task. */
+  readonly isSettled: boolean
+}
+
+interface RecordedLoss {
+  readonly charges: readonly Charge[]
+  readonly lostAtMs: number
+  /** No task of another step could have caused the crash. */
+  readonly isSolo: boolean
+  isCounted: boolean
+  isProven: boolean
+}
+
+const NO_VERDICT: CrashVerdict = { counted: [], proven: [] }
+
+/** Tells whether a task must run apart from the tasks of other steps. */
+export function isSuspected (task: Task): boolean {
+  return task.suspicion >= SUSPICION_LIMIT
+}
+
+/** Tells whether two tasks belong to the same step of one occurrence. Either of them fails the same job. */
+export function isSameStep (a: Task, b: Task): boolean {
+  return a.job === b.job && a.occurrence === b.occurrence && a.step === b.step
+}
+
+/** Tells whether a long-running task has run long enough to not be the cause of a crash right after the start of another one. */
+export function isSettled (task: Task, nowMs: number): boolean {
+  return task.definition.longRunning && !isSuspected(task) && task.confirmedAtMs !== null && nowMs - task.confirmedAtMs > RECENT_START_MS
+}
+
+function buildCharges (worker: PartitionWorker, { failedAtMs }: WorkerLoss): Charge[] {
+  const charges: Charge[] = []
+  for (const task of worker.tasks) {
+    if (task.phase !== 'placed') continue
+    const ageMs = task.confirmedAtMs === null ? 0 : failedAtMs - task.confirmedAtMs
+    charges.push({ task, ageMs, isSettled: isSettled(task, failedAtMs), suspicion: ageMs <= RECENT_START_MS ? RECENT_START_SUSPICION : LONG_RUN_SUSPICION })
+  }
+  return charges
+}
+
+/** Whether the worker ran one step only, apart from long-running tasks that had run for a while. */
+function isSoloLoss (worker: PartitionWorker, charges: readonly Charge[]): boolean {
+  if (worker.strayRuns > 0) return false
+  const suspects = charges.filter((charge) => !charge.isSettled)
+  const first = suspects[0]
+  return first !== undefined && suspects.every(({ task }) => isSameStep(task, first.task))
+}
+
+/** Creates evidence without losses. */
+export function createCrashEvidence (failures: FailureHistory): CrashEvidence {
+  const losses = new Map<string, RecordedLoss>()
+
+  const count = (loss: RecordedLoss): Task[] => {
+    if (loss.isCounted) return []
+    loss.isCounted = true
+    for (const { task, suspicion, ageMs } of loss.charges) {
+      task.crashes++
+      task.suspicion += suspicion
+      if (Number.isFinite(ageMs)) task.crashAgeMs = Math.max(task.crashAgeMs, ageMs)
+    }
+    return loss.charges.map(({ task }) => task)
+  }
+
+  const prove = (loss: RecordedLoss): Task[] => {
+    if (loss.isProven) return []
+    loss.isProven = true
+    if (!loss.isSolo) return []
+    const proven: Task[] = []
+    for (const { task, isSettled } of loss.charges) {
+      if (isSettled) continue
+      task.soloCrashes++
+      if (task.soloCrashes >= CRASH_PROOFS_TO_GIVE_UP) proven.push(task)
+    }
+    return proven
+  }
+
+  const dropOldLosses = (nowMs: number): void => {
+    for (const [worker, { lostAtMs }] of losses) if (nowMs - lostAtMs > MAX_LOSS_AGE_MS) losses.delete(worker)
+  }
+
+  return {
+    recordLoss: (worker, loss) => {
+      dropOldLosses(loss.nowMs)
+      if (loss.kind === 'left' || failures.isCommonCause(worker, loss.failedAtMs)) return NO_VERDICT
+      const charges = buildCharges(worker, loss)
+      if (charges.length === 0) return NO_VERDICT
+      const recorded: RecordedLoss = { charges, lostAtMs: loss.nowMs, isSolo: isSoloLoss(worker, charges), isCounted: false, isProven: false }
+      losses.set(worker.info.id, recorded)
+      if (loss.kind === 'silent') return NO_VERDICT
+      const counted = count(recorded)
+      if (loss.kind === 'crashed') return { counted, proven: prove(recorded) }
+      for (const { task } of charges) {
+        if (recorded.isSolo && task.soloCrashes + 1 >= CRASH_PROOFS_TO_GIVE_UP) task.verdictDueMs = loss.nowMs + VERDICT_WAIT_MS
+      }
+      return { counted, proven: [] }
+    },
+    recordReplaced: (worker, nowMs) => {
+      const loss = losses.get(worker)
+      if (loss === undefined || nowMs - loss.lostAtMs > MAX_LOSS_AGE_MS) return NO_VERDICT
+      const wasProven = loss.isProven
+      const counted = count(loss)
+      const proven = prove(loss)
+      return { counted: wasProven ? counted : loss.charges.map(({ task }) => task), proven }
+    },
+    recordSurvived: (worker) => {
+      const loss = losses.get(worker)
+      losses.delete(worker)
+      if (loss === undefined || !loss.isCounted || loss.isProven) return []
+      for (const { task, suspicion } of loss.charges) {
+        task.crashes--
+        task.suspicion -= suspicion
+        task.verdictDueMs = 0
+      }
+      return loss.charges.map(({ task }) => task)
+    }
+  }
+}
--- a/packages/core/src/partition/createPartitionPlanner.ts
+++ b/packages/core/src/partition/createPartitionPlanner.ts
@@ -1,12 +1,15 @@
 /** Scheduler of one partition: places tasks on workers from jobs, worker reports and placement advice. */
 import { hasRoomFor, computeTotal, subtractResources } from '../schema/resources.js'
-import { RESERVE_AFTER_MS, LONG_RUNNING_RESERVE_AFTER_MS, MAX_RESERVING_STEPS, PREEMPT_AFTER_MS } from './constants.js'
+import { RESERVE_AFTER_MS, LONG_RUNNING_RESERVE_AFTER_MS, MAX_RESERVING_STEPS, PREEMPT_AFTER_MS, TICKET_MARGIN_MS } from './constants.js'
 import { startWorkerBackoff, type PartitionWorker } from './partitionWorker.js'
 import { createCapacityIndex } from './capacityIndex.js'
+import { createCrashEvidence, isSuspected, type CrashVerdict } from './crashEvidence.js'
+import { createFailureHistory } from './failureHistory.js'
+import { createIsolation, placeSuspects } from './isolation.js'
 import { createJobRegistry } from './jobRegistry.js'
 import { listTasks, type Task } from './jobState.js'
 import type { CanSendQuery, PlannerDecisions, PartitionPlanner, RunName, StartOrder, TrySendQuery } from './plannerTypes.js'
-import { chooseAdviceWorkers, countStartable, listStartable, mayBeSuitable, recordAdvice, recordAdviceFailed, type StepInstance } from './stepInstance.js'
+import { chooseAdviceWorkers, countStartable, hasTicket, listStartable, mayBeSuitable, recordAdvice, recordAdviceFailed, type StepInstance } from './stepInstance.js'
 import { createCapacityReservations } from './capacityReservation.js'
 import { createCeilingPreemptions, type CeilingPreemptions } from './ceilingPreemption.js'
 import { buildRunName, createRunTracker } from './runTracker.js'
@@ -25,6 +28,7 @@
 interface RoundParts {
   readonly round: PlanningRound
   readonly ceilings: CeilingPreemptions
+  readonly advice: AdviceAccess
 }
 
 /** Creates a planner without jobs or workers. */
@@ -33,6 +37,9 @@
   const registry = createJobRegistry()
   const tracker = createRunTracker(registry, teams)
   const { workers } = tracker
+  const failures = createFailureHistory(workers)
+  const evidence = createCrashEvidence(failures)
+  const isolation = createIsolation(workers)
   const budget = createRoundBudget()
   /** Evaluations of the last round. */
   let evaluations = 0
@@ -88,6 +95,30 @@
     if (isAtCeiling(instance)) teams.addBlocked(instance.job.spec.team, computeTotal(instance.step.resources, countStartable(instance)))
   }
 
+  /** Chooses workers that are set apart for suspected tasks of a step; holds further ones and asks for their tickets as needed. */
+  const placeIsolated = (instance: StepInstance, suspects: readonly Task[], { round, advice }: RoundParts): { task: Task, worker: PartitionWorker, index: null }[] => {
+    if (suspects.length === 0) return []
+    isolation.releaseUnsuitable(instance, round.nowMs)
+    const findPlacements = () => {
+      const clear = isolation.listClear(instance, round.nowMs)
+      const ticketed = clear.filter(({ info }) => hasTicket(instance, info.id, round.nowMs))
+      if (ticketed.length < clear.length) sendHeldQuery(instance, clear, round, advice)
+      return placeSuspects(instance, suspects, ticketed)
+    }
+    let placements = findPlacements()
+    // A gang needs room for all of its suspects at once.
+    const needed = instance.step.gang ? suspects.length : 1
+    for (let held = isolation.countHeld(instance); placements.length < needed && held < needed && isolation.tryHold(instance, round); held++) placements = findPlacements()
+    return placements.map((placement) => ({ ...placement, index: null }))
+  }
+
+  const sendHeldQuery = (instance: StepInstance, held: readonly PartitionWorker[], { nowMs }: PlanningRound, { trySend }: AdviceAccess): void => {
+    const { advice } = instance.job.spec.policy
+    if (advice === undefined || instance.isAdvicePending || nowMs < instance.nextAdviceMs) return
+    const selected = held.map(({ info }) => info.id).filter((id) => !hasTicket(instance, id, nowMs + TICKET_MARGIN_MS))
+    if (selected.length > 0) instance.isAdvicePending = trySend({ step: instance.key, workers: selected, costMs: advice.decisionMs + advice.eachMs * selected.length })
+  }
+
   /** Starts the tasks of a step that fit the capacity and the team's limit; returns those that wait for capacity. */
   const startStep = (ranked: RankedInstance, parts: RoundParts, starts: StartOrder[]): Task[] => {
     const { instance } = ranked
@@ -98,18 +129,26 @@
       handleCeilingWait(ranked, startable.length, parts)
       return []
     }
-    const placements = placeTasks(instance, startable, round)
-    const gangRun = instance.step.gang ? Math.max(0, ...instance.tasks.map((task) => task.run)) + 1 : 0
+    const { gang } = instance.step
+    const apart = startable.filter(isSuspected)
+    const suspects = apart.filter((task) => task.verdictDueMs <= round.nowMs)
+    const sound = apart.length === 0 ? startable : startable.filter((task) => !isSuspected(task))
+    const isolated = placeIsolated(instance, suspects, parts)
+    if (gang && isolated.length + sound.length < startable.length) return startable
+    const shared = placeTasks(instance, sound, round)
+    if (gang && shared.length < sound.length) return startable
+    const gangRun = gang ? Math.max(0, ...instance.tasks.map((task) => task.run)) + 1 : 0
     const placed = new Set<Task>()
-    for (const { task, worker } of placements) {
-      if (!instance.step.gang && !teams.mayAdd(team, instance.step.resources)) break
-      starts.push(startTask(instance, task, round.workers[worker]!, instance.step.gang ? gangRun : task.run + 1))
-      round.updateFree(worker)
+    const placements = [...isolated, ...shared.map(({ task, worker }) => ({ task, worker: round.workers[worker]!, index: worker }))]
+    for (const { task, worker, index } of placements) {
+      if (!gang && !teams.mayAdd(team, instance.step.resources)) break
+      starts.push(startTask(instance, task, worker, gang ? gangRun : task.run + 1))
+      if (index !== null) round.updateFree(index)
       placed.add(task)
     }
     if (placed.size > 0) registry.recordStarted(instance)
-    if (placed.size === placements.length) return startable.filter((task) => !placed.has(task))
-    handleCeilingWait(ranked, startable.length - placed.size, parts)
+    if (placed.size === placements.length) return sound.filter((task) => !placed.has(task))
+    handleCeilingWait(ranked, sound.length - placed.size, parts)
     return []
   }
 
@@ -159,9 +198,10 @@
     evaluations = 0
     const starts: StartOrder[] = []
     teams.startRound()
+    isolation.startRound(nowMs)
     const round = createPlanningRound(workers.values(), nowMs)
     const reservations = createCapacityReservations(round)
-    const parts = { round, ceilings: createCeilingPreemptions(workers.values(), round) }
+    const parts = { round, ceilings: createCeilingPreemptions(workers.values(), round), advice: { trySend, canSend } }
     let reservingCount = 0
     const ranking = sortInstances({ instances: registry.listWaitingInstances(), capacityCores: readCapacityCores(), nowMs, wallMs })
     budget.startRound(round, ranking.length)
@@ -181,7 +221,19 @@
       stopForPreemption(reservations.reserve({ instance, tasks: left, mayPreempt: mayPreempt(ranked, nowMs) }))
     }
     evaluations += round.countEvaluations()
-    return { starts, stops: tracker.takeStops() }
+    return { starts, stops: tracker.takeStops(), isolation: isolation.takeChanges() }
+  }
+
+  /** Gives up the tasks that crash their workers beyond doubt; returns their last runs. */
+  const applyVerdict = ({ counted, proven }: CrashVerdict, wallMs: number): RunName[] => {
+    for (const task of counted) registry.markChanged(task.job)
+    const givenUp: RunName[] = []
+    for (const task of proven) {
+      if (task.phase === 'done' || task.phase === 'failed') continue
+      givenUp.push(buildRunName(task))
+      tracker.giveUp(task, wallMs)
+    }
+    return givenUp
   }
 
   return {
@@ -197,24 +249,33 @@
       const worker = workers.get(id)
       if (worker !== undefined) worker.suspectUntilMs = untilMs
     },
-    recordWorkerLost: (id, nowMs, isInDoubt) => {
+    recordWorkerFailing: (id, nowMs, isAbrupt) => {
+      const worker = workers.get(id)
+      if (worker !== undefined) failures.recordFailure(worker, nowMs, isAbrupt)
+    },
+    recordWorkerLost: (id, loss, isInDoubt) => {
       const worker = workers.get(id)
-      if (worker === undefined) return []
+      if (worker === undefined) return { released: [], suspected: [], givenUp: [] }
+      const verdict = evidence.recordLoss(worker, loss)
       worker.synced = false
       worker.strayRuns = 0
       const released: RunName[] = []
+      const suspected: RunName[] = []
       for (const task of [...worker.tasks]) {
         const run = buildRunName(task)
         if (isInDoubt?.(run) === true) continue
         released.push(run)
-        tracker.releaseTask(task, nowMs)
+        if (isSuspected(task)) suspected.push(run)
+        tracker.releaseTask(task, loss.nowMs)
       }
       for (const instance of registry.listStepInstances()) {
         instance.tickets.delete(id)
         instance.unsuitable.delete(id)
       }
-      return released
+      return { released, suspected, givenUp: applyVerdict(verdict, loss.wallMs) }
     },
+    recordWorkerReplaced: (id, nowMs, wallMs) => applyVerdict(evidence.recordReplaced(id, nowMs), wallMs),
+    recordWorkerSurvived: (id) => { for (const task of evidence.recordSurvived(id)) registry.markChanged(task.job) },
     removeWorker: (id) => {
       capacityIndex.recordChange(workers.get(id)?.info, undefined)
       tracker.removeWorker(id)
@@ -223,8 +284,8 @@
     hasRuns: (id) => (workers.get(id)?.tasks.size ?? 0) > 0,
     setTeamLimits: (limits, areFinal = true) => teams.setLimits(limits, areFinal),
     listTeamDemand: teams.listDemand,
-    addJob: (id, spec, record, nowMs) => {
-      const job = registry.addJob(id, spec, record, nowMs)
+    addJob: (id, spec, record, nowMs, crashes) => {
+      const job = registry.addJob(id, spec, record, nowMs, crashes)
       for (const task of listTasks(job)) {
         if (task.worker === '') continue
         // Started in an earlier term: the worker's first report under this epoch shows its outcome.
@@ -275,6 +336,7 @@
     isChanged: registry.isChanged,
     addChangedJobs: (jobs) => { for (const job of jobs) registry.markChanged(job) },
     readRecord: registry.readRecord,
+    readCrashRecord: registry.readCrashRecord,
     readPhase: registry.readPhase,
     countWaiting: registry.countWaiting,
     countBacklog: () => {
--- /dev/null
+++ b/packages/core/src/partition/failureHistory.ts
@@ -0,0 +1,73 @@
+/** Recent failures of workers, to tell a crash of one worker from a cause that several have in common, such as a rack without power. */
+import { ABRUPT_FAILURE_WINDOW_MS, MAX_LOSS_AGE_MS, SILENT_FAILURE_WINDOW_MS } from './constants.js'
+import { readRack, type PartitionWorker } from './partitionWorker.js'
+
+/** Failures of one partition's workers. */
+export interface FailureHistory {
+  /**
+   * @param isAbrupt whether the failure was noticed at once, because the worker's connections were refused or closed
+   */
+  recordFailure: (worker: PartitionWorker, nowMs: number, isAbrupt: boolean) => void
+  /** Whether at least half of the other workers of the rack or failure domain, and more than one if there are more, failed at the same time. */
+  isCommonCause: (worker: PartitionWorker, failedAtMs: number) => boolean
+}
+
+interface Failure {
+  readonly worker: string
+  readonly rack: string
+  readonly failureDomain: string
+  readonly atMs: number
+  readonly isAbrupt: boolean
+  /** Workers in the rack and failure domain at that time, without this one. */
+  readonly othersInRack: number
+  readonly othersInDomain: number
+}
+
+const MIN_COMMON_FAILURES = 2
+
+function isMostOf (failed: number, others: number): boolean {
+  return others > 0 && failed >= Math.min(MIN_COMMON_FAILURES, others) && failed >= others / 2
+}
+
+/** Creates a history without failures. */
+export function createFailureHistory (workers: ReadonlyMap<string, PartitionWorker>): FailureHistory {
+  let failures: Failure[] = []
+
+  const countOthers = (worker: PartitionWorker, isAlike: (other: PartitionWorker) => boolean): number => {
+    let count = 0
+    for (const other of workers.values()) if (other !== worker && other.synced && isAlike(other)) count++
+    return count
+  }
+
+  return {
+    recordFailure: (worker, nowMs, isAbrupt) => {
+      failures = failures.filter(({ atMs }) => nowMs - atMs <= MAX_LOSS_AGE_MS)
+      const { id, failureDomain } = worker.info
+      const rack = readRack(worker.info)
+      failures.push({
+        worker: id,
+        rack,
+        failureDomain,
+        atMs: nowMs,
+        isAbrupt,
+        othersInRack: countOthers(worker, ({ info }) => readRack(info) === rack),
+        othersInDomain: countOthers(worker, ({ info }) => info.failureDomain === failureDomain)
+      })
+    },
+    isCommonCause: (worker, failedAtMs) => {
+      const own = failures.find((failure) => failure.worker === worker.info.id && failure.atMs >= failedAtMs)
+      if (own === undefined) return false
+      const isSimultaneous = (failure: Failure): boolean => {
+        const windowMs = own.isAbrupt && failure.isAbrupt ? ABRUPT_FAILURE_WINDOW_MS : SILENT_FAILURE_WINDOW_MS
+        return failure.worker !== own.worker && Math.abs(failure.atMs - own.atMs) <= windowMs
+      }
+      const others = failures.filter(isSimultaneous)
+      const inRack = others.filter(({ rack }) => rack === own.rack)
+      const inDomain = others.filter(({ failureDomain }) => failureDomain === own.failureDomain)
+      // The first failure was recorded while the others still counted as synced.
+      const mostInRack = Math.max(own.othersInRack, ...inRack.map(({ othersInRack }) => othersInRack))
+      const mostInDomain = Math.max(own.othersInDomain, ...inDomain.map(({ othersInDomain }) => othersInDomain))
+      return isMostOf(inRack.length, mostInRack) || isMostOf(inDomain.length, mostInDomain)
+    }
+  }
+}
--- a/packages/core/src/partition/jobRegistry.ts
+++ b/packages/core/src/partition/jobRegistry.ts
@@ -1,5 +1,8 @@
 /** Registry of a partition's jobs: their tasks, the steps that are ready, and changes that are not in the table yet. */
-import { buildStateRecord, createJob, createOccurrence, hasAllocatedTask, isFinal, listTasks, type Job, type Task, type JobPhase, type JobStateRecord, type Occurrence } from './jobState.js'
+import {
+  buildCrashRecord, buildStateRecord, createJob, createOccurrence, hasAllocatedTask, isFinal, listTasks, restoreCrashes,
+  type CrashRecord, type Job, type Task, type JobPhase, type JobStateRecord, type Occurrence
+} from './jobState.js'
 import type { RunName } from './plannerTypes.js'
 import type { StepJob } from './stepJob.js'
 import { createStepInstance, type StepInstance } from './stepInstance.js'
@@ -8,7 +11,7 @@
 
 /** Jobs of one partition. */
 export interface JobRegistry {
-  addJob: (id: string, spec: StepJob, record: JobStateRecord, nowMs: number) => Job
+  addJob: (id: string, spec: StepJob, record: JobStateRecord, nowMs: number, crashes?: CrashRecord) => Job
   addEndedJob: (id: string, phase: JobPhase, endedAtMs: number) => void
   /** `undefined` for an unknown job, or one that ended before this term. */
   findJob: (id: string) => Job | undefined
@@ -35,6 +38,7 @@
   isChanged: (id: string) => boolean
   takeChanged: (maxCount: number) => string[]
   readRecord: (id: string) => JobStateRecord | null
+  readCrashRecord: (id: string) => CrashRecord | null
   countWaiting: () => ReadonlyMap<string, number>
   removeEnded: (wallMs: number) => string[]
 }
@@ -127,10 +131,11 @@
   const findStepInstance = (task: Task): StepInstance | undefined => instances.get(`${task.job}.${task.occurrence}.${task.step}`)
 
   return {
-    addJob: (id, spec, record, nowMs) => {
+    addJob: (id, spec, record, nowMs, crashes) => {
       const { teamJobsPerS } = spec.policy
       const isOverRate = teamJobsPerS !== undefined && rateMeter.recordJob(spec.team, teamJobsPerS, spec.acceptedAtMs)
       const job = createJob(id, spec, record, isOverRate)
+      if (crashes !== undefined) restoreCrashes(job, crashes)
       jobs.set(id, job)
       countJob(job, 1)
       if (isFinal(job.phase)) {
@@ -208,6 +213,10 @@
       const job = jobs.get(id)
       return job === undefined ? null : buildStateRecord(job)
     },
+    readCrashRecord: (id) => {
+      const job = jobs.get(id)
+      return job === undefined ? null : buildCrashRecord(job)
+    },
     countWaiting: () => waitingJobs,
     removeEnded: (wallMs) => {
       const removed: string[] = []
--- a/packages/core/src/partition/jobState.ts
+++ b/packages/core/src/partition/jobState.ts
@@ -33,6 +33,15 @@
   failures: number
   /** Checkpoint to resume from; empty if none. */
   saved: string
+  /** Workers that crashed while the task ran there, and those of them where it ran apart from others. */
+  crashes: number
+  soloCrashes: number
+  /** How likely the task is to be the cause of these crashes; from `SUSPICION_LIMIT` on it runs apart. */
+  suspicion: number
+  /** Monotonic time until which a start waits for the proof of the last crash. Not stored in the table. */
+  verdictDueMs: number
+  /** Longest run that ended with a crash, in milliseconds. Not stored in the table. */
+  crashAgeMs: number
   /** Monotonic time at which the worker confirmed the current run, or `null`. Not stored in the table. */
   confirmedAtMs: number | null
   /** A stop of the current run has been ordered. Not stored in the table. */
@@ -75,6 +84,10 @@
 })
 export type JobStateRecord = typeof JobStateRecord.Type
 
+/** Row of a job's crashed workers, by task. A row of its own, because earlier versions reject states with unknown fields. */
+export const CrashRecord = Schema.Array(Schema.Tuple([Schema.Int, Schema.Int, Schema.Int, Schema.Int, Schema.Int, Schema.Int]))
+export type CrashRecord = typeof CrashRecord.Type
+
 /** Initial state of an accepted job. */
 export const ACCEPTED_STATE: JobStateRecord = { phase: 'queued', endedAtMs: 0, occurrences: [] }
 
@@ -99,6 +112,11 @@
     worker: '',
     failures: 0,
     saved: '',
+    crashes: 0,
+    soloCrashes: 0,
+    suspicion: 0,
+    crashAgeMs: 0,
+    verdictDueMs: 0,
     confirmedAtMs: null,
     stopping: false,
     preemptions: 0,
@@ -137,6 +155,23 @@
   return { phase: job.phase, endedAtMs: job.endedAtMs, occurrences }
 }
 
+/** Builds the row of a job's crashed workers: `[occurrence, step, index, crashes, soloCrashes, suspicion]`; `null` if there are none. */
+export function buildCrashRecord (job: Job): CrashRecord | null {
+  const record: CrashRecord[number][] = []
+  for (const { occurrence, step, index, crashes, soloCrashes, suspicion } of listTasks(job)) {
+    if (crashes > 0) record.push([occurrence, step, index, crashes, soloCrashes, suspicion])
+  }
+  return record.length === 0 ? null : record
+}
+
+/** Restores the crash counts of a job's tasks. */
+export function restoreCrashes (job: Job, record: CrashRecord): void {
+  for (const [occurrence, step, index, crashes, soloCrashes, suspicion] of record) {
+    const task = job.occurrences.get(occurrence)?.steps[step]?.[index]
+    if (task !== undefined) Object.assign(task, { crashes, soloCrashes, suspicion })
+  }
+}
+
 /** Lists the tasks of all occurrences. */
 export function * listTasks (job: Job): Generator<Task> {
   for (const occurrence of job.occurrences.values()) {
--- a/packages/core/src/partition/partitionWorker.ts
+++ b/packages/core/src/partition/partitionWorker.ts
@@ -30,6 +30,13 @@
   /** Failed runs since the last run that ended in any other way. */
   consecutiveFailures: number
   backoffMs: number
+  /** Set apart for suspected tasks. */
+  isolated: boolean
+}
+
+/** Returns the rack of a worker; empty if unknown. */
+export function readRack ({ labels }: WorkerInfo): string {
+  return labels[1] ?? ''
 }
 
 /** Resources that a task of a step occupies at its worker. */
@@ -39,7 +46,7 @@
 
 /** Creates a worker that is not synced yet. */
 export function createPartitionWorker (info: WorkerInfo): PartitionWorker {
-  return { info, synced: false, used: NO_RESOURCES, tasks: new Set(), strayRuns: 0, backoffUntilMs: 0, suspectUntilMs: 0, consecutiveFailures: 0, backoffMs: MIN_WORKER_BACKOFF_MS }
+  return { info, synced: false, used: NO_RESOURCES, tasks: new Set(), strayRuns: 0, backoffUntilMs: 0, suspectUntilMs: 0, consecutiveFailures: 0, backoffMs: MIN_WORKER_BACKOFF_MS, isolated: false }
 }
 
 /** Free resources; components are negative if the worker is overcommitted. */
@@ -60,8 +67,13 @@
   worker.used = subtractResources(worker.used, computeTaskResources(step))
 }
 
-/** Tells whether tasks may be started at a worker now. */
+/** Tells whether tasks may be started at a worker now that is not set apart. */
 export function isSchedulable (worker: PartitionWorker, nowMs: number): boolean {
+  return !worker.isolated && isAvailable(worker, nowMs)
+}
+
+/** Tells whether a worker accepts starts now. */
+export function isAvailable (worker: PartitionWorker, nowMs: number): boolean {
   return worker.synced && !worker.info.draining && worker.strayRuns === 0 && worker.backoffUntilMs <= nowMs && worker.suspectUntilMs <= nowMs
 }
 
--- a/packages/core/src/partition/plannerTypes.ts
+++ b/packages/core/src/partition/plannerTypes.ts
@@ -1,6 +1,6 @@
 /** Inputs and outputs of the partition planner. */
 import type { Resources } from '../schema/resources.js'
-import type { JobPhase, JobStateRecord } from './jobState.js'
+import type { CrashRecord, JobPhase, JobStateRecord } from './jobState.js'
 import type { StepJob } from './stepJob.js'
 import type { TeamDemand } from './ceilingClaims.js'
 import type { WorkerInfo } from './partitionWorker.js'
@@ -77,10 +77,44 @@
 /** Reason why a start had no effect. */
 export type StartRefusal = 'room' | 'ticket' | 'superseded' | 'unavailable' | 'notSent'
 
+/** How a worker was lost. */
+export interface WorkerLoss {
+  /**
+   * `crashed`: another life of it, or another worker, responds at its address; `refused`: its address refuses connections, as after a crash or
+   * behind some cuts; `silent`: no response; `left`: it was draining or is gone for good.
+   */
+  readonly kind: 'crashed' | 'refused' | 'silent' | 'left'
+  /** Monotonic time at which the worker failed, at the earliest. */
+  readonly failedAtMs: number
+  readonly nowMs: number
+  readonly wallMs: number
+}
+
+/** What became of the tasks of a lost worker. */
+export interface LossOutcome {
+  /** Runs whose tasks wait again. */
+  readonly released: readonly RunName[]
+  /** Those of them that will run apart from the tasks of other steps. */
+  readonly suspected: readonly RunName[]
+  /** Last runs of tasks that are given up because they crash their workers. */
+  readonly givenUp: readonly RunName[]
+}
+
+/** A worker that was set apart for a step with suspected tasks, or takes other tasks again. */
+export interface IsolationChange {
+  readonly worker: string
+  /** `job.occurrence.step` */
+  readonly step: string
+  readonly kind: 'held' | 'released'
+  /** Time since the worker was set apart, in milliseconds. */
+  readonly heldMs: number
+}
+
 /** Orders of one planning round. */
 export interface PlannerDecisions {
   readonly starts: readonly StartOrder[]
   readonly stops: readonly StopOrder[]
+  readonly isolation: readonly IsolationChange[]
 }
 
 /** Sends a query to the advice service; returns `false` if the service is saturated. */
@@ -97,8 +131,14 @@
   setSynced: (worker: string, synced: boolean) => void
   /** Pauses starts at an unresponsive worker until a monotonic time in milliseconds; 0 lifts the pause. */
   setSuspect: (worker: string, untilMs: number) => void
-  /** Releases all runs of a lost worker, except for those whose start is still in doubt; returns those released. */
-  recordWorkerLost: (worker: string, nowMs: number, isInDoubt?: (run: RunName) => boolean) => readonly RunName[]
+  /** Records the first of a series of failed calls to a worker. */
+  recordWorkerFailing: (worker: string, nowMs: number, isAbrupt: boolean) => void
+  /** Releases all runs of a lost worker, except for those whose start is still in doubt. */
+  recordWorkerLost: (worker: string, loss: WorkerLoss, isInDoubt?: (run: RunName) => boolean) => LossOutcome
+  /** Another worker responds at the address of a lost one, which therefore crashed; returns the tasks that are given up for it. */
+  recordWorkerReplaced: (worker: string, nowMs: number, wallMs: number) => readonly RunName[]
+  /** A lost worker responds again in the same life: it was cut off. */
+  recordWorkerSurvived: (worker: string) => void
   /** Removes a lost worker. */
   removeWorker: (worker: string) => void
   listWorkers: () => readonly string[]
@@ -108,7 +148,7 @@
   /** Resources that each team uses here, and those blocked by its limit in the last planning round. */
   listTeamDemand: () => ReadonlyMap<string, TeamDemand>
   /** Adds an accepted job. Jobs of one team should be added in order of acceptance: under overload, those beyond its guaranteed rate are scheduled last. */
-  addJob: (id: string, spec: StepJob, record: JobStateRecord, nowMs: number) => void
+  addJob: (id: string, spec: StepJob, record: JobStateRecord, nowMs: number, crashes?: CrashRecord) => void
   /** Adds a job that has ended and has no allocated tasks, by its final phase only. */
   addEndedJob: (id: string, phase: JobPhase, endedAtMs: number) => void
   cancelJob: (id: string, wallMs: number) => void
@@ -136,6 +176,8 @@
   isChanged: (job: string) => boolean
   addChangedJobs: (jobs: readonly string[]) => void
   readRecord: (id: string) => JobStateRecord | null
+  /** Crashed workers by task; `null` if there are none. */
+  readCrashRecord: (id: string) => CrashRecord | null
   readPhase: (id: string) => JobPhase | null
   /** Number of one-off jobs of which no task has started, by queue. */
   countWaiting: () => ReadonlyMap<string, number>
--- a/packages/core/src/partition/runTracker.ts
+++ b/packages/core/src/partition/runTracker.ts
@@ -20,6 +20,8 @@
   releaseTask: (task: Task, nowMs: number) => void
   scheduleStop: (task: Task, reason: StopOrder['reason']) => void
   stopJob: (id: string, reason: StopOrder['reason']) => void
+  /** Ends the job of a task that will not be started again as failed. */
+  giveUp: (task: Task, wallMs: number) => void
   /** Stops scheduled since the last call. */
   takeStops: () => StopOrder[]
   /** Stops at a worker that were taken and whose runs have not ended yet. */
@@ -110,14 +112,20 @@
     }
   }
 
+  const giveUp = (task: Task, wallMs: number): void => {
+    const job = registry.findJob(task.job)
+    if (job === undefined || task.phase === 'done') return
+    task.phase = 'failed'
+    registry.endJob(job, 'failed', wallMs)
+    stopJob(job.id, 'jobFailed')
+  }
+
   const recordFailure = (task: Task, end: ListedEnd, nowMs: number, wallMs: number): void => {
     const gang = registry.listGang(task)
     for (const member of gang) if (member.run === end.run) member.failures++
     const job = registry.findJob(task.job)
     if (job === undefined || findStep(task).longRunning || task.failures < job.spec.policy.maxAttempts) return
-    task.phase = 'failed'
-    registry.endJob(job, 'failed', wallMs)
-    stopJob(job.id, 'jobFailed')
+    giveUp(task, wallMs)
   }
 
   const storeCheckpoint = (task: Task, saved: string): void => {
@@ -209,6 +217,7 @@
     },
     scheduleStop,
     stopJob,
+    giveUp,
     takeStops: () => {
       const stops: StopOrder[] = []
       for (const [task, reason] of toStop) {
--- a/packages/core/src/partition/stepPlacement.ts
+++ b/packages/core/src/partition/stepPlacement.ts
@@ -1,7 +1,7 @@
 /** Places the tasks of a step on workers. */
 import { hasRoomFor, subtractResources, type Resources } from '../schema/resources.js'
 import { ACCELERATOR_CORES } from './constants.js'
-import { canEverRun, type PartitionWorker } from './partitionWorker.js'
+import { canEverRun, readRack, type PartitionWorker } from './partitionWorker.js'
 import type { PlanningRound } from './planningRound.js'
 import { countTasksByWorker, hasTicket, type StepInstance } from './stepInstance.js'
 import type { Task } from './jobState.js'
@@ -82,7 +82,7 @@
 function collectByRack (candidates: readonly Candidate[]): Candidate[][] {
   const racks = new Map<string, Candidate[]>()
   for (const candidate of candidates) {
-    const rack = candidate.worker.info.labels[1] ?? ''
+    const rack = readRack(candidate.worker.info)
     const group = racks.get(rack)
     if (group === undefined) racks.set(rack, [candidate])
     else group.push(candidate)
--- a/packages/entry/src/partition/__tests__/workerLease.spec.ts
+++ b/packages/entry/src/partition/__tests__/workerLease.spec.ts
@@ -51,6 +51,9 @@
     startWindow: createStartWindow(1),
     computeGrantMs: () => MAX_GRANTED_LEASE_MS,
     onChange: () => {},
+    isDraining: () => false,
+    onReplaced: () => {},
+    isReplaced: () => false,
     onDeposed: () => {}
   })
   return { clock, events, grants, worker, controller }
--- a/packages/entry/src/partition/partitionCommits.ts
+++ b/packages/entry/src/partition/partitionCommits.ts
@@ -6,7 +6,7 @@
 import type { HolderLoad } from './holderLoad.js'
 import { formatRun } from './formatRun.js'
 import type { PlanPacer } from './planPacer.js'
-import { PARTITION_TABLE, HOLDER_KEY, parseHolderRow, STATE_TABLE, type HolderRow } from './partitionRows.js'
+import { CRASH_TABLE, PARTITION_TABLE, HOLDER_KEY, parseHolderRow, STATE_TABLE, type HolderRow } from './partitionRows.js'
 import type { ClockReading, PartitionTable, TableTransaction } from './ports.js'
 import type { PartitionWorkerController } from './partitionWorkerController.js'
 
@@ -42,7 +42,7 @@
 export interface PartitionCommits extends Disposable {
   /** Plans and commits as soon as the pacing of the planning rounds allows, unless the last commit failed. */
   wake: () => void
-  /** Deletes the states of jobs whose own rows have been deleted. */
+  /** Deletes the states and crash rows of jobs whose own rows have been deleted. */
   deleteStates: (jobs: readonly string[]) => void
   /** Time since the last applied commit was sent, in milliseconds; each applied commit confirms that this entry holds the partition. */
   readConfirmedAgeMs: () => number
@@ -112,14 +112,21 @@
         hasMoreChanges = true
         continue
       }
+      const crashes = planner.readCrashRecord(job)
+      if (writes.length + (crashes === null ? 1 : 2) > MAX_COMMIT_ROWS) {
+        planner.addChangedJobs([job])
+        hasMoreChanges = true
+        continue
+      }
       bytes += value.length
       jobs.push(job)
       writes.push({ table: STATE_TABLE, key: job, value })
+      if (crashes !== null) writes.push({ table: CRASH_TABLE, key: job, value: JSON.stringify(crashes) })
     }
     return { jobs, writes }
   }
 
-  const listStateDeletes = (room: number): TableTransaction['deletes'] => statesToDelete.slice(0, room).map((job) => ({ table: STATE_TABLE, key: job }))
+  const listStateDeletes = (room: number): TableTransaction['deletes'] => statesToDelete.slice(0, room).flatMap((job) => [{ table: STATE_TABLE, key: job }, { table: CRASH_TABLE, key: job }])
 
   const commit = async (transaction: TableTransaction, renews: boolean): Promise<CommitOutcome> => {
     const sentAt = { nowMs: clock.nowMs(), wallMs: clock.wallMs() }
@@ -169,7 +176,7 @@
     if (!releasing && !postponedPlan && pacer.readDelayMs() === 0) pacer.runRound(planRound)
     const readyCount = pendingStarts.length
     const { jobs, writes } = options.load.measurePart('encode', takeChanges)
-    const deletes = listStateDeletes(MAX_COMMIT_ROWS - writes.length)
+    const deletes = listStateDeletes(Math.floor((MAX_COMMIT_ROWS - writes.length) / 2))
     for (const controller of options.listControllers()) controller.beginCommit()
     const renews = mustRenew || releasing || postponedPlan || clock.nowMs() - renewedAtMs >= RENEWAL_INTERVAL_MS
     if (writes.length === 0 && deletes.length === 0 && !renews) {
@@ -184,7 +191,7 @@
     if (stopped) return
     if (outcome === 'committed') {
       failures = 0
-      statesToDelete = statesToDelete.slice(deletes.length)
+      statesToDelete = statesToDelete.slice(deletes.length / 2)
       for (const controller of options.listControllers()) controller.finishCommit()
       sendStarts(jobs, readyCount)
       options.onCommitted(jobs)
--- a/packages/entry/src/partition/partitionJobs.ts
+++ b/packages/entry/src/partition/partitionJobs.ts
@@ -3,7 +3,7 @@
 import { createSerialLoop } from '../process/serialLoop.js'
 import { JOB_POLL_INTERVAL_MS, WRITE_RETRY_MS } from './constants.js'
 import { partitionLoaded } from './events.js'
-import { CANCEL_SUFFIX, JOB_TABLE, listJobParts, parseJobRow, parseStateRow, STATE_TABLE } from './partitionRows.js'
+import { CANCEL_SUFFIX, CRASH_TABLE, JOB_TABLE, listJobParts, parseCrashRow, parseJobRow, parseStateRow, STATE_TABLE } from './partitionRows.js'
 import type { PartitionTable, TableRow } from './ports.js'
 import { createTableFeed } from './tableFeed.js'
 
@@ -14,6 +14,8 @@
   readonly clock: Clock
   readonly events: EventLog
   readonly onLoaded: () => void
+  /** The table has rows of crashed workers for jobs that it no longer has. */
+  readonly onOrphanedCrashes: (jobs: readonly string[]) => void
   readonly onChange: () => void
 }
 
@@ -62,15 +64,16 @@
     }
   }
 
-  const readStates = () => table.readRange({ table: STATE_TABLE, part: partition })
+  const readStates = () => Promise.all([table.readRange({ table: STATE_TABLE, part: partition }), table.readRange({ table: CRASH_TABLE, part: partition })])
   /** States are read concurrently with the jobs, because only this term writes them. */
   let states: ReturnType<typeof readStates> | null = readStates()
 
   const applySnapshot = async (jobs: readonly TableRow[]): Promise<boolean> => {
-    const read = await (states ?? readStates())
+    const [read, readCrashes] = await (states ?? readStates())
     states = null
-    if (read.isErr()) return false
+    if (read.isErr() || readCrashes.isErr()) return false
     const stateRows = new Map(read.value.rows.map((row) => [row.key, row]))
+    const crashRows = new Map(readCrashes.value.rows.map((row) => [row.key, row]))
     const cancelled: string[] = []
     const unfinished: { readonly id: string, readonly spec: StepJob, readonly state: JobStateRecord }[] = []
     for (const row of jobs) {
@@ -93,7 +96,14 @@
     addOrphanedStates(stateRows.values())
     // The planner needs the order of acceptance to determine which submissions of a team exceed its rate.
     unfinished.sort((a, b) => a.spec.acceptedAtMs - b.spec.acceptedAtMs)
-    for (const { id, spec, state } of unfinished) planner.addJob(id, spec, state, clock.nowMs())
+    for (const { id, spec, state } of unfinished) {
+      const crashRow = crashRows.get(id)
+      planner.addJob(id, spec, state, clock.nowMs(), (crashRow === undefined ? null : parseCrashRow(crashRow, events)) ?? [])
+    }
+    // Their jobs were deleted by an entry of a version that doesn't know these rows.
+    const known = new Set([...jobs, ...read.value.rows].map(({ key }) => key))
+    const orphaned = [...crashRows.keys()].filter((id) => !known.has(id))
+    if (!loaded && orphaned.length > 0) options.onOrphanedCrashes(orphaned)
     for (const id of cancelled) cancel(id)
     if (!loaded) {
       loaded = true
--- a/packages/entry/src/partition/partitionRows.ts
+++ b/packages/entry/src/partition/partitionRows.ts
@@ -1,5 +1,5 @@
 /** Rows of partition holders and entries, their keys and decoders. */
-import { computeHash, createDecoder, JobStateRecord, StepJob, type EventLog } from '@fuchsiatally/core'
+import { computeHash, CrashRecord, createDecoder, JobStateRecord, StepJob, type EventLog } from '@fuchsiatally/core'
 import * as Schema from 'effect/Schema'
 import { rowMalformed } from './events.js'
 import type { TableRow } from './ports.js'
@@ -20,6 +20,8 @@
 /** Tables of accepted jobs, sharded over parts of their own, and of job states, in the part of their partition. */
 export const JOB_TABLE = 'job'
 export const STATE_TABLE = 'state'
+/** Table of crashed workers by task, in the part of the partition, keyed by job. Entries of earlier versions don't read it. */
+export const CRASH_TABLE = 'crash'
 /** Suffix of the key of a cancellation; the job's id precedes it. */
 export const CANCEL_SUFFIX = '!cancel'
 
@@ -95,5 +97,7 @@
 export const parseCapacityRow = createRowReader(CapacityRow)
 /** Decodes the row of an accepted job. */
 export const parseJobRow = createRowReader(StepJob)
+/** Decodes the row of a job's crashed workers. */
+export const parseCrashRow = createRowReader(CrashRecord)
 /** Decodes the row of a job's state. */
 export const parseStateRow = createRowReader(JobStateRecord)
--- a/packages/entry/src/partition/partitionTerm.ts
+++ b/packages/entry/src/partition/partitionTerm.ts
@@ -1,7 +1,7 @@
 /** One term of a partition's holder: connects its jobs, workers, advice and commits. */
 import {
   createPartitionPlanner, createDisposableStore, isFinal,
-  type ClusterConfig, type Clock, type Disposable, type EventLog, type JobPhase, type PartitionPlanner, type StartOrder, type TrySendQuery
+  type ClusterConfig, type Clock, type Disposable, type EventLog, type JobPhase, type PartitionPlanner, type StartOrder, type TrySendQuery, type WorkerLoss
 } from '@fuchsiatally/core'
 import type { AdviceRouter } from './adviceRouter.js'
 import { createCeilingClaims } from './ceilingClaims.js'
@@ -14,7 +14,7 @@
 import { createHolderLoad } from './holderLoad.js'
 import type { LoopMonitor } from './loopMonitor.js'
 import { createJobCleanup } from './jobCleanup.js'
-import { jobEnded, partitionReleased, workerLost, workerLeaving } from './events.js'
+import { jobEnded, partitionReleased, workerIsolationChanged, workerLost, taskGivenUp, workerLeaving } from './events.js'
 import type { ClockReading, PartitionBounds, PartitionTable, PartitionWorkerClient, ListedWorker, PlatformRows } from './ports.js'
 import { createPartitionWorkerController, type PartitionWorkerController } from './partitionWorkerController.js'
 import { createPlanPacer } from './planPacer.js'
@@ -71,6 +71,8 @@
   const startWindow = createStartWindow(MAX_STARTS_IN_FLIGHT)
   const managedWorkers = new Map<string, ManagedWorker>()
   const listings = new Map<string, ListedWorker>()
+  /** Worker that was listed last at each address, of any service. */
+  const newestByAddress = new Map<string, string>()
   const committedPhases = new Map<string, JobPhase>()
   const startedAtMs = clock.nowMs()
   let disposed = false
@@ -108,13 +110,32 @@
       startWindow,
       computeGrantMs,
       onChange: () => commits.wake(),
+      isDraining: () => managedWorkers.get(listing.id)?.listing.draining ?? false,
+      onReplaced: () => recordReplaced(listing.id),
+      isReplaced: () => newestByAddress.get(listing.address) !== listing.id,
       onDeposed: endTerm
     })
     managedWorkers.set(listing.id, { listing, controller, isUnlisted: false })
     for (const stop of planner.listOrderedStops(listing.id)) controller.stopRun(stop)
   }
 
+  /** Another worker responds, or is listed, at the address of one that may have been lost before. */
+  const recordReplaced = (worker: string): void => {
+    const givenUp = planner.recordWorkerReplaced(worker, clock.nowMs(), clock.wallMs())
+    for (const run of givenUp) events.record(taskGivenUp, { job: run.job, run: formatRun(run), worker })
+    if (givenUp.length > 0) commits.wake()
+  }
+
+  /** A worker that is listed at the address of another one replaces it, unless both have been listed before. */
+  const recordAddress = (listing: ListedWorker): void => {
+    if (listings.get(listing.id)?.address === listing.address) return
+    const previous = newestByAddress.get(listing.address)
+    newestByAddress.set(listing.address, listing.id)
+    if (previous !== undefined && previous !== listing.id) recordReplaced(previous)
+  }
+
   const applyListing = (listing: ListedWorker): void => {
+    recordAddress(listing)
     listings.set(listing.id, listing)
     if (listing.service !== partition || !jobs.isLoaded()) return
     const existing = managedWorkers.get(listing.id)
@@ -130,12 +151,15 @@
     addWorker(listing)
   }
 
+  /** Loss of a worker that nothing is known of but its absence from the list. */
+  const buildUnlistedLoss = (): WorkerLoss => ({ kind: 'left', failedAtMs: clock.nowMs(), nowMs: clock.nowMs(), wallMs: clock.wallMs() })
+
   const removeUnlistedWorkers = (): void => {
     for (const [id, member] of managedWorkers) {
       if (!member.isUnlisted || !member.controller.isQuiescent()) continue
       member.controller.dispose()
       managedWorkers.delete(id)
-      planner.recordWorkerLost(id, clock.nowMs())
+      planner.recordWorkerLost(id, buildUnlistedLoss())
       planner.removeWorker(id)
     }
   }
@@ -145,13 +169,13 @@
     if (clock.nowMs() - startedAtMs < computePriorLeaseBoundMs(options.bounds.maxLeaseMs)) return
     for (const id of planner.listWorkers()) {
       if (managedWorkers.has(id)) continue
-      const runs = planner.recordWorkerLost(id, clock.nowMs())
+      const { released } = planner.recordWorkerLost(id, buildUnlistedLoss())
       events.record(workerLost, {
         worker: id,
         reason: 'not listed in this term, and all its leases have expired',
         cause: 'unlisted',
-        runs: runs.slice(0, MAX_LOGGED_RUNS).map(formatRun),
-        runCount: runs.length
+        runs: released.slice(0, MAX_LOGGED_RUNS).map(formatRun),
+        runCount: released.length
       })
       planner.removeWorker(id)
     }
@@ -179,6 +203,7 @@
     removeNeverListedWorkers()
     const decisions = planner.decide(clock.nowMs(), clock.wallMs(), tryRequestAdvice, advice.canSubmit)
     for (const { blocked } of planner.listTeamDemand().values()) if (blocked.memoryMb > 0) ceilings.scheduleReview()
+    for (const change of decisions.isolation) events.record(workerIsolationChanged, { cell: partition, ...change })
     for (const stop of decisions.stops) managedWorkers.get(stop.worker)?.controller.stopRun(stop)
     return decisions.starts
   }
@@ -193,6 +218,7 @@
       for (const listing of [...listings.values()]) applyListing(listing)
       ceilings.scheduleReview()
     },
+    onOrphanedCrashes: (ids) => commits.deleteStates(ids),
     onChange: () => commits.wake()
   }))
 
--- a/packages/entry/src/partition/partitionWorkerController.ts
+++ b/packages/entry/src/partition/partitionWorkerController.ts
@@ -1,10 +1,10 @@
 /** Controls one worker on behalf of a partition's holder: renews its lease, applies its run reports and sends it orders. */
-import { createDisposableStore, type PartitionPlanner, type Clock, type Disposable, type EventLog, type RunName, type StartOrder, type StopOrder } from '@fuchsiatally/core'
+import { createDisposableStore, type PartitionPlanner, type Clock, type Disposable, type EventLog, type RunName, type StartOrder, type StopOrder, type WorkerLoss } from '@fuchsiatally/core'
 import {
   MAX_CLOCK_DRIFT, COMMIT_WAIT_MS, LEASE_MARGIN_MS, LEASE_RETRY_MS, LEASE_WAIT_MS, MAX_EXCUSED_CALLS, MAX_LOGGED_RUNS, MIN_START_LEASE_MS, START_ATTEMPT_TIMEOUTS_MS, SUSPECT_PAUSE_MS, UNEXTENDED_LEASE_WAIT_MS
 } from './constants.js'
 import { computePriorLeaseBoundMs } from './leaseBounds.js'
-import { runEnded, runRefused, runStopping, orderInDoubt, workerReachable, workerLost, workerUnresponsive } from './events.js'
+import { runEnded, runRefused, runStopping, orderInDoubt, taskGivenUp, workerReachable, workerLost, workerUnresponsive } from './events.js'
 import type { HolderLoad } from './holderLoad.js'
 import { formatRun } from './formatRun.js'
 import type { PartitionWorkerClient, LeaseResponse } from './ports.js'
@@ -28,6 +28,12 @@
   readonly computeGrantMs: () => number | null
   /** A report or the outcome of an order changed the planner. */
   readonly onChange: () => void
+  /** Whether the worker is being drained: its end is no crash. */
+  readonly isDraining: () => boolean
+  /** Another worker responds at the address of this one. */
+  readonly onReplaced: () => void
+  /** Whether another worker is listed at the address of this one. */
+  readonly isReplaced: () => boolean
   /** The worker has accepted a higher epoch. */
   readonly onDeposed: () => void
 }
@@ -77,8 +83,9 @@
   let pendingEnds: PendingEnd[] = []
   let resolveCommitWait: (() => void) | null = null
   let failures = 0
-  /** Time of the first of the consecutive failures. */
+  /** Time at which the worker failed, at the earliest: that of the first failed call if its connection broke, else that of the last response. */
   let failedAtMs = 0
+  let respondedAtMs = createdAtMs
   /** How the last call failed. */
   let lastFailure: LossCause = 'silent'
   /** Consecutive lease calls without a response that this process's own delay explains. */
@@ -121,8 +128,14 @@
 
   const setSuspect = (): void => planner.setSuspect(worker, clock.nowMs() + SUSPECT_PAUSE_MS)
 
+  const recordFailing = (cause: LossCause): void => {
+    const isAbrupt = cause === 'refused' || cause === 'closed'
+    failedAtMs = isAbrupt ? clock.nowMs() : respondedAtMs
+    planner.recordWorkerFailing(worker, clock.nowMs(), isAbrupt)
+  }
+
   const recordMissedRenewal = (reason: string, cause: LossCause): void => {
-    if (failures === 0) failedAtMs = clock.nowMs()
+    if (failures === 0) recordFailing(cause)
     failures++
     lastFailure = cause
     setSuspect()
@@ -133,19 +146,34 @@
     options.onChange()
   }
 
+  const resolveLossKind = (cause: LossCause): WorkerLoss['kind'] => {
+    if (options.isDraining()) return 'left'
+    if (cause === 'restarted' || cause === 'replaced' || options.isReplaced()) return 'crashed'
+    return cause === 'refused' ? 'refused' : 'silent'
+  }
+
+  const recordGivenUp = (runs: readonly RunName[]): void => {
+    for (const run of runs) events.record(taskGivenUp, { job: run.job, run: formatRun(run), worker })
+  }
+
   const recordWorkerLost = (reason: string, cause: LossCause): void => {
     isLost = true
     isReachable = false
-    const runs = planner.recordWorkerLost(worker, clock.nowMs(), (run) => inDoubt.has(formatRun(run)))
+    const nowMs = clock.nowMs()
+    const loss = { kind: resolveLossKind(cause), failedAtMs, nowMs, wallMs: clock.wallMs() }
+    const { released, suspected, givenUp } = planner.recordWorkerLost(worker, loss, (run) => inDoubt.has(formatRun(run)))
     events.record(workerLost, {
       worker,
       reason,
       cause,
-      failingMs: failures === 0 ? 0 : Math.round(clock.nowMs() - failedAtMs),
-      runs: runs.slice(0, MAX_LOGGED_RUNS).map(formatRun),
-      runCount: runs.length,
+      kind: loss.kind,
+      failingMs: Math.round(nowMs - failedAtMs),
+      runs: released.slice(0, MAX_LOGGED_RUNS).map(formatRun),
+      runCount: released.length,
+      suspected: suspected.slice(0, MAX_LOGGED_RUNS).map(formatRun),
       unsettled: inDoubt.size
     })
+    recordGivenUp(givenUp)
     options.onChange()
   }
 
@@ -172,9 +200,11 @@
       pendingEnds = []
       leaseUntilMs = -Infinity
       clockSample = null
+      if (failures === 0) recordFailing('restarted')
       recordWorkerLost('the worker restarted', 'restarted')
-    }
+    } else if (isLost) planner.recordWorkerSurvived(worker)
     bornAtMs = response.bornAtMs
+    respondedAtMs = nowMs
     recordClock(response.clockMs, sentAtMs)
     failures = excusedCalls = 0
     planner.setSuspect(worker, 0)
@@ -214,7 +244,10 @@
     }
     if (result.isErr() || result.value.kind === 'otherWorker') {
       if (result.isErr()) recordMissedRenewal(result.error.message, result.error.connection ?? 'silent')
-      else recordMissedRenewal('another worker responds at its address', 'replaced')
+      else {
+        recordMissedRenewal('another worker responds at its address', 'replaced')
+        options.onReplaced()
+      }
       if (failures === 1) watchExpiry()
       await waitFor(LEASE_RETRY_MS)
       return
