A run that started in the next life of its worker is not started again

A worker that restarts under its id accepts starts at once, but the holder notices the restart with the next report, up to a second later. It then released all runs of the worker, also those that had started in the new life, and started them elsewhere; only orders without an answer were spared.

Runs that the first report of the new life lists stay allocated, as do those confirmed after this report was asked for; the next report shows the latter. They don't count as runs under which the worker crashed either.

--- a/packages/core/src/partition/crashEvidence.ts
+++ b/packages/core/src/partition/crashEvidence.ts
@@ -25,8 +25,8 @@
 
 /** Evidence of one partition. */
 export interface CrashEvidence {
-  /** Records the loss of a worker with the tasks that it still had. */
-  recordLoss: (worker: PartitionWorker, loss: WorkerLoss) => CrashVerdict
+  /** Records the loss of a worker with the tasks that it had. */
+  recordLoss: (worker: PartitionWorker, tasks: readonly Task[], loss: WorkerLoss) => CrashVerdict
   /** Records that a lost worker has crashed: another one responds at its address. */
   recordReplaced: (worker: string, nowMs: number) => CrashVerdict
   /** Withdraws what was counted for a lost worker that had only been cut off. */
@@ -68,9 +68,9 @@
   return task.definition.longRunning && !isSuspected(task) && task.confirmedAtMs !== null && nowMs - task.confirmedAtMs > RECENT_START_MS
 }
 
-function buildCharges (worker: PartitionWorker, { failedAtMs }: WorkerLoss): Charge[] {
+function buildCharges (tasks: readonly Task[], { failedAtMs }: WorkerLoss): Charge[] {
   const charges: Charge[] = []
-  for (const task of worker.tasks) {
+  for (const task of tasks) {
     if (task.phase !== 'placed') continue
     const ageMs = task.confirmedAtMs === null ? 0 : failedAtMs - task.confirmedAtMs
     charges.push({ task, ageMs, isSettled: isSettled(task, failedAtMs), suspicion: ageMs <= RECENT_START_MS ? RECENT_START_SUSPICION : LONG_RUN_SUSPICION })
@@ -119,10 +119,10 @@
   }
 
   return {
-    recordLoss: (worker, loss) => {
+    recordLoss: (worker, tasks, loss) => {
       dropOldLosses(loss.nowMs)
       if (loss.kind === 'left' || failures.isCommonCause(worker, loss.failedAtMs)) return NO_VERDICT
-      const charges = buildCharges(worker, loss)
+      const charges = buildCharges(tasks, loss)
       if (charges.length === 0) return NO_VERDICT
       const recorded: RecordedLoss = { charges, lostAtMs: loss.nowMs, isSolo: isSoloLoss(worker, charges), isCounted: false, isProven: false }
       losses.set(worker.info.id, recorded)
--- a/packages/core/src/partition/createPartitionPlanner.ts
+++ b/packages/core/src/partition/createPartitionPlanner.ts
@@ -253,17 +253,18 @@
       const worker = workers.get(id)
       if (worker !== undefined) failures.recordFailure(worker, nowMs, isAbrupt)
     },
-    recordWorkerLost: (id, loss, isInDoubt) => {
+    recordWorkerLost: (id, loss, classifyRun = () => 'lost') => {
       const worker = workers.get(id)
       if (worker === undefined) return { released: [], suspected: [], givenUp: [] }
-      const verdict = evidence.recordLoss(worker, loss)
+      const states = new Map([...worker.tasks].map((task) => [task, classifyRun(buildRunName(task), task.confirmedAtMs)]))
+      const verdict = evidence.recordLoss(worker, [...worker.tasks].filter((task) => states.get(task) !== 'alive'), loss)
       worker.synced = false
       worker.strayRuns = 0
       const released: RunName[] = []
       const suspected: RunName[] = []
-      for (const task of [...worker.tasks]) {
+      for (const [task, state] of states) {
+        if (state !== 'lost') continue
         const run = buildRunName(task)
-        if (isInDoubt?.(run) === true) continue
         released.push(run)
         if (isSuspected(task)) suspected.push(run)
         tracker.releaseTask(task, loss.nowMs)
--- a/packages/core/src/partition/plannerTypes.ts
+++ b/packages/core/src/partition/plannerTypes.ts
@@ -90,6 +90,9 @@
   readonly wallMs: number
 }
 
+/** What is known of a run whose worker was lost. */
+export type LostRunState = 'lost' | 'inDoubt' | 'alive'
+
 /** What became of the tasks of a lost worker. */
 export interface LossOutcome {
   /** Runs whose tasks wait again. */
@@ -133,8 +136,13 @@
   setSuspect: (worker: string, untilMs: number) => void
   /** Records the first of a series of failed calls to a worker. */
   recordWorkerFailing: (worker: string, nowMs: number, isAbrupt: boolean) => void
-  /** Releases all runs of a lost worker, except for those whose start is still in doubt. */
-  recordWorkerLost: (worker: string, loss: WorkerLoss, isInDoubt?: (run: RunName) => boolean) => LossOutcome
+  /**
+   * Releases the runs of a lost worker.
+   *
+   * @param classifyRun `inDoubt`: the start may still be executed, the run keeps its resources; `alive`: the run may belong to the next life of
+   * the worker; default: all runs are `lost`
+   */
+  recordWorkerLost: (worker: string, loss: WorkerLoss, classifyRun?: (run: RunName, confirmedAtMs: number | null) => LostRunState) => LossOutcome
   /** Another worker responds at the address of a lost one, which therefore crashed; returns the tasks that are given up for it. */
   recordWorkerReplaced: (worker: string, nowMs: number, wallMs: number) => readonly RunName[]
   /** A lost worker responds again in the same life: it was cut off. */
--- a/packages/entry/src/partition/partitionWorkerController.ts
+++ b/packages/entry/src/partition/partitionWorkerController.ts
@@ -156,12 +156,15 @@
     for (const run of runs) events.record(taskGivenUp, { job: run.job, run: formatRun(run), worker })
   }
 
-  const recordWorkerLost = (reason: string, cause: LossCause): void => {
+  const recordWorkerLost = (reason: string, cause: LossCause, isAlive: (run: RunName, confirmedAtMs: number | null) => boolean = () => false): void => {
     isLost = true
     isReachable = false
     const nowMs = clock.nowMs()
     const loss = { kind: resolveLossKind(cause), failedAtMs, nowMs, wallMs: clock.wallMs() }
-    const { released, suspected, givenUp } = planner.recordWorkerLost(worker, loss, (run) => inDoubt.has(formatRun(run)))
+    const { released, suspected, givenUp } = planner.recordWorkerLost(worker, loss, (run, confirmedAtMs) => {
+      if (isAlive(run, confirmedAtMs)) return 'alive'
+      return inDoubt.has(formatRun(run)) ? 'inDoubt' : 'lost'
+    })
     events.record(workerLost, {
       worker,
       reason,
@@ -201,7 +204,9 @@
       leaseUntilMs = -Infinity
       clockSample = null
       if (failures === 0) recordFailing('restarted')
-      recordWorkerLost('the worker restarted', 'restarted')
+      // Starts reach the next life under the same id before its first report: those that it lists, or that this report may be too early for, run there.
+      const running = new Set(response.running.map(formatRun))
+      recordWorkerLost('the worker restarted', 'restarted', (run, confirmedAtMs) => running.has(formatRun(run)) || (confirmedAtMs !== null && confirmedAtMs >= sentAtMs))
     } else if (isLost) planner.recordWorkerSurvived(worker)
     bornAtMs = response.bornAtMs
     respondedAtMs = nowMs
--- a/packages/entry/src/testing/partitionClusterSteps.ts
+++ b/packages/entry/src/testing/partitionClusterSteps.ts
@@ -1,7 +1,7 @@
 /** Steps shared by tests of partitions. */
 import * as assert from 'uvu/assert'
 import { CLUSTER_CONFIG, createPartitionCluster, createTestJob, type PartitionCluster, type PartitionClusterOptions, type ClusterEntry } from './partitionCluster.js'
-import type { PartitionWorkerModel } from './partitionWorkerModel.js'
+import type { PartitionWorkerModel, StartedRun } from './partitionWorkerModel.js'
 
 const [QUEUE] = CLUSTER_CONFIG.queues
 
@@ -19,12 +19,16 @@
   return await state
 }
 
+function describeRun ({ run, worker, startedAtMs, endedAtMs, how }: StartedRun): string {
+  return `run ${run} at ${worker} from ${startedAtMs} to ${endedAtMs} (${how})`
+}
+
 /** Asserts that no task ever had two concurrent runs. */
 export function checkNoConcurrentRuns (cluster: PartitionCluster): void {
   for (const [index, run] of cluster.started.entries()) {
     for (const other of cluster.started.slice(index + 1)) {
       if (other.job !== run.job || other.index !== run.index || other.step !== run.step || other.occurrence !== run.occurrence) continue
-      assert.ok(run.endedAtMs !== null && run.endedAtMs <= other.startedAtMs, `${run.job}.${run.index} had two concurrent runs`)
+      assert.ok(run.endedAtMs !== null && run.endedAtMs <= other.startedAtMs, `${run.job}.${run.index} had two concurrent runs: ${describeRun(run)} and ${describeRun(other)}`)
     }
   }
 }
--- a/packages/entry/src/testing/partitionWorkerModel.ts
+++ b/packages/entry/src/testing/partitionWorkerModel.ts
@@ -38,6 +38,7 @@
   crash: () => void
   /** Another worker responds at the address from now on. */
   setReplaced: () => void
+  isReplaced: () => boolean
 }
 
 /** Course of a run. */
@@ -200,6 +201,7 @@
       faults.refuses = false
       isReplaced = true
     },
+    isReplaced: () => isReplaced,
     restart: () => {
       loseRuns('lapsed')
       ended = []
