Leases of a restarted worker are assumed to last as granted before the restart was noticed

A worker that restarts under its id is sent leases that end on the clock of its former life, until the holder notices. Its new clock starts at zero, so that it shortens them to its limit (10 s on some deployments), but the holder then assumed only its own next grant of 3 s. Cut off after that, the worker ran on while its tasks were started elsewhere after 3 s.

The highest end granted so far stays in force after a restart, up to the worker's limit. The worker of the tests shortens leases, as real ones do. workerRestart.spec fails without the change: run 1 at w1 from 14012 to 24240, run 2 at w2 from 18518.

--- a/packages/entry/src/partition/__tests__/workerRestart.spec.ts
+++ b/packages/entry/src/partition/__tests__/workerRestart.spec.ts
@@ -20,4 +20,21 @@
   assert.is(await readState(cluster, entry!, JOB), 'completed')
 })
 
+// Guards against TWICE: the next life of a worker had taken a lease that ends on the clock of the life before, and was cut off.
+test('runs of a worker that is cut off right after its restart are not started elsewhere while its lease lasts', async () => {
+  const cluster = createPartitionCluster({ maxLeaseMs: 10_000, planRun: () => ({ durationMs: 30_000, how: 'done' }) })
+  const worker = cluster.addWorker('w1')
+  const [entry] = await startEntries(cluster, ['a'])
+  await cluster.clock.runFor(10_000)
+  worker.restart()
+  await submitJob(cluster, entry!, JOB, TASKS)
+  await cluster.clock.runFor(1500)
+  assert.is(cluster.started.length, TASKS)
+  worker.faults.cut = true
+  cluster.addWorker('w2')
+  await cluster.clock.runFor(30_000)
+  assert.ok(cluster.started.length > TASKS, 'the tasks run again')
+  checkNoConcurrentRuns(cluster)
+})
+
 test.run()
--- a/packages/entry/src/partition/partitionWorkerController.ts
+++ b/packages/entry/src/partition/partitionWorkerController.ts
@@ -201,9 +201,10 @@
     if (bornAtMs !== null && response.bornAtMs !== bornAtMs) {
       lastReportedEnd = acknowledgedEnd = committingEnd = 0
       pendingEnds = []
-      leaseUntilMs = -Infinity
-      clockSample = null
+      // Until now, leases were granted by the clock of the life before; the worker shortens them to its limit.
+      leaseUntilMs = Math.min(leaseUntilMs, response.clockMs + options.maxLeaseMs)
       if (failures === 0) recordFailing('restarted')
+      clockSample = null
       // Starts reach the next life under the same id before its first report: those that it lists, or that this report may be too early for, run there.
       const running = new Set(response.running.map(formatRun))
       recordWorkerLost('the worker restarted', 'restarted', (run, confirmedAtMs) => running.has(formatRun(run)) || (confirmedAtMs !== null && confirmedAtMs >= sentAtMs))
--- a/packages/entry/src/testing/partitionCluster.ts
+++ b/packages/entry/src/testing/partitionCluster.ts
@@ -61,6 +61,7 @@
 
 /** The only service, after which the partition is named. */
 export const SERVICE = 'pages'
+const DEFAULT_MAX_LEASE_MS = 6000
 /** Time for which a crashed worker is down, in milliseconds. */
 const CRASH_DOWN_MS = 3200
 /** Time after a crash at which the worker's row expires, in milliseconds. */
@@ -128,7 +129,7 @@
       cores,
       table: process.wrapTable(client),
       rows,
-      bounds: { maxLeaseMs: options.maxLeaseMs ?? 6000, revokeMs: 5000, statusMs: 120_000, turnMs: 3000 },
+      bounds: { maxLeaseMs: options.maxLeaseMs ?? DEFAULT_MAX_LEASE_MS, revokeMs: 5000, statusMs: 120_000, turnMs: 3000 },
       mesh: process.wrapMesh(options.relaysTableCalls === false ? refuseTableRequests(peerMesh) : peerMesh),
       adviceClient: { requestAdvice: async () => ok(new Map()) },
       createWorkerClient: (worker) => {
@@ -161,7 +162,7 @@
 
   const addWorker = (id: string, listing: ListedWorker): PartitionWorkerModel => {
     const model = createPartitionWorkerModel({
-      listing, clock, started, planRun: options.planRun ?? (() => ({ durationMs: 1000, how: 'done' })), onCrash: () => crashWorker(id)
+      listing, clock, started, maxLeaseMs: options.maxLeaseMs ?? DEFAULT_MAX_LEASE_MS, planRun: options.planRun ?? (() => ({ durationMs: 1000, how: 'done' })), onCrash: () => crashWorker(id)
     })
     workers.set(id, model)
     table.writeRow('servers', id, listing)
--- a/packages/entry/src/testing/partitionWorkerModel.ts
+++ b/packages/entry/src/testing/partitionWorkerModel.ts
@@ -54,6 +54,8 @@
   readonly clock: Clock
   /** Plans the duration of a run, in milliseconds, and its result. */
   readonly planRun: (order: StartOrder) => PlannedRun
+  /** Longest lease that the worker accepts, in milliseconds; a longer one is shortened. */
+  readonly maxLeaseMs: number
   /** Called when a run crashes the worker. */
   readonly onCrash: () => void
   readonly started: StartedRun[]
@@ -107,7 +109,8 @@
     for (const name of [...activeRuns.keys()]) endRun(name, 'lapsed')
   }
 
-  const extendLease = (untilMs: number): void => {
+  const extendLease = (requestedMs: number): void => {
+    const untilMs = Math.min(requestedMs, readClock() + options.maxLeaseMs)
     if (untilMs <= leaseUntilMs) return
     leaseUntilMs = untilMs
     const leaseIncarnation = incarnation
