Crashes before a change of the holder count at the new one

BUDGET: at a new holder, all workers that had crashed before its term failed with its first calls, at the same moment. That looked like a rack that lost power, so their crashes did not count. Only failures of workers that have responded in this term now tell a common cause.

--- a/packages/entry/src/partition/partitionWorkerController.ts
+++ b/packages/entry/src/partition/partitionWorkerController.ts
@@ -131,7 +131,8 @@
   const recordFailing = (cause: LossCause): void => {
     const isAbrupt = cause === 'refused' || cause === 'closed'
     failedAtMs = isAbrupt ? clock.nowMs() : respondedAtMs
-    planner.recordWorkerFailing(worker, clock.nowMs(), isAbrupt)
+    // At the start of a term, all workers that failed before it fail at the same moment.
+    if (clockSample !== null) planner.recordWorkerFailing(worker, clock.nowMs(), isAbrupt)
   }
 
   const recordMissedRenewal = (reason: string, cause: LossCause): void => {
