--- a/packages/core/src/partition/constants.ts
+++ b/packages/core/src/partition/constants.ts
@@ -28,6 +28,8 @@
 export const STALL_FRACTION = 0.05
 /** Time after its confirmed start within which a task is the likely cause of a crash of its worker, in milliseconds. */
 export const RECENT_START_MS = 150
+/** Suspicion from which a task runs apart from the tasks of other steps. */
+export const SUSPICION_LIMIT = 2
 /** Crashes of a task that ran apart from others after which it is given up. */
 export const CRASH_PROOFS_TO_GIVE_UP = 2
 /** Time for which a task that would be given up waits until the crash of its worker is proven, in milliseconds; workers are back after some three seconds, leases expire about then. */
--- a/packages/core/src/partition/crashEvidence.ts
+++ b/packages/core/src/partition/crashEvidence.ts
@@ -5,13 +5,11 @@
  * (`isolation.ts`), and only crashes of such runs count as proof, so that no task is given up for a crash that a neighbour caused.
  */
 import { CRASH_PROOFS_TO_GIVE_UP, MAX_LOSS_AGE_MS, RECENT_START_MS, VERDICT_WAIT_MS } from './constants.js'
-import type { Task } from './jobState.js'
+import { isSuspected, type Task } from './jobState.js'
 import type { FailureHistory } from './failureHistory.js'
 import type { PartitionWorker } from './partitionWorker.js'
 import type { WorkerLoss } from './plannerTypes.js'
 
-/** Suspicion from which a task runs apart from the tasks of other steps. */
-export const SUSPICION_LIMIT = 2
 /** Suspicion that a crash casts on a task that had just started, and on one that had run for longer. */
 const RECENT_START_SUSPICION = 2
 const LONG_RUN_SUSPICION = 1
@@ -53,11 +51,6 @@
 
 const NO_VERDICT: CrashVerdict = { counted: [], proven: [] }
 
-/** Tells whether a task must run apart from the tasks of other steps. */
-export function isSuspected (task: Task): boolean {
-  return task.suspicion >= SUSPICION_LIMIT
-}
-
 /** Tells whether two tasks belong to the same step of one occurrence. Either of them fails the same job. */
 export function isSameStep (a: Task, b: Task): boolean {
   return a.job === b.job && a.occurrence === b.occurrence && a.step === b.step
--- a/packages/core/src/partition/isolation.ts
+++ b/packages/core/src/partition/isolation.ts
@@ -1,10 +1,10 @@
 /** Workers set apart for suspected tasks, so that a crash shows its cause and takes no sound run with it. */
 import { hasRoomFor, subtractResources, type Resources } from '../schema/resources.js'
-import { isSettled, isSuspected } from './crashEvidence.js'
+import { isSettled } from './crashEvidence.js'
 import { LONG_PROBATION_MS, MAX_HOLD_MS, MAX_ISOLATED_FREE_SHARE, MAX_ISOLATED_SHARE, MIN_ISOLATED_WORKERS, PROBATION_MS } from './constants.js'
 import { canEverRun, computeFree, computeTaskResources, isAvailable, type PartitionWorker } from './partitionWorker.js'
 import type { PlanningRound } from './planningRound.js'
-import { isFinal, type Task } from './jobState.js'
+import { isFinal, isSuspected, type Task } from './jobState.js'
 import { computeSize } from './preemption.js'
 import type { IsolationChange } from './plannerTypes.js'
 import { countTasksByWorker, type StepInstance } from './stepInstance.js'
--- a/packages/core/src/partition/jobState.ts
+++ b/packages/core/src/partition/jobState.ts
@@ -1,5 +1,6 @@
 /** State of an accepted job, in memory and as stored in the table. */
 import * as Schema from 'effect/Schema'
+import { SUSPICION_LIMIT } from './constants.js'
 import { computeObjectiveMs, type JobStep, type StepJob } from './stepJob.js'
 
 /** Phase of a job as reported to callers. */
@@ -172,6 +173,11 @@
   }
 }
 
+/** Tells whether a task must run apart from the tasks of other steps. */
+export function isSuspected (task: Task): boolean {
+  return task.suspicion >= SUSPICION_LIMIT
+}
+
 /** Lists the tasks of all occurrences. */
 export function * listTasks (job: Job): Generator<Task> {
   for (const occurrence of job.occurrences.values()) {
--- a/packages/entry/src/partition/constants.ts
+++ b/packages/entry/src/partition/constants.ts
@@ -139,6 +139,8 @@
 export const MAX_EXCUSED_CALLS = 3
 /** Longest lease that a late holder grants, in milliseconds, if workers accept it and the holder was confirmed recently. */
 export const MAX_LATE_LEASE_MS = 6000
+/** Most workers that are missing at the start of a term and count as crashed: a larger number has a common cause. */
+export const MAX_MISSING_AS_CRASHED = 2
 /** Most runs that a log line names. */
 export const MAX_LOGGED_RUNS = 20
 /** Interval at which a holder logs its load, in milliseconds. */
--- a/packages/entry/src/partition/partitionTerm.ts
+++ b/packages/entry/src/partition/partitionTerm.ts
@@ -6,7 +6,7 @@
 import type { AdviceRouter } from './adviceRouter.js'
 import { createCeilingClaims } from './ceilingClaims.js'
 import { createPartitionCommits } from './partitionCommits.js'
-import { LATE_LEASE_MEMORY_MS, MAX_LOGGED_RUNS, MAX_STARTS_IN_FLIGHT, MAX_UNCONFIRMED_EXTENSION_MS } from './constants.js'
+import { LATE_LEASE_MEMORY_MS, MAX_LOGGED_RUNS, MAX_MISSING_AS_CRASHED, MAX_STARTS_IN_FLIGHT, MAX_UNCONFIRMED_EXTENSION_MS } from './constants.js'
 import { computeLateLeaseMs, computeLeaseMs, computePriorLeaseBoundMs } from './leaseBounds.js'
 import { formatRun } from './formatRun.js'
 import { createPartitionJobs } from './partitionJobs.js'
@@ -151,15 +151,14 @@
     addWorker(listing)
   }
 
-  /** Loss of a worker that nothing is known of but its absence from the list. */
-  const buildUnlistedLoss = (): WorkerLoss => ({ kind: 'left', failedAtMs: clock.nowMs(), nowMs: clock.nowMs(), wallMs: clock.wallMs() })
+  const buildLoss = (kind: WorkerLoss['kind']): WorkerLoss => ({ kind, failedAtMs: clock.nowMs(), nowMs: clock.nowMs(), wallMs: clock.wallMs() })
 
   const removeUnlistedWorkers = (): void => {
     for (const [id, member] of managedWorkers) {
       if (!member.isUnlisted || !member.controller.isQuiescent()) continue
       member.controller.dispose()
       managedWorkers.delete(id)
-      planner.recordWorkerLost(id, buildUnlistedLoss())
+      planner.recordWorkerLost(id, buildLoss('left'))
       planner.removeWorker(id)
     }
   }
@@ -167,15 +166,19 @@
   /** Removes workers with runs of earlier terms that were never listed in this term, once all their leases must have expired. */
   const removeNeverListedWorkers = (): void => {
     if (clock.nowMs() - startedAtMs < computePriorLeaseBoundMs(options.bounds.maxLeaseMs)) return
-    for (const id of planner.listWorkers()) {
-      if (managedWorkers.has(id)) continue
-      const { released } = planner.recordWorkerLost(id, buildUnlistedLoss())
+    const missing = planner.listWorkers().filter((id) => !managedWorkers.has(id))
+    // A single worker may have crashed shortly before this term; several are missing after an outage.
+    const loss = buildLoss(missing.length <= MAX_MISSING_AS_CRASHED ? 'refused' : 'left')
+    for (const id of missing) {
+      const { released, suspected } = planner.recordWorkerLost(id, loss)
       events.record(workerLost, {
         worker: id,
         reason: 'not listed in this term, and all its leases have expired',
         cause: 'unlisted',
+        kind: loss.kind,
         runs: released.slice(0, MAX_LOGGED_RUNS).map(formatRun),
-        runCount: released.length
+        runCount: released.length,
+        suspected: suspected.slice(0, MAX_LOGGED_RUNS).map(formatRun)
       })
       planner.removeWorker(id)
     }
