A start that waited is not sent to a worker that has shrunk meanwhile

LIMIT: a worker's capacity may shrink and grow while it runs. Placement, reservations, preemption and shares follow the worker's row already; what runs or is being stopped counts until its end is listed, so that a shrunk worker gets nothing until there is room. An order on its way did not follow: it was sent by the capacity at the time of the decision, after its commit and its turn in the window of starts, seconds later with a slow table.

The first attempt now checks the worker's capacity again and gives the task back if the worker is over it. shrinkingWorker.spec: without the check, 8 starts were sent to a worker with room for 3.

--- a/packages/core/src/partition/createPartitionPlanner.ts
+++ b/packages/core/src/partition/createPartitionPlanner.ts
@@ -309,6 +309,10 @@
       if (task === undefined || task.run !== name.run || task.worker !== worker) return
       task.confirmedAtMs ??= nowMs
     },
+    isOvercommitted: (id) => {
+      const worker = workers.get(id)
+      return worker !== undefined && !hasRoomFor(worker.info.capacity, worker.used)
+    },
     isAllocatedAt: (name, worker) => {
       const task = registry.findTask(name)
       return task !== undefined && task.run === name.run && task.worker === worker
--- a/packages/core/src/partition/plannerTypes.ts
+++ b/packages/core/src/partition/plannerTypes.ts
@@ -166,6 +166,8 @@
   /** Records that the start order was answered or fenced off by a stop: from now on the worker's reports show its effect. */
   recordStartConfirmed: (run: RunName, worker: string, nowMs: number) => void
   recordStartRefused: (order: StartOrder, refusal: StartRefusal, nowMs: number) => void
+  /** Whether the worker's capacity has shrunk below what is allocated to it. */
+  isOvercommitted: (worker: string) => boolean
   /** Whether the run is allocated to the worker. */
   isAllocatedAt: (run: RunName, worker: string) => boolean
   recordAdvice: (query: AdviceQuery, tickets: ReadonlyMap<string, string>, nowMs: number) => void
--- a/packages/entry/src/partition/partitionWorkerController.ts
+++ b/packages/entry/src/partition/partitionWorkerController.ts
@@ -289,7 +289,9 @@
       const nowMs = readWorkerClock()
       // A report or an acknowledged stop has settled the outcome.
       const isSettled = !inDoubt.has(name)
-      if (isSettled || lease === null || nowMs === null || disposed || lease - nowMs < MIN_START_LEASE_MS || stopping.has(name)) {
+      // The order may have waited for the commit and for the window while the worker's capacity shrank.
+      const hasNoRoom = attempt === 0 && planner.isOvercommitted(worker)
+      if (isSettled || lease === null || nowMs === null || disposed || lease - nowMs < MIN_START_LEASE_MS || stopping.has(name) || hasNoRoom) {
         if (attempt === 0) startWindow.releaseSlot()
         if (isSettled) return
         break
