--- a/packages/cli/src/trace/__tests__/traceJob.spec.ts
+++ b/packages/cli/src/trace/__tests__/traceJob.spec.ts
@@ -50,6 +50,23 @@
   assert.match(trace.cause, 'partition pages was acquired by b (epoch 4)')
 })
 
+test('a task that was given up is named with the workers that were lost with it', () => {
+  const run = (number: number): string => `${JOB}.0.0.2#${number}`
+  const trace = summarizeJob(JOB, parseAll({
+    a: [
+      buildLine(1, 'FT830', 'Job accepted', { job: JOB }),
+      buildLine(2, 'FT812', 'Worker lost with its runs', { worker: 'w1', runs: [run(1), '00000000000000bb.0.0.0#1'] }),
+      buildLine(3, 'FT812', 'Worker lost with its runs', { worker: 'w2', runs: ['00000000000000bb.0.0.0#2'] }),
+      buildLine(4, 'FT812', 'Worker lost with its runs', { worker: 'w3', runs: [run(2)] }),
+      buildLine(4, 'FT826', 'Task given up', { job: JOB, run: run(2), worker: 'w3' }),
+      buildLine(5, 'FT825', 'Job ended', { job: JOB, phase: 'failed' })
+    ]
+  }))
+  assert.is(trace.outcome, 'failed')
+  assert.match(trace.cause, `task ${JOB}.0.0.2 was given up`)
+  assert.match(trace.cause, 'w1, w3')
+})
+
 function buildFailures (otherRunsFail: boolean): string[] {
   const lines = [buildLine(1, 'FT830', 'Job accepted', { job: JOB })]
   for (let run = 1; run <= 2; run++) lines.push(buildLine(1 + run, 'FT823', 'Run ended', { run: `${JOB}.0.0.0#${run}`, worker: 'w1', how: 'failed' }))
--- a/packages/cli/src/trace/traceJob.ts
+++ b/packages/cli/src/trace/traceJob.ts
@@ -1,6 +1,6 @@
 /** Orders the log lines of a job causally and derives its outcome, its longest wait and the cause. */
 import type { LogLine } from './logLines.js'
-import { JOB_ACCEPTED, JOB_ENDED, readJobId, JOB_REFUSED, RUN_ENDED, RUN_PLACED, SUBMISSION_IN_DOUBT } from './traceEvents.js'
+import { JOB_ACCEPTED, JOB_ENDED, readJobId, JOB_REFUSED, RUN_ENDED, RUN_PLACED, SUBMISSION_IN_DOUBT, TASK_GIVEN_UP, WORKER_LOST } from './traceEvents.js'
 import { listWaitReasons } from './waitReasons.js'
 
 /** A log line with the time since the first line of the job, corrected for clock differences. */
@@ -68,7 +68,22 @@
   return ended < MIN_RUNS_FOR_FAILURE_RATE ? null : failed / ended
 }
 
+/** Names the workers that crashed under a task that was given up; `null` if none was. */
+function explainGivingUp (allLines: readonly LogLine[], jobLines: readonly LogLine[]): string | null {
+  const givenUp = jobLines.find((line) => line.event === TASK_GIVEN_UP)
+  if (givenUp === undefined) return null
+  const task = String(givenUp.fields['run']).split('#')[0] ?? ''
+  const workers = new Set<string>()
+  for (const line of allLines) {
+    if (line.event !== WORKER_LOST || !Array.isArray(line.fields['runs'])) continue
+    if (line.fields['runs'].some((run) => String(run).startsWith(`${task}#`))) workers.add(String(line.fields['worker']))
+  }
+  return `task ${task} was given up: workers crashed while it ran apart from other jobs; lost with it: ${[...workers].join(', ')}`
+}
+
 function explainFailure (allLines: readonly LogLine[], jobLines: readonly LogLine[], job: string): string {
+  const givingUp = explainGivingUp(allLines, jobLines)
+  if (givingUp !== null) return givingUp
   const failuresByTask = new Map<string, LogLine[]>()
   for (const line of jobLines) {
     if (line.event !== RUN_ENDED || line.fields['how'] !== 'failed') continue
--- /dev/null
+++ b/packages/core/src/partition/__tests__/crashingTasks.spec.ts
@@ -0,0 +1,232 @@
+/** Load pattern: poison pill. One task crashes each worker that starts it; others lie beside it, or lose their workers for other reasons. */
+import { test } from 'uvu'
+import * as assert from 'uvu/assert'
+import { createTestStep, createTestStepJob } from '../../testing/stepJobs.js'
+import {
+  ACCEPTED_STATE, createPartitionPlanner, type AdviceQuery, type JobStep, type PartitionPlanner, type StartOrder, type TrySendQuery, type WorkerLoss
+} from '../index.js'
+
+const ACCEPT_REQUEST: TrySendQuery = () => true
+const RACK_SIZE = 4
+/** Time after which a task counts as having run for long, in milliseconds. */
+const LONG_RUN_MS = 1000
+
+interface World {
+  readonly planner: PartitionPlanner
+  nowMs: number
+}
+
+function addWorker ({ planner }: World, id: string, rack: string): void {
+  planner.setWorker({ id, failureDomain: `domain of ${rack}`, labels: ['kind', rack], capacity: { processors: 8, memoryMb: 65_536, accelerators: 0 }, draining: false })
+  planner.setSynced(id, true)
+}
+
+/** Creates a planner with workers `w0`, `w1`, ... in racks of four. */
+function createWorld (workers: number): World {
+  const world = { planner: createPartitionPlanner(), nowMs: 1000 }
+  for (let index = 0; index < workers; index++) addWorker(world, `w${index}`, `r${Math.floor(index / RACK_SIZE)}`)
+  return world
+}
+
+function addJob ({ planner, nowMs }: World, id: string, changes: Partial<JobStep> = {}): void {
+  planner.addJob(id, createTestStepJob([createTestStep({ resources: { processors: 1, memoryMb: 512, accelerators: 0 }, ...changes })]), ACCEPTED_STATE, nowMs)
+}
+
+/** Plans one round and confirms its starts. */
+function startRuns (world: World, trySend: TrySendQuery = ACCEPT_REQUEST): readonly StartOrder[] {
+  const { starts } = world.planner.decide(world.nowMs, world.nowMs, trySend)
+  for (const order of starts) world.planner.recordStartConfirmed(order, order.worker, world.nowMs)
+  return starts
+}
+
+/** Lets a worker fail and then be lost; returns what became of its tasks. */
+function loseWorker (world: World, worker: string, kind: WorkerLoss['kind'], failsWith: readonly string[] = []) {
+  const failedAtMs = world.nowMs
+  for (const id of [worker, ...failsWith]) world.planner.recordWorkerFailing(id, failedAtMs, kind !== 'silent')
+  world.nowMs += 3300
+  return world.planner.recordWorkerLost(worker, { kind, failedAtMs, nowMs: world.nowMs, wallMs: world.nowMs })
+}
+
+/** Loses the worker that a task runs on, which comes back as another one. */
+function crashUnder (world: World, job: string, starts: readonly StartOrder[]): void {
+  const { worker } = starts.find((order) => order.job === job)!
+  loseWorker(world, worker, 'crashed')
+  world.planner.removeWorker(worker)
+  addWorker(world, `${worker}+`, 'r9')
+}
+
+test('a task whose workers crash is given up after it has crashed two that it had for itself', () => {
+  const world = createWorld(8)
+  addJob(world, 'bad')
+  addJob(world, 'sound')
+  const first = startRuns(world)
+  assert.is(new Set(first.map(({ worker }) => worker)).size, 1, 'both share a worker')
+  crashUnder(world, 'bad', first)
+  const second = startRuns(world)
+  assert.is(new Set(second.map(({ worker }) => worker)).size, 2, 'each runs apart')
+  crashUnder(world, 'bad', second)
+  assert.is(world.planner.readPhase('bad'), 'running')
+  crashUnder(world, 'bad', startRuns(world))
+  assert.is(world.planner.readPhase('bad'), 'failed')
+  assert.is(world.planner.readPhase('sound'), 'running')
+  assert.equal(startRuns(world), [])
+})
+
+test('tasks that had run for long beside a crash run among others, and apart only after a second crash', () => {
+  const world = createWorld(4)
+  for (const id of ['a', 'b', 'c']) addJob(world, id)
+  const first = startRuns(world)
+  world.nowMs += LONG_RUN_MS
+  crashUnder(world, 'a', first)
+  const second = startRuns(world)
+  assert.is(new Set(second.map(({ worker }) => worker)).size, 1)
+  world.nowMs += LONG_RUN_MS
+  crashUnder(world, 'a', second)
+  // One worker of three may be set apart at a time.
+  const third = startRuns(world)
+  assert.is(third.length, new Set(third.map(({ worker }) => worker)).size)
+})
+
+test('other jobs run on while a worker is set apart, and none of them joins it', () => {
+  const world = createWorld(3)
+  addJob(world, 'bad')
+  crashUnder(world, 'bad', startRuns(world))
+  const [apart] = startRuns(world)
+  for (let job = 0; job < 16; job++) addJob(world, `sound${job}`)
+  const others = startRuns(world)
+  assert.is(others.length, 16)
+  assert.ok(others.every(({ worker }) => worker !== apart!.worker))
+  assert.is(startRuns(world).length, 0)
+})
+
+test('a worker that is set apart takes others again once its task has run for some seconds', () => {
+  const world = createWorld(2)
+  addJob(world, 'lasting', { longRunning: true })
+  crashUnder(world, 'lasting', startRuns(world))
+  const [apart] = startRuns(world)
+  world.nowMs += 6000
+  for (let job = 0; job < 15; job++) addJob(world, `sound${job}`)
+  assert.ok(startRuns(world).some(({ worker }) => worker === apart!.worker))
+})
+
+for (const kind of ['refused', 'crashed'] as const) {
+  test(`no task is suspected when its rack fails as a whole (${kind})`, () => {
+    const world = createWorld(8)
+    for (let crash = 0; crash < 4; crash++) {
+      if (crash === 0) addJob(world, 'sound')
+      const [start] = startRuns(world)
+      const rack = Number(start!.worker.slice(1)) < RACK_SIZE ? ['w0', 'w1', 'w2', 'w3'] : ['w4', 'w5', 'w6', 'w7']
+      const outcome = loseWorker(world, start!.worker, kind, rack.filter((id) => id !== start!.worker))
+      assert.equal(outcome.suspected, [])
+      for (const id of rack) world.planner.setSynced(id, true)
+    }
+    assert.is(world.planner.readPhase('sound'), 'running')
+    assert.is(world.planner.readCrashRecord('sound'), null)
+  })
+}
+
+test('tasks that crash workers of one rack at the same moment are no lost rack', () => {
+  const world = createWorld(4)
+  for (const id of ['bad1', 'bad2']) addJob(world, id, { resources: { processors: 5, memoryMb: 512, accelerators: 0 } })
+  const starts = startRuns(world)
+  assert.is(new Set(starts.map(({ worker }) => worker)).size, 2)
+  const [first, second] = starts
+  const outcome = loseWorker(world, first!.worker, 'crashed', [second!.worker])
+  assert.is(outcome.suspected.length, 1)
+})
+
+test('silence is no crash until another worker responds at the address', () => {
+  const world = createWorld(8)
+  addJob(world, 'sound')
+  const [start] = startRuns(world)
+  assert.equal(loseWorker(world, start!.worker, 'silent').suspected, [])
+  assert.is(world.planner.readCrashRecord('sound'), null)
+  world.planner.recordWorkerReplaced(start!.worker, world.nowMs, world.nowMs)
+  assert.is(world.planner.readCrashRecord('sound')?.length, 1)
+})
+
+test('a crash that is concluded from refused connections is withdrawn when the worker responds in the same life', () => {
+  const world = createWorld(8)
+  addJob(world, 'sound')
+  for (let cut = 0; cut < 4; cut++) {
+    const [start] = startRuns(world)
+    assert.is(loseWorker(world, start!.worker, 'refused').suspected.length, 1)
+    world.planner.recordWorkerSurvived(start!.worker)
+    world.planner.setSynced(start!.worker, true)
+  }
+  assert.is(world.planner.readPhase('sound'), 'running')
+  assert.is(world.planner.readCrashRecord('sound'), null)
+})
+
+test('the end of a draining worker counts against no task', () => {
+  const world = createWorld(8)
+  addJob(world, 'sound')
+  for (let drain = 0; drain < 4; drain++) {
+    const [start] = startRuns(world)
+    assert.equal(loseWorker(world, start!.worker, 'left').suspected, [])
+  }
+  assert.is(world.planner.readPhase('sound'), 'running')
+})
+
+test('a start that may be the last waits for the proof of the crash before', () => {
+  const world = createWorld(8)
+  addJob(world, 'bad')
+  crashUnder(world, 'bad', startRuns(world))
+  const [second] = startRuns(world)
+  loseWorker(world, second!.worker, 'refused')
+  assert.equal(startRuns(world), [])
+  assert.equal(world.planner.recordWorkerReplaced(second!.worker, world.nowMs, world.nowMs).map(({ run }) => run), [2])
+  assert.is(world.planner.readPhase('bad'), 'failed')
+})
+
+test('crash counts survive a change of the holder', () => {
+  const world = createWorld(8)
+  addJob(world, 'bad')
+  crashUnder(world, 'bad', startRuns(world))
+  const next = createWorld(8)
+  next.nowMs = world.nowMs
+  const spec = createTestStepJob([createTestStep({ resources: { processors: 1, memoryMb: 512, accelerators: 0 } })])
+  next.planner.addJob('bad', spec, world.planner.readRecord('bad')!, next.nowMs, world.planner.readCrashRecord('bad')!)
+  crashUnder(next, 'bad', startRuns(next))
+  assert.is(next.planner.readPhase('bad'), 'failed')
+})
+
+test('a gang with a task that crashes its worker starts as a whole, with its suspects apart, and fails as a whole', () => {
+  const world = createWorld(8)
+  const gang = { gang: true, taskCount: 4, resources: { processors: 5, memoryMb: 512, accelerators: 0 } }
+  addJob(world, 'bad', gang)
+  for (let crash = 0; crash < 3 && world.planner.readPhase('bad') !== 'failed'; crash++) {
+    const starts = startRuns(world)
+    assert.is(starts.length, 4)
+    const bad = starts.find(({ index }) => index === 0)!
+    const others = starts.filter((order) => order !== bad)
+    crashUnder(world, 'bad', [bad])
+    for (const order of others) {
+      const { job, occurrence, step, index, run } = order
+      world.planner.recordReport(order.worker, { requestedAtMs: world.nowMs, running: [], ended: [{ job, occurrence, step, index, run, number: crash + 1, how: 'broken', saved: '' }] }, world.nowMs, world.nowMs)
+    }
+  }
+  assert.is(world.planner.readPhase('bad'), 'failed')
+})
+
+test('a worker that is set apart for a step with advice gets a ticket of its own', () => {
+  const world = createWorld(2)
+  const queries: AdviceQuery[] = []
+  const trySend: TrySendQuery = (query) => queries.push(query) > 0
+  const answer = (): void => {
+    const query = queries.pop()!
+    world.planner.recordAdvice(query, new Map(query.workers.map((worker) => [worker, `ticket of ${worker}`])), world.nowMs)
+  }
+  const advice = { decisionMs: 10, eachMs: 1, validityMs: 1500 }
+  world.planner.addJob('bad', createTestStepJob([createTestStep()], { advice }), ACCEPTED_STATE, world.nowMs)
+  startRuns(world, trySend)
+  answer()
+  crashUnder(world, 'bad', startRuns(world, trySend))
+  assert.equal(startRuns(world, trySend), [])
+  assert.is(queries.at(-1)?.workers.length, 1)
+  answer()
+  const [start] = startRuns(world, trySend)
+  assert.is(start?.ticket, `ticket of ${start?.worker}`)
+})
+
+test.run()
