Isolation computes its limit only in rounds that hold a worker

The limit walks all workers; without suspected tasks no round needs it. No change of decisions: crashingTasks.spec and crashingTaskStorm.spec as before.

--- a/packages/core/src/partition/isolation.ts
+++ b/packages/core/src/partition/isolation.ts
@@ -53,7 +53,8 @@
   const holds = new Map<PartitionWorker, Hold>()
 
   let changes: IsolationChange[] = []
-  let limit = 0
+  /** Limit of this round; computed when first needed. */
+  let limit: number | null = null
 
   const recordChange = (worker: PartitionWorker, { instance, sinceMs }: Hold, kind: IsolationChange['kind'], nowMs: number): void => {
     changes.push({ worker: worker.info.id, step: instance.key, kind, heldMs: Math.round(nowMs - sinceMs) })
@@ -99,6 +100,7 @@
     let held = 0
     for (const worker of holds.keys()) held += isAvailable(worker, nowMs) ? 1 : CRASHED_WEIGHT
     const isLikelyCause = instance.tasks.every((task) => !isSuspected(task) || task.soloCrashes > 0)
+    limit ??= computeLimit(nowMs)
     return held < limit * (isLikelyCause ? LIKELY_CAUSE_SHARE : 1)
   }
 
@@ -119,7 +121,7 @@
 
   return {
     startRound: (nowMs) => {
-      limit = computeLimit(nowMs)
+      limit = null
       for (const [worker, hold] of holds) if (!isStillNeeded(worker, hold, nowMs)) release(worker, hold, nowMs)
     },
     listClear: (instance, nowMs) => {
