npm run fuzz finds its files by the workspace's own list of packages

It ended at once with ENOENT: it listed packages by hand, one of which has been renamed, and platform/ was not looked at.

--- a/packages/standins/src/tools/fuzz.ts
+++ b/packages/standins/src/tools/fuzz.ts
@@ -2,12 +2,12 @@
 import { spawn } from 'node:child_process'
 import { randomInt } from 'node:crypto'
 import { readdirSync, readFileSync } from 'node:fs'
-import { join } from 'node:path'
+import { join, relative } from 'node:path'
 import yargs from 'yargs'
 import { hideBin } from 'yargs/helpers'
+import { listBuildFolders } from './workspacePackages.js'
 
-const PACKAGES_DIRECTORY = join(import.meta.dirname, '..', '..', '..')
-const PACKAGES = ['core', 'platform', 'entry', 'cli'] as const
+const ROOT = join(import.meta.dirname, '..', '..', '..', '..')
 const MAX_SEED = 2 ** 31 - 1
 const MS_PER_MINUTE = 60_000
 /** Factor on the number of runs of each property; below 1, so that more seeds are covered in the given time. */
@@ -20,10 +20,9 @@
   failures: number
 }
 
-function findTargets (pathPart: string): FuzzTarget[] {
+function findTargets (directories: readonly string[], pathPart: string): FuzzTarget[] {
   const targets: FuzzTarget[] = []
-  for (const name of PACKAGES) {
-    const directory = join(PACKAGES_DIRECTORY, name, 'dist')
+  for (const directory of directories) {
     for (const path of readdirSync(directory, { recursive: true, encoding: 'utf8' })) {
       const file = join(directory, path)
       if (!path.endsWith('.spec.js') || !file.includes(pathPart)) continue
@@ -68,7 +67,12 @@
   .strict()
   .parse()
 
-const targets = findTargets(args.part)
+const directories = listBuildFolders(ROOT)
+if (directories.isErr()) {
+  process.stderr.write(`${directories.error}\n`)
+  process.exit(2)
+}
+const targets = findTargets(directories.value, args.part)
 if (targets.length === 0) {
   process.stderr.write(`no property-based spec file matches --part ${args.part}\n`)
   process.exit(2)
@@ -83,7 +87,7 @@
   const lanes = Array.from({ length: args.lanes }, (_, lane) => runTargetsUntil(targets, Math.floor(lane * targets.length / args.lanes), endMs, () => nextSeed++))
   await Promise.all(lanes)
 }
-for (const target of targets) process.stdout.write(`${target.failures === 0 ? 'ok  ' : 'FAIL'} ${target.file.slice(PACKAGES_DIRECTORY.length + 1)}: ${target.runs} runs, ${target.failures} failed\n`)
+for (const target of targets) process.stdout.write(`${target.failures === 0 ? 'ok  ' : 'FAIL'} ${relative(ROOT, target.file)}: ${target.runs} runs, ${target.failures} failed\n`)
 const failures = targets.reduce((sum, target) => sum + target.failures, 0)
 process.stdout.write(`${targets.reduce((sum, target) => sum + target.runs, 0)} runs, ${failures} failed\n`)
 process.exit(failures === 0 ? 0 : 1)
