Suspected tasks are told apart faster: one prompt crash is proof, urgent ones preempt, known advice first

- A task that had just started at each of two crashes, alone at the second, is given up then, unless another worker failed at that moment: a bad task costs two or three workers, not three.
- Less urgent tasks that save their work leave a worker that is set apart.
- Workers that the advice service has allowed before are set apart first.

--- a/packages/core/src/partition/crashEvidence.ts
+++ b/packages/core/src/partition/crashEvidence.ts
@@ -10,6 +10,8 @@
 import type { PartitionWorker } from './partitionWorker.js'
 import type { WorkerLoss } from './plannerTypes.js'
 
+/** Suspicion of a task that had just started at each of two crashes. */
+const REPEATED_SUSPICION = 4
 /** Suspicion that a crash casts on a task that had just started, and on one that had run for longer. */
 const RECENT_START_SUSPICION = 2
 const LONG_RUN_SUSPICION = 1
@@ -45,6 +47,8 @@
   readonly lostAtMs: number
   /** No task of another step could have caused the crash. */
   readonly isSolo: boolean
+  /** No other worker failed at that moment. */
+  readonly isSingle: boolean
   isCounted: boolean
   isProven: boolean
 }
@@ -94,14 +98,23 @@
     return loss.charges.map(({ task }) => task)
   }
 
+  /**
+   * How much a crash of a worker with one step proves: all, if the task had just started at each of two crashes, the second one without
+   * another failure at that moment.
+   */
+  const weighProof = ({ isSingle }: RecordedLoss, { task, ageMs }: Charge): number => {
+    return isSingle && ageMs <= RECENT_START_MS && task.crashes > 1 && task.suspicion >= REPEATED_SUSPICION ? CRASH_PROOFS_TO_GIVE_UP : 1
+  }
+
   const prove = (loss: RecordedLoss): Task[] => {
     if (loss.isProven) return []
     loss.isProven = true
     if (!loss.isSolo) return []
     const proven: Task[] = []
-    for (const { task, isSettled } of loss.charges) {
-      if (isSettled) continue
-      task.soloCrashes++
+    for (const charge of loss.charges) {
+      const { task } = charge
+      if (charge.isSettled) continue
+      task.soloCrashes += weighProof(loss, charge)
       if (task.soloCrashes >= CRASH_PROOFS_TO_GIVE_UP) proven.push(task)
     }
     return proven
@@ -117,13 +130,21 @@
       if (loss.kind === 'left' || failures.isCommonCause(worker, loss.failedAtMs)) return NO_VERDICT
       const charges = buildCharges(tasks, loss)
       if (charges.length === 0) return NO_VERDICT
-      const recorded: RecordedLoss = { charges, lostAtMs: loss.nowMs, isSolo: isSoloLoss(worker, charges), isCounted: false, isProven: false }
+      const recorded: RecordedLoss = {
+        charges,
+        lostAtMs: loss.nowMs,
+        isSolo: isSoloLoss(worker, charges),
+        isSingle: !failures.hasOthers(worker, loss.failedAtMs),
+        isCounted: false,
+        isProven: false
+      }
       losses.set(worker.info.id, recorded)
       if (loss.kind === 'silent') return NO_VERDICT
       const counted = count(recorded)
       if (loss.kind === 'crashed') return { counted, proven: prove(recorded) }
-      for (const { task } of charges) {
-        if (recorded.isSolo && task.soloCrashes + 1 >= CRASH_PROOFS_TO_GIVE_UP) task.verdictDueMs = loss.nowMs + VERDICT_WAIT_MS
+      for (const charge of charges) {
+        const { task } = charge
+        if (recorded.isSolo && task.soloCrashes + weighProof(recorded, charge) >= CRASH_PROOFS_TO_GIVE_UP) task.verdictDueMs = loss.nowMs + VERDICT_WAIT_MS
       }
       return { counted, proven: [] }
     },
--- a/packages/core/src/partition/createPartitionPlanner.ts
+++ b/packages/core/src/partition/createPartitionPlanner.ts
@@ -108,7 +108,12 @@
     let placements = findPlacements()
     // A gang needs room for all of its suspects at once.
     const needed = instance.step.gang ? suspects.length : 1
-    for (let held = isolation.countHeld(instance); placements.length < needed && held < needed && isolation.tryHold(instance, round); held++) placements = findPlacements()
+    for (let held = isolation.countHeld(instance); placements.length < needed && held < needed; held++) {
+      const preempted = isolation.tryHold(instance, round)
+      if (preempted === null) break
+      stopForPreemption(preempted)
+      placements = findPlacements()
+    }
     return placements.map((placement) => ({ ...placement, index: null }))
   }
 
--- a/packages/core/src/partition/isolation.ts
+++ b/packages/core/src/partition/isolation.ts
@@ -5,7 +5,7 @@
 import { canEverRun, computeFree, computeTaskResources, isAvailable, type PartitionWorker } from './partitionWorker.js'
 import type { PlanningRound } from './planningRound.js'
 import { isFinal, isSuspected, type Task } from './jobState.js'
-import { computeSize } from './preemption.js'
+import { computeSize, mayBePreempted } from './preemption.js'
 import type { IsolationChange } from './plannerTypes.js'
 import { countTasksByWorker, type StepInstance } from './stepInstance.js'
 
@@ -15,8 +15,12 @@
   startRound: (nowMs: number) => void
   /** Workers held for a step, clear of all tasks that a crash could be mistaken for. */
   listClear: (instance: StepInstance, nowMs: number) => PartitionWorker[]
-  /** Holds a worker for a step, unless too many are held already; one that is soon clear, and among those the one that has been up longest. */
-  tryHold: (instance: StepInstance, round: PlanningRound) => boolean
+  /**
+   * Holds a worker for a step; one that is soon clear, and among those the one that has been up longest.
+   *
+   * @returns tasks to preempt, so that the worker is clear sooner; `null` if no worker is held
+   */
+  tryHold: (instance: StepInstance, round: PlanningRound) => readonly Task[] | null
   countHeld: (instance: StepInstance) => number
   /** Changes since the last call. */
   takeChanges: () => IsolationChange[]
@@ -35,6 +39,10 @@
 const CRASHED_WEIGHT = 0.5
 /** Share of the held workers for steps whose task has crashed a worker of its own already: it is probably the cause, and its job is not missed. */
 const LIKELY_CAUSE_SHARE = 0.5
+/** Time until a preempted task has ended, in milliseconds. */
+const PREEMPTION_MS = 400
+/** Cost of a worker that the advice service has not allowed before, in milliseconds: it rules out about half of the workers. */
+const UNKNOWN_ADVICE_COST_MS = 500
 /** A worker with a long-running task is chosen only if the others take longer than this to become clear, in milliseconds. */
 const LASTING_TASK_COST_MS = 10_000
 
@@ -114,6 +122,7 @@
         lasting++
         left = subtractResources(left, computeTaskResources(task.definition))
       } else if (task.definition.longRunning) return Infinity
+      else if (task.stopping || mayBePreempted(task, instance.job.spec.policy.priority)) clearMs = Math.max(clearMs, PREEMPTION_MS)
       else clearMs = Math.max(clearMs, task.definition.estimateMs * (1 - task.percent / 100))
     }
     return hasRoomFor(left, instance.taskResources) ? clearMs + lasting * LASTING_TASK_COST_MS : Infinity
@@ -132,28 +141,29 @@
       return clear
     },
     tryHold: (instance, round) => {
-      if (!mayHold(instance, round.nowMs)) return false
+      if (!mayHold(instance, round.nowMs)) return null
       const { maxPerWorker } = instance.step
       const counts = maxPerWorker > 0 ? countTasksByWorker(instance) : null
       let best = -1
       let bestMs = Infinity
       round.addEvaluations(round.workers.length)
+      const needsAdvice = instance.job.spec.policy.advice !== undefined
       for (const [index, worker] of round.workers.entries()) {
         if (worker.isolated || !canEverRun(worker, instance.step) || instance.unsuitable.has(worker.info.id)) continue
         if (counts !== null && (counts.get(worker.info.id) ?? 0) >= maxPerWorker) continue
-        const clearMs = estimateClearMs(worker, instance, round.nowMs)
+        const clearMs = estimateClearMs(worker, instance, round.nowMs) + (needsAdvice && !instance.tickets.has(worker.info.id) ? UNKNOWN_ADVICE_COST_MS : 0)
         if (clearMs >= bestMs) continue
         best = index
         bestMs = clearMs
       }
       const worker = round.workers[best]
-      if (worker === undefined) return false
+      if (worker === undefined) return null
       worker.isolated = true
       const hold = { instance, sinceMs: round.nowMs }
       holds.set(worker, hold)
       recordChange(worker, hold, 'held', round.nowMs)
       round.reserve(best, worker.info.capacity)
-      return true
+      return [...worker.tasks].filter((task) => mayBePreempted(task, instance.job.spec.policy.priority))
     },
     countHeld: (instance) => {
       let count = 0
