--- a/packages/core/src/partition/__tests__/crashingTasks.spec.ts
+++ b/packages/core/src/partition/__tests__/crashingTasks.spec.ts
@@ -257,6 +257,28 @@
   assert.is(world.planner.readPhase('bad'), 'failed')
 })
 
+// Guards against LOST: a gang whose suspects need more workers than may be set apart at a time never started again.
+test('a gang with suspects for several workers starts again in a small partition', () => {
+  const world = createWorld(3)
+  addJob(world, 'gang', { gang: true, taskCount: 3, resources: { processors: 5, memoryMb: 512, accelerators: 0 } })
+  for (let crash = 0; crash < 3; crash++) {
+    let starts: readonly StartOrder[] = []
+    for (let round = 0; round < 20 && starts.length === 0; round++) {
+      world.nowMs += 100
+      starts = startRuns(world)
+    }
+    assert.is(starts.length, 3, `starts after ${crash} crashes`)
+    // Another member's worker is lost each time.
+    const lost = starts.find(({ index }) => index === crash)!
+    loseWorker(world, lost.worker, 'crashed')
+    world.planner.setSynced(lost.worker, true)
+    for (const { job, occurrence, step, index, run, worker } of starts) {
+      const ended = [{ job, occurrence, step, index, run, number: crash + 1, how: 'broken' as const, saved: '' }]
+      if (worker !== lost.worker) world.planner.recordReport(worker, { requestedAtMs: world.nowMs, running: [], ended }, world.nowMs, world.nowMs)
+    }
+  }
+})
+
 test('a worker that is set apart for a step with advice gets a ticket of its own', () => {
   const world = createWorld(2)
   const queries: AdviceQuery[] = []
--- a/packages/core/src/partition/isolation.ts
+++ b/packages/core/src/partition/isolation.ts
@@ -103,8 +103,16 @@
     return Math.max(MIN_ISOLATED_WORKERS, Math.floor(available * Math.max(MAX_ISOLATED_SHARE, MAX_ISOLATED_FREE_SHARE * freeShare)))
   }
 
+  const countHeld = (instance: StepInstance): number => {
+    let count = 0
+    for (const hold of holds.values()) if (hold.instance === instance) count++
+    return count
+  }
+
   /** Whether one more worker may be held. Those that have crashed count half: they are down for some seconds. */
   const mayHold = (instance: StepInstance, nowMs: number): boolean => {
+    // A gang starts as a whole: once it holds a worker, it may hold all that its suspects need.
+    if (countHeld(instance) > 0) return true
     let held = 0
     for (const worker of holds.keys()) held += isAvailable(worker, nowMs) ? 1 : CRASHED_WEIGHT
     const isLikelyCause = instance.tasks.every((task) => !isSuspected(task) || task.soloCrashes > 0)
@@ -165,11 +173,7 @@
       round.reserve(best, worker.info.capacity)
       return [...worker.tasks].filter((task) => mayBePreempted(task, instance.job.spec.policy.priority))
     },
-    countHeld: (instance) => {
-      let count = 0
-      for (const hold of holds.values()) if (hold.instance === instance) count++
-      return count
-    },
+    countHeld,
     takeChanges: () => {
       const taken = changes
       changes = []
