A worker that comes back under its own id proves its crash; one that a new holder meets reborn is suspected

Its next life now proves the loss before.

A holder that meets such a worker for the first time in its term saw only that the runs of its predecessor were gone. They now count as crashed under, without proof, if the worker was born after their job was accepted.

--- a/packages/core/src/partition/__tests__/crashingTasks.spec.ts
+++ b/packages/core/src/partition/__tests__/crashingTasks.spec.ts
@@ -239,6 +239,20 @@
   assert.is(next.planner.readPhase('bad'), 'failed')
 })
 
+test('a run of an earlier term that its worker does not know counts as a crash if the worker was born after the job was accepted', () => {
+  const world = createWorld(2)
+  const spec = createTestStepJob([createTestStep()], {}, { acceptedAtMs: 500 })
+  for (const bornAtMs of [400, 600]) {
+    const { planner } = world
+    const job = `born at ${bornAtMs}`
+    planner.addJob(job, spec, { phase: 'running', endedAtMs: 0, occurrences: [[0, [[[1, 1, 'w0', 0, '']]]]] }, world.nowMs)
+    planner.recordWorkerBorn('w0', bornAtMs, () => false, world.nowMs, world.nowMs)
+    planner.recordReport('w0', { requestedAtMs: world.nowMs, running: [], ended: [] }, world.nowMs, world.nowMs)
+  }
+  assert.is(world.planner.readCrashRecord('born at 400'), null)
+  assert.equal(world.planner.readCrashRecord('born at 600'), [[0, 0, 0, 1, 0, 1]])
+})
+
 test('a gang with a task that crashes its worker starts as a whole, with its suspects apart, and fails as a whole', () => {
   const world = createWorld(8)
   const gang = { gang: true, taskCount: 4, resources: { processors: 5, memoryMb: 512, accelerators: 0 } }
--- a/packages/core/src/partition/crashEvidence.ts
+++ b/packages/core/src/partition/crashEvidence.ts
@@ -102,11 +102,11 @@
    * How much a crash of a worker with one step proves: all, if the task had just started at each of two crashes, the second one without
    * another failure at that moment.
    */
-  const weighProof = ({ isSingle }: RecordedLoss, { task, ageMs }: Charge): number => {
+  const computeProofWeight = ({ isSingle }: RecordedLoss, { task, ageMs }: Charge): number => {
     return isSingle && ageMs <= RECENT_START_MS && task.crashes > 1 && task.suspicion >= REPEATED_SUSPICION ? CRASH_PROOFS_TO_GIVE_UP : 1
   }
 
-  const prove = (loss: RecordedLoss): Task[] => {
+  const collectProven = (loss: RecordedLoss): Task[] => {
     if (loss.isProven) return []
     loss.isProven = true
     if (!loss.isSolo) return []
@@ -114,7 +114,7 @@
     for (const charge of loss.charges) {
       const { task } = charge
       if (charge.isSettled) continue
-      task.soloCrashes += weighProof(loss, charge)
+      task.soloCrashes += computeProofWeight(loss, charge)
       if (task.soloCrashes >= CRASH_PROOFS_TO_GIVE_UP) proven.push(task)
     }
     return proven
@@ -141,10 +141,10 @@
       losses.set(worker.info.id, recorded)
       if (loss.kind === 'silent') return NO_VERDICT
       const counted = count(recorded)
-      if (loss.kind === 'crashed') return { counted, proven: prove(recorded) }
+      if (loss.kind === 'crashed') return { counted, proven: collectProven(recorded) }
       for (const charge of charges) {
         const { task } = charge
-        if (recorded.isSolo && task.soloCrashes + weighProof(recorded, charge) >= CRASH_PROOFS_TO_GIVE_UP) task.verdictDueMs = loss.nowMs + VERDICT_WAIT_MS
+        if (recorded.isSolo && task.soloCrashes + computeProofWeight(recorded, charge) >= CRASH_PROOFS_TO_GIVE_UP) task.verdictDueMs = loss.nowMs + VERDICT_WAIT_MS
       }
       return { counted, proven: [] }
     },
@@ -153,7 +153,7 @@
       if (loss === undefined || nowMs - loss.lostAtMs > MAX_LOSS_AGE_MS) return NO_VERDICT
       const wasProven = loss.isProven
       const counted = count(loss)
-      const proven = prove(loss)
+      const proven = collectProven(loss)
       return { counted: wasProven ? counted : loss.charges.map(({ task }) => task), proven }
     },
     recordSurvived: (worker) => {
--- a/packages/core/src/partition/createPartitionPlanner.ts
+++ b/packages/core/src/partition/createPartitionPlanner.ts
@@ -236,7 +236,7 @@
     for (const task of proven) {
       if (task.phase === 'done' || task.phase === 'failed') continue
       givenUp.push(buildRunName(task))
-      tracker.giveUp(task, wallMs)
+      tracker.failTask(task, wallMs)
     }
     return givenUp
   }
@@ -281,6 +281,13 @@
       return { released, suspected, givenUp: applyVerdict(verdict, loss.wallMs) }
     },
     recordWorkerReplaced: (id, nowMs, wallMs) => applyVerdict(evidence.recordReplaced(id, nowMs), wallMs),
+    recordWorkerBorn: (id, bornAtMs, isReported, nowMs, wallMs) => {
+      const worker = workers.get(id)
+      if (worker === undefined) return
+      const missing = [...worker.tasks].filter((task) => task.confirmedAtMs === -Infinity && !isReported(buildRunName(task)) &&
+        (registry.findJob(task.job)?.spec.acceptedAtMs ?? Infinity) < bornAtMs)
+      applyVerdict(evidence.recordLoss(worker, missing, { kind: 'refused', failedAtMs: nowMs, nowMs, wallMs }), wallMs)
+    },
     recordWorkerSurvived: (id) => { for (const task of evidence.recordSurvived(id)) registry.markChanged(task.job) },
     removeWorker: (id) => {
       capacityIndex.recordChange(workers.get(id)?.info, undefined)
--- a/packages/core/src/partition/failureHistory.ts
+++ b/packages/core/src/partition/failureHistory.ts
@@ -11,7 +11,7 @@
   recordFailure: (worker: PartitionWorker, nowMs: number, isAbrupt: boolean) => void
   /** Whether at least three quarters of the other workers of the rack or failure domain, and more than one, failed at the same time. */
   isCommonCause: (worker: PartitionWorker, failedAtMs: number) => boolean
-  /** Whether any other worker failed at the same time, apart from those with suspected tasks. */
+  /** Whether any other worker failed at the same time. */
   hasOthers: (worker: PartitionWorker, failedAtMs: number) => boolean
 }
 
@@ -53,7 +53,7 @@
 
   const listOthers = (own: Failure): Failure[] => failures.filter((failure) => {
     const windowMs = own.isAbrupt && failure.isAbrupt ? ABRUPT_FAILURE_WINDOW_MS : SILENT_FAILURE_WINDOW_MS
-    return failure.worker !== own.worker && !failure.hasSuspects && Math.abs(failure.atMs - own.atMs) <= windowMs
+    return failure.worker !== own.worker && Math.abs(failure.atMs - own.atMs) <= windowMs
   })
 
   return {
@@ -75,7 +75,7 @@
     isCommonCause: (worker, failedAtMs) => {
       const own = findOwn(worker, failedAtMs)
       if (own === undefined) return false
-      const others = listOthers(own)
+      const others = listOthers(own).filter(({ hasSuspects }) => !hasSuspects)
       const inRack = others.filter(({ rack }) => rack === own.rack)
       const inDomain = others.filter(({ failureDomain }) => failureDomain === own.failureDomain)
       // The first failure was recorded while the others still counted as synced.
--- a/packages/core/src/partition/plannerTypes.ts
+++ b/packages/core/src/partition/plannerTypes.ts
@@ -145,6 +145,13 @@
   recordWorkerLost: (worker: string, loss: WorkerLoss, classifyRun?: (run: RunName, confirmedAtMs: number | null) => LostRunState) => LossOutcome
   /** Another worker responds at the address of a lost one, which therefore crashed; returns the tasks that are given up for it. */
   recordWorkerReplaced: (worker: string, nowMs: number, wallMs: number) => readonly RunName[]
+  /**
+   * Records the start of a worker's life when it first responds in a term: runs of earlier terms that it doesn't report, of jobs that were
+   * accepted before, may have ended with its former life.
+   *
+   * @param bornAtMs milliseconds since 1970
+   */
+  recordWorkerBorn: (worker: string, bornAtMs: number, isReported: (run: RunName) => boolean, nowMs: number, wallMs: number) => void
   /** A lost worker responds again in the same life: it was cut off. */
   recordWorkerSurvived: (worker: string) => void
   /** Removes a lost worker. */
--- a/packages/core/src/partition/runTracker.ts
+++ b/packages/core/src/partition/runTracker.ts
@@ -21,7 +21,7 @@
   scheduleStop: (task: Task, reason: StopOrder['reason']) => void
   stopJob: (id: string, reason: StopOrder['reason']) => void
   /** Ends the job of a task that will not be started again as failed. */
-  giveUp: (task: Task, wallMs: number) => void
+  failTask: (task: Task, wallMs: number) => void
   /** Stops scheduled since the last call. */
   takeStops: () => StopOrder[]
   /** Stops at a worker that were taken and whose runs have not ended yet. */
@@ -112,7 +112,7 @@
     }
   }
 
-  const giveUp = (task: Task, wallMs: number): void => {
+  const failTask = (task: Task, wallMs: number): void => {
     const job = registry.findJob(task.job)
     if (job === undefined || task.phase === 'done') return
     task.phase = 'failed'
@@ -125,7 +125,7 @@
     for (const member of gang) if (member.run === end.run) member.failures++
     const job = registry.findJob(task.job)
     if (job === undefined || findStep(task).longRunning || task.failures < job.spec.policy.maxAttempts) return
-    giveUp(task, wallMs)
+    failTask(task, wallMs)
   }
 
   const storeCheckpoint = (task: Task, saved: string): void => {
@@ -217,7 +217,7 @@
     },
     scheduleStop,
     stopJob,
-    giveUp,
+    failTask,
     takeStops: () => {
       const stops: StopOrder[] = []
       for (const [task, reason] of toStop) {
--- a/packages/entry/src/partition/__tests__/crashingTask.spec.ts
+++ b/packages/entry/src/partition/__tests__/crashingTask.spec.ts
@@ -51,6 +51,17 @@
     checkNoConcurrentRuns(cluster)
   })
 
+  // Guards against BUDGET: the return of a worker under its own id was no proof of its crash.
+  test(`a task that crashes workers ${crashAfterMs} ms after its start is given up although they come back under their ids`, async () => {
+    const cluster = createCluster(crashAfterMs, 8, { reusesWorkerIds: true })
+    const [entry] = await startEntries(cluster, ['a'])
+    await submit(cluster, entry!, BAD_JOB, 4)
+    await cluster.clock.runFor(60_000)
+    assert.ok(countBadStarts(cluster) <= MAX_CRASHING_STARTS, `${countBadStarts(cluster)} starts`)
+    assert.is(await readState(cluster, entry!, BAD_JOB), 'failed')
+    checkNoConcurrentRuns(cluster)
+  })
+
   // Guards against BUDGET: a new holder began to count at zero.
   test(`crashes ${crashAfterMs} ms after the start count across changes of the holder`, async () => {
     const cluster = createCluster(crashAfterMs)
--- a/packages/entry/src/partition/__tests__/crashingTaskStorm.spec.ts
+++ b/packages/entry/src/partition/__tests__/crashingTaskStorm.spec.ts
@@ -44,6 +44,7 @@
   const pick = <T>(items: readonly T[]): T => items[Math.floor(random.nextFloat() * items.length)]!
   const cluster = createPartitionCluster({
     maxLeaseMs: 3000,
+    reusesWorkerIds: seed % 2 === 0,
     planRun: ({ job, index }) => {
       if (isBad(job, index)) return { durationMs: crashAfterMs, how: 'crash' }
       return { durationMs: job === buildId(LASTING_JOB) ? 600_000 : 300 + Math.floor(random.nextFloat() * 900), how: 'done' }
@@ -114,4 +115,10 @@
   })
 }
 
+// Each change of the holder may hide a crash: the next life of the worker is listed before the new holder knows the former one.
+test('crashes that several changes of the holder hide do not add up', async () => {
+  await checkDay(1014, ['holder', 'rack', 'restart', 'refusingCut'], 10)
+  await checkDay(1006, ['holder', 'rack', 'restart', 'refusingCut'], 500)
+})
+
 test.run()
--- a/packages/entry/src/partition/partitionWorkerController.ts
+++ b/packages/entry/src/partition/partitionWorkerController.ts
@@ -30,7 +30,7 @@
   readonly onChange: () => void
   /** Whether the worker is being drained: its end is no crash. */
   readonly isDraining: () => boolean
-  /** Another worker responds at the address of this one. */
+  /** Another worker, or a later life of this one, responds at its address. */
   readonly onReplaced: () => void
   /** Whether another worker is listed at the address of this one. */
   readonly isReplaced: () => boolean
@@ -204,12 +204,18 @@
       pendingEnds = []
       // Until now, leases were granted by the clock of the life before; the worker shortens them to its limit.
       leaseUntilMs = Math.min(leaseUntilMs, response.clockMs + options.maxLeaseMs)
+      // Its next life proves that a worker that was lost before has crashed.
+      if (isLost) options.onReplaced()
       if (failures === 0) recordFailing('restarted')
       clockSample = null
       // Starts reach the next life under the same id before its first report: those that it lists, or that this report may be too early for, run there.
       const running = new Set(response.running.map(formatRun))
       recordWorkerLost('the worker restarted', 'restarted', (run, confirmedAtMs) => running.has(formatRun(run)) || (confirmedAtMs !== null && confirmedAtMs >= sentAtMs))
     } else if (isLost) planner.recordWorkerSurvived(worker)
+    if (bornAtMs === null) {
+      const reported = new Set([...response.running, ...response.ended].map(formatRun))
+      planner.recordWorkerBorn(worker, response.bornAtMs, (run) => reported.has(formatRun(run)), nowMs, clock.wallMs())
+    }
     bornAtMs = response.bornAtMs
     respondedAtMs = nowMs
     recordClock(response.clockMs, sentAtMs)
--- a/packages/entry/src/testing/partitionCluster.ts
+++ b/packages/entry/src/testing/partitionCluster.ts
@@ -40,7 +40,7 @@
   /** @param cores processor capacity; default 1 */
   addEntry: (name: string, cores?: number) => ClusterEntry
   addWorker: (id: string, capacity?: Resources, rack?: string) => PartitionWorkerModel
-  /** Crashes a worker; it comes back under another id at the same address, and its old row expires. */
+  /** Crashes a worker; it comes back at the same address, under another id unless `reusesWorkerIds` is set. */
   crashWorker: (id: string) => void
   setConfig: (config: ClusterConfig) => void
   /** Returns the entry that the table names as the holder of the partition. */
@@ -51,6 +51,8 @@
 export interface PartitionClusterOptions {
   readonly planRun?: (order: StartOrder) => PlannedRun
   readonly maxLeaseMs?: number
+  /** Whether crashed workers come back under the id that they had; default `false`. */
+  readonly reusesWorkerIds?: boolean
   /** Called for each transaction; returns its duration in its part of the table, in milliseconds; default 0. */
   readonly readTransactionMs?: () => number
   /** Whether entries make calls to the table for each other; default `true`. `false`: as if the send buffers of the links were full. */
@@ -173,6 +175,13 @@
     const model = workers.get(id)
     if (model === undefined) throw new Error(`no worker ${id}`)
     model.crash()
+    if (options.reusesWorkerIds === true) {
+      clock.setTimer(CRASH_DOWN_MS, () => {
+        model.faults.refuses = false
+        model.restart()
+      })
+      return
+    }
     clock.setTimer(CRASH_DOWN_MS, () => {
       model.setReplaced()
       crashCount++
