Losses of a worker and isolated placement in files of their own

No decision and no check has changed. Tests of core/partition, entry/partition and telemetry: 200 passed.

--- a/packages/core/src/partition/createPartitionPlanner.ts
+++ b/packages/core/src/partition/createPartitionPlanner.ts
@@ -1,15 +1,16 @@
 /** Scheduler of one partition: places tasks on workers from jobs, worker reports and placement advice. */
 import { hasRoomFor, computeTotal, subtractResources } from '../schema/resources.js'
-import { RESERVE_AFTER_MS, LONG_RUNNING_RESERVE_AFTER_MS, MAX_RESERVING_STEPS, PREEMPT_AFTER_MS, TICKET_MARGIN_MS } from './constants.js'
+import { RESERVE_AFTER_MS, LONG_RUNNING_RESERVE_AFTER_MS, MAX_RESERVING_STEPS, PREEMPT_AFTER_MS } from './constants.js'
 import { startWorkerBackoff, type PartitionWorker } from './partitionWorker.js'
 import { createCapacityIndex } from './capacityIndex.js'
 import { createCrashEvidence, type CrashVerdict } from './crashEvidence.js'
 import { createFailureHistory } from './failureHistory.js'
-import { createIsolation, placeSuspects } from './isolation.js'
+import { createIsolatedPlacement } from './isolatedPlacement.js'
+import { createIsolation } from './isolation.js'
 import { createJobRegistry } from './jobRegistry.js'
 import { isSuspected, listTasks, type Task } from './jobState.js'
 import type { CanSendQuery, PlannerDecisions, PartitionPlanner, RunName, StartOrder, TrySendQuery } from './plannerTypes.js'
-import { chooseAdviceWorkers, countStartable, hasTicket, listStartable, mayBeSuitable, recordAdvice, recordAdviceFailed, type StepInstance } from './stepInstance.js'
+import { buildAdviceQuery, chooseAdviceWorkers, countStartable, listStartable, mayBeSuitable, recordAdvice, recordAdviceFailed, type StepInstance } from './stepInstance.js'
 import { createCapacityReservations } from './capacityReservation.js'
 import { createCeilingPreemptions, type CeilingPreemptions } from './ceilingPreemption.js'
 import { buildRunName, createRunTracker } from './runTracker.js'
@@ -28,7 +29,7 @@
 interface RoundParts {
   readonly round: PlanningRound
   readonly ceilings: CeilingPreemptions
-  readonly advice: AdviceAccess
+  readonly trySend: TrySendQuery
 }
 
 /** Creates a planner without jobs or workers. */
@@ -74,6 +75,8 @@
     }
   }
 
+  const placeIsolated = createIsolatedPlacement({ isolation, stopForPreemption })
+
   /** Handles tasks that only their team's limit blocks: for the most urgent priority, lower-priority tasks of the team are preempted. */
   const handleCeilingWait = (ranked: RankedInstance, count: number, { round, ceilings }: RoundParts): void => {
     if (count === 0) return
@@ -95,35 +98,6 @@
     if (isAtCeiling(instance)) teams.addBlocked(instance.job.spec.team, computeTotal(instance.step.resources, countStartable(instance)))
   }
 
-  /** Chooses workers that are set apart for suspected tasks of a step; holds further ones and asks for their tickets as needed. */
-  const placeIsolated = (instance: StepInstance, suspects: readonly Task[], { round, advice }: RoundParts): { task: Task, worker: PartitionWorker, index: null }[] => {
-    if (suspects.length === 0) return []
-    isolation.releaseUnsuitable(instance, round.nowMs)
-    const findPlacements = () => {
-      const clear = isolation.listClear(instance, round.nowMs)
-      const ticketed = clear.filter(({ info }) => hasTicket(instance, info.id, round.nowMs))
-      if (ticketed.length < clear.length) sendHeldQuery(instance, clear, round, advice)
-      return placeSuspects(instance, suspects, ticketed)
-    }
-    let placements = findPlacements()
-    // A gang needs room for all of its suspects at once.
-    const needed = instance.step.gang ? suspects.length : 1
-    for (let held = isolation.countHeld(instance); placements.length < needed && held < needed; held++) {
-      const preempted = isolation.tryHold(instance, round)
-      if (preempted === null) break
-      stopForPreemption(preempted)
-      placements = findPlacements()
-    }
-    return placements.map((placement) => ({ ...placement, index: null }))
-  }
-
-  const sendHeldQuery = (instance: StepInstance, held: readonly PartitionWorker[], { nowMs }: PlanningRound, { trySend }: AdviceAccess): void => {
-    const { advice } = instance.job.spec.policy
-    if (advice === undefined || instance.isAdvicePending || nowMs < instance.nextAdviceMs) return
-    const selected = held.map(({ info }) => info.id).filter((id) => !hasTicket(instance, id, nowMs + TICKET_MARGIN_MS))
-    if (selected.length > 0) instance.isAdvicePending = trySend({ step: instance.key, workers: selected, costMs: advice.decisionMs + advice.eachMs * selected.length })
-  }
-
   /** Starts the tasks of a step that fit the capacity and the team's limit; returns those that wait for capacity. */
   const startStep = (ranked: RankedInstance, parts: RoundParts, starts: StartOrder[]): Task[] => {
     const { instance } = ranked
@@ -138,7 +112,7 @@
     const apart = startable.filter(isSuspected)
     const suspects = apart.filter((task) => task.verdictDueMs <= round.nowMs)
     const sound = apart.length === 0 ? startable : startable.filter((task) => !isSuspected(task))
-    const isolated = placeIsolated(instance, suspects, parts)
+    const isolated = placeIsolated(instance, suspects, round, parts.trySend)
     if (gang && isolated.length + sound.length < startable.length) return startable
     const shared = placeTasks(instance, sound, round)
     if (gang && shared.length < sound.length) return startable
@@ -178,7 +152,7 @@
     if (!canSend(advice.decisionMs + advice.eachMs)) return false
     const selected = chooseAdviceWorkers(instance, round)
     if (selected.length === 0) return false
-    instance.isAdvicePending = trySend({ step: instance.key, workers: selected, costMs: advice.decisionMs + advice.eachMs * selected.length })
+    instance.isAdvicePending = trySend(buildAdviceQuery(instance, selected, advice))
     return instance.isAdvicePending
   }
 
@@ -206,7 +180,7 @@
     isolation.startRound(nowMs)
     const round = createPlanningRound(workers.values(), nowMs)
     const reservations = createCapacityReservations(round)
-    const parts = { round, ceilings: createCeilingPreemptions(workers.values(), round), advice: { trySend, canSend } }
+    const parts = { round, ceilings: createCeilingPreemptions(workers.values(), round), trySend }
     let reservingCount = 0
     const ranking = sortInstances({ instances: registry.listWaitingInstances(), capacityCores: readCapacityCores(), nowMs, wallMs })
     budget.startRound(round, ranking.length)
--- a/packages/core/src/partition/stepInstance.ts
+++ b/packages/core/src/partition/stepInstance.ts
@@ -1,6 +1,7 @@
 /** Ready steps: a step of one occurrence whose dependencies are complete, with its placement advice. */
 import { ADVICE_RETRY_MS, MAX_ADVICE_WORKERS, TICKET_MARGIN_MS } from './constants.js'
 import { canEverRun, computeTaskResources, type PartitionWorker } from './partitionWorker.js'
+import type { AdviceQuery } from './plannerTypes.js'
 import type { PlanningRound } from './planningRound.js'
 import { hasRoomFor, subtractResources, type Resources } from '../schema/resources.js'
 import type { Job, Task, Occurrence } from './jobState.js'
@@ -132,6 +133,11 @@
   return selected.slice(0, MAX_ADVICE_WORKERS).map((index) => workers[index]!.info.id)
 }
 
+/** Builds a query about the workers that may run a step. */
+export function buildAdviceQuery (instance: StepInstance, workers: readonly string[], advice: AdvicePolicy): AdviceQuery {
+  return { step: instance.key, workers, costMs: advice.decisionMs + advice.eachMs * workers.length }
+}
+
 /** Records the response to an advice query about `workers`; those without a ticket are unsuitable. */
 export function recordAdvice (
   instance: StepInstance, workers: readonly string[], tickets: ReadonlyMap<string, string>, policy: AdvicePolicy, answeredAtMs: number
--- a/packages/entry/src/partition/__tests__/crashingTask.spec.ts
+++ b/packages/entry/src/partition/__tests__/crashingTask.spec.ts
@@ -39,27 +39,23 @@
   return cluster.started.filter(({ job, index }) => job === BAD_JOB && index === BAD_TASK).length
 }
 
+/** Plays a job with a task that crashes its workers, with one holder. */
+async function checkGivenUp (cluster: PartitionCluster): Promise<void> {
+  const [entry] = await startEntries(cluster, ['a'])
+  await submit(cluster, entry!, BAD_JOB, 4)
+  await cluster.clock.runFor(60_000)
+  assert.ok(countBadStarts(cluster) <= MAX_CRASHING_STARTS, `${countBadStarts(cluster)} starts`)
+  assert.is(await readState(cluster, entry!, BAD_JOB), 'failed')
+  checkNoConcurrentRuns(cluster)
+}
+
 for (const crashAfterMs of [10, 300, 2000]) {
   // Guards against BUDGET: a task that crashed its workers was started without bound.
-  test(`a task that crashes each worker ${crashAfterMs} ms after its start is given up, and its job fails`, async () => {
-    const cluster = createCluster(crashAfterMs)
-    const [entry] = await startEntries(cluster, ['a'])
-    await submit(cluster, entry!, BAD_JOB, 4)
-    await cluster.clock.runFor(60_000)
-    assert.ok(countBadStarts(cluster) <= MAX_CRASHING_STARTS, `${countBadStarts(cluster)} starts`)
-    assert.is(await readState(cluster, entry!, BAD_JOB), 'failed')
-    checkNoConcurrentRuns(cluster)
-  })
+  test(`a task that crashes each worker ${crashAfterMs} ms after its start is given up, and its job fails`, () => checkGivenUp(createCluster(crashAfterMs)))
 
   // Guards against BUDGET: the return of a worker under its own id was no proof of its crash.
-  test(`a task that crashes workers ${crashAfterMs} ms after its start is given up although they come back under their ids`, async () => {
-    const cluster = createCluster(crashAfterMs, 8, { reusesWorkerIds: true })
-    const [entry] = await startEntries(cluster, ['a'])
-    await submit(cluster, entry!, BAD_JOB, 4)
-    await cluster.clock.runFor(60_000)
-    assert.ok(countBadStarts(cluster) <= MAX_CRASHING_STARTS, `${countBadStarts(cluster)} starts`)
-    assert.is(await readState(cluster, entry!, BAD_JOB), 'failed')
-    checkNoConcurrentRuns(cluster)
+  test(`a task that crashes workers ${crashAfterMs} ms after its start is given up although they come back under their ids`, () => {
+    return checkGivenUp(createCluster(crashAfterMs, 8, { reusesWorkerIds: true }))
   })
 
   // Guards against BUDGET: a new holder began to count at zero.
--- a/packages/entry/src/partition/partitionTerm.ts
+++ b/packages/entry/src/partition/partitionTerm.ts
@@ -14,12 +14,13 @@
 import { createHolderLoad } from './holderLoad.js'
 import type { LoopMonitor } from './loopMonitor.js'
 import { createJobCleanup } from './jobCleanup.js'
-import { jobEnded, partitionReleased, workerIsolationChanged, workerLost, taskGivenUp, workerLeaving } from './events.js'
+import { jobEnded, partitionReleased, workerIsolationChanged, workerLost, workerLeaving } from './events.js'
 import type { ClockReading, PartitionBounds, PartitionTable, PartitionWorkerClient, ListedWorker, PlatformRows } from './ports.js'
 import { createPartitionWorkerController, type PartitionWorkerController } from './partitionWorkerController.js'
 import { createPlanPacer } from './planPacer.js'
 import { createStartWindow } from './startWindow.js'
 import { createWorkerDirectory } from './workerDirectory.js'
+import { recordGivenUp } from './workerLosses.js'
 
 export interface PartitionTermOptions {
   /** Name of the partition, which is the service of its workers. */
@@ -122,7 +123,7 @@
   /** Another worker responds, or is listed, at the address of one that may have been lost before. */
   const recordReplaced = (worker: string): void => {
     const givenUp = planner.recordWorkerReplaced(worker, clock.nowMs(), clock.wallMs())
-    for (const run of givenUp) events.record(taskGivenUp, { job: run.job, run: formatRun(run), worker })
+    recordGivenUp(events, worker, givenUp)
     if (givenUp.length > 0) commits.wake()
   }
 
--- a/packages/entry/src/partition/partitionWorkerController.ts
+++ b/packages/entry/src/partition/partitionWorkerController.ts
@@ -1,26 +1,23 @@
 /** Controls one worker on behalf of a partition's holder: renews its lease, applies its run reports and sends it orders. */
-import { createDisposableStore, type PartitionPlanner, type Clock, type Disposable, type EventLog, type RunName, type StartOrder, type StopOrder, type WorkerLoss } from '@fuchsiatally/core'
+import { createDisposableStore, type Disposable, type RunName, type StartOrder, type StopOrder } from '@fuchsiatally/core'
 import {
-  MAX_CLOCK_DRIFT, COMMIT_WAIT_MS, LEASE_MARGIN_MS, LEASE_RETRY_MS, LEASE_WAIT_MS, MAX_EXCUSED_CALLS, MAX_LOGGED_RUNS, MIN_START_LEASE_MS, START_ATTEMPT_TIMEOUTS_MS, SUSPECT_PAUSE_MS, UNEXTENDED_LEASE_WAIT_MS
+  MAX_CLOCK_DRIFT, COMMIT_WAIT_MS, LEASE_MARGIN_MS, LEASE_RETRY_MS, LEASE_WAIT_MS, MAX_EXCUSED_CALLS, MIN_START_LEASE_MS, START_ATTEMPT_TIMEOUTS_MS, SUSPECT_PAUSE_MS, UNEXTENDED_LEASE_WAIT_MS
 } from './constants.js'
 import { computePriorLeaseBoundMs } from './leaseBounds.js'
-import { runEnded, runRefused, runStopping, orderInDoubt, taskGivenUp, workerReachable, workerLost, workerUnresponsive } from './events.js'
+import { runEnded, runRefused, runStopping, orderInDoubt, workerReachable, workerUnresponsive } from './events.js'
 import type { HolderLoad } from './holderLoad.js'
 import { formatRun } from './formatRun.js'
 import type { PartitionWorkerClient, LeaseResponse } from './ports.js'
 import type { StartWindow } from './startWindow.js'
+import { createWorkerLosses, type LossCause, type WorkerLossesOptions } from './workerLosses.js'
 import { failProcess } from '../process/failProcess.js'
 
-export interface PartitionWorkerControllerOptions {
-  readonly worker: string
+export interface PartitionWorkerControllerOptions extends WorkerLossesOptions {
   /** `host:port` of the worker. */
   readonly address: string
   readonly client: PartitionWorkerClient
   readonly epoch: number
   readonly maxLeaseMs: number
-  readonly planner: PartitionPlanner
-  readonly clock: Clock
-  readonly events: EventLog
   readonly load: HolderLoad
   /** Shared by the controllers of a term. */
   readonly startWindow: StartWindow
@@ -28,12 +25,8 @@
   readonly computeGrantMs: () => number | null
   /** A report or the outcome of an order changed the planner. */
   readonly onChange: () => void
-  /** Whether the worker is being drained: its end is no crash. */
-  readonly isDraining: () => boolean
   /** Another worker, or a later life of this one, responds at its address. */
   readonly onReplaced: () => void
-  /** Whether another worker is listed at the address of this one. */
-  readonly isReplaced: () => boolean
   /** The worker has accepted a higher epoch. */
   readonly onDeposed: () => void
 }
@@ -50,9 +43,6 @@
   isQuiescent: () => boolean
 }
 
-/** What the calls to a worker showed when it was lost: its address refuses or closes connections, another worker responds there, or it restarted. */
-type LossCause = 'silent' | 'refused' | 'closed' | 'replaced' | 'restarted'
-
 interface PendingEnd {
   readonly number: number
   readonly job: string
@@ -83,9 +73,7 @@
   let pendingEnds: PendingEnd[] = []
   let resolveCommitWait: (() => void) | null = null
   let failures = 0
-  /** Time at which the worker failed, at the earliest: that of the first failed call if its connection broke, else that of the last response. */
-  let failedAtMs = 0
-  let respondedAtMs = createdAtMs
+  const losses = createWorkerLosses(options)
   /** How the last call failed. */
   let lastFailure: LossCause = 'silent'
   /** Consecutive lease calls without a response that this process's own delay explains. */
@@ -128,15 +116,8 @@
 
   const setSuspect = (): void => planner.setSuspect(worker, clock.nowMs() + SUSPECT_PAUSE_MS)
 
-  const recordFailing = (cause: LossCause): void => {
-    const isAbrupt = cause === 'refused' || cause === 'closed'
-    failedAtMs = isAbrupt ? clock.nowMs() : respondedAtMs
-    // At the start of a term, all workers that failed before it fail at the same moment.
-    if (clockSample !== null) planner.recordWorkerFailing(worker, clock.nowMs(), isAbrupt)
-  }
-
   const recordMissedRenewal = (reason: string, cause: LossCause): void => {
-    if (failures === 0) recordFailing(cause)
+    if (failures === 0) losses.recordFailing(cause, clockSample !== null)
     failures++
     lastFailure = cause
     setSuspect()
@@ -147,37 +128,13 @@
     options.onChange()
   }
 
-  const resolveLossKind = (cause: LossCause): WorkerLoss['kind'] => {
-    if (options.isDraining()) return 'left'
-    if (cause === 'restarted' || cause === 'replaced' || options.isReplaced()) return 'crashed'
-    return cause === 'refused' ? 'refused' : 'silent'
-  }
-
-  const recordGivenUp = (runs: readonly RunName[]): void => {
-    for (const run of runs) events.record(taskGivenUp, { job: run.job, run: formatRun(run), worker })
-  }
-
   const recordWorkerLost = (reason: string, cause: LossCause, isAlive: (run: RunName, confirmedAtMs: number | null) => boolean = () => false): void => {
     isLost = true
     isReachable = false
-    const nowMs = clock.nowMs()
-    const loss = { kind: resolveLossKind(cause), failedAtMs, nowMs, wallMs: clock.wallMs() }
-    const { released, suspected, givenUp } = planner.recordWorkerLost(worker, loss, (run, confirmedAtMs) => {
+    losses.recordLost(reason, cause, inDoubt.size, (run, confirmedAtMs) => {
       if (isAlive(run, confirmedAtMs)) return 'alive'
       return inDoubt.has(formatRun(run)) ? 'inDoubt' : 'lost'
     })
-    events.record(workerLost, {
-      worker,
-      reason,
-      cause,
-      kind: loss.kind,
-      failingMs: Math.round(nowMs - failedAtMs),
-      runs: released.slice(0, MAX_LOGGED_RUNS).map(formatRun),
-      runCount: released.length,
-      suspected: suspected.slice(0, MAX_LOGGED_RUNS).map(formatRun),
-      unsettled: inDoubt.size
-    })
-    recordGivenUp(givenUp)
     options.onChange()
   }
 
@@ -206,7 +163,7 @@
       leaseUntilMs = Math.min(leaseUntilMs, response.clockMs + options.maxLeaseMs)
       // Its next life proves that a worker that was lost before has crashed.
       if (isLost) options.onReplaced()
-      if (failures === 0) recordFailing('restarted')
+      if (failures === 0) losses.recordFailing('restarted', true)
       clockSample = null
       // Starts reach the next life under the same id before its first report: those that it lists, or that this report may be too early for, run there.
       const running = new Set(response.running.map(formatRun))
@@ -217,7 +174,7 @@
       planner.recordWorkerBorn(worker, response.bornAtMs, (run) => reported.has(formatRun(run)), nowMs, clock.wallMs())
     }
     bornAtMs = response.bornAtMs
-    respondedAtMs = nowMs
+    losses.recordResponse()
     recordClock(response.clockMs, sentAtMs)
     failures = excusedCalls = 0
     planner.setSuspect(worker, 0)
