Tests of late responses start their timers once the server has read the request

Change: their clock stands still until the server has read the request. The scenario, its bounds and its checks are as before.

--- a/packages/entry/src/request/__tests__/httpEndpointClient.spec.ts
+++ b/packages/entry/src/request/__tests__/httpEndpointClient.spec.ts
@@ -9,6 +9,7 @@
 import { resolveFuzzOptions } from '@fuchsiatally/core/testing/fuzzOptions'
 import { startThreadServer } from '@fuchsiatally/core/testing/threadServer'
 import type { EndpointClient, ExchangeResult } from '../../ports.js'
+import { createHeldClock } from '@fuchsiatally/core/testing/heldClock'
 import { createSystemClock } from '../../process/systemClock.js'
 import { createHttpEndpointClient } from '../httpEndpointClient.js'
 
@@ -152,9 +153,11 @@
 // Guards against a late owner that takes its own delay for the silence of an endpoint: a request that may have run counts as unanswered.
 test('a response that arrives in time is relayed although the event loop is blocked past the timeout', async () => {
   const server = await startThreadServer('hello')
-  const client = createHttpEndpointClient({ clock: createSystemClock() })
+  const clock = createHeldClock()
+  const client = createHttpEndpointClient({ clock })
   const exchange = client.sendExchange(`127.0.0.1:${server.port}`, createRequest(), 200, 100_000, 64)
   await server.waitForRequests(1)
+  clock.release()
   server.releaseAndBlock(400)
   const result = await exchange
   client.dispose()
--- a/packages/entry/src/vm/__tests__/httpWorkerClient.spec.ts
+++ b/packages/entry/src/vm/__tests__/httpWorkerClient.spec.ts
@@ -7,6 +7,7 @@
 import { startThreadServer } from '@fuchsiatally/core/testing/threadServer'
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
+import { createHeldClock } from '@fuchsiatally/core/testing/heldClock'
 import { createSystemClock } from '../../process/systemClock.js'
 import { createHttpWorkerClient } from '../httpWorkerClient.js'
 
@@ -117,9 +118,11 @@
 test('a report that arrives in time is delivered although the event loop is blocked past the timeout', async () => {
   const server = await startThreadServer(JSON.stringify(REPORT))
   const log = createMemoryEventLog()
-  const client = createHttpWorkerClient(`127.0.0.1:${server.port}`, { clock: createSystemClock(), log, timeoutMs: 200 })
+  const clock = createHeldClock()
+  const client = createHttpWorkerClient(`127.0.0.1:${server.port}`, { clock, log, timeoutMs: 200 })
   const call = client.renewLease(LEASE)
   await server.waitForRequests(1)
+  clock.release()
   server.releaseAndBlock(400)
   const report = await call
   client.dispose()
