A crash counts once against a run

Cause: a start of unknown outcome stays at its lost worker until the worker's next life. The loss was recorded when the lease expired, became a proof with the next life, and the next life was then recorded as a second loss with the same run, which counted as a second crash right after a start: two proofs and one, by one crash of a worker that a sound task lay on. Class: the same evidence counted by each path that notices it.

Change: the last run that a crash was counted against is kept with the counts, in the table as well, so that a later holder doesn't count it either.

Ruled out: not charging orders of unknown outcome at all; a worker that crashes on a start closes the connection before it responds.

Test: 'one crash counts once against a run, although its order remains in doubt' failed before ('failed' instead of 'running') and passes.

--- a/packages/core/src/partition/__tests__/crashingTasks.spec.ts
+++ b/packages/core/src/partition/__tests__/crashingTasks.spec.ts
@@ -252,14 +252,14 @@
     planner.recordReport('w0', { requestedAtMs: world.nowMs, running: [], ended: [] }, world.nowMs, world.nowMs)
   }
   assert.is(world.planner.readCrashRecord('born at 400'), null)
-  assert.equal(world.planner.readCrashRecord('born at 600'), [[0, 0, 0, 1, 0, 1]])
+  assert.equal(world.planner.readCrashRecord('born at 600'), [[0, 0, 0, 1, 0, 1, 1]])
 })
 
 /** Adds jobs that run alone at `w0`, `w1`, ..., each of which is suspected and has crashed one worker of its own in an earlier term. */
 function addSuspectedRuns ({ planner, nowMs }: World, jobs: readonly string[]): void {
   for (const [index, job] of jobs.entries()) {
     const record = { phase: 'running' as const, endedAtMs: 0, occurrences: [[0, [[[1, 2, `w${index}`, 0, '']]]]] as JobStateRecord['occurrences'] }
-    planner.addJob(job, createTestStepJob([createTestStep()], {}, { acceptedAtMs: 500 }), record, nowMs, [[0, 0, 0, 1, 1, 2]])
+    planner.addJob(job, createTestStepJob([createTestStep()], {}, { acceptedAtMs: 500 }), record, nowMs, [[0, 0, 0, 1, 1, 2, 1]])
   }
 }
 
@@ -294,6 +294,28 @@
   assert.is(world.planner.readPhase('sound'), 'running')
 })
 
+// Guards against sound tasks that are given up for one crash: an order without a response stays at the lost worker until its next life.
+test('one crash counts once against a run, although its order remains in doubt', () => {
+  const world = createWorld(8)
+  addJob(world, 'sound')
+  const { starts: [start] } = world.planner.decide(world.nowMs, world.nowMs, ACCEPT_REQUEST)
+  const { worker } = start!
+  world.planner.recordWorkerFailing(worker, world.nowMs, true)
+  const failedAtMs = world.nowMs
+  for (const kind of ['refused', 'crashed'] as const) {
+    world.nowMs += 3300
+    if (kind === 'crashed') world.planner.recordWorkerReplaced(worker, world.nowMs, world.nowMs)
+    world.planner.recordWorkerLost(worker, { kind, failedAtMs, nowMs: world.nowMs, wallMs: world.nowMs }, () => 'inDoubt')
+  }
+  assert.is(world.planner.readPhase('sound'), 'running')
+  assert.equal(world.planner.readCrashRecord('sound'), [[0, 0, 0, 1, 1, 2, 1]])
+  const next = createWorld(8)
+  const spec = createTestStepJob([createTestStep()], {}, { acceptedAtMs: 500 })
+  next.planner.addJob('sound', spec, world.planner.readRecord('sound')!, next.nowMs, world.planner.readCrashRecord('sound')!)
+  startLife(next, [worker], 900)
+  assert.equal(next.planner.readCrashRecord('sound'), [[0, 0, 0, 1, 1, 2, 1]])
+})
+
 test('a gang with a task that crashes its worker starts as a whole, with its suspects apart, and fails as a whole', () => {
   const world = createWorld(8)
   const gang = { gang: true, taskCount: 4, resources: { processors: 5, memoryMb: 512, accelerators: 0 } }
--- a/packages/core/src/partition/crashEvidence.ts
+++ b/packages/core/src/partition/crashEvidence.ts
@@ -44,6 +44,7 @@
 /** One task at a lost worker. */
 interface Charge {
   readonly task: Task
+  readonly run: number
   readonly suspicion: number
   readonly ageMs: number
   /** Had run for too long to be the cause of a crash right after the start of another task. */
@@ -82,9 +83,9 @@
 function buildCharges (tasks: readonly Task[], { failedAtMs }: WorkerLoss): Charge[] {
   const charges: Charge[] = []
   for (const task of tasks) {
-    if (task.phase !== 'placed') continue
+    if (task.phase !== 'placed' || task.crashedRun === task.run) continue
     const ageMs = task.confirmedAtMs === null ? 0 : failedAtMs - task.confirmedAtMs
-    charges.push({ task, ageMs, isSettled: isSettled(task, failedAtMs), wasSuspected: isSuspected(task), suspicion: ageMs <= RECENT_START_MS ? RECENT_START_SUSPICION : LONG_RUN_SUSPICION })
+    charges.push({ task, run: task.run, ageMs, isSettled: isSettled(task, failedAtMs), wasSuspected: isSuspected(task), suspicion: ageMs <= RECENT_START_MS ? RECENT_START_SUSPICION : LONG_RUN_SUSPICION })
   }
   return charges
 }
@@ -104,8 +105,9 @@
   const count = (loss: RecordedLoss): Task[] => {
     if (loss.isCounted) return []
     loss.isCounted = true
-    for (const { task, suspicion, ageMs } of loss.charges) {
+    for (const { task, run, suspicion, ageMs } of loss.charges) {
       task.crashes++
+      task.crashedRun = run
       task.suspicion += suspicion
       if (Number.isFinite(ageMs)) task.crashAgeMs = Math.max(task.crashAgeMs, ageMs)
     }
@@ -189,8 +191,9 @@
       const loss = losses.get(worker)
       losses.delete(worker)
       if (loss === undefined || !loss.isCounted || loss.isProven) return []
-      for (const { task, suspicion } of loss.charges) {
+      for (const { task, run, suspicion } of loss.charges) {
         task.crashes--
+        if (task.crashedRun === run) task.crashedRun = 0
         task.suspicion -= suspicion
         task.verdictDueMs = 0
       }
--- a/packages/core/src/partition/jobState.ts
+++ b/packages/core/src/partition/jobState.ts
@@ -39,6 +39,8 @@
   soloCrashes: number
   /** How likely the task is to be the cause of these crashes; from `SUSPICION_LIMIT` on it runs apart. */
   suspicion: number
+  /** Last run that a crash was counted against; one run can crash one worker only. 0 if there is none. */
+  crashedRun: number
   /** Monotonic time until which a start waits for the proof of the last crash. Not stored in the table. */
   verdictDueMs: number
   /** Longest run that ended with a crash, in milliseconds. Not stored in the table. */
@@ -86,7 +88,7 @@
 export type JobStateRecord = typeof JobStateRecord.Type
 
 /** Row of a job's crashed workers, by task. A row of its own, because earlier versions reject states with unknown fields. */
-export const CrashRecord = Schema.Array(Schema.Tuple([Schema.Int, Schema.Int, Schema.Int, Schema.Int, Schema.Int, Schema.Int]))
+export const CrashRecord = Schema.Array(Schema.Tuple([Schema.Int, Schema.Int, Schema.Int, Schema.Int, Schema.Int, Schema.Int, Schema.Int]))
 export type CrashRecord = typeof CrashRecord.Type
 
 /** Initial state of an accepted job. */
@@ -116,6 +118,7 @@
     crashes: 0,
     soloCrashes: 0,
     suspicion: 0,
+    crashedRun: 0,
     crashAgeMs: 0,
     verdictDueMs: 0,
     confirmedAtMs: null,
@@ -156,20 +159,20 @@
   return { phase: job.phase, endedAtMs: job.endedAtMs, occurrences }
 }
 
-/** Builds the row of a job's crashed workers: `[occurrence, step, index, crashes, soloCrashes, suspicion]`; `null` if there are none. */
+/** Builds the row of a job's crashed workers: `[occurrence, step, index, crashes, soloCrashes, suspicion, crashedRun]`; `null` if there are none. */
 export function buildCrashRecord (job: Job): CrashRecord | null {
   const record: CrashRecord[number][] = []
-  for (const { occurrence, step, index, crashes, soloCrashes, suspicion } of listTasks(job)) {
-    if (crashes > 0) record.push([occurrence, step, index, crashes, soloCrashes, suspicion])
+  for (const { occurrence, step, index, crashes, soloCrashes, suspicion, crashedRun } of listTasks(job)) {
+    if (crashes > 0) record.push([occurrence, step, index, crashes, soloCrashes, suspicion, crashedRun])
   }
   return record.length === 0 ? null : record
 }
 
 /** Restores the crash counts of a job's tasks. */
 export function restoreCrashes (job: Job, record: CrashRecord): void {
-  for (const [occurrence, step, index, crashes, soloCrashes, suspicion] of record) {
+  for (const [occurrence, step, index, crashes, soloCrashes, suspicion, crashedRun] of record) {
     const task = job.occurrences.get(occurrence)?.steps[step]?.[index]
-    if (task !== undefined) Object.assign(task, { crashes, soloCrashes, suspicion })
+    if (task !== undefined) Object.assign(task, { crashes, soloCrashes, suspicion, crashedRun })
   }
 }
 
