Crashes at addresses that don't refuse connections count in time

Causes and changes - A closed connection was taken for silence. It is now an abrupt loss like a refused one; both are withdrawn if the worker responds again in the same life. - Silence cast no suspicion before the next life was seen, which is after the task had started again. It now casts the weaker suspicion (one, whatever the age of the run), withdrawn likewise; it is no proof and can't give a task up by itself.

--- a/packages/core/src/partition/crashEvidence.ts
+++ b/packages/core/src/partition/crashEvidence.ts
@@ -23,20 +23,17 @@
   readonly proven: readonly Task[]
 }
 
-/** Verdict on the loss of a worker in an earlier term. */
-export interface DueVerdict {
-  readonly worker: string
-  readonly verdict: CrashVerdict
-}
-
 /** Evidence of one partition. */
 export interface CrashEvidence {
   /** Records the loss of a worker with the tasks that it had. */
   recordLoss: (worker: PartitionWorker, tasks: readonly Task[], loss: WorkerLoss) => CrashVerdict
   /** Records that a lost worker has crashed: another one responds at its address. */
   recordReplaced: (worker: string, nowMs: number) => CrashVerdict
-  /** Proof by losses of earlier terms whose workers were not lost together with others. */
-  takeDueVerdicts: (nowMs: number) => readonly DueVerdict[]
+  /**
+   * Records proof by losses of earlier terms, once it is known that their workers were not lost together with others; returns the tasks whose
+   * counts have changed. Such a proof counts once and never gives a task up: its order may not have reached the worker.
+   */
+  recordUnseenProofs: (nowMs: number) => readonly Task[]
   /** Withdraws what was counted for a lost worker that had only been cut off. */
   recordSurvived: (worker: string) => readonly Task[]
 }
@@ -47,6 +44,8 @@
   readonly run: number
   readonly suspicion: number
   readonly ageMs: number
+  /** Had just started. */
+  readonly isRecent: boolean
   /** Had run for too long to be the cause of a crash right after the start of another task. */
   readonly isSettled: boolean
   /** Ran apart from other tasks. */
@@ -56,7 +55,7 @@
 interface RecordedLoss {
   readonly worker: PartitionWorker
   readonly failedAtMs: number
-  /** Monotonic time at which a loss of an earlier term becomes a proof, unless others turn out to be lost with it; `null` for other losses. */
+  /** Monotonic time at which a loss of an earlier term becomes a proof, unless other workers turn out to be lost with it; `null` for other losses. */
   dueAtMs: number | null
   readonly charges: readonly Charge[]
   readonly lostAtMs: number
@@ -80,12 +79,14 @@
   return task.definition.longRunning && !isSuspected(task) && task.confirmedAtMs !== null && nowMs - task.confirmedAtMs > RECENT_START_MS
 }
 
-function buildCharges (tasks: readonly Task[], { failedAtMs }: WorkerLoss): Charge[] {
+/** The moment of a silent loss is not known well enough to tell recent starts from others. */
+function buildCharges (tasks: readonly Task[], { failedAtMs, kind }: WorkerLoss): Charge[] {
   const charges: Charge[] = []
   for (const task of tasks) {
     if (task.phase !== 'placed' || task.crashedRun === task.run) continue
     const ageMs = task.confirmedAtMs === null ? 0 : failedAtMs - task.confirmedAtMs
-    charges.push({ task, run: task.run, ageMs, isSettled: isSettled(task, failedAtMs), wasSuspected: isSuspected(task), suspicion: ageMs <= RECENT_START_MS ? RECENT_START_SUSPICION : LONG_RUN_SUSPICION })
+    const isRecent = ageMs <= RECENT_START_MS && kind !== 'silent'
+    charges.push({ task, run: task.run, ageMs, isRecent, isSettled: isSettled(task, failedAtMs), wasSuspected: isSuspected(task), suspicion: isRecent ? RECENT_START_SUSPICION : LONG_RUN_SUSPICION })
   }
   return charges
 }
@@ -118,8 +119,8 @@
    * How much a crash of a worker with one step proves: all, if the task had just started at each of two crashes, the second one without
    * another failure at that moment.
    */
-  const computeProofWeight = ({ isSingle }: RecordedLoss, { task, ageMs }: Charge): number => {
-    return isSingle && ageMs <= RECENT_START_MS && task.crashes > 1 && task.suspicion >= REPEATED_SUSPICION ? CRASH_PROOFS_TO_GIVE_UP : 1
+  const computeProofWeight = ({ isSingle }: RecordedLoss, { task, isRecent }: Charge): number => {
+    return isSingle && isRecent && task.crashes > 1 && task.suspicion >= REPEATED_SUSPICION ? CRASH_PROOFS_TO_GIVE_UP : 1
   }
 
   const collectProven = (loss: RecordedLoss): Task[] => {
@@ -143,6 +144,7 @@
   return {
     recordLoss: (worker, tasks, loss) => {
       dropOldLosses(loss.nowMs)
+      losses.delete(worker.info.id)
       if (loss.kind === 'left' || failures.isCommonCause(worker, loss.failedAtMs)) return NO_VERDICT
       const charges = buildCharges(tasks, loss)
       if (charges.length === 0) return NO_VERDICT
@@ -158,9 +160,9 @@
         isProven: false
       }
       losses.set(worker.info.id, recorded)
-      if (loss.kind === 'silent') return NO_VERDICT
       const counted = count(recorded)
       if (loss.kind === 'crashed') return { counted, proven: collectProven(recorded) }
+      if (loss.kind === 'unseen') return { counted, proven: [] }
       for (const charge of charges) {
         const { task } = charge
         if (recorded.isSolo && task.soloCrashes + computeProofWeight(recorded, charge) >= CRASH_PROOFS_TO_GIVE_UP) task.verdictDueMs = loss.nowMs + VERDICT_WAIT_MS
@@ -175,17 +177,20 @@
       const proven = collectProven(loss)
       return { counted: wasProven ? counted : loss.charges.map(({ task }) => task), proven }
     },
-    takeDueVerdicts: (nowMs) => {
-      const due: DueVerdict[] = []
-      for (const [id, loss] of losses) {
+    recordUnseenProofs: (nowMs) => {
+      const proven: Task[] = []
+      for (const loss of losses.values()) {
         if (loss.dueAtMs === null || loss.dueAtMs > nowMs) continue
         loss.dueAtMs = null
-        // The order may not have reached the worker: only a task that ran apart, and so has crashed a worker before, is charged.
-        if (!loss.charges.every(({ wasSuspected, isSettled }) => wasSuspected || isSettled)) continue
-        if (failures.isCommonCause(loss.worker, loss.failedAtMs)) continue
-        due.push({ worker: id, verdict: { counted: loss.charges.map(({ task }) => task), proven: collectProven(loss) } })
+        loss.isProven = true
+        if (!loss.isSolo || failures.isCommonCause(loss.worker, loss.failedAtMs)) continue
+        for (const { task, isSettled, wasSuspected } of loss.charges) {
+          if (isSettled || !wasSuspected || task.soloCrashes > 0) continue
+          task.soloCrashes = 1
+          proven.push(task)
+        }
       }
-      return due
+      return proven
     },
     recordSurvived: (worker) => {
       const loss = losses.get(worker)
--- a/packages/core/src/partition/createPartitionPlanner.ts
+++ b/packages/core/src/partition/createPartitionPlanner.ts
@@ -9,7 +9,7 @@
 import { createIsolation } from './isolation.js'
 import { createJobRegistry } from './jobRegistry.js'
 import { isSuspected, listTasks, type Task } from './jobState.js'
-import type { CanSendQuery, GivenUpRun, PlannerDecisions, PartitionPlanner, RunName, StartOrder, TrySendQuery } from './plannerTypes.js'
+import type { CanSendQuery, PlannerDecisions, PartitionPlanner, RunName, StartOrder, TrySendQuery } from './plannerTypes.js'
 import { buildAdviceQuery, chooseAdviceWorkers, countStartable, listStartable, mayBeSuitable, recordAdvice, recordAdviceFailed, type StepInstance } from './stepInstance.js'
 import { createCapacityReservations } from './capacityReservation.js'
 import { createCeilingPreemptions, type CeilingPreemptions } from './ceilingPreemption.js'
@@ -184,17 +184,8 @@
     return givenUp
   }
 
-  /** Concludes from losses before this term, once it is known which workers were lost with them. */
-  const applyUnseenLosses = (nowMs: number, wallMs: number): GivenUpRun[] => {
-    const givenUp: GivenUpRun[] = []
-    for (const { worker, verdict } of evidence.takeDueVerdicts(nowMs)) {
-      for (const run of applyVerdict(verdict, wallMs)) givenUp.push({ worker, run })
-    }
-    return givenUp
-  }
-
   const decide = (nowMs: number, wallMs: number, trySend: TrySendQuery, canSend: CanSendQuery = () => true): PlannerDecisions => {
-    const givenUp = applyUnseenLosses(nowMs, wallMs)
+    for (const task of evidence.recordUnseenProofs(nowMs)) registry.markChanged(task.job)
     registry.addDueOccurrences(wallMs, nowMs)
     evaluations = 0
     const starts: StartOrder[] = []
@@ -222,7 +213,7 @@
       stopForPreemption(reservations.reserve({ instance, tasks: left, mayPreempt: mayPreempt(ranked, nowMs) }))
     }
     evaluations += round.countEvaluations()
-    return { starts, stops: tracker.takeStops(), isolation: isolation.takeChanges(), givenUp }
+    return { starts, stops: tracker.takeStops(), isolation: isolation.takeChanges() }
   }
 
   return {
--- a/packages/core/src/partition/plannerTypes.ts
+++ b/packages/core/src/partition/plannerTypes.ts
@@ -119,14 +119,6 @@
   readonly starts: readonly StartOrder[]
   readonly stops: readonly StopOrder[]
   readonly isolation: readonly IsolationChange[]
-  /** Last runs of tasks that are given up for crashes of an earlier term. */
-  readonly givenUp: readonly GivenUpRun[]
-}
-
-/** Last run of a task that is given up because it crashes its workers. */
-export interface GivenUpRun {
-  readonly worker: string
-  readonly run: RunName
 }
 
 /** Sends a query to the advice service; returns `false` if the service is saturated. */
--- /dev/null
+++ b/packages/entry/src/partition/__tests__/crashedAddresses.spec.ts
@@ -0,0 +1,20 @@
+/** Load pattern: poison pill, at workers whose addresses give no sign of their crash. */
+import { test } from 'uvu'
+import { checkDay } from '../../testing/crashingTaskDay.js'
+
+// Guards against crashes that count too late: the next life of the worker proves them only after the task has started again.
+test('crashes of workers that fall silent or hang up are counted in time beside other trouble', async () => {
+  const failed: string[] = []
+  const days = [
+    [18, ['holder', 'rack', 'restart', 'refusingCut'], 500],
+    [193, ['rack', 'silentCut', 'refusingCut', 'restart'], 500],
+    [203, ['rack', 'silentCut', 'refusingCut', 'restart'], 500],
+    [375, ['rack', 'silentCut', 'refusingCut', 'restart'], 500],
+    [1008, ['rack', 'silentCut', 'refusingCut', 'restart'], 10],
+    [1025, ['holder', 'rack', 'restart', 'refusingCut'], 500]
+  ] as const
+  for (const [seed, troubles, crashAfterMs] of days) await checkDay(seed, troubles, crashAfterMs).catch((error: Error) => { failed.push(error.message) })
+  if (failed.length > 0) throw new Error(failed.join('; '))
+})
+
+test.run()
--- a/packages/entry/src/partition/partitionTerm.ts
+++ b/packages/entry/src/partition/partitionTerm.ts
@@ -208,7 +208,6 @@
     const decisions = planner.decide(clock.nowMs(), clock.wallMs(), tryRequestAdvice, advice.canSubmit)
     for (const { blocked } of planner.listTeamDemand().values()) if (blocked.memoryMb > 0) ceilings.scheduleReview()
     for (const change of decisions.isolation) events.record(workerIsolationChanged, { cell: partition, ...change })
-    for (const { worker, run } of decisions.givenUp) recordGivenUp(events, worker, [run])
     for (const stop of decisions.stops) managedWorkers.get(stop.worker)?.controller.stopRun(stop)
     return decisions.starts
   }
--- a/packages/entry/src/partition/workerLosses.ts
+++ b/packages/entry/src/partition/workerLosses.ts
@@ -45,7 +45,7 @@
   const resolveKind = (cause: LossCause): WorkerLoss['kind'] => {
     if (options.isDraining()) return 'left'
     if (cause === 'restarted' || cause === 'replaced' || options.isReplaced()) return 'crashed'
-    return cause === 'refused' ? 'refused' : 'silent'
+    return cause === 'refused' || cause === 'closed' ? 'refused' : 'silent'
   }
 
   return {
--- a/packages/entry/src/testing/crashingTaskDay.ts
+++ b/packages/entry/src/testing/crashingTaskDay.ts
@@ -13,6 +13,8 @@
 const LOAD_MS = 15_000
 const QUIET_MS = 60_000
 const CUT_MS = 5000
+/** What happens to connections to a crashed worker, by seed. */
+const CRASHED_ADDRESSES = ['hangsUp', 'refuses', 'refuses', 'silent', 'refuses'] as const
 /** Starts of a task that crashes each of its workers, by the users' rule: three more after three crashes break it. */
 const MAX_CRASHING_STARTS = 5
 
@@ -40,6 +42,7 @@
   const cluster = createPartitionCluster({
     maxLeaseMs: 3000,
     reusesWorkerIds: seed % 2 === 0,
+    crashedAddress: CRASHED_ADDRESSES[seed % CRASHED_ADDRESSES.length]!,
     planRun: ({ job, index }) => {
       if (isBad(job, index)) return { durationMs: crashAfterMs, how: 'crash' }
       return { durationMs: job === buildId(LASTING_JOB) ? 600_000 : 300 + Math.floor(random.nextFloat() * 900), how: 'done' }
--- a/packages/entry/src/testing/partitionCluster.ts
+++ b/packages/entry/src/testing/partitionCluster.ts
@@ -10,7 +10,7 @@
 import type { PeerMesh } from '../ports.js'
 import { createLateProcess } from './lateProcess.js'
 import { createPartitionTableModel, type PartitionTableModel, type TableFaults } from './partitionTableModel.js'
-import { createPartitionWorkerModel, type PartitionWorkerModel, type PlannedRun, type StartedRun } from './partitionWorkerModel.js'
+import { createPartitionWorkerModel, type CrashedAddress, type PartitionWorkerModel, type PlannedRun, type StartedRun } from './partitionWorkerModel.js'
 import { createChargedPlanner, createChargedWorkerClient, type HolderCosts } from './chargedHolder.js'
 import { createFakeMesh, type FakeMesh, type FakePeerMesh } from './fakeMesh.js'
 
@@ -53,6 +53,8 @@
   readonly maxLeaseMs?: number
   /** Whether crashed workers come back under the id that they had; default `false`. */
   readonly reusesWorkerIds?: boolean
+  /** What the address of a crashed worker does with connections; `hangsUp` as a proxy before the worker; default `refuses`. */
+  readonly crashedAddress?: CrashedAddress
   /** Called for each transaction; returns its duration in its part of the table, in milliseconds; default 0. */
   readonly readTransactionMs?: () => number
   /** Whether entries make calls to the table for each other; default `true`. `false`: as if the send buffers of the links were full. */
@@ -166,6 +168,7 @@
     const model = createPartitionWorkerModel({
       listing, clock, started, maxLeaseMs: options.maxLeaseMs ?? DEFAULT_MAX_LEASE_MS, planRun: options.planRun ?? (() => ({ durationMs: 1000, how: 'done' })), onCrash: () => crashWorker(id)
     })
+    model.faults.crashedAddress = options.crashedAddress ?? 'refuses'
     workers.set(id, model)
     table.writeRow('servers', id, listing)
     return model
--- a/packages/entry/src/testing/partitionWorkerModel.ts
+++ b/packages/entry/src/testing/partitionWorkerModel.ts
@@ -17,12 +17,17 @@
   how: ListedEnd['how'] | 'lost' | null
 }
 
+/** What becomes of connections to a crashed worker; `hangsUp`: they are accepted and closed; `silent`: there is no response. */
+export type CrashedAddress = 'refuses' | 'hangsUp' | 'silent'
+
 /** Faults of a worker. */
 export interface PartitionWorkerFaults {
   /** Calls and responses are lost. */
   cut: boolean
   /** Connections are refused, as after a crash or behind some cuts. */
   refuses: boolean
+  /** What happens to connections instead of a refusal. */
+  crashedAddress: CrashedAddress
   /** Called for each call, lease renewals included: `null`, or the call times out at the caller and takes effect after `afterMs`. */
   delayCall: () => { readonly afterMs: number } | null
 }
@@ -73,7 +78,7 @@
 /** Creates a worker without runs. */
 export function createPartitionWorkerModel (options: PartitionWorkerModelOptions): PartitionWorkerModel {
   const { clock, listing, started } = options
-  const faults: PartitionWorkerFaults = { cut: false, refuses: false, delayCall: () => null }
+  const faults: PartitionWorkerFaults = { cut: false, refuses: false, crashedAddress: 'refuses', delayCall: () => null }
   let bornAtMs = clock.wallMs()
   let startMs = clock.nowMs()
   let epoch = 0
@@ -150,11 +155,13 @@
 
   const call = async <T> (run: () => T, timeoutMs = CALL_TIMEOUT_MS): Promise<Result<T | OtherWorker, CallFailure>> => {
     await wait(NETWORK_DELAY_MS)
-    if (faults.refuses) return err({ kind: 'refused', message: 'connect ECONNREFUSED', connection: 'refused' })
+    if (faults.refuses && faults.crashedAddress === 'hangsUp') return err({ kind: 'unknown', message: 'socket hang up', connection: 'closed' })
+    if (faults.refuses && faults.crashedAddress === 'refuses') return err({ kind: 'refused', message: 'connect ECONNREFUSED', connection: 'refused' })
     if (isReplaced) return ok({ kind: 'otherWorker' })
-    const delayed = faults.cut ? null : faults.delayCall()
+    const isCut = faults.cut || faults.refuses
+    const delayed = isCut ? null : faults.delayCall()
     if (delayed !== null) clock.setTimer(delayed.afterMs, run)
-    if (faults.cut || delayed !== null) {
+    if (isCut || delayed !== null) {
       await wait(timeoutMs)
       return err({ kind: 'unknown', message: 'no response' })
     }
