Successors wait for the longest lease that a late holder may have granted

Cause: a holder whose event loop is late grants leases of 6 s instead of 3 s. A successor that had one response from the worker counted from its own leases only, and took the worker for lost 3 s later, while the former lease ran on. Class: the state of a fence assumed by the successor, not read.

Change: with the first response in a term the lease counts as six seconds long (or the platform's limit), but for the first epoch, which has no predecessor. From that response on the worker refuses the former holder, so no lease can be longer. A worker that falls silent within six seconds of a change of the holder is given up by up to three seconds later.

Ruled out: anything of the crash evidence, which releases no task.

Test: 'a worker that is cut off after a change of a late holder runs nothing that starts again elsewhere' failed before and passes; takeoverTimes.spec and the other specs of the folder as before.

--- a/packages/entry/src/partition/__tests__/lateHolder.spec.ts
+++ b/packages/entry/src/partition/__tests__/lateHolder.spec.ts
@@ -3,7 +3,7 @@
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
 import { createPartitionCluster, createTestJob, type ClusterEntry, type PartitionCluster, type PartitionClusterOptions } from '../../testing/partitionCluster.js'
-import { checkNoConcurrentRuns, splitByHolder, startEntries } from '../../testing/partitionClusterSteps.js'
+import { checkNoConcurrentRuns, splitByHolder, startEntries, submitJob } from '../../testing/partitionClusterSteps.js'
 import { RENEWAL_INTERVAL_MS } from '../constants.js'
 import { HOLDER_KEY } from '../partitionRows.js'
 
@@ -145,4 +145,29 @@
   }
 })
 
+// Guards against TWICE: a successor that reached a worker once knew only of its own leases, not of a longer one by a late holder before it.
+test('a worker that is cut off after a change of a late holder runs nothing that starts again elsewhere', async () => {
+  for (let reachedMs = 0; reachedMs <= 1000; reachedMs += 250) {
+    const cluster = createPartitionCluster({ planRun: () => ({ durationMs: 20_000, how: 'done' }) })
+    for (const id of ['w1', 'w2']) cluster.addWorker(id)
+    const entries = await startEntries(cluster, ['a', 'b', 'c'])
+    const { holder, other } = splitByHolder(cluster, entries)
+    await submitJob(cluster, other, '0000000000000001', 4)
+    // Late at each turn: the holder grants its longest leases.
+    for (let turn = 0; turn < 10; turn++) {
+      holder.block(500)
+      await cluster.clock.runFor(700)
+    }
+    holder.kill()
+    while (splitByHolder(cluster, entries).holder === holder) await cluster.clock.runFor(50)
+    const { events } = splitByHolder(cluster, entries).holder
+    while (!events.listFields('FT810').some(({ worker }) => worker === 'w1')) await cluster.clock.runFor(10)
+    await cluster.clock.runFor(reachedMs)
+    cluster.workers.get('w1')!.faults.cut = true
+    await cluster.clock.runFor(15_000)
+    assert.ok(cluster.started.some(({ worker, run }) => worker === 'w2' && run > 1), 'the work starts again')
+    checkNoConcurrentRuns(cluster)
+  }
+})
+
 test.run()
--- a/packages/entry/src/partition/leaseBounds.ts
+++ b/packages/entry/src/partition/leaseBounds.ts
@@ -16,6 +16,14 @@
   return Math.max(shortestMs, Math.min(maxLeaseMs, MAX_LATE_LEASE_MS, boundMs))
 }
 
+/**
+ * Longest time for which a lease of an earlier holder may last after the worker's first response in a term, in milliseconds; from then on the
+ * worker refuses that holder.
+ */
+export function computeInheritedLeaseMs (maxLeaseMs: number): number {
+  return Math.min(maxLeaseMs, MAX_LATE_LEASE_MS)
+}
+
 /** Time from the start of a term after which every lease of an earlier holder has expired, in milliseconds. */
 export function computePriorLeaseBoundMs (maxLeaseMs: number): number {
   return MAX_UNCONFIRMED_EXTENSION_MS + computeLeaseMs(maxLeaseMs) * (1 + MAX_CLOCK_DRIFT) + LEASE_MARGIN_MS
--- a/packages/entry/src/partition/partitionWorkerController.ts
+++ b/packages/entry/src/partition/partitionWorkerController.ts
@@ -3,7 +3,7 @@
 import {
   MAX_CLOCK_DRIFT, COMMIT_WAIT_MS, LEASE_MARGIN_MS, LEASE_RETRY_MS, LEASE_WAIT_MS, MAX_EXCUSED_CALLS, MIN_START_LEASE_MS, START_ATTEMPT_TIMEOUTS_MS, SUSPECT_PAUSE_MS, UNEXTENDED_LEASE_WAIT_MS
 } from './constants.js'
-import { computePriorLeaseBoundMs } from './leaseBounds.js'
+import { computeInheritedLeaseMs, computePriorLeaseBoundMs } from './leaseBounds.js'
 import { runEnded, runRefused, runStopping, orderInDoubt, workerReachable, workerUnresponsive } from './events.js'
 import type { HolderLoad } from './holderLoad.js'
 import { formatRun } from './formatRun.js'
@@ -43,6 +43,9 @@
   isQuiescent: () => boolean
 }
 
+/** Epoch of the holder that has no predecessor. */
+const FIRST_EPOCH = 1
+
 interface PendingEnd {
   readonly number: number
   readonly job: string
@@ -170,6 +173,7 @@
       recordWorkerLost('the worker restarted', 'restarted', (run, confirmedAtMs) => running.has(formatRun(run)) || (confirmedAtMs !== null && confirmedAtMs >= sentAtMs))
     } else if (isLost) planner.recordWorkerSurvived(worker)
     if (bornAtMs === null) {
+      if (epoch > FIRST_EPOCH) leaseUntilMs = Math.max(leaseUntilMs, response.clockMs + computeInheritedLeaseMs(options.maxLeaseMs))
       const reported = new Set([...response.running, ...response.ended].map(formatRun))
       planner.recordWorkerBorn(worker, response.bornAtMs, (run) => reported.has(formatRun(run)), nowMs, clock.wallMs())
     }
