Split the worker controller; one count, one pass and one event row for lost workers

Read again as a whole. No change of behaviour.

- A loss is counted when it is recorded since silence casts suspicion too: the state isCounted and the second path to the count are dead.
- A failure counted the workers around it in three passes, at the start of a term for each worker; now in one.
- The rule for the first epoch moves from the controller into leaseBounds.

--- a/packages/core/src/partition/crashEvidence.ts
+++ b/packages/core/src/partition/crashEvidence.ts
@@ -63,7 +63,6 @@
   readonly isSolo: boolean
   /** No other worker failed at that moment. */
   readonly isSingle: boolean
-  isCounted: boolean
   isProven: boolean
 }
 
@@ -103,16 +102,14 @@
 export function createCrashEvidence (failures: FailureHistory): CrashEvidence {
   const losses = new Map<string, RecordedLoss>()
 
-  const count = (loss: RecordedLoss): Task[] => {
-    if (loss.isCounted) return []
-    loss.isCounted = true
-    for (const { task, run, suspicion, ageMs } of loss.charges) {
+  const count = (charges: readonly Charge[]): Task[] => {
+    for (const { task, run, suspicion, ageMs } of charges) {
       task.crashes++
       task.crashedRun = run
       task.suspicion += suspicion
       if (Number.isFinite(ageMs)) task.crashAgeMs = Math.max(task.crashAgeMs, ageMs)
     }
-    return loss.charges.map(({ task }) => task)
+    return charges.map(({ task }) => task)
   }
 
   /**
@@ -124,7 +121,6 @@
   }
 
   const collectProven = (loss: RecordedLoss): Task[] => {
-    if (loss.isProven) return []
     loss.isProven = true
     if (!loss.isSolo) return []
     const proven: Task[] = []
@@ -156,11 +152,10 @@
         lostAtMs: loss.nowMs,
         isSolo: isSoloLoss(worker, charges),
         isSingle: !failures.hasOthers(worker, loss.failedAtMs),
-        isCounted: false,
         isProven: false
       }
       losses.set(worker.info.id, recorded)
-      const counted = count(recorded)
+      const counted = count(charges)
       if (loss.kind === 'crashed') return { counted, proven: collectProven(recorded) }
       if (loss.kind === 'unseen') return { counted, proven: [] }
       for (const charge of charges) {
@@ -171,11 +166,8 @@
     },
     recordReplaced: (worker, nowMs) => {
       const loss = losses.get(worker)
-      if (loss === undefined || nowMs - loss.lostAtMs > MAX_LOSS_AGE_MS) return NO_VERDICT
-      const wasProven = loss.isProven
-      const counted = count(loss)
-      const proven = collectProven(loss)
-      return { counted: wasProven ? counted : loss.charges.map(({ task }) => task), proven }
+      if (loss === undefined || loss.isProven || nowMs - loss.lostAtMs > MAX_LOSS_AGE_MS) return NO_VERDICT
+      return { counted: loss.charges.map(({ task }) => task), proven: collectProven(loss) }
     },
     recordUnseenProofs: (nowMs) => {
       const proven: Task[] = []
@@ -195,7 +187,7 @@
     recordSurvived: (worker) => {
       const loss = losses.get(worker)
       losses.delete(worker)
-      if (loss === undefined || !loss.isCounted || loss.isProven) return []
+      if (loss === undefined || loss.isProven) return []
       for (const { task, run, suspicion } of loss.charges) {
         task.crashes--
         if (task.crashedRun === run) task.crashedRun = 0
--- a/packages/core/src/partition/failureHistory.ts
+++ b/packages/core/src/partition/failureHistory.ts
@@ -52,10 +52,17 @@
 export function createFailureHistory (workers: ReadonlyMap<string, PartitionWorker>): FailureHistory {
   let failures: Failure[] = []
 
-  const countOthers = (worker: PartitionWorker, isAlike: (other: PartitionWorker) => boolean): number => {
-    let count = 0
-    for (const other of workers.values()) if (other !== worker && other.synced && isAlike(other)) count++
-    return count
+  const countOthers = (worker: PartitionWorker, rack: string): Pick<Failure, 'othersInRack' | 'othersInDomain' | 'restOfRack'> => {
+    const counts = { othersInRack: 0, othersInDomain: 0, restOfRack: 0 }
+    for (const other of workers.values()) {
+      if (other === worker || !other.synced) continue
+      const isInRack = readRack(other.info) === rack
+      if (isInRack) counts.restOfRack++
+      if (other.isolated) continue
+      if (isInRack) counts.othersInRack++
+      if (other.info.failureDomain === worker.info.failureDomain) counts.othersInDomain++
+    }
+    return counts
   }
 
   const findOwn = (worker: PartitionWorker, failedAtMs: number): Failure | undefined => {
@@ -71,16 +78,7 @@
     failures = failures.filter(({ atMs }) => failure.atMs - atMs <= MAX_LOSS_AGE_MS)
     const { id, failureDomain } = worker.info
     const rack = readRack(worker.info)
-    failures.push({
-      ...failure,
-      worker: id,
-      rack,
-      failureDomain,
-      hasSuspects: [...worker.tasks].some(isSuspected),
-      othersInRack: countOthers(worker, ({ info, isolated }) => !isolated && readRack(info) === rack),
-      restOfRack: countOthers(worker, ({ info }) => readRack(info) === rack),
-      othersInDomain: countOthers(worker, ({ info, isolated }) => !isolated && info.failureDomain === failureDomain)
-    })
+    failures.push({ ...failure, ...countOthers(worker, rack), worker: id, rack, failureDomain, hasSuspects: [...worker.tasks].some(isSuspected) })
   }
 
   return {
--- a/packages/entry/src/partition/leaseBounds.ts
+++ b/packages/entry/src/partition/leaseBounds.ts
@@ -16,12 +16,15 @@
   return Math.max(shortestMs, Math.min(maxLeaseMs, MAX_LATE_LEASE_MS, boundMs))
 }
 
+/** Epoch of the holder that has no predecessor. */
+const FIRST_EPOCH = 1
+
 /**
  * Longest time for which a lease of an earlier holder may last after the worker's first response in a term, in milliseconds; from then on the
- * worker refuses that holder.
+ * worker refuses that holder. `-Infinity` in the first epoch, which inherits no lease.
  */
-export function computeInheritedLeaseMs (maxLeaseMs: number): number {
-  return Math.min(maxLeaseMs, MAX_LATE_LEASE_MS)
+export function computeInheritedLeaseMs (epoch: number, maxLeaseMs: number): number {
+  return epoch === FIRST_EPOCH ? -Infinity : Math.min(maxLeaseMs, MAX_LATE_LEASE_MS)
 }
 
 /** Time from the start of a term after which every lease of an earlier holder has expired, in milliseconds. */
--- a/packages/entry/src/partition/partitionTerm.ts
+++ b/packages/entry/src/partition/partitionTerm.ts
@@ -6,9 +6,8 @@
 import type { AdviceRouter } from './adviceRouter.js'
 import { createCeilingClaims } from './ceilingClaims.js'
 import { createPartitionCommits } from './partitionCommits.js'
-import { LATE_LEASE_MEMORY_MS, MAX_LOGGED_RUNS, MAX_MISSING_AS_CRASHED, MAX_STARTS_IN_FLIGHT, MAX_UNCONFIRMED_EXTENSION_MS } from './constants.js'
+import { LATE_LEASE_MEMORY_MS, MAX_MISSING_AS_CRASHED, MAX_STARTS_IN_FLIGHT, MAX_UNCONFIRMED_EXTENSION_MS } from './constants.js'
 import { computeLateLeaseMs, computeLeaseMs, computePriorLeaseBoundMs } from './leaseBounds.js'
-import { formatRun } from './formatRun.js'
 import { createPartitionJobs } from './partitionJobs.js'
 import type { HolderRow } from './partitionRows.js'
 import { createHolderLoad } from './holderLoad.js'
@@ -20,7 +19,7 @@
 import { createPlanPacer } from './planPacer.js'
 import { createStartWindow } from './startWindow.js'
 import { createWorkerDirectory } from './workerDirectory.js'
-import { recordGivenUp } from './workerLosses.js'
+import { formatLostRuns, recordGivenUp } from './workerLosses.js'
 
 export interface PartitionTermOptions {
   /** Name of the partition, which is the service of its workers. */
@@ -171,15 +170,13 @@
     // A single worker may have crashed shortly before this term; several are missing after an outage.
     const loss = buildLoss(missing.length <= MAX_MISSING_AS_CRASHED ? 'refused' : 'left')
     for (const id of missing) {
-      const { released, suspected } = planner.recordWorkerLost(id, loss)
+      const outcome = planner.recordWorkerLost(id, loss)
       events.record(workerLost, {
         worker: id,
         reason: 'not listed in this term, and all its leases have expired',
         cause: 'unlisted',
         kind: loss.kind,
-        runs: released.slice(0, MAX_LOGGED_RUNS).map(formatRun),
-        runCount: released.length,
-        suspected: suspected.slice(0, MAX_LOGGED_RUNS).map(formatRun)
+        ...formatLostRuns(outcome)
       })
       planner.removeWorker(id)
     }
--- a/packages/entry/src/partition/partitionWorkerController.ts
+++ b/packages/entry/src/partition/partitionWorkerController.ts
@@ -8,7 +8,9 @@
 import type { HolderLoad } from './holderLoad.js'
 import { formatRun } from './formatRun.js'
 import type { PartitionWorkerClient, LeaseResponse } from './ports.js'
+import { createReportedEnds } from './reportedEnds.js'
 import type { StartWindow } from './startWindow.js'
+import { createWorkerClock } from './workerClock.js'
 import { createWorkerLosses, type LossCause, type WorkerLossesOptions } from './workerLosses.js'
 import { failProcess } from '../process/failProcess.js'
 
@@ -43,14 +45,6 @@
   isQuiescent: () => boolean
 }
 
-/** Epoch of the holder that has no predecessor. */
-const FIRST_EPOCH = 1
-
-interface PendingEnd {
-  readonly number: number
-  readonly job: string
-}
-
 /** Starts the controller; it runs until disposed. */
 export function createPartitionWorkerController (options: PartitionWorkerControllerOptions): PartitionWorkerController {
   const { worker, client, epoch, planner, clock, events, startWindow } = options
@@ -62,19 +56,11 @@
   let isReachable = false
   let isLost = false
   let bornAtMs: number | null = null
-  /** Reading of the worker's clock that gives the highest lower bound now, and the time at which it was received. */
-  let clockSample: { clockMs: number, receivedAtMs: number } | null = null
+  const workerClock = createWorkerClock(clock)
   let leaseUntilMs = -Infinity
   /** Whether the last lease call requested an extension. */
   let wasExtended = false
-  /** Highest number of an ended run that was passed to the planner. */
-  let lastReportedEnd = 0
-  /** Highest number up to which all ended runs are committed; acknowledged by the next lease call. */
-  let acknowledgedEnd = 0
-  /** Highest number up to which all ended runs are covered by the commit in progress. */
-  let committingEnd = 0
-  let pendingEnds: PendingEnd[] = []
-  let resolveCommitWait: (() => void) | null = null
+  const ends = createReportedEnds({ clock, isChanged: planner.isChanged })
   let failures = 0
   const losses = createWorkerLosses(options)
   /** How the last call failed. */
@@ -82,31 +68,10 @@
   /** Consecutive lease calls without a response that this process's own delay explains. */
   let excusedCalls = 0
 
-  const waitForCommit = (delayMs: number): Promise<void> => new Promise((resolve) => {
-    const timer = clock.setTimer(delayMs, resolve)
-    resolveCommitWait = () => {
-      timer.dispose()
-      resolve()
-    }
-  })
   const waitFor = (delayMs: number): Promise<void> => new Promise((resolve) => { clock.setTimer(delayMs, resolve) })
 
-  /** Lower bound of the worker's clock: the clock may run slow, and a suspension of this process is not counted. */
-  const readWorkerClock = (atMs = clock.nowMs()): number | null => {
-    if (clockSample === null) return null
-    return clockSample.clockMs + (atMs - clockSample.receivedAtMs) * (1 - MAX_CLOCK_DRIFT)
-  }
-
-  /** A response that is read late gives a bound that is too low by its delay: the earlier sample is kept if it gives a higher one. */
-  const recordClock = (clockMs: number, sentAtMs: number): void => {
-    const nowMs = clock.nowMs()
-    // The reading was taken after the call was sent; a lower one shows that the clock stood still, as in a suspension of the worker's VM.
-    const isContradicted = clockMs < (readWorkerClock(sentAtMs) ?? Infinity)
-    if (isContradicted || clockMs >= (readWorkerClock(nowMs) ?? -Infinity)) clockSample = { clockMs, receivedAtMs: nowMs }
-  }
-
   const computeLeaseExpiry = (): number | null => {
-    const nowMs = readWorkerClock()
+    const nowMs = workerClock.readMs()
     const grantMs = options.computeGrantMs()
     return nowMs === null || grantMs === null ? null : Math.floor(nowMs + grantMs)
   }
@@ -120,7 +85,7 @@
   const setSuspect = (): void => planner.setSuspect(worker, clock.nowMs() + SUSPECT_PAUSE_MS)
 
   const recordMissedRenewal = (reason: string, cause: LossCause): void => {
-    if (failures === 0) losses.recordFailing(cause, clockSample !== null)
+    if (failures === 0) losses.recordFailing(cause, workerClock.readMs() !== null)
     failures++
     lastFailure = cause
     setSuspect()
@@ -143,7 +108,7 @@
 
   /** Time until every lease granted by this or an earlier holder has expired, in milliseconds. */
   const computeExpiryDelayMs = (): number => {
-    const nowMs = readWorkerClock()
+    const nowMs = workerClock.readMs()
     // The worker has not responded in this term: the previous holder may have extended its lease until it had to stop.
     if (nowMs === null) return createdAtMs + computePriorLeaseBoundMs(options.maxLeaseMs) - clock.nowMs()
     return (leaseUntilMs + LEASE_MARGIN_MS - nowMs) / (1 - MAX_CLOCK_DRIFT)
@@ -160,33 +125,30 @@
   const applyResponse = (response: LeaseResponse, sentAtMs: number): void => {
     const nowMs = clock.nowMs()
     if (bornAtMs !== null && response.bornAtMs !== bornAtMs) {
-      lastReportedEnd = acknowledgedEnd = committingEnd = 0
-      pendingEnds = []
+      ends.forgetAll()
       // Until now, leases were granted by the clock of the life before; the worker shortens them to its limit.
       leaseUntilMs = Math.min(leaseUntilMs, response.clockMs + options.maxLeaseMs)
       // Its next life proves that a worker that was lost before has crashed.
       if (isLost) options.onReplaced()
       if (failures === 0) losses.recordFailing('restarted', true)
-      clockSample = null
+      workerClock.forgetReadings()
       // Starts reach the next life under the same id before its first report: those that it lists, or that this report may be too early for, run there.
       const running = new Set(response.running.map(formatRun))
       recordWorkerLost('the worker restarted', 'restarted', (run, confirmedAtMs) => running.has(formatRun(run)) || (confirmedAtMs !== null && confirmedAtMs >= sentAtMs))
     } else if (isLost) planner.recordWorkerSurvived(worker)
     if (bornAtMs === null) {
-      if (epoch > FIRST_EPOCH) leaseUntilMs = Math.max(leaseUntilMs, response.clockMs + computeInheritedLeaseMs(options.maxLeaseMs))
+      leaseUntilMs = Math.max(leaseUntilMs, response.clockMs + computeInheritedLeaseMs(epoch, options.maxLeaseMs))
       const reported = new Set([...response.running, ...response.ended].map(formatRun))
       planner.recordWorkerBorn(worker, response.bornAtMs, (run) => reported.has(formatRun(run)), nowMs, clock.wallMs())
     }
     bornAtMs = response.bornAtMs
     losses.recordResponse()
-    recordClock(response.clockMs, sentAtMs)
+    workerClock.recordReading(response.clockMs, sentAtMs)
     failures = excusedCalls = 0
     planner.setSuspect(worker, 0)
     isLost = false
-    const ended = response.ended.filter((end) => end.number > lastReportedEnd)
+    const ended = ends.takeNew(response.ended)
     for (const end of ended) {
-      lastReportedEnd = Math.max(lastReportedEnd, end.number)
-      pendingEnds.push({ number: end.number, job: end.job })
       events.record(runEnded, { run: formatRun(end), worker, how: end.how })
     }
     const strays = planner.recordReport(worker, { requestedAtMs: sentAtMs, running: response.running, ended }, nowMs, clock.wallMs())
@@ -209,8 +171,8 @@
     const longestMs = lease === null || !wasExtended ? UNEXTENDED_LEASE_WAIT_MS : LEASE_WAIT_MS
     wasExtended = lease !== null
     // Does not wait after a failed call, so that an unresponsive worker is detected quickly.
-    const waitMs = isReachable && failures === 0 && excusedCalls === 0 && pendingEnds.length === 0 ? longestMs : 0
-    const result = await client.renewLease({ epoch, acknowledgedEnd, leaseUntilMs: lease, waitMs })
+    const waitMs = isReachable && failures === 0 && excusedCalls === 0 && !ends.hasPending() ? longestMs : 0
+    const result = await client.renewLease({ epoch, acknowledgedEnd: ends.readAcknowledged(), leaseUntilMs: lease, waitMs })
     if (disposed) return
     if (result.isErr() && result.error.isOwnDelay === true && excusedCalls < MAX_EXCUSED_CALLS) {
       excusedCalls++
@@ -230,10 +192,10 @@
       endTerm()
       return
     }
-    const isFirst = clockSample === null
+    const isFirst = workerClock.readMs() === null
     const response = result.value
     options.load.measurePart('report', () => applyResponse(response, sentAtMs))
-    if (!isFirst && pendingEnds.length > 0) await waitForCommit(COMMIT_WAIT_MS)
+    if (!isFirst && ends.hasPending()) await ends.waitForCommit(COMMIT_WAIT_MS)
   }
 
   const runLoop = async (): Promise<void> => {
@@ -255,7 +217,7 @@
     const timeouts = [...START_ATTEMPT_TIMEOUTS_MS]
     let excusedAttempts = 0
     for (const [attempt, timeoutMs] of timeouts.entries()) {
-      const nowMs = readWorkerClock()
+      const nowMs = workerClock.readMs()
       // A report or an acknowledged stop has settled the outcome.
       const isSettled = !inDoubt.has(name)
       // The order may have waited for the commit and for the window while the worker's capacity shrank.
@@ -349,7 +311,7 @@
     disposed = true
     disposables.dispose()
     client.dispose()
-    resolveCommitWait?.()
+    ends.cancelWait()
   }
 
   runLoop().catch(failProcess)
@@ -357,19 +319,8 @@
   return {
     startRun: (order) => { sendStart(order).catch(failProcess) },
     stopRun,
-    beginCommit: () => {
-      committingEnd = acknowledgedEnd
-      for (const end of pendingEnds) {
-        if (planner.isChanged(end.job)) break
-        committingEnd = end.number
-      }
-    },
-    finishCommit: () => {
-      if (committingEnd <= acknowledgedEnd) return
-      acknowledgedEnd = committingEnd
-      pendingEnds = pendingEnds.filter((end) => end.number > acknowledgedEnd)
-      if (pendingEnds.length === 0) resolveCommitWait?.()
-    },
+    beginCommit: ends.beginCommit,
+    finishCommit: ends.finishCommit,
     isQuiescent: () => isLost || (!planner.hasRuns(worker) && !isReachable),
     dispose
   }
--- a/packages/entry/src/partition/workerLosses.ts
+++ b/packages/entry/src/partition/workerLosses.ts
@@ -1,5 +1,5 @@
 /** Concludes from the failed calls to one worker how it was lost, and records what becomes of its tasks. */
-import type { Clock, EventLog, LostRunState, PartitionPlanner, RunName, WorkerLoss } from '@fuchsiatally/core'
+import type { Clock, EventLog, LossOutcome, LostRunState, PartitionPlanner, RunName, WorkerLoss } from '@fuchsiatally/core'
 import { MAX_LOGGED_RUNS } from './constants.js'
 import { taskGivenUp, workerLost } from './events.js'
 import { formatRun } from './formatRun.js'
@@ -31,6 +31,11 @@
   recordLost: (reason: string, cause: LossCause, unsettled: number, classifyRun: (run: RunName, confirmedAtMs: number | null) => LostRunState) => void
 }
 
+/** Formats the runs of a lost worker for its event. */
+export function formatLostRuns ({ released, suspected }: Pick<LossOutcome, 'released' | 'suspected'>): { runs: string[], runCount: number, suspected: string[] } {
+  return { runs: released.slice(0, MAX_LOGGED_RUNS).map(formatRun), runCount: released.length, suspected: suspected.slice(0, MAX_LOGGED_RUNS).map(formatRun) }
+}
+
 /** Logs the tasks that are given up for a crash of their worker. */
 export function recordGivenUp (events: EventLog, worker: string, runs: readonly RunName[]): void {
   for (const run of runs) events.record(taskGivenUp, { job: run.job, run: formatRun(run), worker })
@@ -58,19 +63,17 @@
     recordLost: (reason, cause, unsettled, classifyRun) => {
       const nowMs = clock.nowMs()
       const loss = { kind: resolveKind(cause), failedAtMs, nowMs, wallMs: clock.wallMs() }
-      const { released, suspected, givenUp } = planner.recordWorkerLost(worker, loss, classifyRun)
+      const outcome = planner.recordWorkerLost(worker, loss, classifyRun)
       events.record(workerLost, {
         worker,
         reason,
         cause,
         kind: loss.kind,
         failingMs: Math.round(nowMs - failedAtMs),
-        runs: released.slice(0, MAX_LOGGED_RUNS).map(formatRun),
-        runCount: released.length,
-        suspected: suspected.slice(0, MAX_LOGGED_RUNS).map(formatRun),
+        ...formatLostRuns(outcome),
         unsettled
       })
-      recordGivenUp(events, worker, givenUp)
+      recordGivenUp(events, worker, outcome.givenUp)
     }
   }
 }
