Holder load: wait of starts and refused tickets in FT859

The log of an overloaded holder showed that orders were refused for expired tickets, but neither how long a start waits between its decision and its order, nor how many are refused once lines of single runs are dropped by the log's bound: 43 FT820 a second stood beside 262 FT821. FT859 now has startCount, startWaitMaxMs and ticketRefusals for each second; a start order carries the time of its decision. No decision changes.

--- a/packages/core/src/partition/createPartitionPlanner.ts
+++ b/packages/core/src/partition/createPartitionPlanner.ts
@@ -52,7 +52,7 @@
     return cores
   }
 
-  const startTask = (instance: StepInstance, task: Task, worker: PartitionWorker, number: number): StartOrder => {
+  const startTask = (instance: StepInstance, task: Task, worker: PartitionWorker, { number, nowMs }: { number: number, nowMs: number }): StartOrder => {
     task.phase = 'placed'
     task.run = number
     task.worker = worker.info.id
@@ -64,7 +64,8 @@
       payload: instance.job.spec.payload,
       saved: task.saved,
       ticket: instance.tickets.get(worker.info.id)?.ticket ?? null,
-      gang: instance.step.gang
+      gang: instance.step.gang,
+      decidedAtMs: nowMs
     }
   }
 
@@ -121,7 +122,7 @@
     const placements = [...isolated, ...shared.map(({ task, worker }) => ({ task, worker: round.workers[worker]!, index: worker }))]
     for (const { task, worker, index } of placements) {
       if (!gang && !teams.mayAdd(team, instance.step.resources)) break
-      starts.push(startTask(instance, task, worker, gang ? gangRun : task.run + 1))
+      starts.push(startTask(instance, task, worker, { number: gang ? gangRun : task.run + 1, nowMs: round.nowMs }))
       if (index !== null) round.updateFree(index)
       placed.add(task)
     }
--- a/packages/core/src/partition/plannerTypes.ts
+++ b/packages/core/src/partition/plannerTypes.ts
@@ -23,6 +23,8 @@
   /** Advice ticket for the worker; `null` if the queue requires no advice. */
   readonly ticket: string | null
   readonly gang: boolean
+  /** Monotonic time of the decision, in milliseconds. */
+  readonly decidedAtMs: number
 }
 
 /** A run to stop. */
--- a/packages/entry/src/partition/__tests__/holderLoad.spec.ts
+++ b/packages/entry/src/partition/__tests__/holderLoad.spec.ts
@@ -31,6 +31,20 @@
   assert.is(events.listFields('FT859')[1]?.['planMs'], 0)
 })
 
+test('the line states how long starts waited for their order, and how many had an expired ticket', async () => {
+  const { clock, events, load } = createLoad()
+  load.recordStartSent(12)
+  load.recordStartSent(1730)
+  load.recordTicketRefused()
+  await clock.runFor(2000)
+  const [first, second] = events.listFields('FT859')
+  assert.is(first?.['startCount'], 2)
+  assert.is(first?.['startWaitMaxMs'], 1730)
+  assert.is(first?.['ticketRefusals'], 1)
+  assert.is(second?.['startCount'], 0)
+  assert.is(second?.['startWaitMaxMs'], 0)
+})
+
 test('a blocked event loop shows as the longest delay of a timer', async () => {
   const { clock, events } = createLoad()
   // A callback that runs for 400 ms delays the probe that becomes due meanwhile.
--- a/packages/entry/src/partition/holderLoad.ts
+++ b/packages/entry/src/partition/holderLoad.ts
@@ -26,6 +26,10 @@
 export interface HolderLoad extends Disposable {
   /** Runs a synchronous part of the work and adds its duration. */
   measurePart: <T>(part: LoadPart, run: () => T) => T
+  /** Records a start order that is sent `waitMs` after its decision. */
+  recordStartSent: (waitMs: number) => void
+  /** Records a start order that a worker refused because its ticket had expired. */
+  recordTicketRefused: () => void
 }
 
 interface PartTotals {
@@ -40,6 +44,7 @@
 export function createHolderLoad (options: HolderLoadOptions): HolderLoad {
   const { clock, events } = options
   let totals = createTotals()
+  let starts = createStartTotals()
   let longestLoopDelayMs = 0
   let reportedAtMs = clock.nowMs()
   let timer: Disposable
@@ -58,10 +63,14 @@
       intervalMs: Math.round(nowMs - reportedAtMs),
       loopDelayMs: Math.round(longestLoopDelayMs),
       ...fields,
+      startCount: starts.count,
+      startWaitMaxMs: Math.round(starts.longestWaitMs),
+      ticketRefusals: starts.ticketRefusals,
       waitingSteps: steps,
       waitingTasks: tasks
     })
     totals = createTotals()
+    starts = createStartTotals()
     longestLoopDelayMs = 0
     reportedAtMs = nowMs
   }
@@ -92,10 +101,25 @@
         }
       }
     },
+    recordStartSent: (waitMs) => {
+      starts.count++
+      starts.longestWaitMs = Math.max(starts.longestWaitMs, waitMs)
+    },
+    recordTicketRefused: () => { starts.ticketRefusals++ },
     dispose: () => timer.dispose()
   }
 }
 
+interface StartTotals {
+  count: number
+  longestWaitMs: number
+  ticketRefusals: number
+}
+
+function createStartTotals (): StartTotals {
+  return { count: 0, longestWaitMs: 0, ticketRefusals: 0 }
+}
+
 function createTotals (): Map<LoadPart, PartTotals> {
   return new Map(PARTS.map((part) => [part, { count: 0, totalMs: 0, longestMs: 0 }]))
 }
--- a/packages/entry/src/partition/partitionWorkerController.ts
+++ b/packages/entry/src/partition/partitionWorkerController.ts
@@ -229,6 +229,7 @@
       }
       leaseUntilMs = Math.max(leaseUntilMs, lease)
       const sentAtMs = clock.nowMs()
+      if (attempt === 0) options.load.recordStartSent(sentAtMs - order.decidedAtMs)
       const result = await client.startRun(order, epoch, lease, timeoutMs)
       if (attempt === 0) startWindow.releaseSlot()
       if (disposed) return
@@ -252,6 +253,7 @@
         return
       }
       const reason = result.value.kind === 'otherWorker' ? 'unavailable' : result.value.reason
+      if (reason === 'ticket') options.load.recordTicketRefused()
       events.record(runRefused, { run: name, worker, reason, attempt })
       if (reason === 'superseded') {
         // An earlier attempt started the run, which has ended, or the run was stopped: the next report shows which.
