--- a/packages/entry/src/testing/chargedHolder.ts
+++ b/packages/entry/src/testing/chargedHolder.ts
@@ -19,9 +19,9 @@
 export function createChargedPlanner (planner: PartitionPlanner, clock: FakeClock, costs: HolderCosts): PartitionPlanner {
   return {
     ...planner,
-    decide: (nowMs, wallMs, trySend) => {
+    decide: (nowMs, ...access) => {
       clock.block(planner.countBacklog().steps * costs.planStepMs)
-      return planner.decide(nowMs, wallMs, trySend)
+      return planner.decide(nowMs, ...access)
     }
   }
 }
--- a/packages/entry/src/testing/partitionCluster.ts
+++ b/packages/entry/src/testing/partitionCluster.ts
@@ -1,5 +1,5 @@
 /** In-memory entries, workers and table of a partition, under one fake clock. */
-import { createPartitionPlanner, type ClusterConfig, type Clock, type Resources, type StartOrder, type StepJob } from '@fuchsiatally/core'
+import { createPartitionPlanner, type AdvicePolicy, type ClusterConfig, type Clock, type Resources, type StartOrder, type StepJob } from '@fuchsiatally/core'
 import { createFakeClock, type FakeClock } from '@fuchsiatally/core/testing/fakeClock'
 import { createMemoryEventLog, type MemoryEventLog } from '@fuchsiatally/core/testing/memoryEventLog'
 import { createTestStep, createTestStepJob } from '@fuchsiatally/core/testing/stepJobs'
@@ -9,6 +9,7 @@
 import type { ListedWorker, PlatformRows, TableRow } from '../partition/ports.js'
 import type { PeerMesh } from '../ports.js'
 import { createLateProcess } from './lateProcess.js'
+import { createAdviceModel } from './adviceModel.js'
 import { createPartitionTableModel, type PartitionTableModel, type TableFaults } from './partitionTableModel.js'
 import { createPartitionWorkerModel, type CrashedAddress, type PartitionWorkerModel, type PlannedRun, type StartedRun } from './partitionWorkerModel.js'
 import { createChargedPlanner, createChargedWorkerClient, type HolderCosts } from './chargedHolder.js'
@@ -59,6 +60,8 @@
   readonly readTransactionMs?: () => number
   /** Whether entries make calls to the table for each other; default `true`. `false`: as if the send buffers of the links were full. */
   readonly relaysTableCalls?: boolean
+  /** Placement advice that the queue requires; default none. */
+  readonly advice?: AdvicePolicy
   /** Processor time charged to the holder; default none. All processes share the clock, so it suits clusters with one entry. */
   readonly holderCosts?: HolderCosts
 }
@@ -85,9 +88,9 @@
 }
 
 /** Builds a job with one step of identical tasks. */
-export function createTestJob (clock: Clock, taskCount: number, changes: Partial<StepJob['steps'][number]> = {}): StepJob {
+export function createTestJob (clock: Clock, taskCount: number, changes: Partial<StepJob['steps'][number]> = {}, policy: Partial<StepJob['policy']> = {}): StepJob {
   const step = createTestStep({ taskCount, resources: { processors: 1, memoryMb: 1024, accelerators: 0 }, ...changes })
-  return createTestStepJob([step], { queue: 'proof', service: SERVICE, priority: 0, maxAttempts: 3, stretch: 2, targetLatencyMs: 500 }, {
+  return createTestStepJob([step], { queue: 'proof', service: SERVICE, priority: 0, maxAttempts: 3, stretch: 2, targetLatencyMs: 500, ...policy }, {
     payload: 'text', acceptedAtMs: clock.wallMs()
   })
 }
@@ -135,7 +138,7 @@
       rows,
       bounds: { maxLeaseMs: options.maxLeaseMs ?? DEFAULT_MAX_LEASE_MS, revokeMs: 5000, statusMs: 120_000, turnMs: 3000 },
       mesh: process.wrapMesh(options.relaysTableCalls === false ? refuseTableRequests(peerMesh) : peerMesh),
-      adviceClient: { requestAdvice: async () => ok(new Map()) },
+      adviceClient: createAdviceModel(clock, options.advice),
       createWorkerClient: (worker) => {
         const model = workers.get(worker.id)
         if (model === undefined) throw new Error(`no worker ${worker.id}`)
@@ -166,7 +169,7 @@
 
   const addWorker = (id: string, listing: ListedWorker): PartitionWorkerModel => {
     const model = createPartitionWorkerModel({
-      listing, clock, started, maxLeaseMs: options.maxLeaseMs ?? DEFAULT_MAX_LEASE_MS, planRun: options.planRun ?? (() => ({ durationMs: 1000, how: 'done' })), onCrash: () => crashWorker(id)
+      listing, clock, started, maxLeaseMs: options.maxLeaseMs ?? DEFAULT_MAX_LEASE_MS, planRun: options.planRun ?? (() => ({ durationMs: 1000, how: 'done' })), ticketValidityMs: options.advice?.validityMs ?? Infinity, onCrash: () => crashWorker(id)
     })
     model.faults.crashedAddress = options.crashedAddress ?? 'refuses'
     workers.set(id, model)
--- a/packages/entry/src/testing/partitionWorkerModel.ts
+++ b/packages/entry/src/testing/partitionWorkerModel.ts
@@ -6,6 +6,7 @@
 import { err, ok, type Result } from 'neverthrow'
 import type { CallFailure, PartitionWorkerClient, ListedWorker, OtherWorker } from '../partition/ports.js'
 import { formatRun } from '../partition/formatRun.js'
+import { readTicketIssuedAtMs } from './adviceModel.js'
 import { createLongPoll } from './longPoll.js'
 
 /** A run that started, recorded for the checks of the test. */
@@ -61,6 +62,8 @@
   readonly planRun: (order: StartOrder) => PlannedRun
   /** Longest lease that the worker accepts, in milliseconds; a longer one is shortened. */
   readonly maxLeaseMs: number
+  /** Time for which a ticket of the advice model is accepted, in milliseconds. */
+  readonly ticketValidityMs: number
   /** Called when a run crashes the worker. */
   readonly onCrash: () => void
   readonly started: StartedRun[]
@@ -129,6 +132,9 @@
     if (activeRuns.has(name)) return { kind: 'started' as const, clockMs: readClock() }
     if ((tombstones.get(formatTask(order)) ?? 0) >= order.run) return { kind: 'refused' as const, reason: 'superseded' as const }
     if (untilMs <= readClock()) return { kind: 'refused' as const, reason: 'late' as const }
+    if (order.ticket !== null && clock.nowMs() > readTicketIssuedAtMs(order.ticket) + options.ticketValidityMs) {
+      return { kind: 'refused' as const, reason: 'ticket' as const }
+    }
     extendLease(untilMs)
     const { job, occurrence, step, index, run } = order
     const record: StartedRun = { job, occurrence, step, index, run, worker: listing.id, startedAtMs: clock.nowMs(), endedAtMs: null, how: null }
