Planner: steps whose tickets have expired look at no workers

Callers see a service that stands still once its holder has a backlog: a planning round takes longer the more steps wait, and tickets expire before they are used.

Cause: a step without any ticket was passed over before its candidates were listed, but one whose tickets had all expired was not. It listed every worker with room and looked for a ticket there, in each round, so that a backlog cost waiting steps times workers until the budget of the round was used up and the steps behind were deferred. Besides, whether a step is large was searched for in a tree in each round.

Change: a step knows the time from which none of its tickets is valid. The index of capacities tries the capacity that it found last before it searches.

--- a/packages/core/src/partition/__tests__/planningCost.spec.ts
+++ b/packages/core/src/partition/__tests__/planningCost.spec.ts
@@ -179,4 +179,25 @@
   assert.ok(planner.countEvaluations() <= 4 * (WORKERS + steps), `${planner.countEvaluations()} evaluations`)
 })
 
+// Guards against rounds that look, for each step whose tickets have expired, through all workers with room, and leave out the steps behind it.
+test('a round evaluates no workers for steps whose tickets have expired', () => {
+  const steps = 400
+  const planner = createPartitionPlanner()
+  const workers = Array.from({ length: WORKERS }, (_, index) => `w${index}`)
+  for (const id of workers) {
+    planner.setWorker({ id, failureDomain: 'd', labels: ['kind', 'r'], capacity: { processors: CORES, memoryMb: 65_536, accelerators: 0 }, draining: false })
+    planner.setSynced(id, true)
+  }
+  addUrgentSteps(planner, { workers: WORKERS, steps, readSize: (step) => 2 + step / 1000, policy: { advice: ADVICE, priority: 1, targetLatencyMs: 10_000 } })
+  for (let step = 0; step < steps; step++) planner.recordAdvice({ step: `urgent${step}.0.0`, workers, costMs: 0 }, new Map(workers.map((worker) => [worker, 'ticket'])), 20)
+  let asked = 0
+  const { starts } = planner.decide(20 + ADVICE.validityMs, 20 + ADVICE.validityMs, () => false, () => {
+    asked++
+    return false
+  })
+  assert.equal(starts, [])
+  assert.is(asked, steps)
+  assert.ok(planner.countEvaluations() <= 4 * (WORKERS + steps), `${planner.countEvaluations()} evaluations`)
+})
+
 test.run()
--- a/packages/core/src/partition/capacityIndex.ts
+++ b/packages/core/src/partition/capacityIndex.ts
@@ -1,5 +1,5 @@
 /** Total capacity of a partition's workers, for questions that don't depend on what runs there. */
-import type { Resources } from '../schema/resources.js'
+import { hasRoomFor, type Resources } from '../schema/resources.js'
 import type { PartitionWorker, WorkerInfo } from './partitionWorker.js'
 import { createResourceTree, type ResourceTree } from './resourceTree.js'
 
@@ -11,6 +11,14 @@
   recordChange: (previous: WorkerInfo | undefined, next: WorkerInfo | undefined) => void
 }
 
+/** Capacities of the workers with one label. */
+interface LabelIndex {
+  readonly capacities: readonly Resources[]
+  readonly tree: ResourceTree
+  /** Capacity that the last search found: it mostly has room for the next need, too. */
+  lastFound: Resources | null
+}
+
 function isAlike (a: WorkerInfo, b: WorkerInfo): boolean {
   return a.capacity.processors === b.capacity.processors && a.capacity.memoryMb === b.capacity.memoryMb &&
     a.capacity.accelerators === b.capacity.accelerators && a.labels.length === b.labels.length && a.labels.every((label, index) => label === b.labels[index])
@@ -22,28 +30,32 @@
  * @param recordVisit called for each evaluation of a worker
  */
 export function createCapacityIndex (workers: ReadonlyMap<string, PartitionWorker>, recordVisit: () => void): CapacityIndex {
-  const trees = new Map<string | undefined, ResourceTree>()
+  const indexes = new Map<string | undefined, LabelIndex>()
 
-  const buildTree = (label: string | undefined): ResourceTree => {
+  const buildIndex = (label: string | undefined): LabelIndex => {
     const capacities: Resources[] = []
     for (const { info } of workers.values()) {
       recordVisit()
       if (label === undefined || info.labels.includes(label)) capacities.push(info.capacity)
     }
-    return createResourceTree(capacities, recordVisit)
+    return { capacities, tree: createResourceTree(capacities, recordVisit), lastFound: null }
   }
 
   return {
     hasWorkerFor: (need, label) => {
-      let tree = trees.get(label)
-      if (tree === undefined) {
-        tree = buildTree(label)
-        trees.set(label, tree)
+      let index = indexes.get(label)
+      if (index === undefined) {
+        index = buildIndex(label)
+        indexes.set(label, index)
       }
-      return tree.findFitting(need, 0) >= 0
+      recordVisit()
+      if (index.lastFound !== null && hasRoomFor(index.lastFound, need)) return true
+      const found = index.capacities[index.tree.findFitting(need, 0)]
+      if (found !== undefined) index.lastFound = found
+      return found !== undefined
     },
     recordChange: (previous, next) => {
-      if (previous === undefined || next === undefined || !isAlike(previous, next)) trees.clear()
+      if (previous === undefined || next === undefined || !isAlike(previous, next)) indexes.clear()
     }
   }
 }
--- a/packages/core/src/partition/stepInstance.ts
+++ b/packages/core/src/partition/stepInstance.ts
@@ -29,6 +29,8 @@
   /** Tickets from the advice service, by worker. */
   readonly tickets: Map<string, Ticket>
   readonly unsuitable: Set<string>
+  /** Monotonic time from which no ticket is valid. */
+  ticketsUntilMs: number
   isAdvicePending: boolean
   nextAdviceMs: number
 }
@@ -49,6 +51,7 @@
     waitingSinceMs: null,
     tickets: new Map(),
     unsuitable: new Set(),
+    ticketsUntilMs: -Infinity,
     isAdvicePending: false,
     nextAdviceMs: 0
   }
@@ -82,6 +85,11 @@
   return ticket !== undefined && ticket.validUntilMs > nowMs
 }
 
+/** Tells whether the step may have a valid ticket for any worker, or its queue requires none. */
+export function mayHaveTicket (instance: StepInstance, nowMs: number): boolean {
+  return instance.job.spec.policy.advice === undefined || instance.ticketsUntilMs > nowMs
+}
+
 /** Tells whether a worker could run the step and has not been ruled out by the advice service. */
 export function mayBeSuitable (instance: StepInstance, worker: PartitionWorker): boolean {
   return canEverRun(worker, instance.step) && !instance.unsuitable.has(worker.info.id)
@@ -142,12 +150,14 @@
 export function recordAdvice (
   instance: StepInstance, workers: readonly string[], tickets: ReadonlyMap<string, string>, policy: AdvicePolicy, answeredAtMs: number
 ): void {
+  const validUntilMs = answeredAtMs + policy.validityMs - TICKET_MARGIN_MS
   instance.isAdvicePending = false
   for (const worker of workers) {
     const ticket = tickets.get(worker)
     if (ticket === undefined) instance.unsuitable.add(worker)
-    else instance.tickets.set(worker, { ticket, validUntilMs: answeredAtMs + policy.validityMs - TICKET_MARGIN_MS })
+    else instance.tickets.set(worker, { ticket, validUntilMs })
   }
+  if (tickets.size > 0) instance.ticketsUntilMs = Math.max(instance.ticketsUntilMs, validUntilMs)
 }
 
 /** Records that an advice query failed. */
--- a/packages/core/src/partition/stepPlacement.ts
+++ b/packages/core/src/partition/stepPlacement.ts
@@ -3,7 +3,7 @@
 import { ACCELERATOR_CORES } from './constants.js'
 import { canEverRun, readRack, type PartitionWorker } from './partitionWorker.js'
 import type { PlanningRound } from './planningRound.js'
-import { countTasksByWorker, hasTicket, type StepInstance } from './stepInstance.js'
+import { countTasksByWorker, hasTicket, mayHaveTicket, type StepInstance } from './stepInstance.js'
 import type { Task } from './jobState.js'
 import { createMinimumTree } from './minimumTree.js'
 
@@ -25,8 +25,8 @@
 
 function buildCandidates (instance: StepInstance, round: PlanningRound): Candidate[] {
   const { maxPerWorker, dataRack } = instance.step
-  // Most steps that wait for advice have no ticket at all.
-  if (instance.job.spec.policy.advice !== undefined && instance.tickets.size === 0) return []
+  // Most steps that wait for advice have no valid ticket at all.
+  if (!mayHaveTicket(instance, round.nowMs)) return []
   const fitting = round.listFitting(instance.taskResources)
   round.addEvaluations(fitting.length)
   if (fitting.length === 0) return []
