Planner: a step that waits for advice reserves no room

Callers see a service without a single start for more than ten seconds although its workers idle (LOST of long-running tasks, all urgent jobs late).

Cause: urgent steps reserve the room that they could not be placed in, so that less urgent work doesn't take it. A step that only waits for the advice service did the same: with 60 such steps in front, all room was reserved, and the steps behind them, with valid tickets, found none. Until the front steps got advice they had passed their latest start and ranked behind newer steps without any, and the tickets expired unused. Class of fault: resources held for work that can't use them yet (head-of-line blocking), which outlasts the overload that began it.

Ruled out: the budget of the round (2,000 of 10,000 evaluations were used), ceilings, workers not synced, isolation (no suspects).

Change: a step reserves only if it lacks room, has a ticket, or has a query in flight.

--- a/packages/core/src/partition/createPartitionPlanner.ts
+++ b/packages/core/src/partition/createPartitionPlanner.ts
@@ -10,7 +10,7 @@
 import { createJobRegistry } from './jobRegistry.js'
 import { isSuspected, listTasks, type Task } from './jobState.js'
 import type { CanSendQuery, PlannerDecisions, PartitionPlanner, RunName, StartOrder, TrySendQuery } from './plannerTypes.js'
-import { buildAdviceQuery, chooseAdviceWorkers, countStartable, listStartable, mayBeSuitable, recordAdvice, recordAdviceFailed, type StepInstance } from './stepInstance.js'
+import { buildAdviceQuery, chooseAdviceWorkers, countStartable, listStartable, mayHaveTicket, mayBeSuitable, recordAdvice, recordAdviceFailed, type StepInstance } from './stepInstance.js'
 import { createCapacityReservations } from './capacityReservation.js'
 import { createCeilingPreemptions, type CeilingPreemptions } from './ceilingPreemption.js'
 import { buildRunName, createRunTracker } from './runTracker.js'
@@ -173,6 +173,14 @@
     }
   }
 
+  /**
+   * Whether a step has room but no ticket, and no query in flight. It reserves nothing: steps of a lower rank whose tickets are valid can use the
+   * room now, and by the time the advice service takes the query, other room may be free.
+   */
+  const waitsForAdvice = (instance: StepInstance, round: PlanningRound): boolean => {
+    return !instance.isAdvicePending && !mayHaveTicket(instance, round.nowMs) && round.findUnclaimedFitting(instance.taskResources, 0) >= 0
+  }
+
   /** Gives up the tasks that crash their workers beyond doubt; returns their last runs. */
   const applyVerdict = ({ counted, proven }: CrashVerdict, wallMs: number): RunName[] => {
     for (const task of counted) registry.markChanged(task.job)
@@ -210,7 +218,7 @@
       const reserves = mayReserve(instance, nowMs)
       if (reserves && reservingCount < MAX_RESERVING_STEPS) reservingCount++
       else if (reserves || ranked.rank.priority > 0 || !mayPreempt(ranked, nowMs)) continue
-      if (!budget.mayReserve(instance)) continue
+      if (!budget.mayReserve(instance) || waitsForAdvice(instance, round)) continue
       stopForPreemption(reservations.reserve({ instance, tasks: left, mayPreempt: mayPreempt(ranked, nowMs) }))
     }
     evaluations += round.countEvaluations()
--- a/packages/entry/src/testing/partitionCluster.ts
+++ b/packages/entry/src/testing/partitionCluster.ts
@@ -4,7 +4,6 @@
 import { createMemoryEventLog, type MemoryEventLog } from '@fuchsiatally/core/testing/memoryEventLog'
 import { createTestStep, createTestStepJob } from '@fuchsiatally/core/testing/stepJobs'
 import { createSeededRandom } from '@fuchsiatally/core/testing/seededRandom'
-import { ok } from 'neverthrow'
 import { createPartitionEntry, type PartitionEntry } from '../partition/partitionEntry.js'
 import type { ListedWorker, PlatformRows, TableRow } from '../partition/ports.js'
 import type { PeerMesh } from '../ports.js'
