Starts: no order on an expired ticket, and no more of them than can be sent in time

Cause: nothing in a slow holder told its planner how long starts wait. A round decided as many as there was room for, the window let 32 through at a time, and once the responses to a window take longer than a timeout, each order is repeated up to three times. Besides, a late holder counted the validity of a ticket from the time at which it read the response, and avoided a server of advice for 3 s for its own delay. Class of fault: a queue without back-pressure in front of a deadline (metastable overload).

Change: a round decides only as many starts with tickets as the measured rate of orders can send within 500 ms, and requests advice for as many ahead; an order whose ticket expires on its way is not sent; the window of orders in flight shrinks while responses are read late; the validity of tickets counts from their expected arrival; own delay is no failure of a server of advice.

--- a/packages/core/src/partition/__tests__/planningCost.spec.ts
+++ b/packages/core/src/partition/__tests__/planningCost.spec.ts
@@ -170,10 +170,12 @@
   }
   addUrgentSteps(planner, { workers: WORKERS, steps, readSize: () => 2.7, policy: { advice: ADVICE } })
   let asked = 0
-  planner.decide(20, 20, () => { throw new Error('a query was composed') }, (costMs) => {
-    asked++
-    assert.is(costMs, ADVICE.decisionMs + ADVICE.eachMs)
-    return false
+  planner.decide(20, 20, () => { throw new Error('a query was composed') }, {
+    canSend: (costMs) => {
+      asked++
+      assert.is(costMs, ADVICE.decisionMs + ADVICE.eachMs)
+      return false
+    }
   })
   assert.is(asked, steps)
   assert.ok(planner.countEvaluations() <= 4 * (WORKERS + steps), `${planner.countEvaluations()} evaluations`)
@@ -191,9 +193,11 @@
   addUrgentSteps(planner, { workers: WORKERS, steps, readSize: (step) => 2 + step / 1000, policy: { advice: ADVICE, priority: 1, targetLatencyMs: 10_000 } })
   for (let step = 0; step < steps; step++) planner.recordAdvice({ step: `urgent${step}.0.0`, workers, costMs: 0 }, new Map(workers.map((worker) => [worker, 'ticket'])), 20)
   let asked = 0
-  const { starts } = planner.decide(20 + ADVICE.validityMs, 20 + ADVICE.validityMs, () => false, () => {
-    asked++
-    return false
+  const { starts } = planner.decide(20 + ADVICE.validityMs, 20 + ADVICE.validityMs, () => false, {
+    canSend: () => {
+      asked++
+      return false
+    }
   })
   assert.equal(starts, [])
   assert.is(asked, steps)
--- a/packages/core/src/partition/constants.ts
+++ b/packages/core/src/partition/constants.ts
@@ -20,6 +20,8 @@
 export const FAILING_WORKER_THRESHOLD = 3
 /** Maximum number of steps with capacity reservations in one planning round; more would leave too much of the partition idle. */
 export const MAX_RESERVING_STEPS = 2
+/** Tasks whose advice is requested in a round that may decide no more starts: about as many as the next round may start. */
+export const MAX_TASKS_AHEAD = 96
 /** Minimum delay before an advice query is repeated after a refusal or a timeout, in milliseconds. */
 export const ADVICE_RETRY_MS = 250
 /** Minimum time without progress before a run counts as stalled, in milliseconds; reports arrive once a second and one may be late. */
--- a/packages/core/src/partition/createPartitionPlanner.ts
+++ b/packages/core/src/partition/createPartitionPlanner.ts
@@ -1,6 +1,6 @@
 /** Scheduler of one partition: places tasks on workers from jobs, worker reports and placement advice. */
 import { hasRoomFor, computeTotal, subtractResources } from '../schema/resources.js'
-import { RESERVE_AFTER_MS, LONG_RUNNING_RESERVE_AFTER_MS, MAX_RESERVING_STEPS, PREEMPT_AFTER_MS } from './constants.js'
+import { RESERVE_AFTER_MS, LONG_RUNNING_RESERVE_AFTER_MS, MAX_RESERVING_STEPS, MAX_TASKS_AHEAD, PREEMPT_AFTER_MS, TICKET_MARGIN_MS } from './constants.js'
 import { startWorkerBackoff, type PartitionWorker } from './partitionWorker.js'
 import { createCapacityIndex } from './capacityIndex.js'
 import { createCrashEvidence, type CrashVerdict } from './crashEvidence.js'
@@ -9,8 +9,8 @@
 import { createIsolation } from './isolation.js'
 import { createJobRegistry } from './jobRegistry.js'
 import { isSuspected, listTasks, type Task } from './jobState.js'
-import type { CanSendQuery, PlannerDecisions, PartitionPlanner, RunName, StartOrder, TrySendQuery } from './plannerTypes.js'
-import { buildAdviceQuery, chooseAdviceWorkers, countStartable, listStartable, mayHaveTicket, mayBeSuitable, recordAdvice, recordAdviceFailed, type StepInstance } from './stepInstance.js'
+import type { CanSendQuery, PlannerDecisions, PartitionPlanner, RoundOptions, RunName, StartOrder, TrySendQuery } from './plannerTypes.js'
+import { buildAdviceQuery, chooseAdviceWorkers, countStartable, listStartable, mayHaveTicket, needsAdvice, mayBeSuitable, recordAdvice, recordAdviceFailed, type StepInstance } from './stepInstance.js'
 import { createCapacityReservations } from './capacityReservation.js'
 import { createCeilingPreemptions, type CeilingPreemptions } from './ceilingPreemption.js'
 import { buildRunName, createRunTracker } from './runTracker.js'
@@ -30,6 +30,8 @@
   readonly round: PlanningRound
   readonly ceilings: CeilingPreemptions
   readonly trySend: TrySendQuery
+  /** Starts with tickets that this round may still decide. */
+  ticketedLeft: number
 }
 
 /** Creates a planner without jobs or workers. */
@@ -58,12 +60,14 @@
     task.worker = worker.info.id
     task.confirmedAtMs = null
     tracker.takeResources(task, worker)
+    const ticket = instance.tickets.get(worker.info.id)
     return {
       ...buildRunName(task),
       worker: worker.info.id,
       payload: instance.job.spec.payload,
       saved: task.saved,
-      ticket: instance.tickets.get(worker.info.id)?.ticket ?? null,
+      ticket: ticket?.ticket ?? null,
+      ticketUntilMs: ticket === undefined ? Infinity : ticket.validUntilMs + TICKET_MARGIN_MS,
       gang: instance.step.gang,
       decidedAtMs: nowMs
     }
@@ -94,6 +98,9 @@
     return !teams.mayAdd(job.spec.team, step.gang ? computeTotal(step.resources, tasks.length) : step.resources)
   }
 
+  /** Whether the orders of `count` further tasks would wait until their tickets expire. */
+  const isOrderingBusy = (instance: StepInstance, { ticketedLeft }: RoundParts, count: number): boolean => needsAdvice(instance) && ticketedLeft < count
+
   /** Leaves a step out of this round; what its team's limit blocks still counts as the team's demand. */
   const handleDeferral = (instance: StepInstance): void => {
     if (isAtCeiling(instance)) teams.addBlocked(instance.job.spec.team, computeTotal(instance.step.resources, countStartable(instance)))
@@ -117,16 +124,21 @@
     if (gang && isolated.length + sound.length < startable.length) return startable
     const shared = placeTasks(instance, sound, round)
     if (gang && shared.length < sound.length) return startable
+    // The rank of the gang gives it the whole of a later round.
+    if (gang && starts.length > 0 && isOrderingBusy(instance, parts, startable.length)) return []
     const gangRun = gang ? Math.max(0, ...instance.tasks.map((task) => task.run)) + 1 : 0
     const placed = new Set<Task>()
     const placements = [...isolated, ...shared.map(({ task, worker }) => ({ task, worker: round.workers[worker]!, index: worker }))]
     for (const { task, worker, index } of placements) {
+      if (!gang && isOrderingBusy(instance, parts, 1)) break
       if (!gang && !teams.mayAdd(team, instance.step.resources)) break
       starts.push(startTask(instance, task, worker, { number: gang ? gangRun : task.run + 1, nowMs: round.nowMs }))
       if (index !== null) round.updateFree(index)
       placed.add(task)
+      if (needsAdvice(instance)) parts.ticketedLeft--
     }
     if (placed.size > 0) registry.recordStarted(instance)
+    if (!gang && placed.size < placements.length && isOrderingBusy(instance, parts, 1)) return []
     if (placed.size === placements.length) return sound.filter((task) => !placed.has(task))
     handleCeilingWait(ranked, sound.length - placed.size, parts)
     return []
@@ -193,7 +205,7 @@
     return givenUp
   }
 
-  const decide = (nowMs: number, wallMs: number, trySend: TrySendQuery, canSend: CanSendQuery = () => true): PlannerDecisions => {
+  const decide = (nowMs: number, wallMs: number, trySend: TrySendQuery, { canSend = () => true, maxTicketedStarts = Infinity }: RoundOptions = {}): PlannerDecisions => {
     for (const task of evidence.recordUnseenProofs(nowMs)) registry.markChanged(task.job)
     registry.addDueOccurrences(wallMs, nowMs)
     evaluations = 0
@@ -202,19 +214,29 @@
     isolation.startRound(nowMs)
     const round = createPlanningRound(workers.values(), nowMs)
     const reservations = createCapacityReservations(round)
-    const parts = { round, ceilings: createCeilingPreemptions(workers.values(), round), trySend }
+    const parts = { round, ceilings: createCeilingPreemptions(workers.values(), round), trySend, ticketedLeft: maxTicketedStarts }
+    const access = { trySend, canSend }
     let reservingCount = 0
+    let tasksAhead = 0
     const ranking = sortInstances({ instances: registry.listWaitingInstances(), capacityCores: readCapacityCores(), nowMs, wallMs })
     budget.startRound(round, ranking.length)
     for (const ranked of ranking) {
       const { instance } = ranked
+      if (isOrderingBusy(instance, parts, 1)) {
+        handleDeferral(instance)
+        if (tasksAhead >= MAX_TASKS_AHEAD || isAtCeiling(instance)) continue
+        const ahead = listStartable(instance)
+        tasksAhead += ahead.length
+        if (ahead.length > 0 && sendAdviceQuery(instance, round, access)) reserveAdvisedCapacity(instance, ahead, round)
+        continue
+      }
       if (!budget.mayPlace(instance)) {
         handleDeferral(instance)
         continue
       }
       const left = startStep(ranked, parts, starts)
       if (left.length === 0) continue
-      if (sendAdviceQuery(instance, round, { trySend, canSend })) reserveAdvisedCapacity(instance, left, round)
+      if (sendAdviceQuery(instance, round, access)) reserveAdvisedCapacity(instance, left, round)
       const reserves = mayReserve(instance, nowMs)
       if (reserves && reservingCount < MAX_RESERVING_STEPS) reservingCount++
       else if (reserves || ranked.rank.priority > 0 || !mayPreempt(ranked, nowMs)) continue
--- a/packages/core/src/partition/plannerTypes.ts
+++ b/packages/core/src/partition/plannerTypes.ts
@@ -22,6 +22,8 @@
   readonly saved: string
   /** Advice ticket for the worker; `null` if the queue requires no advice. */
   readonly ticket: string | null
+  /** Monotonic time from which the worker refuses the ticket, in milliseconds; infinite without a ticket. */
+  readonly ticketUntilMs: number
   readonly gang: boolean
   /** Monotonic time of the decision, in milliseconds. */
   readonly decidedAtMs: number
@@ -129,6 +131,16 @@
 /** Whether the advice service would take a query of an estimated service time in milliseconds now; if so, it would take any shorter one. */
 export type CanSendQuery = (costMs: number) => boolean
 
+export interface RoundOptions {
+  /** Asked before a query is composed; default: always. */
+  readonly canSend?: CanSendQuery
+  /**
+   * Number of starts with tickets after which other steps that need advice are left out of the round; a gang may exceed it if nothing else has
+   * started. Default: no limit.
+   */
+  readonly maxTicketedStarts?: number
+}
+
 /** Schedules one partition; without I/O, with in-memory state only. */
 export interface PartitionPlanner {
   /** Adds or updates a worker. A new worker receives no tasks until it is marked as synced. */
@@ -182,11 +194,8 @@
   isAllocatedAt: (run: RunName, worker: string) => boolean
   recordAdvice: (query: AdviceQuery, tickets: ReadonlyMap<string, string>, nowMs: number) => void
   recordAdviceFailed: (query: AdviceQuery, nowMs: number) => void
-  /**
-   * @param trySend called for steps in order of rank
-   * @param canSend asked before a query is composed; default: always
-   */
-  decide: (nowMs: number, wallMs: number, trySend: TrySendQuery, canSend?: CanSendQuery) => PlannerDecisions
+  /** @param trySend called for steps in order of rank */
+  decide: (nowMs: number, wallMs: number, trySend: TrySendQuery, options?: RoundOptions) => PlannerDecisions
   /** Counts the evaluations of workers and tasks in the last planning round. */
   countEvaluations: () => number
   /** Stops of earlier rounds at a worker whose runs have not ended yet, for a controller that was created after they were ordered. */
--- a/packages/core/src/partition/stepInstance.ts
+++ b/packages/core/src/partition/stepInstance.ts
@@ -85,6 +85,11 @@
   return ticket !== undefined && ticket.validUntilMs > nowMs
 }
 
+/** Tells whether the step starts only with a ticket. */
+export function needsAdvice (instance: StepInstance): boolean {
+  return instance.job.spec.policy.advice !== undefined
+}
+
 /** Tells whether the step may have a valid ticket for any worker, or its queue requires none. */
 export function mayHaveTicket (instance: StepInstance, nowMs: number): boolean {
   return instance.job.spec.policy.advice === undefined || instance.ticketsUntilMs > nowMs
--- a/packages/entry/src/partition/__tests__/partitionCommits.spec.ts
+++ b/packages/entry/src/partition/__tests__/partitionCommits.spec.ts
@@ -61,6 +61,7 @@
       return []
     },
     startRun: () => {},
+    countStartRoom: () => Infinity,
     onCommitted: () => {},
     onJobsExpired: () => {},
     onStuck: () => {},
--- a/packages/entry/src/partition/__tests__/waitingStarts.spec.ts
+++ b/packages/entry/src/partition/__tests__/waitingStarts.spec.ts
@@ -23,7 +23,7 @@
   const clock = createFakeClock()
   const events = createMemoryEventLog()
   const planner = createPartitionPlanner()
-  const startWindow = createStartWindow(1)
+  const startWindow = createStartWindow({ limit: 1, slowResponseMs: 100, clock, maxWaitMs: 500, onQueueEmpty: () => {} })
   const sent: number[] = []
   planner.setWorker(INFO)
   const controller = createPartitionWorkerController({
@@ -107,7 +107,7 @@
   await clock.runFor(100)
   assert.equal(sent, [])
   planner.setWorker({ ...INFO, capacity: SHRUNK })
-  startWindow.releaseSlot()
+  startWindow.releaseSlot(null)
   await clock.runFor(100)
   assert.is(sent.length, SHRUNK.processors, `${sent.length} of ${starts.length} starts were sent`)
 })
@@ -117,7 +117,7 @@
   const { clock, planner, controller, startWindow, starts, sent } = await startController()
   planner.recordWorkerLost(INFO.id, { kind: 'crashed', failedAtMs: clock.nowMs(), nowMs: clock.nowMs(), wallMs: clock.wallMs() })
   for (const order of starts) controller.startRun(order)
-  startWindow.releaseSlot()
+  startWindow.releaseSlot(null)
   await clock.runFor(3000)
   assert.equal(sent, [])
 })
--- a/packages/entry/src/partition/__tests__/workerLease.spec.ts
+++ b/packages/entry/src/partition/__tests__/workerLease.spec.ts
@@ -48,7 +48,7 @@
     clock,
     events,
     load,
-    startWindow: createStartWindow(1),
+    startWindow: createStartWindow({ limit: 1, slowResponseMs: 100, clock, maxWaitMs: 500, onQueueEmpty: () => {} }),
     computeGrantMs: () => MAX_GRANTED_LEASE_MS,
     onChange: () => {},
     isDraining: () => false,
--- a/packages/entry/src/partition/adviceQueue.ts
+++ b/packages/entry/src/partition/adviceQueue.ts
@@ -28,7 +28,8 @@
   | { readonly kind: 'advice', readonly tickets: ReadonlyMap<string, string> }
   /** The service was not called because of the work queued ahead. */
   | { readonly kind: 'declined', readonly queuedMs: number }
-  | { readonly kind: 'failed' }
+  /** `isOwnDelay`: the delay of this entry explains it, so that it says nothing about the server. */
+  | { readonly kind: 'failed', readonly isOwnDelay?: boolean }
 
 /** Queue of calls to the advice service. */
 export interface AdviceQueue {
@@ -43,7 +44,7 @@
   let idleAtMs = -Infinity
 
   const callService = async (request: QueuedRequest, acceptedAtMs: number): Promise<AdviceOutcome> => {
-    if (clock.nowMs() + request.costMs > acceptedAtMs + request.timeoutMs) return { kind: 'failed' }
+    if (clock.nowMs() + request.costMs > acceptedAtMs + request.timeoutMs) return { kind: 'failed', isOwnDelay: true }
     const result = await client.requestAdvice(request.step, request.workers, request.costMs + ADVICE_TIMEOUT_MARGIN_MS)
     if (result.isOk()) return { kind: 'advice', tickets: result.value }
     events.record(adviceMissing, { step: request.step, reason: result.error.message })
--- a/packages/entry/src/partition/adviceRouter.ts
+++ b/packages/entry/src/partition/adviceRouter.ts
@@ -20,6 +20,9 @@
   readonly events: EventLog
 }
 
+/** @param expectedAtMs time at which the response was expected, in milliseconds; it may have arrived then and been read later */
+export type OnTickets = (tickets: ReadonlyMap<string, string> | null, expectedAtMs: number) => void
+
 /** Obtains placement advice for the partitions of this entry. */
 export interface AdviceRouter extends Disposable {
   /** Whether a server would take a request of an expected duration in milliseconds; one that takes it also takes any shorter one. */
@@ -29,7 +32,7 @@
    *
    * @param onTickets receives the tickets by worker, or `null` if no response arrived in time
    */
-  trySubmit: (request: AdviceQuery, onTickets: (tickets: ReadonlyMap<string, string> | null) => void) => boolean
+  trySubmit: (request: AdviceQuery, onTickets: OnTickets) => boolean
 }
 
 interface PendingRequest {
@@ -81,7 +84,7 @@
       timer.dispose()
       onOutcome(outcome)
     }
-    const timer = createResponseTimer({ clock, timeoutMs, onTimeout: () => finish({ kind: 'failed' }) })
+    const timer = createResponseTimer({ clock, timeoutMs, onTimeout: (isOwnDelay) => finish({ kind: 'failed', isOwnDelay }) })
     pendingRequests.set(exchange, { server, finish })
     servers.addRequest(server, request.costMs)
     const { step, workers, costMs } = request
@@ -94,27 +97,28 @@
   }
 
   /** Sends the request to the best server, and to the next one if it declines. Returns whether a server was available. */
-  const submitToServers = (routed: RoutedRequest, onTickets: (tickets: ReadonlyMap<string, string> | null) => void): boolean => {
+  const submitToServers = (routed: RoutedRequest, onTickets: OnTickets): boolean => {
     const { request, declined } = routed
     const chosen = declined.size < MAX_DECLINES ? servers.chooseServer(request.costMs, declined) : null
     if (chosen === null) return false
     const server = chosen.incarnation
+    const expectedAtMs = clock.nowMs() + chosen.queuedMs + request.costMs
     // The limit includes the work that this entry already knows of, so that the server does not decline because of it.
     const maxQueuedMs = chosen.queuedMs + (declined.size + 1 < MAX_DECLINES ? SHORT_CALL_QUEUE_MS : MAX_QUEUE_MS)
     sendRequest(server, routed, maxQueuedMs, (outcome) => {
       const waitedMs = Math.round(clock.nowMs() - routed.startedAtMs)
       if (outcome.kind === 'advice') {
         events.record(adviceAnswered, { step: request.step, asked: request.workers.length, good: outcome.tickets.size, waitedMs })
-        onTickets(outcome.tickets)
+        onTickets(outcome.tickets, expectedAtMs)
         return
       }
       if (outcome.kind === 'declined') {
         declined.add(server)
         servers.recordBusy(server, outcome.queuedMs)
         if (!disposed && submitToServers(routed, onTickets)) return
-      } else servers.recordFailed(server)
+      } else if (outcome.isOwnDelay !== true) servers.recordFailed(server)
       events.record(adviceMissing, { step: request.step, server, waitedMs, reason: outcome.kind === 'declined' ? 'all servers are busy' : 'no response in time' })
-      onTickets(null)
+      onTickets(null, expectedAtMs)
     })
     return true
   }
--- a/packages/entry/src/partition/constants.ts
+++ b/packages/entry/src/partition/constants.ts
@@ -15,6 +15,8 @@
  * takes 5 ms. The platform executes some orders seconds late, while the next attempt for the same run is answered at once.
  */
 export const START_ATTEMPT_TIMEOUTS_MS: readonly number[] = [200, 400, 700]
+/** Time that a start order takes to its worker, in milliseconds; one whose ticket expires before that is not sent. */
+export const START_TRANSIT_MS = 20
 /** Pause after a failed lease call, in milliseconds. */
 export const LEASE_RETRY_MS = 250
 /** Longest time that a lease loop waits for the commit of the ended runs it reported, in milliseconds. */
@@ -124,6 +126,10 @@
 export const COMMIT_ONLY_PAUSE_MS = 50
 /** Most start orders in flight; an answered start takes 5 ms. */
 export const MAX_STARTS_IN_FLIGHT = 32
+/** Response time of start orders from which fewer are sent at a time, in milliseconds; half of the first timeout. */
+export const SLOW_START_RESPONSE_MS = 100
+/** Longest time for which starts should wait behind others, in milliseconds: a third of the validity of tickets. */
+export const MAX_START_WAIT_MS = 500
 /** Longest interval between two planning rounds, in milliseconds. */
 export const MAX_PLAN_PAUSE_MS = 200
 /** Pause between two deletions of jobs past their retention, in milliseconds; at the load projected for two years ahead, a job ends every 20 s. */
--- a/packages/entry/src/partition/partitionCommits.ts
+++ b/packages/entry/src/partition/partitionCommits.ts
@@ -27,8 +27,10 @@
   readonly isLoaded: () => boolean
   readonly listControllers: () => Iterable<PartitionWorkerController>
   readonly pacer: PlanPacer
-  /** Plans one round: issues the orders that need no commit and returns the starts. */
-  readonly plan: () => readonly StartOrder[]
+  /** Plans one round: issues the orders that need no commit and returns about `maxTicketedStarts` starts with tickets at most. */
+  readonly plan: (maxTicketedStarts: number) => readonly StartOrder[]
+  /** Counts the starts that may be ordered now, so that none waits for long. */
+  readonly countStartRoom: () => number
   readonly startRun: (order: StartOrder) => void
   readonly onCommitted: (jobs: readonly string[]) => void
   /** Ended jobs past their retention were removed from the planner: delete their rows, then their states with `deleteStates`. */
@@ -90,7 +92,8 @@
 
   const planRound = (): void => {
     isPlanRequested = false
-    const starts = options.load.measurePart('plan', options.plan)
+    const maxTicketedStarts = Math.max(0, options.countStartRoom() - pendingStarts.length)
+    const starts = options.load.measurePart('plan', () => options.plan(maxTicketedStarts))
     for (const order of starts) options.events.record(runPlaced, { run: formatRun(order), worker: order.worker, resumed: order.saved !== '' })
     pendingStarts.push(...starts)
     const expiredJobs = planner.removeEnded(clock.wallMs() - options.statusMs)
--- a/packages/entry/src/partition/partitionTerm.ts
+++ b/packages/entry/src/partition/partitionTerm.ts
@@ -6,7 +6,7 @@
 import type { AdviceRouter } from './adviceRouter.js'
 import { createCeilingClaims } from './ceilingClaims.js'
 import { createPartitionCommits } from './partitionCommits.js'
-import { LATE_LEASE_MEMORY_MS, MAX_MISSING_AS_CRASHED, MAX_STARTS_IN_FLIGHT, MAX_UNCONFIRMED_EXTENSION_MS } from './constants.js'
+import { LATE_LEASE_MEMORY_MS, MAX_MISSING_AS_CRASHED, MAX_STARTS_IN_FLIGHT, MAX_UNCONFIRMED_EXTENSION_MS, MAX_START_WAIT_MS, SLOW_START_RESPONSE_MS } from './constants.js'
 import { computeLateLeaseMs, computeLeaseMs, computePriorLeaseBoundMs } from './leaseBounds.js'
 import { createPartitionJobs } from './partitionJobs.js'
 import type { HolderRow } from './partitionRows.js'
@@ -68,7 +68,9 @@
   const disposables = createDisposableStore()
   const planner = (options.createPlanner ?? createPartitionPlanner)()
   const load = disposables.add(createHolderLoad({ partition, epoch: row.epoch, clock, events, readBacklog: planner.countBacklog }))
-  const startWindow = createStartWindow(MAX_STARTS_IN_FLIGHT)
+  const startWindow = createStartWindow({
+    limit: MAX_STARTS_IN_FLIGHT, slowResponseMs: SLOW_START_RESPONSE_MS, clock, maxWaitMs: MAX_START_WAIT_MS, onQueueEmpty: () => commits.wake()
+  })
   const managedWorkers = new Map<string, ManagedWorker>()
   const listings = new Map<string, ListedWorker>()
   /** Worker that was listed last at each address, of any service. */
@@ -191,18 +193,20 @@
     planner.setWorker({ ...member.listing, draining: true })
   }
 
-  const tryRequestAdvice: TrySendQuery = (request) => advice.trySubmit(request, (tickets) => {
+  const tryRequestAdvice: TrySendQuery = (request) => advice.trySubmit(request, (tickets, expectedAtMs) => {
     if (disposed) return
-    if (tickets === null) planner.recordAdviceFailed(request, clock.nowMs())
-    else planner.recordAdvice(request, tickets, clock.nowMs())
+    const nowMs = clock.nowMs()
+    const arrivedAtMs = Math.max(nowMs - options.loop.readLongestDelayMs(), Math.min(nowMs, expectedAtMs))
+    if (tickets === null) planner.recordAdviceFailed(request, nowMs)
+    else planner.recordAdvice(request, tickets, arrivedAtMs)
     commits.wake()
   })
 
-  const plan = (): readonly StartOrder[] => {
+  const plan = (maxTicketedStarts: number): readonly StartOrder[] => {
     if (!jobs.isLoaded()) return []
     removeUnlistedWorkers()
     removeNeverListedWorkers()
-    const decisions = planner.decide(clock.nowMs(), clock.wallMs(), tryRequestAdvice, advice.canSubmit)
+    const decisions = planner.decide(clock.nowMs(), clock.wallMs(), tryRequestAdvice, { canSend: advice.canSubmit, maxTicketedStarts })
     for (const { blocked } of planner.listTeamDemand().values()) if (blocked.memoryMb > 0) ceilings.scheduleReview()
     for (const change of decisions.isolation) events.record(workerIsolationChanged, { cell: partition, ...change })
     for (const stop of decisions.stops) managedWorkers.get(stop.worker)?.controller.stopRun(stop)
@@ -251,6 +255,7 @@
     listControllers: () => [...managedWorkers.values()].map((member) => member.controller),
     pacer: createPlanPacer(clock),
     plan,
+    countStartRoom: startWindow.countRoom,
     startRun: (order) => {
       const member = managedWorkers.get(order.worker)
       if (member === undefined || member.isUnlisted || member.listing.draining) planner.recordStartRefused(order, 'notSent', clock.nowMs())
--- a/packages/entry/src/partition/partitionWorkerController.ts
+++ b/packages/entry/src/partition/partitionWorkerController.ts
@@ -1,7 +1,7 @@
 /** Controls one worker on behalf of a partition's holder: renews its lease, applies its run reports and sends it orders. */
 import { createDisposableStore, type Disposable, type RunName, type StartOrder, type StopOrder } from '@fuchsiatally/core'
 import {
-  MAX_CLOCK_DRIFT, COMMIT_WAIT_MS, LEASE_MARGIN_MS, LEASE_RETRY_MS, LEASE_WAIT_MS, MAX_EXCUSED_CALLS, MIN_START_LEASE_MS, START_ATTEMPT_TIMEOUTS_MS, SUSPECT_PAUSE_MS, UNEXTENDED_LEASE_WAIT_MS
+  MAX_CLOCK_DRIFT, COMMIT_WAIT_MS, LEASE_MARGIN_MS, LEASE_RETRY_MS, LEASE_WAIT_MS, MAX_EXCUSED_CALLS, MIN_START_LEASE_MS, START_ATTEMPT_TIMEOUTS_MS, START_TRANSIT_MS, SUSPECT_PAUSE_MS, UNEXTENDED_LEASE_WAIT_MS
 } from './constants.js'
 import { computeInheritedLeaseMs, computePriorLeaseBoundMs } from './leaseBounds.js'
 import { runEnded, runRefused, runStopping, orderInDoubt, workerReachable, workerUnresponsive } from './events.js'
@@ -222,8 +222,9 @@
       const isSettled = !inDoubt.has(name)
       // The order may have waited for the commit and for the window while the worker's capacity shrank.
       const hasNoRoom = attempt === 0 && planner.isOvercommitted(worker)
-      if (isSettled || lease === null || nowMs === null || disposed || lease - nowMs < MIN_START_LEASE_MS || stopping.has(name) || hasNoRoom) {
-        if (attempt === 0) startWindow.releaseSlot()
+      const hasExpired = attempt === 0 && clock.nowMs() + START_TRANSIT_MS >= order.ticketUntilMs
+      if (hasExpired || isSettled || lease === null || nowMs === null || disposed || lease - nowMs < MIN_START_LEASE_MS || stopping.has(name) || hasNoRoom) {
+        if (attempt === 0) startWindow.releaseSlot(null)
         if (isSettled) return
         break
       }
@@ -231,7 +232,8 @@
       const sentAtMs = clock.nowMs()
       if (attempt === 0) options.load.recordStartSent(sentAtMs - order.decidedAtMs)
       const result = await client.startRun(order, epoch, lease, timeoutMs)
-      if (attempt === 0) startWindow.releaseSlot()
+      const isResponse = result.isOk() || result.error.isOwnDelay === true
+      if (attempt === 0) startWindow.releaseSlot(isResponse ? clock.nowMs() - sentAtMs : null)
       if (disposed) return
       if (result.isErr()) {
         if (result.error.isOwnDelay === true && excusedAttempts < MAX_EXCUSED_CALLS) {
