Planner: reservations search flat arrays

Callers see later starts the longer the backlog of a holder on a small entry: each size of waiting urgent tasks costs a search through all workers in each round, up to the budget of the round.

Cause: the search composed, for each worker, five or more amounts of resources and a candidate, most of which say only how much the worker lacks.

Change: the rooms of the workers are kept in flat arrays for the round, in whole units of processors; a search computes from them what each worker lacks, and composes amounts only where tasks may be preempted.

The number of evaluations stays the same but for one of each worker and its tasks, so that no count can show the change; planningCost.spec bounds them as before.

--- a/packages/core/src/partition/capacityReservation.ts
+++ b/packages/core/src/partition/capacityReservation.ts
@@ -1,10 +1,11 @@
 /** Reserves capacity for steps that could not be placed, and selects lower-priority tasks to preempt for them. */
-import { addResources, hasRoomFor, NO_RESOURCES, subtractResources, type Resources } from '../schema/resources.js'
-import { canEverRun, computeFree, computeTaskResources, type PartitionWorker } from './partitionWorker.js'
+import { addResources, type Resources } from '../schema/resources.js'
+import type { PartitionWorker } from './partitionWorker.js'
 import type { Task } from './jobState.js'
 import { createMinimumTree, type MinimumTree } from './minimumTree.js'
 import type { PlanningRound } from './planningRound.js'
-import { computeShortfall, computeSize, mayBePreempted } from './preemption.js'
+import { computeShortfall, mayBePreempted } from './preemption.js'
+import { createReservationRooms, type PreemptibleTask, type ReservationRooms } from './reservationRooms.js'
 import { countTasksByWorker, type StepInstance } from './stepInstance.js'
 
 /** A step that could not be placed. */
@@ -26,31 +27,16 @@
   reserve: (request: ReservationRequest) => Task[]
 }
 
-interface PreemptibleTask {
-  readonly task: Task
-  readonly resources: Resources
-  readonly size: number
-}
-
-/** Tasks at a worker as they were at the start of the round. */
-interface WorkerTasks {
-  /** Resources that will be released by stops in progress. */
-  readonly stopping: Resources
-  /** Smallest first. */
-  readonly preemptible: readonly PreemptibleTask[]
-}
-
-interface ReservationCandidate {
-  readonly preempted: readonly PreemptibleTask[]
-  /** Size of the tasks to preempt, in cores; `WAIT_COST` plus the missing cores if the reservation has to wait; infinite without capacity. */
-  readonly cost: number
-}
-
 /** Candidates for tasks of one size and priority, shared by all steps with such tasks. */
 interface CandidateSearch {
   readonly request: ReservationRequest
-  readonly candidates: ReservationCandidate[]
+  /**
+   * Cost of each worker: size of the tasks to preempt, in cores; `WAIT_COST` plus the missing cores if the reservation has to wait; infinite
+   * without capacity.
+   */
   readonly costs: MinimumTree
+  /** Tasks to preempt, by worker. */
+  readonly preempted: Map<number, readonly PreemptibleTask[]>
   /** Number of changes of the round that the candidates include. */
   changesSeen: number
 }
@@ -58,20 +44,6 @@
 /** Base cost of a reservation that waits for running tasks to complete; any that frees capacity by preemption is preferred. */
 const WAIT_COST = 1e6
 
-const NO_CANDIDATE: ReservationCandidate = { preempted: [], cost: Infinity }
-
-function collectTasks (worker: PartitionWorker): WorkerTasks {
-  let stopping = NO_RESOURCES
-  const preemptible: PreemptibleTask[] = []
-  for (const task of worker.tasks) {
-    const resources = computeTaskResources(task.definition)
-    if (task.stopping) stopping = addResources(stopping, resources)
-    else if (mayBePreempted(task, -Infinity)) preemptible.push({ task, resources, size: computeSize(resources) })
-  }
-  preemptible.sort((a, b) => a.size - b.size)
-  return { stopping, preemptible }
-}
-
 /** Chooses the smallest task that makes up for the shortfall of `left`, else as few as possible; `null` if all together don't. */
 function chooseTasksToPreempt (candidates: readonly PreemptibleTask[], left: Resources): PreemptibleTask[] | null {
   const enough = candidates.find(({ resources }) => computeShortfall(addResources(left, resources)) === 0)
@@ -95,46 +67,45 @@
 /** Creates the reservations of a round. */
 export function createCapacityReservations (round: PlanningRound): CapacityReservations {
   const searches = new Map<string, CandidateSearch>()
-  const tasksByWorker = new Map<number, WorkerTasks>()
-  /** Tasks chosen for preemption by the request being served, by worker. */
-  const chosen = new Map<number, PreemptibleTask[]>()
+  /** Created when first needed: many rounds reserve nothing. */
+  let rooms: ReservationRooms | null = null
 
-  const readTasks = (index: number): WorkerTasks => {
-    const known = tasksByWorker.get(index)
-    if (known !== undefined) return known
-    const worker = round.workers[index]!
-    round.addEvaluations(worker.tasks.size)
-    const tasks = collectTasks(worker)
-    tasksByWorker.set(index, tasks)
-    return tasks
+  const readRooms = (): ReservationRooms => {
+    rooms ??= createReservationRooms(round)
+    rooms.update()
+    return rooms
   }
 
-  const buildCandidate = ({ instance, mayPreempt }: ReservationRequest, index: number): ReservationCandidate => {
-    round.addEvaluations(1)
-    const worker = round.workers[index]!
-    if (!canEverRun(worker, instance.step)) return NO_CANDIDATE
-    const claimed = addResources(round.readReserved(index), instance.taskResources)
-    if (!hasRoomFor(worker.info.capacity, claimed)) return NO_CANDIDATE
-    const { stopping, preemptible } = readTasks(index)
-    const chosenHere = chosen.get(index) ?? []
-    let left = subtractResources(addResources(computeFree(worker), stopping), claimed)
-    for (const { resources } of chosenHere) left = addResources(left, resources)
-    const shortfall = computeShortfall(left)
-    if (shortfall === 0) return { preempted: [], cost: 0 }
-    const wait = { preempted: [], cost: WAIT_COST + shortfall }
-    if (!mayPreempt) return wait
+  /** Computes the cost of a worker by what it lacks, and records the tasks that would be preempted there. */
+  const computeCost = ({ request, preempted }: Pick<CandidateSearch, 'request' | 'preempted'>, index: number, shortfall: number, all: ReservationRooms): number => {
+    const { instance, mayPreempt } = request
+    const { step, taskResources } = instance
+    if (preempted.size > 0) preempted.delete(index)
+    if (step.requiredLabel !== undefined && !round.workers[index]!.info.labels.includes(step.requiredLabel)) return Infinity
+    if (shortfall === 0 || shortfall === Infinity) return shortfall
+    if (!mayPreempt) return WAIT_COST + shortfall
+    const preemptible = all.readPreemptible(index)
+    if (preemptible.length === 0) return WAIT_COST + shortfall
     round.addEvaluations(preemptible.length)
+    const chosen = all.readChosen(index)
     const { priority } = instance.job.spec.policy
-    const preempted = chooseTasksToPreempt(preemptible.filter((candidate) => mayBePreempted(candidate.task, priority) && !chosenHere.includes(candidate)), left)
-    return preempted === null ? wait : { preempted, cost: preempted.reduce((sum, { size }) => sum + size, 0) }
+    const candidates = preemptible.filter((candidate) => mayBePreempted(candidate.task, priority) && !chosen.includes(candidate))
+    const tasks = chooseTasksToPreempt(candidates, all.computeLeft(index, taskResources))
+    if (tasks === null) return WAIT_COST + shortfall
+    preempted.set(index, tasks)
+    return tasks.reduce((sum, { size }) => sum + size, 0)
   }
 
   const findSearch = (request: ReservationRequest): CandidateSearch => {
     const key = buildSearchKey(request)
     const known = searches.get(key)
     if (known !== undefined) return known
-    const candidates = round.workers.map((_, index) => buildCandidate(request, index))
-    const search = { request, candidates, costs: createMinimumTree(candidates.map(({ cost }) => cost)), changesSeen: round.changes.length }
+    const all = readRooms()
+    const preempted = new Map<number, readonly PreemptibleTask[]>()
+    const costs = all.listShortfalls(request.instance.taskResources)
+    for (let index = 0; index < costs.length; index++) costs[index] = computeCost({ request, preempted }, index, costs[index]!, all)
+    round.addEvaluations(costs.length)
+    const search = { request, costs: createMinimumTree(costs), preempted, changesSeen: round.changes.length }
     searches.set(key, search)
     return search
   }
@@ -143,21 +114,21 @@
   const updateSearch = (search: CandidateSearch): void => {
     const unseen = round.changes.length - search.changesSeen
     if (unseen === 0) return
+    const all = readRooms()
     const changed = round.changes.slice(search.changesSeen)
     for (const index of unseen > 1 ? new Set(changed) : changed) {
-      const candidate = buildCandidate(search.request, index)
-      search.candidates[index] = candidate
-      search.costs.set(index, candidate.cost)
+      round.addEvaluations(1)
+      search.costs.set(index, computeCost(search, index, all.computeShortfall(index, search.request.instance.taskResources), all))
     }
     search.changesSeen = round.changes.length
   }
 
   /** Finds the worker with the lowest cost that the step may use; those that it may not use are passed over and added to `excluded`. */
-  const findBest = ({ costs }: CandidateSearch, mayUse: (worker: PartitionWorker) => boolean, excluded: number[]): number => {
+  const findBest = ({ costs }: CandidateSearch, mayUse: (worker: PartitionWorker) => boolean, excluded: Map<number, number>): number => {
     for (let index = costs.findMinimum(); index >= 0; index = costs.findMinimum()) {
       if (mayUse(round.workers[index]!)) return index
       round.addEvaluations(1)
-      excluded.push(index)
+      excluded.set(index, costs.read(index))
       costs.set(index, Infinity)
     }
     return -1
@@ -173,7 +144,7 @@
     const mayUse = ({ info: { id } }: PartitionWorker): boolean => {
       return !instance.unsuitable.has(id) && (counts === null || (counts.get(id) ?? 0) < maxPerWorker)
     }
-    const excluded: number[] = []
+    const excluded = new Map<number, number>()
     const preempted: Task[] = []
     let isComplete = true
     for (let count = 0; count < request.tasks.length; count++) {
@@ -183,19 +154,20 @@
         isComplete = false
         break
       }
-      const best = search.candidates[index]!
-      if (best.cost >= WAIT_COST) isComplete = false
-      for (const { task } of best.preempted) preempted.push(task)
-      if (best.preempted.length > 0) chosen.set(index, [...chosen.get(index) ?? [], ...best.preempted])
+      if (search.costs.read(index) >= WAIT_COST) isComplete = false
+      const tasks = search.preempted.get(index)
+      if (tasks !== undefined) {
+        for (const { task } of tasks) preempted.push(task)
+        readRooms().addChosen(index, tasks)
+      }
       if (counts !== null) {
         const { id } = round.workers[index]!.info
         counts.set(id, (counts.get(id) ?? 0) + 1)
       }
       round.reserve(index, instance.taskResources)
     }
-    for (const index of excluded) search.costs.set(index, search.candidates[index]!.cost)
-    for (const index of chosen.keys()) round.recordChange(index)
-    chosen.clear()
+    for (const [index, cost] of excluded) search.costs.set(index, cost)
+    readRooms().dropChosen()
     return gang && !isComplete ? [] : preempted
   }
 
--- a/packages/core/src/partition/minimumTree.ts
+++ b/packages/core/src/partition/minimumTree.ts
@@ -9,7 +9,7 @@
 }
 
 /** Creates a tree of `costs`. */
-export function createMinimumTree (costs: readonly number[]): MinimumTree {
+export function createMinimumTree (costs: ArrayLike<number>): MinimumTree {
   let size = 1
   while (size < costs.length) size *= 2
   const values = new Float64Array(size).fill(Infinity)
