Planner: a step's tasks are looked at again only after a change of its job

Callers see rounds that grow with the waiting tasks, 7,000 and more in a backlog, although only those of a few steps start or end between two rounds.

Cause: each round listed the startable tasks of every waiting step twice, filtered those that must run apart, and went through the tasks of all steps of the occurrence for the remaining critical path.

Change: a step keeps a summary of its tasks, which holds until its job is marked as changed. Each change of a task's phase, worker or crashes marks its job, because it has to be stored. A step without placements returns before anything is composed for them.

--- a/packages/core/src/partition/createPartitionPlanner.ts
+++ b/packages/core/src/partition/createPartitionPlanner.ts
@@ -10,7 +10,7 @@
 import { createJobRegistry } from './jobRegistry.js'
 import { isSuspected, listTasks, type Task } from './jobState.js'
 import type { CanSendQuery, PlannerDecisions, PartitionPlanner, RoundOptions, RunName, StartOrder, TrySendQuery } from './plannerTypes.js'
-import { buildAdviceQuery, chooseAdviceWorkers, countStartable, listStartable, mayHaveTicket, needsAdvice, mayBeSuitable, recordAdvice, recordAdviceFailed, type StepInstance } from './stepInstance.js'
+import { buildAdviceQuery, chooseAdviceWorkers, countStartable, listStartable, listSuspected, mayHaveTicket, needsAdvice, mayBeSuitable, recordAdvice, recordAdviceFailed, type StepInstance } from './stepInstance.js'
 import { createCapacityReservations } from './capacityReservation.js'
 import { createCeilingPreemptions, type CeilingPreemptions } from './ceilingPreemption.js'
 import { buildRunName, createRunTracker } from './runTracker.js'
@@ -107,7 +107,7 @@
   }
 
   /** Starts the tasks of a step that fit the capacity and the team's limit; returns those that wait for capacity. */
-  const startStep = (ranked: RankedInstance, parts: RoundParts, starts: StartOrder[]): Task[] => {
+  const startStep = (ranked: RankedInstance, parts: RoundParts, starts: StartOrder[]): readonly Task[] => {
     const { instance } = ranked
     const { round } = parts
     const startable = listStartable(instance)
@@ -117,13 +117,14 @@
       return []
     }
     const { gang } = instance.step
-    const apart = startable.filter(isSuspected)
+    const apart = listSuspected(instance)
     const suspects = apart.filter((task) => task.verdictDueMs <= round.nowMs)
     const sound = apart.length === 0 ? startable : startable.filter((task) => !isSuspected(task))
     const isolated = placeIsolated(instance, suspects, round, parts.trySend)
     if (gang && isolated.length + sound.length < startable.length) return startable
     const shared = placeTasks(instance, sound, round)
     if (gang && shared.length < sound.length) return startable
+    if (isolated.length === 0 && shared.length === 0) return sound
     // The rank of the gang gives it the whole of a later round.
     if (gang && starts.length > 0 && isOrderingBusy(instance, parts, startable.length)) return []
     const gangRun = gang ? Math.max(0, ...instance.tasks.map((task) => task.run)) + 1 : 0
--- a/packages/core/src/partition/jobRegistry.ts
+++ b/packages/core/src/partition/jobRegistry.ts
@@ -59,6 +59,12 @@
   /** Number of one-off jobs of which no task has started, by queue. */
   const waitingJobs = new Map<string, number>()
 
+  const markChanged = (id: string): void => {
+    changed.add(id)
+    const job = jobs.get(id)
+    if (job !== undefined) job.changes++
+  }
+
   /** Keeps the counts of waiting jobs; `change` is 1 or -1. */
   const countJob = (job: Job, change: number): void => {
     if (job.phase !== 'queued' || job.spec.runCount > 0) return
@@ -122,7 +128,7 @@
     job.endedAtMs = wallMs
     ended.add(job.id, wallMs)
     closeSteps(job)
-    changed.add(job.id)
+    markChanged(job.id)
     return true
   }
 
@@ -179,13 +185,13 @@
     },
     recordStarted: (instance) => {
       if (instance.job.phase === 'queued') setPhase(instance.job, 'running')
-      changed.add(instance.job.id)
+      markChanged(instance.job.id)
       if (instance.tasks.some((task) => task.phase === 'waiting')) return
       instance.waitingSinceMs = null
       waiting.delete(instance)
     },
     recordDone: (task, nowMs) => {
-      changed.add(task.job)
+      markChanged(task.job)
       const job = jobs.get(task.job)
       const occurrence = job?.occurrences.get(task.occurrence)
       if (job === undefined || occurrence === undefined) return
@@ -198,7 +204,7 @@
       endJob(job, 'completed', wallMs)
     },
     endJob,
-    markChanged: (id) => { changed.add(id) },
+    markChanged,
     isChanged: (id) => changed.has(id),
     takeChanged: (maxCount) => {
       const taken: string[] = []
--- a/packages/core/src/partition/jobState.ts
+++ b/packages/core/src/partition/jobState.ts
@@ -73,6 +73,8 @@
   readonly objectiveMs: number
   phase: JobPhase
   occurrences: Map<number, Occurrence>
+  /** Number of changes of its stored state: what is derived from its tasks is outdated by the next one. */
+  changes: number
   /** Wall clock of the end, in milliseconds since 1970; 0 before it. */
   endedAtMs: number
 }
@@ -132,7 +134,7 @@
 
 /** Restores a job from its rows. */
 export function createJob (id: string, spec: StepJob, record: JobStateRecord, isOverRate: boolean): Job {
-  const job: Job = { id, spec, isOverRate, objectiveMs: computeObjectiveMs(spec), phase: record.phase, occurrences: new Map(), endedAtMs: record.endedAtMs }
+  const job: Job = { id, spec, isOverRate, objectiveMs: computeObjectiveMs(spec), phase: record.phase, occurrences: new Map(), changes: 0, endedAtMs: record.endedAtMs }
   for (const [index, steps] of record.occurrences) {
     const occurrence = createOccurrence(id, spec, index)
     for (const [stepIndex, rows] of steps.entries()) {
--- a/packages/core/src/partition/stepInstance.ts
+++ b/packages/core/src/partition/stepInstance.ts
@@ -4,7 +4,7 @@
 import type { AdviceQuery } from './plannerTypes.js'
 import type { PlanningRound } from './planningRound.js'
 import { hasRoomFor, subtractResources, type Resources } from '../schema/resources.js'
-import type { Job, Task, Occurrence } from './jobState.js'
+import { isSuspected, type Job, type Occurrence, type Task } from './jobState.js'
 import type { AdvicePolicy, JobStep } from './stepJob.js'
 
 /** Permission from the advice service to run a step at one worker. */
@@ -14,6 +14,16 @@
   readonly validUntilMs: number
 }
 
+/** What planning derives from the tasks of a step and its occurrence. */
+interface TaskSummary {
+  /** Changes of the job that the summary includes. */
+  readonly jobChanges: number
+  readonly startable: readonly Task[]
+  /** Those of them that must run apart. */
+  readonly suspected: readonly Task[]
+  readonly remainingMs: number
+}
+
 /** A step of one occurrence that is ready to run. */
 export interface StepInstance {
   /** `job.occurrence.step` */
@@ -33,6 +43,8 @@
   ticketsUntilMs: number
   isAdvicePending: boolean
   nextAdviceMs: number
+  /** Most steps of a backlog don't change from one round to the next. */
+  summary: TaskSummary | null
 }
 
 /** Creates the instance of a step whose dependencies are complete. */
@@ -53,22 +65,56 @@
     unsuitable: new Set(),
     ticketsUntilMs: -Infinity,
     isAdvicePending: false,
-    nextAdviceMs: 0
+    nextAdviceMs: 0,
+    summary: null
   }
 }
 
 /** Lists the tasks that may start now; a gang restarts only after all members of its last run have ended. */
-export function listStartable (instance: StepInstance): Task[] {
-  const waiting = instance.tasks.filter((task) => task.phase === 'waiting' && task.worker === '')
-  if (!instance.step.gang) return waiting
-  return waiting.length === instance.tasks.length ? waiting : []
+function collectStartable ({ tasks, step }: StepInstance): readonly Task[] {
+  const waiting = tasks.filter((task) => task.phase === 'waiting' && task.worker === '')
+  return step.gang && waiting.length < tasks.length ? [] : waiting
+}
+
+/** Estimates the remaining critical path of the occurrence, in milliseconds. */
+function computeRemainingMs ({ job, occurrence }: StepInstance): number {
+  const endsAt: number[] = []
+  for (const [index, step] of job.spec.steps.entries()) {
+    let startsAt = 0
+    for (const earlier of step.after) startsAt = Math.max(startsAt, endsAt[earlier] ?? 0)
+    const isDone = occurrence.steps[index]?.every((task) => task.phase === 'done') ?? false
+    endsAt.push(startsAt + (isDone ? 0 : step.estimateMs))
+  }
+  return Math.max(0, ...endsAt)
+}
+
+function readSummary (instance: StepInstance): TaskSummary {
+  const { job, summary } = instance
+  if (summary !== null && summary.jobChanges === job.changes) return summary
+  const startable = collectStartable(instance)
+  const built = { jobChanges: job.changes, startable, suspected: startable.filter(isSuspected), remainingMs: computeRemainingMs(instance) }
+  instance.summary = built
+  return built
+}
+
+/** Lists the tasks that may start now. */
+export function listStartable (instance: StepInstance): readonly Task[] {
+  return readSummary(instance).startable
+}
+
+/** Lists the tasks that may start now and must run apart. */
+export function listSuspected (instance: StepInstance): readonly Task[] {
+  return readSummary(instance).suspected
 }
 
 /** Counts the tasks that may start now. */
 export function countStartable (instance: StepInstance): number {
-  let count = 0
-  for (const task of instance.tasks) if (task.phase === 'waiting' && task.worker === '') count++
-  return instance.step.gang && count < instance.tasks.length ? 0 : count
+  return readSummary(instance).startable.length
+}
+
+/** Estimates the remaining critical path of the occurrence, in milliseconds. */
+export function estimateRemainingMs (instance: StepInstance): number {
+  return readSummary(instance).remainingMs
 }
 
 /** Counts the step's tasks that occupy resources, by worker. */
@@ -170,15 +216,3 @@
   instance.isAdvicePending = false
   instance.nextAdviceMs = nowMs + ADVICE_RETRY_MS
 }
-
-/** Estimates the remaining critical path of the occurrence, in milliseconds. */
-export function estimateRemainingMs (instance: StepInstance): number {
-  const endsAt: number[] = []
-  for (const [index, step] of instance.job.spec.steps.entries()) {
-    let startsAt = 0
-    for (const earlier of step.after) startsAt = Math.max(startsAt, endsAt[earlier] ?? 0)
-    const isDone = instance.occurrence.steps[index]?.every((task) => task.phase === 'done') ?? false
-    endsAt.push(startsAt + (isDone ? 0 : step.estimateMs))
-  }
-  return Math.max(0, ...endsAt)
-}
