Planner: no tasks are composed for preemption at workers that it can't free

A search for a reservation filtered the preemptible tasks of each worker without room, also where all of them together would not make room. The sum of them is kept beside the worker's room.

--- a/packages/core/src/partition/capacityReservation.ts
+++ b/packages/core/src/partition/capacityReservation.ts
@@ -80,12 +80,10 @@
   const computeCost = ({ request, preempted }: Pick<CandidateSearch, 'request' | 'preempted'>, index: number, shortfall: number, all: ReservationRooms): number => {
     const { instance, mayPreempt } = request
     const { step, taskResources } = instance
-    if (preempted.size > 0) preempted.delete(index)
     if (step.requiredLabel !== undefined && !round.workers[index]!.info.labels.includes(step.requiredLabel)) return Infinity
     if (shortfall === 0 || shortfall === Infinity) return shortfall
-    if (!mayPreempt) return WAIT_COST + shortfall
+    if (!mayPreempt || !all.mayFree(index, taskResources)) return WAIT_COST + shortfall
     const preemptible = all.readPreemptible(index)
-    if (preemptible.length === 0) return WAIT_COST + shortfall
     round.addEvaluations(preemptible.length)
     const chosen = all.readChosen(index)
     const { priority } = instance.job.spec.policy
@@ -118,6 +116,7 @@
     const changed = round.changes.slice(search.changesSeen)
     for (const index of unseen > 1 ? new Set(changed) : changed) {
       round.addEvaluations(1)
+      search.preempted.delete(index)
       search.costs.set(index, computeCost(search, index, all.computeShortfall(index, search.request.instance.taskResources), all))
     }
     search.changesSeen = round.changes.length
--- a/packages/core/src/partition/reservationRooms.ts
+++ b/packages/core/src/partition/reservationRooms.ts
@@ -32,6 +32,8 @@
   listShortfalls: (need: Resources) => Float64Array
   /** Resources that are left after `need`; negative components are missing. */
   computeLeft: (index: number, need: Resources) => Resources
+  /** Whether `need` could fit if all tasks that may be preempted for anything were. */
+  mayFree: (index: number, need: Resources) => boolean
   readPreemptible: (index: number) => readonly PreemptibleTask[]
   /** Counts tasks that will be preempted as room, until `dropChosen`. */
   addChosen: (index: number, tasks: readonly PreemptibleTask[]) => void
@@ -84,6 +86,8 @@
   const unreserved = createAmounts(workers.length)
   /** The same less what is in use and not about to be released. */
   const room = createAmounts(workers.length)
+  /** Sum of the tasks that may be preempted. */
+  const preemptible = createAmounts(workers.length)
   const chosen = new Map<number, PreemptibleTask[]>()
   let changesSeen = changes.length
 
@@ -95,7 +99,10 @@
     unreserved.set(index, subtractResources(worker.info.capacity, reserved))
     room.set(index, subtractResources(free, reserved))
   }
-  for (let index = 0; index < workers.length; index++) updateWorker(index)
+  for (let index = 0; index < workers.length; index++) {
+    updateWorker(index)
+    preemptible.set(index, tasks[index]!.preemptible.reduce((sum, { resources }) => addResources(sum, resources), NO_RESOURCES))
+  }
 
   const computeShortfall = (index: number, { processors, memoryMb, accelerators }: Resources): number => {
     const units = Math.round(processors * UNITS_PER_CORE)
@@ -120,6 +127,11 @@
       memoryMb: room.memoryMb[index]!,
       accelerators: room.accelerators[index]!
     }, need),
+    mayFree: (index, { processors, memoryMb, accelerators }) => {
+      return processors * UNITS_PER_CORE <= room.units[index]! + preemptible.units[index]! + 1 &&
+        memoryMb <= room.memoryMb[index]! + preemptible.memoryMb[index]! &&
+        accelerators <= room.accelerators[index]! + preemptible.accelerators[index]!
+    },
     readPreemptible: (index) => tasks[index]!.preemptible,
     addChosen: (index, more) => { chosen.set(index, [...chosen.get(index) ?? NO_TASKS, ...more]) },
     readChosen: (index) => chosen.get(index) ?? NO_TASKS,
