Planner: a few searches for reservations in each round, deferred steps in turn

Callers see urgent work start late after a change of the holder or while its entry has a backlog: a round with 25 urgent steps that wait at full workers takes tens of milliseconds of a small entry, and the pause after it three times as long.

Cause: 10,000 evaluations were allowed for reservations whatever the size of the partition. They take about a millisecond in compiled code, but an entry that has just taken over runs this code for the first time.

Change: at least 2,000 evaluations for reservations, or 4 for each worker and waiting step; placements keep theirs. The steps beyond are deferred, and four of them get their turn in each round, as before: with N deferred steps each is searched for within N/4 rounds.

A second new test, which passed before too, guards what the bound must not cost: the most urgent of 601 steps preempts in the first round. That each of 400 steps in vain gets its turn within 120 rounds is tested as before.

--- a/packages/core/src/partition/__tests__/planningCost.spec.ts
+++ b/packages/core/src/partition/__tests__/planningCost.spec.ts
@@ -160,6 +160,38 @@
   assert.equal(runUntilOrders(planner), ['last'])
 })
 
+/** Evaluations for reservations in a round: at least, for each worker and waiting step, and searches beyond them (four turns and the one that exceeds them). */
+const MIN_RESERVATION_EVALUATIONS = 2000
+const MAX_RESERVATION_EVALUATIONS_PER_ITEM = 4
+const MAX_FURTHER_SEARCHES = 5
+/** Evaluations for each worker and waiting step that finds out that nothing can be started. */
+const MAX_EVALUATIONS_PER_BLOCKED_ITEM = 4
+
+// Guards against rounds of a small entry that take tens of milliseconds because each waiting urgent step searches all workers, most in vain.
+test('a round at full workers searches for reservations of a bounded number of steps', () => {
+  const failures: string[] = []
+  for (const steps of [25, 160, 600]) {
+    const search = WORKERS * (1 + TASKS_PER_WORKER) + TASKS_PER_STEP * (1 + TASKS_PER_WORKER)
+    const items = WORKERS + steps
+    const bound = Math.max(MIN_RESERVATION_EVALUATIONS, MAX_RESERVATION_EVALUATIONS_PER_ITEM * items) + MAX_FURTHER_SEARCHES * search + MAX_EVALUATIONS_PER_BLOCKED_ITEM * items
+    const count = measureRounds({ workers: WORKERS, steps, readSize: (step) => 2 + step / 1000, policy: { targetLatencyMs: 10_000 } })
+    if (count > bound) failures.push(`${steps} steps: ${count} > ${bound}`)
+  }
+  assert.equal(failures, [])
+})
+
+// Guards against the same bound keeping the most urgent step from its room.
+test('the most urgent step preempts in the first round and starts in the next one, however many wait', () => {
+  const planner = createFullPlanner(WORKERS)
+  addUrgentSteps(planner, { workers: WORKERS, steps: 600, readSize: (step) => 2 + step / 1000, policy: { targetLatencyMs: 10_000 } })
+  planner.addJob('first', createTestStepJob([createTestStep({ resources: { processors: 3.5, memoryMb: 1024, accelerators: 0 } })], { priority: 0, targetLatencyMs: 5000 }), ACCEPTED_STATE, 10)
+  const { stops } = planner.decide(200, 200, () => true)
+  for (const [number, { worker, job, occurrence, step, index, run }] of stops.entries()) {
+    planner.recordReport(worker, { requestedAtMs: -Infinity, running: [], ended: [{ job, occurrence, step, index, run, number: number + 1, how: 'stopped', saved: '' }] }, 210, 210)
+  }
+  assert.ok(planner.decide(220, 220, () => true).starts.some((order) => order.job === 'first'), `${stops.length} stops`)
+})
+
 // Guards against a new holder's rounds that compose, for each waiting step anew, queries which a saturated advice service doesn't take.
 test('a round composes no advice queries while the service takes none', () => {
   const steps = 40
--- a/packages/core/src/partition/constants.ts
+++ b/packages/core/src/partition/constants.ts
@@ -61,8 +61,10 @@
 /** Evaluations of workers and tasks in one planning round, for each worker and waiting step, after which only deferred steps that have their turn are placed. */
 export const MAX_PLACEMENT_EVALUATIONS = 128
 /** The same for reservations, which cost more and mostly wait anyway. */
-export const MAX_RESERVATION_EVALUATIONS = 8
-/** Evaluations of a planning round that are always allowed; they take about a millisecond. */
-export const MIN_ROUND_EVALUATIONS = 10_000
+export const MAX_RESERVATION_EVALUATIONS = 4
+/** Evaluations of a planning round that are always allowed. */
+export const MIN_PLACEMENT_EVALUATIONS = 10_000
+/** The same for reservations: a few searches, which take several milliseconds in code that an entry has not run before. */
+export const MIN_RESERVATION_EVALUATIONS = 2000
 /** Number of deferred steps that are evaluated in each planning round whatever its work. */
 export const DEFERRED_TURNS_PER_ROUND = 4
--- a/packages/core/src/partition/roundBudget.ts
+++ b/packages/core/src/partition/roundBudget.ts
@@ -1,5 +1,5 @@
 /** Bounds the work of a planning round. Steps that it has to leave out are deferred and get a turn in one of the next rounds. */
-import { DEFERRED_TURNS_PER_ROUND, MAX_PLACEMENT_EVALUATIONS, MAX_RESERVATION_EVALUATIONS, MIN_ROUND_EVALUATIONS } from './constants.js'
+import { DEFERRED_TURNS_PER_ROUND, MAX_PLACEMENT_EVALUATIONS, MAX_RESERVATION_EVALUATIONS, MIN_PLACEMENT_EVALUATIONS, MIN_RESERVATION_EVALUATIONS } from './constants.js'
 import type { PlanningRound } from './planningRound.js'
 import type { StepInstance } from './stepInstance.js'
 
@@ -20,8 +20,8 @@
   let items = 0
   let readEvaluations = (): number => 0
 
-  const mayEvaluate = (instance: StepInstance, maxPerItem: number): boolean => {
-    if (readEvaluations() < Math.max(MIN_ROUND_EVALUATIONS, maxPerItem * items) || turns.has(instance)) return true
+  const mayEvaluate = (instance: StepInstance, always: number, maxPerItem: number): boolean => {
+    if (readEvaluations() < Math.max(always, maxPerItem * items) || turns.has(instance)) return true
     deferred.add(instance)
     return false
   }
@@ -37,7 +37,7 @@
         if (instance.waitingSinceMs !== null) turns.add(instance)
       }
     },
-    mayPlace: (instance) => mayEvaluate(instance, MAX_PLACEMENT_EVALUATIONS),
-    mayReserve: (instance) => mayEvaluate(instance, MAX_RESERVATION_EVALUATIONS)
+    mayPlace: (instance) => mayEvaluate(instance, MIN_PLACEMENT_EVALUATIONS, MAX_PLACEMENT_EVALUATIONS),
+    mayReserve: (instance) => mayEvaluate(instance, MIN_RESERVATION_EVALUATIONS, MAX_RESERVATION_EVALUATIONS)
   }
 }
