Worker rows: reject what can't be used in one place, and name the row in the log

What callers see: each entry that holds the partition ends, one after the other, as long as the list of workers holds one row with an address such as `999.1.1.1:80`, `10.0.0.256:80` or `10.0.0.08:80`. The successor reads the same row.

Cause: the pattern of an address checked the number of digits only. The row was accepted and `new URL` threw "Invalid URL" when the connections to the worker were created. Also accepted: addresses that other readers take for another one (`010.0.0.1`), that are not of one host (`0.0.0.0`, multicast, broadcast), capacities of -1 or 1e308, and rows whose slots, sequence or version have another type. No malformed row was logged.

Ruled out: nesting 100,000 deep does not end a process, neither in JSON.parse nor in the decoders, their errors included; ports out of range, 1e400 and strings in place of numbers in the fields that are used were rejected before.

Change: a worker's row is decoded to a value or an error in `wire`; the directory logs the error with the key of the row (FT854) once while the row stays malformed, at most once a minute if it changes back and forth, and for at most 100 rows at a time. A worker whose row turns malformed is treated as one that is no longer listed, as before: it keeps its runs and its lease and gets no new runs.

Evidence: with the old decoder and directory behind the new interface, seven of the eight tests of `oddWorkerRows` failed, each run alone: four ended the test process when a client of the odd worker was created, where the fake throws as the real one does (rows before and while the list is followed, log line, same page); three failed their assertions (54 of the 159 rows were accepted). The one on the number of lines passed, since nothing was logged. `oddWorkerProcesses`: both entry processes ended with "TypeError: Invalid URL". All pass now.

The tests of `wire` on rows that are rejected ask for an error where they asked for `null`; they are as strict.

--- a/packages/entry/src/partition/constants.ts
+++ b/packages/entry/src/partition/constants.ts
@@ -147,6 +147,10 @@
 export const MAX_LATE_LEASE_MS = 6000
 /** Most workers that are missing at the start of a term and count as crashed: a larger number has a common cause. */
 export const MAX_MISSING_AS_CRASHED = 2
+/** Most malformed rows of a table that are logged at a time. */
+export const MAX_LOGGED_MALFORMED_ROWS = 100
+/** Shortest interval between two log lines about the same row, which another writer may change back and forth, in milliseconds. */
+export const MALFORMED_ROW_LOG_INTERVAL_MS = 60_000
 /** Most runs that a log line names. */
 export const MAX_LOGGED_RUNS = 20
 /** Interval at which a holder logs its load, in milliseconds. */
--- a/packages/entry/src/partition/partitionTerm.ts
+++ b/packages/entry/src/partition/partitionTerm.ts
@@ -280,7 +280,7 @@
   const cleanup = disposables.add(createJobCleanup({ partition, table: options.table, clock, onDeleted: commits.deleteStates }))
 
   disposables.add(createWorkerDirectory({
-    table: options.table, rows: options.rows, clock, onWorker: applyListing, onUnlisted: recordUnlisted
+    table: options.table, rows: options.rows, clock, events, onWorker: applyListing, onUnlisted: recordUnlisted
   }))
 
   return {
--- a/packages/entry/src/partition/ports.ts
+++ b/packages/entry/src/partition/ports.ts
@@ -1,5 +1,5 @@
 /** Interfaces between a partition's holder and the platform; implemented by the adapter, replaced by fakes in tests. */
-import type { ClusterConfig, Disposable, ListedEnd, ListedRun, RunName, StartOrder, WorkerInfo } from '@fuchsiatally/core'
+import type { ClusterConfig, DecodeError, Disposable, ListedEnd, ListedRun, RunName, StartOrder, WorkerInfo } from '@fuchsiatally/core'
 import type { Result } from 'neverthrow'
 
 /** A call without a usable response. */
@@ -130,8 +130,8 @@
   readonly configTable: string
   readonly configKey: string
   readonly workerTable: string
-  /** Returns `null` for a row that was not written by a worker of this system. */
-  decodeWorker: (row: TableRow) => ListedWorker | null
+  /** Rejects rows that don't describe a worker that can be called; others write to its table, too. Never throws. */
+  decodeWorker: (row: TableRow) => Result<ListedWorker, DecodeError>
   decodeConfig: (row: TableRow) => ClusterConfig | null
 }
 
--- a/packages/entry/src/partition/workerDirectory.ts
+++ b/packages/entry/src/partition/workerDirectory.ts
@@ -1,7 +1,8 @@
 /** Follows the platform's list of workers. */
-import { createDisposableStore, type Clock, type Disposable } from '@fuchsiatally/core'
+import { createDisposableStore, type Clock, type Disposable, type EventLog } from '@fuchsiatally/core'
 import { createSerialLoop } from '../process/serialLoop.js'
 import { WORKER_POLL_PAUSE_MS, WORKER_POLL_WAIT_MS, WRITE_RETRY_MS } from './constants.js'
+import { createMalformedRows } from './malformedRows.js'
 import type { PartitionTable, ListedWorker, PlatformRows, TableRow } from './ports.js'
 import { createTableFeed } from './tableFeed.js'
 
@@ -9,8 +10,9 @@
   readonly table: PartitionTable
   readonly rows: PlatformRows
   readonly clock: Clock
+  readonly events: EventLog
   readonly onWorker: (worker: ListedWorker) => void
-  /** The row was deleted or no longer describes a worker. */
+  /** The row was deleted or is malformed. */
   readonly onUnlisted: (id: string) => void
 }
 
@@ -19,16 +21,23 @@
   const disposables = createDisposableStore()
   let isTableReachable = true
   const listed = new Set<string>()
+  const malformedRows = createMalformedRows(options)
+
+  const removeRow = (id: string): void => {
+    listed.delete(id)
+    options.onUnlisted(id)
+  }
 
   const applyRow = (row: TableRow): void => {
     const worker = row.deleted ? null : rows.decodeWorker(row)
-    if (worker === null) {
-      listed.delete(row.key)
-      options.onUnlisted(row.key)
+    if (worker?.isErr() === true) malformedRows.recordMalformed(row, worker.error)
+    else malformedRows.recordSound(row.key)
+    if (worker === null || worker.isErr()) {
+      removeRow(row.key)
       return
     }
     listed.add(row.key)
-    options.onWorker(worker)
+    options.onWorker(worker.value)
   }
 
   const feed = createTableFeed({
@@ -38,11 +47,8 @@
     applyRow,
     applySnapshot: async (present) => {
       const keys = new Set(present.map((row) => row.key))
-      for (const id of [...listed]) {
-        if (keys.has(id)) continue
-        listed.delete(id)
-        options.onUnlisted(id)
-      }
+      for (const id of [...listed]) if (!keys.has(id)) removeRow(id)
+      malformedRows.forgetMissing(keys)
       for (const row of present) applyRow(row)
       return true
     }
--- a/packages/entry/src/testing/partitionCluster.ts
+++ b/packages/entry/src/testing/partitionCluster.ts
@@ -4,6 +4,7 @@
 import { createMemoryEventLog, type MemoryEventLog } from '@fuchsiatally/core/testing/memoryEventLog'
 import { createTestStep, createTestStepJob } from '@fuchsiatally/core/testing/stepJobs'
 import { createSeededRandom } from '@fuchsiatally/core/testing/seededRandom'
+import { ok } from 'neverthrow'
 import { createPartitionEntry, type PartitionEntry } from '../partition/partitionEntry.js'
 import type { ListedWorker, PlatformRows, TableRow } from '../partition/ports.js'
 import type { PeerMesh } from '../ports.js'
@@ -63,6 +64,14 @@
   readonly advice?: AdvicePolicy
   /** Processor time charged to the holder; default none. All processes share the clock, so it suits clusters with one entry. */
   readonly holderCosts?: HolderCosts
+  /** Encoding of the workers' rows; default: as the product's own types. */
+  readonly workerRows?: WorkerRowFormat
+}
+
+/** Encoding of the workers' rows. */
+export interface WorkerRowFormat {
+  readonly encodeWorker: (listing: ListedWorker) => unknown
+  readonly decodeWorker: PlatformRows['decodeWorker']
 }
 
 /** The only service, after which the partition is named. */
@@ -94,11 +103,15 @@
   })
 }
 
-const rows: PlatformRows = {
+const PLAIN_WORKER_ROWS: WorkerRowFormat = {
+  encodeWorker: (listing) => listing,
+  decodeWorker: (row) => ok(JSON.parse(row.value) as ListedWorker)
+}
+
+const CONFIG_ROWS: Omit<PlatformRows, 'decodeWorker'> = {
   configTable: 'op',
   configKey: 'config',
   workerTable: 'servers',
-  decodeWorker: (row: TableRow) => JSON.parse(row.value) as ListedWorker,
   decodeConfig: (row: TableRow) => JSON.parse(row.value, (_key, value: unknown) => value === 'unlimited' ? Infinity : value) as ClusterConfig
 }
 
@@ -115,7 +128,7 @@
   const clock = createFakeClock()
   const table = createPartitionTableModel({ clock, ...(options.readTransactionMs === undefined ? {} : { readTransactionMs: options.readTransactionMs }) })
   const mesh = createFakeMesh({ clock })
-  const { holderCosts } = options
+  const { holderCosts, workerRows = PLAIN_WORKER_ROWS } = options
   const workers = new Map<string, PartitionWorkerModel>()
   const started: StartedRun[] = []
   let incarnationCount = 0
@@ -134,7 +147,7 @@
       linkAddress: '127.0.0.1:1',
       cores,
       table: process.wrapTable(client),
-      rows,
+      rows: { ...CONFIG_ROWS, decodeWorker: workerRows.decodeWorker },
       bounds: { maxLeaseMs: options.maxLeaseMs ?? DEFAULT_MAX_LEASE_MS, revokeMs: 5000, statusMs: 120_000, turnMs: 3000 },
       mesh: process.wrapMesh(options.relaysTableCalls === false ? refuseTableRequests(peerMesh) : peerMesh),
       adviceClient: createAdviceModel(clock, options.advice),
@@ -172,7 +185,7 @@
     })
     model.faults.crashedAddress = options.crashedAddress ?? 'refuses'
     workers.set(id, model)
-    table.writeRow('servers', id, listing)
+    table.writeRow('servers', id, workerRows.encodeWorker(listing))
     return model
   }
 
--- a/packages/entry/src/testing/partitionTableModel.ts
+++ b/packages/entry/src/testing/partitionTableModel.ts
@@ -20,6 +20,8 @@
   createClient: () => { readonly table: PartitionTable, readonly faults: TableFaults }
   /** Writes a row as an operator or a worker does. */
   writeRow: (table: string, key: string, value: unknown) => void
+  /** Writes a row whose value is not produced by the JSON encoder. */
+  writeText: (table: string, key: string, text: string) => void
   deleteRow: (table: string, key: string) => void
   readRow: (table: string, part: string, key: string) => TableRow | undefined
   /** Number of reads of a table's changes so far, by all clients. */
@@ -128,13 +130,16 @@
     return { table, faults }
   }
 
+  const writeText = (table: string, key: string, text: string): void => {
+    version++
+    setRow(table, '', key, text, false)
+    poll.notify()
+  }
+
   return {
     createClient,
-    writeRow: (table, key, value) => {
-      version++
-      setRow(table, '', key, JSON.stringify(value), false)
-      poll.notify()
-    },
+    writeRow: (table, key, value) => writeText(table, key, JSON.stringify(value)),
+    writeText,
     deleteRow: (table, key) => {
       version++
       setRow(table, '', key, '', true)
