System clock: limit the delay of a timer to what the runtime can wait

Cause: the runtime runs a timer with a delay of 2^31 ms or more at once. Code that sets it again until the time has come, such as the watch over the expiry of a lease, runs every millisecond then.

Change: such a timer fires after 2^31 - 1 ms, 25 days.

--- a/packages/entry/src/process/systemClock.ts
+++ b/packages/entry/src/process/systemClock.ts
@@ -5,6 +5,8 @@
 const ID_BYTES = 12
 const FLOAT_BYTES = 4
 const RANDOM_POOL_BYTES = 1024
+/** Longest delay of a timer, in milliseconds, some 25 days; the runtime runs timers with a longer one at once. */
+const MAX_TIMER_DELAY_MS = 2 ** 31 - 1
 
 /** Creates the clock of the process: monotonic time, wall time and timers. */
 export function createSystemClock (): Clock {
@@ -12,7 +14,7 @@
     nowMs: () => performance.now(),
     wallMs: () => Date.now(),
     setTimer: (delayMs, action) => {
-      const timer = setTimeout(action, delayMs)
+      const timer = setTimeout(action, Math.min(delayMs, MAX_TIMER_DELAY_MS))
       return { dispose: () => { clearTimeout(timer) } }
     },
     runAfterPoll: (action) => {
