Ceiling claims: a malformed row is logged once and read again

What callers see: if another writer leaves a malformed row of claims, work of accounts with a ceiling never starts in a partition that begins a term, not even once the row is sound again. A partition in the middle of a term logs the row once a second and with each commit that it tries upon the old version. A line quotes all faults: 0.8 MB for a row of 64 kB.

Cause: a malformed row counted as read, and with none read before the loop ended there each time. The error of a malformed row had no limit.

Change: while the row is malformed it is read with each review, no claims are written, and those that were read last stay in force; its version is logged once. The error of any malformed row is cut off at 500 characters.

Not changed: nobody replaces a malformed row. Empty claims in its place would let the partitions exceed a ceiling together.

--- a/packages/entry/src/partition/__tests__/ceilingClaims.spec.ts
+++ b/packages/entry/src/partition/__tests__/ceilingClaims.spec.ts
@@ -7,6 +7,7 @@
 import { CLUSTER_CONFIG, SERVICE } from '../../testing/partitionCluster.js'
 import { createPartitionTableModel } from '../../testing/partitionTableModel.js'
 import { createCeilingClaims } from '../ceilingClaims.js'
+import { parseCrashRow, parseHolderRow, parseStateRow } from '../partitionRows.js'
 import type { PartitionTable } from '../ports.js'
 
 /** Interval of the other partition's updates, in milliseconds: the shortest interval of a holder. */
@@ -62,6 +63,7 @@
     clock,
     events,
     section,
+    model,
     readSection: (): unknown => (JSON.parse(model.readRow('cell', '', '!claims')!.value) as ClaimsRow).cells[SERVICE],
     startClaims: (epoch: number, isLoaded: boolean) => createCeilingClaims({
       partition: SERVICE,
@@ -99,4 +101,40 @@
   claims.dispose()
 })
 
+for (const [kind, isFirst] of [['at the start of a term', true], ['during a term', false]] as const) {
+  // Guards against claims that are never read again, and a line and a write for each attempt, once another writer left a malformed row.
+  test(`claims that are malformed ${kind} are logged once, not written over, and read again once they are sound`, async () => {
+    const { clock, events, model, readSection, startClaims } = createStoredClaims()
+    const sound: unknown = JSON.parse(model.readRow('cell', '', '!claims')!.value)
+    const claims = isFirst ? null : startClaims(5, true)
+    await clock.runFor(3000)
+    const malformed = `[${'1,'.repeat(30_000)}1]`
+    model.writeText('cell', '!claims', malformed)
+    const started = claims ?? startClaims(5, true)
+    for (let review = 0; review < 100; review++) {
+      started.scheduleReview()
+      await clock.runFor(100)
+    }
+    const lines = events.listFields('FT854')
+    assert.is(lines.length, 1)
+    assert.ok(String(lines[0]?.['error']).length <= 1000)
+    assert.is(model.readRow('cell', '', '!claims')?.value, malformed)
+    assert.is(events.listFields('FT856').length, 0)
+    model.writeRow('cell', '!claims', sound)
+    await clock.runFor(1500)
+    assert.is((readSection() as { epoch: number }).epoch, 5)
+    started.dispose()
+  })
+}
+
+// Guards against a log line of a megabyte for a row of 64 kB: each element of a long list was a fault of its own.
+test('the error of a malformed row is short', () => {
+  const events = createMemoryEventLog()
+  const row = { table: 'crash', part: SERVICE, key: 'k', version: 1, deleted: false }
+  for (const value of [`[${'1,'.repeat(30_000)}1]`, `{"${'x'.repeat(60_000)}":1}`, `${'x'.repeat(60_000)}`]) {
+    for (const parseRow of [parseCrashRow, parseStateRow, parseHolderRow]) assert.is(parseRow({ ...row, value }, events), null)
+  }
+  for (const { error } of events.listFields('FT854') as { error: string }[]) assert.ok(error.length <= 1000, `${error.length} characters`)
+})
+
 test.run()
--- a/packages/entry/src/partition/ceilingClaims.ts
+++ b/packages/entry/src/partition/ceilingClaims.ts
@@ -54,6 +54,8 @@
   const disposables = createDisposableStore()
   let current: { row: ClaimsRow, version: number } | null = null
   let isStale = true
+  /** Version of the row in the table if that is malformed, otherwise `null`. */
+  let malformedVersion: number | null = null
   let disposed = false
   let refreshedAtMs = clock.nowMs()
   let committedAtMs = -Infinity
@@ -71,13 +73,13 @@
   }
 
   const applyRow = (row: TableRow | undefined): void => {
-    if (row === undefined) {
-      current = { row: NO_CLAIMS, version: 0 }
-    } else {
-      const parsed = parseClaims(row, options.events)
-      if (parsed !== null) current = { row: parsed, version: row.version }
-    }
-    isStale = false
+    if (row !== undefined && row.version === malformedVersion) return
+    const claims = row === undefined ? NO_CLAIMS : parseClaims(row, options.events)
+    const version = row?.version ?? 0
+    // The claims of other partitions are unknown until the row is sound again: those that were read last stay in force, and none are written.
+    isStale = claims === null
+    malformedVersion = claims === null ? version : null
+    if (claims !== null) current = { row: claims, version }
   }
 
   const readClaims = async (): Promise<boolean> => {
@@ -87,7 +89,7 @@
     return true
   }
 
-  /** Returns `true` if the row changed in the meantime, so that the claims have to be planned again. */
+  /** Returns `true` if the row changed to other claims in the meantime, so that they have to be planned again. */
   const commitRow = async (next: ClaimsRow, version: number): Promise<boolean> => {
     applyLimits(next)
     committedAtMs = clock.nowMs()
@@ -110,7 +112,7 @@
     if (!hadStoredClaims && hasStoredClaims()) options.events.record(claimsStored, { cell: partition, epoch, tries, waitedMs: Math.round(clock.nowMs() - startedAtMs) })
     applyLimits(null)
     options.onLimits()
-    return result.value.kind === 'conflict'
+    return result.value.kind === 'conflict' && malformedVersion === null
   }
 
   const planRow = (): { row: ClaimsRow, version: number } | null => {
@@ -126,7 +128,7 @@
 
   const runStep = async (): Promise<void> => {
     if (isStale && !await readClaims()) return
-    if (disposed || current === null) return
+    if (disposed || current === null || malformedVersion !== null) return
     // Retries at once: with a pause, another partition that updates the row at the same rate could win every time.
     for (let attempt = 0; attempt < MAX_CLAIM_ATTEMPTS; attempt++) {
       const next = planRow()
--- a/packages/entry/src/partition/constants.ts
+++ b/packages/entry/src/partition/constants.ts
@@ -151,6 +151,8 @@
 export const MAX_LOGGED_MALFORMED_ROWS = 100
 /** Shortest interval between two log lines about the same row, which another writer may change back and forth, in milliseconds. */
 export const MALFORMED_ROW_LOG_INTERVAL_MS = 60_000
+/** Most characters of an error that a log line quotes. */
+export const MAX_LOGGED_ERROR_CHARS = 500
 /** Most runs that a log line names. */
 export const MAX_LOGGED_RUNS = 20
 /** Interval at which a holder logs its load, in milliseconds. */
--- a/packages/entry/src/partition/partitionRows.ts
+++ b/packages/entry/src/partition/partitionRows.ts
@@ -1,6 +1,7 @@
 /** Rows of partition holders and entries, their keys and decoders. */
 import { computeHash, CrashRecord, createDecoder, JobStateRecord, StepJob, type EventLog } from '@fuchsiatally/core'
 import * as Schema from 'effect/Schema'
+import { MAX_LOGGED_ERROR_CHARS } from './constants.js'
 import { rowMalformed } from './events.js'
 import type { TableRow } from './ports.js'
 
@@ -77,7 +78,7 @@
   const decode = createDecoder(schema)
   return (row, events) => {
     const fail = (error: string): null => {
-      events.record(rowMalformed, { table: row.table, part: row.part, key: row.key, error })
+      events.record(rowMalformed, { table: row.table, part: row.part, key: row.key, error: error.slice(0, MAX_LOGGED_ERROR_CHARS) })
       return null
     }
     try {
