Jobs: refuse a recurring job whose state cannot fit into a row

What callers see: a job with a runCount of 1,000,000 that is overdue is accepted, and ends each holder for want of memory, one after the other.

Cause: the number of occurrences had no limit, and all that are due are opened at once. The state of a job names each task of each occurrence, so that one with more than some thousand of them can't be stored in its row either.

Change: a job has at most as many occurrences as its row can hold if each task takes the fewest bytes: 2,978 of a single task, 4 of 1,000 tasks. The check is part of the schema, so that a row of another writer is rejected, too, and logged. What is refused now could never have ended.

Evidence: the new test failed: the job was accepted.

Not covered: a job below this limit whose saved states make the row larger.

--- a/packages/core/src/partition/stepJob.ts
+++ b/packages/core/src/partition/stepJob.ts
@@ -67,6 +67,23 @@
 })
 export type QueuePolicy = typeof QueuePolicy.Type
 
+/** Most bytes of a value in the platform's table, and the fewest that the state takes for each occurrence and each of its tasks. */
+const MAX_STATE_BYTES = 65_536
+const MIN_OCCURRENCE_BYTES = 8
+const MIN_TASK_BYTES = 14
+
+/** Most occurrences of a job whose state fits into one row. */
+function computeMaxOccurrences (steps: readonly JobStep[]): number {
+  let bytes = MIN_OCCURRENCE_BYTES
+  for (const { taskCount } of steps) bytes += taskCount * MIN_TASK_BYTES
+  return Math.max(1, Math.floor(MAX_STATE_BYTES / bytes))
+}
+
+const fitsIntoRow = Schema.makeFilter(({ steps, runCount }: { readonly steps: readonly JobStep[], readonly runCount: number }) => {
+  const limit = computeMaxOccurrences(steps)
+  return runCount <= limit || { path: ['runCount'], issue: `Expected at most ${limit} occurrences, whose state fits into a row of the table` }
+})
+
 /** Row of an accepted job; immutable. */
 export const StepJob = Schema.Struct({
   /** Client account that submitted the job. */
@@ -82,7 +99,7 @@
   intervalMs: Duration,
   /** Wall clock of the acceptance, in milliseconds since 1970. */
   acceptedAtMs: Schema.Finite
-})
+}).check(fitsIntoRow)
 export type StepJob = typeof StepJob.Type
 
 /** Checks the constraints between steps; returns the fault, or `null`. */
--- a/packages/entry/src/partition/__tests__/callAdmission.spec.ts
+++ b/packages/entry/src/partition/__tests__/callAdmission.spec.ts
@@ -7,6 +7,7 @@
 import * as assert from 'uvu/assert'
 import { CLUSTER_CONFIG } from '../../testing/partitionCluster.js'
 import { createCallAdmission, type IncomingCall } from '../callAdmission.js'
+import { parseJobRow } from '../partitionRows.js'
 import { runPartitionShutdown } from '../partitionShutdown.js'
 
 const [OPEN] = CLUSTER_CONFIG.queues
@@ -73,6 +74,22 @@
   }
 })
 
+// Guards against holders that end for want of memory, one after the other, because all occurrences of a recurring job are overdue at once.
+test('a recurring job whose state cannot fit into a row is an error that names the field, and is not read back', () => {
+  const submission = { payload: 'text', steps: [createTestStep({ taskCount: 2 })], firstRunMs: 0, intervalMs: 0 }
+  const events = createMemoryEventLog()
+  for (const runCount of [3000, 1e6, 1e9, Number.MAX_SAFE_INTEGER]) {
+    const built = buildStepJob({ ...submission, runCount }, OPEN!, null, 5)
+    assert.ok(built.isErr(), `${runCount} occurrences`)
+    assert.match(built.error, 'runCount')
+    const job = { ...buildStepJob({ ...submission, runCount: 1 }, OPEN!, null, 5)._unsafeUnwrap(), runCount }
+    assert.is(parseJobRow({ table: 'job', part: 'pages/0', key: 'a', value: JSON.stringify(job), version: 1, deleted: false }, events), null)
+  }
+  assert.is(events.listFields('FT854').length, 4)
+  assert.ok(buildStepJob({ ...submission, runCount: 1800 }, OPEN!, null, 5).isOk())
+  assert.ok(buildStepJob({ ...submission, steps: [createTestStep({ taskCount: 1000 })], runCount: 4 }, OPEN!, null, 5).isOk())
+})
+
 test('a graceful shutdown serves callers that still arrive after its partitions are handed over', async () => {
   const clock = createFakeClock()
   const events = createMemoryEventLog()
