Starts: the room for starts follows their waits, and grows again

Cause: the room for starts came from the rate of orders, measured only while 32 or more starts waited. Once it was small, so few were decided at a time that it was never measured again: some 9 starts a round and 400 a second, with workers free, the holder's loop 2 ms late and 100 steps waiting.

Change: the room shrinks by 0.7 at most each 250 ms while starts wait for 500 ms or more between decision and order, and grows by one with each start that waits for less than half of that.

--- a/packages/entry/src/partition/__tests__/waitingStarts.spec.ts
+++ b/packages/entry/src/partition/__tests__/waitingStarts.spec.ts
@@ -56,7 +56,7 @@
     onDeposed: () => {}
   })
   await clock.runFor(100)
-  await startWindow.waitForSlot()
+  await startWindow.waitForSlot(clock.nowMs())
   planner.addJob('j', createTestJob(clock, 8), ACCEPTED_STATE, clock.nowMs())
   const { starts } = planner.decide(clock.nowMs(), clock.wallMs(), () => true)
   assert.is(starts.length, 8)
--- a/packages/entry/src/partition/startWindow.ts
+++ b/packages/entry/src/partition/startWindow.ts
@@ -1,78 +1,78 @@
 /**
- * Bounds the start orders in flight; the others wait in order. Pattern: adaptive concurrency limit. The responses to a window of orders are read
- * one after the other, so that in a slow process a large window makes each of them look overdue, and the orders are repeated.
+ * Bounds the start orders in flight, and the starts that wait for their turn. Pattern: adaptive concurrency limit with back-pressure.
+ *
+ * In a slow process, the responses to a large window of orders are read so late that each looks overdue, and the orders are repeated; and starts
+ * that wait behind others outlast their tickets.
  */
-
 import type { Clock } from '@fuchsiatally/core'
 
 /** Window of one term. */
 export interface StartWindow {
-  /** Waits until fewer orders than the limit are in flight; `releaseSlot` must be called once afterwards. */
-  waitForSlot: () => Promise<void>
+  /**
+   * Waits until fewer orders than the limit are in flight; `releaseSlot` must be called once afterwards.
+   *
+   * @param decidedAtMs monotonic time of the decision, in milliseconds
+   */
+  waitForSlot: (decidedAtMs: number) => Promise<void>
   /** @param responseMs time until the response was read, in milliseconds; `null` if the order was not sent or its worker did not respond */
   releaseSlot: (responseMs: number | null) => void
-  /** Counts the starts that may be added now, so that none waits for long. */
+  /** Counts the starts that may be decided now, so that none waits for long. */
   countRoom: () => number
 }
 
 export interface StartWindowOptions {
   /** Most orders in flight. */
   readonly limit: number
-  /** Response time from which the limit shrinks, in milliseconds. */
+  /** Response time from which fewer orders are in flight, in milliseconds. */
   readonly slowResponseMs: number
-  readonly clock: Clock
-  /** Longest time for which a start should wait for its slot, in milliseconds. */
+  /** Wait of a start from which fewer are decided at a time, in milliseconds; below half of it more are. */
   readonly maxWaitMs: number
+  readonly clock: Clock
   /** Called when the last order that waited has got its slot. */
   readonly onQueueEmpty: () => void
 }
 
 /** Orders in flight that are always allowed. */
 const MIN_LIMIT = 4
-/** Time over which the rate of orders is measured, in milliseconds. */
-const RATE_PERIOD_MS = 200
-/** Time from one order to the next until it has been measured, in milliseconds. */
-const INITIAL_INTERVAL_MS = 1
-
-/** Shortest such time, in milliseconds: measured times may be 0. */
-const MIN_INTERVAL_MS = 0.1
+/** Least and greatest number of starts that may wait or be in flight. */
+const MIN_OPEN_STARTS = 32
+const MAX_OPEN_STARTS = 1024
+/** Factor by which that number shrinks, and the shortest time between two such steps, in milliseconds. */
+const SHRINK_FACTOR = 0.7
+const SHRINK_INTERVAL_MS = 250
 
-export function createStartWindow ({ limit: maxLimit, slowResponseMs, clock, maxWaitMs, onQueueEmpty }: StartWindowOptions): StartWindow {
+export function createStartWindow ({ limit: maxLimit, slowResponseMs, maxWaitMs, clock, onQueueEmpty }: StartWindowOptions): StartWindow {
   const minLimit = Math.min(MIN_LIMIT, maxLimit)
   const queue: Array<() => void> = []
   let limit = maxLimit
   let inFlight = 0
-  /** Time from one order to the next while others wait. */
-  let intervalMs = INITIAL_INTERVAL_MS
-  /** Start of the current measurement; `null` if no order waits. */
-  let measuredFromMs: number | null = null
-  let measuredCount = 0
-
-  const measureRate = (): void => {
-    const nowMs = clock.nowMs()
-    if (measuredFromMs === null) measuredFromMs = nowMs
-    else measuredCount++
-    const elapsedMs = nowMs - measuredFromMs
-    if (elapsedMs < RATE_PERIOD_MS && queue.length > 0) return
-    if (measuredCount >= maxLimit) intervalMs = elapsedMs / measuredCount
-    measuredFromMs = queue.length > 0 ? nowMs : null
-    measuredCount = 0
-  }
+  let maxOpen = MAX_OPEN_STARTS
+  let shrunkAtMs = -Infinity
 
   const adjustLimit = (responseMs: number): void => {
     limit = Math.max(minLimit, Math.min(maxLimit, limit + (responseMs < slowResponseMs ? 1 : -1)))
   }
 
+  const adjustMaxOpen = (waitMs: number): void => {
+    if (waitMs < maxWaitMs / 2) {
+      maxOpen = Math.min(MAX_OPEN_STARTS, maxOpen + 1)
+      return
+    }
+    if (waitMs < maxWaitMs || clock.nowMs() - shrunkAtMs < SHRINK_INTERVAL_MS) return
+    shrunkAtMs = clock.nowMs()
+    maxOpen = Math.max(MIN_OPEN_STARTS, Math.floor(maxOpen * SHRINK_FACTOR))
+  }
+
   return {
-    waitForSlot: async () => {
+    waitForSlot: async (decidedAtMs) => {
       if (inFlight >= limit) await new Promise<void>((resolve) => { queue.push(resolve) })
       else inFlight++
+      adjustMaxOpen(clock.nowMs() - decidedAtMs)
     },
     releaseSlot: (responseMs) => {
       if (responseMs !== null) adjustLimit(responseMs)
       inFlight--
       if (queue.length === 0) return
-      measureRate()
       while (inFlight < limit) {
         const next = queue.shift()
         if (next === undefined) break
@@ -81,6 +81,6 @@
       }
       if (queue.length === 0) onQueueEmpty()
     },
-    countRoom: () => Math.max(0, Math.floor(maxWaitMs / Math.max(intervalMs, MIN_INTERVAL_MS)) - queue.length - inFlight)
+    countRoom: () => Math.max(0, maxOpen - queue.length - inFlight)
   }
 }
