Suspected tasks wait for trials of half a second, not for the runs of others

Callers saw jobs stand still for 20 s and more whose only fault was to lie beside a task that crashed its worker; long-running ones were not started again at all.

Cause: the queue for the workers set apart had no bound. A worker was held for one step until that step's task had ended or run for 5 s, a twelfth to a sixth of the workers at a time, so the wait grew with the number of suspected steps times the duration of their runs. It was made longer by three things: advice was asked for only once the worker was clear, so that an unsuitable one was found out after the wait for it; likely causes went before sound tasks and took their worker down for 3.3 s; a gang held workers that stood idle while its other members had no room. A long-running suspect is suspected for good, so a worker with one never became clear for another step.

Change: - A held worker tries the suspects of one step after the other. If each crash of a task came right after its start, its trial ends with the first response 300 ms after the start; held workers are asked each 250 ms. A crash right after a start counts against that step alone, and is the weaker proof if suspects that had passed were still there: two of them are needed, as before. - Suspects that have passed count as settled neighbours, long-running ones too. - Advice is asked for when a worker is held, about all held workers at once. - Likely causes (a crash of their own, or the only step that had just started at a crash) use workers of their own and a smaller share. Jobs that can't earn credit any more get one worker at a time while the partition is full. A gang holds none before its other members have room. - A twelfth of the workers under load (a sixth for long-running tasks, a sixth before), three quarters of the free share otherwise (half before).

--- a/packages/core/src/partition/constants.ts
+++ b/packages/core/src/partition/constants.ts
@@ -30,6 +30,9 @@
 export const STALL_FRACTION = 0.05
 /** Time after its confirmed start within which a task is the likely cause of a crash of its worker, in milliseconds. */
 export const RECENT_START_MS = 150
+/** Suspicion that a crash casts on a task that had just started, and on one that had run for longer. */
+export const RECENT_START_SUSPICION = 2
+export const LONG_RUN_SUSPICION = 1
 /** Suspicion from which a task runs apart from the tasks of other steps. */
 export const SUSPICION_LIMIT = 2
 /** Crashes of a task that ran apart from others after which it is given up. */
@@ -43,11 +46,15 @@
 export const SILENT_FAILURE_WINDOW_MS = 1500
 /** Share of the workers that may be set apart for suspected tasks at a time, the same as a share of the room that is free, and the least number of them. */
 export const MAX_ISOLATED_SHARE = 1 / 6
-export const MAX_ISOLATED_FREE_SHARE = 1 / 2
+export const MAX_ISOLATED_FREE_SHARE = 3 / 4
 export const MIN_ISOLATED_WORKERS = 1
-/** Longest time for which a worker is held without a suspected task, in milliseconds. */
+/** Longest time for which a worker is held without the start of a suspected task, in milliseconds. */
 export const MAX_HOLD_MS = 6000
-/** Run time after which other tasks may join a suspected one, in milliseconds, and the same after several crashes. */
+/**
+ * Run time after which other tasks may join a suspected one, in milliseconds: for tasks whose workers crashed right after the start, if the worker
+ * responds after it; for others; and after several crashes.
+ */
+export const START_PROBATION_MS = 2 * RECENT_START_MS
 export const PROBATION_MS = 5000
 export const LONG_PROBATION_MS = 12_000
 /** Wait after which capacity is reserved for a gang, in milliseconds; a fifth of the shortest gang objective. */
--- a/packages/core/src/partition/crashEvidence.ts
+++ b/packages/core/src/partition/crashEvidence.ts
@@ -4,17 +4,15 @@
  * A crash casts suspicion on each task at the worker, most on those that had just started. Suspected tasks run apart from others
  * (`isolation.ts`), and only crashes of such runs count as proof, so that no task is given up for a crash that a neighbour caused.
  */
-import { CRASH_PROOFS_TO_GIVE_UP, MAX_LOSS_AGE_MS, RECENT_START_MS, VERDICT_WAIT_MS } from './constants.js'
+import { CRASH_PROOFS_TO_GIVE_UP, LONG_RUN_SUSPICION, MAX_LOSS_AGE_MS, RECENT_START_MS, RECENT_START_SUSPICION, VERDICT_WAIT_MS } from './constants.js'
 import { isSuspected, type Task } from './jobState.js'
 import type { FailureHistory } from './failureHistory.js'
+import { hasPassedProbation } from './probation.js'
 import type { PartitionWorker } from './partitionWorker.js'
 import type { WorkerLoss } from './plannerTypes.js'
 
 /** Suspicion of a task that had just started at each of two crashes. */
 const REPEATED_SUSPICION = 4
-/** Suspicion that a crash casts on a task that had just started, and on one that had run for longer. */
-const RECENT_START_SUSPICION = 2
-const LONG_RUN_SUSPICION = 1
 
 /** Tasks whose crash counts have changed. */
 export interface CrashVerdict {
@@ -48,6 +46,8 @@
   readonly isRecent: boolean
   /** Had run for too long to be the cause of a crash right after the start of another task. */
   readonly isSettled: boolean
+  /** Was suspected, and had run for too long at a worker set apart to be the cause of such a crash. */
+  readonly hasPassed: boolean
   /** Ran apart from other tasks. */
   readonly wasSuspected: boolean
 }
@@ -61,7 +61,7 @@
   readonly lostAtMs: number
   /** No task of another step could have caused the crash. */
   readonly isSolo: boolean
-  /** No other worker failed at that moment. */
+  /** No other worker failed at that moment, and no other suspected task was there. */
   readonly isSingle: boolean
   isProven: boolean
 }
@@ -79,23 +79,35 @@
 }
 
 /** The moment of a silent loss is not known well enough to tell recent starts from others. */
-function buildCharges (tasks: readonly Task[], { failedAtMs, kind }: WorkerLoss): Charge[] {
+function buildCharges (worker: PartitionWorker, tasks: readonly Task[], { failedAtMs, kind }: WorkerLoss): Charge[] {
   const charges: Charge[] = []
   for (const task of tasks) {
     if (task.phase !== 'placed' || task.crashedRun === task.run) continue
     const ageMs = task.confirmedAtMs === null ? 0 : failedAtMs - task.confirmedAtMs
     const isRecent = ageMs <= RECENT_START_MS && kind !== 'silent'
-    charges.push({ task, run: task.run, ageMs, isRecent, isSettled: isSettled(task, failedAtMs), wasSuspected: isSuspected(task), suspicion: isRecent ? RECENT_START_SUSPICION : LONG_RUN_SUSPICION })
+    const hasPassed = worker.isolated && hasPassedProbation(task, worker, failedAtMs)
+    const suspicion = isRecent ? RECENT_START_SUSPICION : LONG_RUN_SUSPICION
+    charges.push({ task, run: task.run, ageMs, isRecent, isSettled: isSettled(task, failedAtMs) || hasPassed, hasPassed, wasSuspected: isSuspected(task), suspicion })
   }
   return charges
 }
 
-/** Whether the worker ran one step only, apart from long-running tasks that had run for a while. */
+/**
+ * Whether the worker ran one step only, apart from long-running tasks that had run for a while and, if it crashed right after a start, from
+ * suspected ones.
+ */
 function isSoloLoss (worker: PartitionWorker, charges: readonly Charge[]): boolean {
   if (worker.strayRuns > 0) return false
   const suspects = charges.filter((charge) => !charge.isSettled)
   const first = suspects[0]
-  return first !== undefined && suspects.every(({ task }) => isSameStep(task, first.task))
+  if (first === undefined || !suspects.every(({ task }) => isSameStep(task, first.task))) return false
+  return suspects.every(({ isRecent }) => isRecent) || !charges.some(({ hasPassed }) => hasPassed)
+}
+
+function markPrimeSuspects (charges: readonly Charge[]): void {
+  const recent = charges.filter(({ isRecent }) => isRecent)
+  const isOneStep = recent.every(({ task }) => isSameStep(task, recent[0]!.task))
+  for (const { task } of recent) task.isPrimeSuspect ||= isOneStep
 }
 
 /** Creates evidence without losses. */
@@ -142,19 +154,24 @@
       dropOldLosses(loss.nowMs)
       losses.delete(worker.info.id)
       if (loss.kind === 'left' || failures.isCommonCause(worker, loss.failedAtMs)) return NO_VERDICT
-      const charges = buildCharges(tasks, loss)
-      if (charges.length === 0) return NO_VERDICT
+      const all = buildCharges(worker, tasks, loss)
+      if (all.length === 0) return NO_VERDICT
+      const isSolo = isSoloLoss(worker, all)
+      // A crash right after the start of the only step that was tried there has no other cause.
+      const isExplained = isSolo && worker.isolated && all.every(({ isSettled, isRecent }) => isSettled || isRecent)
+      const charges = isExplained ? all.filter(({ isSettled }) => !isSettled) : all
       const recorded: RecordedLoss = {
         worker,
         failedAtMs: loss.failedAtMs,
         dueAtMs: loss.kind === 'unseen' ? loss.nowMs + VERDICT_WAIT_MS : null,
         charges,
         lostAtMs: loss.nowMs,
-        isSolo: isSoloLoss(worker, charges),
-        isSingle: !failures.hasOthers(worker, loss.failedAtMs),
+        isSolo,
+        isSingle: !failures.hasOthers(worker, loss.failedAtMs) && !all.some(({ hasPassed }) => hasPassed),
         isProven: false
       }
       losses.set(worker.info.id, recorded)
+      markPrimeSuspects(charges)
       const counted = count(charges)
       if (loss.kind === 'crashed') return { counted, proven: collectProven(recorded) }
       if (loss.kind === 'unseen') return { counted, proven: [] }
@@ -192,6 +209,7 @@
         task.crashes--
         if (task.crashedRun === run) task.crashedRun = 0
         task.suspicion -= suspicion
+        task.isPrimeSuspect = false
         task.verdictDueMs = 0
       }
       return loss.charges.map(({ task }) => task)
--- a/packages/core/src/partition/createPartitionPlanner.ts
+++ b/packages/core/src/partition/createPartitionPlanner.ts
@@ -120,7 +120,9 @@
     const apart = listSuspected(instance)
     const suspects = apart.filter((task) => task.verdictDueMs <= round.nowMs)
     const sound = apart.length === 0 ? startable : startable.filter((task) => !isSuspected(task))
-    const isolated = placeIsolated(instance, suspects, round, parts.trySend)
+    // No worker is held for a gang that can't start yet.
+    if (gang && apart.length > 0 && placeTasks(instance, sound, round).length < sound.length) return startable
+    const isolated = placeIsolated(ranked, suspects, round, parts.trySend)
     if (gang && isolated.length + sound.length < startable.length) return startable
     const shared = placeTasks(instance, sound, round)
     if (gang && shared.length < sound.length) return startable
@@ -304,6 +306,7 @@
       tracker.removeWorker(id)
     },
     listWorkers: () => [...workers.keys()],
+    isIsolated: (id) => workers.get(id)?.isolated ?? false,
     hasRuns: (id) => (workers.get(id)?.tasks.size ?? 0) > 0,
     setTeamLimits: (limits, areFinal = true) => teams.setLimits(limits, areFinal),
     listTeamDemand: teams.listDemand,
--- a/packages/core/src/partition/isolation.ts
+++ b/packages/core/src/partition/isolation.ts
@@ -1,44 +1,66 @@
 /** Workers set apart for suspected tasks, so that a crash shows its cause and takes no sound run with it. */
 import { hasRoomFor, subtractResources, type Resources } from '../schema/resources.js'
 import { isSettled } from './crashEvidence.js'
-import { LONG_PROBATION_MS, MAX_HOLD_MS, MAX_ISOLATED_FREE_SHARE, MAX_ISOLATED_SHARE, MIN_ISOLATED_WORKERS, PROBATION_MS } from './constants.js'
+import { MAX_HOLD_MS, MAX_ISOLATED_FREE_SHARE, MAX_ISOLATED_SHARE, MIN_ISOLATED_WORKERS } from './constants.js'
 import { canEverRun, computeFree, computeTaskResources, isAvailable, type PartitionWorker } from './partitionWorker.js'
 import type { PlanningRound } from './planningRound.js'
 import { isFinal, isSuspected, type Task } from './jobState.js'
 import { computeSize, mayBePreempted } from './preemption.js'
+import { hasPassedProbation } from './probation.js'
 import type { IsolationChange } from './plannerTypes.js'
 import { countTasksByWorker, type StepInstance } from './stepInstance.js'
 
-/** Isolated workers of a partition. */
+/** Isolated workers of a partition: each tries the suspected tasks of one step after the other. */
 export interface Isolation {
-  /** Ends the isolation of workers whose tasks have ended or are past their probation. */
+  /** Ends the isolation of workers that no suspected task runs on or waits for. */
   startRound: (nowMs: number) => void
-  /** Workers held for a step, clear of all tasks that a crash could be mistaken for. */
-  listClear: (instance: StepInstance, nowMs: number) => PartitionWorker[]
+  /**
+   * Held workers with room for the step, once clear: its own and, unless it is a gang or a likely cause, those of other steps. A gang's are for it
+   * alone until it has started.
+   *
+   * @param isLate the job can't earn credit any more: a partition without room sets no workers apart for it but the least number
+   */
+  listHeld: (instance: StepInstance, isLate: boolean, round: PlanningRound) => PartitionWorker[]
+  /** Whether a held worker is up and clear of all tasks that a crash could be mistaken for. */
+  isClear: (worker: PartitionWorker, instance: StepInstance, nowMs: number) => boolean
   /**
    * Holds a worker for a step; one that is soon clear, and among those the one that has been up longest.
    *
    * @returns tasks to preempt, so that the worker is clear sooner; `null` if no worker is held
    */
-  tryHold: (instance: StepInstance, round: PlanningRound) => readonly Task[] | null
-  countHeld: (instance: StepInstance) => number
+  tryHold: (instance: StepInstance, isLate: boolean, round: PlanningRound) => readonly Task[] | null
+  /** Workers held for the step itself that have room for it, once clear. */
+  countHeld: (instance: StepInstance, nowMs: number) => number
+  /** Records that a suspected task starts at a held worker. */
+  recordUse: (worker: PartitionWorker, nowMs: number) => void
+  /** Keeps held workers in the next round for a step with suspects that could not start. */
+  keep: (held: readonly PartitionWorker[]) => void
   /** Changes since the last call. */
   takeChanges: () => IsolationChange[]
-  /** Releases the workers of a step that the advice service has ruled out. */
-  releaseUnsuitable: (instance: StepInstance, nowMs: number) => void
 }
 
 interface Hold {
   readonly instance: StepInstance
   readonly sinceMs: number
+  /** Time of the last start of a suspected task there, or since which the worker is held. */
+  usedAtMs: number
+  /** Last round in which a step was left with suspects that may use the worker. */
+  wantedRound: number
+}
+
+/** Most workers that may be held. */
+interface HoldLimits {
+  /** A share of all workers. */
+  readonly underLoad: number
+  /** As many as leave the other tasks enough room. */
+  readonly withRoom: number
 }
 
-/** Crashes from which a task stays apart for longer: it must not have many more. */
-const LONG_PROBATION_CRASHES = 3
 /** Weight of a held worker that has crashed, towards the limit. */
 const CRASHED_WEIGHT = 0.5
-/** Share of the held workers for steps whose task has crashed a worker of its own already: it is probably the cause, and its job is not missed. */
-const LIKELY_CAUSE_SHARE = 0.5
+/** Share of `underLoad` for steps that need not run again within seconds, and for likely causes: if they are, their jobs are not missed. */
+const BATCH_SHARE = 0.5
+const LIKELY_CAUSE_SHARE = 0.25
 /** Time until a preempted task has ended, in milliseconds. */
 const PREEMPTION_MS = 400
 /** Cost of a worker that the advice service has not allowed before, in milliseconds: it rules out about half of the workers. */
@@ -46,23 +68,49 @@
 /** A worker with a long-running task is chosen only if the others take longer than this to become clear, in milliseconds. */
 const LASTING_TASK_COST_MS = 10_000
 
-function hasEndedProbation (task: Task, nowMs: number): boolean {
-  if (task.confirmedAtMs === null) return false
-  const minMs = task.crashes >= LONG_PROBATION_CRASHES ? LONG_PROBATION_MS : PROBATION_MS
-  return nowMs - task.confirmedAtMs > Math.max(minMs, 2 * task.crashAgeMs)
-}
-
 function isOfStep (task: Task, { job, occurrence, index }: StepInstance): boolean {
   return task.job === job.id && task.occurrence === occurrence.index && task.step === index
 }
 
+function hasWaitingSuspects ({ job, tasks }: StepInstance): boolean {
+  return !isFinal(job.phase) && tasks.some((task) => task.phase === 'waiting' && isSuspected(task))
+}
+
+/** Whether a step's suspected tasks have crashed a worker of their own already, or were the only ones that had just started at a crash. */
+function isLikelyCause ({ tasks }: StepInstance): boolean {
+  return tasks.every((task) => !isSuspected(task) || task.soloCrashes > 0 || task.isPrimeSuspect)
+}
+
+/** Whether a task at a worker can't be the cause of a crash right after the start of a task of the step. */
+function isNoCause (task: Task, worker: PartitionWorker, instance: StepInstance, nowMs: number): boolean {
+  if (isSettled(task, nowMs)) return true
+  if (!hasPassedProbation(task, worker, nowMs)) return false
+  // The next crash under a likely cause is the proof against it.
+  return task.definition.longRunning || !isLikelyCause(instance)
+}
+
+/** Whether a worker can take a further task of the step once it is clear. */
+function isUseful (worker: PartitionWorker, instance: StepInstance, nowMs: number): boolean {
+  const { step, taskResources } = instance
+  if (!canEverRun(worker, step) || instance.unsuitable.has(worker.info.id)) return false
+  let left: Resources = worker.info.capacity
+  let own = 0
+  for (const task of worker.tasks) {
+    const isOwn = isOfStep(task, instance)
+    if (isOwn) own++
+    if (isOwn || isNoCause(task, worker, instance, nowMs)) left = subtractResources(left, computeTaskResources(task.definition))
+  }
+  return hasRoomFor(left, taskResources) && (step.maxPerWorker === 0 || own < step.maxPerWorker)
+}
+
 /** Creates isolation without held workers. */
 export function createIsolation (workers: ReadonlyMap<string, PartitionWorker>): Isolation {
   const holds = new Map<PartitionWorker, Hold>()
 
   let changes: IsolationChange[] = []
-  /** Limit of this round; computed when first needed. */
-  let limit: number | null = null
+  let roundNumber = 0
+  /** Limits of this round; computed when first needed. */
+  let limits: HoldLimits | null = null
 
   const recordChange = (worker: PartitionWorker, { instance, sinceMs }: Hold, kind: IsolationChange['kind'], nowMs: number): void => {
     changes.push({ worker: worker.info.id, step: instance.key, kind, heldMs: Math.round(nowMs - sinceMs) })
@@ -74,22 +122,16 @@
     recordChange(worker, hold, 'released', nowMs)
   }
 
-  const isStillNeeded = (worker: PartitionWorker, { instance, sinceMs }: Hold, nowMs: number): boolean => {
+  const isStillNeeded = (worker: PartitionWorker, { instance, usedAtMs, wantedRound }: Hold, nowMs: number): boolean => {
     if (workers.get(worker.info.id) !== worker) return false
-    const own = [...worker.tasks].filter((task) => isOfStep(task, instance))
-    const apart = own.filter(isSuspected)
-    if (apart.length > 0) return !apart.every((task) => hasEndedProbation(task, nowMs))
-    if (isFinal(instance.job.phase) || !isAvailable(worker, nowMs) || nowMs - sinceMs > MAX_HOLD_MS) return false
-    return instance.tasks.some((task) => task.phase === 'waiting' && isSuspected(task))
-  }
-
-  const isClear = (worker: PartitionWorker, instance: StepInstance, nowMs: number): boolean => {
-    for (const task of worker.tasks) if (!isOfStep(task, instance) && !isSettled(task, nowMs)) return false
-    return true
+    const apart = [...worker.tasks].filter(isSuspected)
+    if (!worker.synced) return apart.length > 0
+    if (apart.some((task) => !hasPassedProbation(task, worker, nowMs))) return true
+    if (!isAvailable(worker, nowMs) || nowMs - usedAtMs > MAX_HOLD_MS) return false
+    return wantedRound === roundNumber || (hasWaitingSuspects(instance) && isUseful(worker, instance, nowMs))
   }
 
-  /** Most workers that may be held: a share of all, or more while the others have room. */
-  const computeLimit = (nowMs: number): number => {
+  const computeLimits = (nowMs: number): HoldLimits => {
     let available = 0
     let capacity = 0
     let free = 0
@@ -100,24 +142,38 @@
       if (!worker.isolated) free += computeSize(computeFree(worker))
     }
     const freeShare = capacity > 0 ? free / capacity : 0
-    return Math.max(MIN_ISOLATED_WORKERS, Math.floor(available * Math.max(MAX_ISOLATED_SHARE, MAX_ISOLATED_FREE_SHARE * freeShare)))
+    return { underLoad: available * MAX_ISOLATED_SHARE, withRoom: Math.floor(available * MAX_ISOLATED_FREE_SHARE * freeShare) }
   }
 
-  const countHeld = (instance: StepInstance): number => {
+  const countHeld = (instance: StepInstance, nowMs: number): number => {
     let count = 0
-    for (const hold of holds.values()) if (hold.instance === instance) count++
+    for (const [worker, hold] of holds) if (hold.instance === instance && isUseful(worker, instance, nowMs)) count++
     return count
   }
 
-  /** Whether one more worker may be held. Those that have crashed count half: they are down for some seconds. */
-  const mayHold = (instance: StepInstance, nowMs: number): boolean => {
-    // A gang starts as a whole: once it holds a worker, it may hold all that its suspects need.
-    if (countHeld(instance) > 0) return true
+  /** Counts the held workers; those that have crashed count half: they are down for some seconds. */
+  const countAllHeld = (nowMs: number): number => {
     let held = 0
     for (const worker of holds.keys()) held += isAvailable(worker, nowMs) ? 1 : CRASHED_WEIGHT
-    const isLikelyCause = instance.tasks.every((task) => !isSuspected(task) || task.soloCrashes > 0)
-    limit ??= computeLimit(nowMs)
-    return held < limit * (isLikelyCause ? LIKELY_CAUSE_SHARE : 1)
+    return held
+  }
+
+  /** Most workers that may be held while a step asks for one. */
+  const readLimit = (instance: StepInstance, isLate: boolean, nowMs: number): number => {
+    limits ??= computeLimits(nowMs)
+    const share = isLate ? 0 : instance.step.longRunning ? 1 : isLikelyCause(instance) ? LIKELY_CAUSE_SHARE : BATCH_SHARE
+    return Math.max(MIN_ISOLATED_WORKERS, limits.withRoom, Math.floor(limits.underLoad * share))
+  }
+
+  /** Whether one more worker may be held. A gang starts as a whole: once it holds a worker, it may hold all that its suspects need. */
+  const mayHold = (instance: StepInstance, isLate: boolean, nowMs: number): boolean => {
+    return countHeld(instance, nowMs) > 0 || countAllHeld(nowMs) < readLimit(instance, isLate, nowMs)
+  }
+
+  /** Whether the step may use workers that are held for others. */
+  const mayBorrow = (instance: StepInstance, isLate: boolean, nowMs: number): boolean => {
+    if (instance.step.gang || isLikelyCause(instance)) return false
+    return !isLate || countAllHeld(nowMs) <= readLimit(instance, isLate, nowMs)
   }
 
   /** Estimates the time until a worker is clear, in milliseconds; infinite for one that never will be or then has no room. */
@@ -126,7 +182,7 @@
     let clearMs = 0
     let lasting = 0
     for (const task of worker.tasks) {
-      if (isSettled(task, nowMs)) {
+      if (task.definition.longRunning && isNoCause(task, worker, instance, nowMs)) {
         lasting++
         left = subtractResources(left, computeTaskResources(task.definition))
       } else if (task.definition.longRunning) return Infinity
@@ -138,18 +194,27 @@
 
   return {
     startRound: (nowMs) => {
-      limit = null
+      limits = null
       for (const [worker, hold] of holds) if (!isStillNeeded(worker, hold, nowMs)) release(worker, hold, nowMs)
+      roundNumber++
     },
-    listClear: (instance, nowMs) => {
-      const clear: PartitionWorker[] = []
+    listHeld: (instance, isLate, { nowMs, addEvaluations }) => {
+      const usable: PartitionWorker[] = []
+      const borrows = mayBorrow(instance, isLate, nowMs)
+      addEvaluations(holds.size)
       for (const [worker, hold] of holds) {
-        if (hold.instance === instance && isAvailable(worker, nowMs) && isClear(worker, instance, nowMs)) clear.push(worker)
+        if (hold.instance !== instance && (!borrows || (hold.instance.step.gang && hasWaitingSuspects(hold.instance)))) continue
+        if (isUseful(worker, instance, nowMs)) usable.push(worker)
       }
-      return clear
+      return usable
     },
-    tryHold: (instance, round) => {
-      if (!mayHold(instance, round.nowMs)) return null
+    isClear: (worker, instance, nowMs) => {
+      if (!isAvailable(worker, nowMs)) return false
+      for (const task of worker.tasks) if (!isOfStep(task, instance) && !isNoCause(task, worker, instance, nowMs)) return false
+      return true
+    },
+    tryHold: (instance, isLate, round) => {
+      if (!mayHold(instance, isLate, round.nowMs)) return null
       const { maxPerWorker } = instance.step
       const counts = maxPerWorker > 0 ? countTasksByWorker(instance) : null
       let best = -1
@@ -167,20 +232,27 @@
       const worker = round.workers[best]
       if (worker === undefined) return null
       worker.isolated = true
-      const hold = { instance, sinceMs: round.nowMs }
+      const hold = { instance, sinceMs: round.nowMs, usedAtMs: round.nowMs, wantedRound: -1 }
       holds.set(worker, hold)
       recordChange(worker, hold, 'held', round.nowMs)
       round.reserve(best, worker.info.capacity)
       return [...worker.tasks].filter((task) => mayBePreempted(task, instance.job.spec.policy.priority))
     },
     countHeld,
+    recordUse: (worker, nowMs) => {
+      const hold = holds.get(worker)
+      if (hold !== undefined) hold.usedAtMs = nowMs
+    },
+    keep: (held) => {
+      for (const worker of held) {
+        const hold = holds.get(worker)
+        if (hold !== undefined) hold.wantedRound = roundNumber
+      }
+    },
     takeChanges: () => {
       const taken = changes
       changes = []
       return taken
-    },
-    releaseUnsuitable: (instance, nowMs) => {
-      for (const [worker, hold] of holds) if (hold.instance === instance && instance.unsuitable.has(worker.info.id)) release(worker, hold, nowMs)
     }
   }
 }
--- a/packages/core/src/partition/jobState.ts
+++ b/packages/core/src/partition/jobState.ts
@@ -41,6 +41,8 @@
   suspicion: number
   /** Last run that a crash was counted against; one run can crash one worker only. 0 if there is none. */
   crashedRun: number
+  /** At a crash of its worker, no task of another step had just started there. Not stored in the table. */
+  isPrimeSuspect: boolean
   /** Monotonic time until which a start waits for the proof of the last crash. Not stored in the table. */
   verdictDueMs: number
   /** Longest run that ended with a crash, in milliseconds. Not stored in the table. */
@@ -122,6 +124,7 @@
     suspicion: 0,
     crashedRun: 0,
     crashAgeMs: 0,
+    isPrimeSuspect: false,
     verdictDueMs: 0,
     confirmedAtMs: null,
     stopping: false,
--- a/packages/core/src/partition/partitionWorker.ts
+++ b/packages/core/src/partition/partitionWorker.ts
@@ -27,6 +27,8 @@
   backoffUntilMs: number
   /** Nothing is started before this time because an order or poll is overdue. */
   suspectUntilMs: number
+  /** Time of the last report. */
+  respondedAtMs: number
   /** Failed runs since the last run that ended in any other way. */
   consecutiveFailures: number
   backoffMs: number
@@ -46,7 +48,7 @@
 
 /** Creates a worker that is not synced yet. */
 export function createPartitionWorker (info: WorkerInfo): PartitionWorker {
-  return { info, synced: false, used: NO_RESOURCES, tasks: new Set(), strayRuns: 0, backoffUntilMs: 0, suspectUntilMs: 0, consecutiveFailures: 0, backoffMs: MIN_WORKER_BACKOFF_MS, isolated: false }
+  return { info, synced: false, used: NO_RESOURCES, tasks: new Set(), strayRuns: 0, backoffUntilMs: 0, suspectUntilMs: 0, respondedAtMs: -Infinity, consecutiveFailures: 0, backoffMs: MIN_WORKER_BACKOFF_MS, isolated: false }
 }
 
 /** Free resources; components are negative if the worker is overcommitted. */
--- a/packages/core/src/partition/plannerTypes.ts
+++ b/packages/core/src/partition/plannerTypes.ts
@@ -173,6 +173,8 @@
   removeWorker: (worker: string) => void
   listWorkers: () => readonly string[]
   hasRuns: (worker: string) => boolean
+  /** Whether a worker is set apart for suspected tasks. */
+  isIsolated: (id: string) => boolean
   /** Sets each team's part of its ceiling; infinite if absent. Provisional limits (`areFinal` is `false`) cause no preemption. */
   setTeamLimits: (limits: ReadonlyMap<string, Resources>, areFinal?: boolean) => void
   /** Resources that each team uses here, and those blocked by its limit in the last planning round. */
--- a/packages/core/src/partition/runTracker.ts
+++ b/packages/core/src/partition/runTracker.ts
@@ -197,6 +197,7 @@
       if (entry.saved !== '' && entry.saved !== task.saved) storeCheckpoint(task, entry.saved)
     }
     worker.strayRuns = strays.length
+    worker.respondedAtMs = nowMs
     for (const task of [...worker.tasks]) {
       if (listed.has(task) || task.confirmedAtMs === null || task.confirmedAtMs >= report.requestedAtMs) continue
       releaseTask(task, nowMs)
--- a/packages/entry/src/partition/constants.ts
+++ b/packages/entry/src/partition/constants.ts
@@ -4,6 +4,8 @@
 export const LEASE_WAIT_MS = 1000
 /** Longest wait of a lease call while leases may not be extended, in milliseconds: short, so that extension resumes soon after the table responds again. */
 export const UNEXTENDED_LEASE_WAIT_MS = 250
+/** Longest wait at a worker that is set apart, in milliseconds: its next response shows that a suspected task has not crashed it. */
+export const ISOLATED_LEASE_WAIT_MS = 250
 /** Timeout of a lease call beyond its wait, in milliseconds; a call takes 5 ms, at a slow worker six times as long. */
 export const LEASE_TIMEOUT_MARGIN_MS = 700
 /** Timeout of a stop order, in milliseconds. */
--- a/packages/entry/src/partition/partitionWorkerController.ts
+++ b/packages/entry/src/partition/partitionWorkerController.ts
@@ -1,7 +1,8 @@
 /** Controls one worker on behalf of a partition's holder: renews its lease, applies its run reports and sends it orders. */
 import { createDisposableStore, type Disposable, type RunName, type StartOrder, type StopOrder } from '@fuchsiatally/core'
 import {
-  MAX_CLOCK_DRIFT, COMMIT_WAIT_MS, LEASE_MARGIN_MS, LEASE_RETRY_MS, LEASE_WAIT_MS, MAX_EXCUSED_CALLS, MIN_START_LEASE_MS, START_ATTEMPT_TIMEOUTS_MS, START_TRANSIT_MS, SUSPECT_PAUSE_MS, UNEXTENDED_LEASE_WAIT_MS
+  MAX_CLOCK_DRIFT, COMMIT_WAIT_MS, ISOLATED_LEASE_WAIT_MS, LEASE_MARGIN_MS, LEASE_RETRY_MS, LEASE_WAIT_MS, MAX_EXCUSED_CALLS, MIN_START_LEASE_MS, START_ATTEMPT_TIMEOUTS_MS, START_TRANSIT_MS,
+  SUSPECT_PAUSE_MS, UNEXTENDED_LEASE_WAIT_MS
 } from './constants.js'
 import { computeInheritedLeaseMs, computePriorLeaseBoundMs } from './leaseBounds.js'
 import { runEnded, runRefused, runStopping, orderInDoubt, workerReachable, workerUnresponsive } from './events.js'
@@ -168,7 +169,7 @@
     // A worker that did not respond gets no extension: otherwise the expiry of its lease could be deferred forever.
     const lease = failures === 0 ? computeLeaseExpiry() : null
     if (lease !== null) leaseUntilMs = Math.max(leaseUntilMs, lease)
-    const longestMs = lease === null || !wasExtended ? UNEXTENDED_LEASE_WAIT_MS : LEASE_WAIT_MS
+    const longestMs = lease === null || !wasExtended ? UNEXTENDED_LEASE_WAIT_MS : planner.isIsolated(worker) ? ISOLATED_LEASE_WAIT_MS : LEASE_WAIT_MS
     wasExtended = lease !== null
     // Does not wait after a failed call, so that an unresponsive worker is detected quickly.
     const waitMs = isReachable && failures === 0 && excusedCalls === 0 && !ends.hasPending() ? longestMs : 0
