A successor assumes no lease of earlier holders beyond the time by which all have expired

Callers see tasks of a crashed worker wait for 6 s, some for 11 s, where the lease is 3 s, for as long as a partition has had a second holder.

Cause: with a worker's first response in a term, its lease counted as six seconds long, as a late former holder may have granted so much. That holds shortly after a takeover; but each worker that comes back under a new id responds for the first time, too, minutes later. Class: the state of a fence assumed, without an end.

Change: the assumed lease ends by the time after the start of the term at which every lease of earlier holders has expired, which the holder relies on already for workers that never responded (11.3 s). The 11 s are that bound itself, for workers that crashed before their first response to the successor; it stays, as does the wait of up to 6 s in the first seconds of a term.

Ruled out: releasing the tasks as soon as another worker answers at the address, which would trust the address instead of the lease.

Test: 'the loss of a worker that is new to a successor is noticed within the lease that it granted, ...' failed with 4,759 ms and passes. lateHolder, takeoverTimes, workerRestart and workerLease pass; the two specs that create a controller state the start of the term. holderOverload has its known red case.

--- a/packages/entry/src/partition/__tests__/partitionTakeover.spec.ts
+++ b/packages/entry/src/partition/__tests__/partitionTakeover.spec.ts
@@ -3,7 +3,7 @@
 import * as assert from 'uvu/assert'
 import { CLUSTER_CONFIG, createPartitionCluster, createTestJob, SERVICE, type ClusterEntry } from '../../testing/partitionCluster.js'
 import { checkNoConcurrentRuns, readState, splitByHolder, startEntries, startStuckRuns, submitJob } from '../../testing/partitionClusterSteps.js'
-import { DISTANT_WATCH_INTERVAL_MS, MAX_SUCCESSOR_RANK, WATCH_INTERVAL_MS } from '../constants.js'
+import { DISTANT_WATCH_INTERVAL_MS, LEASE_MARGIN_MS, MAX_CLOCK_DRIFT, MAX_GRANTED_LEASE_MS, MAX_SUCCESSOR_RANK, WATCH_INTERVAL_MS } from '../constants.js'
 import { computeJobPart } from '../partitionRows.js'
 import { sortByRank } from '../rendezvousRank.js'
 
@@ -259,6 +259,22 @@
   checkNoConcurrentRuns(cluster)
 })
 
+// Guards against tasks that wait for a lease that no earlier holder can have granted.
+test('the loss of a worker that is new to a successor is noticed within the lease that it granted, once the earlier leases have expired', async () => {
+  const cluster = createPartitionCluster({ planRun: () => ({ durationMs: 60_000, how: 'done' }) })
+  const { holder, other } = splitByHolder(cluster, await startEntries(cluster, ['a', 'b']))
+  holder.kill()
+  await cluster.clock.runFor(15_000)
+  cluster.addWorker('w1')
+  await cluster.clock.runFor(1000)
+  await submitJob(cluster, other, '0000000000000001', 1)
+  await cluster.clock.runFor(500)
+  cluster.crashWorker('w1')
+  await cluster.clock.runFor(10_000)
+  const [lost] = other.events.listFields('FT812')
+  assert.ok(Number(lost?.['failingMs']) <= MAX_GRANTED_LEASE_MS * (1 + 2 * MAX_CLOCK_DRIFT) + LEASE_MARGIN_MS, `${lost?.['failingMs']} ms`)
+})
+
 test('while the table is unavailable to all entries, runs continue, submissions are refused at once and no entry takes the partition over', async () => {
   const cluster = createPartitionCluster({ planRun: () => ({ durationMs: 7000, how: 'done' }) })
   cluster.addWorker('w1')
--- a/packages/entry/src/partition/__tests__/waitingStarts.spec.ts
+++ b/packages/entry/src/partition/__tests__/waitingStarts.spec.ts
@@ -42,6 +42,7 @@
       dispose: () => {}
     },
     epoch: 1,
+    termStartedAtMs: 0,
     maxLeaseMs: 3000,
     planner,
     clock,
--- a/packages/entry/src/partition/__tests__/workerLease.spec.ts
+++ b/packages/entry/src/partition/__tests__/workerLease.spec.ts
@@ -43,6 +43,7 @@
       dispose: () => {}
     },
     epoch: 1,
+    termStartedAtMs: 0,
     maxLeaseMs: MAX_GRANTED_LEASE_MS,
     planner,
     clock,
--- a/packages/entry/src/partition/leaseBounds.ts
+++ b/packages/entry/src/partition/leaseBounds.ts
@@ -19,15 +19,16 @@
 /** Epoch of the holder that has no predecessor. */
 const FIRST_EPOCH = 1
 
-/**
- * Longest time for which a lease of an earlier holder may last after the worker's first response in a term, in milliseconds; from then on the
- * worker refuses that holder. `-Infinity` in the first epoch, which inherits no lease.
- */
-export function computeInheritedLeaseMs (epoch: number, maxLeaseMs: number): number {
-  return epoch === FIRST_EPOCH ? -Infinity : Math.min(maxLeaseMs, MAX_LATE_LEASE_MS)
-}
-
 /** Time from the start of a term after which every lease of an earlier holder has expired, in milliseconds. */
 export function computePriorLeaseBoundMs (maxLeaseMs: number): number {
   return MAX_UNCONFIRMED_EXTENSION_MS + computeLeaseMs(maxLeaseMs) * (1 + MAX_CLOCK_DRIFT) + LEASE_MARGIN_MS
 }
+
+/**
+ * Longest time for which a lease of an earlier holder may last after the worker's first response in a term of age `termAgeMs`, in milliseconds;
+ * from then on the worker refuses that holder. `-Infinity` in the first epoch, which inherits no lease.
+ */
+export function computeInheritedLeaseMs (epoch: number, maxLeaseMs: number, termAgeMs: number): number {
+  if (epoch === FIRST_EPOCH) return -Infinity
+  return Math.min(maxLeaseMs, MAX_LATE_LEASE_MS, computePriorLeaseBoundMs(maxLeaseMs) - termAgeMs)
+}
--- a/packages/entry/src/partition/partitionTerm.ts
+++ b/packages/entry/src/partition/partitionTerm.ts
@@ -104,6 +104,7 @@
       address: listing.address,
       client: options.createWorkerClient(listing),
       epoch: row.epoch,
+      termStartedAtMs: startedAtMs,
       maxLeaseMs: options.bounds.maxLeaseMs,
       planner,
       clock,
--- a/packages/entry/src/partition/partitionWorkerController.ts
+++ b/packages/entry/src/partition/partitionWorkerController.ts
@@ -20,6 +20,7 @@
   readonly address: string
   readonly client: PartitionWorkerClient
   readonly epoch: number
+  readonly termStartedAtMs: number
   readonly maxLeaseMs: number
   readonly load: HolderLoad
   /** Shared by the controllers of a term. */
@@ -138,7 +139,7 @@
       recordWorkerLost('the worker restarted', 'restarted', (run, confirmedAtMs) => running.has(formatRun(run)) || (confirmedAtMs !== null && confirmedAtMs >= sentAtMs))
     } else if (isLost) planner.recordWorkerSurvived(worker)
     if (bornAtMs === null) {
-      leaseUntilMs = Math.max(leaseUntilMs, response.clockMs + computeInheritedLeaseMs(epoch, options.maxLeaseMs))
+      leaseUntilMs = Math.max(leaseUntilMs, response.clockMs + computeInheritedLeaseMs(epoch, options.maxLeaseMs, nowMs - options.termStartedAtMs))
       const reported = new Set([...response.running, ...response.ended].map(formatRun))
       planner.recordWorkerBorn(worker, response.bornAtMs, (run) => reported.has(formatRun(run)), nowMs, clock.wallMs())
     }
