Suspects of a full partition take no more of it than other late work

Cause: the share of the free room that may be set apart began at none, so that the gaps of a full partition counted as room, and workers that had crashed under likely causes counted half. Most objectives have passed by the time the loss of a worker is noticed.

Change: more workers than the share under load only where over a quarter of the room is free, and as many as leave that quarter. A crashed worker counts in full under load. Jobs that can't earn credit borrow held workers, but don't keep them.

--- a/packages/core/src/partition/constants.ts
+++ b/packages/core/src/partition/constants.ts
@@ -44,9 +44,9 @@
 /** Time within which failures of a common cause are noticed, in milliseconds: connections break at once, silence is noticed by timeouts. */
 export const ABRUPT_FAILURE_WINDOW_MS = 150
 export const SILENT_FAILURE_WINDOW_MS = 1500
-/** Share of the workers that may be set apart for suspected tasks at a time, the same as a share of the room that is free, and the least number of them. */
+/** Share of the workers that may be set apart for suspected tasks at a time; free room that is left to the other tasks if there is more, as a share; and the least number of such workers. */
 export const MAX_ISOLATED_SHARE = 1 / 6
-export const MAX_ISOLATED_FREE_SHARE = 3 / 4
+export const SPARED_FREE_SHARE = 1 / 4
 export const MIN_ISOLATED_WORKERS = 1
 /** Longest time for which a worker is held without the start of a suspected task, in milliseconds. */
 export const MAX_HOLD_MS = 6000
--- a/packages/core/src/partition/isolatedPlacement.ts
+++ b/packages/core/src/partition/isolatedPlacement.ts
@@ -39,7 +39,7 @@
     // A gang needs room for all of its suspects at once.
     const needed = instance.step.gang ? suspects.length : 1
     const findPlacements = () => {
-      const held = isolation.listHeld(instance, isLate, round)
+      const held = isolation.listHeld(instance, round)
       const clear = held.filter((worker) => isolation.isClear(worker, instance, round.nowMs))
       const ticketed = clear.filter(({ info }) => hasTicket(instance, info.id, round.nowMs))
       const found = placeSuspects(instance, suspects, ticketed)
@@ -54,7 +54,7 @@
       placements = findPlacements()
     }
     for (const { worker } of placements) isolation.recordUse(worker, round.nowMs)
-    if (placements.length < suspects.length) isolation.keep(isolation.listHeld(instance, isLate, round))
+    if (placements.length < suspects.length && !isLate) isolation.keep(isolation.listHeld(instance, round))
     return placements.map((placement) => ({ ...placement, index: null }))
   }
 }
--- a/packages/core/src/partition/isolation.ts
+++ b/packages/core/src/partition/isolation.ts
@@ -1,7 +1,7 @@
 /** Workers set apart for suspected tasks, so that a crash shows its cause and takes no sound run with it. */
 import { hasRoomFor, subtractResources, type Resources } from '../schema/resources.js'
 import { isSettled } from './crashEvidence.js'
-import { MAX_HOLD_MS, MAX_ISOLATED_FREE_SHARE, MAX_ISOLATED_SHARE, MIN_ISOLATED_WORKERS } from './constants.js'
+import { MAX_HOLD_MS, MAX_ISOLATED_SHARE, MIN_ISOLATED_WORKERS, SPARED_FREE_SHARE } from './constants.js'
 import { canEverRun, computeFree, computeTaskResources, isAvailable, type PartitionWorker } from './partitionWorker.js'
 import type { PlanningRound } from './planningRound.js'
 import { isFinal, isSuspected, type Task } from './jobState.js'
@@ -17,15 +17,14 @@
   /**
    * Held workers with room for the step, once clear: its own and, unless it is a gang or a likely cause, those of other steps. A gang's are for it
    * alone until it has started.
-   *
-   * @param isLate the job can't earn credit any more: a partition without room sets no workers apart for it but the least number
    */
-  listHeld: (instance: StepInstance, isLate: boolean, round: PlanningRound) => PartitionWorker[]
+  listHeld: (instance: StepInstance, round: PlanningRound) => PartitionWorker[]
   /** Whether a held worker is up and clear of all tasks that a crash could be mistaken for. */
   isClear: (worker: PartitionWorker, instance: StepInstance, nowMs: number) => boolean
   /**
    * Holds a worker for a step; one that is soon clear, and among those the one that has been up longest.
    *
+   * @param isLate the job can't earn credit any more: a partition without room holds the least number of workers for such jobs
    * @returns tasks to preempt, so that the worker is clear sooner; `null` if no worker is held
    */
   tryHold: (instance: StepInstance, isLate: boolean, round: PlanningRound) => readonly Task[] | null
@@ -56,7 +55,7 @@
   readonly withRoom: number
 }
 
-/** Weight of a held worker that has crashed, towards the limit. */
+/** Weight of a held worker that has crashed towards `withRoom`: it is down for some seconds. */
 const CRASHED_WEIGHT = 0.5
 /** Share of `underLoad` for steps that need not run again within seconds, and for likely causes: if they are, their jobs are not missed. */
 const BATCH_SHARE = 0.5
@@ -142,7 +141,7 @@
       if (!worker.isolated) free += computeSize(computeFree(worker))
     }
     const freeShare = capacity > 0 ? free / capacity : 0
-    return { underLoad: available * MAX_ISOLATED_SHARE, withRoom: Math.floor(available * MAX_ISOLATED_FREE_SHARE * freeShare) }
+    return { underLoad: available * MAX_ISOLATED_SHARE, withRoom: Math.floor(available * (freeShare - SPARED_FREE_SHARE)) }
   }
 
   const countHeld = (instance: StepInstance, nowMs: number): number => {
@@ -151,29 +150,15 @@
     return count
   }
 
-  /** Counts the held workers; those that have crashed count half: they are down for some seconds. */
-  const countAllHeld = (nowMs: number): number => {
-    let held = 0
-    for (const worker of holds.keys()) held += isAvailable(worker, nowMs) ? 1 : CRASHED_WEIGHT
-    return held
-  }
-
-  /** Most workers that may be held while a step asks for one. */
-  const readLimit = (instance: StepInstance, isLate: boolean, nowMs: number): number => {
-    limits ??= computeLimits(nowMs)
-    const share = isLate ? 0 : instance.step.longRunning ? 1 : isLikelyCause(instance) ? LIKELY_CAUSE_SHARE : BATCH_SHARE
-    return Math.max(MIN_ISOLATED_WORKERS, limits.withRoom, Math.floor(limits.underLoad * share))
-  }
-
   /** Whether one more worker may be held. A gang starts as a whole: once it holds a worker, it may hold all that its suspects need. */
   const mayHold = (instance: StepInstance, isLate: boolean, nowMs: number): boolean => {
-    return countHeld(instance, nowMs) > 0 || countAllHeld(nowMs) < readLimit(instance, isLate, nowMs)
-  }
-
-  /** Whether the step may use workers that are held for others. */
-  const mayBorrow = (instance: StepInstance, isLate: boolean, nowMs: number): boolean => {
-    if (instance.step.gang || isLikelyCause(instance)) return false
-    return !isLate || countAllHeld(nowMs) <= readLimit(instance, isLate, nowMs)
+    if (countHeld(instance, nowMs) > 0) return true
+    limits ??= computeLimits(nowMs)
+    const share = isLate ? 0 : instance.step.longRunning ? 1 : isLikelyCause(instance) ? LIKELY_CAUSE_SHARE : BATCH_SHARE
+    if (holds.size < Math.max(MIN_ISOLATED_WORKERS, Math.floor(limits.underLoad * share))) return true
+    let held = 0
+    for (const worker of holds.keys()) held += isAvailable(worker, nowMs) ? 1 : CRASHED_WEIGHT
+    return held < limits.withRoom
   }
 
   /** Estimates the time until a worker is clear, in milliseconds; infinite for one that never will be or then has no room. */
@@ -198,9 +183,9 @@
       for (const [worker, hold] of holds) if (!isStillNeeded(worker, hold, nowMs)) release(worker, hold, nowMs)
       roundNumber++
     },
-    listHeld: (instance, isLate, { nowMs, addEvaluations }) => {
+    listHeld: (instance, { nowMs, addEvaluations }) => {
       const usable: PartitionWorker[] = []
-      const borrows = mayBorrow(instance, isLate, nowMs)
+      const borrows = !instance.step.gang && !isLikelyCause(instance)
       addEvaluations(holds.size)
       for (const [worker, hold] of holds) {
         if (hold.instance !== instance && (!borrows || (hold.instance.step.gang && hasWaitingSuspects(hold.instance)))) continue
