An order of unknown outcome is no crash at the start that gives a task up

Cause: a run whose start was never confirmed counted as one that had just started, and two such crashes prove a task at once.

Change: only crashes during confirmed runs count towards the proof by two crashes at the start. Suspicion and the proof by two workers of its own stay as they are.

--- a/packages/core/src/partition/__tests__/crashingTasks.spec.ts
+++ b/packages/core/src/partition/__tests__/crashingTasks.spec.ts
@@ -44,6 +44,22 @@
   assert.is(world.planner.readPhase('sound'), 'running')
 })
 
+// Guards against LOST: the first worker had crashed under another job while the order was on its way, and one crash gave the job up.
+test('a task is not given up for one crash if an order of unknown outcome went to a worker that another task had crashed', () => {
+  const world = createWorld(8)
+  addJob(world, 'other')
+  const [other] = startRuns(world)
+  addJob(world, 'bad')
+  const [inDoubt] = world.planner.decide(world.nowMs, world.nowMs, ACCEPT_REQUEST).starts
+  assert.is(inDoubt!.worker, other!.worker)
+  loseWorker(world, other!.worker, 'crashed')
+  for (const phase of ['running', 'failed']) {
+    const start = startRuns(world).find(({ job }) => job === 'bad')
+    loseWorker(world, start!.worker, 'crashed')
+    assert.is(world.planner.readPhase('bad'), phase)
+  }
+})
+
 test('a crash at the same moment as another one is no proof by itself', () => {
   const world = createWorld(12)
   for (const id of ['sound', 'neighbour']) addJob(world, id)
--- a/packages/core/src/partition/crashEvidence.ts
+++ b/packages/core/src/partition/crashEvidence.ts
@@ -42,6 +42,7 @@
   readonly run: number
   readonly suspicion: number
   readonly ageMs: number
+  readonly isConfirmed: boolean
   /** Had just started. */
   readonly isRecent: boolean
   /** Had run for too long to be the cause of a crash right after the start of another task. */
@@ -87,7 +88,7 @@
     const isRecent = ageMs <= RECENT_START_MS && kind !== 'silent'
     const hasPassed = worker.isolated && hasPassedProbation(task, worker, failedAtMs)
     const suspicion = isRecent ? RECENT_START_SUSPICION : LONG_RUN_SUSPICION
-    charges.push({ task, run: task.run, ageMs, isRecent, isSettled: isSettled(task, failedAtMs) || hasPassed, hasPassed, wasSuspected: isSuspected(task), suspicion })
+    charges.push({ task, run: task.run, isConfirmed: task.confirmedAtMs !== null, ageMs, isRecent, isSettled: isSettled(task, failedAtMs) || hasPassed, hasPassed, wasSuspected: isSuspected(task), suspicion })
   }
   return charges
 }
@@ -115,8 +116,9 @@
   const losses = new Map<string, RecordedLoss>()
 
   const count = (charges: readonly Charge[]): Task[] => {
-    for (const { task, run, suspicion, ageMs } of charges) {
+    for (const { task, run, isConfirmed, suspicion, ageMs } of charges) {
       task.crashes++
+      if (isConfirmed) task.confirmedCrashes++
       task.crashedRun = run
       task.suspicion += suspicion
       if (Number.isFinite(ageMs)) task.crashAgeMs = Math.max(task.crashAgeMs, ageMs)
@@ -126,10 +128,10 @@
 
   /**
    * How much a crash of a worker with one step proves: all, if the task had just started at each of two crashes, the second one without
-   * another failure at that moment.
+   * another failure at that moment. An order without a response may have come after the crash.
    */
   const computeProofWeight = ({ isSingle }: RecordedLoss, { task, isRecent }: Charge): number => {
-    return isSingle && isRecent && task.crashes > 1 && task.suspicion >= REPEATED_SUSPICION ? CRASH_PROOFS_TO_GIVE_UP : 1
+    return isSingle && isRecent && task.confirmedCrashes > 1 && task.suspicion >= REPEATED_SUSPICION ? CRASH_PROOFS_TO_GIVE_UP : 1
   }
 
   const collectProven = (loss: RecordedLoss): Task[] => {
@@ -205,8 +207,9 @@
       const loss = losses.get(worker)
       losses.delete(worker)
       if (loss === undefined || loss.isProven) return []
-      for (const { task, run, suspicion } of loss.charges) {
+      for (const { task, run, isConfirmed, suspicion } of loss.charges) {
         task.crashes--
+        if (isConfirmed) task.confirmedCrashes--
         if (task.crashedRun === run) task.crashedRun = 0
         task.suspicion -= suspicion
         task.isPrimeSuspect = false
--- a/packages/core/src/partition/jobState.ts
+++ b/packages/core/src/partition/jobState.ts
@@ -37,6 +37,8 @@
   /** Workers that crashed while the task ran there, and those of them where it ran apart from others. */
   crashes: number
   soloCrashes: number
+  /** Crashes during runs of which the start was confirmed. Not stored in the table. */
+  confirmedCrashes: number
   /** How likely the task is to be the cause of these crashes; from `SUSPICION_LIMIT` on it runs apart. */
   suspicion: number
   /** Last run that a crash was counted against; one run can crash one worker only. 0 if there is none. */
@@ -121,6 +123,7 @@
     saved: '',
     crashes: 0,
     soloCrashes: 0,
+    confirmedCrashes: 0,
     suspicion: 0,
     crashedRun: 0,
     crashAgeMs: 0,
