--- a/packages/core/src/partition/isolation.ts
+++ b/packages/core/src/partition/isolation.ts
@@ -55,8 +55,6 @@
   readonly withRoom: number
 }
 
-/** Weight of a held worker that has crashed towards `withRoom`: it is down for some seconds. */
-const CRASHED_WEIGHT = 0.5
 /** Share of `underLoad` for steps that need not run again within seconds, and for likely causes: if they are, their jobs are not missed. */
 const BATCH_SHARE = 0.5
 const LIKELY_CAUSE_SHARE = 0.25
@@ -156,9 +154,10 @@
     limits ??= computeLimits(nowMs)
     const share = isLate ? 0 : instance.step.longRunning ? 1 : isLikelyCause(instance) ? LIKELY_CAUSE_SHARE : BATCH_SHARE
     if (holds.size < Math.max(MIN_ISOLATED_WORKERS, Math.floor(limits.underLoad * share))) return true
-    let held = 0
-    for (const worker of holds.keys()) held += isAvailable(worker, nowMs) ? 1 : CRASHED_WEIGHT
-    return held < limits.withRoom
+    // The room of crashed workers is missing already.
+    let available = 0
+    for (const worker of holds.keys()) if (isAvailable(worker, nowMs)) available++
+    return available < limits.withRoom
   }
 
   /** Estimates the time until a worker is clear, in milliseconds; infinite for one that never will be or then has no room. */
