Planner: a gang keeps its reservation while it waits for advice, and is never passed over for its size

A step that waits for advice reserves no room; that also held for gangs, large and long-running tasks, which wait for more room than a single task needs and reserve it from the time of their wait on. They keep their reservations. A gang larger than the starts that a round may still decide was left out if anything else had started in the round; it may now exceed that number, so that smaller steps in front can't hold it back for ever.

--- a/packages/core/src/partition/createPartitionPlanner.ts
+++ b/packages/core/src/partition/createPartitionPlanner.ts
@@ -98,8 +98,8 @@
     return !teams.mayAdd(job.spec.team, step.gang ? computeTotal(step.resources, tasks.length) : step.resources)
   }
 
-  /** Whether the orders of `count` further tasks would wait until their tickets expire. */
-  const isOrderingBusy = (instance: StepInstance, { ticketedLeft }: RoundParts, count: number): boolean => needsAdvice(instance) && ticketedLeft < count
+  /** Whether the order of a further task would wait until its ticket expires. */
+  const isOrderingBusy = (instance: StepInstance, { ticketedLeft }: RoundParts): boolean => needsAdvice(instance) && ticketedLeft <= 0
 
   /** Leaves a step out of this round; what its team's limit blocks still counts as the team's demand. */
   const handleDeferral = (instance: StepInstance): void => {
@@ -127,13 +127,11 @@
     const shared = placeTasks(instance, sound, round)
     if (gang && shared.length < sound.length) return startable
     if (isolated.length === 0 && shared.length === 0) return sound
-    // The rank of the gang gives it the whole of a later round.
-    if (gang && starts.length > 0 && isOrderingBusy(instance, parts, startable.length)) return []
     const gangRun = gang ? Math.max(0, ...instance.tasks.map((task) => task.run)) + 1 : 0
     const placed = new Set<Task>()
     const placements = [...isolated, ...shared.map(({ task, worker }) => ({ task, worker: round.workers[worker]!, index: worker }))]
     for (const { task, worker, index } of placements) {
-      if (!gang && isOrderingBusy(instance, parts, 1)) break
+      if (!gang && isOrderingBusy(instance, parts)) break
       if (!gang && !teams.mayAdd(team, instance.step.resources)) break
       starts.push(startTask(instance, task, worker, { number: gang ? gangRun : task.run + 1, nowMs: round.nowMs }))
       if (index !== null) round.updateFree(index)
@@ -141,7 +139,7 @@
       if (needsAdvice(instance)) parts.ticketedLeft--
     }
     if (placed.size > 0) registry.recordStarted(instance)
-    if (!gang && placed.size < placements.length && isOrderingBusy(instance, parts, 1)) return []
+    if (!gang && placed.size < placements.length && isOrderingBusy(instance, parts)) return []
     if (placed.size === placements.length) return sound.filter((task) => !placed.has(task))
     handleCeilingWait(ranked, sound.length - placed.size, parts)
     return []
@@ -225,7 +223,7 @@
     budget.startRound(round, ranking.length)
     for (const ranked of ranking) {
       const { instance } = ranked
-      if (isOrderingBusy(instance, parts, 1)) {
+      if (isOrderingBusy(instance, parts)) {
         handleDeferral(instance)
         if (tasksAhead >= MAX_TASKS_AHEAD || isAtCeiling(instance)) continue
         const ahead = listStartable(instance)
@@ -243,7 +241,7 @@
       const reserves = mayReserve(instance, nowMs)
       if (reserves && reservingCount < MAX_RESERVING_STEPS) reservingCount++
       else if (reserves || ranked.rank.priority > 0 || !mayPreempt(ranked, nowMs)) continue
-      if (!budget.mayReserve(instance) || waitsForAdvice(instance, round)) continue
+      if (!budget.mayReserve(instance) || (!reserves && waitsForAdvice(instance, round))) continue
       stopForPreemption(reservations.reserve({ instance, tasks: left, mayPreempt: mayPreempt(ranked, nowMs) }))
     }
     evaluations += round.countEvaluations()
--- a/packages/core/src/partition/plannerTypes.ts
+++ b/packages/core/src/partition/plannerTypes.ts
@@ -135,8 +135,7 @@
   /** Asked before a query is composed; default: always. */
   readonly canSend?: CanSendQuery
   /**
-   * Number of starts with tickets after which other steps that need advice are left out of the round; a gang may exceed it if nothing else has
-   * started. Default: no limit.
+   * Number of starts with tickets after which other steps that need advice are left out of the round; a gang may exceed it. Default: no limit.
    */
   readonly maxTicketedStarts?: number
 }
