Model of workers: the end of a cut does not revive a crashed worker

The end of the cut then cleared the same flag that holds a crashed worker down, so that it responded in its former life, without its runs and without their ends. No worker does that: the platform lists a run, or its end until it is acknowledged, as long as the worker's life lasts, and a later life says so.

A worker keeps whether it is down apart from the cut's flag; the end of a cut leaves one that is down alone.

--- a/packages/entry/src/testing/crashingTaskDay.ts
+++ b/packages/entry/src/testing/crashingTaskDay.ts
@@ -32,7 +32,10 @@
 function cutWorkers (cluster: PartitionCluster, workers: readonly string[], fault: 'cut' | 'refuses'): void {
   const cut = workers.map((id) => cluster.workers.get(id)!).filter(({ faults }) => !faults.refuses)
   for (const { faults } of cut) faults[fault] = true
-  cluster.clock.setTimer(CUT_MS, () => { for (const { faults } of cut) faults[fault] = false })
+  cluster.clock.setTimer(CUT_MS, () => {
+    // One that has crashed meanwhile responds again in its next life only.
+    for (const { faults, isCrashed } of cut) faults[fault] = fault === 'refuses' && isCrashed()
+  })
 }
 
 /** Plays a day with one trouble each two seconds; returns the cluster and an entry that is up at the end. */
--- a/packages/entry/src/testing/partitionWorkerModel.ts
+++ b/packages/entry/src/testing/partitionWorkerModel.ts
@@ -42,6 +42,8 @@
   restart: () => void
   /** Ends all runs; from now on connections are refused. */
   crash: () => void
+  /** The worker is down after a crash. */
+  isCrashed: () => boolean
   /** Another worker responds at the address from now on. */
   setReplaced: () => void
   isReplaced: () => boolean
@@ -92,6 +94,7 @@
   /** Highest run of each task that ended or was stopped on this worker; it and earlier ones may not start again. */
   let tombstones = new Map<string, number>()
   let incarnation = 0
+  let isCrashed = false
   let isReplaced = false
   const poll = createLongPoll(clock)
 
@@ -210,16 +213,20 @@
     createClient,
     crash: () => {
       loseRuns('lost')
+      isCrashed = true
       faults.refuses = true
       poll.notify()
     },
+    isCrashed: () => isCrashed,
     setReplaced: () => {
+      isCrashed = false
       faults.refuses = false
       isReplaced = true
     },
     isReplaced: () => isReplaced,
     restart: () => {
       loseRuns('lapsed')
+      isCrashed = false
       ended = []
       tombstones = new Map()
       epoch = lastEnd = leaseUntilMs = 0
