Only crashes right after a start, twice, give a task up at its first crash alone

A task that had just started at each of two crashes of its workers is given up by one crash of a worker of its own. What was compared was the sum of suspicion: two shared crashes after a long run (1 each) and one right after a start (2) made 4 as well, and a sound task was given up for a single crash of its own.

Ruled out: the verdict on the shared crashes, both were counted as long runs.

A crash right after a start adds one more to the suspicion than to the count of crashes: the difference counts them, and two are needed.

--- a/packages/core/src/partition/__tests__/crashingTasks.spec.ts
+++ b/packages/core/src/partition/__tests__/crashingTasks.spec.ts
@@ -60,6 +60,19 @@
   }
 })
 
+// Guards against sound tasks that are given up for one crash of their own: only starts right before each of two crashes prove as much.
+test('a task that had run for a while at the crashes before is not given up for one crash right after its start', () => {
+  const world = createWorld(8)
+  for (const id of ['sound', 'neighbour']) addJob(world, id)
+  for (let shared = 0; shared < 2; shared++) {
+    const starts = startRuns(world)
+    world.nowMs += LONG_RUN_MS
+    crashUnder(world, 'sound', starts)
+  }
+  crashUnder(world, 'sound', startRuns(world))
+  assert.is(world.planner.readPhase('sound'), 'running')
+})
+
 test('a crash at the same moment as another one is no proof by itself', () => {
   const world = createWorld(12)
   for (const id of ['sound', 'neighbour']) addJob(world, id)
--- a/packages/core/src/partition/crashEvidence.ts
+++ b/packages/core/src/partition/crashEvidence.ts
@@ -11,8 +11,8 @@
 import type { PartitionWorker } from './partitionWorker.js'
 import type { WorkerLoss } from './plannerTypes.js'
 
-/** Suspicion of a task that had just started at each of two crashes. */
-const REPEATED_SUSPICION = 4
+/** Crashes right after a start that prove as much as two crashes. */
+const REPEATED_RECENT_CRASHES = 2
 
 /** Tasks whose crash counts have changed. */
 export interface CrashVerdict {
@@ -131,7 +131,9 @@
    * another failure at that moment. An order without a response may have come after the crash.
    */
   const computeProofWeight = ({ isSingle }: RecordedLoss, { task, isRecent }: Charge): number => {
-    return isSingle && isRecent && task.confirmedCrashes > 1 && task.suspicion >= REPEATED_SUSPICION ? CRASH_PROOFS_TO_GIVE_UP : 1
+    // Only crashes right after a start cast more suspicion than they count.
+    const isRepeated = task.confirmedCrashes > 1 && task.suspicion - task.crashes >= REPEATED_RECENT_CRASHES
+    return isSingle && isRecent && isRepeated ? CRASH_PROOFS_TO_GIVE_UP : 1
   }
 
   const collectProven = (loss: RecordedLoss): Task[] => {
