Crashes beside other failures leave a trace, and count in the end

Cause: an excuse was taken for an acquittal. That others failed at about the same time makes another cause likely; with a window of 1.5 s it doesn't exclude that the task is to blame, and nothing bounded how often a task could be excused. Class: absence of proof taken for proof of absence.

Ruled out: lost counts (one holder), starts that went on before a pending proof (each proof arrived before the next but one start), a narrower window (the moment of silence isn't known better).

A loss that others probably explain casts no suspicion but counts among the crashes of the task, in the row that next holders read (its format is the same). A task with three crashes that prove nothing runs apart; of its further crashes, each alone at its worker is proof, whatever else failed: 3 + 2 = 5 starts. Sound tasks that lose workers with their racks are suspected by the third such loss at the earliest, and a loss is withdrawn as before if the worker responds in the same life.

--- a/packages/core/src/partition/constants.ts
+++ b/packages/core/src/partition/constants.ts
@@ -37,6 +37,10 @@
 export const SUSPICION_LIMIT = 2
 /** Crashes of a task that ran apart from others after which it is given up. */
 export const CRASH_PROOFS_TO_GIVE_UP = 2
+/** Starts of a task that crashes each of its workers that the users allow. */
+export const MAX_CRASHING_STARTS = 5
+/** Crashes of a task that prove nothing, because its worker was shared or others failed at the time, after which each further one is proof. */
+export const MAX_UNPROVEN_CRASHES = MAX_CRASHING_STARTS - CRASH_PROOFS_TO_GIVE_UP
 /** Time for which a task that would be given up waits until the crash of its worker is proven, in milliseconds; workers are back after some three seconds, leases expire about then. */
 export const VERDICT_WAIT_MS = 1500
 /** Time for which a lost worker may still turn out to have crashed or to have been cut off only, in milliseconds. */
--- a/packages/core/src/partition/crashEvidence.ts
+++ b/packages/core/src/partition/crashEvidence.ts
@@ -3,9 +3,12 @@
  *
  * A crash casts suspicion on each task at the worker, most on those that had just started. Suspected tasks run apart from others
  * (`isolation.ts`), and only crashes of such runs count as proof, so that no task is given up for a crash that a neighbour caused.
+ *
+ * Losses that have a likely cause in common with others cast no suspicion, but the run may have crashed its worker all the same: they count,
+ * and after `MAX_UNPROVEN_CRASHES` that proved nothing, each further one does.
  */
-import { CRASH_PROOFS_TO_GIVE_UP, LONG_RUN_SUSPICION, MAX_LOSS_AGE_MS, RECENT_START_MS, RECENT_START_SUSPICION, VERDICT_WAIT_MS } from './constants.js'
-import { isSuspected, type Task } from './jobState.js'
+import { CRASH_PROOFS_TO_GIVE_UP, LONG_RUN_SUSPICION, MAX_LOSS_AGE_MS, MAX_UNPROVEN_CRASHES, RECENT_START_MS, RECENT_START_SUSPICION, VERDICT_WAIT_MS } from './constants.js'
+import { countUnprovenCrashes, isSuspected, type Task } from './jobState.js'
 import type { FailureHistory } from './failureHistory.js'
 import { hasPassedProbation } from './probation.js'
 import type { PartitionWorker } from './partitionWorker.js'
@@ -45,6 +48,8 @@
   readonly isConfirmed: boolean
   /** Had just started. */
   readonly isRecent: boolean
+  /** Earlier crashes prove so little that this one counts as proof, whatever else failed. */
+  readonly isOwed: boolean
   /** Had run for too long to be the cause of a crash right after the start of another task. */
   readonly isSettled: boolean
   /** Was suspected, and had run for too long at a worker set apart to be the cause of such a crash. */
@@ -64,6 +69,8 @@
   readonly isSolo: boolean
   /** No other worker failed at that moment, and no other suspected task was there. */
   readonly isSingle: boolean
+  /** Others that failed at that time probably have the same cause. */
+  readonly isExcused: boolean
   isProven: boolean
 }
 
@@ -79,16 +86,31 @@
   return task.definition.longRunning && !isSuspected(task) && task.confirmedAtMs !== null && nowMs - task.confirmedAtMs > RECENT_START_MS
 }
 
+function computeSuspicion (isExcused: boolean, isRecent: boolean): number {
+  if (isExcused) return 0
+  return isRecent ? RECENT_START_SUSPICION : LONG_RUN_SUSPICION
+}
+
 /** The moment of a silent loss is not known well enough to tell recent starts from others. */
-function buildCharges (worker: PartitionWorker, tasks: readonly Task[], { failedAtMs, kind }: WorkerLoss): Charge[] {
+function buildCharges (worker: PartitionWorker, tasks: readonly Task[], { failedAtMs, kind }: WorkerLoss, isExcused: boolean): Charge[] {
   const charges: Charge[] = []
   for (const task of tasks) {
     if (task.phase !== 'placed' || task.crashedRun === task.run) continue
     const ageMs = task.confirmedAtMs === null ? 0 : failedAtMs - task.confirmedAtMs
     const isRecent = ageMs <= RECENT_START_MS && kind !== 'silent'
     const hasPassed = worker.isolated && hasPassedProbation(task, worker, failedAtMs)
-    const suspicion = isRecent ? RECENT_START_SUSPICION : LONG_RUN_SUSPICION
-    charges.push({ task, run: task.run, isConfirmed: task.confirmedAtMs !== null, ageMs, isRecent, isSettled: isSettled(task, failedAtMs) || hasPassed, hasPassed, wasSuspected: isSuspected(task), suspicion })
+    charges.push({
+      task,
+      run: task.run,
+      ageMs,
+      isConfirmed: task.confirmedAtMs !== null,
+      isRecent,
+      isOwed: countUnprovenCrashes(task) >= MAX_UNPROVEN_CRASHES,
+      isSettled: isSettled(task, failedAtMs) || hasPassed,
+      hasPassed,
+      wasSuspected: isSuspected(task),
+      suspicion: computeSuspicion(isExcused, isRecent)
+    })
   }
   return charges
 }
@@ -130,7 +152,8 @@
    * How much a crash of a worker with one step proves: all, if the task had just started at each of two crashes, the second one without
    * another failure at that moment. An order without a response may have come after the crash.
    */
-  const computeProofWeight = ({ isSingle }: RecordedLoss, { task, isRecent }: Charge): number => {
+  const computeProofWeight = ({ isSingle, isExcused }: RecordedLoss, { task, isRecent, isOwed }: Charge): number => {
+    if (isExcused) return isOwed ? 1 : 0
     // Only crashes right after a start cast more suspicion than they count.
     const isRepeated = task.confirmedCrashes > 1 && task.suspicion - task.crashes >= REPEATED_RECENT_CRASHES
     return isSingle && isRecent && isRepeated ? CRASH_PROOFS_TO_GIVE_UP : 1
@@ -157,13 +180,16 @@
     recordLoss: (worker, tasks, loss) => {
       dropOldLosses(loss.nowMs)
       losses.delete(worker.info.id)
-      if (loss.kind === 'left' || failures.isCommonCause(worker, loss.failedAtMs)) return NO_VERDICT
-      const all = buildCharges(worker, tasks, loss)
-      if (all.length === 0) return NO_VERDICT
+      if (loss.kind === 'left') return NO_VERDICT
+      const commonCause = failures.findCommonCause(worker, loss.failedAtMs)
+      const isExcused = commonCause !== null
+      const all = buildCharges(worker, tasks, loss, isExcused)
       const isSolo = isSoloLoss(worker, all)
       // A crash right after the start of the only step that was tried there has no other cause.
       const isExplained = isSolo && worker.isolated && all.every(({ isSettled, isRecent }) => isSettled || isRecent)
-      const charges = isExplained ? all.filter(({ isSettled }) => !isSettled) : all
+      const possible = isExplained ? all.filter(({ isSettled }) => !isSettled) : all
+      const charges = commonCause === 'certain' ? possible.filter(({ isOwed }) => isOwed) : possible
+      if (charges.length === 0) return NO_VERDICT
       const recorded: RecordedLoss = {
         worker,
         failedAtMs: loss.failedAtMs,
@@ -172,10 +198,11 @@
         lostAtMs: loss.nowMs,
         isSolo,
         isSingle: !failures.hasOthers(worker, loss.failedAtMs) && !all.some(({ hasPassed }) => hasPassed),
+        isExcused,
         isProven: false
       }
       losses.set(worker.info.id, recorded)
-      markPrimeSuspects(charges)
+      if (!isExcused) markPrimeSuspects(charges)
       const counted = count(charges)
       if (loss.kind === 'crashed') return { counted, proven: collectProven(recorded) }
       if (loss.kind === 'unseen') return { counted, proven: [] }
@@ -196,7 +223,7 @@
         if (loss.dueAtMs === null || loss.dueAtMs > nowMs) continue
         loss.dueAtMs = null
         loss.isProven = true
-        if (!loss.isSolo || failures.isCommonCause(loss.worker, loss.failedAtMs)) continue
+        if (!loss.isSolo || failures.findCommonCause(loss.worker, loss.failedAtMs) !== null) continue
         for (const { task, isSettled, wasSuspected } of loss.charges) {
           if (isSettled || !wasSuspected || task.soloCrashes > 0) continue
           task.soloCrashes = 1
--- a/packages/core/src/partition/failureHistory.ts
+++ b/packages/core/src/partition/failureHistory.ts
@@ -3,6 +3,8 @@
 import { isSuspected } from './jobState.js'
 import { readRack, type PartitionWorker } from './partitionWorker.js'
 
+export type CommonCause = 'certain' | 'likely'
+
 /** Failures of one partition's workers. */
 export interface FailureHistory {
   /**
@@ -12,10 +14,11 @@
   /** Records the start of a life whose worker failed before this term; it tells only of other failures of which the same is known. */
   recordUnseenFailure: (worker: PartitionWorker, bornAtMs: number) => void
   /**
-   * Whether at least three quarters of the other workers of the rack or failure domain, and more than one, failed at the same time; those with
+   * Finds a cause that a failure has in common with others. `certain`: the connections of a whole rack broke at once; `likely`: at least three
+   * quarters of the other workers of the rack or failure domain, and more than one, failed at the same time, as far as it is known. Workers with
    * suspected tasks count only if the whole rack failed.
    */
-  isCommonCause: (worker: PartitionWorker, failedAtMs: number) => boolean
+  findCommonCause: (worker: PartitionWorker, failedAtMs: number) => CommonCause | null
   /** Whether any other worker failed at the same time. */
   hasOthers: (worker: PartitionWorker, failedAtMs: number) => boolean
 }
@@ -84,20 +87,23 @@
   return {
     recordFailure: (worker, nowMs, isAbrupt) => add(worker, { atMs: nowMs, isAbrupt, isUnseen: false }),
     recordUnseenFailure: (worker, bornAtMs) => add(worker, { atMs: bornAtMs, isAbrupt: false, isUnseen: true }),
-    isCommonCause: (worker, failedAtMs) => {
+    findCommonCause: (worker, failedAtMs) => {
       const own = findOwn(worker, failedAtMs)
-      if (own === undefined) return false
+      if (own === undefined) return null
       const all = listOthers(own)
       const ofRack = all.filter(({ rack }) => rack === own.rack)
       const restOfRack = Math.max(own.restOfRack, ...ofRack.map((failure) => failure.restOfRack))
-      if (ofRack.length >= MIN_WHOLE_RACK && ofRack.length >= restOfRack) return true
+      const isWholeRack = (failed: readonly Failure[]): boolean => failed.length >= MIN_WHOLE_RACK && failed.length >= restOfRack
+      const abrupt = ofRack.filter(({ isAbrupt }) => isAbrupt)
+      if (own.isAbrupt && isWholeRack(abrupt)) return 'certain'
+      if (isWholeRack(ofRack)) return 'likely'
       const others = all.filter(({ hasSuspects }) => !hasSuspects)
       const inRack = others.filter(({ rack }) => rack === own.rack)
       const inDomain = others.filter(({ failureDomain }) => failureDomain === own.failureDomain)
       // The first failure was recorded while the others still counted as synced.
       const mostInRack = Math.max(own.othersInRack, ...inRack.map(({ othersInRack }) => othersInRack))
       const mostInDomain = Math.max(own.othersInDomain, ...inDomain.map(({ othersInDomain }) => othersInDomain))
-      return isMostOf(inRack.length, mostInRack) || isMostOf(inDomain.length, mostInDomain)
+      return isMostOf(inRack.length, mostInRack) || isMostOf(inDomain.length, mostInDomain) ? 'likely' : null
     },
     hasOthers: (worker, failedAtMs) => {
       const own = findOwn(worker, failedAtMs)
--- a/packages/core/src/partition/jobState.ts
+++ b/packages/core/src/partition/jobState.ts
@@ -1,6 +1,6 @@
 /** State of an accepted job, in memory and as stored in the table. */
 import * as Schema from 'effect/Schema'
-import { SUSPICION_LIMIT } from './constants.js'
+import { MAX_UNPROVEN_CRASHES, SUSPICION_LIMIT } from './constants.js'
 import { computeObjectiveMs, type JobStep, type StepJob } from './stepJob.js'
 
 /** Phase of a job as reported to callers. */
@@ -34,12 +34,12 @@
   failures: number
   /** Checkpoint to resume from; empty if none. */
   saved: string
-  /** Workers that crashed while the task ran there, and those of them where it ran apart from others. */
+  /** Workers that crashed while the task ran there, whatever the likely cause, and those crashes that prove that the task is the cause. */
   crashes: number
   soloCrashes: number
   /** Crashes during runs of which the start was confirmed. Not stored in the table. */
   confirmedCrashes: number
-  /** How likely the task is to be the cause of these crashes; from `SUSPICION_LIMIT` on it runs apart. */
+  /** How likely the task is to be the cause of these crashes. */
   suspicion: number
   /** Last run that a crash was counted against; one run can crash one worker only. 0 if there is none. */
   crashedRun: number
@@ -184,9 +184,14 @@
   }
 }
 
-/** Tells whether a task must run apart from the tasks of other steps. */
+/** Counts the crashes of a task's workers that don't prove that the task is the cause. */
+export function countUnprovenCrashes ({ crashes, soloCrashes }: Task): number {
+  return crashes - soloCrashes
+}
+
+/** Tells whether a task must run apart from the tasks of other steps: its further crashes have to prove something. */
 export function isSuspected (task: Task): boolean {
-  return task.suspicion >= SUSPICION_LIMIT
+  return task.suspicion >= SUSPICION_LIMIT || countUnprovenCrashes(task) >= MAX_UNPROVEN_CRASHES
 }
 
 /** Lists the tasks of all occurrences. */
