Runs of workers that are missing after an outage count

Cause: as with excused crashes, losses that several workers have in common were taken for proof of innocence. Ruled out: a count lost with the holder, the row of the crash before is there.

Such losses are now `missing`: they count like losses that other failures probably explain, without suspicion, and are proof after three crashes that prove nothing. `left` remains for workers that are draining or leave without runs. A task given up for it is logged (FT826).

--- a/packages/core/src/partition/__tests__/excusedLosses.spec.ts
+++ b/packages/core/src/partition/__tests__/excusedLosses.spec.ts
@@ -105,6 +105,25 @@
   assert.is(world.planner.readCrashRecord('sound'), null)
 })
 
+// Guards against BUDGET: runs of workers that disappeared while nobody held the partition left no trace.
+test('losses of workers that are missing after an outage count like those that others explain', () => {
+  let world = createWorld(16)
+  addJob(world, 'bad')
+  const spec = createTestStepJob([createTestStep({ resources: { processors: 1, memoryMb: 512, accelerators: 0 } })])
+  let starts = 0
+  while (world.planner.readPhase('bad') !== 'failed' && starts < 12) {
+    const [start] = startRuns(world)
+    starts++
+    const next = createWorld(16)
+    next.nowMs = world.nowMs + 11_000
+    next.planner.addJob('bad', spec, world.planner.readRecord('bad')!, next.nowMs, world.planner.readCrashRecord('bad') ?? [])
+    next.planner.recordWorkerLost(start!.worker, { kind: 'missing', failedAtMs: next.nowMs, nowMs: next.nowMs, wallMs: next.nowMs })
+    next.planner.removeWorker(start!.worker)
+    world = next
+  }
+  assert.is(starts, MAX_CRASHING_STARTS)
+})
+
 // Guards against BUDGET: a crash within a moment of the loss of its whole rack left no trace.
 test('a loss beside the whole rack counts after three crashes that prove nothing', () => {
   const world = createWorld(16)
--- a/packages/core/src/partition/crashEvidence.ts
+++ b/packages/core/src/partition/crashEvidence.ts
@@ -182,7 +182,7 @@
       losses.delete(worker.info.id)
       if (loss.kind === 'left') return NO_VERDICT
       const commonCause = failures.findCommonCause(worker, loss.failedAtMs)
-      const isExcused = commonCause !== null
+      const isExcused = loss.kind === 'missing' || commonCause !== null
       const all = buildCharges(worker, tasks, loss, isExcused)
       const isSolo = isSoloLoss(worker, all)
       // A crash right after the start of the only step that was tried there has no other cause.
@@ -204,7 +204,7 @@
       losses.set(worker.info.id, recorded)
       if (!isExcused) markPrimeSuspects(charges)
       const counted = count(charges)
-      if (loss.kind === 'crashed') return { counted, proven: collectProven(recorded) }
+      if (loss.kind === 'crashed' || loss.kind === 'missing') return { counted, proven: collectProven(recorded) }
       if (loss.kind === 'unseen') return { counted, proven: [] }
       for (const charge of charges) {
         const { task } = charge
--- a/packages/core/src/partition/plannerTypes.ts
+++ b/packages/core/src/partition/plannerTypes.ts
@@ -85,10 +85,10 @@
 export interface WorkerLoss {
   /**
    * `crashed`: another life of it, or another worker, responds at its address; `unseen`: a later life of it responds, but it failed before this
-   * term; `refused`: its address refuses connections, as after a crash or behind some cuts; `silent`: no response; `left`: it was draining or is
-   * gone for good.
+   * term; `refused`: its address refuses connections, as after a crash or behind some cuts; `silent`: no response; `missing`: it failed before
+   * this term, like several others, and has no later life; `left`: it was draining or is gone for good.
    */
-  readonly kind: 'crashed' | 'unseen' | 'refused' | 'silent' | 'left'
+  readonly kind: 'crashed' | 'unseen' | 'refused' | 'silent' | 'missing' | 'left'
   /** Monotonic time at which the worker failed, at the earliest; for an `unseen` loss, that of the start of its later life. */
   readonly failedAtMs: number
   readonly nowMs: number
--- a/packages/entry/src/partition/__tests__/crashedAddresses.spec.ts
+++ b/packages/entry/src/partition/__tests__/crashedAddresses.spec.ts
@@ -2,7 +2,7 @@
 import { test } from 'uvu'
 import { checkDay } from '../../testing/crashingTaskDay.js'
 
-// Guards against crashes that count too late: the next life of the worker proves them only after the task has started again.
+// Guards against BUDGET: crashes at about the time of other failures, or of a worker that is missing after an outage, left no trace.
 test('crashes of workers that fall silent or hang up are counted in time beside other trouble', async () => {
   const failed: string[] = []
   const days = [
--- a/packages/entry/src/partition/partitionTerm.ts
+++ b/packages/entry/src/partition/partitionTerm.ts
@@ -171,7 +171,7 @@
     if (clock.nowMs() - startedAtMs < computePriorLeaseBoundMs(options.bounds.maxLeaseMs)) return
     const missing = planner.listWorkers().filter((id) => !managedWorkers.has(id))
     // A single worker may have crashed shortly before this term; several are missing after an outage.
-    const loss = buildLoss(missing.length <= MAX_MISSING_AS_CRASHED ? 'refused' : 'left')
+    const loss = buildLoss(missing.length <= MAX_MISSING_AS_CRASHED ? 'refused' : 'missing')
     for (const id of missing) {
       const outcome = planner.recordWorkerLost(id, loss)
       events.record(workerLost, {
@@ -181,6 +181,7 @@
         kind: loss.kind,
         ...formatLostRuns(outcome)
       })
+      recordGivenUp(events, id, outcome.givenUp)
       planner.removeWorker(id)
     }
   }
