Crashes that no holder saw are proof once nothing else proved anything

Cause: what a holder could not judge was judged by nobody. A crash that no holder saw proves something once at most, and nothing beside other starts, whatever the task has done before.

Such a crash now counts at once after three that prove nothing, and may give the task up then. Sound tasks are spared as before until the fourth loss.

The new test failed before: no proof was counted.

--- a/packages/core/src/partition/__tests__/crashesOfEarlierTerms.spec.ts
+++ b/packages/core/src/partition/__tests__/crashesOfEarlierTerms.spec.ts
@@ -35,9 +35,9 @@
 })
 
 /** Adds a job that runs alone at `w0`, is suspected, and has crashed some workers of its own in earlier terms. */
-function addSuspectedRun ({ planner, nowMs }: World, job: string, soloCrashes: number): void {
+function addSuspectedRun ({ planner, nowMs }: World, job: string, soloCrashes: number, crashes = 1): void {
   const record = { phase: 'running' as const, endedAtMs: 0, occurrences: [[0, [[[1, 2, 'w0', 0, '']]]]] as JobStateRecord['occurrences'] }
-  planner.addJob(job, createTestStepJob([createTestStep()], {}, { acceptedAtMs: 500 }), record, nowMs, [[0, 0, 0, 1, soloCrashes, 2, 1]])
+  planner.addJob(job, createTestStepJob([createTestStep()], {}, { acceptedAtMs: 500 }), record, nowMs, [[0, 0, 0, crashes, soloCrashes, 2, 1]])
 }
 
 /** Lets workers respond for the first time in a term, in a life that began at `bornAtMs`, without runs. */
@@ -59,6 +59,21 @@
   }
 })
 
+// Guards against BUDGET: changes of the holder hid one crash after the other, each beside starts of other workers.
+test('a crash that no holder saw counts as proof after three that prove nothing, whatever else failed', () => {
+  for (const soloCrashes of [0, 1]) {
+    const world = createWorld(8)
+    addSuspectedRun(world, 'bad', soloCrashes, 3 + soloCrashes)
+    startLife(world, ['w1', 'w2', 'w3'], 950)
+    startLife(world, ['w0'], 900)
+    assert.equal(world.planner.readCrashRecord('bad')?.map(([,,, crashes, solo]) => [crashes, solo]), [[4 + soloCrashes, 1 + soloCrashes]])
+    assert.is(world.planner.readPhase('bad'), soloCrashes === 0 ? 'running' : 'failed')
+    world.nowMs += VERDICT_MS
+    assert.is(startRuns(world).length, soloCrashes === 0 ? 1 : 0)
+    assert.is(world.planner.readCrashRecord('bad')?.[0]?.[4], 1 + soloCrashes)
+  }
+})
+
 // Guards against a loss that is counted again when the worker is lost for another reason.
 test('a crash that no holder saw is not proven again by a later loss of the worker', () => {
   const world = createWorld(8)
--- a/packages/core/src/partition/crashEvidence.ts
+++ b/packages/core/src/partition/crashEvidence.ts
@@ -32,7 +32,8 @@
   recordReplaced: (worker: string, nowMs: number) => CrashVerdict
   /**
    * Records proof by losses of earlier terms, once it is known that their workers were not lost together with others; returns the tasks whose
-   * counts have changed. Such a proof counts once and never gives a task up: its order may not have reached the worker.
+   * counts have changed. Such a proof counts once and never gives a task up: its order may not have reached the worker. Those that count whatever
+   * else failed are no part of this.
    */
   recordUnseenProofs: (nowMs: number) => readonly Task[]
   /** Withdraws what was counted for a lost worker that had only been cut off. */
@@ -159,11 +160,11 @@
     return isSingle && isRecent && isRepeated ? CRASH_PROOFS_TO_GIVE_UP : 1
   }
 
-  const collectProven = (loss: RecordedLoss): Task[] => {
+  const collectProven = (loss: RecordedLoss, charges = loss.charges): Task[] => {
     loss.isProven = true
     if (!loss.isSolo) return []
     const proven: Task[] = []
-    for (const charge of loss.charges) {
+    for (const charge of charges) {
       const { task } = charge
       if (charge.isSettled) continue
       task.soloCrashes += computeProofWeight(loss, charge)
@@ -205,7 +206,7 @@
       if (!isExcused) markPrimeSuspects(charges)
       const counted = count(charges)
       if (loss.kind === 'crashed' || loss.kind === 'missing') return { counted, proven: collectProven(recorded) }
-      if (loss.kind === 'unseen') return { counted, proven: [] }
+      if (loss.kind === 'unseen') return { counted, proven: collectProven(recorded, charges.filter(({ isOwed }) => isOwed)) }
       for (const charge of charges) {
         const { task } = charge
         if (recorded.isSolo && task.soloCrashes + computeProofWeight(recorded, charge) >= CRASH_PROOFS_TO_GIVE_UP) task.verdictDueMs = loss.nowMs + VERDICT_WAIT_MS
--- a/packages/core/src/partition/createPartitionPlanner.ts
+++ b/packages/core/src/partition/createPartitionPlanner.ts
@@ -290,13 +290,13 @@
     recordWorkerReplaced: (id, nowMs, wallMs) => applyVerdict(evidence.recordReplaced(id, nowMs), wallMs),
     recordWorkerBorn: (id, bornAtMs, isReported, nowMs, wallMs) => {
       const worker = workers.get(id)
-      if (worker === undefined) return
+      if (worker === undefined) return []
       const missing = [...worker.tasks].filter((task) => task.confirmedAtMs === -Infinity && !isReported(buildRunName(task)) &&
         (registry.findJob(task.job)?.spec.acceptedAtMs ?? Infinity) < bornAtMs)
       // Workers that failed with their rack or failure domain start again at about the same time.
       const failedAtMs = nowMs - (wallMs - bornAtMs)
       failures.recordUnseenFailure(worker, failedAtMs)
-      applyVerdict(evidence.recordLoss(worker, missing, { kind: 'unseen', failedAtMs, nowMs, wallMs }), wallMs)
+      return applyVerdict(evidence.recordLoss(worker, missing, { kind: 'unseen', failedAtMs, nowMs, wallMs }), wallMs)
     },
     recordWorkerSurvived: (id) => { for (const task of evidence.recordSurvived(id)) registry.markChanged(task.job) },
     removeWorker: (id) => {
--- a/packages/core/src/partition/plannerTypes.ts
+++ b/packages/core/src/partition/plannerTypes.ts
@@ -164,8 +164,9 @@
    * accepted before, may have ended with its former life.
    *
    * @param bornAtMs milliseconds since 1970
+   * @returns the tasks that are given up for it
    */
-  recordWorkerBorn: (worker: string, bornAtMs: number, isReported: (run: RunName) => boolean, nowMs: number, wallMs: number) => void
+  recordWorkerBorn: (worker: string, bornAtMs: number, isReported: (run: RunName) => boolean, nowMs: number, wallMs: number) => readonly RunName[]
   /** A lost worker responds again in the same life: it was cut off. */
   recordWorkerSurvived: (worker: string) => void
   /** Removes a lost worker. */
--- a/packages/entry/src/partition/partitionWorkerController.ts
+++ b/packages/entry/src/partition/partitionWorkerController.ts
@@ -12,7 +12,7 @@
 import { createReportedEnds } from './reportedEnds.js'
 import type { StartWindow } from './startWindow.js'
 import { createWorkerClock } from './workerClock.js'
-import { createWorkerLosses, type LossCause, type WorkerLossesOptions } from './workerLosses.js'
+import { createWorkerLosses, recordGivenUp, type LossCause, type WorkerLossesOptions } from './workerLosses.js'
 import { failProcess } from '../process/failProcess.js'
 
 export interface PartitionWorkerControllerOptions extends WorkerLossesOptions {
@@ -141,7 +141,7 @@
     if (bornAtMs === null) {
       leaseUntilMs = Math.max(leaseUntilMs, response.clockMs + computeInheritedLeaseMs(epoch, options.maxLeaseMs, nowMs - options.termStartedAtMs))
       const reported = new Set([...response.running, ...response.ended].map(formatRun))
-      planner.recordWorkerBorn(worker, response.bornAtMs, (run) => reported.has(formatRun(run)), nowMs, clock.wallMs())
+      recordGivenUp(events, worker, planner.recordWorkerBorn(worker, response.bornAtMs, (run) => reported.has(formatRun(run)), nowMs, clock.wallMs()))
     }
     bornAtMs = response.bornAtMs
     losses.recordResponse()
