A task with five lost workers waits for the verdict on them

Proofs that are still to come don't count, so that starts go on while nothing is known of the crashes before.

After five lost workers a task waits until the last one turns out to have crashed or to have been cut off, for the 30 s in which losses are remembered at most; then it starts.

--- a/packages/core/src/partition/__tests__/excusedLosses.spec.ts
+++ b/packages/core/src/partition/__tests__/excusedLosses.spec.ts
@@ -140,6 +140,47 @@
   assert.is(world.planner.readPhase('bad'), 'failed')
 })
 
+/** Time after a loss at which the next life of a worker shows, in milliseconds: later than the next losses. */
+const NEXT_LIFE_MS = 15_000
+const ROUND_MS = 100
+
+// Guards against BUDGET: starts went on while the crashes before were not proven yet.
+test('a sixth start waits until it is known whether the workers before have crashed', () => {
+  const world = createWorld(16)
+  for (const job of ['bad', 'neighbour']) addJob(world, job)
+  const lives: { worker: string, atMs: number }[] = []
+  let starts = 0
+  for (let round = 0; round < 800 && world.planner.readPhase('bad') !== 'failed'; round++) {
+    world.nowMs += ROUND_MS
+    while (lives[0] !== undefined && lives[0].atMs <= world.nowMs) world.planner.recordWorkerReplaced(lives.shift()!.worker, world.nowMs, world.nowMs)
+    const start = startRuns(world).find(({ job }) => job === 'bad')
+    if (start === undefined) continue
+    starts++
+    world.nowMs += 500
+    loseWorker(world, start.worker, 'refused')
+    lives.push({ worker: start.worker, atMs: world.nowMs + NEXT_LIFE_MS })
+  }
+  assert.is(world.planner.readPhase('bad'), 'failed')
+  assert.ok(starts <= MAX_CRASHING_STARTS, `${starts} starts`)
+})
+
+test('a task waits for the verdict on its fifth lost worker for a bounded time, and not once the worker responds again', () => {
+  for (const responds of [false, true]) {
+    const world = createWorld(16)
+    addJob(world, 'sound')
+    for (let loss = 1; loss <= MAX_CRASHING_STARTS; loss++) {
+      const [start] = startRuns(world)
+      loseWorker(world, start!.worker, 'silent')
+      if (responds && loss === MAX_CRASHING_STARTS) world.planner.recordWorkerSurvived(start!.worker)
+      else if (loss < MAX_CRASHING_STARTS) world.nowMs += VERDICT_MS
+      world.planner.setSynced(start!.worker, true)
+    }
+    assert.is(startRuns(world).length, responds ? 1 : 0)
+    world.nowMs += 31_000
+    if (!responds) assert.is(startRuns(world).length, 1)
+  }
+})
+
 test('losses that others explain count across changes of the holder', () => {
   let world = createWorld(16)
   addJob(world, 'bad')
--- a/packages/core/src/partition/crashEvidence.ts
+++ b/packages/core/src/partition/crashEvidence.ts
@@ -7,7 +7,7 @@
  * Losses that have a likely cause in common with others cast no suspicion, but the run may have crashed its worker all the same: they count,
  * and after `MAX_UNPROVEN_CRASHES` that proved nothing, each further one does.
  */
-import { CRASH_PROOFS_TO_GIVE_UP, LONG_RUN_SUSPICION, MAX_LOSS_AGE_MS, MAX_UNPROVEN_CRASHES, RECENT_START_MS, RECENT_START_SUSPICION, VERDICT_WAIT_MS } from './constants.js'
+import { CRASH_PROOFS_TO_GIVE_UP, LONG_RUN_SUSPICION, MAX_CRASHING_STARTS, MAX_LOSS_AGE_MS, MAX_UNPROVEN_CRASHES, RECENT_START_MS, RECENT_START_SUSPICION, VERDICT_WAIT_MS } from './constants.js'
 import { countUnprovenCrashes, isSuspected, type Task } from './jobState.js'
 import type { FailureHistory } from './failureHistory.js'
 import { hasPassedProbation } from './probation.js'
@@ -160,12 +160,22 @@
     return isSingle && isRecent && isRepeated ? CRASH_PROOFS_TO_GIVE_UP : 1
   }
 
+  /** How long the next start of a task waits until it is known whether its worker has crashed, in milliseconds. */
+  const computeVerdictWaitMs = (loss: RecordedLoss, charge: Charge): number => {
+    const { task, isSettled } = charge
+    if (isSettled) return 0
+    // Any further start of a task that crashes its workers would be one too many.
+    if (task.crashes >= MAX_CRASHING_STARTS) return MAX_LOSS_AGE_MS
+    return task.soloCrashes + computeProofWeight(loss, charge) >= CRASH_PROOFS_TO_GIVE_UP ? VERDICT_WAIT_MS : 0
+  }
+
   const collectProven = (loss: RecordedLoss, charges = loss.charges): Task[] => {
     loss.isProven = true
     if (!loss.isSolo) return []
     const proven: Task[] = []
     for (const charge of charges) {
       const { task } = charge
+      if (task.crashedRun === charge.run) task.verdictDueMs = 0
       if (charge.isSettled) continue
       task.soloCrashes += computeProofWeight(loss, charge)
       if (task.soloCrashes >= CRASH_PROOFS_TO_GIVE_UP) proven.push(task)
@@ -207,10 +217,7 @@
       const counted = count(charges)
       if (loss.kind === 'crashed' || loss.kind === 'missing') return { counted, proven: collectProven(recorded) }
       if (loss.kind === 'unseen') return { counted, proven: collectProven(recorded, charges.filter(({ isOwed }) => isOwed)) }
-      for (const charge of charges) {
-        const { task } = charge
-        if (recorded.isSolo && task.soloCrashes + computeProofWeight(recorded, charge) >= CRASH_PROOFS_TO_GIVE_UP) task.verdictDueMs = loss.nowMs + VERDICT_WAIT_MS
-      }
+      if (recorded.isSolo) for (const charge of charges) charge.task.verdictDueMs = loss.nowMs + computeVerdictWaitMs(recorded, charge)
       return { counted, proven: [] }
     },
     recordReplaced: (worker, nowMs) => {
