A rack that one job may have brought down is no certain cause

A gang whose tasks crash their workers, tightly coupled so that it lies in one rack, brings the whole rack down at one moment, at each start. That was the one excuse left that nothing bounds: the connections of the whole rack break at once.

The failure of a rack explains a loss for certain only if no job ran on all of its workers that failed. Otherwise it is a likely cause: the loss counts without suspicion, and the gang is given up at its fifth start.

--- a/packages/core/src/partition/__tests__/excusedLosses.spec.ts
+++ b/packages/core/src/partition/__tests__/excusedLosses.spec.ts
@@ -140,6 +140,26 @@
   assert.is(world.planner.readPhase('bad'), 'failed')
 })
 
+// Guards against BUDGET: a gang that crashed all workers of a rack at once was taken for a lost rack each time.
+test('a gang that crashes a whole rack at a time is started five times at most', () => {
+  const world = createWorld(8)
+  addJob(world, 'bad', { gang: true, tightlyCoupled: true, taskCount: RACK_SIZE, resources: { processors: 5, memoryMb: 512, accelerators: 0 } })
+  let starts = 0
+  for (let round = 0; round < 12 && world.planner.readPhase('bad') !== 'failed'; round++) {
+    const placed = startRuns(world).map(({ worker }) => worker)
+    world.nowMs += 100
+    if (placed.length === 0) continue
+    starts++
+    const failedAtMs = world.nowMs
+    for (const worker of placed) world.planner.recordWorkerFailing(worker, failedAtMs, true)
+    world.nowMs += 3300
+    for (const worker of placed) world.planner.recordWorkerLost(worker, { kind: 'crashed', failedAtMs, nowMs: world.nowMs, wallMs: world.nowMs })
+    for (const worker of placed) world.planner.setSynced(worker, true)
+  }
+  assert.is(world.planner.readPhase('bad'), 'failed')
+  assert.ok(starts <= MAX_CRASHING_STARTS, `${starts} starts`)
+})
+
 /** Time after a loss at which the next life of a worker shows, in milliseconds: later than the next losses. */
 const NEXT_LIFE_MS = 15_000
 const ROUND_MS = 100
--- a/packages/core/src/partition/failureHistory.ts
+++ b/packages/core/src/partition/failureHistory.ts
@@ -14,7 +14,8 @@
   /** Records the start of a life whose worker failed before this term; it tells only of other failures of which the same is known. */
   recordUnseenFailure: (worker: PartitionWorker, bornAtMs: number) => void
   /**
-   * Finds a cause that a failure has in common with others. `certain`: the connections of a whole rack broke at once; `likely`: at least three
+   * Finds a cause that a failure has in common with others. `certain`: the connections of a whole rack broke at once, and no job ran on all of
+   * it; `likely`: at least three
    * quarters of the other workers of the rack or failure domain, and more than one, failed at the same time, as far as it is known. Workers with
    * suspected tasks count only if the whole rack failed.
    */
@@ -33,6 +34,8 @@
   readonly isUnseen: boolean
   /** A suspected task ran there: the failure is no sign of a common cause. */
   readonly hasSuspects: boolean
+  /** Jobs that ran there. */
+  readonly jobs: ReadonlySet<string>
   /** Workers in the rack and failure domain at that time, without this one and those set apart. */
   readonly othersInRack: number
   readonly othersInDomain: number
@@ -51,6 +54,11 @@
   return failed >= MIN_COMMON_FAILURES && failed >= others * COMMON_FAILURE_SHARE
 }
 
+/** Whether one job ran at each of the workers, and may have caused all failures. */
+function haveCommonJob ([first, ...others]: readonly Failure[]): boolean {
+  return first !== undefined && [...first.jobs].some((job) => others.every(({ jobs }) => jobs.has(job)))
+}
+
 /** Creates a history without failures. */
 export function createFailureHistory (workers: ReadonlyMap<string, PartitionWorker>): FailureHistory {
   let failures: Failure[] = []
@@ -81,7 +89,8 @@
     failures = failures.filter(({ atMs }) => failure.atMs - atMs <= MAX_LOSS_AGE_MS)
     const { id, failureDomain } = worker.info
     const rack = readRack(worker.info)
-    failures.push({ ...failure, ...countOthers(worker, rack), worker: id, rack, failureDomain, hasSuspects: [...worker.tasks].some(isSuspected) })
+    const tasks = [...worker.tasks]
+    failures.push({ ...failure, ...countOthers(worker, rack), worker: id, rack, failureDomain, hasSuspects: tasks.some(isSuspected), jobs: new Set(tasks.map(({ job }) => job)) })
   }
 
   return {
@@ -95,7 +104,7 @@
       const restOfRack = Math.max(own.restOfRack, ...ofRack.map((failure) => failure.restOfRack))
       const isWholeRack = (failed: readonly Failure[]): boolean => failed.length >= MIN_WHOLE_RACK && failed.length >= restOfRack
       const abrupt = ofRack.filter(({ isAbrupt }) => isAbrupt)
-      if (own.isAbrupt && isWholeRack(abrupt)) return 'certain'
+      if (own.isAbrupt && isWholeRack(abrupt) && !haveCommonJob([own, ...abrupt])) return 'certain'
       if (isWholeRack(ofRack)) return 'likely'
       const others = all.filter(({ hasSuspects }) => !hasSuspects)
       const inRack = others.filter(({ rack }) => rack === own.rack)
