Withdrawn crash counts leave the table, too

A worker that was cut off withdraws what its loss counted against its tasks. The job's row of crashes was written only while there were any, so that the last counts stayed in the table, and the next holder went on from them: sound tasks were suspected, or closer to being given up, for cuts that had been cleared up.

The new test failed before: no record instead of an empty one.

A job that ever had a record is written an empty one when nothing is left of it.

--- a/packages/core/src/partition/__tests__/crashesOfEarlierTerms.spec.ts
+++ b/packages/core/src/partition/__tests__/crashesOfEarlierTerms.spec.ts
@@ -74,6 +74,17 @@
   }
 })
 
+// Guards against sound tasks that are given up for cuts: the row kept counts that had been withdrawn, and the next holder went on from them.
+test('withdrawn crash counts are withdrawn from the record, too', () => {
+  const world = createWorld(8)
+  addJob(world, 'sound')
+  const [start] = startRuns(world)
+  loseWorker(world, start!.worker, 'silent')
+  assert.is(world.planner.readCrashRecord('sound')?.length, 1)
+  world.planner.recordWorkerSurvived(start!.worker)
+  assert.equal(world.planner.readCrashRecord('sound'), [])
+})
+
 // Guards against a loss that is counted again when the worker is lost for another reason.
 test('a crash that no holder saw is not proven again by a later loss of the worker', () => {
   const world = createWorld(8)
--- a/packages/core/src/partition/jobState.ts
+++ b/packages/core/src/partition/jobState.ts
@@ -81,6 +81,8 @@
   changes: number
   /** Wall clock of the end, in milliseconds since 1970; 0 before it. */
   endedAtMs: number
+  /** A record of crashed workers has been read from the table or built for it. Not stored in the table. */
+  hasCrashRecord: boolean
 }
 
 const TaskRow = Schema.Tuple([Schema.Int, Schema.Int, Schema.String, Schema.Int, Schema.String])
@@ -140,7 +142,7 @@
 
 /** Restores a job from its rows. */
 export function createJob (id: string, spec: StepJob, record: JobStateRecord, isOverRate: boolean): Job {
-  const job: Job = { id, spec, isOverRate, objectiveMs: computeObjectiveMs(spec), phase: record.phase, occurrences: new Map(), changes: 0, endedAtMs: record.endedAtMs }
+  const job: Job = { id, spec, isOverRate, objectiveMs: computeObjectiveMs(spec), phase: record.phase, occurrences: new Map(), changes: 0, endedAtMs: record.endedAtMs, hasCrashRecord: false }
   for (const [index, steps] of record.occurrences) {
     const occurrence = createOccurrence(id, spec, index)
     for (const [stepIndex, rows] of steps.entries()) {
@@ -167,17 +169,20 @@
   return { phase: job.phase, endedAtMs: job.endedAtMs, occurrences }
 }
 
-/** Builds the row of a job's crashed workers: `[occurrence, step, index, crashes, soloCrashes, suspicion, crashedRun]`; `null` if there are none. */
+/** Builds the row of a job's crashed workers: `[occurrence, step, index, crashes, soloCrashes, suspicion, crashedRun]`; `null` if there never were any. */
 export function buildCrashRecord (job: Job): CrashRecord | null {
   const record: CrashRecord[number][] = []
   for (const { occurrence, step, index, crashes, soloCrashes, suspicion, crashedRun } of listTasks(job)) {
     if (crashes > 0) record.push([occurrence, step, index, crashes, soloCrashes, suspicion, crashedRun])
   }
-  return record.length === 0 ? null : record
+  // Counts that were withdrawn must not stay in the table.
+  job.hasCrashRecord ||= record.length > 0
+  return job.hasCrashRecord ? record : null
 }
 
 /** Restores the crash counts of a job's tasks. */
 export function restoreCrashes (job: Job, record: CrashRecord): void {
+  job.hasCrashRecord = record.length > 0
   for (const [occurrence, step, index, crashes, soloCrashes, suspicion, crashedRun] of record) {
     const task = job.occurrences.get(occurrence)?.steps[step]?.[index]
     if (task !== undefined) Object.assign(task, { crashes, soloCrashes, suspicion, crashedRun })
--- a/packages/core/src/partition/plannerTypes.ts
+++ b/packages/core/src/partition/plannerTypes.ts
@@ -207,7 +207,7 @@
   isChanged: (job: string) => boolean
   addChangedJobs: (jobs: readonly string[]) => void
   readRecord: (id: string) => JobStateRecord | null
-  /** Crashed workers by task; `null` if there are none. */
+  /** Crashed workers by task; `null` if there never were any, empty if all that an earlier record had were withdrawn. */
   readCrashRecord: (id: string) => CrashRecord | null
   readPhase: (id: string) => JobPhase | null
   /** Number of one-off jobs of which no task has started, by queue. */
