The rest of a rack that fails as a whole is a likely cause for suspects, too

Sound tasks that ran apart were given up when their rack failed while one of its four workers was down already: suspects' workers count for a common cause only if a whole rack of four or more fails.

The rest of a rack that fails as a whole, two other workers or more, is now a likely cause. It can be that generous because the losses it explains count: after three that prove nothing, each further one is proof whatever else failed. For the certain cause, which leaves no trace, it remains four workers.

--- a/packages/core/src/partition/__tests__/crashingTasks.spec.ts
+++ b/packages/core/src/partition/__tests__/crashingTasks.spec.ts
@@ -206,6 +206,23 @@
   assert.equal(again.map(({ job }) => world.planner.readCrashRecord(job)?.[0]?.[3]), before)
 })
 
+// Guards against sound tasks that are given up when what is left of their rack fails, suspected tasks and all.
+test('suspected tasks do not hide that the rest of a rack has failed', () => {
+  const world = createWorld(12)
+  const large = { resources: { processors: 5, memoryMb: 512, accelerators: 0 } }
+  for (const id of ['a', 'b']) addJob(world, id, large)
+  for (const { worker } of startRuns(world)) loseWorker(world, worker, 'crashed')
+  for (const id of ['w0', 'w1', 'w2']) world.planner.setSynced(id, true)
+  world.planner.setSynced('w3', false)
+  const starts = startRuns(world)
+  assert.equal(starts.map(({ worker }) => worker), ['w0', 'w1'])
+  const failedAtMs = world.nowMs
+  for (const id of ['w0', 'w1', 'w2']) world.planner.recordWorkerFailing(id, failedAtMs, true)
+  world.nowMs += 3300
+  for (const id of ['w0', 'w1', 'w2']) world.planner.recordWorkerLost(id, { kind: 'crashed', failedAtMs, nowMs: world.nowMs, wallMs: world.nowMs })
+  for (const job of ['a', 'b']) assert.is(world.planner.readPhase(job), 'running')
+})
+
 test('a crash that is concluded from refused connections is withdrawn when the worker responds in the same life', () => {
   const world = createWorld(8)
   addJob(world, 'sound')
--- a/packages/core/src/partition/failureHistory.ts
+++ b/packages/core/src/partition/failureHistory.ts
@@ -45,7 +45,7 @@
 
 /** One other failure at the same time may be another crash. */
 const MIN_COMMON_FAILURES = 2
-/** Fewest other workers of a rack that fail as a whole. */
+/** Fewest other workers of a rack whose failure is certain to be that of the rack. */
 const MIN_WHOLE_RACK = 3
 /** Share of the other workers that fail with a rack or failure domain; some may have been down or be spared. */
 const COMMON_FAILURE_SHARE = 3 / 4
@@ -102,10 +102,9 @@
       const all = listOthers(own)
       const ofRack = all.filter(({ rack }) => rack === own.rack)
       const restOfRack = Math.max(own.restOfRack, ...ofRack.map((failure) => failure.restOfRack))
-      const isWholeRack = (failed: readonly Failure[]): boolean => failed.length >= MIN_WHOLE_RACK && failed.length >= restOfRack
       const abrupt = ofRack.filter(({ isAbrupt }) => isAbrupt)
-      if (own.isAbrupt && isWholeRack(abrupt) && !haveCommonJob([own, ...abrupt])) return 'certain'
-      if (isWholeRack(ofRack)) return 'likely'
+      if (own.isAbrupt && abrupt.length >= Math.max(MIN_WHOLE_RACK, restOfRack) && !haveCommonJob([own, ...abrupt])) return 'certain'
+      if (ofRack.length >= Math.max(MIN_COMMON_FAILURES, restOfRack)) return 'likely'
       const others = all.filter(({ hasSuspects }) => !hasSuspects)
       const inRack = others.filter(({ rack }) => rack === own.rack)
       const inDomain = others.filter(({ failureDomain }) => failureDomain === own.failureDomain)
