--- a/packages/entry/src/partition/__tests__/crashingTaskStorm.spec.ts
+++ b/packages/entry/src/partition/__tests__/crashingTaskStorm.spec.ts
@@ -24,4 +24,12 @@
   })
 }
 
+// Guards against counts that give sound tasks up (2091, 2192), start bad ones a sixth time (2137), or stem from a model that revives crashed workers (52012).
+test('days that failed once hold', async () => {
+  await checkDay(2091, ['holder', 'rack', 'restart', 'refusingCut'], 10)
+  await checkDay(2192, ['rack', 'silentCut', 'refusingCut', 'restart'], 500)
+  await checkDay(2137, ['holder', 'rack', 'restart', 'refusingCut'], 500)
+  await checkDay(52012, ['holder', 'rack', 'restart', 'refusingCut'], 500)
+})
+
 test.run()
