Tasks that crash the workers of a whole rack in step do not excuse each other for good

The failure of a whole rack is certain to have another cause only if one of its other workers ran no task that could have caused it, idle or with long-running tasks. Otherwise the loss is excused, and counts towards the three after which each further one is proof. It counts in memory and enters the row with the next other crash: what `crashingTasks.spec` demands of suspects beside a lost rack holds as written. A change of the holder right after such a loss forgets it.

The new test failed before (`running` instead of `failed`).

--- a/packages/core/src/partition/__tests__/excusedLosses.spec.ts
+++ b/packages/core/src/partition/__tests__/excusedLosses.spec.ts
@@ -160,6 +160,29 @@
   assert.ok(starts <= MAX_CRASHING_STARTS, `${starts} starts`)
 })
 
+// Guards against BUDGET: tasks that crashed all workers of a rack at the same moment excused each other for good.
+test('tasks that crash the workers of a whole rack in step are started five times at most', () => {
+  const world = createWorld(RACK_SIZE)
+  const large = { resources: { processors: 5, memoryMb: 512, accelerators: 0 } }
+  const bad = Array.from({ length: RACK_SIZE }, (_, index) => `bad${index}`)
+  for (const job of bad) addJob(world, job, large)
+  const starts = new Map<string, number>()
+  for (let round = 0; round < 100; round++) {
+    world.nowMs += 100
+    const placed = startRuns(world)
+    for (const { job } of placed) starts.set(job, (starts.get(job) ?? 0) + 1)
+    const failedAtMs = world.nowMs
+    for (const { worker } of placed) world.planner.recordWorkerFailing(worker, failedAtMs, true)
+    if (placed.length > 0) world.nowMs += 3300
+    for (const { worker } of placed) world.planner.recordWorkerLost(worker, { kind: 'crashed', failedAtMs, nowMs: world.nowMs, wallMs: world.nowMs })
+    for (const { worker } of placed) world.planner.setSynced(worker, true)
+  }
+  for (const job of bad) {
+    assert.is(world.planner.readPhase(job), 'failed', job)
+    assert.ok(starts.get(job)! <= MAX_CRASHING_STARTS, `${job}: ${starts.get(job)} starts`)
+  }
+})
+
 /** Time after a loss at which the next life of a worker shows, in milliseconds: later than the next losses. */
 const NEXT_LIFE_MS = 15_000
 const ROUND_MS = 100
--- a/packages/core/src/partition/crashEvidence.ts
+++ b/packages/core/src/partition/crashEvidence.ts
@@ -9,7 +9,7 @@
  */
 import { CRASH_PROOFS_TO_GIVE_UP, LONG_RUN_SUSPICION, MAX_CRASHING_STARTS, MAX_LOSS_AGE_MS, MAX_UNPROVEN_CRASHES, RECENT_START_MS, RECENT_START_SUSPICION, VERDICT_WAIT_MS } from './constants.js'
 import { countUnprovenCrashes, isSuspected, type Task } from './jobState.js'
-import type { FailureHistory } from './failureHistory.js'
+import type { CommonCause, FailureHistory } from './failureHistory.js'
 import { hasPassedProbation } from './probation.js'
 import type { PartitionWorker } from './partitionWorker.js'
 import type { WorkerLoss } from './plannerTypes.js'
@@ -51,6 +51,8 @@
   readonly isRecent: boolean
   /** Earlier crashes prove so little that this one counts as proof, whatever else failed. */
   readonly isOwed: boolean
+  /** Lost with the whole rack. */
+  readonly isOfRack: boolean
   /** Had run for too long to be the cause of a crash right after the start of another task. */
   readonly isSettled: boolean
   /** Was suspected, and had run for too long at a worker set apart to be the cause of such a crash. */
@@ -93,20 +95,22 @@
 }
 
 /** The moment of a silent loss is not known well enough to tell recent starts from others. */
-function buildCharges (worker: PartitionWorker, tasks: readonly Task[], { failedAtMs, kind }: WorkerLoss, isExcused: boolean): Charge[] {
+function buildCharges (worker: PartitionWorker, tasks: readonly Task[], { failedAtMs, kind }: WorkerLoss, commonCause: CommonCause | null, isExcused: boolean): Charge[] {
   const charges: Charge[] = []
   for (const task of tasks) {
     if (task.phase !== 'placed' || task.crashedRun === task.run) continue
     const ageMs = task.confirmedAtMs === null ? 0 : failedAtMs - task.confirmedAtMs
     const isRecent = ageMs <= RECENT_START_MS && kind !== 'silent'
     const hasPassed = worker.isolated && hasPassedProbation(task, worker, failedAtMs)
+    const isOwed = countUnprovenCrashes(task) >= MAX_UNPROVEN_CRASHES
     charges.push({
       task,
       run: task.run,
       ageMs,
       isConfirmed: task.confirmedAtMs !== null,
       isRecent,
-      isOwed: countUnprovenCrashes(task) >= MAX_UNPROVEN_CRASHES,
+      isOwed,
+      isOfRack: commonCause === 'rack' && !isOwed,
       isSettled: isSettled(task, failedAtMs) || hasPassed,
       hasPassed,
       wasSuspected: isSuspected(task),
@@ -139,8 +143,12 @@
   const losses = new Map<string, RecordedLoss>()
 
   const count = (charges: readonly Charge[]): Task[] => {
-    for (const { task, run, isConfirmed, suspicion, ageMs } of charges) {
-      task.crashes++
+    for (const { task, run, isConfirmed, suspicion, ageMs, isOfRack } of charges) {
+      if (isOfRack) task.rackLosses++
+      else {
+        task.crashes += 1 + task.rackLosses
+        task.rackLosses = 0
+      }
       if (isConfirmed) task.confirmedCrashes++
       task.crashedRun = run
       task.suspicion += suspicion
@@ -194,7 +202,7 @@
       if (loss.kind === 'left') return NO_VERDICT
       const commonCause = failures.findCommonCause(worker, loss.failedAtMs)
       const isExcused = loss.kind === 'missing' || commonCause !== null
-      const all = buildCharges(worker, tasks, loss, isExcused)
+      const all = buildCharges(worker, tasks, loss, commonCause, isExcused)
       const isSolo = isSoloLoss(worker, all)
       // A crash right after the start of the only step that was tried there has no other cause.
       const isExplained = isSolo && worker.isolated && all.every(({ isSettled, isRecent }) => isSettled || isRecent)
@@ -245,7 +253,8 @@
       losses.delete(worker)
       if (loss === undefined || loss.isProven) return []
       for (const { task, run, isConfirmed, suspicion } of loss.charges) {
-        task.crashes--
+        if (task.rackLosses > 0) task.rackLosses--
+        else task.crashes--
         if (isConfirmed) task.confirmedCrashes--
         if (task.crashedRun === run) task.crashedRun = 0
         task.suspicion -= suspicion
--- a/packages/core/src/partition/failureHistory.ts
+++ b/packages/core/src/partition/failureHistory.ts
@@ -1,9 +1,10 @@
 /** Recent failures of workers, to tell a crash of one worker from a cause that several have in common, such as a rack without power. */
 import { ABRUPT_FAILURE_WINDOW_MS, MAX_LOSS_AGE_MS, SILENT_FAILURE_WINDOW_MS } from './constants.js'
+import { isSettled } from './crashEvidence.js'
 import { isSuspected } from './jobState.js'
 import { readRack, type PartitionWorker } from './partitionWorker.js'
 
-export type CommonCause = 'certain' | 'likely'
+export type CommonCause = 'certain' | 'rack' | 'likely'
 
 /** Failures of one partition's workers. */
 export interface FailureHistory {
@@ -14,10 +15,10 @@
   /** Records the start of a life whose worker failed before this term; it tells only of other failures of which the same is known. */
   recordUnseenFailure: (worker: PartitionWorker, bornAtMs: number) => void
   /**
-   * Finds a cause that a failure has in common with others. `certain`: the connections of a whole rack broke at once, and no job ran on all of
-   * it; `likely`: at least three
-   * quarters of the other workers of the rack or failure domain, and more than one, failed at the same time, as far as it is known. Workers with
-   * suspected tasks count only if the whole rack failed.
+   * Finds a cause that a failure has in common with others. `certain`: the connections of a whole rack broke at once, and one of its other
+   * workers ran no task that could have caused it; `rack`: they broke at once, but tasks ran at all of them; `likely`: at least three quarters of
+   * the other workers of the rack or failure domain, and more than one, failed at the same time, as far as it is known. Workers with suspected
+   * tasks count only if the whole rack failed.
    */
   findCommonCause: (worker: PartitionWorker, failedAtMs: number) => CommonCause | null
   /** Whether any other worker failed at the same time. */
@@ -34,8 +35,8 @@
   readonly isUnseen: boolean
   /** A suspected task ran there: the failure is no sign of a common cause. */
   readonly hasSuspects: boolean
-  /** Jobs that ran there. */
-  readonly jobs: ReadonlySet<string>
+  /** No task ran there that could have caused the failure. */
+  readonly isBlameless: boolean
   /** Workers in the rack and failure domain at that time, without this one and those set apart. */
   readonly othersInRack: number
   readonly othersInDomain: number
@@ -54,11 +55,6 @@
   return failed >= MIN_COMMON_FAILURES && failed >= others * COMMON_FAILURE_SHARE
 }
 
-/** Whether one job ran at each of the workers, and may have caused all failures. */
-function haveCommonJob ([first, ...others]: readonly Failure[]): boolean {
-  return first !== undefined && [...first.jobs].some((job) => others.every(({ jobs }) => jobs.has(job)))
-}
-
 /** Creates a history without failures. */
 export function createFailureHistory (workers: ReadonlyMap<string, PartitionWorker>): FailureHistory {
   let failures: Failure[] = []
@@ -90,7 +86,7 @@
     const { id, failureDomain } = worker.info
     const rack = readRack(worker.info)
     const tasks = [...worker.tasks]
-    failures.push({ ...failure, ...countOthers(worker, rack), worker: id, rack, failureDomain, hasSuspects: tasks.some(isSuspected), jobs: new Set(tasks.map(({ job }) => job)) })
+    failures.push({ ...failure, ...countOthers(worker, rack), worker: id, rack, failureDomain, hasSuspects: tasks.some(isSuspected), isBlameless: tasks.every((task) => isSettled(task, failure.atMs)) })
   }
 
   return {
@@ -103,7 +99,8 @@
       const ofRack = all.filter(({ rack }) => rack === own.rack)
       const restOfRack = Math.max(own.restOfRack, ...ofRack.map((failure) => failure.restOfRack))
       const abrupt = ofRack.filter(({ isAbrupt }) => isAbrupt)
-      if (own.isAbrupt && abrupt.length >= Math.max(MIN_WHOLE_RACK, restOfRack) && !haveCommonJob([own, ...abrupt])) return 'certain'
+      const isWholeRack = own.isAbrupt && abrupt.length >= Math.max(MIN_WHOLE_RACK, restOfRack)
+      if (isWholeRack) return abrupt.some(({ isBlameless }) => isBlameless) ? 'certain' : 'rack'
       if (ofRack.length >= Math.max(MIN_COMMON_FAILURES, restOfRack)) return 'likely'
       const others = all.filter(({ hasSuspects }) => !hasSuspects)
       const inRack = others.filter(({ rack }) => rack === own.rack)
--- a/packages/core/src/partition/jobState.ts
+++ b/packages/core/src/partition/jobState.ts
@@ -39,6 +39,8 @@
   soloCrashes: number
   /** Crashes during runs of which the start was confirmed. Not stored in the table. */
   confirmedCrashes: number
+  /** Workers lost with their whole rack since the last other crash, to which they are added; tasks ran at all workers of the rack. Not stored in the table. */
+  rackLosses: number
   /** How likely the task is to be the cause of these crashes. */
   suspicion: number
   /** Last run that a crash was counted against; one run can crash one worker only. 0 if there is none. */
@@ -126,6 +128,7 @@
     crashes: 0,
     soloCrashes: 0,
     confirmedCrashes: 0,
+    rackLosses: 0,
     suspicion: 0,
     crashedRun: 0,
     crashAgeMs: 0,
@@ -190,8 +193,8 @@
 }
 
 /** Counts the crashes of a task's workers that don't prove that the task is the cause. */
-export function countUnprovenCrashes ({ crashes, soloCrashes }: Task): number {
-  return crashes - soloCrashes
+export function countUnprovenCrashes ({ crashes, soloCrashes, rackLosses }: Task): number {
+  return crashes + rackLosses - soloCrashes
 }
 
 /** Tells whether a task must run apart from the tasks of other steps: its further crashes have to prove something. */
