Function names begin with verbs of the list

markChanged, needsAdvice, waitsForAdvice, adjustLimit, adjustMaxOpen and markPrimeSuspects had verbs that docs/verbs.md doesn't list; pages.spec failed. Renamed through the compiler; no change of behaviour.

--- a/packages/core/src/partition/__tests__/stepInstance.spec.ts
+++ b/packages/core/src/partition/__tests__/stepInstance.spec.ts
@@ -56,7 +56,7 @@
   registry.recordDone(task, 1)
   assert.is(countStartable(instance), 0)
   assert.is(estimateRemainingMs(instance), 500)
-  registry.markChanged(job.id)
+  registry.recordChanged(job.id)
   assert.is(estimateRemainingMs(registry.findStepInstanceByKey('j.0.1')!), 500)
 })
 
--- a/packages/core/src/partition/__tests__/ticketedStarts.spec.ts
+++ b/packages/core/src/partition/__tests__/ticketedStarts.spec.ts
@@ -16,9 +16,9 @@
   return planner
 }
 
-function addJob (planner: PartitionPlanner, id: string, taskCount: number, changes: Partial<JobStep> = {}, needsAdvice = true): void {
+function addJob (planner: PartitionPlanner, id: string, taskCount: number, changes: Partial<JobStep> = {}, isAdviceRequired = true): void {
   const step = createTestStep({ taskCount, resources: { processors: 1, memoryMb: 64, accelerators: 0 }, ...changes })
-  planner.addJob(id, createTestStepJob([step], { priority: 0, ...(needsAdvice ? { advice: ADVICE } : {}) }), ACCEPTED_STATE, 0)
+  planner.addJob(id, createTestStepJob([step], { priority: 0, ...(isAdviceRequired ? { advice: ADVICE } : {}) }), ACCEPTED_STATE, 0)
 }
 
 /** Gives the step of a job tickets for all workers. */
--- a/packages/core/src/partition/crashEvidence.ts
+++ b/packages/core/src/partition/crashEvidence.ts
@@ -132,7 +132,7 @@
   return suspects.every(({ isRecent }) => isRecent) || !charges.some(({ hasPassed }) => hasPassed)
 }
 
-function markPrimeSuspects (charges: readonly Charge[]): void {
+function recordPrimeSuspects (charges: readonly Charge[]): void {
   const recent = charges.filter(({ isRecent }) => isRecent)
   const isOneStep = recent.every(({ task }) => isSameStep(task, recent[0]!.task))
   for (const { task } of recent) task.isPrimeSuspect ||= isOneStep
@@ -221,7 +221,7 @@
         isProven: false
       }
       losses.set(worker.info.id, recorded)
-      if (!isExcused) markPrimeSuspects(charges)
+      if (!isExcused) recordPrimeSuspects(charges)
       const counted = count(charges)
       if (loss.kind === 'crashed' || loss.kind === 'missing') return { counted, proven: collectProven(recorded) }
       if (loss.kind === 'unseen') return { counted, proven: collectProven(recorded, charges.filter(({ isOwed }) => isOwed)) }
--- a/packages/core/src/partition/createPartitionPlanner.ts
+++ b/packages/core/src/partition/createPartitionPlanner.ts
@@ -10,7 +10,7 @@
 import { createJobRegistry } from './jobRegistry.js'
 import { isSuspected, listTasks, type Task } from './jobState.js'
 import type { CanSendQuery, PlannerDecisions, PartitionPlanner, RoundOptions, RunName, StartOrder, TrySendQuery } from './plannerTypes.js'
-import { buildAdviceQuery, chooseAdviceWorkers, countStartable, listStartable, listSuspected, mayHaveTicket, needsAdvice, mayBeSuitable, recordAdvice, recordAdviceFailed, type StepInstance } from './stepInstance.js'
+import { buildAdviceQuery, chooseAdviceWorkers, countStartable, listStartable, listSuspected, mayHaveTicket, isAdviceRequired, mayBeSuitable, recordAdvice, recordAdviceFailed, type StepInstance } from './stepInstance.js'
 import { createCapacityReservations } from './capacityReservation.js'
 import { createCeilingPreemptions, type CeilingPreemptions } from './ceilingPreemption.js'
 import { buildRunName, createRunTracker } from './runTracker.js'
@@ -99,7 +99,7 @@
   }
 
   /** Whether the order of a further task would wait until its ticket expires. */
-  const isOrderingBusy = (instance: StepInstance, { ticketedLeft }: RoundParts): boolean => needsAdvice(instance) && ticketedLeft <= 0
+  const isOrderingBusy = (instance: StepInstance, { ticketedLeft }: RoundParts): boolean => isAdviceRequired(instance) && ticketedLeft <= 0
 
   /** Leaves a step out of this round; what its team's limit blocks still counts as the team's demand. */
   const handleDeferral = (instance: StepInstance): void => {
@@ -136,7 +136,7 @@
       starts.push(startTask(instance, task, worker, { number: gang ? gangRun : task.run + 1, nowMs: round.nowMs }))
       if (index !== null) round.updateFree(index)
       placed.add(task)
-      if (needsAdvice(instance)) parts.ticketedLeft--
+      if (isAdviceRequired(instance)) parts.ticketedLeft--
     }
     if (placed.size > 0) registry.recordStarted(instance)
     if (!gang && placed.size < placements.length && isOrderingBusy(instance, parts)) return []
@@ -190,13 +190,13 @@
    * Whether a step has room but no ticket, and no query in flight. It reserves nothing: steps of a lower rank whose tickets are valid can use the
    * room now, and by the time the advice service takes the query, other room may be free.
    */
-  const waitsForAdvice = (instance: StepInstance, round: PlanningRound): boolean => {
+  const isAwaitingAdvice = (instance: StepInstance, round: PlanningRound): boolean => {
     return !instance.isAdvicePending && !mayHaveTicket(instance, round.nowMs) && round.findUnclaimedFitting(instance.taskResources, 0) >= 0
   }
 
   /** Gives up the tasks that crash their workers beyond doubt; returns their last runs. */
   const applyVerdict = ({ counted, proven }: CrashVerdict, wallMs: number): RunName[] => {
-    for (const task of counted) registry.markChanged(task.job)
+    for (const task of counted) registry.recordChanged(task.job)
     const givenUp: RunName[] = []
     for (const task of proven) {
       if (task.phase === 'done' || task.phase === 'failed') continue
@@ -207,7 +207,7 @@
   }
 
   const decide = (nowMs: number, wallMs: number, trySend: TrySendQuery, { canSend = () => true, maxTicketedStarts = Infinity }: RoundOptions = {}): PlannerDecisions => {
-    for (const task of evidence.recordUnseenProofs(nowMs)) registry.markChanged(task.job)
+    for (const task of evidence.recordUnseenProofs(nowMs)) registry.recordChanged(task.job)
     registry.addDueOccurrences(wallMs, nowMs)
     evaluations = 0
     const starts: StartOrder[] = []
@@ -241,7 +241,7 @@
       const reserves = mayReserve(instance, nowMs)
       if (reserves && reservingCount < MAX_RESERVING_STEPS) reservingCount++
       else if (reserves || ranked.rank.priority > 0 || !mayPreempt(ranked, nowMs)) continue
-      if (!budget.mayReserve(instance) || (!reserves && waitsForAdvice(instance, round))) continue
+      if (!budget.mayReserve(instance) || (!reserves && isAwaitingAdvice(instance, round))) continue
       stopForPreemption(reservations.reserve({ instance, tasks: left, mayPreempt: mayPreempt(ranked, nowMs) }))
     }
     evaluations += round.countEvaluations()
@@ -298,7 +298,7 @@
       failures.recordUnseenFailure(worker, failedAtMs)
       return applyVerdict(evidence.recordLoss(worker, missing, { kind: 'unseen', failedAtMs, nowMs, wallMs }), wallMs)
     },
-    recordWorkerSurvived: (id) => { for (const task of evidence.recordSurvived(id)) registry.markChanged(task.job) },
+    recordWorkerSurvived: (id) => { for (const task of evidence.recordSurvived(id)) registry.recordChanged(task.job) },
     removeWorker: (id) => {
       capacityIndex.recordChange(workers.get(id)?.info, undefined)
       tracker.removeWorker(id)
@@ -362,7 +362,7 @@
     listOrderedStops: tracker.listOrderedStops,
     takeChangedJobs: registry.takeChanged,
     isChanged: registry.isChanged,
-    addChangedJobs: (jobs) => { for (const job of jobs) registry.markChanged(job) },
+    addChangedJobs: (jobs) => { for (const job of jobs) registry.recordChanged(job) },
     readRecord: registry.readRecord,
     readCrashRecord: registry.readCrashRecord,
     readPhase: registry.readPhase,
--- a/packages/core/src/partition/isolation.ts
+++ b/packages/core/src/partition/isolation.ts
@@ -204,11 +204,11 @@
       let best = -1
       let bestMs = Infinity
       round.addEvaluations(round.workers.length)
-      const needsAdvice = instance.job.spec.policy.advice !== undefined
+      const isAdviceRequired = instance.job.spec.policy.advice !== undefined
       for (const [index, worker] of round.workers.entries()) {
         if (worker.isolated || !canEverRun(worker, instance.step) || instance.unsuitable.has(worker.info.id)) continue
         if (counts !== null && (counts.get(worker.info.id) ?? 0) >= maxPerWorker) continue
-        const clearMs = estimateClearMs(worker, instance, round.nowMs) + (needsAdvice && !instance.tickets.has(worker.info.id) ? UNKNOWN_ADVICE_COST_MS : 0)
+        const clearMs = estimateClearMs(worker, instance, round.nowMs) + (isAdviceRequired && !instance.tickets.has(worker.info.id) ? UNKNOWN_ADVICE_COST_MS : 0)
         if (clearMs >= bestMs) continue
         best = index
         bestMs = clearMs
--- a/packages/core/src/partition/jobRegistry.ts
+++ b/packages/core/src/partition/jobRegistry.ts
@@ -34,7 +34,7 @@
   endIfComplete: (task: Task, wallMs: number) => void
   /** Ends a job unless it has ended already; returns whether it did. */
   endJob: (job: Job, phase: JobPhase, wallMs: number) => boolean
-  markChanged: (id: string) => void
+  recordChanged: (id: string) => void
   isChanged: (id: string) => boolean
   takeChanged: (maxCount: number) => string[]
   readRecord: (id: string) => JobStateRecord | null
@@ -59,7 +59,7 @@
   /** Number of one-off jobs of which no task has started, by queue. */
   const waitingJobs = new Map<string, number>()
 
-  const markChanged = (id: string): void => {
+  const recordChanged = (id: string): void => {
     changed.add(id)
     const job = jobs.get(id)
     if (job !== undefined) job.changes++
@@ -128,7 +128,7 @@
     job.endedAtMs = wallMs
     ended.add(job.id, wallMs)
     closeSteps(job)
-    markChanged(job.id)
+    recordChanged(job.id)
     return true
   }
 
@@ -185,13 +185,13 @@
     },
     recordStarted: (instance) => {
       if (instance.job.phase === 'queued') setPhase(instance.job, 'running')
-      markChanged(instance.job.id)
+      recordChanged(instance.job.id)
       if (instance.tasks.some((task) => task.phase === 'waiting')) return
       instance.waitingSinceMs = null
       waiting.delete(instance)
     },
     recordDone: (task, nowMs) => {
-      markChanged(task.job)
+      recordChanged(task.job)
       const job = jobs.get(task.job)
       const occurrence = job?.occurrences.get(task.occurrence)
       if (job === undefined || occurrence === undefined) return
@@ -204,7 +204,7 @@
       endJob(job, 'completed', wallMs)
     },
     endJob,
-    markChanged,
+    recordChanged,
     isChanged: (id) => changed.has(id),
     takeChanged: (maxCount) => {
       const taken: string[] = []
--- a/packages/core/src/partition/runTracker.ts
+++ b/packages/core/src/partition/runTracker.ts
@@ -93,7 +93,7 @@
   const releaseTask = (task: Task, nowMs: number): void => {
     releaseResources(task)
     if (task.phase === 'placed') task.phase = 'waiting'
-    registry.markChanged(task.job)
+    registry.recordChanged(task.job)
     registry.recordWaiting(task, nowMs)
   }
 
@@ -152,7 +152,7 @@
     storeCheckpoint(task, end.saved)
     const wasPlaced = task.phase === 'placed'
     releaseResources(task)
-    registry.markChanged(task.job)
+    registry.recordChanged(task.job)
     if (!wasPlaced) return
     if (end.how === 'done' && !findStep(task).longRunning) {
       task.phase = 'done'
--- a/packages/core/src/partition/stepInstance.ts
+++ b/packages/core/src/partition/stepInstance.ts
@@ -132,7 +132,7 @@
 }
 
 /** Tells whether the step starts only with a ticket. */
-export function needsAdvice (instance: StepInstance): boolean {
+export function isAdviceRequired (instance: StepInstance): boolean {
   return instance.job.spec.policy.advice !== undefined
 }
 
--- a/packages/entry/src/partition/startWindow.ts
+++ b/packages/entry/src/partition/startWindow.ts
@@ -49,11 +49,11 @@
   let maxOpen = MAX_OPEN_STARTS
   let shrunkAtMs = -Infinity
 
-  const adjustLimit = (responseMs: number): void => {
+  const updateLimit = (responseMs: number): void => {
     limit = Math.max(minLimit, Math.min(maxLimit, limit + (responseMs < slowResponseMs ? 1 : -1)))
   }
 
-  const adjustMaxOpen = (waitMs: number): void => {
+  const updateMaxOpen = (waitMs: number): void => {
     if (waitMs < maxWaitMs / 2) {
       maxOpen = Math.min(MAX_OPEN_STARTS, maxOpen + 1)
       return
@@ -67,10 +67,10 @@
     waitForSlot: async (decidedAtMs) => {
       if (inFlight >= limit) await new Promise<void>((resolve) => { queue.push(resolve) })
       else inFlight++
-      adjustMaxOpen(clock.nowMs() - decidedAtMs)
+      updateMaxOpen(clock.nowMs() - decidedAtMs)
     },
     releaseSlot: (responseMs) => {
-      if (responseMs !== null) adjustLimit(responseMs)
+      if (responseMs !== null) updateLimit(responseMs)
       inFlight--
       if (queue.length === 0) return
       while (inFlight < limit) {
