--- a/packages/core/src/partition/createPartitionPlanner.ts
+++ b/packages/core/src/partition/createPartitionPlanner.ts
@@ -9,8 +9,9 @@
 import { createIsolation } from './isolation.js'
 import { createJobRegistry } from './jobRegistry.js'
 import { isSuspected, listTasks, type Task } from './jobState.js'
-import type { CanSendQuery, PlannerDecisions, PartitionPlanner, RoundOptions, RunName, StartOrder, TrySendQuery } from './plannerTypes.js'
-import { buildAdviceQuery, chooseAdviceWorkers, countStartable, listStartable, listSuspected, mayHaveTicket, isAdviceRequired, mayBeSuitable, recordAdvice, recordAdviceFailed, type StepInstance } from './stepInstance.js'
+import type { PlannerDecisions, PartitionPlanner, RoundOptions, RunName, StartOrder, TrySendQuery } from './plannerTypes.js'
+import { isAwaitingAdvice, reserveAdvisedCapacity, sendAdviceQuery } from './adviceRequests.js'
+import { countStartable, isAdviceRequired, listStartable, listSuspected, recordAdvice, recordAdviceFailed, type StepInstance } from './stepInstance.js'
 import { createCapacityReservations } from './capacityReservation.js'
 import { createCeilingPreemptions, type CeilingPreemptions } from './ceilingPreemption.js'
 import { buildRunName, createRunTracker } from './runTracker.js'
@@ -20,12 +21,6 @@
 import { createRoundBudget } from './roundBudget.js'
 import { createTeamUsage } from './teamUsage.js'
 
-/** Access to the advice service. */
-interface AdviceAccess {
-  readonly trySend: TrySendQuery
-  readonly canSend: CanSendQuery
-}
-
 interface RoundParts {
   readonly round: PlanningRound
   readonly ceilings: CeilingPreemptions
@@ -158,42 +153,6 @@
     return rank.deadlineClass < 2 && instance.waitingSinceMs !== null && nowMs - instance.waitingSinceMs > PREEMPT_AFTER_MS
   }
 
-  /** Sends an advice query if the response can be used now; returns whether a query is pending. */
-  const sendAdviceQuery = (instance: StepInstance, round: PlanningRound, { trySend, canSend }: AdviceAccess): boolean => {
-    const { advice } = instance.job.spec.policy
-    if (advice === undefined || instance.isAdvicePending) return instance.isAdvicePending
-    // Choosing the workers looks at all of them.
-    if (!canSend(advice.decisionMs + advice.eachMs)) return false
-    const selected = chooseAdviceWorkers(instance, round)
-    if (selected.length === 0) return false
-    instance.isAdvicePending = trySend(buildAdviceQuery(instance, selected, advice))
-    return instance.isAdvicePending
-  }
-
-  /** Reserves the capacity that a step will use once it has advice, so that lower-ranked steps don't query advice for it. */
-  const reserveAdvisedCapacity = (instance: StepInstance, tasks: readonly Task[], round: PlanningRound): void => {
-    // While a ticket is being renewed, its capacity stays reserved.
-    const reserve = instance.tickets.size > 0 ? round.reserve : round.reserveForAdvice
-    const need = instance.taskResources
-    let left = tasks.length
-    for (let index = round.findUnclaimedFitting(need, 0); index >= 0; index = round.findUnclaimedFitting(need, index + 1)) {
-      if (!mayBeSuitable(instance, round.workers[index]!)) continue
-      while (left > 0 && hasRoomFor(round.readUnclaimed(index), need)) {
-        reserve(index, need)
-        left--
-      }
-      if (left === 0) return
-    }
-  }
-
-  /**
-   * Whether a step has room but no ticket, and no query in flight. It reserves nothing: steps of a lower rank whose tickets are valid can use the
-   * room now, and by the time the advice service takes the query, other room may be free.
-   */
-  const isAwaitingAdvice = (instance: StepInstance, round: PlanningRound): boolean => {
-    return !instance.isAdvicePending && !mayHaveTicket(instance, round.nowMs) && round.findUnclaimedFitting(instance.taskResources, 0) >= 0
-  }
-
   /** Gives up the tasks that crash their workers beyond doubt; returns their last runs. */
   const applyVerdict = ({ counted, proven }: CrashVerdict, wallMs: number): RunName[] => {
     for (const task of counted) registry.recordChanged(task.job)
