Starts: those without tickets leave those with tickets their room and their turn

Callers see urgent tasks of a queue with advice wait for seconds beside a flood of less urgent ones of a queue without advice, at a holder that is short of processor time.

Cause: starts without tickets were counted towards the room for starts with tickets, but not bound by it: a round placed as many of them as the workers had capacity for, which left a room of 0. All waited in one line, so that the waits of those without tickets shrank the room, too. Class of fault: a bound shared with a flow that it doesn't apply to (priority inversion in front of a deadline).

Change: the room counts waiting starts with tickets only, not orders in flight, which have a limit of their own, and follows only their waits; in front of the window, starts with and without tickets take turns.

--- a/packages/entry/src/partition/__tests__/startWindow.spec.ts
+++ b/packages/entry/src/partition/__tests__/startWindow.spec.ts
@@ -14,7 +14,7 @@
 /** Sends starts one after the other, each decided `waitMs` before. */
 async function sendStarts (count: number, waitMs: number, { clock, window }: ReturnType<typeof createWindow>, responseMs = 5): Promise<void> {
   for (let index = 0; index < count; index++) {
-    await window.waitForSlot(clock.nowMs() - waitMs)
+    await window.waitForSlot(clock.nowMs() - waitMs, true)
     await clock.runFor(10)
     window.releaseSlot(responseMs)
   }
@@ -23,7 +23,7 @@
 /** Counts the orders that get a slot at once. */
 async function countSlots ({ clock, window }: ReturnType<typeof createWindow>): Promise<number> {
   let granted = 0
-  for (let index = 0; index < 20; index++) window.waitForSlot(clock.nowMs()).then(() => { granted++ }, (error: unknown) => { throw error })
+  for (let index = 0; index < 20; index++) window.waitForSlot(clock.nowMs(), true).then(() => { granted++ }, (error: unknown) => { throw error })
   await clock.runFor(1)
   return granted
 }
@@ -57,10 +57,29 @@
   assert.is(await countSlots(fast), 8)
 })
 
+// Guards against LOST: starts without tickets left no room for those with tickets, and all waited in one line.
+test('starts without tickets take no room from those with tickets, which take turns with them', async () => {
+  const { clock, window } = createWindow()
+  const room = window.countRoom()
+  const granted: string[] = []
+  const wait = (name: string, hasTicket: boolean): void => {
+    window.waitForSlot(clock.nowMs(), hasTicket).then(() => { granted.push(name) }, (error: unknown) => { throw error })
+  }
+  for (let index = 0; index < 100; index++) wait('without', false)
+  assert.is(window.countRoom(), room)
+  for (let index = 0; index < 4; index++) wait('with', true)
+  assert.is(window.countRoom(), room - 4)
+  await clock.runFor(1)
+  for (let index = 0; index < 8; index++) window.releaseSlot(5)
+  await clock.runFor(1)
+  assert.is(granted.length, 16)
+  assert.is(granted.filter((name) => name === 'with').length, 4)
+})
+
 test('a start that waited gets the slot that is released, in order', async () => {
   const { clock, window } = createWindow()
   const granted: number[] = []
-  for (let index = 0; index < 10; index++) window.waitForSlot(clock.nowMs()).then(() => { granted.push(index) }, (error: unknown) => { throw error })
+  for (let index = 0; index < 10; index++) window.waitForSlot(clock.nowMs(), true).then(() => { granted.push(index) }, (error: unknown) => { throw error })
   await clock.runFor(1)
   assert.equal(granted, [0, 1, 2, 3, 4, 5, 6, 7])
   window.releaseSlot(5)
--- a/packages/entry/src/partition/__tests__/waitingStarts.spec.ts
+++ b/packages/entry/src/partition/__tests__/waitingStarts.spec.ts
@@ -57,7 +57,7 @@
     onDeposed: () => {}
   })
   await clock.runFor(100)
-  await startWindow.waitForSlot(clock.nowMs())
+  await startWindow.waitForSlot(clock.nowMs(), true)
   planner.addJob('j', createTestJob(clock, 8), ACCEPTED_STATE, clock.nowMs())
   const { starts } = planner.decide(clock.nowMs(), clock.wallMs(), () => true)
   assert.is(starts.length, 8)
--- a/packages/entry/src/partition/partitionCommits.ts
+++ b/packages/entry/src/partition/partitionCommits.ts
@@ -29,7 +29,7 @@
   readonly pacer: PlanPacer
   /** Plans one round: issues the orders that need no commit and returns about `maxTicketedStarts` starts with tickets at most. */
   readonly plan: (maxTicketedStarts: number) => readonly StartOrder[]
-  /** Counts the starts that may be ordered now, so that none waits for long. */
+  /** Counts the starts with tickets that may be ordered now, so that none of them waits for long. */
   readonly countStartRoom: () => number
   readonly startRun: (order: StartOrder) => void
   readonly onCommitted: (jobs: readonly string[]) => void
@@ -92,7 +92,7 @@
 
   const planRound = (): void => {
     isPlanRequested = false
-    const maxTicketedStarts = Math.max(0, options.countStartRoom() - pendingStarts.length)
+    const maxTicketedStarts = Math.max(0, options.countStartRoom() - pendingStarts.filter((order) => order.ticket !== null).length)
     const starts = options.load.measurePart('plan', () => options.plan(maxTicketedStarts))
     for (const order of starts) options.events.record(runPlaced, { run: formatRun(order), worker: order.worker, resumed: order.saved !== '' })
     pendingStarts.push(...starts)
--- a/packages/entry/src/partition/partitionWorkerController.ts
+++ b/packages/entry/src/partition/partitionWorkerController.ts
@@ -212,7 +212,7 @@
     // The worker may have been lost since the decision, and the task may run elsewhere.
     if (!planner.isAllocatedAt(order, worker)) return
     inDoubt.set(name, order)
-    await startWindow.waitForSlot(order.decidedAtMs)
+    await startWindow.waitForSlot(order.decidedAtMs, order.ticket !== null)
     let isOutcomeKnown = true
     // After a failed call the lease is not extended: the lease of an unreachable worker has to expire.
     const lease = failures === 0 ? computeLeaseExpiry() : leaseUntilMs
--- a/packages/entry/src/partition/startWindow.ts
+++ b/packages/entry/src/partition/startWindow.ts
@@ -9,14 +9,15 @@
 /** Window of one term. */
 export interface StartWindow {
   /**
-   * Waits until fewer orders than the limit are in flight; `releaseSlot` must be called once afterwards.
+   * Waits until fewer orders than the limit are in flight; `releaseSlot` must be called once afterwards. Starts with and without tickets take turns.
    *
    * @param decidedAtMs monotonic time of the decision, in milliseconds
+   * @param hasTicket whether the start must be ordered before a ticket expires
    */
-  waitForSlot: (decidedAtMs: number) => Promise<void>
+  waitForSlot: (decidedAtMs: number, hasTicket: boolean) => Promise<void>
   /** @param responseMs time until the response was read, in milliseconds; `null` if the order was not sent or its worker did not respond */
   releaseSlot: (responseMs: number | null) => void
-  /** Counts the starts that may be decided now, so that none waits for long. */
+  /** Counts the starts with tickets that may be decided now, so that none of them waits for long. */
   countRoom: () => number
 }
 
@@ -28,59 +29,68 @@
   /** Wait of a start from which fewer are decided at a time, in milliseconds; below half of it more are. */
   readonly maxWaitMs: number
   readonly clock: Clock
-  /** Called when the last order that waited has got its slot. */
+  /** Called when the last order with a ticket that waited has got its slot. */
   readonly onQueueEmpty: () => void
 }
 
 /** Orders in flight that are always allowed. */
 const MIN_LIMIT = 4
-/** Least and greatest number of starts that may wait or be in flight. */
-const MIN_OPEN_STARTS = 32
-const MAX_OPEN_STARTS = 1024
+/** Least and greatest number of starts with tickets that may wait. */
+const MIN_WAITING_STARTS = 32
+const MAX_WAITING_STARTS = 1024
 /** Factor by which that number shrinks, and the shortest time between two such steps, in milliseconds. */
 const SHRINK_FACTOR = 0.7
 const SHRINK_INTERVAL_MS = 250
 
 export function createStartWindow ({ limit: maxLimit, slowResponseMs, maxWaitMs, clock, onQueueEmpty }: StartWindowOptions): StartWindow {
   const minLimit = Math.min(MIN_LIMIT, maxLimit)
-  const queue: Array<() => void> = []
+  const ticketed: Array<() => void> = []
+  const unticketed: Array<() => void> = []
+  let isTicketedNext = true
   let limit = maxLimit
   let inFlight = 0
-  let maxOpen = MAX_OPEN_STARTS
+  let maxWaiting = MAX_WAITING_STARTS
   let shrunkAtMs = -Infinity
 
   const updateLimit = (responseMs: number): void => {
     limit = Math.max(minLimit, Math.min(maxLimit, limit + (responseMs < slowResponseMs ? 1 : -1)))
   }
 
-  const updateMaxOpen = (waitMs: number): void => {
+  const updateMaxWaiting = (waitMs: number): void => {
     if (waitMs < maxWaitMs / 2) {
-      maxOpen = Math.min(MAX_OPEN_STARTS, maxOpen + 1)
+      maxWaiting = Math.min(MAX_WAITING_STARTS, maxWaiting + 1)
       return
     }
     if (waitMs < maxWaitMs || clock.nowMs() - shrunkAtMs < SHRINK_INTERVAL_MS) return
     shrunkAtMs = clock.nowMs()
-    maxOpen = Math.max(MIN_OPEN_STARTS, Math.floor(maxOpen * SHRINK_FACTOR))
+    maxWaiting = Math.max(MIN_WAITING_STARTS, Math.floor(maxWaiting * SHRINK_FACTOR))
+  }
+
+  const takeNext = (): (() => void) | undefined => {
+    const [first, second] = isTicketedNext ? [ticketed, unticketed] : [unticketed, ticketed]
+    isTicketedNext = !isTicketedNext
+    return first.shift() ?? second.shift()
   }
 
   return {
-    waitForSlot: async (decidedAtMs) => {
-      if (inFlight >= limit) await new Promise<void>((resolve) => { queue.push(resolve) })
+    waitForSlot: async (decidedAtMs, hasTicket) => {
+      if (inFlight >= limit) await new Promise<void>((resolve) => { (hasTicket ? ticketed : unticketed).push(resolve) })
       else inFlight++
-      updateMaxOpen(clock.nowMs() - decidedAtMs)
+      if (hasTicket) updateMaxWaiting(clock.nowMs() - decidedAtMs)
     },
     releaseSlot: (responseMs) => {
       if (responseMs !== null) updateLimit(responseMs)
       inFlight--
-      if (queue.length === 0) return
+      if (ticketed.length + unticketed.length === 0) return
+      const hadTicketed = ticketed.length > 0
       while (inFlight < limit) {
-        const next = queue.shift()
+        const next = takeNext()
         if (next === undefined) break
         inFlight++
         next()
       }
-      if (queue.length === 0) onQueueEmpty()
+      if (hadTicketed && ticketed.length === 0) onQueueEmpty()
     },
-    countRoom: () => Math.max(0, maxOpen - queue.length - inFlight)
+    countRoom: () => Math.max(0, maxWaiting - ticketed.length)
   }
 }
