Starts: the duration of a commit doesn't count as a wait behind other starts

Callers see a backlog start at a third of the pace that the workers allow while commits take 600 ms: some 50 starts a second, until the store is fast.

Cause: the room for starts followed the time from decision to order, which includes the commit of the start. A slow store shrank the room to its minimum although no start waited for another, and kept it there: no wait was below the bound from which it grows. Class of fault: the delay of one stage taken for the queue of another.

Change: the wait counts without the commit that stored the start; earlier commits count, since fewer starts make them fewer.

--- a/packages/entry/src/partition/__tests__/waitingStarts.spec.ts
+++ b/packages/entry/src/partition/__tests__/waitingStarts.spec.ts
@@ -104,7 +104,7 @@
 // Guards against LIMIT: an order that waited for its commit or its turn while the worker shrank.
 test('a start that waits in the window is not sent to a worker that has shrunk meanwhile', async () => {
   const { clock, planner, controller, startWindow, starts, sent } = await startController()
-  for (const order of starts) controller.startRun(order)
+  for (const order of starts) controller.startRun(order, 0)
   await clock.runFor(100)
   assert.equal(sent, [])
   planner.setWorker({ ...INFO, capacity: SHRUNK })
@@ -117,7 +117,7 @@
 test('a start whose task was released while it waited for its commit is not sent', async () => {
   const { clock, planner, controller, startWindow, starts, sent } = await startController()
   planner.recordWorkerLost(INFO.id, { kind: 'crashed', failedAtMs: clock.nowMs(), nowMs: clock.nowMs(), wallMs: clock.wallMs() })
-  for (const order of starts) controller.startRun(order)
+  for (const order of starts) controller.startRun(order, 0)
   startWindow.releaseSlot(null)
   await clock.runFor(3000)
   assert.equal(sent, [])
--- a/packages/entry/src/partition/partitionCommits.ts
+++ b/packages/entry/src/partition/partitionCommits.ts
@@ -31,7 +31,8 @@
   readonly plan: (maxTicketedStarts: number) => readonly StartOrder[]
   /** Counts the starts with tickets that may be ordered now, so that none of them waits for long. */
   readonly countStartRoom: () => number
-  readonly startRun: (order: StartOrder) => void
+  /** @param commitMs duration of the commit that stored the start, in milliseconds */
+  readonly startRun: (order: StartOrder, commitMs: number) => void
   readonly onCommitted: (jobs: readonly string[]) => void
   /** Ended jobs past their retention were removed from the planner: delete their rows, then their states with `deleteStates`. */
   readonly onJobsExpired: (jobs: readonly string[]) => void
@@ -160,11 +161,11 @@
   }
 
   /** Sends those of the first `readyCount` pending starts whose job the commit has stored. */
-  const sendStarts = (jobs: readonly string[], readyCount: number): void => {
+  const sendStarts = (jobs: readonly string[], readyCount: number, commitMs: number): void => {
     const stored = new Set(jobs)
     const due = pendingStarts.slice(0, readyCount).filter((order) => stored.has(order.job))
     pendingStarts = pendingStarts.filter((order, index) => index >= readyCount || !stored.has(order.job))
-    for (const order of due) options.startRun(order)
+    for (const order of due) options.startRun(order, commitMs)
   }
 
   const endTerm = (): void => {
@@ -196,7 +197,7 @@
       failures = 0
       statesToDelete = statesToDelete.slice(deletes.length / 2)
       for (const controller of options.listControllers()) controller.finishCommit()
-      sendStarts(jobs, readyCount)
+      sendStarts(jobs, readyCount, clock.nowMs() - confirmedAt.nowMs)
       options.onCommitted(jobs)
       return
     }
--- a/packages/entry/src/partition/partitionTerm.ts
+++ b/packages/entry/src/partition/partitionTerm.ts
@@ -258,10 +258,10 @@
     pacer: createPlanPacer(clock),
     plan,
     countStartRoom: startWindow.countRoom,
-    startRun: (order) => {
+    startRun: (order, commitMs) => {
       const member = managedWorkers.get(order.worker)
       if (member === undefined || member.isUnlisted || member.listing.draining) planner.recordStartRefused(order, 'notSent', clock.nowMs())
-      else member.controller.startRun(order)
+      else member.controller.startRun(order, commitMs)
     },
     onCommitted: (ids) => {
       for (const id of ids) {
--- a/packages/entry/src/partition/partitionWorkerController.ts
+++ b/packages/entry/src/partition/partitionWorkerController.ts
@@ -37,7 +37,8 @@
 
 /** Controller of one worker. */
 export interface PartitionWorkerController extends Disposable {
-  startRun: (order: StartOrder) => void
+  /** @param commitMs duration of the commit that stored the start, in milliseconds */
+  startRun: (order: StartOrder, commitMs: number) => void
   stopRun: (order: StopOrder) => void
   /** Marks the ended runs that are covered by the commit that begins now. */
   beginCommit: () => void
@@ -207,12 +208,13 @@
     }
   }
 
-  const sendStart = async (order: StartOrder): Promise<void> => {
+  const sendStart = async (order: StartOrder, commitMs: number): Promise<void> => {
     const name = formatRun(order)
     // The worker may have been lost since the decision, and the task may run elsewhere.
     if (!planner.isAllocatedAt(order, worker)) return
     inDoubt.set(name, order)
-    await startWindow.waitForSlot(order.decidedAtMs, order.ticket !== null)
+    // Fewer starts at a time would not make the store faster.
+    await startWindow.waitForSlot(order.decidedAtMs + commitMs, order.ticket !== null)
     let isOutcomeKnown = true
     // After a failed call the lease is not extended: the lease of an unreachable worker has to expire.
     const lease = failures === 0 ? computeLeaseExpiry() : leaseUntilMs
@@ -323,7 +325,7 @@
   runLoop().catch(failProcess)
 
   return {
-    startRun: (order) => { sendStart(order).catch(failProcess) },
+    startRun: (order, commitMs) => { sendStart(order, commitMs).catch(failProcess) },
     stopRun,
     beginCommit: ends.beginCommit,
     finishCommit: ends.finishCommit,
--- a/packages/entry/src/partition/startWindow.ts
+++ b/packages/entry/src/partition/startWindow.ts
@@ -11,10 +11,10 @@
   /**
    * Waits until fewer orders than the limit are in flight; `releaseSlot` must be called once afterwards. Starts with and without tickets take turns.
    *
-   * @param decidedAtMs monotonic time of the decision, in milliseconds
+   * @param sinceMs monotonic time since which the start has waited for others, in milliseconds
    * @param hasTicket whether the start must be ordered before a ticket expires
    */
-  waitForSlot: (decidedAtMs: number, hasTicket: boolean) => Promise<void>
+  waitForSlot: (sinceMs: number, hasTicket: boolean) => Promise<void>
   /** @param responseMs time until the response was read, in milliseconds; `null` if the order was not sent or its worker did not respond */
   releaseSlot: (responseMs: number | null) => void
   /** Counts the starts with tickets that may be decided now, so that none of them waits for long. */
@@ -73,10 +73,10 @@
   }
 
   return {
-    waitForSlot: async (decidedAtMs, hasTicket) => {
+    waitForSlot: async (sinceMs, hasTicket) => {
       if (inFlight >= limit) await new Promise<void>((resolve) => { (hasTicket ? ticketed : unticketed).push(resolve) })
       else inFlight++
-      if (hasTicket) updateMaxWaiting(clock.nowMs() - decidedAtMs)
+      if (hasTicket) updateMaxWaiting(clock.nowMs() - sinceMs)
     },
     releaseSlot: (responseMs) => {
       if (responseMs !== null) updateLimit(responseMs)
