--- /dev/null
+++ b/review/standins/runner.mjs
@@ -0,0 +1,207 @@
+/**
+ * Stand-in for a runner: fencing, leases on its own clock, runs, checkpoints, gangs, and ends that are listed until they are acknowledged.
+ * A task's specification is JSON: `workMs`, and optionally `saves` (it checkpoints), `gang` (number of members) and `fails` (its own fault).
+ */
+import { SILENT, sleep, startServer } from './http.mjs'
+
+const HOLD_MAX_MS = 6000
+const STOP_MS = 100
+const GANG_MS = 3000
+const MAX_LISTED_ENDS = 500
+const MAX_WAIT_MS = 2000
+const HEARTBEAT_MS = 1500
+const CHECKPOINT_MS = 1000
+const GREY_FAIL_MS = 5
+const GANG_NEWS_MS = 10
+const TICK_MS = 20
+
+/** Gangs by job, occurrence, step and run: members that are present, whatever their runner. */
+export function createGangs () {
+  return new Map()
+}
+
+/** Starts a runner. `history` receives a record of each run. */
+export async function startRunner ({ id, service, zone, host, store, gangs, history, capacity, labels, record }) {
+  let life = null
+  let lives = 0
+  let isSilent = false
+  let isGrey = false
+  let sequence = 0
+  let server = null
+  let stopped = false
+
+  const readClock = () => Math.floor(performance.now() - life.bornAt)
+  const createLife = () => ({ number: ++lives, bornAt: performance.now(), bornMs: Date.now(), runs: new Map(), barred: new Map(), ended: [], lastEnd: 0, token: 0, leaseUntilMs: 0, wakers: new Set() })
+
+  const readGang = ({ task, run }) => {
+    const key = `${task.split('.').slice(0, 3).join('.')}/${run}`
+    if (!gangs.has(key)) gangs.set(key, Object.assign(new Map(), { begins: [], isOver: false }))
+    return gangs.get(key)
+  }
+  const readSaved = (run) => {
+    if (!run.spec.saves || run.startedWorkAt === null) return run.saved
+    const work = run.savedWork + Math.floor((performance.now() - run.startedWorkAt) / CHECKPOINT_MS) * CHECKPOINT_MS
+    return work === 0 ? run.saved : work.toString(16).padStart(16, '0')
+  }
+
+  const endRun = (of, run, how) => {
+    if (of.runs.get(run.task) !== run) return
+    clearTimeout(run.timer)
+    of.runs.delete(run.task)
+    of.barred.set(run.task, Math.max(of.barred.get(run.task) ?? 0, run.run))
+    of.lastEnd++
+    const saved = readSaved(run)
+    Object.assign(run.entry, { endedAt: performance.now(), how, end: of.lastEnd, life: of.number })
+    of.ended.push({ listed: [of.lastEnd, run.task, run.run, how, saved], entry: run.entry })
+    record(`${id} ends ${run.task} run ${run.run}: ${how}`)
+    for (const wake of of.wakers) wake()
+    if (run.spec.gang === undefined) return
+    const members = readGang(run)
+    members.delete(run.task)
+    if (how === 'done') for (const endMember of [...members.values()]) endMember('done')
+    if (how === 'done' || members.isOver) return
+    // The other members learn of the end over the network.
+    setTimeout(() => {
+      members.isOver = true
+      for (const endMember of [...members.values()]) endMember('broken')
+    }, GANG_NEWS_MS)
+  }
+
+  const beginWork = (of, run) => {
+    run.startedWorkAt = performance.now()
+    const how = isGrey || run.spec.fails ? 'failed' : 'done'
+    const workMs = isGrey ? GREY_FAIL_MS : Math.max(0, run.spec.workMs - run.savedWork)
+    run.timer = setTimeout(() => endRun(of, run, how), workMs)
+  }
+
+  const joinGang = (of, run) => {
+    const members = readGang(run)
+    members.set(run.task, (how) => endRun(of, run, how))
+    members.begins.push(() => {
+      clearTimeout(run.timer)
+      beginWork(of, run)
+    })
+    const how = members.isOver ? 'broken' : isGrey ? 'failed' : 'alone'
+    run.timer = setTimeout(() => endRun(of, run, how), members.isOver ? 0 : isGrey ? GREY_FAIL_MS : GANG_MS)
+    if (isGrey || members.isOver || members.size < run.spec.gang) return
+    for (const begin of members.begins) begin()
+  }
+
+  const applyLease = (deadlineMs) => {
+    if (deadlineMs === undefined) return
+    life.leaseUntilMs = Math.max(life.leaseUntilMs, Math.min(deadlineMs, readClock() + HOLD_MAX_MS))
+  }
+
+  const startRun = ({ task, run, specification, deadlineMs, saved = '' }) => {
+    const refuse = (reason) => ({ status: 409, body: { clockMs: readClock(), reason } })
+    const present = life.runs.get(task)
+    if (present?.run === run) return { status: 200, body: { clockMs: readClock() } }
+    if (deadlineMs <= readClock()) return refuse('late')
+    applyLease(deadlineMs)
+    if (present !== undefined || run <= (life.barred.get(task) ?? 0)) return refuse('old')
+    const spec = JSON.parse(specification)
+    const entry = { task, run, runner: id, life: life.number, startedAt: performance.now(), endedAt: null, how: null, end: null, notedAt: null, lapsedSince: false }
+    history.push(entry)
+    record(`${id} starts ${task} run ${run}`)
+    const started = { task, run, spec, saved, savedWork: saved === '' ? 0 : parseInt(saved, 16), entry, startedWorkAt: null, timer: null }
+    life.runs.set(task, started)
+    if (spec.gang === undefined) beginWork(life, started)
+    else joinGang(life, started)
+    return { status: 200, body: { clockMs: readClock() } }
+  }
+
+  const stopRun = ({ task, run }) => {
+    life.barred.set(task, Math.max(life.barred.get(task) ?? 0, run))
+    const present = life.runs.get(task)
+    if (present !== undefined && present.run <= run) setTimeout(endRun, STOP_MS, life, present, 'stopped')
+    return { status: 200, body: { clockMs: readClock() } }
+  }
+
+  const readPercent = (run) => run.startedWorkAt === null ? 0 : Math.min(99, Math.floor(100 * (run.savedWork + performance.now() - run.startedWorkAt) / run.spec.workMs))
+
+  const hold = async ({ deadlineMs, lastSeen = 0, waitMs = 0 }) => {
+    const of = life
+    applyLease(deadlineMs)
+    for (const { listed: [number], entry } of of.ended) if (number <= lastSeen) entry.notedAt = performance.now()
+    of.ended = of.ended.filter(({ listed: [number] }) => number > lastSeen)
+    if (of.ended.length === 0 && waitMs > 0) {
+      await new Promise((resolve) => {
+        of.wakers.add(resolve)
+        setTimeout(resolve, Math.min(MAX_WAIT_MS, waitMs))
+      })
+      of.wakers.clear()
+    }
+    if (life !== of) return SILENT
+    return {
+      status: 200,
+      body: {
+        clockMs: readClock(),
+        born: of.bornMs,
+        running: [...of.runs.values()].map((run) => [run.task, run.run, readSaved(run), readPercent(run), 0]),
+        ended: of.ended.slice(0, MAX_LISTED_ENDS).map(({ listed }) => listed)
+      }
+    }
+  }
+
+  const handle = async ({ path, headers, body }) => {
+    if (isSilent) return SILENT
+    const instance = headers['expect-instance']
+    if (instance !== undefined && instance !== id) return { status: 421 }
+    const { fencingToken = 0 } = body ?? {}
+    if (fencingToken < life.token) return { status: 409, body: { clockMs: readClock(), reason: 'fence' } }
+    life.token = fencingToken
+    if (path === '/-/run-start') return startRun(body)
+    if (path === '/-/run-stop') return stopRun(body)
+    if (path !== '/-/hold') return { status: 404 }
+    const response = await hold(body)
+    return isSilent ? SILENT : response
+  }
+
+  const beat = () => {
+    if (life === null || stopped) return
+    sequence++
+    store.writeRow('servers', id, { service, address: server.address, zone, version: 'v1', slots: 8, state: 'ready', coldRemainingMs: 0, capacity, labels, born: life.bornMs, clockMs: readClock(), sequence })
+  }
+
+  const tick = setInterval(() => {
+    if (life === null || life.runs.size === 0 || readClock() < life.leaseUntilMs) return
+    for (const { entry } of life.ended) entry.lapsedSince = true
+    for (const run of [...life.runs.values()]) endRun(life, run, 'lapsed')
+  }, TICK_MS)
+  const heartbeat = setInterval(beat, HEARTBEAT_MS)
+
+  /** Begins a life of the runner, at a new address unless `port` is given. */
+  const begin = async (port = 0) => {
+    life = createLife()
+    sequence = 0
+    server = await startServer(host, handle, port)
+    beat()
+  }
+  await begin()
+
+  return {
+    id,
+    readAddress: () => server.address,
+    setGrey: (grey) => { isGrey = grey },
+    setSilent: (silent) => { isSilent = silent },
+    /** Crashes the runner: all that ran there is gone, and its address refuses connections. */
+    crash: async () => {
+      const of = life
+      life = null
+      for (const run of of.runs.values()) {
+        clearTimeout(run.timer)
+        Object.assign(run.entry, { endedAt: performance.now(), how: 'crashed' })
+      }
+      await server.stop()
+    },
+    begin,
+    stop: async () => {
+      stopped = true
+      clearInterval(tick)
+      clearInterval(heartbeat)
+      for (const run of life?.runs.values() ?? []) clearTimeout(run.timer)
+      await server.stop()
+      await sleep(0)
+    }
+  }
+}
