--- a/review/standins/runner.mjs
+++ b/review/standins/runner.mjs
@@ -2,7 +2,7 @@
  * Stand-in for a runner: fencing, leases on its own clock, runs, checkpoints, gangs, and ends that are listed until they are acknowledged.
  * A task's specification is JSON: `workMs`, and optionally `saves` (it checkpoints), `gang` (number of members) and `fails` (its own fault).
  */
-import { SILENT, sleep, startServer } from './http.mjs'
+import { SILENT, startServer } from './http.mjs'
 
 const HOLD_MAX_MS = 6000
 const STOP_MS = 100
@@ -24,10 +24,10 @@
 export async function startRunner ({ id, service, zone, host, store, gangs, history, capacity, labels, record }) {
   let life = null
   let lives = 0
-  let isSilent = false
   let isGrey = false
   let sequence = 0
   let server = null
+  const servers = []
   let stopped = false
 
   const readClock = () => Math.floor(performance.now() - life.bornAt)
@@ -144,7 +144,7 @@
   }
 
   const handle = async ({ path, headers, body }) => {
-    if (isSilent) return SILENT
+    if (life === null) return SILENT
     const instance = headers['expect-instance']
     if (instance !== undefined && instance !== id) return { status: 421 }
     const { fencingToken = 0 } = body ?? {}
@@ -153,8 +153,7 @@
     if (path === '/-/run-start') return startRun(body)
     if (path === '/-/run-stop') return stopRun(body)
     if (path !== '/-/hold') return { status: 404 }
-    const response = await hold(body)
-    return isSilent ? SILENT : response
+    return await hold(body)
   }
 
   const beat = () => {
@@ -170,11 +169,14 @@
   }, TICK_MS)
   const heartbeat = setInterval(beat, HEARTBEAT_MS)
 
-  /** Begins a life of the runner, at a new address unless `port` is given. */
-  const begin = async (port = 0) => {
-    life = createLife()
+  /** Begins a life of the runner, at an address of its own. */
+  const begin = async () => {
+    const of = createLife()
+    server = await startServer(host, (call) => life === of ? handle(call) : SILENT)
+    servers.push(server)
+    life = of
     sequence = 0
-    server = await startServer(host, handle, port)
+    record(`${id} begins life ${of.number} at ${server.address}`)
     beat()
   }
   await begin()
@@ -183,16 +185,15 @@
     id,
     readAddress: () => server.address,
     setGrey: (grey) => { isGrey = grey },
-    setSilent: (silent) => { isSilent = silent },
-    /** Crashes the runner: all that ran there is gone, and its address refuses connections. */
-    crash: async () => {
+    /** Crashes the runner: all that ran there is gone, and nothing is answered at its address. */
+    crash: () => {
       const of = life
       life = null
+      record(`${id} crashes`)
       for (const run of of.runs.values()) {
         clearTimeout(run.timer)
         Object.assign(run.entry, { endedAt: performance.now(), how: 'crashed' })
       }
-      await server.stop()
     },
     begin,
     stop: async () => {
@@ -200,8 +201,7 @@
       clearInterval(tick)
       clearInterval(heartbeat)
       for (const run of life?.runs.values() ?? []) clearTimeout(run.timer)
-      await server.stop()
-      await sleep(0)
+      await Promise.all(servers.map((each) => each.stop()))
     }
   }
 }
