--- a/review/standins/cluster.mjs
+++ b/review/standins/cluster.mjs
@@ -152,8 +152,8 @@
     submit,
     findHolder,
     dispose,
-    addRunner: async ({ id, service = services[0], rack = 'r1-1', capacity = { cpu: 16000, memMb: 65536, gpu: 0 }, onRecord = record }) => {
-      const runner = await startRunner({ id, service, zone: ZONES[runners.length % ZONES.length], host, store, gangs, history, capacity, labels: ['a', rack], record: onRecord })
+    addRunner: async ({ id, service = services[0], rack = 'r1-1', kind = 'a', capacity = { cpu: 16000, memMb: 65536, gpu: 0 }, onRecord = record }) => {
+      const runner = await startRunner({ id, service, zone: ZONES[runners.length % ZONES.length], host, store, gangs, history, capacity, labels: [kind, rack], record: onRecord })
       runners.push(runner)
       return runner
     },
--- a/review/standins/runner.mjs
+++ b/review/standins/runner.mjs
@@ -1,6 +1,7 @@
 /**
  * Stand-in for a runner: fencing, leases on its own clock, runs, checkpoints, gangs, and ends that are listed until they are acknowledged.
- * A task's specification is JSON: `workMs`, and optionally `saves` (it checkpoints), `gang` (number of members) and `fails` (its own fault).
+ * A task's specification is JSON: `workMs`, and optionally `lasts` (its progress is that of a
+ * service), `saves` (it checkpoints), `gang` (number of members) and `fails` (its own fault).
  */
 import { SILENT, startServer } from './http.mjs'
 
@@ -25,8 +26,11 @@
   let life = null
   let lives = 0
   let isGrey = false
+  let isCut = false
+  let lateShare = 0
   let sequence = 0
   let server = null
+  let revivedLife = null
   const servers = []
   let stopped = false
 
@@ -100,7 +104,7 @@
     applyLease(deadlineMs)
     if (present !== undefined || run <= (life.barred.get(task) ?? 0)) return refuse('old')
     const spec = JSON.parse(specification)
-    const entry = { task, run, runner: id, life: life.number, startedAt: performance.now(), endedAt: null, how: null, end: null, notedAt: null, lapsedSince: false }
+    const entry = { task, run, runner: id, life: life.number, startedAt: performance.now(), endedAt: null, how: null, end: null, notedAt: null, lapsedSince: false, spec, saved }
     history.push(entry)
     record(`${id} starts ${task} run ${run}`)
     const started = { task, run, spec, saved, savedWork: saved === '' ? 0 : parseInt(saved, 16), entry, startedWorkAt: null, timer: null }
@@ -117,7 +121,7 @@
     return { status: 200, body: { clockMs: readClock() } }
   }
 
-  const readPercent = (run) => run.startedWorkAt === null ? 0 : Math.min(99, Math.floor(100 * (run.savedWork + performance.now() - run.startedWorkAt) / run.spec.workMs))
+  const readPercent = (run) => run.startedWorkAt === null ? 0 : run.spec.lasts ? 100 : Math.min(99, Math.floor(100 * (run.savedWork + performance.now() - run.startedWorkAt) / run.spec.workMs))
 
   const hold = async ({ deadlineMs, lastSeen = 0, waitMs = 0 }) => {
     const of = life
@@ -131,7 +135,7 @@
       })
       of.wakers.clear()
     }
-    if (life !== of) return SILENT
+    if (life !== of || isCut) return SILENT
     return {
       status: 200,
       body: {
@@ -144,12 +148,17 @@
   }
 
   const handle = async ({ path, headers, body }) => {
-    if (life === null) return SILENT
+    if (life === null || isCut) return SILENT
     const instance = headers['expect-instance']
     if (instance !== undefined && instance !== id) return { status: 421 }
     const { fencingToken = 0 } = body ?? {}
     if (fencingToken < life.token) return { status: 409, body: { clockMs: readClock(), reason: 'fence' } }
     life.token = fencingToken
+    if (path === '/-/run-start' && Math.random() < lateShare) {
+      // The order gets no response and is carried out later.
+      setTimeout(() => { if (life !== null && fencingToken >= life.token) startRun(body) }, 2000 + 6000 * Math.random())
+      return SILENT
+    }
     if (path === '/-/run-start') return startRun(body)
     if (path === '/-/run-stop') return stopRun(body)
     if (path !== '/-/hold') return { status: 404 }
@@ -157,13 +166,13 @@
   }
 
   const beat = () => {
-    if (life === null || stopped) return
+    if (life === null || stopped || isCut) return
     sequence++
     store.writeRow('servers', id, { service, address: server.address, zone, version: 'v1', slots: 8, state: 'ready', coldRemainingMs: 0, capacity, labels, born: life.bornMs, clockMs: readClock(), sequence })
   }
 
   const tick = setInterval(() => {
-    if (life === null || life.runs.size === 0 || readClock() < life.leaseUntilMs) return
+    if (life === null || readClock() < life.leaseUntilMs) return
     for (const { entry } of life.ended) entry.lapsedSince = true
     for (const run of [...life.runs.values()]) endRun(life, run, 'lapsed')
   }, TICK_MS)
@@ -172,7 +181,7 @@
   /** Begins a life of the runner, at an address of its own. */
   const begin = async () => {
     const of = createLife()
-    server = await startServer(host, (call) => life === of ? handle(call) : SILENT)
+    server = await startServer(host, (call) => life !== null && (life === of || life === revivedLife) ? handle(call) : SILENT)
     servers.push(server)
     life = of
     sequence = 0
@@ -185,6 +194,13 @@
     id,
     readAddress: () => server.address,
     setGrey: (grey) => { isGrey = grey },
+    setLateShare: (share) => { lateShare = share },
+    /** Cuts the runner off from all others, or ends the cut; it runs on. */
+    setCut: (cut) => {
+      isCut = cut
+      record(cut ? `${id} is cut off` : `${id} is no longer cut off`)
+      if (!cut) beat()
+    },
     /** Crashes the runner: all that ran there is gone, and nothing is answered at its address. */
     crash: () => {
       const of = life
@@ -196,6 +212,14 @@
       }
     },
     begin,
+    /** Begins a life at the address of the one before. */
+    revive: async () => {
+      life = createLife()
+      sequence = 0
+      revivedLife = life
+      record(`${id} begins life ${life.number} at ${server.address}`)
+      beat()
+    },
     stop: async () => {
       stopped = true
       clearInterval(tick)
--- a/review/standins/store.mjs
+++ b/review/standins/store.mjs
@@ -19,7 +19,7 @@
   const history = []
   let version = 0
   let forgottenVersion = 0
-  const control = { outage: null, rejectedTransactions: 0 }
+  const control = { outage: null, rejectedTransactions: 0, lostShare: 0 }
 
   const keyOf = ({ table, part = '', key }) => `${table}\n${part}\n${key}`
   const put = ({ table, part = '', key }, value, deleted) => {
@@ -64,16 +64,19 @@
     const { precondition = [], writes = [], deletes = [] } = body
     if ([...writes, ...deletes].some(({ table }) => table === 'op' || table === 'servers')) return { status: 403 }
     const part = [...precondition, ...writes, ...deletes][0].part ?? ''
+    const isLost = Math.random() < control.lostShare
+    if (isLost && Math.random() < 0.5) await sleep(1000 + 4000 * Math.random())
     const turn = (parts.get(part) ?? Promise.resolve()).then(() => sleep(TRANSACTION_MS))
     parts.set(part, turn)
     await turn
     if (precondition.some((check) => (read(check)?.rowVersion ?? 0) !== check.rowVersion)) {
-      return { status: 412, body: answer(precondition.map(read).filter((row) => row !== null)) }
+      return isLost ? SILENT : { status: 412, body: answer(precondition.map(read).filter((row) => row !== null)) }
     }
     advance()
     for (const write of writes) put(write, write.value, false)
     for (const name of deletes) put(name, '', true)
     wakeAll()
+    if (isLost) return SILENT
     return { status: 200, body: { rowVersion: version, nowMs: Math.round(performance.now() - startedAt) } }
   }
 
