--- a/review/1/play.mjs
+++ b/review/1/play.mjs
@@ -1,6 +1,6 @@
 /** A scheduled job's state outgrows one row of the store: from then on no commit of the holder is accepted, and all work of the partition stands still. */
-import { runCase } from '../standins/cluster.mjs'
-import { sleep } from '../standins/http.mjs'
+import { runCase } from '../cluster.mjs'
+import { sleep } from '../http.mjs'
 
 const PREFIX = '/lohu930/'
 const SCHEDULED_JOB = '5c0e7a21d94b36f8'
--- a/review/2/play.mjs
+++ b/review/2/play.mjs
@@ -1,6 +1,6 @@
 /** While the store is down, more than 500 ends of one runner wait to be acknowledged: the list of ends is cut at 500, and the holder takes the others for lost. */
-import { runCase } from '../standins/cluster.mjs'
-import { sleep, waitUntil } from '../standins/http.mjs'
+import { runCase } from '../cluster.mjs'
+import { sleep, waitUntil } from '../http.mjs'
 
 const PREFIX = '/lohu930/'
 const JOBS = 16
@@ -8,7 +8,7 @@
 const WORK_MS = 6000
 /** The jobs end one after the other, so that few ends wait at a time while the store is up. */
 const WORK_STEP_MS = 125
-const DOWN_MS = 4500
+const DOWN_MS = 4400
 
 const buildId = (index) => `5c0e7a21d94b36${index.toString(16).padStart(2, '0')}`
 
--- a/review/4/play.mjs
+++ b/review/4/play.mjs
@@ -1,6 +1,6 @@
 /** A new configuration sends a queue to another service: jobs that were accepted before are unknown from then on, and a late duplicate runs twice. */
-import { runCase } from '../standins/cluster.mjs'
-import { sleep, waitUntil } from '../standins/http.mjs'
+import { runCase } from '../cluster.mjs'
+import { sleep, waitUntil } from '../http.mjs'
 
 const PREFIX = '/lohu930/'
 const JOB = '5c0e7a21d94b36f8'
--- a/review/standins/cluster.mjs
+++ b/review/cluster.mjs
@@ -8,7 +8,7 @@
 import { startRunner } from './runner.mjs'
 import { startStore } from './store.mjs'
 
-const ROOT = join(dirname(fileURLToPath(import.meta.url)), '..', '..')
+const ROOT = join(dirname(fileURLToPath(import.meta.url)), '..')
 const HOST_NAME = 'ficu95.example'
 const KEY = '3hh2b9wu3fexd9dnn2ct'
 const DEADLINE_MS = 3000
