Job states: bound them by what is open, and continue large ones in overflow rows

The limit at acceptance counted 14 bytes a task, a task that ran takes 30 to 40. What no commit can hold was part of each later commit with the renewal and all other jobs, under every successor.

Change: completed occurrences whose tasks occupy no worker are kept as ranges of their indexes. A state that still exceeds a row goes on in rows of the table `overflow`, in the same transaction. The row of crashed workers is bounded.

Why it works: what a commit holds for a job is bounded by its open tasks, which acceptance bounds, whatever has run before.

--- a/packages/core/src/partition/constants.ts
+++ b/packages/core/src/partition/constants.ts
@@ -79,3 +79,7 @@
 export const MIN_RESERVATION_EVALUATIONS = 2000
 /** Number of deferred steps that are evaluated in each planning round whatever its work. */
 export const DEFERRED_TURNS_PER_ROUND = 4
+/** Most bytes of a row of the table. */
+export const MAX_ROW_BYTES = 65_536
+/** Most tasks in the row of a job's crashed workers; each takes 40 bytes at most. */
+export const MAX_CRASH_ENTRIES = 1500
--- a/packages/core/src/partition/jobRegistry.ts
+++ b/packages/core/src/partition/jobRegistry.ts
@@ -1,6 +1,6 @@
 /** Registry of a partition's jobs: their tasks, the steps that are ready, and changes that are not in the table yet. */
 import {
-  buildCrashRecord, buildStateRecord, createJob, createOccurrence, hasAllocatedTask, isFinal, listTasks, restoreCrashes,
+  buildCrashRecord, buildStateRecord, countDueOccurrences, createJob, createOccurrence, hasAllocatedTask, isFinal, isOccurrenceOver, listTasks, restoreCrashes,
   type CrashRecord, type Job, type Task, type JobPhase, type JobStateRecord, type Occurrence
 } from './jobState.js'
 import type { RunName } from './plannerTypes.js'
@@ -108,18 +108,26 @@
     return Math.min(job.spec.runCount, 1 + Math.floor((wallMs - job.spec.firstRunMs) / job.spec.intervalMs))
   }
 
-  const closeSteps = (job: Job): void => {
+  const closeSteps = (job: Job, occurrence: Occurrence): void => {
+    for (const index of job.spec.steps.keys()) {
+      const key = `${job.id}.${occurrence.index}.${index}`
+      const instance = instances.get(key)
+      if (instance === undefined) continue
+      instances.delete(key)
+      instance.waitingSinceMs = null
+      waiting.delete(instance)
+    }
+  }
+
+  /** Drops the tasks of completed occurrences, so that the state of a recurring job does not grow with their number. */
+  const dropCompletedOccurrences = (job: Job): void => {
+    if (job.spec.runCount === 0 || isFinal(job.phase)) return
     for (const occurrence of job.occurrences.values()) {
-      for (const index of job.spec.steps.keys()) {
-        const key = `${job.id}.${occurrence.index}.${index}`
-        const instance = instances.get(key)
-        if (instance === undefined) continue
-        instances.delete(key)
-        instance.waitingSinceMs = null
-        waiting.delete(instance)
-      }
+      if (!isOccurrenceOver(occurrence)) continue
+      closeSteps(job, occurrence)
+      job.occurrences.delete(occurrence.index)
+      job.completedOccurrences.add(occurrence.index)
     }
-    recurring.delete(job)
   }
 
   const endJob = (job: Job, phase: JobPhase, wallMs: number): boolean => {
@@ -127,7 +135,8 @@
     setPhase(job, phase)
     job.endedAtMs = wallMs
     ended.add(job.id, wallMs)
-    closeSteps(job)
+    for (const occurrence of job.occurrences.values()) closeSteps(job, occurrence)
+    recurring.delete(job)
     recordChanged(job.id)
     return true
   }
@@ -172,8 +181,8 @@
     listWaitingInstances: () => [...waiting],
     addDueOccurrences: (wallMs, nowMs) => {
       for (const job of recurring) {
-        for (let index = job.occurrences.size; index < countDue(job, wallMs); index++) addOccurrence(job, index, nowMs)
-        if (job.occurrences.size >= job.spec.runCount) recurring.delete(job)
+        for (let index = countDueOccurrences(job); index < countDue(job, wallMs); index++) addOccurrence(job, index, nowMs)
+        if (countDueOccurrences(job) >= job.spec.runCount) recurring.delete(job)
       }
     },
     recordWaiting: (task, nowMs) => {
@@ -199,7 +208,7 @@
     },
     endIfComplete: (task, wallMs) => {
       const job = jobs.get(task.job)
-      if (job === undefined || job.occurrences.size < Math.max(1, job.spec.runCount)) return
+      if (job === undefined || countDueOccurrences(job) < Math.max(1, job.spec.runCount)) return
       for (const other of listTasks(job)) if (other.phase !== 'done') return
       endJob(job, 'completed', wallMs)
     },
@@ -212,7 +221,11 @@
         if (taken.length >= maxCount) break
         taken.push(id)
       }
-      for (const id of taken) changed.delete(id)
+      for (const id of taken) {
+        changed.delete(id)
+        const job = jobs.get(id)
+        if (job !== undefined) dropCompletedOccurrences(job)
+      }
       return taken
     },
     readRecord: (id) => {
--- a/packages/core/src/partition/jobState.ts
+++ b/packages/core/src/partition/jobState.ts
@@ -1,6 +1,6 @@
 /** State of an accepted job, in memory and as stored in the table. */
 import * as Schema from 'effect/Schema'
-import { MAX_UNPROVEN_CRASHES, SUSPICION_LIMIT } from './constants.js'
+import { MAX_CRASH_ENTRIES, MAX_UNPROVEN_CRASHES, SUSPICION_LIMIT } from './constants.js'
 import { computeObjectiveMs, type JobStep, type StepJob } from './stepJob.js'
 
 /** Phase of a job as reported to callers. */
@@ -78,7 +78,10 @@
   /** Time within which the job should end, counted from acceptance or from the due time of an occurrence. */
   readonly objectiveMs: number
   phase: JobPhase
+  /** Occurrences that are not complete yet, or of which a task still occupies resources at a worker. */
   occurrences: Map<number, Occurrence>
+  /** Indexes of the other occurrences that have become due: of these, only the index is kept. */
+  readonly completedOccurrences: Set<number>
   /** Number of changes of its stored state: what is derived from its tasks is outdated by the next one. */
   changes: number
   /** Wall clock of the end, in milliseconds since 1970; 0 before it. */
@@ -89,11 +92,16 @@
 
 const TaskRow = Schema.Tuple([Schema.Int, Schema.Int, Schema.String, Schema.Int, Schema.String])
 
-/** Row of a job's state: tasks as `[phase, run, worker, failures, saved]` by occurrence and step. */
+/** Tasks as `[phase, run, worker, failures, saved]` by occurrence and step. */
+export const OccurrenceRecords = Schema.Array(Schema.Tuple([Schema.Int, Schema.Array(Schema.Array(TaskRow))]))
+
+/** State of a job as stored in the table. */
 export const JobStateRecord = Schema.Struct({
   phase: JobPhase,
   endedAtMs: Schema.Finite,
-  occurrences: Schema.Array(Schema.Tuple([Schema.Int, Schema.Array(Schema.Array(TaskRow))]))
+  occurrences: OccurrenceRecords,
+  /** Completed occurrences of a recurring job, as ranges of their first and last index. */
+  completed: Schema.optionalKey(Schema.Array(Schema.Tuple([Schema.Int, Schema.Int])))
 })
 export type JobStateRecord = typeof JobStateRecord.Type
 
@@ -145,7 +153,10 @@
 
 /** Restores a job from its rows. */
 export function createJob (id: string, spec: StepJob, record: JobStateRecord, isOverRate: boolean): Job {
-  const job: Job = { id, spec, isOverRate, objectiveMs: computeObjectiveMs(spec), phase: record.phase, occurrences: new Map(), changes: 0, endedAtMs: record.endedAtMs, hasCrashRecord: false }
+  const job: Job = { id, spec, isOverRate, objectiveMs: computeObjectiveMs(spec), phase: record.phase, occurrences: new Map(), completedOccurrences: new Set(), changes: 0, endedAtMs: record.endedAtMs, hasCrashRecord: false }
+  for (const [first, last] of record.completed ?? []) {
+    for (let index = first; index <= last; index++) job.completedOccurrences.add(index)
+  }
   for (const [index, steps] of record.occurrences) {
     const occurrence = createOccurrence(id, spec, index)
     for (const [stepIndex, rows] of steps.entries()) {
@@ -161,18 +172,40 @@
   return job
 }
 
-/** Builds the row of a job's state; tasks of an ended job are omitted once none is allocated. */
+/** Groups indexes into ranges of consecutive ones. */
+function buildRanges (indexes: Iterable<number>): (readonly [number, number])[] {
+  const ranges: [number, number][] = []
+  for (const index of [...indexes].sort((a, b) => a - b)) {
+    const last = ranges.at(-1)
+    if (last !== undefined && last[1] === index - 1) last[1] = index
+    else ranges.push([index, index])
+  }
+  return ranges
+}
+
+/** Builds the stored state of a job; tasks of an ended job are omitted once none is allocated. */
 export function buildStateRecord (job: Job): JobStateRecord {
-  const occurrences = isFinal(job.phase) && !hasAllocatedTask(job)
-    ? []
-    : [...job.occurrences.values()].map((occurrence): JobStateRecord['occurrences'][number] => [
-        occurrence.index,
-        occurrence.steps.map((tasks) => tasks.map((task) => [TASK_PHASES.indexOf(task.phase), task.run, task.worker, task.failures, task.saved] as const))
-      ])
-  return { phase: job.phase, endedAtMs: job.endedAtMs, occurrences }
+  const { phase, endedAtMs } = job
+  if (isFinal(phase) && !hasAllocatedTask(job)) return { phase, endedAtMs, occurrences: [] }
+  const occurrences = [...job.occurrences.values()].map((occurrence): JobStateRecord['occurrences'][number] => [
+    occurrence.index,
+    occurrence.steps.map((tasks) => tasks.map((task) => [TASK_PHASES.indexOf(task.phase), task.run, task.worker, task.failures, task.saved] as const))
+  ])
+  if (job.completedOccurrences.size === 0) return { phase, endedAtMs, occurrences }
+  return { phase, endedAtMs, occurrences, completed: buildRanges(job.completedOccurrences) }
+}
+
+/** Counts the occurrences that have become due. */
+export function countDueOccurrences (job: Job): number {
+  return job.occurrences.size + job.completedOccurrences.size
+}
+
+/** Tells whether all tasks of an occurrence are done and none occupies resources at a worker. */
+export function isOccurrenceOver (occurrence: Occurrence): boolean {
+  return occurrence.steps.every((tasks) => tasks.every((task) => task.phase === 'done' && task.worker === ''))
 }
 
-/** Builds the row of a job's crashed workers: `[occurrence, step, index, crashes, soloCrashes, suspicion, crashedRun]`; `null` if there never were any. */
+/** Builds the row of a job's crashed workers, most crashes first if not all fit: `[occurrence, step, index, crashes, soloCrashes, suspicion, crashedRun]`; `null` if there never were any. */
 export function buildCrashRecord (job: Job): CrashRecord | null {
   const record: CrashRecord[number][] = []
   for (const { occurrence, step, index, crashes, soloCrashes, suspicion, crashedRun } of listTasks(job)) {
@@ -180,7 +213,8 @@
   }
   // Counts that were withdrawn must not stay in the table.
   job.hasCrashRecord ||= record.length > 0
-  return job.hasCrashRecord ? record : null
+  if (!job.hasCrashRecord) return null
+  return record.length <= MAX_CRASH_ENTRIES ? record : record.sort((a, b) => b[3] - a[3]).slice(0, MAX_CRASH_ENTRIES)
 }
 
 /** Restores the crash counts of a job's tasks. */
--- a/packages/core/src/partition/stepJob.ts
+++ b/packages/core/src/partition/stepJob.ts
@@ -67,21 +67,21 @@
 })
 export type QueuePolicy = typeof QueuePolicy.Type
 
-/** Most bytes of a value in the platform's table, and the fewest that the state takes for each occurrence and each of its tasks. */
-const MAX_STATE_BYTES = 65_536
-const MIN_OCCURRENCE_BYTES = 8
-const MIN_TASK_BYTES = 14
+/** Most bytes that the tasks of all occurrences take in the state while they wait, and the bytes of an occurrence and of a waiting task. */
+const MAX_WAITING_BYTES = 65_536
+const OCCURRENCE_BYTES = 8
+const WAITING_TASK_BYTES = 14
 
-/** Most occurrences of a job whose state fits into one row. */
+/** Most occurrences of a job, all of which may be due while none has started. */
 function computeMaxOccurrences (steps: readonly JobStep[]): number {
-  let bytes = MIN_OCCURRENCE_BYTES
-  for (const { taskCount } of steps) bytes += taskCount * MIN_TASK_BYTES
-  return Math.max(1, Math.floor(MAX_STATE_BYTES / bytes))
+  let bytes = OCCURRENCE_BYTES
+  for (const { taskCount } of steps) bytes += taskCount * WAITING_TASK_BYTES
+  return Math.max(1, Math.floor(MAX_WAITING_BYTES / bytes))
 }
 
-const fitsIntoRow = Schema.makeFilter(({ steps, runCount }: { readonly steps: readonly JobStep[], readonly runCount: number }) => {
+const hasStorableState = Schema.makeFilter(({ steps, runCount }: { readonly steps: readonly JobStep[], readonly runCount: number }) => {
   const limit = computeMaxOccurrences(steps)
-  return runCount <= limit || { path: ['runCount'], issue: `Expected at most ${limit} occurrences, whose state fits into a row of the table` }
+  return runCount <= limit || { path: ['runCount'], issue: `Expected at most ${limit} occurrences, whose state can be stored; submit the others as a further job` }
 })
 
 /** Row of an accepted job; immutable. */
@@ -99,7 +99,7 @@
   intervalMs: Duration,
   /** Wall clock of the acceptance, in milliseconds since 1970. */
   acceptedAtMs: Schema.Finite
-}).check(fitsIntoRow)
+}).check(hasStorableState)
 export type StepJob = typeof StepJob.Type
 
 /** Checks the constraints between steps; returns the fault, or `null`. */
--- a/packages/entry/src/partition/__tests__/ceilingClaims.spec.ts
+++ b/packages/entry/src/partition/__tests__/ceilingClaims.spec.ts
@@ -7,7 +7,8 @@
 import { CLUSTER_CONFIG, SERVICE } from '../../testing/partitionCluster.js'
 import { createPartitionTableModel } from '../../testing/partitionTableModel.js'
 import { createCeilingClaims } from '../ceilingClaims.js'
-import { parseCrashRow, parseHolderRow, parseStateRow } from '../partitionRows.js'
+import { parseCrashRow, parseHolderRow } from '../partitionRows.js'
+import { parseStateRow } from '../stateRows.js'
 import type { PartitionTable } from '../ports.js'
 
 /** Interval of the other partition's updates, in milliseconds: the shortest interval of a holder. */
--- a/packages/entry/src/partition/__tests__/partitionCommits.spec.ts
+++ b/packages/entry/src/partition/__tests__/partitionCommits.spec.ts
@@ -12,6 +12,7 @@
 import { createPlanPacer } from '../planPacer.js'
 import { HOLDER_KEY, STATE_TABLE } from '../partitionRows.js'
 import type { PartitionTable } from '../ports.js'
+import { createStateRows } from '../stateRows.js'
 
 /** Share of the event loop that planning may take; a stated target. */
 const MAX_PLANNING_SHARE = 0.25
@@ -47,6 +48,7 @@
     confirmedAt: { nowMs: clock.nowMs(), wallMs: clock.wallMs() - confirmedAgeMs },
     table,
     planner,
+    stateRows: createStateRows(events),
     clock,
     events,
     load: createHolderLoad({ partition: SERVICE, epoch: 1, clock, events, readBacklog: planner.countBacklog }),
--- a/packages/entry/src/partition/constants.ts
+++ b/packages/entry/src/partition/constants.ts
@@ -140,6 +140,10 @@
 export const MAX_COMMIT_ROWS = 90
 /** Most bytes of values in one commit; the table accepts one megabyte, encoded. */
 export const MAX_COMMIT_BYTES = 500_000
+/** Most bytes of a job's state; a larger one would not fit into a commit. */
+export const MAX_STATE_BYTES = 500_000
+/** Most bytes of a row that stores a job's state; their encoding, a third longer, stays within the 64 KiB of a row. */
+export const STATE_ROW_BYTES = 49_152
 
 /** Time after a late event loop in which a holder grants longer leases, in milliseconds; the longest wait of a lease call and its timeout. */
 export const LATE_LEASE_MEMORY_MS = 1700
--- a/packages/entry/src/partition/jobApi.ts
+++ b/packages/entry/src/partition/jobApi.ts
@@ -6,9 +6,10 @@
 import type { PartitionWatch } from './partitionWatch.js'
 import { RESPONSE_MARGIN_MS, MAX_QUEUE_COUNT_AGE_MS, MAX_REMEMBERED_JOBS, WRITE_RETRY_MS } from './constants.js'
 import { jobAccepted, jobCancelled, jobRefused, submissionInDoubt } from './events.js'
-import { CANCEL_SUFFIX, computeJobPart, JOB_TABLE, parseJobRow, parseStateRow, STATE_TABLE } from './partitionRows.js'
+import { CANCEL_SUFFIX, computeJobPart, JOB_TABLE, parseJobRow, STATE_TABLE } from './partitionRows.js'
 import type { TableTransaction, CommitResult } from './ports.js'
 import { readRow } from './readRow.js'
+import { parseStateRow } from './stateRows.js'
 import type { MonitoredTable } from './tableHealth.js'
 
 /** Outcome of a caller's write. `inDoubt`: the outcome is unknown, so that neither success nor failure can be reported. */
--- a/packages/entry/src/partition/partitionCommits.ts
+++ b/packages/entry/src/partition/partitionCommits.ts
@@ -6,9 +6,10 @@
 import type { HolderLoad } from './holderLoad.js'
 import { formatRun } from './formatRun.js'
 import type { PlanPacer } from './planPacer.js'
-import { CRASH_TABLE, PARTITION_TABLE, HOLDER_KEY, parseHolderRow, STATE_TABLE, type HolderRow } from './partitionRows.js'
+import { CRASH_TABLE, PARTITION_TABLE, HOLDER_KEY, parseHolderRow, type HolderRow } from './partitionRows.js'
 import type { ClockReading, PartitionTable, TableTransaction } from './ports.js'
 import type { PartitionWorkerController } from './partitionWorkerController.js'
+import type { StateRows } from './stateRows.js'
 
 export interface PartitionCommitsOptions {
   readonly partition: string
@@ -19,6 +20,7 @@
   readonly confirmedAt: ClockReading
   readonly table: PartitionTable
   readonly planner: PartitionPlanner
+  readonly stateRows: StateRows
   readonly clock: Clock
   readonly events: EventLog
   readonly load: HolderLoad
@@ -59,7 +61,7 @@
 type CommitOutcome = 'committed' | 'failed' | 'deposed'
 
 export function createPartitionCommits (options: PartitionCommitsOptions): PartitionCommits {
-  const { planner, clock, table, pacer } = options
+  const { planner, stateRows, clock, table, pacer } = options
   const disposables = createDisposableStore()
   let version = options.version
   let renewals = options.row.renewals
@@ -101,36 +103,46 @@
     if (expiredJobs.length > 0) options.onJobsExpired(expiredJobs)
   }
 
-  const takeChanges = (): { jobs: string[], writes: TableTransaction['writes'][number][] } => {
+  const takeChanges = (): { jobs: string[], writes: TableTransaction['writes'][number][], deletes: TableTransaction['deletes'][number][] } => {
     const jobs: string[] = []
     const writes: TableTransaction['writes'][number][] = []
+    const deletes: TableTransaction['deletes'][number][] = []
     let bytes = 0
     const taken = planner.takeChangedJobs(MAX_COMMIT_ROWS)
     hasMoreChanges = taken.length === MAX_COMMIT_ROWS
     for (const job of taken) {
       const record = planner.readRecord(job)
       if (record === null) continue
-      const value = JSON.stringify(record)
-      if (bytes > 0 && bytes + value.length > MAX_COMMIT_BYTES) {
-        planner.addChangedJobs([job])
-        hasMoreChanges = true
-        continue
-      }
+      const change = stateRows.buildChange(job, record)
       const crashes = planner.readCrashRecord(job)
-      if (writes.length + (crashes === null ? 1 : 2) > MAX_COMMIT_ROWS) {
+      const changeBytes = change.writes.reduce((sum, { value }) => sum + value.length, 0)
+      const rowCount = writes.length + deletes.length + change.writes.length + change.deletes.length + (crashes === null ? 0 : 1)
+      if (bytes > 0 && (bytes + changeBytes > MAX_COMMIT_BYTES || rowCount > MAX_COMMIT_ROWS)) {
         planner.addChangedJobs([job])
         hasMoreChanges = true
         continue
       }
-      bytes += value.length
+      bytes += changeBytes
       jobs.push(job)
-      writes.push({ table: STATE_TABLE, key: job, value })
+      writes.push(...change.writes)
+      deletes.push(...change.deletes)
       if (crashes !== null) writes.push({ table: CRASH_TABLE, key: job, value: JSON.stringify(crashes) })
     }
-    return { jobs, writes }
+    return { jobs, writes, deletes }
   }
 
-  const listStateDeletes = (room: number): TableTransaction['deletes'] => statesToDelete.slice(0, room).flatMap((job) => [{ table: STATE_TABLE, key: job }, { table: CRASH_TABLE, key: job }])
+  /** Lists the rows of jobs past their retention, of as many jobs as there is room for. */
+  const listStateDeletes = (room: number): { deletes: TableTransaction['deletes'][number][], deletedJobs: number } => {
+    const deletes: TableTransaction['deletes'][number][] = []
+    let deletedJobs = 0
+    for (const job of statesToDelete) {
+      const rows = stateRows.listRows(job)
+      if (deletes.length + rows.length > room) break
+      deletes.push(...rows)
+      deletedJobs++
+    }
+    return { deletes, deletedJobs }
+  }
 
   const commit = async (transaction: TableTransaction, renews: boolean): Promise<CommitOutcome> => {
     const sentAt = { nowMs: clock.nowMs(), wallMs: clock.wallMs() }
@@ -179,8 +191,9 @@
     postponedPlan = !releasing && isRenewalFirst()
     if (!releasing && !postponedPlan && pacer.readDelayMs() === 0) pacer.runRound(planRound)
     const readyCount = pendingStarts.length
-    const { jobs, writes } = options.load.measurePart('encode', takeChanges)
-    const deletes = listStateDeletes(Math.floor((MAX_COMMIT_ROWS - writes.length) / 2))
+    const { jobs, writes, deletes } = options.load.measurePart('encode', takeChanges)
+    const expired = listStateDeletes(MAX_COMMIT_ROWS - writes.length - deletes.length)
+    deletes.push(...expired.deletes)
     for (const controller of options.listControllers()) controller.beginCommit()
     const renews = mustRenew || releasing || postponedPlan || clock.nowMs() - renewedAtMs >= RENEWAL_INTERVAL_MS
     if (writes.length === 0 && deletes.length === 0 && !renews) {
@@ -195,7 +208,8 @@
     if (stopped) return
     if (outcome === 'committed') {
       failures = 0
-      statesToDelete = statesToDelete.slice(deletes.length / 2)
+      statesToDelete = statesToDelete.slice(expired.deletedJobs)
+      stateRows.recordCommitted(jobs)
       for (const controller of options.listControllers()) controller.finishCommit()
       sendStarts(jobs, readyCount, clock.nowMs() - confirmedAt.nowMs)
       options.onCommitted(jobs)
--- a/packages/entry/src/partition/partitionJobs.ts
+++ b/packages/entry/src/partition/partitionJobs.ts
@@ -3,14 +3,16 @@
 import { createSerialLoop } from '../process/serialLoop.js'
 import { JOB_POLL_INTERVAL_MS, WRITE_RETRY_MS } from './constants.js'
 import { partitionLoaded } from './events.js'
-import { CANCEL_SUFFIX, CRASH_TABLE, JOB_TABLE, listJobParts, parseCrashRow, parseJobRow, parseStateRow, STATE_TABLE } from './partitionRows.js'
+import { CANCEL_SUFFIX, CRASH_TABLE, JOB_TABLE, listJobParts, OVERFLOW_TABLE, parseCrashRow, parseJobRow, STATE_TABLE } from './partitionRows.js'
 import type { PartitionTable, TableRow } from './ports.js'
+import { parseStateRow, type StateRow, type StateRows } from './stateRows.js'
 import { createTableFeed } from './tableFeed.js'
 
 export interface PartitionJobsOptions {
   readonly partition: string
   readonly table: PartitionTable
   readonly planner: PartitionPlanner
+  readonly stateRows: StateRows
   readonly clock: Clock
   readonly events: EventLog
   readonly onLoaded: () => void
@@ -27,7 +29,7 @@
 }
 
 export function createPartitionJobs (options: PartitionJobsOptions): PartitionJobs {
-  const { partition, table, planner, clock, events } = options
+  const { partition, table, planner, stateRows, clock, events } = options
   const disposables = createDisposableStore()
   const jobParts = listJobParts(partition)
   let loaded = false
@@ -57,22 +59,31 @@
   }
 
   /** Adds states whose job rows were already deleted by an earlier term, so that they are deleted after their retention as well. */
-  const addOrphanedStates = (rows: Iterable<TableRow>): void => {
-    for (const row of rows) {
-      const state = parseStateRow(row, events)
-      if (state !== null && isFinal(state.phase) && !planner.hasJob(row.key)) planner.addEndedJob(row.key, state.phase, state.endedAtMs)
+  const addOrphanedStates = (states: ReadonlyMap<string, StateRow | null>, jobs: ReadonlySet<string>): void => {
+    for (const [id, state] of states) {
+      if (state !== null && isFinal(state.phase) && !jobs.has(id) && !planner.hasJob(id)) planner.addEndedJob(id, state.phase, state.endedAtMs)
     }
   }
 
   const readStates = () => Promise.all([table.readRange({ table: STATE_TABLE, part: partition }), table.readRange({ table: CRASH_TABLE, part: partition })])
   /** States are read concurrently with the jobs, because only this term writes them. */
-  let states: ReturnType<typeof readStates> | null = readStates()
+  let pendingStates: ReturnType<typeof readStates> | null = readStates()
+
+  /** Reads the overflow rows of the states that have any; `null` if the table does not respond. */
+  const readOverflow = async (states: ReadonlyMap<string, StateRow | null>): Promise<ReadonlyMap<string, TableRow> | null> => {
+    if (![...states.values()].some((state) => state?.overflow !== undefined)) return new Map()
+    const read = await table.readRange({ table: OVERFLOW_TABLE, part: partition })
+    return read.isErr() ? null : new Map(read.value.rows.map((row) => [row.key, row]))
+  }
 
   const applySnapshot = async (jobs: readonly TableRow[]): Promise<boolean> => {
-    const [read, readCrashes] = await (states ?? readStates())
-    states = null
+    const [read, readCrashes] = await (pendingStates ?? readStates())
+    pendingStates = null
     if (read.isErr() || readCrashes.isErr()) return false
-    const stateRows = new Map(read.value.rows.map((row) => [row.key, row]))
+    const states = new Map<string, StateRow | null>()
+    for (const row of read.value.rows) if (!planner.hasJob(row.key)) states.set(row.key, parseStateRow(row, events))
+    const overflow = await readOverflow(states)
+    if (overflow === null) return false
     const crashRows = new Map(readCrashes.value.rows.map((row) => [row.key, row]))
     const cancelled: string[] = []
     const unfinished: { readonly id: string, readonly spec: StepJob, readonly state: JobStateRecord }[] = []
@@ -82,18 +93,17 @@
         continue
       }
       if (planner.hasJob(row.key)) continue
-      const stateRow = stateRows.get(row.key)
-      stateRows.delete(row.key)
-      const state = stateRow === undefined ? ACCEPTED_STATE : parseStateRow(stateRow, events)
-      if (state === null) continue
-      if (isFinal(state.phase) && state.occurrences.length === 0) {
-        planner.addEndedJob(row.key, state.phase, state.endedAtMs)
+      const stateRow = states.get(row.key)
+      if (stateRow === null) continue
+      if (stateRow !== undefined && isFinal(stateRow.phase) && stateRow.occurrences.length === 0 && stateRow.overflow === undefined) {
+        planner.addEndedJob(row.key, stateRow.phase, stateRow.endedAtMs)
         continue
       }
-      const spec = parseJobRow(row, events)
-      if (spec !== null) unfinished.push({ id: row.key, spec, state })
+      const state = stateRow === undefined ? ACCEPTED_STATE : stateRows.restoreState(row.key, stateRow, overflow)
+      const spec = state === null ? null : parseJobRow(row, events)
+      if (state !== null && spec !== null) unfinished.push({ id: row.key, spec, state })
     }
-    addOrphanedStates(stateRows.values())
+    addOrphanedStates(states, new Set(jobs.map(({ key }) => key)))
     // The planner needs the order of acceptance to determine which submissions of a team exceed its rate.
     unfinished.sort((a, b) => a.spec.acceptedAtMs - b.spec.acceptedAtMs)
     for (const { id, spec, state } of unfinished) {
--- a/packages/entry/src/partition/partitionRows.ts
+++ b/packages/entry/src/partition/partitionRows.ts
@@ -1,5 +1,5 @@
 /** Rows of partition holders and entries, their keys and decoders. */
-import { computeHash, CrashRecord, createDecoder, JobStateRecord, StepJob, type EventLog } from '@fuchsiatally/core'
+import { computeHash, CrashRecord, createDecoder, StepJob, type EventLog } from '@fuchsiatally/core'
 import * as Schema from 'effect/Schema'
 import { MAX_LOGGED_ERROR_CHARS } from './constants.js'
 import { rowMalformed } from './events.js'
@@ -21,6 +21,8 @@
 /** Tables of accepted jobs, sharded over parts of their own, and of job states, in the part of their partition. */
 export const JOB_TABLE = 'job'
 export const STATE_TABLE = 'state'
+/** Table of the rows that continue states which exceed one row, in the part of their partition, keyed by job and number. */
+export const OVERFLOW_TABLE = 'overflow'
 /** Table of crashed workers by task, in the part of the partition, keyed by job. Entries of earlier versions don't read it. */
 export const CRASH_TABLE = 'crash'
 /** Suffix of the key of a cancellation; the job's id precedes it. */
@@ -100,5 +102,3 @@
 export const parseJobRow = createRowReader(StepJob)
 /** Decodes the row of a job's crashed workers. */
 export const parseCrashRow = createRowReader(CrashRecord)
-/** Decodes the row of a job's state. */
-export const parseStateRow = createRowReader(JobStateRecord)
--- a/packages/entry/src/partition/partitionTerm.ts
+++ b/packages/entry/src/partition/partitionTerm.ts
@@ -18,6 +18,7 @@
 import { createPartitionWorkerController, type PartitionWorkerController } from './partitionWorkerController.js'
 import { createPlanPacer } from './planPacer.js'
 import { createStartWindow } from './startWindow.js'
+import { createStateRows } from './stateRows.js'
 import { createWorkerDirectory } from './workerDirectory.js'
 import { formatLostRuns, recordGivenUp } from './workerLosses.js'
 
@@ -71,6 +72,7 @@
   const startWindow = createStartWindow({
     limit: MAX_STARTS_IN_FLIGHT, slowResponseMs: SLOW_START_RESPONSE_MS, clock, maxWaitMs: MAX_START_WAIT_MS, onQueueEmpty: () => commits.wake()
   })
+  const stateRows = createStateRows(events)
   const managedWorkers = new Map<string, ManagedWorker>()
   const listings = new Map<string, ListedWorker>()
   /** Worker that was listed last at each address, of any service. */
@@ -219,6 +221,7 @@
     partition,
     table: options.table,
     planner,
+    stateRows,
     clock,
     events,
     onLoaded: () => {
@@ -249,6 +252,7 @@
     confirmedAt: options.confirmedAt,
     table: options.table,
     planner,
+    stateRows,
     clock,
     events,
     load,
--- a/packages/entry/src/testing/partitionTableModel.ts
+++ b/packages/entry/src/testing/partitionTableModel.ts
@@ -41,6 +41,12 @@
   readonly timeoutMs?: number
 }
 
+/** Limits of the platform's table. */
+const MAX_ENTRIES = 100
+const MAX_ROW_BYTES = 65_536
+const MAX_TRANSACTION_BYTES = 1_000_000
+const BASE64_GROWTH = 4 / 3
+
 /** Creates an empty table. */
 export function createPartitionTableModel (options: PartitionTableModelOptions): PartitionTableModel {
   const { clock } = options
@@ -64,6 +70,14 @@
     return row === undefined || row.deleted ? 0 : row.version
   }
 
+  /** Checks the limits of the platform's table; `null` if the transaction keeps them. */
+  const findExcess = ({ checks, writes, deletes }: TableTransaction): string | null => {
+    if (checks.length + writes.length + deletes.length > MAX_ENTRIES) return 'too many entries'
+    const sizes = writes.map(({ value }) => Buffer.byteLength(value))
+    if (sizes.some((bytes) => bytes > MAX_ROW_BYTES)) return 'a row is too large'
+    return sizes.reduce((sum, bytes) => sum + bytes * BASE64_GROWTH, 0) > MAX_TRANSACTION_BYTES ? 'the transaction is too large' : null
+  }
+
   const apply = (transaction: TableTransaction): CommitResult => {
     const { part } = transaction
     if (transaction.checks.some((check) => readVersion(check.table, part, check.key) !== check.version)) {
@@ -106,6 +120,8 @@
     }
     const table: PartitionTable = {
       commit: async (transaction, callTimeoutMs = timeoutMs) => {
+        const excess = findExcess(transaction)
+        if (excess !== null) return err({ kind: 'unknown', message: `status 400: ${excess}` })
         const lost = faults.outage === null ? faults.loseWrite(transaction) : null
         if (lost === null) return await commitInOrder(transaction, callTimeoutMs)
         clock.setTimer(lost.afterMs, () => { apply(transaction) })
--- a/packages/entry/src/testing/partitionWorkerModel.ts
+++ b/packages/entry/src/testing/partitionWorkerModel.ts
@@ -54,6 +54,8 @@
   readonly durationMs: number
   /** `crash`: the run crashes its worker. */
   readonly how: 'done' | 'failed' | 'crash'
+  /** Checkpoint that the run reports; default none. */
+  readonly saved?: string
 }
 
 /** Options of a worker model. */
@@ -74,6 +76,7 @@
 interface ActiveRun {
   readonly record: StartedRun
   readonly durationMs: number
+  readonly saved: string
 }
 
 const NETWORK_DELAY_MS = 2
@@ -110,7 +113,7 @@
     run.record.how = how
     lastEnd++
     const { record } = run
-    ended.push({ job: record.job, occurrence: record.occurrence, step: record.step, index: record.index, run: record.run, number: lastEnd, how, saved: '' })
+    ended.push({ job: record.job, occurrence: record.occurrence, step: record.step, index: record.index, run: record.run, number: lastEnd, how, saved: run.saved })
     tombstones.set(formatTask(record), Math.max(tombstones.get(formatTask(record)) ?? 0, record.run))
     poll.notify()
   }
@@ -142,8 +145,8 @@
     const { job, occurrence, step, index, run } = order
     const record: StartedRun = { job, occurrence, step, index, run, worker: listing.id, startedAtMs: clock.nowMs(), endedAtMs: null, how: null }
     started.push(record)
-    const { durationMs, how } = options.planRun(order)
-    activeRuns.set(name, { record, durationMs })
+    const { durationMs, how, saved = '' } = options.planRun(order)
+    activeRuns.set(name, { record, durationMs, saved })
     const startIncarnation = incarnation
     clock.setTimer(durationMs, () => {
       if (startIncarnation !== incarnation || !activeRuns.has(name)) return
@@ -187,8 +190,8 @@
         epoch = request.epoch
         if (request.leaseUntilMs !== null) extendLease(request.leaseUntilMs)
         ended = ended.filter((end) => end.number > request.acknowledgedEnd)
-        const running = [...activeRuns.values()].map(({ record, durationMs }) => ({
-          ...record, saved: '', percent: Math.floor(100 * (clock.nowMs() - record.startedAtMs) / durationMs), load: 0
+        const running = [...activeRuns.values()].map(({ record, durationMs, saved }) => ({
+          ...record, saved, percent: Math.floor(100 * (clock.nowMs() - record.startedAtMs) / durationMs), load: 0
         }))
         return { kind: 'held' as const, clockMs: readClock(), bornAtMs, running, ended: [...ended] }
       })
