Run reports: conclude nothing from a list of ends that is cut off

Cause: a worker lists 500 ends at a time. The tracker took a run that is in neither list for lost, although the list of ends was cut off until the first ones were acknowledged.

Evidence: the 77 had ended as numbers 501 to 577 of their worker (record of the case). Ruled out: a lapsed lease (no end `lapsed`).

Change: the adapter marks a full list (`hasMoreEnds`); such a report releases no run. The same conclusion elsewhere: a successor compared the runs of earlier terms with its first report and counted absent ones as crashes of their worker, it waits for a complete report now; a lease call that follows a cut list doesn't wait for further ends.

Why it works: once the listed ends are committed and acknowledged the next ones follow, until a list is complete; only that one tells what is lost.

--- a/packages/core/src/partition/__tests__/boundedStarts.spec.ts
+++ b/packages/core/src/partition/__tests__/boundedStarts.spec.ts
@@ -33,7 +33,7 @@
     const { job, occurrence, step, index: task, run, worker } = order
     const running = starts.filter((other, position) => other.worker === worker && (position > index || lasting.has(other.job)))
       .map((other) => ({ ...other, saved: '', percent: 10, load: 0 }))
-    planner.recordReport(worker, { requestedAtMs: nowMs + 2, running, ended: [{ job, occurrence, step, index: task, run, number: 1000 * round + index + 1, how: 'done', saved: '' }] }, nowMs + 2, nowMs + 2)
+    planner.recordReport(worker, { requestedAtMs: nowMs + 2, running, ended: [{ job, occurrence, step, index: task, run, number: 1000 * round + index + 1, how: 'done', saved: '' }], hasMoreEnds: false }, nowMs + 2, nowMs + 2)
   }
   return starts
 }
--- a/packages/core/src/partition/__tests__/crashesOfEarlierTerms.spec.ts
+++ b/packages/core/src/partition/__tests__/crashesOfEarlierTerms.spec.ts
@@ -28,7 +28,7 @@
     const job = `born at ${bornAtMs}`
     planner.addJob(job, spec, { phase: 'running', endedAtMs: 0, occurrences: [[0, [[[1, 1, 'w0', 0, '']]]]] }, world.nowMs)
     planner.recordWorkerBorn('w0', bornAtMs, () => false, world.nowMs, world.nowMs)
-    planner.recordReport('w0', { requestedAtMs: world.nowMs, running: [], ended: [] }, world.nowMs, world.nowMs)
+    planner.recordReport('w0', { requestedAtMs: world.nowMs, running: [], ended: [], hasMoreEnds: false }, world.nowMs, world.nowMs)
   }
   assert.is(world.planner.readCrashRecord('born at 400'), null)
   assert.equal(world.planner.readCrashRecord('born at 600'), [[0, 0, 0, 1, 0, 1, 1]])
@@ -44,7 +44,7 @@
 function startLife ({ planner, nowMs }: World, workers: readonly string[], bornAtMs: number): void {
   for (const worker of workers) {
     planner.recordWorkerBorn(worker, bornAtMs, () => false, nowMs, nowMs)
-    planner.recordReport(worker, { requestedAtMs: nowMs, running: [], ended: [] }, nowMs, nowMs)
+    planner.recordReport(worker, { requestedAtMs: nowMs, running: [], ended: [], hasMoreEnds: false }, nowMs, nowMs)
   }
 }
 
--- a/packages/core/src/partition/__tests__/crashingTasks.spec.ts
+++ b/packages/core/src/partition/__tests__/crashingTasks.spec.ts
@@ -125,7 +125,7 @@
   assert.equal(stops.map(({ job, reason, worker }) => [job, reason, worker]), others.map(({ worker }) => ['saving', 'preempted', worker]))
   for (const [number, { job, occurrence, step, index, run, worker }] of others.entries()) {
     const ended = [{ job, occurrence, step, index, run, number: number + 1, how: 'stopped' as const, saved: 's' }]
-    world.planner.recordReport(worker, { requestedAtMs: world.nowMs, running: others.slice(number + 1).map((other) => ({ ...other, saved: '', percent: 0, load: 0 })), ended }, world.nowMs, world.nowMs)
+    world.planner.recordReport(worker, { requestedAtMs: world.nowMs, running: others.slice(number + 1).map((other) => ({ ...other, saved: '', percent: 0, load: 0 })), ended, hasMoreEnds: false }, world.nowMs, world.nowMs)
   }
   assert.equal(startRuns(world).map(({ job }) => job), ['bad'])
 })
@@ -270,7 +270,7 @@
     crashUnder(world, 'bad', [bad])
     for (const order of others) {
       const { job, occurrence, step, index, run } = order
-      world.planner.recordReport(order.worker, { requestedAtMs: world.nowMs, running: [], ended: [{ job, occurrence, step, index, run, number: crash + 1, how: 'broken', saved: '' }] }, world.nowMs, world.nowMs)
+      world.planner.recordReport(order.worker, { requestedAtMs: world.nowMs, running: [], ended: [{ job, occurrence, step, index, run, number: crash + 1, how: 'broken', saved: '' }], hasMoreEnds: false }, world.nowMs, world.nowMs)
     }
   }
   assert.is(world.planner.readPhase('bad'), 'failed')
@@ -293,7 +293,7 @@
     world.planner.setSynced(lost.worker, true)
     for (const { job, occurrence, step, index, run, worker } of starts) {
       const ended = [{ job, occurrence, step, index, run, number: crash + 1, how: 'broken' as const, saved: '' }]
-      if (worker !== lost.worker) world.planner.recordReport(worker, { requestedAtMs: world.nowMs, running: [], ended }, world.nowMs, world.nowMs)
+      if (worker !== lost.worker) world.planner.recordReport(worker, { requestedAtMs: world.nowMs, running: [], ended, hasMoreEnds: false }, world.nowMs, world.nowMs)
     }
   }
 })
--- a/packages/core/src/partition/__tests__/partitionOracle.spec.ts
+++ b/packages/core/src/partition/__tests__/partitionOracle.spec.ts
@@ -124,7 +124,7 @@
     for (const worker of WORKERS) {
       const list = [...running.values()].filter((order) => order.worker === worker)
         .map(({ job, occurrence, step, index, run }): ListedRun => ({ job, occurrence, step, index, run, saved: '', percent: 10, load: 0 }))
-      const strays = planner.recordReport(worker, { requestedAtMs: nowMs, running: list, ended: ended.get(worker)!.splice(0) }, nowMs, nowMs)
+      const strays = planner.recordReport(worker, { requestedAtMs: nowMs, running: list, ended: ended.get(worker)!.splice(0), hasMoreEnds: false }, nowMs, nowMs)
       assert.is(strays.length, 0, 'the planner does not know a running task')
     }
   }
--- a/packages/core/src/partition/__tests__/partitionPlanner.spec.ts
+++ b/packages/core/src/partition/__tests__/partitionPlanner.spec.ts
@@ -20,7 +20,7 @@
 ): void {
   const { job, occurrence, step, index, run } = order
   const running = others.filter((other) => other !== order).map((other) => ({ ...other, saved: '', percent: 10, load: 0 }))
-  planner.recordReport(order.worker, { requestedAtMs: nowMs, running, ended: [{ job, occurrence, step, index, run, number, how, saved }] }, nowMs, nowMs)
+  planner.recordReport(order.worker, { requestedAtMs: nowMs, running, ended: [{ job, occurrence, step, index, run, number, how, saved }], hasMoreEnds: false }, nowMs, nowMs)
 }
 
 function recordStarts (planner: PartitionPlanner, starts: readonly StartOrder[], nowMs: number): void {
@@ -221,7 +221,7 @@
   endRun(planner, members[0]!, 'failed', 1, 20)
   assert.is(planner.decide(20, 20, ACCEPT_REQUEST).starts.length, 0)
   for (const [index, member] of members.slice(1).entries()) {
-    planner.recordReport(member.worker, { requestedAtMs: 5, running: [], ended: [{ ...member, number: index + 2, how: 'broken', saved: '' }] }, 30, 30)
+    planner.recordReport(member.worker, { requestedAtMs: 5, running: [], ended: [{ ...member, number: index + 2, how: 'broken', saved: '' }], hasMoreEnds: false }, 30, 30)
   }
   const again = planner.decide(40, 40, ACCEPT_REQUEST).starts
   assert.equal(again.map((member) => member.run), [2, 2, 2, 2])
@@ -257,8 +257,8 @@
   recordStarts(planner, starts, 1)
   const [hung, slow] = starts
   for (let second = 1; second <= 4; second++) {
-    planner.recordReport(hung!.worker, { requestedAtMs: second * 1000, running: [{ ...hung!, saved: '', percent: 20, load: 0 }], ended: [] }, second * 1000, 0)
-    planner.recordReport(slow!.worker, { requestedAtMs: second * 1000, running: [{ ...slow!, saved: '', percent: 20 + second, load: 0 }], ended: [] }, second * 1000, 0)
+    planner.recordReport(hung!.worker, { requestedAtMs: second * 1000, running: [{ ...hung!, saved: '', percent: 20, load: 0 }], ended: [], hasMoreEnds: false }, second * 1000, 0)
+    planner.recordReport(slow!.worker, { requestedAtMs: second * 1000, running: [{ ...slow!, saved: '', percent: 20 + second, load: 0 }], ended: [], hasMoreEnds: false }, second * 1000, 0)
   }
   const { stops } = planner.decide(4000, 0, ACCEPT_REQUEST)
   assert.equal(stops.map((stop) => [stop.index, stop.reason]), [[hung!.index, 'stalled']])
@@ -273,7 +273,7 @@
   const starts = planner.decide(0, 0, ACCEPT_REQUEST).starts
   recordStarts(planner, starts, 1)
   const report = (atMs: number): void => {
-    planner.recordReport('w1', { requestedAtMs: atMs, running: [{ ...starts[0]!, saved: '', percent: 3, load: 0 }], ended: [] }, atMs, 0)
+    planner.recordReport('w1', { requestedAtMs: atMs, running: [{ ...starts[0]!, saved: '', percent: 3, load: 0 }], ended: [], hasMoreEnds: false }, atMs, 0)
   }
   report(1000)
   report(20_000)
@@ -303,7 +303,7 @@
   planner.addJob('j', createTestStepJob([createTestStep({ taskCount: 2 })]), record, 0)
   assert.is(planner.decide(10, 10, ACCEPT_REQUEST).starts.length, 0)
   planner.recordReport('w1', {
-    requestedAtMs: 20, running: [{ job: 'j', occurrence: 0, step: 0, index: 0, run: 1, saved: '', percent: 10, load: 0 }], ended: []
+    requestedAtMs: 20, running: [{ job: 'j', occurrence: 0, step: 0, index: 0, run: 1, saved: '', percent: 10, load: 0 }], ended: [], hasMoreEnds: false
   }, 25, 25)
   planner.setSynced('w1', true)
   const starts = planner.decide(30, 30, ACCEPT_REQUEST).starts
--- a/packages/core/src/partition/__tests__/planningCost.spec.ts
+++ b/packages/core/src/partition/__tests__/planningCost.spec.ts
@@ -187,7 +187,7 @@
   planner.addJob('first', createTestStepJob([createTestStep({ resources: { processors: 3.5, memoryMb: 1024, accelerators: 0 } })], { priority: 0, targetLatencyMs: 5000 }), ACCEPTED_STATE, 10)
   const { stops } = planner.decide(200, 200, () => true)
   for (const [number, { worker, job, occurrence, step, index, run }] of stops.entries()) {
-    planner.recordReport(worker, { requestedAtMs: -Infinity, running: [], ended: [{ job, occurrence, step, index, run, number: number + 1, how: 'stopped', saved: '' }] }, 210, 210)
+    planner.recordReport(worker, { requestedAtMs: -Infinity, running: [], ended: [{ job, occurrence, step, index, run, number: number + 1, how: 'stopped', saved: '' }], hasMoreEnds: false }, 210, 210)
   }
   assert.ok(planner.decide(220, 220, () => true).starts.some((order) => order.job === 'first'), `${stops.length} stops`)
 })
--- a/packages/core/src/partition/plannerTypes.ts
+++ b/packages/core/src/partition/plannerTypes.ts
@@ -69,13 +69,15 @@
   readonly saved: string
 }
 
-/** Complete list of a worker's running and recently ended runs. */
+/** A worker's running and recently ended runs. */
 export interface WorkerReport {
   /** Monotonic time at which the report was requested: starts confirmed before then are included. */
   readonly requestedAtMs: number
   readonly running: readonly ListedRun[]
   /** Ended runs with sequence numbers above those already recorded. */
   readonly ended: readonly ListedEnd[]
+  /** Further ends are listed once these are acknowledged: a run that is in neither list may have ended with any result. */
+  readonly hasMoreEnds: boolean
 }
 
 /** Reason why a start had no effect. */
--- a/packages/core/src/partition/runTracker.ts
+++ b/packages/core/src/partition/runTracker.ts
@@ -198,6 +198,7 @@
     }
     worker.strayRuns = strays.length
     worker.respondedAtMs = nowMs
+    if (report.hasMoreEnds) return strays
     for (const task of [...worker.tasks]) {
       if (listed.has(task) || task.confirmedAtMs === null || task.confirmedAtMs >= report.requestedAtMs) continue
       releaseTask(task, nowMs)
--- a/packages/core/src/testing/suspectWorld.ts
+++ b/packages/core/src/testing/suspectWorld.ts
@@ -93,7 +93,8 @@
     planner.recordReport(worker, {
       requestedAtMs: world.nowMs,
       running: running.map(({ order }) => ({ ...order, saved: '', percent: 50, load: 0 })),
-      ended: over.map(({ order: { job, occurrence, step, index, run } }, number) => ({ job, occurrence, step, index, run, number: first + number, how: 'done', saved: '' }))
+      ended: over.map(({ order: { job, occurrence, step, index, run } }, number) => ({ job, occurrence, step, index, run, number: first + number, how: 'done', saved: '' })),
+      hasMoreEnds: false
     }, world.nowMs, world.nowMs)
   }
 
--- a/packages/entry/src/partition/__tests__/waitingStarts.spec.ts
+++ b/packages/entry/src/partition/__tests__/waitingStarts.spec.ts
@@ -32,7 +32,7 @@
     client: {
       renewLease: async () => {
         await new Promise<void>((resolve) => { clock.setTimer(20, resolve) })
-        return ok({ kind: 'held', clockMs: clock.nowMs(), bornAtMs: 1, running: [], ended: [] })
+        return ok({ kind: 'held', clockMs: clock.nowMs(), bornAtMs: 1, running: [], ended: [], hasMoreEnds: false })
       },
       startRun: async (order) => {
         sent.push(order.index)
--- a/packages/entry/src/partition/__tests__/workerLease.spec.ts
+++ b/packages/entry/src/partition/__tests__/workerLease.spec.ts
@@ -36,7 +36,7 @@
       renewLease: async ({ leaseUntilMs }) => {
         if (leaseUntilMs !== null) grants.push({ atMs: clock.nowMs(), lengthMs: leaseUntilMs - readClock() })
         await new Promise<void>((resolve) => { clock.setTimer(CALL_MS, resolve) })
-        return answer({ kind: 'held', clockMs: readClock(), bornAtMs: worker.bornAtMs, running: [], ended: [] })
+        return answer({ kind: 'held', clockMs: readClock(), bornAtMs: worker.bornAtMs, running: [], ended: [], hasMoreEnds: false })
       },
       startRun: async () => ok({ kind: 'started', clockMs: readClock() }),
       stopRun: async () => ok({ kind: 'answered' }),
--- a/packages/entry/src/partition/partitionWorkerController.ts
+++ b/packages/entry/src/partition/partitionWorkerController.ts
@@ -59,6 +59,10 @@
   let isReachable = false
   let isLost = false
   let bornAtMs: number | null = null
+  /** Whether the runs of earlier terms have been compared with a complete report. */
+  let isBirthRecorded = false
+  /** Whether the last report left out ends that follow once others are acknowledged. */
+  let hasMoreEnds = false
   const workerClock = createWorkerClock(clock)
   let leaseUntilMs = -Infinity
   /** Whether the last lease call requested an extension. */
@@ -141,6 +145,10 @@
     } else if (isLost) planner.recordWorkerSurvived(worker)
     if (bornAtMs === null) {
       leaseUntilMs = Math.max(leaseUntilMs, response.clockMs + computeInheritedLeaseMs(epoch, options.maxLeaseMs, nowMs - options.termStartedAtMs))
+    }
+    hasMoreEnds = response.hasMoreEnds
+    if (!isBirthRecorded && !hasMoreEnds) {
+      isBirthRecorded = true
       const reported = new Set([...response.running, ...response.ended].map(formatRun))
       recordGivenUp(events, worker, planner.recordWorkerBorn(worker, response.bornAtMs, (run) => reported.has(formatRun(run)), nowMs, clock.wallMs()))
     }
@@ -154,7 +162,7 @@
     for (const end of ended) {
       events.record(runEnded, { run: formatRun(end), worker, how: end.how })
     }
-    const strays = planner.recordReport(worker, { requestedAtMs: sentAtMs, running: response.running, ended }, nowMs, clock.wallMs())
+    const strays = planner.recordReport(worker, { requestedAtMs: sentAtMs, running: response.running, ended, hasMoreEnds }, nowMs, clock.wallMs())
     for (const stray of strays) stopRun(stray)
     for (const run of response.running) inDoubt.delete(formatRun(run))
     if (!isReachable) {
@@ -174,7 +182,7 @@
     const longestMs = lease === null || !wasExtended ? UNEXTENDED_LEASE_WAIT_MS : planner.isIsolated(worker) ? ISOLATED_LEASE_WAIT_MS : LEASE_WAIT_MS
     wasExtended = lease !== null
     // Does not wait after a failed call, so that an unresponsive worker is detected quickly.
-    const waitMs = isReachable && failures === 0 && excusedCalls === 0 && !ends.hasPending() ? longestMs : 0
+    const waitMs = isReachable && failures === 0 && excusedCalls === 0 && !ends.hasPending() && !hasMoreEnds ? longestMs : 0
     const result = await client.renewLease({ epoch, acknowledgedEnd: ends.readAcknowledged(), leaseUntilMs: lease, waitMs })
     if (disposed) return
     if (result.isErr() && result.error.isOwnDelay === true && excusedCalls < MAX_EXCUSED_CALLS) {
--- a/packages/entry/src/partition/ports.ts
+++ b/packages/entry/src/partition/ports.ts
@@ -78,15 +78,19 @@
   readonly address: string
 }
 
-/** Complete response of a worker to a lease renewal. */
+/** Response of a worker to a lease renewal. */
 export interface LeaseResponse {
   readonly kind: 'held'
   /** Reading of the worker's monotonic clock, in milliseconds. */
   readonly clockMs: number
   /** Start of the worker's incarnation, in milliseconds since 1970. */
   readonly bornAtMs: number
+  /** All runs in progress. */
   readonly running: readonly ListedRun[]
+  /** Ended runs that are not acknowledged, in the order of their numbers. */
   readonly ended: readonly ListedEnd[]
+  /** The worker lists a limited number of ends at a time: further ones follow once these are acknowledged. */
+  readonly hasMoreEnds: boolean
 }
 
 /** The worker has accepted a higher epoch. */
--- a/packages/entry/src/testing/partitionWorkerModel.ts
+++ b/packages/entry/src/testing/partitionWorkerModel.ts
@@ -82,6 +82,8 @@
 const NETWORK_DELAY_MS = 2
 const CALL_TIMEOUT_MS = 700
 const STOP_DELAY_MS = 100
+/** Most ends in one response. */
+const MAX_LISTED_ENDS = 500
 
 /** Creates a worker without runs. */
 export function createPartitionWorkerModel (options: PartitionWorkerModelOptions): PartitionWorkerModel {
@@ -193,7 +195,7 @@
         const running = [...activeRuns.values()].map(({ record, durationMs, saved }) => ({
           ...record, saved, percent: Math.floor(100 * (clock.nowMs() - record.startedAtMs) / durationMs), load: 0
         }))
-        return { kind: 'held' as const, clockMs: readClock(), bornAtMs, running, ended: [...ended] }
+        return { kind: 'held' as const, clockMs: readClock(), bornAtMs, running, ended: ended.slice(0, MAX_LISTED_ENDS), hasMoreEnds: ended.length >= MAX_LISTED_ENDS }
       })
     },
     startRun: (order, orderEpoch, untilMs, timeoutMs) => call(() => acceptStart(order, orderEpoch, untilMs), timeoutMs),
