Long-running tasks: a late end of an earlier run is no result

Cause: two branches decided what an end means. The one for ends of earlier runs, which a worker reports after a cut, took `done` for the result of the task; only the one for the current run asked whether the task is long-running.

Ruled out: the current run's end (without the cut the same ends start the tasks again); the loss of the worker (the tasks run elsewhere until then).

Change: both branches ask one function whether an end is a result. Tasks that an earlier version stored as done are started again when their job is loaded, at a restart or a change of the holder.

--- a/packages/core/src/partition/jobState.ts
+++ b/packages/core/src/partition/jobState.ts
@@ -151,6 +151,12 @@
   return { index, steps }
 }
 
+/** Restores the phase of a task. Earlier versions stored long-running tasks as done. */
+function restorePhase ({ definition }: Task, stored: number): TaskPhase {
+  const phase = TASK_PHASES[stored] ?? 'waiting'
+  return phase === 'done' && definition.longRunning ? 'waiting' : phase
+}
+
 /** Restores a job from its rows. */
 export function createJob (id: string, spec: StepJob, record: JobStateRecord, isOverRate: boolean): Job {
   const job: Job = { id, spec, isOverRate, objectiveMs: computeObjectiveMs(spec), phase: record.phase, occurrences: new Map(), completedOccurrences: new Set(), changes: 0, endedAtMs: record.endedAtMs, hasCrashRecord: false }
@@ -164,7 +170,7 @@
         const task = occurrence.steps[stepIndex]?.[taskIndex]
         if (task === undefined) continue
         const [phase, run, worker, failures, saved] = row
-        Object.assign(task, { phase: TASK_PHASES[phase] ?? 'waiting', run, worker, failures, saved })
+        Object.assign(task, { phase: restorePhase(task, phase), run, worker, failures, saved })
       }
     }
     job.occurrences.set(index, occurrence)
--- a/packages/core/src/partition/runTracker.ts
+++ b/packages/core/src/partition/runTracker.ts
@@ -133,6 +133,16 @@
     for (const member of registry.listGang(task)) member.saved = saved
   }
 
+  /** Whether an end of a run is the result of the task. Long-running tasks have none: they are started again however they end. */
+  const isResult = (task: Task, end: ListedEnd): boolean => end.how === 'done' && !findStep(task).longRunning
+
+  const endTask = (task: Task, nowMs: number, wallMs: number): void => {
+    task.phase = 'done'
+    endGangMembers(task, nowMs)
+    registry.recordDone(task, nowMs)
+    registry.endIfComplete(task, wallMs)
+  }
+
   const recordEnd = (workerId: string, end: ListedEnd, nowMs: number, wallMs: number): void => {
     const task = registry.findTask(end)
     if (task === undefined) return
@@ -141,12 +151,9 @@
     if (worker !== undefined && isCurrent) recordWorkerEnd(worker, end.how === 'failed', nowMs)
     if (!isCurrent) {
       // A worker that was considered lost reports a result after all: the task need not run again.
-      if (end.how !== 'done' || task.phase === 'done' || task.phase === 'failed') return
+      if (!isResult(task, end) || task.phase === 'done' || task.phase === 'failed') return
       if (task.phase === 'placed') scheduleStop(task, 'superseded')
-      task.phase = 'done'
-      endGangMembers(task, nowMs)
-      registry.recordDone(task, nowMs)
-      registry.endIfComplete(task, wallMs)
+      endTask(task, nowMs, wallMs)
       return
     }
     storeCheckpoint(task, end.saved)
@@ -154,11 +161,8 @@
     releaseResources(task)
     registry.recordChanged(task.job)
     if (!wasPlaced) return
-    if (end.how === 'done' && !findStep(task).longRunning) {
-      task.phase = 'done'
-      endGangMembers(task, nowMs)
-      registry.recordDone(task, nowMs)
-      registry.endIfComplete(task, wallMs)
+    if (isResult(task, end)) {
+      endTask(task, nowMs, wallMs)
       return
     }
     task.phase = 'waiting'
