Accepted jobs: store them by id alone, so that a queue may change its service

Cause: the part of a job's row, and the partition of its state, were computed from the service that the queue has now. The same id met another row once the configuration had changed.

Ruled out: the row or the holder of the old partition are gone (the tasks run on there); entries with different configurations (all three answer alike).

Change: the part follows from the id alone (16 parts, `!jobs/N`), the row says which service runs the job. GET and DELETE take the service from the row, the cancellation carries it, waiting jobs at a queue's former service count. Holders read all parts and pass over the rows of other services by a search for their service's name, before decoding. Rows of earlier versions are read, cancelled and deleted where they are.

Why it works: a submission is stored on condition that the row of its id is absent, and there is one row for an id now, at any entry, under any configuration, after any restart.

--- a/packages/entry/src/partition/__tests__/partitionEntry.spec.ts
+++ b/packages/entry/src/partition/__tests__/partitionEntry.spec.ts
@@ -176,7 +176,7 @@
   const [entry] = await startEntries(cluster, ['a'])
   await submitJob(cluster, entry!, '0000000000000001', 1)
   await cluster.clock.runFor(3000)
-  const readRows = () => [cluster.table.readRow('job', computeJobPart(SERVICE, '0000000000000001'), '0000000000000001'), cluster.table.readRow('state', SERVICE, '0000000000000001')]
+  const readRows = () => [cluster.table.readRow('job', computeJobPart('0000000000000001'), '0000000000000001'), cluster.table.readRow('state', SERVICE, '0000000000000001')]
   assert.ok(readRows().every((row) => row !== undefined))
   await cluster.clock.runFor(122_000)
   assert.equal(readRows(), [undefined, undefined])
--- a/packages/entry/src/partition/jobApi.ts
+++ b/packages/entry/src/partition/jobApi.ts
@@ -2,12 +2,13 @@
 import {
   ACCEPTED_STATE, computeObjectiveMs, isFinal, type Clock, type EventLog, type JobPhase, type QueueConfig, type StepJob
 } from '@fuchsiatally/core'
+import { err, ok, type Result } from 'neverthrow'
 import type { PeerMesh } from '../ports.js'
 import type { PartitionWatch } from './partitionWatch.js'
 import { RESPONSE_MARGIN_MS, MAX_QUEUE_COUNT_AGE_MS, MAX_REMEMBERED_JOBS, WRITE_RETRY_MS } from './constants.js'
 import { jobAccepted, jobCancelled, jobRefused, submissionInDoubt } from './events.js'
-import { CANCEL_SUFFIX, computeJobPart, JOB_TABLE, parseJobRow, STATE_TABLE } from './partitionRows.js'
-import type { TableTransaction, CommitResult } from './ports.js'
+import { CANCEL_SUFFIX, computeEarlierJobPart, computeJobPart, encodeCancellation, JOB_TABLE, parseJobRow, STATE_TABLE } from './partitionRows.js'
+import type { CallFailure, TableTransaction, CommitResult, TableRow } from './ports.js'
 import { readRow } from './readRow.js'
 import { parseStateRow } from './stateRows.js'
 import type { MonitoredTable } from './tableHealth.js'
@@ -19,6 +20,8 @@
   readonly table: MonitoredTable
   readonly mesh: PeerMesh
   readonly partitions: PartitionWatch
+  /** Partitions named by the configuration. */
+  readonly listPartitions: () => readonly string[]
   readonly clock: Clock
   readonly events: EventLog
   /** Passes a row to this entry's term of a partition; `false` if this entry does not hold the partition. */
@@ -98,7 +101,7 @@
     const partition = job.policy.service
     const value = JSON.stringify(job)
     const result = await commitWithRetry({
-      part: computeJobPart(partition, id),
+      part: computeJobPart(id),
       checks: [{ table: JOB_TABLE, key: id, version: 0 }],
       writes: [{ table: JOB_TABLE, key: id, value }],
       deletes: []
@@ -125,52 +128,83 @@
     return 'done'
   }
 
-  /** Reads a job that has no state row: either its holder has not planned it yet, or it does not exist. */
-  const readPhaseWithoutState = async (id: string, partition: string): Promise<JobPhase | 'unknownJob' | 'refused'> => {
-    const row = await readRow(table, JOB_TABLE, computeJobPart(partition, id), id)
+  /** Reads the row of an accepted job, by any version; `undefined` if there is none. */
+  const readJobRow = async (id: string, queue: QueueConfig): Promise<Result<TableRow | undefined, CallFailure>> => {
+    const row = await readRow(table, JOB_TABLE, computeJobPart(id), id)
+    if (row.isErr() || row.value !== undefined) return row
+    return await readRow(table, JOB_TABLE, computeEarlierJobPart(queue.service, id), id)
+  }
+
+  /** Reads the committed phase in a partition; `null` if its holder has not planned the job. */
+  const readStoredPhase = async (id: string, partition: string): Promise<Result<JobPhase | null, 'refused'>> => {
+    const row = await readRow(table, STATE_TABLE, partition, id)
+    if (row.isErr()) return err('refused')
+    if (row.value === undefined) return ok(null)
+    const state = parseStateRow(row.value, events)
+    if (state === null) return err('refused')
+    if (isFinal(state.phase)) recordFinalPhase(id, state.phase)
+    return ok(state.phase)
+  }
+
+  /** Reads a job without a state in the partition of its queue: not planned yet, of the service that the queue was sent to before, or unknown. */
+  const readPhaseOfAccepted = async (id: string, queue: QueueConfig): Promise<JobPhase | 'unknownJob' | 'refused'> => {
+    const row = await readJobRow(id, queue)
     if (row.isErr()) return 'refused'
-    return row.value === undefined ? 'unknownJob' : ACCEPTED_STATE.phase
+    if (row.value === undefined) return 'unknownJob'
+    const partition = parseJobRow(row.value, events)?.policy.service ?? queue.service
+    if (partition === queue.service) return ACCEPTED_STATE.phase
+    const committed = options.readCommittedPhase(partition, id)
+    if (committed !== null) return committed
+    const stored = await readStoredPhase(id, partition)
+    return stored.isErr() ? stored.error : stored.value ?? ACCEPTED_STATE.phase
   }
 
   const readPhase: JobApi['readPhase'] = async (id, queue) => {
     const known = finalPhases.get(id) ?? options.readCommittedPhase(queue.service, id)
     if (known !== null) return known
     if (table.isSuspect()) return 'refused'
-    const row = await readRow(table, STATE_TABLE, queue.service, id)
-    if (row.isErr()) return 'refused'
-    if (row.value === undefined) return await readPhaseWithoutState(id, queue.service)
-    const state = parseStateRow(row.value, events)
-    if (state === null) return 'refused'
-    if (isFinal(state.phase)) recordFinalPhase(id, state.phase)
-    return state.phase
+    const stored = await readStoredPhase(id, queue.service)
+    if (stored.isErr()) return stored.error
+    return stored.value ?? await readPhaseOfAccepted(id, queue)
   }
 
   const cancelJob: JobApi['cancelJob'] = async (id, queue, deadlineMs) => {
-    const part = computeJobPart(queue.service, id)
-    const row = await readRow(table, JOB_TABLE, part, id)
+    const row = await readJobRow(id, queue)
     if (row.isErr()) return 'refused'
-    if (row.value === undefined || parseJobRow(row.value, events) === null) return 'unknownJob'
+    const job = row.value === undefined ? null : parseJobRow(row.value, events)
+    if (row.value === undefined || job === null) return 'unknownJob'
+    const { part } = row.value
+    const value = encodeCancellation(job.policy.service)
     const key = `${id}${CANCEL_SUFFIX}`
     const result = await commitWithRetry({
       part,
       checks: [{ table: JOB_TABLE, key, version: 0 }],
-      writes: [{ table: JOB_TABLE, key, value: '{}' }],
+      writes: [{ table: JOB_TABLE, key, value }],
       deletes: []
     }, deadlineMs, () => {})
     if (result === 'refused' || result === 'inDoubt') return result
     events.record(jobCancelled, { job: id, queue: queue.name })
-    if (result.kind === 'applied') notifyHolder(queue.service, key, '{}')
+    if (result.kind === 'applied') notifyHolder(job.policy.service, key, value)
     return 'done'
   }
 
+  /** Number of waiting jobs of a queue in one partition; `null` if the partition's state is unknown. */
+  const countWaitingIn = (partition: string, queue: QueueConfig): number | null => {
+    const row = options.partitions.readPartition(partition)?.row
+    if (row === null || row === undefined || options.partitions.readPartitionAgeMs(partition) > MAX_QUEUE_COUNT_AGE_MS) return null
+    return row.waiting.find(([name]) => name === queue.name)?.[1] ?? 0
+  }
+
   return {
     submitJob,
     readPhase,
     cancelJob,
     countWaiting: (queue) => {
-      const row = options.partitions.readPartition(queue.service)?.row
-      if (row === null || row === undefined || options.partitions.readPartitionAgeMs(queue.service) > MAX_QUEUE_COUNT_AGE_MS) return null
-      return row.waiting.find(([name]) => name === queue.name)?.[1] ?? 0
+      const count = countWaitingIn(queue.service, queue)
+      if (count === null) return null
+      // Jobs that were accepted while the configuration sent the queue to another service still wait there.
+      const others = options.listPartitions().filter((partition) => partition !== queue.service)
+      return others.reduce((sum, partition) => sum + (countWaitingIn(partition, queue) ?? 0), count)
     }
   }
 }
--- a/packages/entry/src/partition/jobCleanup.ts
+++ b/packages/entry/src/partition/jobCleanup.ts
@@ -2,13 +2,15 @@
 import { createDisposableStore, type Clock, type Disposable } from '@fuchsiatally/core'
 import { createSerialLoop } from '../process/serialLoop.js'
 import { MAX_COMMIT_ROWS, JOB_CLEANUP_PAUSE_MS } from './constants.js'
-import { CANCEL_SUFFIX, computeJobPart, JOB_TABLE } from './partitionRows.js'
+import { CANCEL_SUFFIX, computeEarlierJobPart, computeJobPart, JOB_TABLE } from './partitionRows.js'
 import type { PartitionTable } from './ports.js'
 
 export interface JobCleanupOptions {
   readonly partition: string
   readonly table: PartitionTable
   readonly clock: Clock
+  /** Whether an earlier version stored the job, in another part. */
+  readonly isOfEarlierVersion: (job: string) => boolean
   /** Runs after the rows of these jobs have been deleted; their states may now be deleted as well. */
   readonly onDeleted: (jobs: readonly string[]) => void
 }
@@ -26,12 +28,19 @@
   const runStep = async (): Promise<void> => {
     const [first] = expiredJobs
     if (first === undefined) return
-    const part = computeJobPart(partition, first)
-    const jobs = [...expiredJobs].filter((job) => computeJobPart(partition, job) === part).slice(0, Math.floor(MAX_COMMIT_ROWS / 2))
+    const part = computeJobPart(first)
+    const earlierPart = computeEarlierJobPart(partition, first)
+    const isEarlier = options.isOfEarlierVersion(first)
+    const jobs = [...expiredJobs]
+      .filter((job) => computeJobPart(job) === part && computeEarlierJobPart(partition, job) === earlierPart && options.isOfEarlierVersion(job) === isEarlier)
+      .slice(0, Math.floor(MAX_COMMIT_ROWS / 2))
     const deletes = jobs.flatMap((job) => [{ table: JOB_TABLE, key: job }, { table: JOB_TABLE, key: `${job}${CANCEL_SUFFIX}` }])
-    const result = await table.commit({ part, checks: [], writes: [], deletes })
-    // A failed delete is retried by the next step; deletes are idempotent.
-    if (result.isErr()) return
+    // A job of an earlier version may have been submitted again since.
+    for (const jobPart of isEarlier ? [earlierPart, part] : [part]) {
+      const result = await table.commit({ part: jobPart, checks: [], writes: [], deletes })
+      // A failed delete is retried by the next step; deletes are idempotent.
+      if (result.isErr()) return
+    }
     for (const job of jobs) expiredJobs.delete(job)
     options.onDeleted(jobs)
   }
--- a/packages/entry/src/partition/partitionEntry.ts
+++ b/packages/entry/src/partition/partitionEntry.ts
@@ -207,6 +207,7 @@
     table,
     mesh,
     partitions,
+    listPartitions: () => config.readConfig()?.services ?? [],
     clock,
     events,
     applyPushedRow,
--- a/packages/entry/src/partition/partitionJobs.ts
+++ b/packages/entry/src/partition/partitionJobs.ts
@@ -3,7 +3,7 @@
 import { createSerialLoop } from '../process/serialLoop.js'
 import { JOB_POLL_INTERVAL_MS, WRITE_RETRY_MS } from './constants.js'
 import { partitionLoaded } from './events.js'
-import { CANCEL_SUFFIX, CRASH_TABLE, JOB_TABLE, listJobParts, OVERFLOW_TABLE, parseCrashRow, parseJobRow, STATE_TABLE } from './partitionRows.js'
+import { CANCEL_SUFFIX, CRASH_TABLE, isOfEarlierVersion, JOB_TABLE, listJobParts, OVERFLOW_TABLE, parseCancelRow, parseCrashRow, parseJobRow, STATE_TABLE } from './partitionRows.js'
 import type { PartitionTable, TableRow } from './ports.js'
 import { parseStateRow, type StateRow, type StateRows } from './stateRows.js'
 import { createTableFeed } from './tableFeed.js'
@@ -21,9 +21,14 @@
   readonly onChange: () => void
 }
 
+/** Part of rows that were pushed to this partition's holder. */
+const PUSHED_PART = ''
+
 /** Feed of a partition's jobs. */
 export interface PartitionJobs extends Disposable {
   isLoaded: () => boolean
+  /** Whether an earlier version stored the job. */
+  isOfEarlierVersion: (job: string) => boolean
   /** Applies a row that its writer pushed directly. */
   applyPushedRow: (key: string, value: string) => void
 }
@@ -36,6 +41,22 @@
   let isTableReachable = true
   /** Cancellations that were read before their job. */
   const earlyCancellations = new Set<string>()
+  const earlierJobs = new Set<string>()
+  /** Part of the rows of this partition's jobs; looking for it costs less than decoding the rows of the others. */
+  const serviceField = `"service":${JSON.stringify(partition)}`
+
+  /** Whether a row may belong to this partition: the parts hold rows of others, too. */
+  const isCandidate = (row: TableRow): boolean => row.part === PUSHED_PART || row.part.startsWith(`${partition}/`) || row.value.includes(serviceField)
+
+  const parseOwnJob = (row: TableRow): StepJob | null => {
+    const spec = parseJobRow(row, events)
+    return spec === null || spec.policy.service !== partition ? null : spec
+  }
+
+  const isOwnCancellation = (row: TableRow): boolean => {
+    const cancellation = parseCancelRow(row, events)
+    return cancellation !== null && (cancellation.service ?? partition) === partition
+  }
 
   const cancel = (id: string): void => {
     if (planner.hasJob(id)) planner.cancelJob(id, clock.wallMs())
@@ -49,13 +70,15 @@
   }
 
   const applyRow = (row: TableRow): void => {
-    if (row.deleted) return
+    if (row.deleted || !isCandidate(row)) return
     if (row.key.endsWith(CANCEL_SUFFIX)) {
-      cancel(row.key.slice(0, -CANCEL_SUFFIX.length))
+      if (isOwnCancellation(row)) cancel(row.key.slice(0, -CANCEL_SUFFIX.length))
       return
     }
-    const spec = parseJobRow(row, events)
-    if (spec !== null) addJob(row.key, spec)
+    const spec = parseOwnJob(row)
+    if (spec === null) return
+    if (row.part !== PUSHED_PART && isOfEarlierVersion(row)) earlierJobs.add(row.key)
+    addJob(row.key, spec)
   }
 
   /** Adds states whose job rows were already deleted by an earlier term, so that they are deleted after their retention as well. */
@@ -76,7 +99,8 @@
     return read.isErr() ? null : new Map(read.value.rows.map((row) => [row.key, row]))
   }
 
-  const applySnapshot = async (jobs: readonly TableRow[]): Promise<boolean> => {
+  const applySnapshot = async (rows: readonly TableRow[]): Promise<boolean> => {
+    const jobs = rows.filter(isCandidate)
     const [read, readCrashes] = await (pendingStates ?? readStates())
     pendingStates = null
     if (read.isErr() || readCrashes.isErr()) return false
@@ -86,13 +110,14 @@
     if (overflow === null) return false
     const crashRows = new Map(readCrashes.value.rows.map((row) => [row.key, row]))
     const cancelled: string[] = []
-    const unfinished: { readonly id: string, readonly spec: StepJob, readonly state: JobStateRecord }[] = []
+    const unfinished = new Map<string, { readonly spec: StepJob, readonly state: JobStateRecord }>()
     for (const row of jobs) {
       if (row.key.endsWith(CANCEL_SUFFIX)) {
-        cancelled.push(row.key.slice(0, -CANCEL_SUFFIX.length))
+        if (isOwnCancellation(row)) cancelled.push(row.key.slice(0, -CANCEL_SUFFIX.length))
         continue
       }
-      if (planner.hasJob(row.key)) continue
+      if (isOfEarlierVersion(row)) earlierJobs.add(row.key)
+      if (planner.hasJob(row.key) || unfinished.has(row.key)) continue
       const stateRow = states.get(row.key)
       if (stateRow === null) continue
       if (stateRow !== undefined && isFinal(stateRow.phase) && stateRow.occurrences.length === 0 && stateRow.overflow === undefined) {
@@ -100,13 +125,13 @@
         continue
       }
       const state = stateRow === undefined ? ACCEPTED_STATE : stateRows.restoreState(row.key, stateRow, overflow)
-      const spec = state === null ? null : parseJobRow(row, events)
-      if (state !== null && spec !== null) unfinished.push({ id: row.key, spec, state })
+      const spec = state === null ? null : parseOwnJob(row)
+      if (state !== null && spec !== null) unfinished.set(row.key, { spec, state })
     }
     addOrphanedStates(states, new Set(jobs.map(({ key }) => key)))
     // The planner needs the order of acceptance to determine which submissions of a team exceed its rate.
-    unfinished.sort((a, b) => a.spec.acceptedAtMs - b.spec.acceptedAtMs)
-    for (const { id, spec, state } of unfinished) {
+    const inOrder = [...unfinished].sort(([, a], [, b]) => a.spec.acceptedAtMs - b.spec.acceptedAtMs)
+    for (const [id, { spec, state }] of inOrder) {
       const crashRow = crashRows.get(id)
       planner.addJob(id, spec, state, clock.nowMs(), (crashRow === undefined ? null : parseCrashRow(crashRow, events)) ?? [])
     }
@@ -142,9 +167,10 @@
 
   return {
     isLoaded: () => loaded,
+    isOfEarlierVersion: (job) => earlierJobs.has(job),
     applyPushedRow: (key, value) => {
       if (!loaded) return
-      applyRow({ table: JOB_TABLE, part: '', key, value, version: 0, deleted: false })
+      applyRow({ table: JOB_TABLE, part: PUSHED_PART, key, value, version: 0, deleted: false })
       options.onChange()
     },
     dispose: () => disposables.dispose()
--- a/packages/entry/src/partition/partitionRows.ts
+++ b/packages/entry/src/partition/partitionRows.ts
@@ -18,7 +18,7 @@
 export const CAPACITY_PART = '!capacity'
 /** Processor capacity of an entry without a capacity row, in cores. */
 export const DEFAULT_CORES = 1
-/** Tables of accepted jobs, sharded over parts of their own, and of job states, in the part of their partition. */
+/** Tables of accepted jobs, in parts of their own, and of job states, in the part of their partition. */
 export const JOB_TABLE = 'job'
 export const STATE_TABLE = 'state'
 /** Table of the rows that continue states which exceed one row, in the part of their partition, keyed by job and number. */
@@ -29,19 +29,45 @@
 export const CANCEL_SUFFIX = '!cancel'
 
 /**
- * Parts over which the accepted jobs of a partition are sharded. A slow table takes three transactions a second for each part, and the
- * callers' submissions must neither queue behind each other nor delay the holder's commits.
+ * Parts over which the accepted jobs are sharded. A slow table takes three transactions a second for each part, and the callers' submissions
+ * must neither queue behind each other nor delay the holders' commits.
  */
-const JOB_PARTS = 8
+const JOB_PARTS = 16
+/** Parts of each partition in which earlier versions stored its jobs. */
+const EARLIER_JOB_PARTS = 8
 
-/** Part of the table that stores an accepted job and its cancellation. */
-export function computeJobPart (partition: string, job: string): string {
-  return `${partition}/${computeHash(job) % JOB_PARTS}`
+/**
+ * Part of the table that stores an accepted job and its cancellation. It follows from the id alone: the job is found, and a repeated submission
+ * meets it, whatever service the configuration sends its queue to by then.
+ */
+export function computeJobPart (job: string): string {
+  return `!jobs/${computeHash(job) % JOB_PARTS}`
 }
 
-/** All parts that store accepted jobs of a partition. */
+/** Part in which earlier versions stored a job of a partition. */
+export function computeEarlierJobPart (partition: string, job: string): string {
+  return `${partition}/${computeHash(job) % EARLIER_JOB_PARTS}`
+}
+
+/** All parts that may store accepted jobs of a partition; those of other partitions are among them. */
 export function listJobParts (partition: string): string[] {
-  return Array.from({ length: JOB_PARTS }, (_, index) => `${partition}/${index}`)
+  return [
+    ...Array.from({ length: JOB_PARTS }, (_, index) => `!jobs/${index}`),
+    ...Array.from({ length: EARLIER_JOB_PARTS }, (_, index) => `${partition}/${index}`)
+  ]
+}
+
+/** Tells whether a row of an accepted job, or of its cancellation, was stored by an earlier version. */
+export function isOfEarlierVersion (row: { readonly part: string }): boolean {
+  return !row.part.startsWith('!jobs/')
+}
+
+/** Row of a cancellation; earlier versions stored it without the service. */
+const CancelRow = Schema.Struct({ service: Schema.optionalKey(Schema.String) })
+
+/** Encodes the cancellation of a job of a partition. */
+export function encodeCancellation (partition: string): string {
+  return JSON.stringify({ service: partition } satisfies typeof CancelRow.Type)
 }
 
 /** Holder row of a partition. */
@@ -102,3 +128,5 @@
 export const parseJobRow = createRowReader(StepJob)
 /** Decodes the row of a job's crashed workers. */
 export const parseCrashRow = createRowReader(CrashRecord)
+/** Decodes the row of a cancellation. */
+export const parseCancelRow = createRowReader(CancelRow)
--- a/packages/entry/src/partition/partitionTerm.ts
+++ b/packages/entry/src/partition/partitionTerm.ts
@@ -283,7 +283,9 @@
     onDeposed: endTerm
   }))
 
-  const cleanup = disposables.add(createJobCleanup({ partition, table: options.table, clock, onDeleted: commits.deleteStates }))
+  const cleanup = disposables.add(createJobCleanup({
+    partition, table: options.table, clock, isOfEarlierVersion: jobs.isOfEarlierVersion, onDeleted: commits.deleteStates
+  }))
 
   disposables.add(createWorkerDirectory({
     table: options.table, rows: options.rows, clock, events, onWorker: applyListing, onUnlisted: recordUnlisted
--- a/packages/entry/src/testing/partitionCluster.ts
+++ b/packages/entry/src/testing/partitionCluster.ts
@@ -40,7 +40,7 @@
   readonly started: StartedRun[]
   /** @param cores processor capacity; default 1 */
   addEntry: (name: string, cores?: number) => ClusterEntry
-  addWorker: (id: string, capacity?: Resources, rack?: string) => PartitionWorkerModel
+  addWorker: (id: string, capacity?: Resources, rack?: string, service?: string) => PartitionWorkerModel
   /** Crashes a worker; it comes back at the same address, under another id unless `reusesWorkerIds` is set. */
   crashWorker: (id: string) => void
   setConfig: (config: ClusterConfig) => void
@@ -216,8 +216,8 @@
     workers,
     started,
     addEntry,
-    addWorker: (id, capacity = CAPACITY, rack = 'rack') => {
-      return addWorker(id, { id, service: SERVICE, address: `${id}:1`, failureDomain: 'a', labels: ['kind', rack], capacity, draining: false })
+    addWorker: (id, capacity = CAPACITY, rack = 'rack', service = SERVICE) => {
+      return addWorker(id, { id, service, address: `${id}:1`, failureDomain: 'a', labels: ['kind', rack], capacity, draining: false })
     },
     crashWorker,
     setConfig: (config) => table.writeRow('op', 'config', encodeConfig(config)),
