Workers: keep what is in doubt when the address of a worker changes

Cause: a changed address disposed of the worker's controller. Orders of unknown outcome, the stop that settles them, the leases granted and the life known so far were state of that controller; the new one knew nothing, and a run whose start was never confirmed is released by no report.

Change: the controller stays and gets another client. What it knows holds until a response shows another life, which goes the way of a restart at the same address. Failures of calls to the former address are no evidence. Looked at besides: an entry that disappears and comes back within a lease keeps its controller; a successor fences off orders in doubt with its first call.

--- a/packages/entry/src/partition/partitionTerm.ts
+++ b/packages/entry/src/partition/partitionTerm.ts
@@ -117,7 +117,7 @@
       onChange: () => commits.wake(),
       isDraining: () => managedWorkers.get(listing.id)?.listing.draining ?? false,
       onReplaced: () => recordReplaced(listing.id),
-      isReplaced: () => newestByAddress.get(listing.address) !== listing.id,
+      isReplaced: () => newestByAddress.get(managedWorkers.get(listing.id)?.listing.address ?? listing.address) !== listing.id,
       onDeposed: endTerm
     })
     managedWorkers.set(listing.id, { listing, controller, isUnlisted: false })
@@ -139,21 +139,36 @@
     if (previous !== undefined && previous !== listing.id) recordReplaced(previous)
   }
 
+  /**
+   * Gives a worker no new runs that is no longer listed for this partition. It may still be alive and only cut off from the table: its lease is
+   * renewed until its runs are over.
+   */
+  const retireWorker = (id: string): void => {
+    const member = managedWorkers.get(id)
+    if (member === undefined) return
+    member.isUnlisted = true
+    planner.setWorker({ ...member.listing, draining: true })
+  }
+
   const applyListing = (listing: ListedWorker): void => {
     recordAddress(listing)
     listings.set(listing.id, listing)
-    if (listing.service !== partition || !jobs.isLoaded()) return
+    if (!jobs.isLoaded()) return
+    if (listing.service !== partition) {
+      retireWorker(listing.id)
+      return
+    }
     const existing = managedWorkers.get(listing.id)
     if (listing.draining && existing?.listing.draining === false) events.record(workerLeaving, { worker: listing.id })
     planner.setWorker(listing)
-    if (existing !== undefined && existing.listing.address === listing.address) {
-      existing.listing = listing
-      existing.isUnlisted = false
-      commits.wake()
+    if (existing === undefined) {
+      addWorker(listing)
       return
     }
-    existing?.controller.dispose()
-    addWorker(listing)
+    if (existing.listing.address !== listing.address) existing.controller.setClient(options.createWorkerClient(listing), listing.address)
+    existing.listing = listing
+    existing.isUnlisted = false
+    commits.wake()
   }
 
   const buildLoss = (kind: WorkerLoss['kind']): WorkerLoss => ({ kind, failedAtMs: clock.nowMs(), nowMs: clock.nowMs(), wallMs: clock.wallMs() })
@@ -190,11 +205,7 @@
 
   const recordUnlisted = (id: string): void => {
     listings.delete(id)
-    const member = managedWorkers.get(id)
-    if (member === undefined) return
-    member.isUnlisted = true
-    // The worker may still be alive and only cut off from the table: it receives no new runs, but its lease is still renewed.
-    planner.setWorker({ ...member.listing, draining: true })
+    retireWorker(id)
   }
 
   const tryRequestAdvice: TrySendQuery = (request) => advice.trySubmit(request, (tickets, expectedAtMs) => {
--- a/packages/entry/src/partition/partitionWorkerController.ts
+++ b/packages/entry/src/partition/partitionWorkerController.ts
@@ -37,6 +37,8 @@
 
 /** Controller of one worker. */
 export interface PartitionWorkerController extends Disposable {
+  /** The worker is listed at another address: calls go there from now on. What is known of its runs and in doubt stays, until a response shows another life. */
+  setClient: (client: PartitionWorkerClient, address: string) => void
   /** @param commitMs duration of the commit that stored the start, in milliseconds */
   startRun: (order: StartOrder, commitMs: number) => void
   stopRun: (order: StopOrder) => void
@@ -50,7 +52,8 @@
 
 /** Starts the controller; it runs until disposed. */
 export function createPartitionWorkerController (options: PartitionWorkerControllerOptions): PartitionWorkerController {
-  const { worker, client, epoch, planner, clock, events, startWindow } = options
+  const { worker, epoch, planner, clock, events, startWindow } = options
+  let { client, address } = options
   const disposables = createDisposableStore()
   const createdAtMs = clock.nowMs()
   const inDoubt = new Map<string, RunName>()
@@ -168,7 +171,7 @@
     if (!isReachable) {
       isReachable = true
       planner.setSynced(worker, true)
-      events.record(workerReachable, { worker, address: options.address, bornAtMs: response.bornAtMs, epoch, running: response.running.length, ended: ended.length })
+      events.record(workerReachable, { worker, address, bornAtMs: response.bornAtMs, epoch, running: response.running.length, ended: ended.length })
       options.onChange()
     }
     if (ended.length > 0) options.onChange()
@@ -183,8 +186,10 @@
     wasExtended = lease !== null
     // Does not wait after a failed call, so that an unresponsive worker is detected quickly.
     const waitMs = isReachable && failures === 0 && excusedCalls === 0 && !ends.hasPending() && !hasMoreEnds ? longestMs : 0
-    const result = await client.renewLease({ epoch, acknowledgedEnd: ends.readAcknowledged(), leaseUntilMs: lease, waitMs })
-    if (disposed) return
+    const calledClient = client
+    const result = await calledClient.renewLease({ epoch, acknowledgedEnd: ends.readAcknowledged(), leaseUntilMs: lease, waitMs })
+    // The failure of a call to a former address says nothing about the new one.
+    if (disposed || (result.isErr() && calledClient !== client)) return
     if (result.isErr() && result.error.isOwnDelay === true && excusedCalls < MAX_EXCUSED_CALLS) {
       excusedCalls++
       return
@@ -334,6 +339,12 @@
   runLoop().catch(failProcess)
 
   return {
+    setClient: (next, nextAddress) => {
+      const former = client
+      client = next
+      address = nextAddress
+      former.dispose()
+    },
     startRun: (order, commitMs) => { sendStart(order, commitMs).catch(failProcess) },
     stopRun,
     beginCommit: ends.beginCommit,
