Gangs: members that fail in one run are one failed attempt

Cause: each end `failed` of a member was counted for all members. PROTOCOL: a job fails if "a task, or a gang, has failed `maxAttempts` times"; a gang whose run ended since two members failed has failed once. BUDGET counts by task: no task has failed more often than its gang, so that rule holds as before.

Change: a member remembers the run whose failure it reported; a further failure of that run counts nothing. The mark is stored as a phase of its own that earlier versions read as `waiting`, so that a successor that reads the second end counts nothing either. A failure that becomes known after the next run was ordered counts nothing, as before.

gangEnds.spec: two of three failed before ("failed" for "running").

--- a/packages/core/src/partition/jobState.ts
+++ b/packages/core/src/partition/jobState.ts
@@ -30,8 +30,10 @@
   run: number
   /** Worker whose resources the current run occupies; empty if none. */
   worker: string
-  /** Runs that ended `failed`. */
+  /** Runs that ended `failed`; for a member of a gang, runs of the gang. */
   failures: number
+  /** Last run of which the task reported the failure; 0 if there is none. */
+  failedRun: number
   /** Checkpoint to resume from; empty if none. */
   saved: string
   /** Workers that crashed while the task ran there, whatever the likely cause, and those crashes that prove that the task is the cause. */
@@ -132,6 +134,7 @@
     run: 0,
     worker: '',
     failures: 0,
+    failedRun: 0,
     saved: '',
     crashes: 0,
     soloCrashes: 0,
@@ -151,6 +154,13 @@
   return { index, steps }
 }
 
+/** Stored phase of a task that waits after it reported the failure of its last run; earlier versions read any unknown phase as `waiting`. */
+const WAITING_AFTER_FAILURE = TASK_PHASES.length
+
+function encodePhase (task: Task): number {
+  return task.phase === 'waiting' && task.run > 0 && task.failedRun === task.run ? WAITING_AFTER_FAILURE : TASK_PHASES.indexOf(task.phase)
+}
+
 /** Restores the phase of a task. Earlier versions stored long-running tasks as done. */
 function restorePhase ({ definition }: Task, stored: number): TaskPhase {
   const phase = TASK_PHASES[stored] ?? 'waiting'
@@ -170,7 +180,7 @@
         const task = occurrence.steps[stepIndex]?.[taskIndex]
         if (task === undefined) continue
         const [phase, run, worker, failures, saved] = row
-        Object.assign(task, { phase: restorePhase(task, phase), run, worker, failures, saved })
+        Object.assign(task, { phase: restorePhase(task, phase), run, worker, failures, saved, failedRun: phase === WAITING_AFTER_FAILURE ? run : 0 })
       }
     }
     job.occurrences.set(index, occurrence)
@@ -195,7 +205,7 @@
   if (isFinal(phase) && !hasAllocatedTask(job)) return { phase, endedAtMs, occurrences: [] }
   const occurrences = [...job.occurrences.values()].map((occurrence): JobStateRecord['occurrences'][number] => [
     occurrence.index,
-    occurrence.steps.map((tasks) => tasks.map((task) => [TASK_PHASES.indexOf(task.phase), task.run, task.worker, task.failures, task.saved] as const))
+    occurrence.steps.map((tasks) => tasks.map((task) => [encodePhase(task), task.run, task.worker, task.failures, task.saved] as const))
   ])
   if (job.completedOccurrences.size === 0) return { phase, endedAtMs, occurrences }
   return { phase, endedAtMs, occurrences, completed: buildRanges(job.completedOccurrences) }
--- a/packages/core/src/partition/runTracker.ts
+++ b/packages/core/src/partition/runTracker.ts
@@ -122,6 +122,10 @@
 
   const recordFailure = (task: Task, end: ListedEnd, nowMs: number, wallMs: number): void => {
     const gang = registry.listGang(task)
+    // Members that fail in the same run are one failure of their gang.
+    const isCounted = gang.some((member) => member.failedRun === end.run)
+    task.failedRun = end.run
+    if (isCounted) return
     for (const member of gang) if (member.run === end.run) member.failures++
     const job = registry.findJob(task.job)
     if (job === undefined || findStep(task).longRunning || task.failures < job.spec.policy.maxAttempts) return
