Gangs: one end `done` completes all members, also those that wait

Cause: the end `done` of a member marked only those members as done that were still placed in the same run. Members that waited (their worker had been lost, or said earlier that the gang was over) or ran in a later run stayed as they were. PROTOCOL: one such end represents all of them.

Change: it completes all members; later runs of them are stopped. A step without waiting tasks leaves the set of waiting steps.

gangEnds.spec: both new tests failed before: the late end with and without a later run, and the usual order of reports ("broken" before "done").

--- a/packages/core/src/partition/__tests__/gangEnds.spec.ts
+++ b/packages/core/src/partition/__tests__/gangEnds.spec.ts
@@ -83,4 +83,32 @@
   assert.is(planner.readPhase('g'), 'running')
 })
 
+// Guards against a gang that is never started again, because one member is done by a late end while the others wait.
+test('a late end of one member completes its gang, whether the others wait or run again', () => {
+  for (const isRestarted of [false, true]) {
+    const { planner, members } = startGang()
+    for (const { worker } of members) planner.recordWorkerLost(worker, { kind: 'silent', failedAtMs: 20, nowMs: 20, wallMs: 20 })
+    if (isRestarted) {
+      for (const id of WORKERS) planner.setSynced(id, true)
+      assert.is(decideStarts(planner, 5000).length, 3)
+    }
+    endRun(planner, members[1]!, 'done', 5010)
+    const { starts, stops } = planner.decide(5020, 5020, () => true)
+    // The worker that reports the end lists no other run.
+    assert.equal(stops.map(({ run, reason }) => [run, reason]), isRestarted ? [[2, 'superseded'], [2, 'superseded']] : [])
+    for (const id of WORKERS) planner.setSynced(id, true)
+    assert.equal([...starts, ...decideStarts(planner, 5030)].map(({ step }) => step), [1])
+    assert.equal(planner.countBacklog(), { steps: 0, tasks: 0 })
+  }
+})
+
+// Guards against the same in the usual order of reports: the worker of one member says that the gang is over before another says that it is done.
+test('a member that was ended by its gang counts as done with it', () => {
+  const { planner, members } = startGang()
+  endRun(planner, members[0]!, 'broken', 20)
+  endRun(planner, members[1]!, 'done', 21)
+  endRun(planner, members[2]!, 'done', 22)
+  assert.equal(decideStarts(planner, 30).map(({ step, run }) => [step, run]), [[1, 1]])
+})
+
 test.run()
--- a/packages/core/src/partition/jobRegistry.ts
+++ b/packages/core/src/partition/jobRegistry.ts
@@ -201,6 +201,11 @@
     },
     recordDone: (task, nowMs) => {
       recordChanged(task.job)
+      const instance = findStepInstance(task)
+      if (instance !== undefined && !instance.tasks.some((other) => other.phase === 'waiting')) {
+        instance.waitingSinceMs = null
+        waiting.delete(instance)
+      }
       const job = jobs.get(task.job)
       const occurrence = job?.occurrences.get(task.occurrence)
       if (job === undefined || occurrence === undefined) return
--- a/packages/core/src/partition/runTracker.ts
+++ b/packages/core/src/partition/runTracker.ts
@@ -97,10 +97,12 @@
     registry.recordWaiting(task, nowMs)
   }
 
-  const endGangMembers = (task: Task, nowMs: number): void => {
+  /** Marks the other members of a gang as done: they complete together, and the end of one stands for all. */
+  const endGangMembers = (task: Task, doneRun: number, nowMs: number): void => {
     for (const member of registry.listGang(task)) {
-      if (member === task || member.run !== task.run || member.phase !== 'placed') continue
-      // All members complete together; resources at other workers are released when those report the end.
+      if (member === task || member.phase === 'done' || member.phase === 'failed') continue
+      // Resources at other workers are released when those report the end; a later run has to be stopped.
+      if (member.phase === 'placed' && member.run !== doneRun) scheduleStop(member, 'superseded')
       member.phase = 'done'
       registry.recordDone(member, nowMs)
     }
@@ -140,9 +142,9 @@
   /** Whether an end of a run is the result of the task. Long-running tasks have none: they are started again however they end. */
   const isResult = (task: Task, end: ListedEnd): boolean => end.how === 'done' && !findStep(task).longRunning
 
-  const endTask = (task: Task, nowMs: number, wallMs: number): void => {
+  const endTask = (task: Task, doneRun: number, nowMs: number, wallMs: number): void => {
     task.phase = 'done'
-    endGangMembers(task, nowMs)
+    endGangMembers(task, doneRun, nowMs)
     registry.recordDone(task, nowMs)
     registry.endIfComplete(task, wallMs)
   }
@@ -157,7 +159,7 @@
       // A worker that was considered lost reports a result after all: the task need not run again.
       if (!isResult(task, end) || task.phase === 'done' || task.phase === 'failed') return
       if (task.phase === 'placed') scheduleStop(task, 'superseded')
-      endTask(task, nowMs, wallMs)
+      endTask(task, end.run, nowMs, wallMs)
       return
     }
     storeCheckpoint(task, end.saved)
@@ -166,7 +168,7 @@
     registry.recordChanged(task.job)
     if (!wasPlaced) return
     if (isResult(task, end)) {
-      endTask(task, nowMs, wallMs)
+      endTask(task, end.run, nowMs, wallMs)
       return
     }
     task.phase = 'waiting'
