Crashes: an order in doubt is no proof against its task, one that was not sent no evidence

Its worker had crashed silently before the order arrived, came back, started the task, and crashed once more.

Cause: each loss charged all tasks assigned to the worker. A run whose start was never confirmed counted as having just started there, and as proof; a run whose order had not even been sent (it waited for its commit) was charged, too.

Change: runs that were not sent are released without a charge. A crash beside an order in doubt casts suspicion, but is a proof only once three crashes have proved nothing, so that a task whose workers never confirm its start is given up after five starts as before (BUDGET).

crashingTasks.spec: the new test failed before ("inDoubt, crashed": 1 proof for 0); the one on five starts passed before and guards BUDGET.

--- a/packages/core/src/partition/__tests__/crashingTasks.spec.ts
+++ b/packages/core/src/partition/__tests__/crashingTasks.spec.ts
@@ -61,6 +61,50 @@
 })
 
 // Guards against sound tasks that are given up for one crash of their own: only starts right before each of two crashes prove as much.
+// Guards against LOST: a sound task was given up for two crashes, of which only one can have happened under it.
+test('a crash counts against a task as far as the task can have run there', () => {
+  // What was known of the run when its worker crashed, and the proofs that the crash is.
+  const cells = [['unsent', null], ['alive', null], ['inDoubt', [1, 0]], ['lost', [1, 1]]] as const
+  for (const [state, counts] of cells) {
+    for (const kind of ['crashed', 'refused', 'silent'] as const) {
+      const world = createWorld(8)
+      addJob(world, 'sound')
+      const [order] = world.planner.decide(world.nowMs, world.nowMs, ACCEPT_REQUEST).starts
+      const { planner } = world
+      if (state === 'lost') planner.recordStartConfirmed(order!, order!.worker, world.nowMs)
+      planner.recordWorkerFailing(order!.worker, world.nowMs, kind !== 'silent')
+      world.nowMs += 100
+      planner.recordWorkerLost(order!.worker, { kind, failedAtMs: world.nowMs - 50, nowMs: world.nowMs, wallMs: world.nowMs }, () => state)
+      planner.recordWorkerReplaced(order!.worker, world.nowMs, world.nowMs)
+      const row = planner.readCrashRecord('sound')?.[0]
+      assert.equal(row === undefined ? null : [row[3], row[4]], counts, `${state}, ${kind}`)
+      if (state === 'inDoubt') planner.recordStartRefused(order!, 'notSent', world.nowMs)
+      if (state === 'alive') continue
+      const again = startRuns(world)
+      assert.is(again.length, 1, `${state}, ${kind}`)
+      loseWorker(world, again[0]!.worker, 'crashed')
+      assert.is(planner.readPhase('sound'), state === 'lost' ? 'failed' : 'running', `${state}, ${kind}`)
+    }
+  }
+})
+
+// Guards against BUDGET: a task whose starts are never confirmed, because its workers crash before they respond.
+test('a task that crashes its workers before they confirm its start is given up after five starts', () => {
+  const world = createWorld(12)
+  addJob(world, 'bad')
+  let count = 0
+  for (; world.planner.readPhase('bad') !== 'failed'; count++) {
+    world.nowMs += 20_000
+    const [order] = world.planner.decide(world.nowMs, world.nowMs, ACCEPT_REQUEST).starts
+    if (order === undefined || count > 10) break
+    world.nowMs += 3300
+    world.planner.recordWorkerLost(order.worker, { kind: 'crashed', failedAtMs: world.nowMs - 3200, nowMs: world.nowMs, wallMs: world.nowMs }, () => 'inDoubt')
+    world.planner.recordStartRefused(order, 'notSent', world.nowMs)
+  }
+  assert.is(world.planner.readPhase('bad'), 'failed')
+  assert.ok(count <= 5, `${count} starts`)
+})
+
 test('a task that had run for a while at the crashes before is not given up for one crash right after its start', () => {
   const world = createWorld(8)
   for (const id of ['sound', 'neighbour']) addJob(world, id)
--- a/packages/core/src/partition/crashEvidence.ts
+++ b/packages/core/src/partition/crashEvidence.ts
@@ -159,10 +159,10 @@
 
   /**
    * How much a crash of a worker with one step proves: all, if the task had just started at each of two crashes, the second one without
-   * another failure at that moment. An order without a response may have come after the crash.
+   * another failure at that moment. An order without a response may have come after the crash: the task may never have run there.
    */
-  const computeProofWeight = ({ isSingle, isExcused }: RecordedLoss, { task, isRecent, isOwed }: Charge): number => {
-    if (isExcused) return isOwed ? 1 : 0
+  const computeProofWeight = ({ isSingle, isExcused }: RecordedLoss, { task, isRecent, isOwed, isConfirmed }: Charge): number => {
+    if (isExcused || !isConfirmed) return isOwed ? 1 : 0
     // Only crashes right after a start cast more suspicion than they count.
     const isRepeated = task.confirmedCrashes > 1 && task.suspicion - task.crashes >= REPEATED_RECENT_CRASHES
     return isSingle && isRecent && isRepeated ? CRASH_PROOFS_TO_GIVE_UP : 1
--- a/packages/core/src/partition/createPartitionPlanner.ts
+++ b/packages/core/src/partition/createPartitionPlanner.ts
@@ -228,13 +228,14 @@
       const worker = workers.get(id)
       if (worker === undefined) return { released: [], suspected: [], givenUp: [] }
       const states = new Map([...worker.tasks].map((task) => [task, classifyRun(buildRunName(task), task.confirmedAtMs)]))
-      const verdict = evidence.recordLoss(worker, [...worker.tasks].filter((task) => states.get(task) !== 'alive'), loss)
+      const mayHaveRun = [...worker.tasks].filter((task) => states.get(task) === 'lost' || states.get(task) === 'inDoubt')
+      const verdict = evidence.recordLoss(worker, mayHaveRun, loss)
       worker.synced = false
       worker.strayRuns = 0
       const released: RunName[] = []
       const suspected: RunName[] = []
       for (const [task, state] of states) {
-        if (state !== 'lost') continue
+        if (state === 'alive' || state === 'inDoubt') continue
         const run = buildRunName(task)
         released.push(run)
         if (isSuspected(task)) suspected.push(run)
--- a/packages/core/src/partition/plannerTypes.ts
+++ b/packages/core/src/partition/plannerTypes.ts
@@ -97,8 +97,11 @@
   readonly wallMs: number
 }
 
-/** What is known of a run whose worker was lost. */
-export type LostRunState = 'lost' | 'inDoubt' | 'alive'
+/**
+ * What is known of a run whose worker was lost. `lost`: it ran there; `inDoubt`: its order may have been executed; `unsent`: its order never left;
+ * `alive`: it may belong to the next life of the worker.
+ */
+export type LostRunState = 'lost' | 'inDoubt' | 'unsent' | 'alive'
 
 /** What became of the tasks of a lost worker. */
 export interface LossOutcome {
@@ -155,8 +158,8 @@
   /**
    * Releases the runs of a lost worker.
    *
-   * @param classifyRun `inDoubt`: the start may still be executed, the run keeps its resources; `alive`: the run may belong to the next life of
-   * the worker; default: all runs are `lost`
+   * @param classifyRun runs in doubt and alive keep their resources, the loss counts against those that were lost or in doubt; default: all runs are
+   * `lost`
    */
   recordWorkerLost: (worker: string, loss: WorkerLoss, classifyRun?: (run: RunName, confirmedAtMs: number | null) => LostRunState) => LossOutcome
   /** Another worker responds at the address of a lost one, which therefore crashed; returns the tasks that are given up for it. */
--- a/packages/entry/src/partition/partitionWorkerController.ts
+++ b/packages/entry/src/partition/partitionWorkerController.ts
@@ -111,7 +111,8 @@
     isReachable = false
     losses.recordLost(reason, cause, inDoubt.size, (run, confirmedAtMs) => {
       if (isAlive(run, confirmedAtMs)) return 'alive'
-      return inDoubt.has(formatRun(run)) ? 'inDoubt' : 'lost'
+      if (inDoubt.has(formatRun(run))) return 'inDoubt'
+      return confirmedAtMs === null ? 'unsent' : 'lost'
     })
     options.onChange()
   }
