Admission: an unknown key is refused at public queues, too

The same holds for a key that was withdrawn.

Change: a call with a key that the configuration doesn't know is answered 401 at every queue; without a key as before.

callAdmission.spec: the new test failed before ("admitted"). Callers that sent wrong keys to public routes are refused from now on.

--- a/packages/entry/src/partition/__tests__/callAdmission.spec.ts
+++ b/packages/entry/src/partition/__tests__/callAdmission.spec.ts
@@ -38,6 +38,19 @@
   assert.is(createAdmission({ config: null }).admitCall(CALL).kind, 'unready')
 })
 
+// Guards against work that runs for a key that was never granted, or was withdrawn, because its queue is open to callers without one.
+test('an unknown key is refused at a public queue, which admits known keys and none', () => {
+  const { admitCall } = createAdmission()
+  const admitPublic = (key: string) => admitCall({ ...CALL, path: '/proof/00', key })
+  assert.is(admitPublic('other').kind, 'unknownKey')
+  assert.is(admitPublic('k1 ').kind, 'unknownKey')
+  for (const [key, team] of [['k1', 'clubs'], ['', undefined]] as const) {
+    const decision = admitPublic(key)
+    assert.is(decision.kind, 'admitted')
+    assert.is(decision.kind === 'admitted' ? decision.call.team?.name : null, team)
+  }
+})
+
 test('with a stale configuration no key is authenticated, neither a known nor an unknown one; a public queue serves callers without a key', () => {
   const { admitCall } = createAdmission({ isFresh: false })
   for (const key of ['k1', 'other', '']) assert.is(admitCall({ ...CALL, key }).kind, 'unready')
--- a/packages/entry/src/partition/callAdmission.ts
+++ b/packages/entry/src/partition/callAdmission.ts
@@ -14,7 +14,7 @@
 /** A call that has been admitted. */
 export interface AdmittedCall {
   readonly queue: QueueConfig
-  /** `null` for a call without a key to a public queue. */
+  /** `null` for a call to a public queue without a key. */
   readonly team: TeamConfig | null
   /** Remainder of the path after the queue's prefix. */
   readonly id: string
@@ -45,7 +45,8 @@
     if (!queue.public || key !== '') {
       // With a stale configuration, neither a key nor its absence can be authenticated.
       if (!options.isConfigFresh()) return { kind: 'unready', message: 'the configuration may be out of date' }
-      if (team === null && !queue.public) return { kind: 'unknownKey', message: 'unknown key' }
+      // A public queue needs no key, but a wrong one is an error of the caller.
+      if (team === null) return { kind: 'unknownKey', message: 'unknown key' }
     }
     const limitMs = Math.min(callerTimeoutMs ?? queue.timeoutMs, queue.timeoutMs)
     return { kind: 'admitted', call: { queue, team, id: path.slice(queue.pathPrefix.length), deadlineMs: options.clock.nowMs() + limitMs } }
