--- a/packages/entry/src/partition/leaseBounds.ts
+++ b/packages/entry/src/partition/leaseBounds.ts
@@ -16,6 +16,11 @@
   return Math.max(shortestMs, Math.min(maxLeaseMs, MAX_LATE_LEASE_MS, boundMs))
 }
 
+/** Longest time until a lease expires by a worker's clock that may be slow, in milliseconds; `workerNowMs` is a reading of that clock. */
+export function computeLongestRemainderMs (leaseUntilMs: number, workerNowMs: number): number {
+  return (leaseUntilMs + LEASE_MARGIN_MS - workerNowMs) / (1 - MAX_CLOCK_DRIFT)
+}
+
 /** Epoch of the holder that has no predecessor. */
 const FIRST_EPOCH = 1
 
--- a/packages/entry/src/partition/partitionTerm.ts
+++ b/packages/entry/src/partition/partitionTerm.ts
@@ -143,7 +143,7 @@
    * Gives a worker no new runs that is no longer listed for this partition. It may still be alive and only cut off from the table: its lease is
    * renewed until its runs are over.
    */
-  const retireWorker = (id: string): void => {
+  const drainWorker = (id: string): void => {
     const member = managedWorkers.get(id)
     if (member === undefined) return
     member.isUnlisted = true
@@ -155,7 +155,7 @@
     listings.set(listing.id, listing)
     if (!jobs.isLoaded()) return
     if (listing.service !== partition) {
-      retireWorker(listing.id)
+      drainWorker(listing.id)
       return
     }
     const existing = managedWorkers.get(listing.id)
@@ -205,7 +205,7 @@
 
   const recordUnlisted = (id: string): void => {
     listings.delete(id)
-    retireWorker(id)
+    drainWorker(id)
   }
 
   const tryRequestAdvice: TrySendQuery = (request) => advice.trySubmit(request, (tickets, expectedAtMs) => {
--- a/packages/entry/src/partition/partitionWorkerController.ts
+++ b/packages/entry/src/partition/partitionWorkerController.ts
@@ -1,10 +1,10 @@
 /** Controls one worker on behalf of a partition's holder: renews its lease, applies its run reports and sends it orders. */
 import { createDisposableStore, type Disposable, type RunName, type StartOrder, type StopOrder } from '@fuchsiatally/core'
 import {
-  MAX_CLOCK_DRIFT, COMMIT_WAIT_MS, ISOLATED_LEASE_WAIT_MS, LEASE_MARGIN_MS, LEASE_RETRY_MS, LEASE_WAIT_MS, MAX_EXCUSED_CALLS, MIN_START_LEASE_MS, START_ATTEMPT_TIMEOUTS_MS, START_TRANSIT_MS,
+  COMMIT_WAIT_MS, ISOLATED_LEASE_WAIT_MS, LEASE_RETRY_MS, LEASE_WAIT_MS, MAX_EXCUSED_CALLS, MIN_START_LEASE_MS, START_ATTEMPT_TIMEOUTS_MS, START_TRANSIT_MS,
   SUSPECT_PAUSE_MS, UNEXTENDED_LEASE_WAIT_MS
 } from './constants.js'
-import { computeInheritedLeaseMs, computePriorLeaseBoundMs } from './leaseBounds.js'
+import { computeInheritedLeaseMs, computeLongestRemainderMs, computePriorLeaseBoundMs } from './leaseBounds.js'
 import { runEnded, runRefused, runStopping, orderInDoubt, workerReachable, workerUnresponsive } from './events.js'
 import type { HolderLoad } from './holderLoad.js'
 import { formatRun } from './formatRun.js'
@@ -121,8 +121,7 @@
   const computeExpiryDelayMs = (): number => {
     const nowMs = workerClock.readMs()
     // The worker has not responded in this term: the previous holder may have extended its lease until it had to stop.
-    if (nowMs === null) return createdAtMs + computePriorLeaseBoundMs(options.maxLeaseMs) - clock.nowMs()
-    return (leaseUntilMs + LEASE_MARGIN_MS - nowMs) / (1 - MAX_CLOCK_DRIFT)
+    return nowMs === null ? createdAtMs + computePriorLeaseBoundMs(options.maxLeaseMs) - clock.nowMs() : computeLongestRemainderMs(leaseUntilMs, nowMs)
   }
 
   /** Declares the worker's runs lost when its lease has expired, even while a call to it is in flight. */
@@ -163,9 +162,7 @@
     planner.setSuspect(worker, 0)
     isLost = false
     const ended = ends.takeNew(response.ended)
-    for (const end of ended) {
-      events.record(runEnded, { run: formatRun(end), worker, how: end.how })
-    }
+    for (const end of ended) events.record(runEnded, { run: formatRun(end), worker, how: end.how })
     const strays = planner.recordReport(worker, { requestedAtMs: sentAtMs, running: response.running, ended, hasMoreEnds }, nowMs, clock.wallMs())
     for (const stray of strays) stopRun(stray)
     for (const run of response.running) inDoubt.delete(formatRun(run))
