Crashes: an order that was only fenced off is no start that its worker confirmed

Cause, from the logs: run 1 was lost with i-2 (FT812). The order of run 2 met three closed connections (FT822), i-2 had crashed again, and the order was fenced off by a stop (FT824), which the next life of i-2 answered. The planner was told so as if the start had been confirmed, at a moment after the crash: the second loss counted as a crash right after a confirmed start, the proof that ends a job.

Change: `recordOrderSettled` beside `recordStartConfirmed`: from either on, reports show the run; only the second one, or a list that names the run, says that it has started, which crash evidence asks for.

crashingTasks.spec: the new test is of the new call; without the distinction its assertion on proofs fails (1 for 0).

--- a/packages/core/src/partition/__tests__/crashingTasks.spec.ts
+++ b/packages/core/src/partition/__tests__/crashingTasks.spec.ts
@@ -88,6 +88,19 @@
   }
 })
 
+// Guards against LOST: a stop that the next life of a worker answered passed for a start that the former life had confirmed (soak, wide seed 1006).
+test('an order that was only fenced off is no proof for a crash of its worker', () => {
+  const world = createWorld(8)
+  addJob(world, 'sound')
+  const [order] = world.planner.decide(world.nowMs, world.nowMs, ACCEPT_REQUEST).starts
+  world.planner.recordOrderSettled(order!, order!.worker, world.nowMs)
+  loseWorker(world, order!.worker, 'crashed')
+  assert.equal(world.planner.readCrashRecord('sound')?.[0]?.slice(3, 5), [1, 0])
+  const [again] = startRuns(world)
+  loseWorker(world, again!.worker, 'crashed')
+  assert.is(world.planner.readPhase('sound'), 'running')
+})
+
 // Guards against BUDGET: a task whose starts are never confirmed, because its workers crash before they respond.
 test('a task that crashes its workers before they confirm its start is given up after five starts', () => {
   const world = createWorld(12)
--- a/packages/core/src/partition/crashEvidence.ts
+++ b/packages/core/src/partition/crashEvidence.ts
@@ -107,7 +107,7 @@
       task,
       run: task.run,
       ageMs,
-      isConfirmed: task.confirmedAtMs !== null,
+      isConfirmed: task.hasStarted,
       isRecent,
       isOwed,
       isOfRack: commonCause === 'rack' && !isOwed,
--- a/packages/core/src/partition/createPartitionPlanner.ts
+++ b/packages/core/src/partition/createPartitionPlanner.ts
@@ -54,6 +54,7 @@
     task.run = number
     task.worker = worker.info.id
     task.confirmedAtMs = null
+    task.hasStarted = false
     tracker.takeResources(task, worker)
     const ticket = instance.tickets.get(worker.info.id)
     return {
@@ -93,6 +94,12 @@
     return !teams.mayAdd(job.spec.team, step.gang ? computeTotal(step.resources, tasks.length) : step.resources)
   }
 
+  /** Finds the task of a run that is allocated to a worker. */
+  const findRun = (name: RunName, worker: string): Task | undefined => {
+    const task = registry.findTask(name)
+    return task !== undefined && task.run === name.run && task.worker === worker ? task : undefined
+  }
+
   /** Whether the order of a further task would wait until its ticket expires. */
   const isOrderingBusy = (instance: StepInstance, { ticketedLeft }: RoundParts): boolean => isAdviceRequired(instance) && ticketedLeft <= 0
 
@@ -274,6 +281,7 @@
         if (task.worker === '') continue
         // Started in an earlier term: the worker's first report under this epoch shows its outcome.
         task.confirmedAtMs = -Infinity
+        task.hasStarted = true
         tracker.takeResources(task, tracker.resolveWorker(task.worker))
       }
       if (job.phase === 'cancelled') tracker.stopJob(id, 'cancelled')
@@ -288,21 +296,23 @@
     hasJob: registry.hasJob,
     recordReport: tracker.recordReport,
     recordStartConfirmed: (name, worker, nowMs) => {
-      const task = registry.findTask(name)
-      if (task === undefined || task.run !== name.run || task.worker !== worker) return
+      const task = findRun(name, worker)
+      if (task === undefined) return
       task.confirmedAtMs ??= nowMs
+      task.hasStarted = true
+    },
+    recordOrderSettled: (name, worker, nowMs) => {
+      const task = findRun(name, worker)
+      if (task !== undefined) task.confirmedAtMs ??= nowMs
     },
     isOvercommitted: (id) => {
       const worker = workers.get(id)
       return worker !== undefined && !hasRoomFor(worker.info.capacity, worker.used)
     },
-    isAllocatedAt: (name, worker) => {
-      const task = registry.findTask(name)
-      return task !== undefined && task.run === name.run && task.worker === worker
-    },
+    isAllocatedAt: (name, worker) => findRun(name, worker) !== undefined,
     recordStartRefused: (order, refusal, nowMs) => {
-      const task = registry.findTask(order)
-      if (task === undefined || task.run !== order.run || task.worker !== order.worker) return
+      const task = findRun(order, order.worker)
+      if (task === undefined) return
       const worker = workers.get(order.worker)
       if (worker !== undefined && (refusal === 'room' || refusal === 'unavailable')) startWorkerBackoff(worker, nowMs)
       if (refusal === 'ticket') registry.findStepInstance(task)?.tickets.delete(order.worker)
--- a/packages/core/src/partition/jobState.ts
+++ b/packages/core/src/partition/jobState.ts
@@ -53,8 +53,10 @@
   verdictDueMs: number
   /** Longest run that ended with a crash, in milliseconds. Not stored in the table. */
   crashAgeMs: number
-  /** Monotonic time at which the worker confirmed the current run, or `null`. Not stored in the table. */
+  /** Monotonic time from which the worker's reports show the current run if it was started, or `null`. Not stored in the table. */
   confirmedAtMs: number | null
+  /** The worker is known to have started the current run: it answered the order, or listed the run. Not stored in the table. */
+  hasStarted: boolean
   /** A stop of the current run has been ordered. Not stored in the table. */
   stopping: boolean
   /** Number of preemptions. Not stored in the table. */
@@ -146,6 +148,7 @@
     isPrimeSuspect: false,
     verdictDueMs: 0,
     confirmedAtMs: null,
+    hasStarted: false,
     stopping: false,
     preemptions: 0,
     percent: 0,
--- a/packages/core/src/partition/plannerTypes.ts
+++ b/packages/core/src/partition/plannerTypes.ts
@@ -192,8 +192,10 @@
   hasJob: (id: string) => boolean
   /** Applies a worker's report; returns stop orders for stray runs. */
   recordReport: (worker: string, report: WorkerReport, nowMs: number, wallMs: number) => StopOrder[]
-  /** Records that the start order was answered or fenced off by a stop: from now on the worker's reports show its effect. */
+  /** Records that the worker started a run: from now on its reports show it. */
   recordStartConfirmed: (run: RunName, worker: string, nowMs: number) => void
+  /** Records that a start order was fenced off by a stop or a later run: from now on the worker's reports show whether it was executed. */
+  recordOrderSettled: (run: RunName, worker: string, nowMs: number) => void
   recordStartRefused: (order: StartOrder, refusal: StartRefusal, nowMs: number) => void
   /** Whether the worker's capacity has shrunk below what is allocated to it. */
   isOvercommitted: (worker: string) => boolean
--- a/packages/core/src/partition/runTracker.ts
+++ b/packages/core/src/partition/runTracker.ts
@@ -66,6 +66,7 @@
     task.worker = ''
     task.stopping = false
     task.confirmedAtMs = null
+    task.hasStarted = false
     task.percent = 0
     task.progressedAtMs = null
   }
@@ -203,6 +204,7 @@
       }
       listed.add(task)
       task.confirmedAtMs ??= report.requestedAtMs
+      task.hasStarted = true
       checkProgress(worker, task, entry.percent, nowMs)
       if (entry.saved !== '' && entry.saved !== task.saved) storeCheckpoint(task, entry.saved)
     }
--- a/packages/entry/src/partition/partitionWorkerController.ts
+++ b/packages/entry/src/partition/partitionWorkerController.ts
@@ -276,7 +276,7 @@
       if (reason === 'superseded') {
         // An earlier attempt started the run, which has ended, or the run was stopped: the next report shows which.
         inDoubt.delete(name)
-        planner.recordStartConfirmed(order, worker, clock.nowMs())
+        planner.recordOrderSettled(order, worker, clock.nowMs())
         return
       }
       if (isOutcomeKnown) {
@@ -309,7 +309,7 @@
       }
       if (result.isOk()) {
         inDoubt.delete(name)
-        planner.recordStartConfirmed(order, worker, clock.nowMs())
+        planner.recordOrderSettled(order, worker, clock.nowMs())
         options.onChange()
         break
       }
