Accepted jobs: a table for each partition, so that holders read no rows of others

Cause, as far as it is known: since jobs are stored by id alone, a successor read the jobs of both services, twice the bytes over a link of 7 Mbit/s at the smallest entries, before it could start anything.

Change: the row of an id names its service only; the job is in the table `job/<partition>`, in the same part and the same transaction, so that one submission of an id wins as before. Rows of earlier versions are read at the start of a term.

movedQueues.spec and all specs of partitions: 291 passed, 0 failed.

--- a/packages/entry/src/partition/jobApi.ts
+++ b/packages/entry/src/partition/jobApi.ts
@@ -7,8 +7,8 @@
 import type { PartitionWatch } from './partitionWatch.js'
 import { RESPONSE_MARGIN_MS, MAX_QUEUE_COUNT_AGE_MS, MAX_REMEMBERED_JOBS, WRITE_RETRY_MS } from './constants.js'
 import { jobAccepted, jobCancelled, jobRefused, submissionInDoubt } from './events.js'
-import { CANCEL_SUFFIX, computeEarlierJobPart, computeJobPart, encodeCancellation, JOB_TABLE, parseJobRow, STATE_TABLE } from './partitionRows.js'
-import type { CallFailure, TableTransaction, CommitResult, TableRow } from './ports.js'
+import { CANCEL_SUFFIX, computeEarlierJobPart, computeJobPart, computeJobTable, encodeService, JOB_TABLE, parseServiceRow, STATE_TABLE } from './partitionRows.js'
+import type { CallFailure, TableTransaction, CommitResult } from './ports.js'
 import { readRow } from './readRow.js'
 import { parseStateRow } from './stateRows.js'
 import type { MonitoredTable } from './tableHealth.js'
@@ -39,6 +39,13 @@
   countWaiting: (queue: QueueConfig) => number | null
 }
 
+/** Where an accepted job is stored, and the partition that runs it. */
+interface StoredJob {
+  readonly partition: string
+  readonly table: string
+  readonly part: string
+}
+
 /** Summarizes the scheduling parameters of a job for the log. */
 function summarizeJob (job: StepJob): Record<string, unknown> {
   const flags = new Set<string>()
@@ -103,7 +110,7 @@
     const result = await commitWithRetry({
       part: computeJobPart(id),
       checks: [{ table: JOB_TABLE, key: id, version: 0 }],
-      writes: [{ table: JOB_TABLE, key: id, value }],
+      writes: [{ table: JOB_TABLE, key: id, value: encodeService(partition) }, { table: computeJobTable(partition), key: id, value }],
       deletes: []
     }, deadlineMs, () => {
       // The caller may time out and retry at another entry before the outcome is known here.
@@ -128,11 +135,15 @@
     return 'done'
   }
 
-  /** Reads the row of an accepted job, by any version; `undefined` if there is none. */
-  const readJobRow = async (id: string, queue: QueueConfig): Promise<Result<TableRow | undefined, CallFailure>> => {
+  /** Finds an accepted job; `null` if there is none. */
+  const findJob = async (id: string, queue: QueueConfig): Promise<Result<StoredJob | null, CallFailure>> => {
     const row = await readRow(table, JOB_TABLE, computeJobPart(id), id)
-    if (row.isErr() || row.value !== undefined) return row
-    return await readRow(table, JOB_TABLE, computeEarlierJobPart(queue.service, id), id)
+    if (row.isErr()) return err(row.error)
+    const service = row.value === undefined ? null : parseServiceRow(row.value, events)
+    if (service !== null) return ok({ partition: service.service, table: computeJobTable(service.service), part: computeJobPart(id) })
+    const earlierPart = computeEarlierJobPart(queue.service, id)
+    const earlier = await readRow(table, JOB_TABLE, earlierPart, id)
+    return earlier.map((found) => found === undefined ? null : { partition: queue.service, table: JOB_TABLE, part: earlierPart })
   }
 
   /** Reads the committed phase in a partition; `null` if its holder has not planned the job. */
@@ -148,10 +159,10 @@
 
   /** Reads a job without a state in the partition of its queue: not planned yet, of the service that the queue was sent to before, or unknown. */
   const readPhaseOfAccepted = async (id: string, queue: QueueConfig): Promise<JobPhase | 'unknownJob' | 'refused'> => {
-    const row = await readJobRow(id, queue)
-    if (row.isErr()) return 'refused'
-    if (row.value === undefined) return 'unknownJob'
-    const partition = parseJobRow(row.value, events)?.policy.service ?? queue.service
+    const found = await findJob(id, queue)
+    if (found.isErr()) return 'refused'
+    if (found.value === null) return 'unknownJob'
+    const { partition } = found.value
     if (partition === queue.service) return ACCEPTED_STATE.phase
     const committed = options.readCommittedPhase(partition, id)
     if (committed !== null) return committed
@@ -169,22 +180,20 @@
   }
 
   const cancelJob: JobApi['cancelJob'] = async (id, queue, deadlineMs) => {
-    const row = await readJobRow(id, queue)
-    if (row.isErr()) return 'refused'
-    const job = row.value === undefined ? null : parseJobRow(row.value, events)
-    if (row.value === undefined || job === null) return 'unknownJob'
-    const { part } = row.value
-    const value = encodeCancellation(job.policy.service)
+    const found = await findJob(id, queue)
+    if (found.isErr()) return 'refused'
+    if (found.value === null) return 'unknownJob'
+    const { partition, table: jobTable, part } = found.value
     const key = `${id}${CANCEL_SUFFIX}`
     const result = await commitWithRetry({
       part,
-      checks: [{ table: JOB_TABLE, key, version: 0 }],
-      writes: [{ table: JOB_TABLE, key, value }],
+      checks: [{ table: jobTable, key, version: 0 }],
+      writes: [{ table: jobTable, key, value: '{}' }],
       deletes: []
     }, deadlineMs, () => {})
     if (result === 'refused' || result === 'inDoubt') return result
     events.record(jobCancelled, { job: id, queue: queue.name })
-    if (result.kind === 'applied') notifyHolder(job.policy.service, key, value)
+    if (result.kind === 'applied') notifyHolder(partition, key, '{}')
     return 'done'
   }
 
--- a/packages/entry/src/partition/jobCleanup.ts
+++ b/packages/entry/src/partition/jobCleanup.ts
@@ -2,9 +2,12 @@
 import { createDisposableStore, type Clock, type Disposable } from '@fuchsiatally/core'
 import { createSerialLoop } from '../process/serialLoop.js'
 import { MAX_COMMIT_ROWS, JOB_CLEANUP_PAUSE_MS } from './constants.js'
-import { CANCEL_SUFFIX, computeEarlierJobPart, computeJobPart, JOB_TABLE } from './partitionRows.js'
+import { CANCEL_SUFFIX, computeEarlierJobPart, computeJobPart, computeJobTable, JOB_TABLE } from './partitionRows.js'
 import type { PartitionTable } from './ports.js'
 
+/** Most rows of a job in one part. */
+const ROWS_OF_JOB = 3
+
 export interface JobCleanupOptions {
   readonly partition: string
   readonly table: PartitionTable
@@ -33,14 +36,15 @@
     const isEarlier = options.isOfEarlierVersion(first)
     const jobs = [...expiredJobs]
       .filter((job) => computeJobPart(job) === part && computeEarlierJobPart(partition, job) === earlierPart && options.isOfEarlierVersion(job) === isEarlier)
-      .slice(0, Math.floor(MAX_COMMIT_ROWS / 2))
-    const deletes = jobs.flatMap((job) => [{ table: JOB_TABLE, key: job }, { table: JOB_TABLE, key: `${job}${CANCEL_SUFFIX}` }])
+      .slice(0, Math.floor(MAX_COMMIT_ROWS / ROWS_OF_JOB))
+    const jobTable = computeJobTable(partition)
+    const deletes = jobs.flatMap((job) => [{ table: JOB_TABLE, key: job }, { table: jobTable, key: job }, { table: jobTable, key: `${job}${CANCEL_SUFFIX}` }])
+    const earlierDeletes = jobs.flatMap((job) => [{ table: JOB_TABLE, key: job }, { table: JOB_TABLE, key: `${job}${CANCEL_SUFFIX}` }])
     // A job of an earlier version may have been submitted again since.
-    for (const jobPart of isEarlier ? [earlierPart, part] : [part]) {
-      const result = await table.commit({ part: jobPart, checks: [], writes: [], deletes })
-      // A failed delete is retried by the next step; deletes are idempotent.
-      if (result.isErr()) return
-    }
+    if (isEarlier && (await table.commit({ part: earlierPart, checks: [], writes: [], deletes: earlierDeletes })).isErr()) return
+    const result = await table.commit({ part, checks: [], writes: [], deletes })
+    // A failed delete is retried by the next step; deletes are idempotent.
+    if (result.isErr()) return
     for (const job of jobs) expiredJobs.delete(job)
     options.onDeleted(jobs)
   }
--- a/packages/entry/src/partition/partitionJobs.ts
+++ b/packages/entry/src/partition/partitionJobs.ts
@@ -3,7 +3,7 @@
 import { createSerialLoop } from '../process/serialLoop.js'
 import { JOB_POLL_INTERVAL_MS, WRITE_RETRY_MS } from './constants.js'
 import { partitionLoaded } from './events.js'
-import { CANCEL_SUFFIX, CRASH_TABLE, isOfEarlierVersion, JOB_TABLE, listJobParts, OVERFLOW_TABLE, parseCancelRow, parseCrashRow, parseJobRow, STATE_TABLE } from './partitionRows.js'
+import { CANCEL_SUFFIX, computeJobTable, CRASH_TABLE, JOB_TABLE, listEarlierJobParts, listJobParts, OVERFLOW_TABLE, parseCrashRow, parseJobRow, STATE_TABLE } from './partitionRows.js'
 import type { PartitionTable, TableRow } from './ports.js'
 import { parseStateRow, type StateRow, type StateRows } from './stateRows.js'
 import { createTableFeed } from './tableFeed.js'
@@ -21,9 +21,6 @@
   readonly onChange: () => void
 }
 
-/** Part of rows that were pushed to this partition's holder. */
-const PUSHED_PART = ''
-
 /** Feed of a partition's jobs. */
 export interface PartitionJobs extends Disposable {
   isLoaded: () => boolean
@@ -36,28 +33,13 @@
 export function createPartitionJobs (options: PartitionJobsOptions): PartitionJobs {
   const { partition, table, planner, stateRows, clock, events } = options
   const disposables = createDisposableStore()
-  const jobParts = listJobParts(partition)
+  const jobTable = computeJobTable(partition)
+  const jobParts = listJobParts()
   let loaded = false
   let isTableReachable = true
   /** Cancellations that were read before their job. */
   const earlyCancellations = new Set<string>()
   const earlierJobs = new Set<string>()
-  /** Part of the rows of this partition's jobs; looking for it costs less than decoding the rows of the others. */
-  const serviceField = `"service":${JSON.stringify(partition)}`
-
-  /** Whether a row may belong to this partition: the parts hold rows of others, too. */
-  const isCandidate = (row: TableRow): boolean => row.part === PUSHED_PART || row.part.startsWith(`${partition}/`) || row.value.includes(serviceField)
-
-  const parseOwnJob = (row: TableRow): StepJob | null => {
-    const spec = parseJobRow(row, events)
-    return spec === null || spec.policy.service !== partition ? null : spec
-  }
-
-  const isOwnCancellation = (row: TableRow): boolean => {
-    const cancellation = parseCancelRow(row, events)
-    return cancellation !== null && (cancellation.service ?? partition) === partition
-  }
-
   const cancel = (id: string): void => {
     if (planner.hasJob(id)) planner.cancelJob(id, clock.wallMs())
     else earlyCancellations.add(id)
@@ -70,15 +52,13 @@
   }
 
   const applyRow = (row: TableRow): void => {
-    if (row.deleted || !isCandidate(row)) return
+    if (row.deleted) return
     if (row.key.endsWith(CANCEL_SUFFIX)) {
-      if (isOwnCancellation(row)) cancel(row.key.slice(0, -CANCEL_SUFFIX.length))
+      cancel(row.key.slice(0, -CANCEL_SUFFIX.length))
       return
     }
-    const spec = parseOwnJob(row)
-    if (spec === null) return
-    if (row.part !== PUSHED_PART && isOfEarlierVersion(row)) earlierJobs.add(row.key)
-    addJob(row.key, spec)
+    const spec = parseJobRow(row, events)
+    if (spec !== null) addJob(row.key, spec)
   }
 
   /** Adds states whose job rows were already deleted by an earlier term, so that they are deleted after their retention as well. */
@@ -99,8 +79,23 @@
     return read.isErr() ? null : new Map(read.value.rows.map((row) => [row.key, row]))
   }
 
+  /** Reads the jobs that entries of earlier versions stored; `null` if the table does not respond. */
+  const readEarlierJobs = async (): Promise<TableRow[] | null> => {
+    const reads = await Promise.all(listEarlierJobParts(partition).map((part) => table.readRange({ table: JOB_TABLE, part })))
+    const rows: TableRow[] = []
+    for (const read of reads) {
+      if (read.isErr()) return null
+      rows.push(...read.value.rows)
+    }
+    return rows
+  }
+  let pendingEarlierJobs: ReturnType<typeof readEarlierJobs> | null = readEarlierJobs()
+
   const applySnapshot = async (rows: readonly TableRow[]): Promise<boolean> => {
-    const jobs = rows.filter(isCandidate)
+    const earlierRows = loaded ? [] : await (pendingEarlierJobs ?? readEarlierJobs())
+    pendingEarlierJobs = null
+    if (earlierRows === null) return false
+    const jobs = [...rows, ...earlierRows]
     const [read, readCrashes] = await (pendingStates ?? readStates())
     pendingStates = null
     if (read.isErr() || readCrashes.isErr()) return false
@@ -113,10 +108,10 @@
     const unfinished = new Map<string, { readonly spec: StepJob, readonly state: JobStateRecord }>()
     for (const row of jobs) {
       if (row.key.endsWith(CANCEL_SUFFIX)) {
-        if (isOwnCancellation(row)) cancelled.push(row.key.slice(0, -CANCEL_SUFFIX.length))
+        cancelled.push(row.key.slice(0, -CANCEL_SUFFIX.length))
         continue
       }
-      if (isOfEarlierVersion(row)) earlierJobs.add(row.key)
+      if (row.table === JOB_TABLE) earlierJobs.add(row.key)
       if (planner.hasJob(row.key) || unfinished.has(row.key)) continue
       const stateRow = states.get(row.key)
       if (stateRow === null) continue
@@ -125,7 +120,7 @@
         continue
       }
       const state = stateRow === undefined ? ACCEPTED_STATE : stateRows.restoreState(row.key, stateRow, overflow)
-      const spec = state === null ? null : parseOwnJob(row)
+      const spec = state === null ? null : parseJobRow(row, events)
       if (state !== null && spec !== null) unfinished.set(row.key, { spec, state })
     }
     addOrphanedStates(states, new Set(jobs.map(({ key }) => key)))
@@ -150,7 +145,7 @@
 
   const feed = createTableFeed({
     table,
-    name: JOB_TABLE,
+    name: jobTable,
     listParts: () => jobParts,
     applyRow: (row) => {
       applyRow(row)
@@ -170,7 +165,7 @@
     isOfEarlierVersion: (job) => earlierJobs.has(job),
     applyPushedRow: (key, value) => {
       if (!loaded) return
-      applyRow({ table: JOB_TABLE, part: PUSHED_PART, key, value, version: 0, deleted: false })
+      applyRow({ table: jobTable, part: '', key, value, version: 0, deleted: false })
       options.onChange()
     },
     dispose: () => disposables.dispose()
--- a/packages/entry/src/partition/partitionRows.ts
+++ b/packages/entry/src/partition/partitionRows.ts
@@ -18,8 +18,9 @@
 export const CAPACITY_PART = '!capacity'
 /** Processor capacity of an entry without a capacity row, in cores. */
 export const DEFAULT_CORES = 1
-/** Tables of accepted jobs, in parts of their own, and of job states, in the part of their partition. */
+/** Table that names the service of each accepted job. Earlier versions stored the jobs themselves here, in other parts. */
 export const JOB_TABLE = 'job'
+/** Table of job states, in the part of their partition. */
 export const STATE_TABLE = 'state'
 /** Table of the rows that continue states which exceed one row, in the part of their partition, keyed by job and number. */
 export const OVERFLOW_TABLE = 'overflow'
@@ -49,25 +50,27 @@
   return `${partition}/${computeHash(job) % EARLIER_JOB_PARTS}`
 }
 
-/** All parts that may store accepted jobs of a partition; those of other partitions are among them. */
-export function listJobParts (partition: string): string[] {
-  return [
-    ...Array.from({ length: JOB_PARTS }, (_, index) => `!jobs/${index}`),
-    ...Array.from({ length: EARLIER_JOB_PARTS }, (_, index) => `${partition}/${index}`)
-  ]
+/** Table of the jobs of a partition and their cancellations: a holder reads no rows of other partitions. */
+export function computeJobTable (partition: string): string {
+  return `${JOB_TABLE}/${partition}`
 }
 
-/** Tells whether a row of an accepted job, or of its cancellation, was stored by an earlier version. */
-export function isOfEarlierVersion (row: { readonly part: string }): boolean {
-  return !row.part.startsWith('!jobs/')
+/** All parts that store accepted jobs. */
+export function listJobParts (): string[] {
+  return Array.from({ length: JOB_PARTS }, (_, index) => `!jobs/${index}`)
 }
 
-/** Row of a cancellation; earlier versions stored it without the service. */
-const CancelRow = Schema.Struct({ service: Schema.optionalKey(Schema.String) })
+/** All parts in which earlier versions stored the jobs of a partition. */
+export function listEarlierJobParts (partition: string): string[] {
+  return Array.from({ length: EARLIER_JOB_PARTS }, (_, index) => `${partition}/${index}`)
+}
+
+/** Row that names the service of a job. */
+const ServiceRow = Schema.Struct({ service: Schema.String })
 
-/** Encodes the cancellation of a job of a partition. */
-export function encodeCancellation (partition: string): string {
-  return JSON.stringify({ service: partition } satisfies typeof CancelRow.Type)
+/** Encodes the row that names the service of a job. */
+export function encodeService (partition: string): string {
+  return JSON.stringify({ service: partition } satisfies typeof ServiceRow.Type)
 }
 
 /** Holder row of a partition. */
@@ -128,5 +131,5 @@
 export const parseJobRow = createRowReader(StepJob)
 /** Decodes the row of a job's crashed workers. */
 export const parseCrashRow = createRowReader(CrashRecord)
-/** Decodes the row of a cancellation. */
-export const parseCancelRow = createRowReader(CancelRow)
+/** Decodes the row that names the service of a job. */
+export const parseServiceRow = createRowReader(ServiceRow)
