--- a/review/6/case.mjs
+++ b/review/6/case.mjs
@@ -1,84 +1,87 @@
-/** A runner starts again under its id: the first call of its next life acknowledges, by the numbers of the life before, ends that nobody has seen. */
+/** Two jobs of one tenant, at the queues of two services, wait for each other's share of the tenant's cap for good. */
 import { buildRoute, CONTACT_MS, createId, EXIT_BROKEN, EXIT_HELD, isCalm, runCase } from '../standins-2/cluster.mjs'
 import { wait } from '../standins-2/http.mjs'
 
-/** One runner of eight (a share of 0.125) crashes at a time and is back after 0.5 s; the sheet lists a share of 0.14, and up to 4.7 s. */
-const RUNNERS = 8
-const DARK_MS = 500
-const CRASHES = 8
-const GAP_MS = 6000
 const KEY = 'key-of-tenant'
-/** Tasks of the shortest kind of request run 0.7 s on average; these are its shorter ones. */
-const MIN_TASK_MS = 200
-const MAX_TASK_MS = 500
-const JOB_INTERVAL_MS = 60
+const CAP_CPU = 20_000
+/** Each fits the cap, and its service has room for it more than twice over; both together do not fit the cap. */
+const SEARCH_CPU = 10_000
+const SCORE_CPU = 15_000
+const TASK_MS = 2000
+/** Small jobs of one core, of which the tenant sends more than fit its cap, to both queues at the same rate. */
+const SMALL_JOBS = 60
+const SMALL_INTERVAL_MS = 50
+const MIN_SMALL_MS = 400
+const MAX_SMALL_MS = 1200
+/** Jobs are asked for this long after the end of the traffic; then one may have nothing running for less than 3 s. */
+const FINISH_MS = 14_000
+const IDLE_MS = 3000
+const CHECK_MS = 20_000
 
-const capacity = { cpu: 16_000, memMb: 65_536, gpu: 0 }
+const SERVICES = [
+  { service: 'matcher', count: 6, capacity: { cpu: 16_000, memMb: 65_536, gpu: 0 } },
+  { service: 'video-judge', count: 3, capacity: { cpu: 64_000, memMb: 131_072, gpu: 8 } }
+]
 const options = {
   folder: import.meta.dirname,
   entries: 3,
-  runners: Array.from({ length: RUNNERS }, (_, index) => ({ id: `runner-${index}`, service: 'matcher', capacity, labels: ['kind-a', `rack-${index % 4}`] })),
-  routes: [buildRoute({ name: 'search', service: 'matcher' })],
-  tenants: [{ name: 'studio', apiKeys: [KEY], weight: 100, cap: {} }]
-}
-
-/** Starts of a task after a run of it that had ended `done`, whose end was acknowledged while the lease that held then went on. */
-function listRepeats (lines) {
-  const done = new Map()
-  const repeats = []
-  const lapsedAtMs = new Map()
-  const pending = []
-  for (const line of lines) {
-    if (line.kind === 'lapse') lapsedAtMs.set(line.runner, line.atMs)
-    if (line.kind === 'end' && line.how === 'done') done.set(`${line.runner} ${line.task} ${line.run}`, line)
-    if (line.kind === 'noted' && line.how === 'done') {
-      const end = done.get(`${line.runner} ${line.task} ${line.run}`)
-      if ((lapsedAtMs.get(line.runner) ?? -Infinity) < end.atMs) pending.push({ end, noted: line })
-    }
-  }
-  const starts = lines.filter(({ kind }) => kind === 'start')
-  for (const { end, noted } of pending) {
-    for (const start of starts) if (start.task === end.task && start.atMs >= end.atMs && start.run !== end.run) repeats.push({ end, noted, start })
-  }
-  return repeats
+  runners: SERVICES.flatMap(({ service, count, capacity }) => Array.from({ length: count }, (_, index) => ({ id: `${service}-${index}`, service, capacity }))),
+  routes: [buildRoute({ name: 'search', service: 'matcher' }), buildRoute({ name: 'score', service: 'video-judge', priority: 1 })],
+  tenants: [{ name: 'studio', apiKeys: [KEY], weight: 10, cap: { cpu: CAP_CPU, memMb: 0, gpu: 0 } }]
 }
 
 await runCase(options, async (cluster) => {
-  const { entries, lines, note, readMs, runners, send } = cluster
+  const { entries, lines, note, readMs, runners, send, listStarts } = cluster
   await wait(CONTACT_MS)
-  const traffic = { isOver: false }
-  const jobs = []
-  const submit = async (entry) => {
-    const ms = MIN_TASK_MS + Math.floor(Math.random() * (MAX_TASK_MS - MIN_TASK_MS))
+  const submit = async (entry, queue, cpu, ms) => {
     const id = createId()
-    const steps = [{ count: 2, cpu: 4000, memMb: 2048, estimateMs: ms, antiAffinity: 1 }]
-    const answer = await send(entry, 'POST', `/search/${id}`, { key: KEY, body: { specification: JSON.stringify({ ms }), steps } })
-    if (answer?.status === 200) jobs.push(id)
+    const body = { specification: `{"ms":${ms}}`, steps: [{ count: 1, cpu, memMb: 1024, estimateMs: ms }] }
+    const answer = await send(entry, 'POST', `/${queue}/${id}`, { key: KEY, body })
+    if (answer?.status !== 200) throw new Error('a job was not accepted')
+    return { id, queue }
+  }
+  const isDone = (id) => lines.some(({ kind, task, how }) => kind === 'end' && how === 'done' && task.startsWith(`${id}.`))
+  const submitOne = async (entry, queue, cpu) => {
+    const job = await submit(entry, queue, cpu, TASK_MS)
+    // Without the disruption, large jobs come one after the other.
+    while (isCalm() && !isDone(job.id)) await wait(50)
+    return job
   }
-  const submitAll = async () => {
+  const submitSmall = async (entry, queue) => {
     const calls = []
-    for (let index = 0; !traffic.isOver; index++) {
-      calls.push(submit(entries[index % entries.length]))
-      await wait(JOB_INTERVAL_MS)
+    for (let index = 0; index < SMALL_JOBS; index++) {
+      calls.push(submit(entry, queue, 1000, MIN_SMALL_MS + Math.floor(Math.random() * (MAX_SMALL_MS - MIN_SMALL_MS))))
+      await wait(SMALL_INTERVAL_MS)
     }
-    await Promise.all(calls)
+    return await Promise.all(calls)
   }
-  const submitted = submitAll()
-  await wait(4000)
-  for (let index = 0; index < CRASHES; index++) {
-    const runner = runners[Math.floor(Math.random() * runners.length)]
-    if (!isCalm()) {
-      note('the runner crashes', { runner: runner.id, darkMs: DARK_MS })
-      await runner.crash(DARK_MS)
-      note('the runner is back under its id', { runner: runner.id })
+  const small = Promise.all([submitSmall(entries[0], 'search'), submitSmall(entries[1], 'score')])
+  await wait(SMALL_JOBS * SMALL_INTERVAL_MS / 2)
+  const jobs = await Promise.all(isCalm()
+    ? [await submitOne(entries[0], 'search', SEARCH_CPU), await submitOne(entries[1], 'score', SCORE_CPU)]
+    : [submitOne(entries[0], 'search', SEARCH_CPU), submitOne(entries[1], 'score', SCORE_CPU)])
+
+  await wait(FINISH_MS)
+  if ((await small).flat().some(({ id }) => !isDone(id))) throw new Error('the small jobs are not done')
+  const idleSinceMs = new Map()
+  const broken = new Set()
+  const untilMs = readMs() + CHECK_MS
+  while (readMs() < untilMs) {
+    const running = runners.flatMap((runner) => runner.listRuns())
+    for (const { id } of jobs) {
+      // Nothing else runs: all of the cap and of the services' capacity is free.
+      const isIdle = !isDone(id) && running.length === 0
+      if (!isIdle) idleSinceMs.delete(id)
+      else if (!idleSinceMs.has(id)) idleSinceMs.set(id, readMs())
+      else if (readMs() - idleSinceMs.get(id) > IDLE_MS) broken.add(id)
     }
-    await wait(GAP_MS * (0.75 + Math.random() / 2))
+    await wait(20)
+  }
+  for (const { id, queue } of jobs) {
+    const answer = await send(entries[2], 'GET', `/${queue}/${id}`, { key: KEY })
+    note('job', { id, queue, starts: listStarts(id).length, state: answer?.body?.state ?? answer?.status, isBroken: broken.has(id) })
   }
-  traffic.isOver = true
-  await submitted
-  await wait(6000)
-  const repeats = listRepeats(lines)
-  for (const repeat of repeats) note('task was started again after an end that was taken note of', repeat)
-  note('result', { jobs: jobs.length, crashes: isCalm() ? 0 : CRASHES, repeats: repeats.length, atMs: readMs() })
-  return repeats.length > 0 ? EXIT_BROKEN : EXIT_HELD
+  note('claims', { row: cluster.store.readRow('cell', '', '!claims') })
+  note('result', { idleForMoreThanIdleMs: broken.size })
+  return broken.size > 0 ? EXIT_BROKEN : EXIT_HELD
 })
--- a/review/9/case.mjs
+++ b/review/9/case.mjs
@@ -1,61 +1,74 @@
-/** The queue's count leaves out accepted jobs of which no task has started, once a runner has refused a start of theirs. */
-import { buildRoute, CONTACT_MS, createId, EXIT_BROKEN, EXIT_HELD, isCalm, runCase, VISIBLE_MS } from '../standins-2/cluster.mjs'
+/** A job whose cancelling was answered with 410 is stored afterwards by the entry that still had its submission in doubt, and runs. */
+import { BOUNDS, buildRoute, CANCEL_MS, CONTACT_MS, createId, EXIT_BROKEN, EXIT_HELD, isCalm, runCase, STOP_MS } from '../standins-2/cluster.mjs'
 import { wait } from '../standins-2/http.mjs'
 
-/** A tenth of the runners is unhealthy for 6.5 s at most. */
-const UNHEALTHY_MS = 6400
-const RUNNERS = 10
-const JOBS = 4
-const COUNT_AGE_MS = 2000
+/** The users' sheet lets answers be lost for 4.5 s, of 0.35 of the writes at most, and the writes be done 1 to 6 s later. */
+const LOST_MS = 3000
+const LATE_MS = 5900
+const MAX_LOST_SHARE = 0.35
 const KEY = 'key-of-tenant'
 
 const capacity = { cpu: 16_000, memMb: 65_536, gpu: 0 }
 const options = {
   folder: import.meta.dirname,
   entries: 3,
-  runners: Array.from({ length: RUNNERS }, (_, index) => ({ id: `runner-${index}`, service: 'matcher', capacity })),
-  routes: [buildRoute({ name: 'search', service: 'matcher' })],
+  runners: Array.from({ length: 6 }, (_, index) => ({ id: `runner-${index}`, service: 'matcher', capacity })),
+  routes: [buildRoute({ name: 'watch', service: 'matcher' })],
   tenants: [{ name: 'studio', apiKeys: [KEY], weight: 10, cap: {} }]
 }
 
 await runCase(options, async (cluster) => {
   const { entries, note, readMs, send, runners, listStarts } = cluster
+  const holder = cluster.findHolder('matcher')
+  const [submitter, other] = entries.filter((entry) => entry !== holder)
   await wait(CONTACT_MS)
-  const submit = async (index, steps, specification) => {
-    const id = createId()
-    const response = await send(entries[index % entries.length], 'POST', `/search/${id}`, { key: KEY, body: { specification, steps } })
-    if (response?.status !== 200) throw new Error('a job was not accepted')
-    return { id, acceptedAtMs: readMs() }
-  }
-
-  // All runners but one are in use.
-  await submit(0, [{ count: RUNNERS - 1, cpu: 16_000, memMb: 8192, estimateMs: 40_000, antiAffinity: 1 }], '{"ms":40000}')
-  while (runners.filter((runner) => runner.listRuns().length > 0).length < RUNNERS - 1) await wait(50)
-  const free = runners.find((runner) => runner.listRuns().length === 0)
-  await wait(1000)
 
-  free.faults.unhealthy = !isCalm()
-  const unhealthyAtMs = readMs()
-  note('the free runner answers starts with 503', { runner: free.id, unhealthy: free.faults.unhealthy })
-  const jobs = await Promise.all(Array.from({ length: JOBS }, (_, index) => submit(index, [{ count: 1, cpu: 4000, memMb: 4096, estimateMs: 20_000 }], '{"ms":20000}')))
+  // Other clients' jobs: their writes are answered.
+  const traffic = { isOver: false }
+  const submitOthers = async () => {
+    for (let index = 0; !traffic.isOver; index++) {
+      const entry = entries[index % entries.length]
+      await Promise.all([wait(300), send(entry, 'POST', `/watch/${createId()}`, { key: KEY, body: { specification: '{"ms":400}', steps: [{ count: 1, cpu: 500, memMb: 256, estimateMs: 400 }] } })])
+    }
+  }
+  const others = submitOthers()
 
-  let isBroken = false
-  await wait(Math.max(...jobs.map(({ acceptedAtMs }) => acceptedAtMs)) + VISIBLE_MS + COUNT_AGE_MS + 100 - readMs())
-  while (readMs() < unhealthyAtMs + UNHEALTHY_MS - 100) {
-    for (const entry of entries) {
-      const sentAtMs = readMs()
-      const answer = await send(entry, 'GET', '/search/', { key: KEY })
-      // Jobs that begin while the call is under way are left out.
-      const owed = jobs.filter(({ id, acceptedAtMs }) => sentAtMs - acceptedAtMs > VISIBLE_MS + COUNT_AGE_MS && listStarts(id).length === 0)
-      const isWrong = answer?.status === 200 && answer.body.waiting < owed.length / 2
-      note('count', { entry: entry.name, waiting: answer?.body?.waiting ?? null, acceptedAndNotBegun: owed.length, isWrong })
-      isBroken ||= isWrong
+  const id = createId()
+  const row = (name) => name.table === 'job' && name.key === id
+  let lost = 0
+  let writes = 0
+  const untilMs = readMs() + LOST_MS
+  for (const entry of entries) {
+    entry.path.faults.loseWrite = (transaction) => {
+      if (readMs() > untilMs) return null
+      writes++
+      if (isCalm() || entry !== submitter || !transaction.writes.some(row)) return null
+      lost++
+      note('write is done later, without an answer', { entry: entry.name, lateMs: LATE_MS })
+      return LATE_MS
     }
-    await wait(200)
   }
-  free.faults.unhealthy = false
-  note('the runner is healthy again')
-  await wait(6000)
-  note('result', { begunIn: jobs.map(({ id, acceptedAtMs }) => (listStarts(id)[0]?.atMs ?? NaN) - acceptedAtMs), isBroken })
-  return isBroken ? EXIT_BROKEN : EXIT_HELD
+  const body = { specification: '{}', steps: [{ count: 2, cpu: 4000, memMb: 4096, estimateMs: 500, longRunning: true }] }
+  const submitted = await send(submitter, 'POST', `/watch/${id}`, { key: KEY, body })
+  await wait(100)
+  const cancelled = await send(other, 'DELETE', `/watch/${id}`, { key: KEY })
+  const cancelledAtMs = readMs()
+  if (cancelled === null || (cancelled.status !== 410 && Math.floor(cancelled.status / 100) !== 2)) throw new Error('the cancelling was not answered')
+  await wait(untilMs - readMs())
+  note('answers are no longer lost', { lost, writes, share: writes === 0 ? 0 : lost / writes })
+  if (lost > writes * MAX_LOST_SHARE) throw new Error('more answers were lost than the sheet allows')
+
+  // The last write is done late; after that, nothing is disrupted any more.
+  traffic.isOver = true
+  await others
+  await wait(LATE_MS + CONTACT_MS + BOUNDS.holdMaxMs)
+  const calmSinceMs = readMs()
+  await wait(CANCEL_MS + STOP_MS)
+  const running = runners.flatMap((runner) => runner.listRuns().filter(({ task }) => task.startsWith(`${id}.`)).map((run) => ({ runner: runner.id, ...run })))
+  const late = listStarts(id).filter(({ atMs }) => atMs > cancelledAtMs + CANCEL_MS)
+  const state = await send(other, 'GET', `/watch/${id}`, { key: KEY })
+  note('result', {
+    submitted: submitted?.status ?? null, cancelled: cancelled.status, cancelledAtMs, calmSinceMs, startsMoreThanCancelMsLater: late.length, stillRunning: running, state: state?.body?.state ?? state?.status
+  })
+  return running.length > 0 ? EXIT_BROKEN : EXIT_HELD
 })
