--- a/review/6/case.mjs
+++ b/review/6/case.mjs
@@ -1,6 +1,6 @@
 /** Two jobs of one tenant, at the queues of two services, wait for each other's share of the tenant's cap for good. */
-import { buildRoute, CONTACT_MS, createId, EXIT_BROKEN, EXIT_HELD, isCalm, runCase } from '../standins-2/cluster.mjs'
-import { wait } from '../standins-2/http.mjs'
+import { buildRoute, CONTACT_MS, createId, EXIT_BROKEN, EXIT_HELD, isCalm, runCase } from '../cluster-2.mjs'
+import { wait } from '../http-2.mjs'
 
 const KEY = 'key-of-tenant'
 const CAP_CPU = 20_000
--- a/review/9/case.mjs
+++ b/review/9/case.mjs
@@ -1,6 +1,6 @@
 /** A job whose cancelling was answered with 410 is stored afterwards by the entry that still had its submission in doubt, and runs. */
-import { BOUNDS, buildRoute, CANCEL_MS, CONTACT_MS, createId, EXIT_BROKEN, EXIT_HELD, isCalm, runCase, STOP_MS } from '../standins-2/cluster.mjs'
-import { wait } from '../standins-2/http.mjs'
+import { BOUNDS, buildRoute, CANCEL_MS, CONTACT_MS, createId, EXIT_BROKEN, EXIT_HELD, isCalm, runCase, STOP_MS } from '../cluster-2.mjs'
+import { wait } from '../http-2.mjs'
 
 /** The users' sheet lets answers be lost for 4.5 s, of 0.35 of the writes at most, and the writes be done 1 to 6 s later. */
 const LOST_MS = 3000
--- a/review/standins-2/cluster.mjs
+++ b/review/cluster-2.mjs
@@ -3,11 +3,11 @@
 import { mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
-import { call, wait } from './http.mjs'
-import { startRunner } from './runner.mjs'
-import { createStore } from './store.mjs'
+import { call, wait } from './http-2.mjs'
+import { startRunner } from './runner-2.mjs'
+import { createStore } from './store-2.mjs'
 
-const ROOT = join(import.meta.dirname, '..', '..')
+const ROOT = join(import.meta.dirname, '..')
 export const EXIT_HELD = 0
 export const EXIT_BROKEN = 1
 export const EXIT_NOT_RUN = 2
--- a/review/standins-2/runner.mjs
+++ b/review/runner-2.mjs
@@ -1,5 +1,5 @@
 /** Stand-in for a runner: fencing, runs, a lease on its own clock, and ended runs that it lists until they are acknowledged. */
-import { startServer, wait } from './http.mjs'
+import { startServer, wait } from './http-2.mjs'
 
 export const HEARTBEAT_MS = 1500
 const HOLD_MAX_MS = 6000
--- a/review/standins-2/store.mjs
+++ b/review/store-2.mjs
@@ -1,5 +1,5 @@
 /** Stand-in for the platform's metadata store: rows in parts, transactions and feeds. Each caller gets an address of its own, so that faults can be set for one. */
-import { startServer, wait } from './http.mjs'
+import { startServer, wait } from './http-2.mjs'
 
 /** Time of a transaction; those of one part run one after another. */
 const TRANSACTION_MS = 6
