Ceilings: a task that needs more than its partition's share takes a turn

Cause: hold and wait. While another partition needs more, a partition kept its idle claims up to its share of the ceiling; with a task in each that needs more than the share, each kept what the other lacked. Ruled out: claims of a former holder (epoch 1 on both, the holders lived), lack of room at the workers (all idle), planner (either job runs without the other).

Change: turns, numbered in the row of the claims; the first gets what its longest-waiting task or gang needs, the others release idle claims for it, and nobody's use is touched. A turn passes on after a second, and is skipped if its partition has no holder. Claims arrive by the feed of the table instead of a read a second. Work that exceeds the ceiling, or all workers, is no demand any more: it held a share for good. FT867 logs each turn.

Why it works: numbers are unique by compare-and-set, so there is always one first partition, and all others may only keep what they use.

--- a/packages/core/src/partition/__tests__/partitionOracle.spec.ts
+++ b/packages/core/src/partition/__tests__/partitionOracle.spec.ts
@@ -5,7 +5,7 @@
 import type { Resources } from '../../schema/resources.js'
 import { resolveFuzzOptions } from '../../testing/fuzzOptions.js'
 import { createTestStep, createTestStepJob } from '../../testing/stepJobs.js'
-import { ACCEPTED_STATE, createPartitionPlanner, planClaims, computeClaimLimits, NO_CLAIMS, type ClaimsRow, type JobStep, type ListedEnd, type ListedRun, type RunName, type StartOrder, type StepJob } from '../index.js'
+import { ACCEPTED_STATE, createCeilingTurns, createPartitionPlanner, planClaims, computeClaimLimits, NO_CLAIMS, type CeilingTurns, type ClaimsRow, type JobStep, type ListedEnd, type ListedRun, type RunName, type StartOrder, type StepJob } from '../index.js'
 
 const WORKERS = ['w1', 'w2', 'w3']
 const CAPACITY: Resources = { processors: 8, memoryMb: 8192, accelerators: 2 }
@@ -271,11 +271,18 @@
       row = next
       version++
     }
+    const share = { processors: 1 / 3, memoryMb: 1 / 3, accelerators: 1 / 3 }
+    const turns = new Map<string, CeilingTurns>()
+    let nowMs = 0
     for (const { partition, used, blocked, isLate } of rounds) {
+      nowMs += 200
       const limit = computeClaimLimits(partition, 1, row, null, ceilings).get('a')!
       const runs = Math.min(used, limit.processors)
-      const demand = new Map([['a', { used: { processors: runs, memoryMb: 0, accelerators: 0 }, blocked: { processors: blocked, memoryMb: 0, accelerators: 0 } }]])
-      const next = planClaims({ partition, epoch: 1, row, ceilings, share: { processors: 1 / 3, memoryMb: 1 / 3, accelerators: 1 / 3 }, demand })
+      const waiting = { processors: blocked, memoryMb: 0, accelerators: 0 }
+      const demand = new Map([['a', { used: { processors: runs, memoryMb: 0, accelerators: 0 }, blocked: waiting, longestWaiting: blocked > 0 ? waiting : null }]])
+      const own = turns.get(partition) ?? createCeilingTurns(partition)
+      turns.set(partition, own)
+      const next = planClaims({ partition, epoch: 1, row, ceilings, share, demand, turns: own.review({ row, ceilings, demand, share, nowMs }) })
       if (next !== null && isLate) late.push({ row: next, version })
       else if (next !== null) commit(next, version)
       const landed = rounds.length % 3 === 0 ? late.shift() : late.pop()
--- a/packages/core/src/partition/constants.ts
+++ b/packages/core/src/partition/constants.ts
@@ -83,3 +83,9 @@
 export const MAX_ROW_BYTES = 65_536
 /** Most tasks in the row of a job's crashed workers; each takes 40 bytes at most. */
 export const MAX_CRASH_ENTRIES = 1500
+/** Time for which a task waits at its team's ceiling for more than its partition's share before it takes a turn, in milliseconds: most waits end with a task of the team. */
+export const CEILING_TURN_AFTER_MS = 500
+/** Longest time for which other partitions make way for a turn, in milliseconds: two turns and the wait before them take less than the 3 s that the users allow idle work. */
+export const CEILING_TURN_MS = 1000
+/** Time beyond it after which a turn that was not passed on is skipped, in milliseconds: its holder may be replaced meanwhile. */
+export const CEILING_TURN_GRACE_MS = 500
--- a/packages/core/src/partition/createPartitionPlanner.ts
+++ b/packages/core/src/partition/createPartitionPlanner.ts
@@ -1,5 +1,5 @@
 /** Scheduler of one partition: places tasks on workers from jobs, worker reports and placement advice. */
-import { hasRoomFor, computeTotal, subtractResources } from '../schema/resources.js'
+import { hasRoomFor, computeTotal, subtractResources, type Resources } from '../schema/resources.js'
 import { RESERVE_AFTER_MS, LONG_RUNNING_RESERVE_AFTER_MS, MAX_RESERVING_STEPS, MAX_TASKS_AHEAD, PREEMPT_AFTER_MS, TICKET_MARGIN_MS } from './constants.js'
 import { startWorkerBackoff, type PartitionWorker } from './partitionWorker.js'
 import { createCapacityIndex } from './capacityIndex.js'
@@ -78,21 +78,30 @@
 
   const placeIsolated = createIsolatedPlacement({ isolation, stopForPreemption })
 
+  /** Resources that the team's limit has to have room for before any task of the step starts: a gang is charged as a whole. */
+  const computeUnit = ({ step, tasks }: StepInstance): Resources => step.gang ? computeTotal(step.resources, tasks.length) : step.resources
+
+  /** Adds to the team's demand what its limit blocks, but no work that the whole ceiling or no worker has room for: it would keep others from the ceiling. */
+  const addBlocked = (instance: StepInstance, amount: Resources): void => {
+    const { step, job: { spec: { team } } } = instance
+    const resources = computeUnit(instance)
+    if (!teams.mayEverAdd(team, resources) || !capacityIndex.hasWorkerFor(step.resources, step.requiredLabel)) return
+    teams.addBlocked(team, amount, { resources, waitingSinceMs: instance.waitingSinceMs ?? Infinity })
+  }
+
   /** Handles tasks that only their team's limit blocks: for the most urgent priority, lower-priority tasks of the team are preempted. */
   const handleCeilingWait = (ranked: RankedInstance, count: number, { round, ceilings }: RoundParts): void => {
     if (count === 0) return
     const { instance, rank } = ranked
     const { team } = instance.job.spec
     const need = computeTotal(instance.step.resources, count)
-    teams.addBlocked(team, need)
+    addBlocked(instance, need)
     if (rank.priority > 0 || !teams.areLimitsFinal() || !mayPreempt(ranked, round.nowMs) || !budget.mayReserve(instance)) return
     stopForPreemption(ceilings.choose(team, rank.priority, subtractResources(need, teams.readFree(team))))
   }
 
-  /** Whether the team's limit leaves no room for a task of the step; a gang is charged as a whole: all members start or none. */
-  const isAtCeiling = ({ step, tasks, job }: StepInstance): boolean => {
-    return !teams.mayAdd(job.spec.team, step.gang ? computeTotal(step.resources, tasks.length) : step.resources)
-  }
+  /** Whether the team's limit leaves no room for a task of the step, or for the gang. */
+  const isAtCeiling = (instance: StepInstance): boolean => !teams.mayAdd(instance.job.spec.team, computeUnit(instance))
 
   /** Finds the task of a run that is allocated to a worker. */
   const findRun = (name: RunName, worker: string): Task | undefined => {
@@ -105,7 +114,7 @@
 
   /** Leaves a step out of this round; what its team's limit blocks still counts as the team's demand. */
   const handleDeferral = (instance: StepInstance): void => {
-    if (isAtCeiling(instance)) teams.addBlocked(instance.job.spec.team, computeTotal(instance.step.resources, countStartable(instance)))
+    if (isAtCeiling(instance)) addBlocked(instance, computeTotal(instance.step.resources, countStartable(instance)))
   }
 
   /** Starts the tasks of a step that fit the capacity and the team's limit; returns those that wait for capacity. */
@@ -273,7 +282,7 @@
     listWorkers: () => [...workers.keys()],
     isIsolated: (id) => workers.get(id)?.isolated ?? false,
     hasRuns: (id) => (workers.get(id)?.tasks.size ?? 0) > 0,
-    setTeamLimits: (limits, areFinal = true) => teams.setLimits(limits, areFinal),
+    setTeamLimits: (limits, areFinal = true, ceilings = new Map()) => teams.setLimits(limits, areFinal, ceilings),
     listTeamDemand: teams.listDemand,
     addJob: (id, spec, record, nowMs, crashes) => {
       const job = registry.addJob(id, spec, record, nowMs, crashes)
--- a/packages/core/src/partition/plannerTypes.ts
+++ b/packages/core/src/partition/plannerTypes.ts
@@ -180,8 +180,12 @@
   hasRuns: (worker: string) => boolean
   /** Whether a worker is set apart for suspected tasks. */
   isIsolated: (id: string) => boolean
-  /** Sets each team's part of its ceiling; infinite if absent. Provisional limits (`areFinal` is `false`) cause no preemption. */
-  setTeamLimits: (limits: ReadonlyMap<string, Resources>, areFinal?: boolean) => void
+  /**
+   * Sets each team's part of its ceiling; infinite if absent. Provisional limits (`areFinal` is `false`) cause no preemption.
+   *
+   * @param ceilings whole ceilings of the teams; work that exceeds them is no demand
+   */
+  setTeamLimits: (limits: ReadonlyMap<string, Resources>, areFinal?: boolean, ceilings?: ReadonlyMap<string, Resources>) => void
   /** Resources that each team uses here, and those blocked by its limit in the last planning round. */
   listTeamDemand: () => ReadonlyMap<string, TeamDemand>
   /** Adds an accepted job. Jobs of one team should be added in order of acceptance: under overload, those beyond its guaranteed rate are scheduled last. */
--- a/packages/entry/src/partition/__tests__/partitionWatch.spec.ts
+++ b/packages/entry/src/partition/__tests__/partitionWatch.spec.ts
@@ -53,7 +53,8 @@
     listPeers: () => peers,
     countHeld: () => 0,
     mayTakeOver: () => true,
-    onHolder: (view) => { views.push(view) }
+    onHolder: (view) => { views.push(view) },
+    onClaims: () => {}
   })
   return { clock: fakeClock, events, views, commitWallMs, peers, storeRow, startWatch, refuseCommits: () => { isRefusing = true } }
 }
--- a/packages/entry/src/partition/ceilingClaims.ts
+++ b/packages/entry/src/partition/ceilingClaims.ts
@@ -1,11 +1,11 @@
 /** Keeps a partition's claims on the teams' ceilings in line with its demand. */
 import {
-  addResources, computeClaimLimits, ClaimsRow, createDisposableStore, NO_CLAIMS, NO_RESOURCES, planClaims, takeOverClaims,
+  addResources, computeClaimLimits, ClaimsRow, createCeilingTurns, createDisposableStore, NO_CLAIMS, NO_RESOURCES, planClaims, takeOverClaims,
   type ClusterConfig, type PartitionPlanner, type Clock, type Disposable, type EventLog, type Resources
 } from '@fuchsiatally/core'
 import { createSerialLoop } from '../process/serialLoop.js'
 import { MIN_CLAIM_COMMIT_INTERVAL_MS, CLAIM_PAUSE_MS, CLAIM_REFRESH_MS, MAX_CLAIM_ATTEMPTS } from './constants.js'
-import { claimsStored, claimsNotStored } from './events.js'
+import { ceilingTurnTaken, claimsStored, claimsNotStored } from './events.js'
 import { PARTITION_TABLE, CLAIMS_KEY, createRowReader } from './partitionRows.js'
 import type { PartitionTable, ListedWorker, TableRow } from './ports.js'
 import { readRow } from './readRow.js'
@@ -29,6 +29,8 @@
 export interface CeilingClaims extends Disposable {
   /** Schedules a review of the claims, because work of some team is blocked by its ceiling. */
   scheduleReview: () => void
+  /** Applies the row of all claims as the feed of the table shows it. */
+  applyFeedRow: (row: TableRow) => void
 }
 
 const parseClaims = createRowReader(ClaimsRow)
@@ -62,6 +64,8 @@
   let isReviewScheduled = false
   const startedAtMs = clock.nowMs()
   let tries = 0
+  const turns = createCeilingTurns(partition)
+  let isCommitting = false
 
   const listCeilings = (): Map<string, Resources> => new Map((options.readConfig()?.teams ?? []).map((team) => [team.name, team.ceiling]))
 
@@ -69,7 +73,8 @@
   const hasStoredClaims = (): boolean => current?.row.cells[partition]?.epoch === epoch
 
   const applyLimits = (pending: ClaimsRow | null): void => {
-    planner.setTeamLimits(computeClaimLimits(partition, epoch, current?.row ?? NO_CLAIMS, pending, listCeilings()), hasStoredClaims())
+    const ceilings = listCeilings()
+    planner.setTeamLimits(computeClaimLimits(partition, epoch, current?.row ?? NO_CLAIMS, pending, ceilings), hasStoredClaims(), ceilings)
   }
 
   const applyRow = (row: TableRow | undefined): void => {
@@ -89,16 +94,25 @@
     return true
   }
 
+  const recordTurns = (next: ClaimsRow, previous: ClaimsRow): void => {
+    const known = previous.cells[partition]?.turns ?? {}
+    for (const [team, turn] of Object.entries(next.cells[partition]?.turns ?? {})) {
+      if (turn.number !== known[team]?.number) options.events.record(ceilingTurnTaken, { cell: partition, epoch, team, ...turn })
+    }
+  }
+
   /** Returns `true` if the row changed to other claims in the meantime, so that they have to be planned again. */
   const commitRow = async (next: ClaimsRow, version: number): Promise<boolean> => {
     applyLimits(next)
     committedAtMs = clock.nowMs()
+    isCommitting = true
     const result = await table.commit({
       part: '',
       checks: [{ table: PARTITION_TABLE, key: CLAIMS_KEY, version }],
       writes: [{ table: PARTITION_TABLE, key: CLAIMS_KEY, value: JSON.stringify(next) }],
       deletes: []
     })
+    isCommitting = false
     tries++
     if (result.isErr()) {
       options.events.record(claimsNotStored, { cell: partition, epoch, reason: result.error.message })
@@ -107,8 +121,10 @@
       return false
     }
     const hadStoredClaims = hasStoredClaims()
-    if (result.value.kind === 'applied') current = { row: next, version: result.value.version }
-    else applyRow(result.value.rows.find((row) => row.key === CLAIMS_KEY && !row.deleted))
+    if (result.value.kind === 'applied') {
+      recordTurns(next, current?.row ?? NO_CLAIMS)
+      current = { row: next, version: result.value.version }
+    } else applyRow(result.value.rows.find((row) => row.key === CLAIMS_KEY && !row.deleted))
     if (!hadStoredClaims && hasStoredClaims()) options.events.record(claimsStored, { cell: partition, epoch, tries, waitedMs: Math.round(clock.nowMs() - startedAtMs) })
     applyLimits(null)
     options.onLimits()
@@ -122,7 +138,11 @@
       return adopted === null ? null : { row: adopted, version: current.version }
     }
     const share = computeShare(partition, options.listWorkers())
-    const row = planClaims({ partition, epoch, row: current.row, ceilings: listCeilings(), share, demand: planner.listTeamDemand() })
+    const ceilings = listCeilings()
+    const demand = planner.listTeamDemand()
+    const row = planClaims({
+      partition, epoch, row: current.row, ceilings, share, demand, turns: turns.review({ row: current.row, ceilings, demand, share, nowMs: clock.nowMs() })
+    })
     return row === null ? null : { row, version: current.version }
   }
 
@@ -143,6 +163,8 @@
     isStale = true
   }
 
+  const isWaiting = (): boolean => [...planner.listTeamDemand().values()].some(({ longestWaiting }) => longestWaiting !== null)
+
   applyLimits(null)
   const loop = createSerialLoop({ clock, readPauseMs: () => CLAIM_PAUSE_MS, runStep })
   disposables.add(loop)
@@ -155,6 +177,14 @@
         loop.wake()
       })
     },
+    applyFeedRow: (row) => {
+      // While the outcome of a write is unknown, only a read by the loop settles it.
+      if (disposed || isCommitting || isStale || current === null || row.deleted || row.version <= current.version) return
+      applyRow(row)
+      if (current.version !== row.version) return
+      applyLimits(null)
+      if (isWaiting() || Object.values(current.row.cells).some((section) => section.turns !== undefined)) loop.wake()
+    },
     dispose: () => {
       disposed = true
       disposables.dispose()
--- a/packages/entry/src/partition/partitionEntry.ts
+++ b/packages/entry/src/partition/partitionEntry.ts
@@ -133,7 +133,8 @@
     countHeld: () => terms.size,
     // Workers cannot fence holders that alternate within this time.
     mayTakeOver: (partition) => !stopping && table.isDirect() && clock.nowMs() - (lostAtMs.get(partition) ?? -Infinity) > bounds.turnMs + REACQUIRE_MARGIN_MS,
-    onHolder: handleHolderRow
+    onHolder: handleHolderRow,
+    onClaims: (row) => { for (const term of terms.values()) term.applyClaims(row) }
   }))
 
   config.onChange((next) => {
--- a/packages/entry/src/partition/partitionTerm.ts
+++ b/packages/entry/src/partition/partitionTerm.ts
@@ -14,7 +14,7 @@
 import type { LoopMonitor } from './loopMonitor.js'
 import { createJobCleanup } from './jobCleanup.js'
 import { jobEnded, partitionReleased, workerIsolationChanged, workerLost, workerLeaving } from './events.js'
-import type { ClockReading, PartitionBounds, PartitionTable, PartitionWorkerClient, ListedWorker, PlatformRows } from './ports.js'
+import type { ClockReading, PartitionBounds, PartitionTable, PartitionWorkerClient, ListedWorker, PlatformRows, TableRow } from './ports.js'
 import { createPartitionWorkerController, type PartitionWorkerController } from './partitionWorkerController.js'
 import { createPlanPacer } from './planPacer.js'
 import { createStartWindow } from './startWindow.js'
@@ -49,6 +49,8 @@
 export interface PartitionTerm extends Disposable {
   readonly epoch: number
   applyPushedRow: (key: string, value: string) => void
+  /** Applies the row of all partitions' claims on ceilings. */
+  applyClaims: (row: TableRow) => void
   /** Committed phase of a job, or `null` if this holder does not know it. */
   readCommittedPhase: (job: string) => JobPhase | null
   applyConfig: (config: ClusterConfig) => void
@@ -305,6 +307,7 @@
   return {
     epoch: row.epoch,
     applyPushedRow: jobs.applyPushedRow,
+    applyClaims: ceilings.applyFeedRow,
     readCommittedPhase: (id) => committedPhases.get(id) ?? null,
     applyConfig: () => {
       commits.wake()
--- a/packages/entry/src/partition/partitionWatch.ts
+++ b/packages/entry/src/partition/partitionWatch.ts
@@ -37,6 +37,8 @@
   readonly mayTakeOver: (partition: string) => boolean
   /** Runs for each change of a holder row, whether it names this process or another. */
   readonly onHolder: (view: PartitionView) => void
+  /** Receives the row of all partitions' claims on ceilings when it changes. */
+  readonly onClaims: (row: TableRow) => void
 }
 
 /** View of all partitions. */
@@ -126,7 +128,10 @@
   }
 
   const applyRow = (row: TableRow, nowMs: number): void => {
-    if (row.key === CLAIMS_KEY) return
+    if (row.key === CLAIMS_KEY) {
+      options.onClaims(row)
+      return
+    }
     if (row.part === CAPACITY_PART) {
       const capacity = row.deleted ? null : parseCapacityRow(row, events)
       if (capacity === null) capacities.delete(row.key)
