Cancellation: a job that is not stored can't be stored any more once it is cancelled

Cause: a cancellation that found no row left nothing behind, and the condition of the late write (the id has no row) still held. Ruled out: a cancellation that the holder missed (none was stored), a repeated write after the cancellation (all writes of the record are older; the second test shows that it happened, too).

Change: such a cancellation stores a row in the job's place, if there is none, before it is answered 410; if a submission came first, the job is cancelled as usual. The rows go after the retention of states, by version.

Why it works: both writes have the condition that the id has no row, so only one of them is ever done, however late.

--- a/packages/entry/src/partition/events.ts
+++ b/packages/entry/src/partition/events.ts
@@ -23,6 +23,7 @@
 export const jobRefused = defineEvent('FT831', 'info', 'Job refused', 'The job was not accepted and never runs; `reason` states why.')
 export const submissionInDoubt = defineEvent('FT832', 'warn', 'Submission in doubt', 'The outcome of the write is unknown: the caller has to retry with the same id.')
 export const jobCancelled = defineEvent('FT833', 'info', 'Cancellation accepted', 'The cancellation is in the table.')
+export const jobWithdrawn = defineEvent('FT868', 'info', 'Submission withdrawn', 'The job was cancelled while none of its id was stored. A submission whose outcome is unknown is not stored any more: the job never runs.')
 export const checkpointsNotStored = defineEvent('FT834', 'warn', 'Checkpoints not stored', 'The state of the job is too large for the table; it is stored without the checkpoints of its tasks. After a change of the holder they start from the beginning.')
 export const adviceAnswered = defineEvent('FT840', 'info', 'Placement advice received', '`asked` counts the candidate workers, `good` those that the policy of the queue allows.')
 export const adviceMissing = defineEvent('FT841', 'warn', 'No placement advice', 'The request is retried.')
--- a/packages/entry/src/partition/jobApi.ts
+++ b/packages/entry/src/partition/jobApi.ts
@@ -6,15 +6,18 @@
 import type { PeerMesh } from '../ports.js'
 import type { PartitionWatch } from './partitionWatch.js'
 import { RESPONSE_MARGIN_MS, MAX_QUEUE_COUNT_AGE_MS, MAX_REMEMBERED_JOBS, WRITE_RETRY_MS } from './constants.js'
-import { jobAccepted, jobCancelled, jobRefused, submissionInDoubt } from './events.js'
-import { CANCEL_SUFFIX, computeEarlierJobPart, computeJobPart, computeJobTable, encodeService, JOB_TABLE, parseServiceRow, STATE_TABLE } from './partitionRows.js'
+import { jobAccepted, jobCancelled, jobRefused, jobWithdrawn, submissionInDoubt } from './events.js'
+import { CANCEL_SUFFIX, computeEarlierJobPart, computeJobPart, computeJobTable, encodeService, JOB_TABLE, parseJobIdRow, STATE_TABLE, WITHDRAWN_VALUE } from './partitionRows.js'
 import type { CallFailure, TableTransaction, CommitResult } from './ports.js'
 import { readRow } from './readRow.js'
 import { parseStateRow } from './stateRows.js'
 import type { MonitoredTable } from './tableHealth.js'
 
-/** Outcome of a caller's write. `inDoubt`: the outcome is unknown, so that neither success nor failure can be reported. */
-export type WriteOutcome = 'done' | 'unknownJob' | 'refused' | 'inDoubt'
+/**
+ * Outcome of a caller's write. `inDoubt`: the outcome is unknown, so that neither success nor failure can be reported; `withdrawn`: the job
+ * was cancelled before it was stored, and never runs.
+ */
+export type WriteOutcome = 'done' | 'unknownJob' | 'withdrawn' | 'refused' | 'inDoubt'
 
 export interface JobApiOptions {
   readonly table: MonitoredTable
@@ -104,6 +107,9 @@
     }
   }
 
+  /** Whether a conflict is with the row that a cancellation left in the place of a job. */
+  const isWithdrawn = (result: CommitResult): boolean => result.kind === 'conflict' && result.rows.some((row) => row.table === JOB_TABLE && row.value === WITHDRAWN_VALUE)
+
   const submitJob = async (id: string, job: StepJob, deadlineMs: number): Promise<WriteOutcome> => {
     const partition = job.policy.service
     const value = JSON.stringify(job)
@@ -129,7 +135,11 @@
       events.record(submissionInDoubt, { job: id, team: job.team, queue: job.policy.queue })
       return 'inDoubt'
     }
-    // A conflict means that an earlier attempt, here or at another entry, stored the same job.
+    if (isWithdrawn(result)) {
+      events.record(jobRefused, { job: id, team: job.team, queue: job.policy.queue, reason: 'it was cancelled before it was stored' })
+      return 'withdrawn'
+    }
+    // Any other conflict means that an earlier attempt, here or at another entry, stored the same job.
     events.record(jobAccepted, { job: id, team: job.team, queue: job.policy.queue, known: result.kind === 'conflict', ...summarizeJob(job) })
     if (result.kind === 'applied') notifyHolder(partition, id, value)
     return 'done'
@@ -139,7 +149,8 @@
   const findJob = async (id: string, queue: QueueConfig): Promise<Result<StoredJob | null, CallFailure>> => {
     const row = await readRow(table, JOB_TABLE, computeJobPart(id), id)
     if (row.isErr()) return err(row.error)
-    const service = row.value === undefined ? null : parseServiceRow(row.value, events)
+    const service = row.value === undefined ? null : parseJobIdRow(row.value, events)
+    if (service !== null && 'withdrawn' in service) return ok(null)
     if (service !== null) return ok({ partition: service.service, table: computeJobTable(service.service), part: computeJobPart(id) })
     const earlierPart = computeEarlierJobPart(queue.service, id)
     const earlier = await readRow(table, JOB_TABLE, earlierPart, id)
@@ -179,10 +190,27 @@
     return stored.value ?? await readPhaseOfAccepted(id, queue)
   }
 
+  /** Takes the place of a job that is not stored, so that no submission in doubt is stored once its cancellation has been acknowledged; `isStored` if one was meanwhile. */
+  const withdrawJob = async (id: string, queue: QueueConfig, deadlineMs: number): Promise<WriteOutcome | 'isStored'> => {
+    const result = await commitWithRetry({
+      part: computeJobPart(id),
+      checks: [{ table: JOB_TABLE, key: id, version: 0 }],
+      writes: [{ table: JOB_TABLE, key: id, value: WITHDRAWN_VALUE }, { table: computeJobTable(queue.service), key: `${id}${CANCEL_SUFFIX}`, value: WITHDRAWN_VALUE }],
+      deletes: []
+    }, deadlineMs, () => {})
+    if (result === 'refused' || result === 'inDoubt') return result
+    if (result.kind === 'conflict') return isWithdrawn(result) ? 'unknownJob' : 'isStored'
+    events.record(jobWithdrawn, { job: id, queue: queue.name })
+    return 'unknownJob'
+  }
+
   const cancelJob: JobApi['cancelJob'] = async (id, queue, deadlineMs) => {
     const found = await findJob(id, queue)
     if (found.isErr()) return 'refused'
-    if (found.value === null) return 'unknownJob'
+    if (found.value === null) {
+      const outcome = await withdrawJob(id, queue, deadlineMs)
+      return outcome === 'isStored' ? await cancelJob(id, queue, deadlineMs) : outcome
+    }
     const { partition, table: jobTable, part } = found.value
     const key = `${id}${CANCEL_SUFFIX}`
     const result = await commitWithRetry({
--- a/packages/entry/src/partition/jobCleanup.ts
+++ b/packages/entry/src/partition/jobCleanup.ts
@@ -1,4 +1,7 @@
-/** Deletes the rows of jobs past their retention: first the job, then its state, so that an ended job never appears to be one that was not planned yet. */
+/**
+ * Deletes the rows of jobs past their retention: first the job, then its state, so that an ended job never appears to be one that was not
+ * planned yet.
+ */
 import { createDisposableStore, type Clock, type Disposable } from '@fuchsiatally/core'
 import { createSerialLoop } from '../process/serialLoop.js'
 import { MAX_COMMIT_ROWS, JOB_CLEANUP_PAUSE_MS } from './constants.js'
@@ -21,6 +24,8 @@
 /** The running cleanup. */
 export interface JobCleanup extends Disposable {
   add: (jobs: readonly string[]) => void
+  /** Adds jobs that were cancelled before they were stored, with the version of their rows. */
+  addWithdrawn: (jobs: ReadonlyMap<string, number>) => void
 }
 
 export function createJobCleanup (options: JobCleanupOptions): JobCleanup {
@@ -28,7 +33,22 @@
   const disposables = createDisposableStore()
   const expiredJobs = new Set<string>()
 
+  const withdrawnJobs = new Map<string, number>()
+
+  /** Deletes the rows of a withdrawn job, unless its id has been used again since. */
+  const deleteWithdrawn = async (job: string, version: number): Promise<void> => {
+    const result = await table.commit({
+      part: computeJobPart(job),
+      checks: [{ table: JOB_TABLE, key: job, version }],
+      writes: [],
+      deletes: [{ table: JOB_TABLE, key: job }, { table: computeJobTable(partition), key: `${job}${CANCEL_SUFFIX}` }]
+    })
+    if (result.isOk()) withdrawnJobs.delete(job)
+  }
+
   const runStep = async (): Promise<void> => {
+    const [withdrawn] = withdrawnJobs
+    if (withdrawn !== undefined) await deleteWithdrawn(...withdrawn)
     const [first] = expiredJobs
     if (first === undefined) return
     const part = computeJobPart(first)
@@ -52,6 +72,7 @@
   disposables.add(createSerialLoop({ clock: options.clock, readPauseMs: () => JOB_CLEANUP_PAUSE_MS, runStep }))
   return {
     add: (jobs) => { for (const job of jobs) expiredJobs.add(job) },
+    addWithdrawn: (jobs) => { for (const [job, version] of jobs) withdrawnJobs.set(job, version) },
     dispose: () => disposables.dispose()
   }
 }
--- a/packages/entry/src/partition/partitionJobs.ts
+++ b/packages/entry/src/partition/partitionJobs.ts
@@ -3,7 +3,7 @@
 import { createSerialLoop } from '../process/serialLoop.js'
 import { JOB_POLL_INTERVAL_MS, WRITE_RETRY_MS } from './constants.js'
 import { partitionLoaded } from './events.js'
-import { CANCEL_SUFFIX, computeJobTable, CRASH_TABLE, JOB_TABLE, listEarlierJobParts, listJobParts, OVERFLOW_TABLE, parseCrashRow, parseJobRow, STATE_TABLE } from './partitionRows.js'
+import { CANCEL_SUFFIX, computeJobTable, CRASH_TABLE, JOB_TABLE, listEarlierJobParts, listJobParts, OVERFLOW_TABLE, parseCrashRow, parseJobRow, STATE_TABLE, WITHDRAWN_VALUE } from './partitionRows.js'
 import type { PartitionTable, TableRow } from './ports.js'
 import { parseStateRow, type StateRow, type StateRows } from './stateRows.js'
 import { createTableFeed } from './tableFeed.js'
@@ -18,6 +18,10 @@
   readonly onLoaded: () => void
   /** The table has rows of crashed workers for jobs that it no longer has. */
   readonly onOrphanedCrashes: (jobs: readonly string[]) => void
+  /** The rows of jobs that were cancelled before they were stored, here with their versions, have been kept for as long as states are. */
+  readonly onWithdrawnExpired: (jobs: ReadonlyMap<string, number>) => void
+  /** Time for which they are kept, in milliseconds: far longer than a write of unknown outcome can be delayed. */
+  readonly statusMs: number
   readonly onChange: () => void
 }
 
@@ -40,11 +44,26 @@
   /** Cancellations that were read before their job. */
   const earlyCancellations = new Set<string>()
   const earlierJobs = new Set<string>()
+  /** Withdrawn jobs, with the time at which this term read of them. */
+  const withdrawn = new Map<string, { readonly version: number, readonly readAtMs: number }>()
   const cancel = (id: string): void => {
     if (planner.hasJob(id)) planner.cancelJob(id, clock.wallMs())
     else earlyCancellations.add(id)
   }
 
+  const applyCancellation = ({ key, value, version }: TableRow): void => {
+    const id = key.slice(0, -CANCEL_SUFFIX.length)
+    if (value !== WITHDRAWN_VALUE) cancel(id)
+    else if (withdrawn.get(id)?.version !== version) withdrawn.set(id, { version, readAtMs: clock.nowMs() })
+  }
+
+  const removeExpiredWithdrawals = (): void => {
+    const expired = new Map<string, number>()
+    for (const [id, { version, readAtMs }] of withdrawn) if (clock.nowMs() - readAtMs >= options.statusMs) expired.set(id, version)
+    for (const id of expired.keys()) withdrawn.delete(id)
+    if (expired.size > 0) options.onWithdrawnExpired(expired)
+  }
+
   const addJob = (id: string, spec: StepJob): void => {
     if (planner.hasJob(id)) return
     planner.addJob(id, spec, ACCEPTED_STATE, clock.nowMs())
@@ -54,7 +73,7 @@
   const applyRow = (row: TableRow): void => {
     if (row.deleted) return
     if (row.key.endsWith(CANCEL_SUFFIX)) {
-      cancel(row.key.slice(0, -CANCEL_SUFFIX.length))
+      applyCancellation(row)
       return
     }
     const spec = parseJobRow(row, events)
@@ -104,11 +123,11 @@
     const overflow = await readOverflow(states)
     if (overflow === null) return false
     const crashRows = new Map(readCrashes.value.rows.map((row) => [row.key, row]))
-    const cancelled: string[] = []
+    const cancellations: TableRow[] = []
     const unfinished = new Map<string, { readonly spec: StepJob, readonly state: JobStateRecord }>()
     for (const row of jobs) {
       if (row.key.endsWith(CANCEL_SUFFIX)) {
-        cancelled.push(row.key.slice(0, -CANCEL_SUFFIX.length))
+        cancellations.push(row)
         continue
       }
       if (row.table === JOB_TABLE) earlierJobs.add(row.key)
@@ -134,7 +153,7 @@
     const known = new Set([...jobs, ...read.value.rows].map(({ key }) => key))
     const orphaned = [...crashRows.keys()].filter((id) => !known.has(id))
     if (!loaded && orphaned.length > 0) options.onOrphanedCrashes(orphaned)
-    for (const id of cancelled) cancel(id)
+    for (const row of cancellations) applyCancellation(row)
     if (!loaded) {
       loaded = true
       events.record(partitionLoaded, { cell: partition, jobs: jobs.length })
@@ -157,7 +176,10 @@
   disposables.add(createSerialLoop({
     clock,
     readPauseMs: () => isTableReachable && loaded ? JOB_POLL_INTERVAL_MS : WRITE_RETRY_MS,
-    runStep: async () => { isTableReachable = await feed.readUpdates(0) }
+    runStep: async () => {
+      isTableReachable = await feed.readUpdates(0)
+      removeExpiredWithdrawals()
+    }
   }))
 
   return {
--- a/packages/entry/src/partition/partitionRows.ts
+++ b/packages/entry/src/partition/partitionRows.ts
@@ -68,11 +68,20 @@
 /** Row that names the service of a job. */
 const ServiceRow = Schema.Struct({ service: Schema.String })
 
+/** Row in the place of a job that was cancelled before it was stored: no submission of its id can be stored any more. */
+const WithdrawnRow = Schema.Struct({ withdrawn: Schema.Literal(true) })
+
+/** Row of an id. */
+const JobIdRow = Schema.Union([ServiceRow, WithdrawnRow])
+
 /** Encodes the row that names the service of a job. */
 export function encodeService (partition: string): string {
   return JSON.stringify({ service: partition } satisfies typeof ServiceRow.Type)
 }
 
+/** Encoded row of a withdrawn job; also the value of its cancellation in the table of the partition's jobs. */
+export const WITHDRAWN_VALUE = JSON.stringify({ withdrawn: true } satisfies typeof WithdrawnRow.Type)
+
 /** Holder row of a partition. */
 export const HolderRow = Schema.Struct({
   entry: Schema.String,
@@ -131,5 +140,5 @@
 export const parseJobRow = createRowReader(StepJob)
 /** Decodes the row of a job's crashed workers. */
 export const parseCrashRow = createRowReader(CrashRecord)
-/** Decodes the row that names the service of a job. */
-export const parseServiceRow = createRowReader(ServiceRow)
+/** Decodes the row of an id: the service of its job, or that it was withdrawn. */
+export const parseJobIdRow = createRowReader(JobIdRow)
--- a/packages/entry/src/partition/partitionTerm.ts
+++ b/packages/entry/src/partition/partitionTerm.ts
@@ -242,6 +242,8 @@
       ceilings.scheduleReview()
     },
     onOrphanedCrashes: (ids) => commits.deleteStates(ids),
+    onWithdrawnExpired: (ids) => cleanup.addWithdrawn(ids),
+    statusMs: options.bounds.statusMs,
     onChange: () => commits.wake()
   }))
 
