Worker lease: count with the longest lease where a call may have reached another life

What was seen: a worker was back under its id and cut off soon after; its long task ran again elsewhere 2 s before the first run lapsed (TWICE, the users' own finding). The first run lapsed 9.3 s after its start, where holders grant 3 s.

Cause: deadlines are on the worker's clock, which starts anew. A start by the clock of the former life lies far ahead on the new one, and the worker shortens it to its own limit (6 s or 10 s) from its execution. The holder corrected that with the first report of the new life only; a successor never. Ruled out: an order carried out late (the record says not), a wrong start of the successor's count (its figures fit 6 s from its first report).

Change: workerLease.ts, by cases: a clock that went back in the answer to an order; calls by a former clock that end later; orders without a response; earlier holders' orders to a young life, by its clock or its row; orders in doubt at workers no longer listed. A start isn't tried again by the former clock: it made the lease seem to last for minutes (LOST).

--- a/packages/core/src/partition/__tests__/partitionOracle.spec.ts
+++ b/packages/core/src/partition/__tests__/partitionOracle.spec.ts
@@ -282,7 +282,7 @@
       const demand = new Map([['a', { used: { processors: runs, memoryMb: 0, accelerators: 0 }, blocked: waiting, longestWaiting: blocked > 0 ? waiting : null }]])
       const own = turns.get(partition) ?? createCeilingTurns(partition)
       turns.set(partition, own)
-      const next = planClaims({ partition, epoch: 1, row, ceilings, share, demand, turns: own.review({ row, ceilings, demand, share, nowMs }) })
+      const next = planClaims({ partition, epoch: 1, row, ceilings, share, demand, turns: own.decide({ row, ceilings, demand, share, nowMs }) })
       if (next !== null && isLate) late.push({ row: next, version })
       else if (next !== null) commit(next, version)
       const landed = rounds.length % 3 === 0 ? late.shift() : late.pop()
--- a/packages/core/src/partition/ceilingTurns.ts
+++ b/packages/core/src/partition/ceilingTurns.ts
@@ -19,8 +19,8 @@
   readonly needed: Resources
 }
 
-/** What a review is based on. */
-export interface TurnReview {
+/** What the turns are decided from. */
+export interface TurnInputs {
   readonly row: ClaimsRow
   readonly ceilings: ReadonlyMap<string, Resources>
   readonly demand: ReadonlyMap<string, TeamDemand>
@@ -32,7 +32,7 @@
 /** Turns of one partition. */
 export interface CeilingTurns {
   /** Lists the turns by team; teams without any are left out. */
-  review: (review: TurnReview) => ReadonlyMap<string, CeilingTurn>
+  decide: (inputs: TurnInputs) => ReadonlyMap<string, CeilingTurn>
 }
 
 interface WaitingTurn {
@@ -75,7 +75,7 @@
     return { number: isOver ? nextNumber : current.number, needed: toAmounts(needed) }
   }
 
-  const reviewTeam = (team: string, ceiling: Resources, { row, demand, share, nowMs }: TurnReview, seen: Map<string, number>): CeilingTurn | null => {
+  const decideTeam = (team: string, ceiling: Resources, { row, demand, share, nowMs }: TurnInputs, seen: Map<string, number>): CeilingTurn | null => {
     const waiting = listTurns(row, team)
     const needed = computeNeeded(demand.get(team), ceiling, share)
     if (needed === null) waitingSinceMs.delete(team)
@@ -95,11 +95,11 @@
   }
 
   return {
-    review: (review) => {
+    decide: (inputs) => {
       const turns = new Map<string, CeilingTurn>()
       const seen = new Map<string, number>()
-      for (const [team, ceiling] of review.ceilings) {
-        const turn = reviewTeam(team, ceiling, review, seen)
+      for (const [team, ceiling] of inputs.ceilings) {
+        const turn = decideTeam(team, ceiling, inputs, seen)
         if (turn !== null) turns.set(team, turn)
       }
       firstSeenMs = seen
--- a/packages/entry/src/partition/__tests__/waitingStarts.spec.ts
+++ b/packages/entry/src/partition/__tests__/waitingStarts.spec.ts
@@ -50,6 +50,7 @@
     load: createHolderLoad({ partition: 'pages', epoch: 1, clock, events, readBacklog: () => ({ steps: 0, tasks: 0 }) }),
     startWindow,
     computeGrantMs: () => 3000,
+    readListedBirthMs: () => null,
     onChange: () => {},
     isDraining: () => false,
     onReplaced: () => {},
--- a/packages/entry/src/partition/__tests__/workerLease.spec.ts
+++ b/packages/entry/src/partition/__tests__/workerLease.spec.ts
@@ -51,6 +51,7 @@
     load,
     startWindow: createStartWindow({ limit: 1, slowResponseMs: 100, clock, maxWaitMs: 500, onQueueEmpty: () => {} }),
     computeGrantMs: () => MAX_GRANTED_LEASE_MS,
+    readListedBirthMs: () => null,
     onChange: () => {},
     isDraining: () => false,
     onReplaced: () => {},
--- a/packages/entry/src/partition/ceilingClaims.ts
+++ b/packages/entry/src/partition/ceilingClaims.ts
@@ -141,7 +141,7 @@
     const ceilings = listCeilings()
     const demand = planner.listTeamDemand()
     const row = planClaims({
-      partition, epoch, row: current.row, ceilings, share, demand, turns: turns.review({ row: current.row, ceilings, demand, share, nowMs: clock.nowMs() })
+      partition, epoch, row: current.row, ceilings, share, demand, turns: turns.decide({ row: current.row, ceilings, demand, share, nowMs: clock.nowMs() })
     })
     return row === null ? null : { row, version: current.version }
   }
--- a/packages/entry/src/partition/constants.ts
+++ b/packages/entry/src/partition/constants.ts
@@ -27,6 +27,8 @@
 export const MAX_CLOCK_DRIFT = 0.02
 /** Allowance for the transit time of a lease call when the expiry of a lease is computed, in milliseconds. */
 export const LEASE_MARGIN_MS = 200
+/** Longest time after which a worker may execute an order that it left without a response, in milliseconds; the platform announces seconds. */
+export const MAX_LATE_ORDER_MS = 12_000
 /** Shortest remaining lease with which a run is started, in milliseconds; a shorter one would expire before the next renewal. */
 export const MIN_START_LEASE_MS = 500
 
--- a/packages/entry/src/partition/jobApi.ts
+++ b/packages/entry/src/partition/jobApi.ts
@@ -191,7 +191,7 @@
   }
 
   /** Takes the place of a job that is not stored, so that no submission in doubt is stored once its cancellation has been acknowledged; `isStored` if one was meanwhile. */
-  const withdrawJob = async (id: string, queue: QueueConfig, deadlineMs: number): Promise<WriteOutcome | 'isStored'> => {
+  const blockSubmission = async (id: string, queue: QueueConfig, deadlineMs: number): Promise<WriteOutcome | 'isStored'> => {
     const result = await commitWithRetry({
       part: computeJobPart(id),
       checks: [{ table: JOB_TABLE, key: id, version: 0 }],
@@ -208,7 +208,7 @@
     const found = await findJob(id, queue)
     if (found.isErr()) return 'refused'
     if (found.value === null) {
-      const outcome = await withdrawJob(id, queue, deadlineMs)
+      const outcome = await blockSubmission(id, queue, deadlineMs)
       return outcome === 'isStored' ? await cancelJob(id, queue, deadlineMs) : outcome
     }
     const { partition, table: jobTable, part } = found.value
--- a/packages/entry/src/partition/jobCleanup.ts
+++ b/packages/entry/src/partition/jobCleanup.ts
@@ -36,7 +36,7 @@
   const withdrawnJobs = new Map<string, number>()
 
   /** Deletes the rows of a withdrawn job, unless its id has been used again since. */
-  const deleteWithdrawn = async (job: string, version: number): Promise<void> => {
+  const dropWithdrawn = async (job: string, version: number): Promise<void> => {
     const result = await table.commit({
       part: computeJobPart(job),
       checks: [{ table: JOB_TABLE, key: job, version }],
@@ -48,7 +48,7 @@
 
   const runStep = async (): Promise<void> => {
     const [withdrawn] = withdrawnJobs
-    if (withdrawn !== undefined) await deleteWithdrawn(...withdrawn)
+    if (withdrawn !== undefined) await dropWithdrawn(...withdrawn)
     const [first] = expiredJobs
     if (first === undefined) return
     const part = computeJobPart(first)
--- a/packages/entry/src/partition/leaseBounds.ts
+++ b/packages/entry/src/partition/leaseBounds.ts
@@ -24,16 +24,43 @@
 /** Epoch of the holder that has no predecessor. */
 const FIRST_EPOCH = 1
 
-/** Time from the start of a term after which every lease of an earlier holder has expired, in milliseconds. */
-export function computePriorLeaseBoundMs (maxLeaseMs: number): number {
-  return MAX_UNCONFIRMED_EXTENSION_MS + computeLeaseMs(maxLeaseMs) * (1 + MAX_CLOCK_DRIFT) + LEASE_MARGIN_MS
+/**
+ * Age of a worker's life up to which its holder may not have noticed that it began, and may have granted leases by the clock of the life
+ * before, in milliseconds: a holder that isn't confirmed for so long extends no lease.
+ */
+const UNNOTICED_LIFE_MS = MAX_UNCONFIRMED_EXTENSION_MS
+
+/** Whether leases of earlier holders may have been granted by the clock of the worker's life before, and still be in force. */
+function mayHoldLongLease (lifeAgeMs: number, maxLeaseMs: number): boolean {
+  return lifeAgeMs < UNNOTICED_LIFE_MS + maxLeaseMs
+}
+
+/**
+ * Time from the start of a term after which every lease of an earlier holder has expired, in milliseconds.
+ *
+ * @param lifeAgeMs age of the worker's life at the start of the term, in milliseconds; infinite if it is not known to be young
+ */
+export function computePriorLeaseBoundMs (maxLeaseMs: number, lifeAgeMs = Infinity): number {
+  const leaseMs = mayHoldLongLease(lifeAgeMs, maxLeaseMs) ? maxLeaseMs : computeLeaseMs(maxLeaseMs)
+  return MAX_UNCONFIRMED_EXTENSION_MS + leaseMs * (1 + MAX_CLOCK_DRIFT) + LEASE_MARGIN_MS
+}
+
+/** A worker's first response in a term. */
+export interface InheritedLease {
+  readonly epoch: number
+  readonly maxLeaseMs: number
+  /** Age of the term, in milliseconds. */
+  readonly termAgeMs: number
+  /** Age of the life that responded, in milliseconds. */
+  readonly lifeAgeMs: number
 }
 
 /**
- * Longest time for which a lease of an earlier holder may last after the worker's first response in a term of age `termAgeMs`, in milliseconds;
- * from then on the worker refuses that holder. `-Infinity` in the first epoch, which inherits no lease.
+ * Longest time for which a lease of an earlier holder may last after the worker's first response in a term, in milliseconds; from then on the
+ * worker refuses that holder. `-Infinity` in the first epoch, which inherits no lease.
  */
-export function computeInheritedLeaseMs (epoch: number, maxLeaseMs: number, termAgeMs: number): number {
+export function computeInheritedLeaseMs ({ epoch, maxLeaseMs, termAgeMs, lifeAgeMs }: InheritedLease): number {
   if (epoch === FIRST_EPOCH) return -Infinity
-  return Math.min(maxLeaseMs, MAX_LATE_LEASE_MS, computePriorLeaseBoundMs(maxLeaseMs) - termAgeMs)
+  const longestMs = mayHoldLongLease(lifeAgeMs, maxLeaseMs) ? maxLeaseMs : Math.min(maxLeaseMs, MAX_LATE_LEASE_MS)
+  return Math.min(longestMs, computePriorLeaseBoundMs(maxLeaseMs, lifeAgeMs) - termAgeMs)
 }
--- a/packages/entry/src/partition/partitionTerm.ts
+++ b/packages/entry/src/partition/partitionTerm.ts
@@ -116,6 +116,7 @@
       load,
       startWindow,
       computeGrantMs,
+      readListedBirthMs: () => managedWorkers.get(listing.id)?.listing.bornAtMs ?? listing.bornAtMs ?? null,
       onChange: () => commits.wake(),
       isDraining: () => managedWorkers.get(listing.id)?.listing.draining ?? false,
       onReplaced: () => recordReplaced(listing.id),
--- a/packages/entry/src/partition/partitionWorkerController.ts
+++ b/packages/entry/src/partition/partitionWorkerController.ts
@@ -4,14 +4,13 @@
   COMMIT_WAIT_MS, ISOLATED_LEASE_WAIT_MS, LEASE_RETRY_MS, LEASE_WAIT_MS, MAX_EXCUSED_CALLS, MIN_START_LEASE_MS, START_ATTEMPT_TIMEOUTS_MS, START_TRANSIT_MS,
   SUSPECT_PAUSE_MS, UNEXTENDED_LEASE_WAIT_MS
 } from './constants.js'
-import { computeInheritedLeaseMs, computeLongestRemainderMs, computePriorLeaseBoundMs } from './leaseBounds.js'
 import { runEnded, runRefused, runStopping, orderInDoubt, workerReachable, workerUnresponsive } from './events.js'
 import type { HolderLoad } from './holderLoad.js'
 import { formatRun } from './formatRun.js'
 import type { PartitionWorkerClient, LeaseResponse } from './ports.js'
 import { createReportedEnds } from './reportedEnds.js'
 import type { StartWindow } from './startWindow.js'
-import { createWorkerClock } from './workerClock.js'
+import { createWorkerLease, type LeaseCall } from './workerLease.js'
 import { createWorkerLosses, recordGivenUp, type LossCause, type WorkerLossesOptions } from './workerLosses.js'
 import { failProcess } from '../process/failProcess.js'
 
@@ -27,6 +26,8 @@
   readonly startWindow: StartWindow
   /** Duration of a lease granted now, in milliseconds; `null` if this holder was not confirmed recently enough to extend leases. */
   readonly computeGrantMs: () => number | null
+  /** Time at which the listed life of the worker began, in milliseconds since 1970; `null` if the platform doesn't tell. */
+  readonly readListedBirthMs: () => number | null
   /** A report or the outcome of an order changed the planner. */
   readonly onChange: () => void
   /** Another worker, or a later life of this one, responds at its address. */
@@ -55,19 +56,16 @@
   const { worker, epoch, planner, clock, events, startWindow } = options
   let { client, address } = options
   const disposables = createDisposableStore()
-  const createdAtMs = clock.nowMs()
   const inDoubt = new Map<string, RunName>()
   const stopping = new Set<string>()
   let disposed = false
   let isReachable = false
   let isLost = false
-  let bornAtMs: number | null = null
   /** Whether the runs of earlier terms have been compared with a complete report. */
   let isBirthRecorded = false
   /** Whether the last report left out ends that follow once others are acknowledged. */
   let hasMoreEnds = false
-  const workerClock = createWorkerClock(clock)
-  let leaseUntilMs = -Infinity
+  const lease = createWorkerLease(options)
   /** Whether the last lease call requested an extension. */
   let wasExtended = false
   const ends = createReportedEnds({ clock, isChanged: planner.isChanged })
@@ -80,12 +78,6 @@
 
   const waitFor = (delayMs: number): Promise<void> => new Promise((resolve) => { clock.setTimer(delayMs, resolve) })
 
-  const computeLeaseExpiry = (): number | null => {
-    const nowMs = workerClock.readMs()
-    const grantMs = options.computeGrantMs()
-    return nowMs === null || grantMs === null ? null : Math.floor(nowMs + grantMs)
-  }
-
   const endTerm = (): void => {
     if (disposed) return
     dispose()
@@ -95,7 +87,7 @@
   const setSuspect = (): void => planner.setSuspect(worker, clock.nowMs() + SUSPECT_PAUSE_MS)
 
   const recordMissedRenewal = (reason: string, cause: LossCause): void => {
-    if (failures === 0) losses.recordFailing(cause, workerClock.readMs() !== null)
+    if (failures === 0) losses.recordFailing(cause, lease.readClockMs() !== null)
     failures++
     lastFailure = cause
     setSuspect()
@@ -117,47 +109,33 @@
     options.onChange()
   }
 
-  /** Time until every lease granted by this or an earlier holder has expired, in milliseconds. */
-  const computeExpiryDelayMs = (): number => {
-    const nowMs = workerClock.readMs()
-    // The worker has not responded in this term: the previous holder may have extended its lease until it had to stop.
-    return nowMs === null ? createdAtMs + computePriorLeaseBoundMs(options.maxLeaseMs) - clock.nowMs() : computeLongestRemainderMs(leaseUntilMs, nowMs)
-  }
-
   /** Declares the worker's runs lost when its lease has expired, even while a call to it is in flight. */
   const watchExpiry = (): void => {
     if (disposed || isLost || failures === 0) return
-    const delayMs = computeExpiryDelayMs()
+    const delayMs = lease.computeExpiryDelayMs()
     if (delayMs < 0) recordWorkerLost('its lease has expired', lastFailure)
     else clock.setTimer(delayMs + 1, watchExpiry)
   }
 
-  const applyResponse = (response: LeaseResponse, sentAtMs: number): void => {
+  const applyResponse = (response: LeaseResponse, call: LeaseCall): void => {
     const nowMs = clock.nowMs()
-    if (bornAtMs !== null && response.bornAtMs !== bornAtMs) {
+    const { sentAtMs } = call
+    if (lease.recordReport(call, response) === 'restarted') {
       ends.forgetAll()
-      // Until now, leases were granted by the clock of the life before; the worker shortens them to its limit.
-      leaseUntilMs = Math.min(leaseUntilMs, response.clockMs + options.maxLeaseMs)
       // Its next life proves that a worker that was lost before has crashed.
       if (isLost) options.onReplaced()
       if (failures === 0) losses.recordFailing('restarted', true)
-      workerClock.forgetReadings()
       // Starts reach the next life under the same id before its first report: those that it lists, or that this report may be too early for, run there.
       const running = new Set(response.running.map(formatRun))
       recordWorkerLost('the worker restarted', 'restarted', (run, confirmedAtMs) => running.has(formatRun(run)) || (confirmedAtMs !== null && confirmedAtMs >= sentAtMs))
     } else if (isLost) planner.recordWorkerSurvived(worker)
-    if (bornAtMs === null) {
-      leaseUntilMs = Math.max(leaseUntilMs, response.clockMs + computeInheritedLeaseMs(epoch, options.maxLeaseMs, nowMs - options.termStartedAtMs))
-    }
     hasMoreEnds = response.hasMoreEnds
     if (!isBirthRecorded && !hasMoreEnds) {
       isBirthRecorded = true
       const reported = new Set([...response.running, ...response.ended].map(formatRun))
       recordGivenUp(events, worker, planner.recordWorkerBorn(worker, response.bornAtMs, (run) => reported.has(formatRun(run)), nowMs, clock.wallMs()))
     }
-    bornAtMs = response.bornAtMs
     losses.recordResponse()
-    workerClock.recordReading(response.clockMs, sentAtMs)
     failures = excusedCalls = 0
     planner.setSuspect(worker, 0)
     isLost = false
@@ -176,18 +154,18 @@
   }
 
   const renewLease = async (): Promise<void> => {
-    const sentAtMs = clock.nowMs()
     // A worker that did not respond gets no extension: otherwise the expiry of its lease could be deferred forever.
-    const lease = failures === 0 ? computeLeaseExpiry() : null
-    if (lease !== null) leaseUntilMs = Math.max(leaseUntilMs, lease)
-    const longestMs = lease === null || !wasExtended ? UNEXTENDED_LEASE_WAIT_MS : planner.isIsolated(worker) ? ISOLATED_LEASE_WAIT_MS : LEASE_WAIT_MS
-    wasExtended = lease !== null
+    const leaseUntilMs = failures === 0 ? lease.computeDeadline() : null
+    const call = lease.startCall(leaseUntilMs)
+    const longestMs = leaseUntilMs === null || !wasExtended ? UNEXTENDED_LEASE_WAIT_MS : planner.isIsolated(worker) ? ISOLATED_LEASE_WAIT_MS : LEASE_WAIT_MS
+    wasExtended = leaseUntilMs !== null
     // Does not wait after a failed call, so that an unresponsive worker is detected quickly.
     const waitMs = isReachable && failures === 0 && excusedCalls === 0 && !ends.hasPending() && !hasMoreEnds ? longestMs : 0
     const calledClient = client
-    const result = await calledClient.renewLease({ epoch, acknowledgedEnd: ends.readAcknowledged(), leaseUntilMs: lease, waitMs })
+    const result = await calledClient.renewLease({ epoch, acknowledgedEnd: ends.readAcknowledged(), leaseUntilMs, waitMs })
     // The failure of a call to a former address says nothing about the new one.
     if (disposed || (result.isErr() && calledClient !== client)) return
+    if (result.isErr()) lease.recordFailed(call)
     if (result.isErr() && result.error.isOwnDelay === true && excusedCalls < MAX_EXCUSED_CALLS) {
       excusedCalls++
       return
@@ -206,9 +184,9 @@
       endTerm()
       return
     }
-    const isFirst = workerClock.readMs() === null
+    const isFirst = lease.readClockMs() === null
     const response = result.value
-    options.load.measurePart('report', () => applyResponse(response, sentAtMs))
+    options.load.measurePart('report', () => applyResponse(response, call))
     if (!isFirst && ends.hasPending()) await ends.waitForCommit(COMMIT_WAIT_MS)
   }
 
@@ -228,30 +206,34 @@
     await startWindow.waitForSlot(order.decidedAtMs + commitMs, order.ticket !== null)
     let isOutcomeKnown = true
     // After a failed call the lease is not extended: the lease of an unreachable worker has to expire.
-    const lease = failures === 0 ? computeLeaseExpiry() : leaseUntilMs
+    const leaseUntilMs = failures === 0 ? lease.computeDeadline() : lease.readUntilMs()
+    let call: LeaseCall | null = null
     const timeouts = [...START_ATTEMPT_TIMEOUTS_MS]
     let excusedAttempts = 0
     for (const [attempt, timeoutMs] of timeouts.entries()) {
-      const nowMs = workerClock.readMs()
+      const nowMs = lease.readClockMs()
       // A report or an acknowledged stop has settled the outcome.
       const isSettled = !inDoubt.has(name)
       // The order may have waited for the commit and for the window while the worker's capacity shrank.
       const hasNoRoom = attempt === 0 && planner.isOvercommitted(worker)
       const hasExpired = attempt === 0 && clock.nowMs() + START_TRANSIT_MS >= order.ticketUntilMs
-      if (hasExpired || isSettled || lease === null || nowMs === null || disposed || lease - nowMs < MIN_START_LEASE_MS || stopping.has(name) || hasNoRoom) {
+      // The lease was computed by the clock of the worker's former life.
+      const isOutdated = call !== null && lease.isOutdated(call)
+      if (hasExpired || isSettled || leaseUntilMs === null || nowMs === null || disposed || leaseUntilMs - nowMs < MIN_START_LEASE_MS || isOutdated || stopping.has(name) || hasNoRoom) {
         if (attempt === 0) startWindow.releaseSlot(null)
         if (isSettled) return
         if (hasExpired) options.load.recordStartExpired()
         break
       }
-      leaseUntilMs = Math.max(leaseUntilMs, lease)
-      const sentAtMs = clock.nowMs()
+      call = lease.startCall(leaseUntilMs)
+      const { sentAtMs } = call
       if (attempt === 0) options.load.recordStartSent(sentAtMs - order.decidedAtMs)
-      const result = await client.startRun(order, epoch, lease, timeoutMs)
+      const result = await client.startRun(order, epoch, leaseUntilMs, timeoutMs)
       const isResponse = result.isOk() || result.error.isOwnDelay === true
       if (attempt === 0) startWindow.releaseSlot(isResponse ? clock.nowMs() - sentAtMs : null)
       if (disposed) return
       if (result.isErr()) {
+        if (result.error.kind === 'unknown') lease.recordUnanswered(call)
         if (result.error.isOwnDelay === true && excusedAttempts < MAX_EXCUSED_CALLS) {
           excusedAttempts++
           timeouts.push(timeoutMs)
@@ -264,6 +246,7 @@
         endTerm()
         return
       }
+      lease.recordAnswered(call, result.value.kind === 'otherWorker' ? null : result.value.clockMs ?? null)
       planner.setSuspect(worker, 0)
       if (result.value.kind === 'started') {
         inDoubt.delete(name)
@@ -347,7 +330,7 @@
     stopRun,
     beginCommit: ends.beginCommit,
     finishCommit: ends.finishCommit,
-    isQuiescent: () => isLost || (!planner.hasRuns(worker) && !isReachable),
+    isQuiescent: () => (isLost && (inDoubt.size === 0 || !lease.mayRunUnseen())) || (!planner.hasRuns(worker) && !isReachable),
     dispose
   }
 }
--- a/packages/entry/src/partition/ports.ts
+++ b/packages/entry/src/partition/ports.ts
@@ -76,6 +76,8 @@
   readonly service: string
   /** `host:port` */
   readonly address: string
+  /** Start of the listed life, in milliseconds since 1970; absent if the platform doesn't tell. */
+  readonly bornAtMs?: number
 }
 
 /** Response of a worker to a lease renewal. */
@@ -101,8 +103,9 @@
 
 /** Outcome of an order to start a run. */
 export type StartResult =
-  | { readonly kind: 'started', readonly clockMs: number }
-  | { readonly kind: 'refused', readonly reason: 'superseded' | 'late' | 'room' | 'ticket' | 'malformed' | 'unavailable' }
+  /** `clockMs`: the worker's clock, if the response shows it. */
+  | { readonly kind: 'started', readonly clockMs: number | null }
+  | { readonly kind: 'refused', readonly clockMs?: number | null, readonly reason: 'superseded' | 'late' | 'room' | 'ticket' | 'malformed' | 'unavailable' }
   | Deposed | OtherWorker
 
 /** Options of a lease renewal. */
--- a/packages/entry/src/testing/partitionWorkerModel.ts
+++ b/packages/entry/src/testing/partitionWorkerModel.ts
@@ -38,8 +38,12 @@
   readonly listing: ListedWorker
   readonly faults: PartitionWorkerFaults
   createClient: () => PartitionWorkerClient
-  /** Ends all runs and clears all state, as a restart of the process does. */
-  restart: () => void
+  /**
+   * Ends all runs and clears all state, as a restart of the process does.
+   *
+   * @param leavesDark whether a call that waits at the worker gets no response, as after a loss of power; default: the next life responds to it
+   */
+  restart: (leavesDark?: boolean) => void
   /** Ends all runs; from now on connections are refused. */
   crash: () => void
   /** The worker is down after a crash. */
@@ -101,6 +105,7 @@
   let incarnation = 0
   let isCrashed = false
   let isReplaced = false
+  let isDark = false
   const poll = createLongPoll(clock)
 
   const readClock = (): number => clock.nowMs() - startMs
@@ -138,7 +143,10 @@
     epoch = orderEpoch
     const name = formatRun(order)
     if (activeRuns.has(name)) return { kind: 'started' as const, clockMs: readClock() }
-    if ((tombstones.get(formatTask(order)) ?? 0) >= order.run) return { kind: 'refused' as const, reason: 'superseded' as const }
+    if ((tombstones.get(formatTask(order)) ?? 0) >= order.run) {
+      extendLease(untilMs)
+      return { kind: 'refused' as const, clockMs: readClock(), reason: 'superseded' as const }
+    }
     if (untilMs <= readClock()) return { kind: 'refused' as const, reason: 'late' as const }
     if (order.ticket !== null && clock.nowMs() > readTicketIssuedAtMs(order.ticket) + options.ticketValidityMs) {
       return { kind: 'refused' as const, reason: 'ticket' as const }
@@ -186,7 +194,13 @@
 
   const createClient = (): PartitionWorkerClient => ({
     renewLease: async (request) => {
+      const calledIncarnation = incarnation
       await poll.waitUntil(() => ended.length > 0 || faults.cut || faults.refuses || isReplaced, request.waitMs)
+      // The connection ended with the life that the call was made to, without a word.
+      if (isDark && incarnation !== calledIncarnation) {
+        await wait(CALL_TIMEOUT_MS)
+        return err({ kind: 'unknown', message: 'no response' })
+      }
       return await call(() => {
         if (request.epoch < epoch) return { kind: 'deposed' as const }
         epoch = request.epoch
@@ -229,7 +243,8 @@
       isReplaced = true
     },
     isReplaced: () => isReplaced,
-    restart: () => {
+    restart: (leavesDark = false) => {
+      isDark = leavesDark
       loseRuns('lapsed')
       isCrashed = false
       ended = []
