Worker lease: acknowledge no ends while another life of the worker may answer

Cause: the first lease call to the next life carried the number of the last committed end of the life before, and the next life forgot its own ends with such numbers unseen. Ruled out: runs lost with the crash (their ends are later).

Change: after a call without an answer, or an order answered with a clock that went back, a lease call acknowledges nothing until a report has shown the life.

--- a/packages/entry/src/partition/__tests__/workerRestart.spec.ts
+++ b/packages/entry/src/partition/__tests__/workerRestart.spec.ts
@@ -120,6 +120,24 @@
   await checkRunsAfterCut(cluster, worker, HOLD_MAX_MS + 2000)
 })
 
+for (const isConfirmed of [true, false]) {
+  // Guards against TWICE: the first lease call to the next life acknowledged its ends by the numbers of the former one, unseen, and their tasks ran again.
+  test(`tasks that ended in the next life of a worker before its first report, after a start ${isConfirmed ? 'with' : 'without'} a response, are not started again`, async () => {
+    const cluster = createPartitionCluster({ planRun: () => ({ durationMs: 100, how: 'done' }) })
+    const worker = cluster.addWorker('w1')
+    const [entry] = await startEntries(cluster, ['a'])
+    await submitJob(cluster, entry!, OTHER_JOB, 40)
+    await cluster.clock.runFor(3000)
+    worker.restart(true)
+    if (!isConfirmed) worker.faults.delayCall = () => ({ afterMs: 5 })
+    await submitJob(cluster, entry!, JOB, TASKS)
+    worker.faults.delayCall = () => null
+    await cluster.clock.runFor(10_000)
+    assert.is(await readState(cluster, entry!, JOB), 'completed')
+    assert.is(cluster.started.filter(({ job }) => job === JOB).length, TASKS)
+  })
+}
+
 // Guards against LOST: the lease of a worker that restarted while a start was being tried seemed to last for minutes, by the clock of its former life.
 test('a start is not tried again with a deadline by the clock of the worker\'s former life', async () => {
   const clock = createFakeClock()
--- a/packages/entry/src/partition/partitionWorkerController.ts
+++ b/packages/entry/src/partition/partitionWorkerController.ts
@@ -162,7 +162,9 @@
     // Does not wait after a failed call, so that an unresponsive worker is detected quickly.
     const waitMs = isReachable && failures === 0 && excusedCalls === 0 && !ends.hasPending() && !hasMoreEnds ? longestMs : 0
     const calledClient = client
-    const result = await calledClient.renewLease({ epoch, acknowledgedEnd: ends.readAcknowledged(), leaseUntilMs, waitMs })
+    // Another life may answer, and would forget the ends of its own that have these numbers.
+    const acknowledgedEnd = failures === 0 && excusedCalls === 0 && !lease.mayHaveRestarted() ? ends.readAcknowledged() : 0
+    const result = await calledClient.renewLease({ epoch, acknowledgedEnd, leaseUntilMs, waitMs })
     // The failure of a call to a former address says nothing about the new one.
     if (disposed || (result.isErr() && calledClient !== client)) return
     if (result.isErr()) lease.recordFailed(call)
--- a/packages/entry/src/partition/workerLease.ts
+++ b/packages/entry/src/partition/workerLease.ts
@@ -56,6 +56,8 @@
   recordAnswered: (call: LeaseCall, clockMs: number | null) => void
   /** Records the response to a lease call; `restarted`: by another life than the last one that was known. */
   recordReport: (call: LeaseCall, reading: LifeReading) => 'first' | 'same' | 'restarted'
+  /** Whether an order was answered with a clock that went back, and no report has shown the life since. */
+  mayHaveRestarted: () => boolean
   /** Time until every lease granted by this or an earlier holder has expired, in milliseconds. */
   computeExpiryDelayMs: () => number
   /** Whether an order without a response may still run, in a life that this holder knows nothing of. */
@@ -71,6 +73,7 @@
   /** Number of restarts that were noticed. */
   let life = 0
   let bornAtMs: number | null = null
+  let isLifeUnknown = false
   /** Time until which an order without a response may be executed late. */
   let lateUntilMs = -Infinity
   /** Time until which a run may last that an order without a response has started in an unknown life. */
@@ -115,6 +118,7 @@
         return
       }
       if (clockMs >= (workerClock.readMs(call.sentAtMs) ?? -Infinity)) return
+      isLifeUnknown = true
       startLife(clockMs)
       workerClock.recordReading(clockMs, call.sentAtMs)
     },
@@ -127,10 +131,12 @@
         untilMs = Math.max(untilMs, reading.clockMs + inheritedMs)
       }
       bornAtMs = reading.bornAtMs
+      isLifeUnknown = false
       workerClock.recordReading(reading.clockMs, call.sentAtMs)
       applyFormerCall(call, 0)
       return result
     },
+    mayHaveRestarted: () => isLifeUnknown,
     computeExpiryDelayMs: () => {
       const nowMs = workerClock.readMs()
       if (nowMs !== null) return computeLongestRemainderMs(untilMs, nowMs)
