Cancellation: a malformed row in the place of a job is looked up twice at most

Cause: found on reading the change before: a cancellation that finds a row without a job it can read, and can't take its place, started over without end. Ruled out that today's entries write such rows.

Change: the look-up is repeated once, after that the answer is 'no such job': the row keeps submissions out, too.

--- a/packages/core/src/partition/ceilingClaims.ts
+++ b/packages/core/src/partition/ceilingClaims.ts
@@ -66,6 +66,7 @@
 /** Fraction of a ceiling by which a claim may exceed the need before it is lowered. */
 const MAX_IDLE_CLAIM = 0.25
 
+/** Components of resources, each with a ceiling of its own. */
 export const FIELDS = ['processors', 'memoryMb', 'accelerators'] as const
 type Field = typeof FIELDS[number]
 
--- a/packages/entry/src/partition/__tests__/cancelledSubmissions.spec.ts
+++ b/packages/entry/src/partition/__tests__/cancelledSubmissions.spec.ts
@@ -123,6 +123,18 @@
   assert.is(await finish(cluster, cancel(cluster, other), DEADLINE_MS), 'inDoubt')
 })
 
+// Guards against a loop without end over a row that names no job and is in the place of one.
+test('cancelling a job whose row is malformed ends', async () => {
+  const cluster = createCluster()
+  const entries = await startEntries(cluster, ['a'])
+  const { table } = cluster.table.createClient()
+  const written = table.commit({ part: computeJobPart(JOB), checks: [], writes: [{ table: 'job', key: JOB, value: '[]' }], deletes: [] })
+  await cluster.clock.runFor(100)
+  assert.ok((await written).isOk())
+  assert.is(await finish(cluster, cancel(cluster, entries[0]!), 500), 'unknownJob')
+  assert.ok(entries[0]!.events.listFields('FT854').length <= 2)
+})
+
 for (const isReplaced of [false, true]) {
   // Guards against rows that nobody deletes.
   test(`the rows of a withdrawn job are deleted once its state would be${isReplaced ? ', after a change of the holder, too' : ''}`, async () => {
--- a/packages/entry/src/partition/jobApi.ts
+++ b/packages/entry/src/partition/jobApi.ts
@@ -205,12 +205,15 @@
   }
 
   const cancelJob: JobApi['cancelJob'] = async (id, queue, deadlineMs) => {
-    const found = await findJob(id, queue)
-    if (found.isErr()) return 'refused'
-    if (found.value === null) {
+    let found = await findJob(id, queue)
+    if (found.isOk() && found.value === null) {
       const outcome = await blockSubmission(id, queue, deadlineMs)
-      return outcome === 'isStored' ? await cancelJob(id, queue, deadlineMs) : outcome
+      if (outcome !== 'isStored') return outcome
+      found = await findJob(id, queue)
     }
+    if (found.isErr()) return 'refused'
+    // A malformed row names no job, but keeps submissions out as well.
+    if (found.value === null) return 'unknownJob'
     const { partition, table: jobTable, part } = found.value
     const key = `${id}${CANCEL_SUFFIX}`
     const result = await commitWithRetry({
