--- a/packages/core/src/partition/createPartitionPlanner.ts
+++ b/packages/core/src/partition/createPartitionPlanner.ts
@@ -11,7 +11,7 @@
 import { isSuspected, listTasks, type Task } from './jobState.js'
 import type { PlannerDecisions, PartitionPlanner, RoundOptions, RunName, StartOrder, TrySendQuery } from './plannerTypes.js'
 import { isAwaitingAdvice, reserveAdvisedCapacity, sendAdviceQuery } from './adviceRequests.js'
-import { countStartable, isAdviceRequired, listStartable, listSuspected, recordAdvice, recordAdviceFailed, type StepInstance } from './stepInstance.js'
+import { computeUnit, countStartable, isAdviceRequired, listStartable, listSuspected, recordAdvice, recordAdviceFailed, type StepInstance } from './stepInstance.js'
 import { createCapacityReservations } from './capacityReservation.js'
 import { createCeilingPreemptions, type CeilingPreemptions } from './ceilingPreemption.js'
 import { buildRunName, createRunTracker } from './runTracker.js'
@@ -78,15 +78,11 @@
 
   const placeIsolated = createIsolatedPlacement({ isolation, stopForPreemption })
 
-  /** Resources that the team's limit has to have room for before any task of the step starts: a gang is charged as a whole. */
-  const computeUnit = ({ step, tasks }: StepInstance): Resources => step.gang ? computeTotal(step.resources, tasks.length) : step.resources
-
   /** Adds to the team's demand what its limit blocks, but no work that the whole ceiling or no worker has room for: it would keep others from the ceiling. */
   const addBlocked = (instance: StepInstance, amount: Resources): void => {
     const { step, job: { spec: { team } } } = instance
-    const resources = computeUnit(instance)
-    if (!teams.mayEverAdd(team, resources) || !capacityIndex.hasWorkerFor(step.resources, step.requiredLabel)) return
-    teams.addBlocked(team, amount, { resources, waitingSinceMs: instance.waitingSinceMs ?? Infinity })
+    const unit = { resources: computeUnit(instance), waitingSinceMs: instance.waitingSinceMs ?? Infinity }
+    if (teams.mayEverAdd(team, unit.resources) && capacityIndex.hasWorkerFor(step.resources, step.requiredLabel)) teams.addBlocked(team, amount, unit)
   }
 
   /** Handles tasks that only their team's limit blocks: for the most urgent priority, lower-priority tasks of the team are preempted. */
@@ -100,7 +96,6 @@
     stopForPreemption(ceilings.choose(team, rank.priority, subtractResources(need, teams.readFree(team))))
   }
 
-  /** Whether the team's limit leaves no room for a task of the step, or for the gang. */
   const isAtCeiling = (instance: StepInstance): boolean => !teams.mayAdd(instance.job.spec.team, computeUnit(instance))
 
   /** Finds the task of a run that is allocated to a worker. */
--- a/packages/core/src/partition/stepInstance.ts
+++ b/packages/core/src/partition/stepInstance.ts
@@ -3,7 +3,7 @@
 import { canEverRun, computeTaskResources, type PartitionWorker } from './partitionWorker.js'
 import type { AdviceQuery } from './plannerTypes.js'
 import type { PlanningRound } from './planningRound.js'
-import { hasRoomFor, subtractResources, type Resources } from '../schema/resources.js'
+import { computeTotal, hasRoomFor, subtractResources, type Resources } from '../schema/resources.js'
 import { isSuspected, type Job, type Occurrence, type Task } from './jobState.js'
 import type { AdvicePolicy, JobStep } from './stepJob.js'
 
@@ -107,6 +107,11 @@
   return readSummary(instance).suspected
 }
 
+/** Resources that the team's limit has to have room for before any task of the step starts: a gang is charged as a whole. */
+export function computeUnit ({ step, tasks }: StepInstance): Resources {
+  return step.gang ? computeTotal(step.resources, tasks.length) : step.resources
+}
+
 /** Counts the tasks that may start now. */
 export function countStartable (instance: StepInstance): number {
   return readSummary(instance).startable.length
