Crashes: suspected tasks wait for a worker set apart for 2 s at most

Cause: a suspected task started on a worker set apart only. Held workers are bounded, and take the tasks of one step for the whole probation (0.3 to 12 s, or the run), so that some crashes a second make more suspects than held workers take. Ruled out: room (over half of the workers was free), the ceiling of the team, the budget of a planning round (1 to 4 ms).

Change: a suspect that has waited for 1 s, a likely cause for 2 s, runs among others, as long as fewer than three of its crashes prove nothing. From the third on it stays apart, so that a task that crashes its workers is still given up after five starts.

--- a/packages/core/src/partition/__tests__/suspectWaits.spec.ts
+++ b/packages/core/src/partition/__tests__/suspectWaits.spec.ts
@@ -5,6 +5,8 @@
 
 /** A job must not have nothing running for longer while over half of the room is free, in milliseconds. */
 const MAX_WAIT_MS = 3000
+/** Starts of a task that crashes each of its workers, by the users' rule: three more after three crashes break it. */
+const MAX_CRASHING_STARTS = 5
 /** A long-running task runs again within 6 s after its last run, of which the loss of its worker takes 3.3 s. */
 const MAX_LASTING_WAIT_MS = 2700
 /** Each has eight cores, and each task takes one. */
@@ -100,6 +102,29 @@
   checkStarted(world, jobs, sinceMs, MAX_WAIT_MS)
 })
 
+// Guards against LOST: more sound tasks were suspected than workers may be set apart, and the last ones waited for most of a minute (review/10).
+for (const [name, suspicion] of [['right after their start', AT_START], ['later', LATER]] as const) {
+  test(`the tasks of 60 sound steps run again within 3 s if half of the room is free, although they run for long (crashes ${name})`, () => {
+    const world = createSuspectWorld(WORKERS)
+    addOtherWork(world, 4)
+    const sinceMs = world.nowMs
+    const jobs = addBurst(world, { steps: 60, badEvery: Infinity, suspicion, durationMs: 4 * DURATION_MS })
+    world.runFor(20_000)
+    checkStarted(world, jobs, sinceMs, MAX_WAIT_MS)
+  })
+}
+
+// Guards against BUDGET: tasks that don't wait for a worker set apart any more crash the workers that they share with others.
+test('no task that crashes its workers is started more than five times, however many wait', () => {
+  const world = createSuspectWorld(WORKERS)
+  addOtherWork(world, 3)
+  const jobs = addBurst(world, { steps: 120, badEvery: 3, suspicion: undefined })
+  world.runFor(120_000)
+  const counts = jobs.filter(({ isBad }) => isBad).map(({ id }) => world.starts.get(`${id}.0`)?.length ?? 0)
+  assert.ok(Math.max(...counts) <= MAX_CRASHING_STARTS, `starts: ${counts.join(', ')}`)
+  for (const { id, isBad } of jobs) assert.is(world.planner.readPhase(id), isBad === true ? 'failed' : 'completed', id)
+})
+
 // Other work of the same rank ends and starts all the time.
 test('the tasks of 80 steps beside a burst of tasks that crash workers run again within their objective in a full partition', () => {
   const world = createSuspectWorld(WORKERS)
--- a/packages/core/src/partition/createPartitionPlanner.ts
+++ b/packages/core/src/partition/createPartitionPlanner.ts
@@ -11,12 +11,13 @@
 import { isSuspected, listTasks, type Task } from './jobState.js'
 import type { PlannerDecisions, PartitionPlanner, RoundOptions, RunName, StartOrder, TrySendQuery } from './plannerTypes.js'
 import { isAwaitingAdvice, reserveAdvisedCapacity, sendAdviceQuery } from './adviceRequests.js'
-import { computeUnit, countStartable, isAdviceRequired, listStartable, listSuspected, recordAdvice, recordAdviceFailed, type StepInstance } from './stepInstance.js'
+import { computeUnit, countStartable, isAdviceRequired, listStartable, recordAdvice, recordAdviceFailed, type StepInstance } from './stepInstance.js'
 import { createCapacityReservations } from './capacityReservation.js'
 import { createCeilingPreemptions, type CeilingPreemptions } from './ceilingPreemption.js'
 import { buildRunName, createRunTracker } from './runTracker.js'
 import { computeCores, sortInstances, type RankedInstance } from './instanceRanking.js'
 import { placeTasks } from './stepPlacement.js'
+import { splitStartable } from './suspectWaits.js'
 import { createPlanningRound, type PlanningRound } from './planningRound.js'
 import { createRoundBudget } from './roundBudget.js'
 import { createTeamUsage } from './teamUsage.js'
@@ -123,19 +124,17 @@
       return []
     }
     const { gang } = instance.step
-    const apart = listSuspected(instance)
-    const suspects = apart.filter((task) => task.verdictDueMs <= round.nowMs)
-    const sound = apart.length === 0 ? startable : startable.filter((task) => !isSuspected(task))
+    const { apart, shared } = splitStartable(instance, round.nowMs)
     // No worker is held for a gang that can't start yet.
-    if (gang && apart.length > 0 && placeTasks(instance, sound, round).length < sound.length) return startable
-    const isolated = placeIsolated(ranked, suspects, round, parts.trySend)
-    if (gang && isolated.length + sound.length < startable.length) return startable
-    const shared = placeTasks(instance, sound, round)
-    if (gang && shared.length < sound.length) return startable
-    if (isolated.length === 0 && shared.length === 0) return sound
+    if (gang && apart.length > 0 && placeTasks(instance, shared, round).length < shared.length) return startable
+    const isolated = placeIsolated(ranked, apart, round, parts.trySend)
+    if (gang && isolated.length + shared.length < startable.length) return startable
+    const others = placeTasks(instance, shared, round)
+    if (gang && others.length < shared.length) return startable
+    if (isolated.length === 0 && others.length === 0) return shared
     const gangRun = gang ? Math.max(0, ...instance.tasks.map((task) => task.run)) + 1 : 0
     const placed = new Set<Task>()
-    const placements = [...isolated, ...shared.map(({ task, worker }) => ({ task, worker: round.workers[worker]!, index: worker }))]
+    const placements = [...isolated, ...others.map(({ task, worker }) => ({ task, worker: round.workers[worker]!, index: worker }))]
     for (const { task, worker, index } of placements) {
       if (!gang && isOrderingBusy(instance, parts)) break
       if (!gang && !teams.mayAdd(team, instance.step.resources)) break
@@ -146,8 +145,8 @@
     }
     if (placed.size > 0) registry.recordStarted(instance)
     if (!gang && placed.size < placements.length && isOrderingBusy(instance, parts)) return []
-    if (placed.size === placements.length) return sound.filter((task) => !placed.has(task))
-    handleCeilingWait(ranked, sound.length - placed.size, parts)
+    if (placed.size === placements.length) return shared.filter((task) => !placed.has(task))
+    handleCeilingWait(ranked, shared.length - placed.size, parts)
     return []
   }
 
--- a/packages/core/src/partition/isolation.ts
+++ b/packages/core/src/partition/isolation.ts
@@ -9,6 +9,7 @@
 import { hasPassedProbation } from './probation.js'
 import type { IsolationChange } from './plannerTypes.js'
 import { countTasksByWorker, type StepInstance } from './stepInstance.js'
+import { isLikelyCause } from './suspectWaits.js'
 
 /** Isolated workers of a partition: each tries the suspected tasks of one step after the other. */
 export interface Isolation {
@@ -73,9 +74,9 @@
   return !isFinal(job.phase) && tasks.some((task) => task.phase === 'waiting' && isSuspected(task))
 }
 
-/** Whether a step's suspected tasks have crashed a worker of their own already, or were the only ones that had just started at a crash. */
-function isLikelyCause ({ tasks }: StepInstance): boolean {
-  return tasks.every((task) => !isSuspected(task) || task.soloCrashes > 0 || task.isPrimeSuspect)
+/** Whether each suspected task of a step is the likely cause of a crash. */
+function isLikelyCauseStep ({ tasks }: StepInstance): boolean {
+  return tasks.every((task) => !isSuspected(task) || isLikelyCause(task))
 }
 
 /** Whether a task at a worker can't be the cause of a crash right after the start of a task of the step. */
@@ -83,7 +84,7 @@
   if (isSettled(task, nowMs)) return true
   if (!hasPassedProbation(task, worker, nowMs)) return false
   // The next crash under a likely cause is the proof against it.
-  return task.definition.longRunning || !isLikelyCause(instance)
+  return task.definition.longRunning || !isLikelyCauseStep(instance)
 }
 
 /** Whether a worker can take a further task of the step once it is clear. */
@@ -152,7 +153,7 @@
   const mayHold = (instance: StepInstance, isLate: boolean, nowMs: number): boolean => {
     if (countHeld(instance, nowMs) > 0) return true
     limits ??= computeLimits(nowMs)
-    const share = isLate ? 0 : instance.step.longRunning ? 1 : isLikelyCause(instance) ? LIKELY_CAUSE_SHARE : BATCH_SHARE
+    const share = isLate ? 0 : instance.step.longRunning ? 1 : isLikelyCauseStep(instance) ? LIKELY_CAUSE_SHARE : BATCH_SHARE
     if (holds.size < Math.max(MIN_ISOLATED_WORKERS, Math.floor(limits.underLoad * share))) return true
     // The room of crashed workers is missing already.
     let available = 0
@@ -184,7 +185,7 @@
     },
     listHeld: (instance, { nowMs, addEvaluations }) => {
       const usable: PartitionWorker[] = []
-      const borrows = !instance.step.gang && !isLikelyCause(instance)
+      const borrows = !instance.step.gang && !isLikelyCauseStep(instance)
       addEvaluations(holds.size)
       for (const [worker, hold] of holds) {
         if (hold.instance !== instance && (!borrows || (hold.instance.step.gang && hasWaitingSuspects(hold.instance)))) continue
--- a/packages/core/src/partition/jobRegistry.ts
+++ b/packages/core/src/partition/jobRegistry.ts
@@ -187,6 +187,7 @@
     },
     recordWaiting: (task, nowMs) => {
       if (task.phase !== 'waiting') return
+      task.releasedAtMs = nowMs
       const instance = findStepInstance(task)
       if (instance === undefined) return
       instance.waitingSinceMs ??= nowMs
--- a/packages/core/src/partition/jobState.ts
+++ b/packages/core/src/partition/jobState.ts
@@ -57,6 +57,8 @@
   confirmedAtMs: number | null
   /** The worker is known to have started the current run: it answered the order, or listed the run. Not stored in the table. */
   hasStarted: boolean
+  /** Monotonic time at which the last run was known to have ended, or `null` if none has in this term. Not stored in the table. */
+  releasedAtMs: number | null
   /** A stop of the current run has been ordered. Not stored in the table. */
   stopping: boolean
   /** Number of preemptions. Not stored in the table. */
@@ -149,6 +151,7 @@
     verdictDueMs: 0,
     confirmedAtMs: null,
     hasStarted: false,
+    releasedAtMs: null,
     stopping: false,
     preemptions: 0,
     percent: 0,
