--- a/packages/core/src/partition/crashEvidence.ts
+++ b/packages/core/src/partition/crashEvidence.ts
@@ -94,13 +94,13 @@
   return isRecent ? RECENT_START_SUSPICION : LONG_RUN_SUSPICION
 }
 
-/** The moment of a silent loss is not known well enough to tell recent starts from others. */
+/** The moment of a silent loss is not known well enough to tell recent starts from others; an order without a response may not have come at all. */
 function buildCharges (worker: PartitionWorker, tasks: readonly Task[], { failedAtMs, kind }: WorkerLoss, commonCause: CommonCause | null, isExcused: boolean): Charge[] {
   const charges: Charge[] = []
   for (const task of tasks) {
     if (task.phase !== 'placed' || task.crashedRun === task.run) continue
     const ageMs = task.confirmedAtMs === null ? 0 : failedAtMs - task.confirmedAtMs
-    const isRecent = ageMs <= RECENT_START_MS && kind !== 'silent'
+    const isRecent = task.confirmedAtMs !== null && ageMs <= RECENT_START_MS && kind !== 'silent'
     const hasPassed = worker.isolated && hasPassedProbation(task, worker, failedAtMs)
     const isOwed = countUnprovenCrashes(task) >= MAX_UNPROVEN_CRASHES
     charges.push({
--- a/packages/entry/src/partition/partitionWorkerController.ts
+++ b/packages/entry/src/partition/partitionWorkerController.ts
@@ -250,6 +250,7 @@
       }
       lease.recordAnswered(call, result.value.kind === 'otherWorker' ? null : result.value.clockMs ?? null)
       planner.setSuspect(worker, 0)
+      if (result.value.kind !== 'otherWorker' && !lease.mayHaveRestarted() && !lease.isOutdated(call)) losses.recordResponse()
       if (result.value.kind === 'started') {
         inDoubt.delete(name)
         planner.recordStartConfirmed(order, worker, clock.nowMs())
--- a/packages/entry/src/partition/workerLosses.ts
+++ b/packages/entry/src/partition/workerLosses.ts
@@ -20,6 +20,7 @@
 
 /** Losses of one worker. */
 export interface WorkerLosses {
+  /** Records a response of any kind by the life that is known. */
   recordResponse: () => void
   /**
    * Records the first of a series of failed calls.
