Worker restarts: late orders start nothing in the next life, late lease calls acknowledge none of its ends

Two causes are left, each with its own test: the next life of a worker knows neither the runs that the former one has ended nor the stops that it has answered, so that an order without a response, executed late, starts the task again; and a lease call executed late, or by a worker that was back between two calls, acknowledges ends of the next life that nobody has seen.

Change: once a holder notices a restart, it stops the runs whose orders got no response within the last 12 s, unless they belong there (lateStarts.ts). A number of ends is sent until one call that carries it was answered; then calls acknowledge nothing until there are new ends.

The model of a worker decides on arrival whether a call is late, reaches the next life when it waits through the dark, and records which ends count as acknowledged; it is as strict otherwise.

--- a/packages/entry/src/partition/__tests__/workerRestart.spec.ts
+++ b/packages/entry/src/partition/__tests__/workerRestart.spec.ts
@@ -9,7 +9,7 @@
 import { createPartitionWorkerController } from '../partitionWorkerController.js'
 import { createStartWindow } from '../startWindow.js'
 import { createPartitionCluster, createTestJob, type ClusterEntry, type PartitionCluster } from '../../testing/partitionCluster.js'
-import { checkNoConcurrentRuns, readState, splitByHolder, startEntries, submitJob } from '../../testing/partitionClusterSteps.js'
+import { checkNoConcurrentRuns, checkNoStartAfterEnd, readState, splitByHolder, startEntries, submitJob, waitForLateCall } from '../../testing/partitionClusterSteps.js'
 import type { PartitionWorkerModel } from '../../testing/partitionWorkerModel.js'
 
 const JOB = '0000000000000001'
@@ -138,6 +138,72 @@
   })
 }
 
+// Guards against TWICE: the next life of a worker knows of no run that the former one has ended or been told to stop, and starts it on a late order.
+test('orders without a response that a worker executes late, after a restart that its holder has noticed, start nothing', async () => {
+  const cluster = createPartitionCluster({ planRun: () => ({ durationMs: 100, how: 'done' }) })
+  const worker = cluster.addWorker('w1')
+  const [entry] = await startEntries(cluster, ['a'])
+  await cluster.clock.runFor(3000)
+  worker.faults.delayCall = () => ({ afterMs: 4000 })
+  await submitJob(cluster, entry!, JOB, TASKS)
+  worker.faults.delayCall = () => null
+  await cluster.clock.runFor(1500)
+  assert.is(await readState(cluster, entry!, JOB), 'completed')
+  worker.restart()
+  await cluster.clock.runFor(10_000)
+  assert.is(cluster.started.length, TASKS)
+  checkNoStartAfterEnd(cluster)
+})
+
+// Guards against TWICE: a lease call that the next life of a worker executed late acknowledged ends that no one had seen, and their tasks ran again.
+test('a lease call that the next life of a worker executes late acknowledges no ends of its own', async () => {
+  const cluster = createPartitionCluster({ planRun: () => ({ durationMs: 100, how: 'done' }) })
+  const worker = cluster.addWorker('w1')
+  const [entry] = await startEntries(cluster, ['a'])
+  await submitJob(cluster, entry!, OTHER_JOB, 40)
+  await cluster.clock.runFor(3000)
+  await waitForLateCall(cluster, worker, 2000)
+  worker.restart(true)
+  await submitJob(cluster, entry!, JOB, TASKS)
+  await cluster.clock.runFor(150)
+  worker.faults.cut = true
+  await cluster.clock.runFor(2500)
+  worker.faults.cut = false
+  await cluster.clock.runFor(10_000)
+  assert.is(await readState(cluster, entry!, JOB), 'completed')
+  assert.is(cluster.started.filter(({ job }) => job === JOB).length, TASKS)
+})
+
+// Guards against LOST: tasks wait for the longest lease of an unknown life, and for the last moment at which an order may be executed, but for no longer.
+test('tasks of a worker that is lost for good right after a restart with unanswered starts run again within 24 s', async () => {
+  const { cluster, worker, entries } = await createLongRuns(['a'])
+  worker.faults.delayCall = () => ({ afterMs: 5 })
+  await submitJob(cluster, entries[0]!, JOB, TASKS)
+  await cluster.clock.runFor(100)
+  worker.faults.delayCall = () => null
+  worker.restart()
+  await cluster.clock.runFor(500)
+  await checkRunsAfterCut(cluster, worker, 24_000)
+})
+
+// A start shows the next life by its clock, also where the holder was between two lease calls.
+for (const gapMs of [1, 5, 20, 100]) {
+  test(`tasks that ended in the next life of a worker that was back within ${gapMs} ms between two lease calls are not started again`, async () => {
+    const cluster = createPartitionCluster({ planRun: () => ({ durationMs: 20, how: 'done' }) })
+    const worker = cluster.addWorker('w1')
+    const [entry] = await startEntries(cluster, ['a'])
+    await submitJob(cluster, entry!, OTHER_JOB, 40)
+    await cluster.clock.runFor(3000 + gapMs)
+    await submitJob(cluster, entry!, 'ffff000000000003', 1)
+    await cluster.clock.runFor(gapMs)
+    worker.restart()
+    await submitJob(cluster, entry!, JOB, TASKS)
+    await cluster.clock.runFor(10_000)
+    assert.is(await readState(cluster, entry!, JOB), 'completed')
+    assert.is(cluster.started.filter(({ job }) => job === JOB).length, TASKS)
+  })
+}
+
 // Guards against LOST: the lease of a worker that restarted while a start was being tried seemed to last for minutes, by the clock of its former life.
 test('a start is not tried again with a deadline by the clock of the worker\'s former life', async () => {
   const clock = createFakeClock()
--- a/packages/entry/src/partition/partitionWorkerController.ts
+++ b/packages/entry/src/partition/partitionWorkerController.ts
@@ -7,6 +7,7 @@
 import { runEnded, runRefused, runStopping, orderInDoubt, workerReachable, workerUnresponsive } from './events.js'
 import type { HolderLoad } from './holderLoad.js'
 import { formatRun } from './formatRun.js'
+import { createLateStarts } from './lateStarts.js'
 import type { PartitionWorkerClient, LeaseResponse } from './ports.js'
 import { createReportedEnds } from './reportedEnds.js'
 import type { StartWindow } from './startWindow.js'
@@ -58,6 +59,7 @@
   const disposables = createDisposableStore()
   const inDoubt = new Map<string, RunName>()
   const stopping = new Set<string>()
+  const lateStarts = createLateStarts(clock)
   let disposed = false
   let isReachable = false
   let isLost = false
@@ -117,10 +119,11 @@
     else clock.setTimer(delayMs + 1, watchExpiry)
   }
 
-  const applyResponse = (response: LeaseResponse, call: LeaseCall): void => {
+  const applyResponse = (response: LeaseResponse, call: LeaseCall, acknowledgedEnd: number): void => {
     const nowMs = clock.nowMs()
     const { sentAtMs } = call
-    if (lease.recordReport(call, response) === 'restarted') {
+    const life = lease.recordReport(call, response)
+    if (life === 'restarted') {
       ends.forgetAll()
       // Its next life proves that a worker that was lost before has crashed.
       if (isLost) options.onReplaced()
@@ -128,7 +131,10 @@
       // Starts reach the next life under the same id before its first report: those that it lists, or that this report may be too early for, run there.
       const running = new Set(response.running.map(formatRun))
       recordWorkerLost('the worker restarted', 'restarted', (run, confirmedAtMs) => running.has(formatRun(run)) || (confirmedAtMs !== null && confirmedAtMs >= sentAtMs))
-    } else if (isLost) planner.recordWorkerSurvived(worker)
+    } else {
+      ends.recordAnswered(acknowledgedEnd)
+      if (isLost) planner.recordWorkerSurvived(worker)
+    }
     hasMoreEnds = response.hasMoreEnds
     if (!isBirthRecorded && !hasMoreEnds) {
       isBirthRecorded = true
@@ -144,6 +150,7 @@
     const strays = planner.recordReport(worker, { requestedAtMs: sentAtMs, running: response.running, ended, hasMoreEnds }, nowMs, clock.wallMs())
     for (const stray of strays) stopRun(stray)
     for (const run of response.running) inDoubt.delete(formatRun(run))
+    if (life === 'restarted') for (const order of lateStarts.list()) if (!planner.isAllocatedAt(order, worker)) stopRun({ ...order, worker, reason: 'stray' })
     if (!isReachable) {
       isReachable = true
       planner.setSynced(worker, true)
@@ -188,7 +195,7 @@
     }
     const isFirst = lease.readClockMs() === null
     const response = result.value
-    options.load.measurePart('report', () => applyResponse(response, call))
+    options.load.measurePart('report', () => applyResponse(response, call, acknowledgedEnd))
     if (!isFirst && ends.hasPending()) await ends.waitForCommit(COMMIT_WAIT_MS)
   }
 
@@ -235,7 +242,10 @@
       if (attempt === 0) startWindow.releaseSlot(isResponse ? clock.nowMs() - sentAtMs : null)
       if (disposed) return
       if (result.isErr()) {
-        if (result.error.kind === 'unknown') lease.recordUnanswered(call)
+        if (result.error.kind === 'unknown') {
+          lease.recordUnanswered(call)
+          lateStarts.add(order, sentAtMs)
+        }
         if (result.error.isOwnDelay === true && excusedAttempts < MAX_EXCUSED_CALLS) {
           excusedAttempts++
           timeouts.push(timeoutMs)
@@ -299,7 +309,7 @@
         options.onChange()
         break
       }
-      if (order.reason === 'stray') break
+      if (order.reason === 'stray' && !lateStarts.has(order)) break
       await waitFor(LEASE_RETRY_MS)
     }
     stopping.delete(name)
--- a/packages/entry/src/partition/reportedEnds.ts
+++ b/packages/entry/src/partition/reportedEnds.ts
@@ -12,8 +12,13 @@
 
 /** Reported ends of one life of a worker. */
 export interface ReportedEnds {
-  /** Highest number up to which all ends are committed; the worker reports later ones again. */
+  /**
+   * Highest number up to which all ends are committed; 0 once a call that carried it was answered. A call without a response may be executed late
+   * by the worker's next life, which would forget the ends of its own that have these numbers.
+   */
   readAcknowledged: () => number
+  /** Records that a call which acknowledged the ends up to a number was answered. */
+  recordAnswered: (acknowledgedEnd: number) => void
   /** Whether any end waits for its commit. */
   hasPending: () => boolean
   /** Returns the ends that were not reported before; they wait for their commit from now on. */
@@ -34,13 +39,16 @@
 export function createReportedEnds ({ clock, isChanged }: ReportedEndsOptions): ReportedEnds {
   let lastReported = 0
   let acknowledged = 0
+  /** Highest number that an answered call has carried. */
+  let answered = 0
   /** Highest number up to which all ends are covered by the commit in progress. */
   let committing = 0
   let pending: ListedEnd[] = []
   let resolveWait: (() => void) | null = null
 
   return {
-    readAcknowledged: () => acknowledged,
+    readAcknowledged: () => acknowledged > answered ? acknowledged : 0,
+    recordAnswered: (acknowledgedEnd) => { answered = Math.max(answered, acknowledgedEnd) },
     hasPending: () => pending.length > 0,
     takeNew: (ended) => {
       const reported = ended.filter((end) => end.number > lastReported)
@@ -70,7 +78,7 @@
     }),
     cancelWait: () => resolveWait?.(),
     forgetAll: () => {
-      lastReported = acknowledged = committing = 0
+      lastReported = acknowledged = answered = committing = 0
       pending = []
     }
   }
--- a/packages/entry/src/testing/partitionClusterSteps.ts
+++ b/packages/entry/src/testing/partitionClusterSteps.ts
@@ -33,6 +33,15 @@
   }
 }
 
+/** Asserts that no task was started after a run of it had ended `done` and that end was acknowledged. */
+export function checkNoStartAfterEnd (cluster: PartitionCluster): void {
+  for (const done of cluster.started) {
+    if (done.how !== 'done' || !done.isAcknowledged) continue
+    const later = cluster.started.find((run) => run !== done && run.job === done.job && run.index === done.index && run.step === done.step && run.occurrence === done.occurrence && run.startedAtMs > done.endedAtMs!)
+    assert.ok(later === undefined, `${done.job}.${done.index}: ${later === undefined ? '' : describeRun(later)} after ${describeRun(done)}`)
+  }
+}
+
 /** Starts entries and waits until one holds the partition. */
 export async function startEntries (cluster: PartitionCluster, names: readonly string[]): Promise<ClusterEntry[]> {
   const entries = names.map((name) => cluster.addEntry(name))
@@ -48,6 +57,17 @@
   return { holder, other }
 }
 
+/** Waits until the worker gets its next call, which it executes late and never answers. */
+export async function waitForLateCall (cluster: PartitionCluster, worker: PartitionWorkerModel, afterMs: number): Promise<void> {
+  const delayed: number[] = []
+  worker.faults.delayCall = () => {
+    delayed.push(afterMs)
+    return { afterMs }
+  }
+  while (delayed.length === 0) await cluster.clock.runFor(10)
+  worker.faults.delayCall = () => null
+}
+
 /** Starts two tasks whose first runs hang on the only worker; their second runs end after half a second. */
 export async function startStuckRuns (options: PartitionClusterOptions = {}): Promise<{ cluster: PartitionCluster, worker: PartitionWorkerModel, entry: ClusterEntry }> {
   const cluster = createPartitionCluster({ ...options, planRun: (order) => ({ durationMs: order.run === 1 ? 60_000 : 500, how: 'done' }) })
--- a/packages/entry/src/testing/partitionWorkerModel.ts
+++ b/packages/entry/src/testing/partitionWorkerModel.ts
@@ -4,7 +4,7 @@
  */
 import type { Clock, ListedEnd, RunName, StartOrder } from '@fuchsiatally/core'
 import { err, ok, type Result } from 'neverthrow'
-import type { CallFailure, PartitionWorkerClient, ListedWorker, OtherWorker } from '../partition/ports.js'
+import type { CallFailure, LeaseRequest, PartitionWorkerClient, ListedWorker, OtherWorker } from '../partition/ports.js'
 import { formatRun } from '../partition/formatRun.js'
 import { readTicketIssuedAtMs } from './adviceModel.js'
 import { createLongPoll } from './longPoll.js'
@@ -16,6 +16,8 @@
   endedAtMs: number | null
   /** `lost`: the worker crashed. */
   how: ListedEnd['how'] | 'lost' | null
+  /** The end was acknowledged by a lease call, and the worker's lease had not expired since. */
+  isAcknowledged: boolean
 }
 
 /** What becomes of connections to a crashed worker; `hangsUp`: they are accepted and closed; `silent`: there is no response. */
@@ -25,6 +27,8 @@
 export interface PartitionWorkerFaults {
   /** Calls and responses are lost. */
   cut: boolean
+  /** Time until which calls reach nobody; those that wait for so long reach the life that begins then. */
+  darkUntilMs: number
   /** Connections are refused, as after a crash or behind some cuts. */
   refuses: boolean
   /** What happens to connections instead of a refusal. */
@@ -44,6 +48,8 @@
    * @param leavesDark whether a call that waits at the worker gets no response, as after a loss of power; default: the next life responds to it
    */
   restart: (leavesDark?: boolean) => void
+  /** Ends all runs, as a loss of power does. */
+  loseRuns: () => void
   /** Ends all runs; from now on connections are refused. */
   crash: () => void
   /** The worker is down after a crash. */
@@ -92,7 +98,7 @@
 /** Creates a worker without runs. */
 export function createPartitionWorkerModel (options: PartitionWorkerModelOptions): PartitionWorkerModel {
   const { clock, listing, started } = options
-  const faults: PartitionWorkerFaults = { cut: false, refuses: false, crashedAddress: 'refuses', delayCall: () => null }
+  const faults: PartitionWorkerFaults = { cut: false, darkUntilMs: -Infinity, refuses: false, crashedAddress: 'refuses', delayCall: () => null }
   let bornAtMs = clock.wallMs()
   let startMs = clock.nowMs()
   let epoch = 0
@@ -100,6 +106,9 @@
   let lastEnd = 0
   let activeRuns = new Map<string, ActiveRun>()
   let ended: ListedEnd[] = []
+  /** Last time at which the lease was found expired. */
+  let expiredAtMs = -Infinity
+  const endRecords = new WeakMap<ListedEnd, StartedRun>()
   /** Highest run of each task that ended or was stopped on this worker; it and earlier ones may not start again. */
   let tombstones = new Map<string, number>()
   let incarnation = 0
@@ -120,7 +129,9 @@
     run.record.how = how
     lastEnd++
     const { record } = run
-    ended.push({ job: record.job, occurrence: record.occurrence, step: record.step, index: record.index, run: record.run, number: lastEnd, how, saved: run.saved })
+    const end = { job: record.job, occurrence: record.occurrence, step: record.step, index: record.index, run: record.run, number: lastEnd, how, saved: run.saved }
+    ended.push(end)
+    endRecords.set(end, record)
     tombstones.set(formatTask(record), Math.max(tombstones.get(formatTask(record)) ?? 0, record.run))
     poll.notify()
   }
@@ -130,7 +141,19 @@
     for (const name of [...activeRuns.keys()]) endRun(name, 'lapsed')
   }
 
+  const recordExpiry = (): void => { if (readClock() >= leaseUntilMs) expiredAtMs = startMs + leaseUntilMs }
+
+  /** Ends after which the lease has expired don't count as acknowledged. */
+  const acknowledgeEnds = (acknowledged: number): void => {
+    recordExpiry()
+    for (const end of ended) {
+      const record = endRecords.get(end)!
+      if (end.number <= acknowledged && expiredAtMs <= record.endedAtMs!) record.isAcknowledged = true
+    }
+  }
+
   const extendLease = (requestedMs: number): void => {
+    recordExpiry()
     const untilMs = Math.min(requestedMs, readClock() + options.maxLeaseMs)
     if (untilMs <= leaseUntilMs) return
     leaseUntilMs = untilMs
@@ -153,7 +176,7 @@
     }
     extendLease(untilMs)
     const { job, occurrence, step, index, run } = order
-    const record: StartedRun = { job, occurrence, step, index, run, worker: listing.id, startedAtMs: clock.nowMs(), endedAtMs: null, how: null }
+    const record: StartedRun = { job, occurrence, step, index, run, worker: listing.id, startedAtMs: clock.nowMs(), endedAtMs: null, how: null, isAcknowledged: false }
     started.push(record)
     const { durationMs, how, saved = '' } = options.planRun(order)
     activeRuns.set(name, { record, durationMs, saved })
@@ -175,15 +198,32 @@
     return { kind: 'answered' as const }
   }
 
-  const call = async <T> (run: () => T, timeoutMs = CALL_TIMEOUT_MS): Promise<Result<T | OtherWorker, CallFailure>> => {
+  const acceptRenewal = (request: LeaseRequest) => {
+    if (request.epoch < epoch) return { kind: 'deposed' as const }
+    epoch = request.epoch
+    if (request.leaseUntilMs !== null) extendLease(request.leaseUntilMs)
+    acknowledgeEnds(request.acknowledgedEnd)
+    ended = ended.filter((end) => end.number > request.acknowledgedEnd)
+    const running = [...activeRuns.values()].map(({ record, durationMs, saved }) => ({
+      ...record, saved, percent: Math.floor(100 * (clock.nowMs() - record.startedAtMs) / durationMs), load: 0
+    }))
+    return { kind: 'held' as const, clockMs: readClock(), bornAtMs, running, ended: ended.slice(0, MAX_LISTED_ENDS), hasMoreEnds: ended.length >= MAX_LISTED_ENDS }
+  }
+
+  /** Returns the delay of a call that arrives now, or `null`. */
+  const readDelay = () => faults.cut || faults.refuses ? null : faults.delayCall()
+
+  const call = async <T> (run: () => T, timeoutMs = CALL_TIMEOUT_MS, delayed?: ReturnType<typeof readDelay>): Promise<Result<T | OtherWorker, CallFailure>> => {
     await wait(NETWORK_DELAY_MS)
     if (faults.refuses && faults.crashedAddress === 'hangsUp') return err({ kind: 'unknown', message: 'socket hang up', connection: 'closed' })
     if (faults.refuses && faults.crashedAddress === 'refuses') return err({ kind: 'refused', message: 'connect ECONNREFUSED', connection: 'refused' })
     if (isReplaced) return ok({ kind: 'otherWorker' })
-    const isCut = faults.cut || faults.refuses
-    const delayed = isCut ? null : faults.delayCall()
-    if (delayed !== null) clock.setTimer(delayed.afterMs, run)
-    if (isCut || delayed !== null) {
+    const darkMs = faults.darkUntilMs - clock.nowMs()
+    if (darkMs > 0 && darkMs < timeoutMs) await wait(darkMs + NETWORK_DELAY_MS)
+    const isCut = faults.cut || faults.refuses || darkMs >= timeoutMs
+    const late = isCut ? null : delayed === undefined ? readDelay() : delayed
+    if (late !== null) clock.setTimer(late.afterMs, run)
+    if (isCut || late !== null) {
       await wait(timeoutMs)
       return err({ kind: 'unknown', message: 'no response' })
     }
@@ -195,22 +235,16 @@
   const createClient = (): PartitionWorkerClient => ({
     renewLease: async (request) => {
       const calledIncarnation = incarnation
+      // Whether a call is late shows when it arrives, before it waits.
+      const delayed = readDelay()
+      if (delayed !== null) return await call(() => acceptRenewal(request), CALL_TIMEOUT_MS, delayed)
       await poll.waitUntil(() => ended.length > 0 || faults.cut || faults.refuses || isReplaced, request.waitMs)
       // The connection ended with the life that the call was made to, without a word.
       if (isDark && incarnation !== calledIncarnation) {
         await wait(CALL_TIMEOUT_MS)
         return err({ kind: 'unknown', message: 'no response' })
       }
-      return await call(() => {
-        if (request.epoch < epoch) return { kind: 'deposed' as const }
-        epoch = request.epoch
-        if (request.leaseUntilMs !== null) extendLease(request.leaseUntilMs)
-        ended = ended.filter((end) => end.number > request.acknowledgedEnd)
-        const running = [...activeRuns.values()].map(({ record, durationMs, saved }) => ({
-          ...record, saved, percent: Math.floor(100 * (clock.nowMs() - record.startedAtMs) / durationMs), load: 0
-        }))
-        return { kind: 'held' as const, clockMs: readClock(), bornAtMs, running, ended: ended.slice(0, MAX_LISTED_ENDS), hasMoreEnds: ended.length >= MAX_LISTED_ENDS }
-      })
+      return await call(() => acceptRenewal(request), CALL_TIMEOUT_MS, null)
     },
     startRun: (order, orderEpoch, untilMs, timeoutMs) => call(() => acceptStart(order, orderEpoch, untilMs), timeoutMs),
     stopRun: (run, orderEpoch) => call(() => acceptStop(run, orderEpoch)),
@@ -230,6 +264,7 @@
     listing,
     faults,
     createClient,
+    loseRuns: () => loseRuns('lost'),
     crash: () => {
       loseRuns('lost')
       isCrashed = true
@@ -250,6 +285,7 @@
       ended = []
       tombstones = new Map()
       epoch = lastEnd = leaseUntilMs = 0
+      expiredAtMs = -Infinity
       startMs = clock.nowMs()
       bornAtMs = clock.wallMs()
     }
