Queue counts: a job counts as waiting until one of its starts is confirmed

Change: the count follows confirmed starts (an answer, a report or an end), not the phase. A job restored by a new holder has begun if one of its tasks is done, has failed or has saved its work, or once a worker lists a run. Test: endedJobs.spec expected the job to leave the count with the decision; it expects that now with the confirmed start, and that a refused one leaves the count as it is.

--- a/packages/core/src/partition/__tests__/endedJobs.spec.ts
+++ b/packages/core/src/partition/__tests__/endedJobs.spec.ts
@@ -34,7 +34,7 @@
   assert.equal(planner.removeEnded(1000), ['j'])
 })
 
-// Guards against counts of waiting jobs that drift from the jobs' phases.
+// Guards against counts of waiting jobs that drift from the jobs' phases, and against MIXED: a job whose first start was refused did not count as waiting.
 test('a one-off job counts as waiting from its acceptance until its first start or its end', () => {
   const planner = createPartitionPlanner()
   planner.setWorker({ id: 'w1', failureDomain: 'a', labels: [], capacity: { processors: 2, memoryMb: 65_536, accelerators: 0 }, draining: false })
@@ -43,12 +43,18 @@
   planner.addJob('recurring', createTestStepJob([createTestStep()], {}, { runCount: 2, firstRunMs: 1000, intervalMs: 10 }), ACCEPTED_STATE, 0)
   assert.equal(count(), [['q', 2], ['other', 1]])
   planner.setSynced('w1', true)
-  planner.decide(0, 0, () => true)
+  const [refused] = planner.decide(0, 0, () => true).starts
+  assert.equal(count(), [['q', 2], ['other', 1]])
+  planner.recordStartRefused(refused!, 'unavailable', 0)
+  assert.equal(count(), [['q', 2], ['other', 1]])
+  const [started] = planner.decide(1000, 1000, () => true).starts
+  planner.recordStartConfirmed(started!, 'w1', 1000)
   assert.equal(count(), [['q', 1], ['other', 1]])
-  planner.recordWorkerLost('w1', { kind: 'silent', failedAtMs: 5, nowMs: 5, wallMs: 5 })
+  planner.recordWorkerLost('w1', { kind: 'silent', failedAtMs: 1005, nowMs: 1005, wallMs: 1005 })
   assert.equal(count(), [['q', 1], ['other', 1]])
-  planner.cancelJob('b', 10)
-  planner.cancelJob('b', 11)
+  const unstarted = started!.job === 'a' ? 'b' : 'a'
+  planner.cancelJob(unstarted, 1010)
+  planner.cancelJob(unstarted, 1011)
   assert.equal(count(), [['other', 1]])
 })
 
--- a/packages/core/src/partition/createPartitionPlanner.ts
+++ b/packages/core/src/partition/createPartitionPlanner.ts
@@ -303,6 +303,7 @@
       if (task === undefined) return
       task.confirmedAtMs ??= nowMs
       task.hasStarted = true
+      registry.recordBegun(task.job)
     },
     recordOrderSettled: (name, worker, nowMs) => {
       const task = findRun(name, worker)
--- a/packages/core/src/partition/jobRegistry.ts
+++ b/packages/core/src/partition/jobRegistry.ts
@@ -29,6 +29,8 @@
   addDueOccurrences: (wallMs: number, nowMs: number) => void
   recordWaiting: (task: Task, nowMs: number) => void
   recordStarted: (instance: StepInstance) => void
+  /** Records that a run of a job has begun at its worker. */
+  recordBegun: (id: string) => void
   /** Records that a task is done; dependent steps may become ready. */
   recordDone: (task: Task, nowMs: number) => void
   endIfComplete: (task: Task, wallMs: number) => void
@@ -67,7 +69,7 @@
 
   /** Keeps the counts of waiting jobs; `change` is 1 or -1. */
   const countJob = (job: Job, change: number): void => {
-    if (job.phase !== 'queued' || job.spec.runCount > 0) return
+    if (job.hasBegun || isFinal(job.phase) || job.spec.runCount > 0) return
     const { queue } = job.spec.policy
     const count = (waitingJobs.get(queue) ?? 0) + change
     if (count > 0) waitingJobs.set(queue, count)
@@ -200,6 +202,12 @@
       instance.waitingSinceMs = null
       waiting.delete(instance)
     },
+    recordBegun: (id) => {
+      const job = jobs.get(id)
+      if (job === undefined || job.hasBegun) return
+      countJob(job, -1)
+      job.hasBegun = true
+    },
     recordDone: (task, nowMs) => {
       recordChanged(task.job)
       const instance = findStepInstance(task)
--- a/packages/core/src/partition/jobState.ts
+++ b/packages/core/src/partition/jobState.ts
@@ -96,6 +96,8 @@
   changes: number
   /** Wall clock of the end, in milliseconds since 1970; 0 before it. */
   endedAtMs: number
+  /** A task is known to have started. Not stored in the table. */
+  hasBegun: boolean
   /** A record of crashed workers has been read from the table or built for it. Not stored in the table. */
   hasCrashRecord: boolean
 }
@@ -181,7 +183,7 @@
 
 /** Restores a job from its rows. */
 export function createJob (id: string, spec: StepJob, record: JobStateRecord, isOverRate: boolean): Job {
-  const job: Job = { id, spec, isOverRate, objectiveMs: computeObjectiveMs(spec), phase: record.phase, occurrences: new Map(), completedOccurrences: new Set(), changes: 0, endedAtMs: record.endedAtMs, hasCrashRecord: false }
+  const job: Job = { id, spec, isOverRate, objectiveMs: computeObjectiveMs(spec), phase: record.phase, occurrences: new Map(), completedOccurrences: new Set(), changes: 0, endedAtMs: record.endedAtMs, hasBegun: false, hasCrashRecord: false }
   for (const [first, last] of record.completed ?? []) {
     for (let index = first; index <= last; index++) job.completedOccurrences.add(index)
   }
@@ -197,6 +199,7 @@
     }
     job.occurrences.set(index, occurrence)
   }
+  for (const task of listTasks(job)) job.hasBegun ||= task.phase === 'done' || task.failures > 0 || task.saved !== ''
   return job
 }
 
--- a/packages/core/src/partition/runTracker.ts
+++ b/packages/core/src/partition/runTracker.ts
@@ -153,6 +153,7 @@
   const recordEnd = (workerId: string, end: ListedEnd, nowMs: number, wallMs: number): void => {
     const task = registry.findTask(end)
     if (task === undefined) return
+    registry.recordBegun(task.job)
     const isCurrent = task.run === end.run && task.worker === workerId
     const worker = workers.get(workerId)
     if (worker !== undefined && isCurrent) recordWorkerEnd(worker, end.how === 'failed', nowMs)
@@ -203,6 +204,7 @@
         continue
       }
       listed.add(task)
+      registry.recordBegun(task.job)
       task.confirmedAtMs ??= report.requestedAtMs
       task.hasStarted = true
       checkProgress(worker, task, entry.percent, nowMs)
