Crashes: runs that had gone on for too long to be the cause don't exhaust a task's starts

Read in the change before: a long-running task that shares a worker was given up with its fifth lost worker, whatever it had run for, and a task whose last run had passed its probation waited for up to 30 s for a verdict. Change: a crash counts towards the five only if the run may have caused it; the longest wait for a verdict likewise. Test: excusedLosses.spec, long-running tasks at one worker that crashes eight times; without this change there is no start before the sixth.

--- a/packages/core/src/partition/__tests__/excusedLosses.spec.ts
+++ b/packages/core/src/partition/__tests__/excusedLosses.spec.ts
@@ -80,6 +80,22 @@
   assert.is(world.planner.readPhase('bad'), 'failed')
 })
 
+// Guards against LOST: sound long-running tasks that share a worker would be given up for crashes long after their starts.
+test('long-running tasks that share a worker and have run for longer at each of its eight crashes are not given up', () => {
+  const world = createWorld(4)
+  const jobs = ['a', 'b', 'c']
+  for (const id of jobs) addJob(world, id, { longRunning: true })
+  for (let crash = 1, ageMs = 20_000; crash <= 8; crash++, ageMs *= 3) {
+    world.nowMs += 3000
+    const [start] = startRuns(world)
+    assert.ok(start, `before crash ${crash}`)
+    world.nowMs += ageMs
+    loseWorker(world, start!.worker, 'crashed')
+    world.planner.setSynced(start!.worker, true)
+  }
+  for (const id of jobs) assert.is(world.planner.readPhase(id), 'running', id)
+})
+
 test('a task whose losses are explained by other failures is not given up for them before the fifth', () => {
   const world = createWorld(16)
   addJob(world, 'sound')
--- a/packages/core/src/partition/crashEvidence.ts
+++ b/packages/core/src/partition/crashEvidence.ts
@@ -57,6 +57,8 @@
   readonly isOfRack: boolean
   /** Had run for too long to be the cause of a crash right after the start of another task. */
   readonly isSettled: boolean
+  /** Had run for too long to be the cause, wherever it ran. */
+  readonly isCleared: boolean
   /** Was suspected, and had run for too long at a worker set apart to be the cause of such a crash. */
   readonly hasPassed: boolean
   /** Ran apart from other tasks. */
@@ -115,7 +117,8 @@
     const ageMs = task.confirmedAtMs === null ? 0 : failedAtMs - task.confirmedAtMs
     const isRecent = ageMs <= RECENT_START_MS && kind !== 'silent'
     const isKnownRecent = isRecent && (task.confirmedAtMs !== null || isAbrupt)
-    const hasPassed = worker.isolated && hasPassedProbation(task, worker, failedAtMs)
+    const hasPassedAnywhere = hasPassedProbation(task, worker, failedAtMs)
+    const hasPassed = worker.isolated && hasPassedAnywhere
     const isOwed = countUnprovenCrashes(task) >= MAX_UNPROVEN_CRASHES
     charges.push({
       task,
@@ -127,6 +130,7 @@
       isOwed,
       isOfRack: commonCause === 'rack' && !isOwed,
       isSettled: isSettled(task, failedAtMs) || hasPassed,
+      isCleared: isSettled(task, failedAtMs) || hasPassedAnywhere,
       hasPassed,
       wasSuspected: isSuspected(task),
       suspicion: computeSuspicion(isExcused, isKnownRecent)
@@ -185,9 +189,9 @@
 
   /** How long the next start of a task waits until it is known whether its worker has crashed, in milliseconds. */
   const computeVerdictWaitMs = (loss: RecordedLoss, charge: Charge): number => {
-    const { task, isSettled } = charge
+    const { task, isSettled, isCleared } = charge
     // Any further start of a task that crashes its workers would be one too many.
-    if (task.crashes >= MAX_CRASHING_STARTS) return MAX_LOSS_AGE_MS
+    if (task.crashes >= MAX_CRASHING_STARTS && !isCleared) return MAX_LOSS_AGE_MS
     if (isSettled || !loss.isSolo) return 0
     return task.soloCrashes + computeProofWeight(loss, charge) >= CRASH_PROOFS_TO_GIVE_UP ? VERDICT_WAIT_MS : 0
   }
@@ -202,10 +206,13 @@
     const proven: Task[] = []
     for (const charge of charges) {
       const { task } = charge
-      if (charge.isConfirmed) task.certainCrashes++
       if (task.crashedRun === charge.run) task.verdictDueMs = 0
-      if (isExhausted(task)) proven.push(task)
-      if (!loss.isSolo || charge.isSettled || isExhausted(task)) continue
+      if (charge.isConfirmed && !charge.isCleared) task.certainCrashes++
+      if (!charge.isCleared && isExhausted(task)) {
+        proven.push(task)
+        continue
+      }
+      if (!loss.isSolo || charge.isSettled) continue
       task.soloCrashes += computeProofWeight(loss, charge)
       if (task.soloCrashes >= CRASH_PROOFS_TO_GIVE_UP) proven.push(task)
     }
--- a/packages/core/src/partition/jobState.ts
+++ b/packages/core/src/partition/jobState.ts
@@ -41,7 +41,7 @@
   soloCrashes: number
   /** Crashes during runs of which the start was confirmed. Not stored in the table. */
   confirmedCrashes: number
-  /** Crashes that are certain: another life of the worker, or another worker at its address, responded. Not stored in the table. */
+  /** Crashes that are certain (another life of the worker, or another worker at its address, responded) and that the task may have caused. Not stored in the table. */
   certainCrashes: number
   /** Workers lost with their whole rack since the last other crash, to which they are added; tasks ran at all workers of the rack. Not stored in the table. */
   rackLosses: number
