Entry rows: a late write of an earlier life doesn't replace the row of the next one

A write of an earlier life that got no response and was done seconds later replaced the row of the next life, so that peers went on dialling an entry that was gone. Test: ownRows.spec, failed before. partitionEntry, partitionTakeover, holderCapacity, partitionHandover, tableRelay, slowStore: passed.

--- a/packages/entry/src/partition/partitionEntry.ts
+++ b/packages/entry/src/partition/partitionEntry.ts
@@ -13,6 +13,7 @@
 import type { AdviceClient, PartitionBounds, PartitionTable, PartitionWorkerClient, ListedWorker, PlatformRows } from './ports.js'
 import { MIN_HANDOVER_TERM_MS, STUCK_REPORT_MEMORY_MS, WRITE_RETRY_MS } from './constants.js'
 import { computeCapacityClass } from './rendezvousRank.js'
+import { readRow } from './readRow.js'
 import { createMonitoredTable } from './tableHealth.js'
 import { createRelayedTable, type RelayedTable } from './tableRelay.js'
 import { failProcess } from '../process/failProcess.js'
@@ -216,9 +217,14 @@
   })
 
   const storeOwnRow = async (part: string, row: EntryRow | CapacityRow): Promise<void> => {
-    for (;;) {
-      const result = await table.commit({ part, checks: [], writes: [{ table: PARTITION_TABLE, key: self.entry, value: JSON.stringify(row) }], deletes: [] })
-      if (result.isOk() || stopping) return
+    const name = { table: PARTITION_TABLE, key: self.entry }
+    while (!stopping) {
+      const stored = await readRow(table, name.table, part, name.key)
+      if (stored.isOk()) {
+        // The check keeps a late write of an earlier life of this entry from replacing the row.
+        const result = await table.commit({ part, checks: [{ ...name, version: stored.value?.version ?? 0 }], writes: [{ ...name, value: JSON.stringify(row) }], deletes: [] })
+        if (result.isOk() && result.value.kind === 'applied') return
+      }
       await new Promise<void>((resolve) => { clock.setTimer(WRITE_RETRY_MS, resolve) })
     }
   }
