--- a/packages/entry/src/partition/partitionEntry.ts
+++ b/packages/entry/src/partition/partitionEntry.ts
@@ -218,13 +218,14 @@
 
   const storeOwnRow = async (part: string, row: EntryRow | CapacityRow): Promise<void> => {
     const name = { table: PARTITION_TABLE, key: self.entry }
-    while (!stopping) {
+    for (;;) {
       const stored = await readRow(table, name.table, part, name.key)
       if (stored.isOk()) {
         // The check keeps a late write of an earlier life of this entry from replacing the row.
         const result = await table.commit({ part, checks: [{ ...name, version: stored.value?.version ?? 0 }], writes: [{ ...name, value: JSON.stringify(row) }], deletes: [] })
         if (result.isOk() && result.value.kind === 'applied') return
       }
+      if (stopping) return
       await new Promise<void>((resolve) => { clock.setTimer(WRITE_RETRY_MS, resolve) })
     }
   }
