--- a/packages/entry/src/partition/partitionWorkerController.ts
+++ b/packages/entry/src/partition/partitionWorkerController.ts
@@ -11,24 +11,17 @@
 import type { PartitionWorkerClient, LeaseResponse } from './ports.js'
 import { createReportedEnds } from './reportedEnds.js'
 import type { StartWindow } from './startWindow.js'
-import { createWorkerLease, type LeaseCall } from './workerLease.js'
+import { createWorkerLease, type LeaseCall, type WorkerLeaseOptions } from './workerLease.js'
 import { createWorkerLosses, recordGivenUp, type LossCause, type WorkerLossesOptions } from './workerLosses.js'
 import { failProcess } from '../process/failProcess.js'
 
-export interface PartitionWorkerControllerOptions extends WorkerLossesOptions {
+export interface PartitionWorkerControllerOptions extends WorkerLossesOptions, WorkerLeaseOptions {
   /** `host:port` of the worker. */
   readonly address: string
   readonly client: PartitionWorkerClient
-  readonly epoch: number
-  readonly termStartedAtMs: number
-  readonly maxLeaseMs: number
   readonly load: HolderLoad
   /** Shared by the controllers of a term. */
   readonly startWindow: StartWindow
-  /** Duration of a lease granted now, in milliseconds; `null` if this holder was not confirmed recently enough to extend leases. */
-  readonly computeGrantMs: () => number | null
-  /** Time at which the listed life of the worker began, in milliseconds since 1970; `null` if the platform doesn't tell. */
-  readonly readListedBirthMs: () => number | null
   /** A report or the outcome of an order changed the planner. */
   readonly onChange: () => void
   /** Another worker, or a later life of this one, responds at its address. */
